--- /dev/null
+++ b/Makefile
@@ -0,0 +1,73 @@
+# lavenderlead: make builds the binary; make demo and make check need only gcc, make and apt.
+
+PACKAGES = libcivetweb-dev libinih-dev libmsgpack-dev liburcu-dev libargtable2-dev \
+	libglib2.0-dev libjansson-dev libxxhash-dev pkg-config clang-format cppcheck curl
+
+CC = gcc
+PKGS = glib-2.0 jansson liburcu-bp
+CFLAGS = -std=gnu11 -D_GNU_SOURCE -O2 -g -Wall -Wextra -Werror -pthread -I.
+LDLIBS = -lcivetweb -linih -lmsgpackc -largtable2 -lxxhash -lm -ldl -lrt
+
+# Evaluated when first used, after the packages are there.
+PKG_CFLAGS = $(shell pkg-config --cflags $(PKGS))
+PKG_LIBS = $(shell pkg-config --libs $(PKGS))
+
+OUT = build
+DIRS = lib kernel wire node control
+SRC = $(sort $(wildcard $(addsuffix /*.c,$(DIRS))))
+CMD_SRC = $(sort $(wildcard cmd/*.c))
+FAKE_SRC = $(sort $(wildcard test/fakes/*.c))
+TEST_SRC = $(sort $(wildcard test/*_test.c))
+PROG_SRC = $(sort $(wildcard test/programs/*.c) $(wildcard bench/*.c))
+ALL_C = $(SRC) $(CMD_SRC) $(FAKE_SRC) $(TEST_SRC) $(PROG_SRC)
+ALL_H = $(sort $(wildcard $(addsuffix /*.h,$(DIRS) cmd test test/fakes test/programs bench)))
+
+OBJ = $(SRC:%.c=$(OUT)/%.o)
+CMD_OBJ = $(CMD_SRC:%.c=$(OUT)/%.o)
+FAKE_OBJ = $(FAKE_SRC:%.c=$(OUT)/%.o)
+TESTS = $(TEST_SRC:%.c=$(OUT)/%)
+PROGS = $(PROG_SRC:%.c=$(OUT)/%)
+
+all: lavenderlead
+
+lavenderlead: $(OBJ) $(CMD_OBJ)
+	$(CC) $(CFLAGS) -o $@ $^ $(PKG_LIBS) $(LDLIBS)
+
+$(OUT)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) $(PKG_CFLAGS) -MMD -MP -c -o $@ $<
+
+$(OUT)/liblavenderlead.a: $(OBJ)
+	@rm -f $@
+	ar rcs $@ $^
+
+$(TESTS) $(PROGS): $(OUT)/%: $(OUT)/%.o $(FAKE_OBJ) $(OUT)/liblavenderlead.a
+	$(CC) $(CFLAGS) -o $@ $< $(FAKE_OBJ) $(OUT)/liblavenderlead.a $(PKG_LIBS) $(LDLIBS)
+
+install-deps:
+	tools/install $(PACKAGES)
+
+tests: lavenderlead $(TESTS) $(PROGS)
+
+format:
+	clang-format -i $(ALL_C) $(ALL_H)
+
+lint:
+	clang-format --dry-run -Werror $(ALL_C) $(ALL_H)
+	cppcheck --quiet --error-exitcode=1 --std=c11 --enable=warning,performance,portability \
+		--inline-suppr --suppress=missingIncludeSystem --library=gtk,posix --suppressions-list=tools/cppcheck.txt \
+		-j 4 -I. $(SRC) $(CMD_SRC) $(FAKE_SRC) $(TEST_SRC) $(PROG_SRC)
+
+check: install-deps
+	tools/check
+
+demo: install-deps
+	$(MAKE) lavenderlead tests
+	tools/demo
+
+clean:
+	rm -rf $(OUT) lavenderlead
+
+.PHONY: all install-deps tests format lint check demo clean
+.SECONDARY:
+-include $(shell find $(OUT) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/cmd/declare.c
@@ -0,0 +1,75 @@
+#include "cmd/declare.h"
+
+#include <string.h>
+
+static bool has_service(GPtrArray *list, const char *name)
+{
+	for (guint i = 0; i < list->len; i++) {
+		const struct res_service *s = g_ptr_array_index(list, i);
+
+		if (!strcmp(s->name, name))
+			return true;
+	}
+	return false;
+}
+
+static void load_file(const char *path, GPtrArray *list, struct findings *found)
+{
+	FIND_AUTO(inner);
+	g_autoptr(GError) error = NULL;
+	g_autofree char *text = NULL;
+	struct res_service *s;
+	gsize len;
+
+	if (!g_file_get_contents(path, &text, &len, &error)) {
+		find_add(found, path, "cannot read: %s", error->message);
+		return;
+	}
+	s = res_parse(text, len, &inner);
+	for (guint i = 0; i < find_count(&inner); i++) {
+		const struct finding *one = find_at(&inner, i);
+		g_autofree char *at = g_strdup_printf("%s:%s", path, one->place);
+
+		find_add(found, at, "%s", one->text);
+	}
+	if (!s)
+		return;
+	if (has_service(list, s->name)) {
+		find_add(found, path, "the service \"%s\" is declared twice", s->name);
+		res_free(s);
+		return;
+	}
+	g_ptr_array_add(list, s);
+}
+
+static gint by_name(gconstpointer a, gconstpointer b)
+{
+	return strcmp(*(char *const *)a, *(char *const *)b);
+}
+
+static void load_folder(const char *path, GPtrArray *list, struct findings *found)
+{
+	g_autoptr(GPtrArray) names = g_ptr_array_new_with_free_func(g_free);
+	g_autoptr(GDir) dir = g_dir_open(path, 0, NULL);
+	const char *name;
+
+	while (dir && (name = g_dir_read_name(dir)))
+		if (g_str_has_suffix(name, ".json"))
+			g_ptr_array_add(names, g_build_filename(path, name, NULL));
+	g_ptr_array_sort(names, by_name);
+	if (!names->len)
+		find_add(found, path, "no *.json file in this folder");
+	for (guint i = 0; i < names->len; i++)
+		load_file(g_ptr_array_index(names, i), list, found);
+}
+
+GPtrArray *declare_load(const char *path, struct findings *found)
+{
+	GPtrArray *list = g_ptr_array_new_with_free_func((GDestroyNotify)res_free);
+
+	if (g_file_test(path, G_FILE_TEST_IS_DIR))
+		load_folder(path, list, found);
+	else
+		load_file(path, list, found);
+	return list;
+}
--- /dev/null
+++ b/cmd/get.c
@@ -0,0 +1,137 @@
+/* Subcommands that print what a control process answers: get, delete, watch, status. */
+#include "cmd/cmd.h"
+
+#include "cmd/client.h"
+#include "lib/err.h"
+#include "lib/res.h"
+
+#include <argtable2.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/random.h>
+
+static void print_pretty(const char *body)
+{
+	json_t *obj = json_loads(body, 0, NULL);
+	char *text = obj ? json_dumps(obj, JSON_INDENT(2)) : NULL;
+
+	printf("%s\n", text ? text : body);
+	free(text);
+	json_decref(obj);
+}
+
+static int call_and_print(const char *control, const char *method, const char *path,
+			  const char *headers)
+{
+	struct client_reply reply = { 0 };
+	struct client c;
+	int code = CMD_DONE;
+	int err;
+
+	if (client_open(&c, control))
+		return CMD_USAGE;
+	err = client_call(&c, method, path, headers, NULL, &reply);
+	if (err || reply.status >= 300)
+		code = client_explain(err, &reply);
+	else
+		print_pretty(reply.body);
+	client_reply_clear(&reply);
+	client_close(&c);
+	return code;
+}
+
+static const char *text_or_null(const struct arg_str *a)
+{
+	return a->count ? a->sval[0] : NULL;
+}
+
+/* KIND must be "service"; NAME may be NULL. Returns the path, or NULL after an error. */
+static char *service_path(const char *kind, const char *name)
+{
+	if (kind && strcmp(kind, "service") && strcmp(kind, "services")) {
+		fprintf(stderr, "unknown kind \"%s\"; use: service\n", kind);
+		return NULL;
+	}
+	if (name && !res_name_ok(name)) {
+		fprintf(stderr, "not a service name: \"%s\"\n", name);
+		return NULL;
+	}
+	return name ? g_strdup_printf("/v1/services/%s", name) : g_strdup("/v1/services");
+}
+
+int cmd_get(int argc, char **argv)
+{
+	struct arg_lit *help = arg_lit0(NULL, "help", "print this text");
+	struct arg_str *kind = arg_str0(NULL, NULL, "service", "the kind of resource");
+	struct arg_str *name = arg_str0(NULL, NULL, "NAME", "one service");
+	struct arg_str *control = arg_str0(NULL, "control", "HOST:PORT,...", "control processes");
+	struct arg_end *end = arg_end(8);
+	void *table[] = { help, kind, name, control, end };
+	int code = cmd_parse(argc, argv, table, "Print services.");
+	g_autofree char *path = NULL;
+
+	if (code >= 0)
+		return code;
+	path = service_path(text_or_null(kind), text_or_null(name));
+	return path ? call_and_print(text_or_null(control), "GET", path, NULL) : CMD_USAGE;
+}
+
+int cmd_delete(int argc, char **argv)
+{
+	struct arg_lit *help = arg_lit0(NULL, "help", "print this text");
+	struct arg_str *kind = arg_str1(NULL, NULL, "service", "the kind of resource");
+	struct arg_str *name = arg_str1(NULL, NULL, "NAME", "the service");
+	struct arg_str *control = arg_str0(NULL, "control", "HOST:PORT,...", "control processes");
+	struct arg_end *end = arg_end(8);
+	void *table[] = { help, kind, name, control, end };
+	int code = cmd_parse(argc, argv, table, "Delete a service.");
+	g_autofree char *path = NULL;
+	g_autofree char *headers = NULL;
+	u64 id = 0;
+
+	if (code >= 0)
+		return code;
+	path = service_path(kind->sval[0], name->sval[0]);
+	if (!path || getrandom(&id, sizeof(id), 0) != sizeof(id))
+		return CMD_USAGE;
+	headers = g_strdup_printf("Change-Id: delete-%016llx\r\n", (unsigned long long)id);
+	return call_and_print(text_or_null(control), "DELETE", path, headers);
+}
+
+int cmd_watch(int argc, char **argv)
+{
+	struct arg_lit *help = arg_lit0(NULL, "help", "print this text");
+	struct arg_int *from = arg_int0(NULL, "from", "REVISION", "changes after this one (0)");
+	struct arg_str *control = arg_str0(NULL, "control", "HOST:PORT,...", "control processes");
+	struct arg_end *end = arg_end(8);
+	void *table[] = { help, from, control, end };
+	int code = cmd_parse(argc, argv, table, "Print changes as they are accepted.");
+	g_autofree char *path = NULL;
+	struct client c;
+
+	if (code >= 0)
+		return code;
+	if (client_open(&c, text_or_null(control)))
+		return CMD_USAGE;
+	path = g_strdup_printf("/v1/watch?from=%d", from->count ? from->ival[0] : 0);
+	code = client_stream(&c, path) ? CMD_REFUSED : CMD_DONE;
+	if (code)
+		fprintf(stderr, "no control process could be reached; check --control\n");
+	client_close(&c);
+	return code;
+}
+
+int cmd_status(int argc, char **argv)
+{
+	struct arg_lit *help = arg_lit0(NULL, "help", "print this text");
+	struct arg_str *control = arg_str0(NULL, "control", "HOST:PORT,...", "control processes");
+	struct arg_end *end = arg_end(8);
+	void *table[] = { help, control, end };
+	int code = cmd_parse(argc, argv, table, "Print members, nodes, upstreams and revisions.");
+
+	if (code >= 0)
+		return code;
+	return call_and_print(text_or_null(control), "GET", "/v1/status", NULL);
+}
--- /dev/null
+++ b/cmd/member.c
@@ -0,0 +1,119 @@
+#include "cmd/cmd.h"
+
+#include "cmd/client.h"
+#include "lib/err.h"
+
+#include <argtable2.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define STEP_US 200000
+#define DEFAULT_WAIT_S 60
+
+static int list_members(struct client *c)
+{
+	struct client_reply reply = { 0 };
+	int err = client_call(c, "GET", "/v1/status", NULL, NULL, &reply);
+	json_t *obj;
+	json_t *one;
+	size_t i;
+	json_int_t leader;
+
+	if (err || reply.status != 200) {
+		int code = client_explain(err, &reply);
+
+		client_reply_clear(&reply);
+		return code;
+	}
+	obj = json_loads(reply.body, 0, NULL);
+	leader = json_integer_value(json_object_get(json_object_get(obj, "leader"), "id"));
+	json_array_foreach(json_object_get(obj, "members"), i, one)
+	{
+		json_int_t id = json_integer_value(json_object_get(one, "id"));
+
+		printf("%lld %s %s%s\n", (long long)id,
+		       json_string_value(json_object_get(one, "address")),
+		       json_is_true(json_object_get(one, "voter")) ? "voter" : "learner",
+		       id == leader ? " leader" : "");
+	}
+	json_decref(obj);
+	client_reply_clear(&reply);
+	return CMD_DONE;
+}
+
+/* Sends the request until it is done; each one carries the change one step further. */
+static int drive(struct client *c, const char *method, const char *path, int wait_s)
+{
+	g_autofree char *last = NULL;
+
+	for (int i = 0; i <= wait_s * 1000000 / STEP_US; i++) {
+		struct client_reply reply = { 0 };
+		int err = client_call(c, method, path, NULL, NULL, &reply);
+
+		if (!err && reply.status == 200) {
+			printf("%s\n", reply.body);
+			client_reply_clear(&reply);
+			return CMD_DONE;
+		}
+		if (err || (reply.status != 202 && reply.status != 503)) {
+			int code = client_explain(err, &reply);
+
+			client_reply_clear(&reply);
+			return code;
+		}
+		if (!last || strcmp(last, reply.body))
+			fprintf(stderr, "%s\n", reply.body);
+		g_free(last);
+		last = g_strdup(reply.body);
+		client_reply_clear(&reply);
+		g_usleep(STEP_US);
+	}
+	fprintf(stderr, "not done in time; run the command again\n");
+	return CMD_UNKNOWN;
+}
+
+static int run(struct client *c, const char *action, const char *id, int wait_s)
+{
+	g_autofree char *path = NULL;
+
+	if (!strcmp(action, "list"))
+		return list_members(c);
+	if (!id || strspn(id, "0123456789") != strlen(id)) {
+		fprintf(stderr, "member %s: give the member's ID, a number\n", action);
+		return CMD_USAGE;
+	}
+	if (!strcmp(action, "replace")) {
+		path = g_strdup_printf("/v1/members/%s/replace", id);
+		return drive(c, "POST", path, wait_s);
+	}
+	if (!strcmp(action, "remove")) {
+		path = g_strdup_printf("/v1/members/%s", id);
+		return drive(c, "DELETE", path, wait_s);
+	}
+	fprintf(stderr, "unknown action \"%s\"; use list, replace or remove\n", action);
+	return CMD_USAGE;
+}
+
+int cmd_member(int argc, char **argv)
+{
+	struct arg_lit *help = arg_lit0(NULL, "help", "print this text");
+	struct arg_str *action = arg_str1(NULL, NULL, "list|replace|remove", "what to do");
+	struct arg_str *id = arg_str0(NULL, NULL, "ID", "the member");
+	struct arg_int *wait = arg_int0(NULL, "wait", "SECONDS", "give up after this time (60)");
+	struct arg_str *control = arg_str0(NULL, "control", "HOST:PORT,...", "control processes");
+	struct arg_end *end = arg_end(8);
+	void *table[] = { help, action, id, wait, control, end };
+	int code = cmd_parse(argc, argv, table, "List, replace or remove control members.");
+	struct client c;
+
+	if (code >= 0)
+		return code;
+	if (client_open(&c, control->count ? control->sval[0] : NULL))
+		return CMD_USAGE;
+	code = run(&c, action->sval[0], id->count ? id->sval[0] : NULL,
+		   wait->count ? wait->ival[0] : DEFAULT_WAIT_S);
+	client_close(&c);
+	return code;
+}
--- /dev/null
+++ b/cmd/serve.c
@@ -0,0 +1,99 @@
+#include "cmd/cmd.h"
+
+#include "control/control.h"
+#include "lib/err.h"
+#include "lib/log.h"
+#include "lib/settings.h"
+#include "node/node.h"
+
+#include <argtable2.h>
+#include <civetweb.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdio.h>
+
+/* The default of 8 MB for each of the server threads would count against the node's memory. */
+#define THREAD_STACK_BYTES (256 * 1024)
+
+static void set_thread_stack(void)
+{
+	pthread_attr_t attr;
+
+	pthread_attr_init(&attr);
+	pthread_attr_setstacksize(&attr, THREAD_STACK_BYTES);
+	pthread_setattr_default_np(&attr);
+	pthread_attr_destroy(&attr);
+}
+
+/* Blocked in all threads; the main thread waits for them. */
+static void block_signals(sigset_t *set)
+{
+	sigemptyset(set);
+	sigaddset(set, SIGTERM);
+	sigaddset(set, SIGINT);
+	sigaddset(set, SIGHUP);
+	pthread_sigmask(SIG_BLOCK, set, NULL);
+	signal(SIGPIPE, SIG_IGN);
+}
+
+static void wait_for_end(const sigset_t *set)
+{
+	int sig = 0;
+
+	while (sig != SIGTERM && sig != SIGINT) {
+		sigwait(set, &sig);
+		if (sig == SIGHUP)
+			log_reopen();
+	}
+}
+
+static int run(const struct settings *s, const sigset_t *set)
+{
+	struct control *control = s->control.is_on ? control_new(s) : NULL;
+	struct node *node = s->node.is_on ? node_new(s) : NULL;
+	struct krn k;
+	int err;
+
+	krn_init(&k);
+	if (control)
+		krn_add(&k, &control->service);
+	if (node)
+		krn_add(&k, &node->service);
+	err = krn_start(&k);
+	if (!err) {
+		log_event(LOG_INFO, "serving", "cluster", s->cluster, NULL);
+		wait_for_end(set);
+		log_event(LOG_INFO, "stopping", NULL);
+		krn_stop(&k);
+		log_event(LOG_INFO, "stopped", NULL);
+	}
+	krn_clear(&k);
+	return err ? CMD_REFUSED : CMD_DONE;
+}
+
+int cmd_serve(int argc, char **argv)
+{
+	struct arg_lit *help = arg_lit0(NULL, "help", "print this text");
+	struct arg_file *file = arg_file1("c", NULL, "FILE", "settings");
+	struct arg_end *end = arg_end(8);
+	void *table[] = { help, file, end };
+	int code = cmd_parse(argc, argv, table, "Run the roles of a settings file.");
+	struct settings s;
+	sigset_t set;
+	FIND_AUTO(found);
+
+	if (code >= 0)
+		return code;
+	if (settings_load(&s, file->filename[0], &found)) {
+		find_print(&found, stderr);
+		return CMD_USAGE;
+	}
+	if (log_open(s.log_file, s.log_level, s.log_format)) {
+		fprintf(stderr, "cannot write the log file %s\n", s.log_file);
+		return CMD_REFUSED;
+	}
+	block_signals(&set);
+	set_thread_stack();
+	mg_init_library(0);
+	return run(&s, &set);
+}
--- /dev/null
+++ b/control/api.c
@@ -0,0 +1,548 @@
+/* The resource interface over HTTP. */
+#include "control/control.h"
+
+#include "control/op.h"
+#include "lib/ctr.h"
+#include "lib/err.h"
+#include "lib/http_server.h"
+#include "lib/log.h"
+#include "lib/res.h"
+
+#include <civetweb.h>
+#include <jansson.h>
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/random.h>
+
+#define API_THREADS 32
+#define WATCH_POLL_MS 100
+#define WATCH_KEEPALIVE_MS 5000
+
+/* A request that waits on a server thread for the loop's thread. */
+struct waiter {
+	pthread_mutex_t lock;
+	pthread_cond_t cond;
+	bool is_done;
+	struct control *control;
+	struct op *op;
+	/* render makes the body on the loop's thread, after success. */
+	char *(*render)(struct control *c, struct waiter *w);
+	const char *name;
+	char *body;
+	const char *own_json; /* the service that a PUT brought */
+};
+
+static void add_in_force(struct control *c, json_t *obj)
+{
+	struct in_force f;
+	json_t *behind = json_array();
+
+	nodes_in_force(c, &f);
+	for (guint i = 0; i < f.behind->len; i++)
+		json_array_append_new(behind, json_string(g_ptr_array_index(f.behind, i)));
+	json_object_set_new(obj, "status",
+			    json_pack("{s:{s:I, s:i, s:i, s:o}}", "inForce", "revision",
+				      (json_int_t)f.revision, "nodes", (int)f.nodes, "of",
+				      (int)f.of, "behind", behind));
+	in_force_clear(&f);
+}
+
+static json_t *item_json(const char *json, u64 version, u64 revision)
+{
+	json_t *obj = json_loads(json, 0, NULL);
+
+	json_object_set_new(obj, "version", json_integer((json_int_t)version));
+	json_object_set_new(obj, "revision", json_integer((json_int_t)revision));
+	return obj;
+}
+
+static char *dump(json_t *obj)
+{
+	char *text = json_dumps(obj, JSON_COMPACT);
+	char *copy = g_strconcat(text, "\n", NULL);
+
+	free(text);
+	json_decref(obj);
+	return copy;
+}
+
+static void on_op_done(struct control *c, struct op *o)
+{
+	struct waiter *w = o->arg;
+
+	if (o->outcome == OP_DONE && w->render)
+		w->body = w->render(c, w);
+	pthread_mutex_lock(&w->lock);
+	w->is_done = true;
+	pthread_cond_signal(&w->cond);
+	pthread_mutex_unlock(&w->lock);
+}
+
+static void submit(void *arg)
+{
+	struct waiter *w = arg;
+
+	op_submit(w->control, w->op);
+}
+
+/* Runs W's operation and waits for its outcome. */
+static void run_op(struct waiter *w)
+{
+	pthread_mutex_init(&w->lock, NULL);
+	pthread_cond_init(&w->cond, NULL);
+	w->op->done = on_op_done;
+	w->op->arg = w;
+	loop_post(w->control->loop, submit, w);
+	pthread_mutex_lock(&w->lock);
+	while (!w->is_done)
+		pthread_cond_wait(&w->cond, &w->lock);
+	pthread_mutex_unlock(&w->lock);
+	pthread_cond_destroy(&w->cond);
+	pthread_mutex_destroy(&w->lock);
+}
+
+static int send_outcome(struct mg_connection *conn, const struct op *o)
+{
+	if (o->outcome == OP_UNKNOWN)
+		return http_send_error(conn, 503, "unknown", ctr_name(CTR_CHANGE_UNKNOWN),
+				       "the outcome is not known; send the change again with the "
+				       "same Change-Id");
+	return http_send_error(conn, 503, "not-run", ctr_name(CTR_NO_QUORUM),
+			       "no leader with a quorum; nothing was changed");
+}
+
+static int send_findings(struct mg_connection *conn, const struct findings *found)
+{
+	json_t *list = json_array();
+	g_autofree char *body = NULL;
+
+	ctr_inc(CTR_CHANGE_INVALID);
+	for (guint i = 0; i < find_count(found); i++) {
+		const struct finding *one = find_at(found, i);
+
+		json_array_append_new(
+			list, json_pack("{s:s, s:s}", "path", one->place, "text", one->text));
+	}
+	body = dump(json_pack("{s:s, s:o}", "error", "the service is not valid", "findings", list));
+	return http_send(conn, 400, "application/json", "not-run", ctr_name(CTR_CHANGE_INVALID),
+			 body);
+}
+
+static char *render_change(struct control *c, struct waiter *w)
+{
+	const struct store_result *r = &w->op->result;
+	json_t *obj;
+
+	if (r->status >= 300 || !w->own_json)
+		obj = json_pack("{s:I, s:I}", "version", (json_int_t)r->version, "revision",
+				(json_int_t)r->revision);
+	else
+		obj = item_json(w->own_json, r->version, r->revision);
+	if (r->status == 409)
+		json_object_set_new(obj, "error", json_string("version conflict"));
+	if (r->status == 422)
+		json_object_set_new(obj, "error",
+				    json_string("this Change-Id was used for another change"));
+	if (r->status == 404)
+		json_object_set_new(obj, "error", json_string("no such service"));
+	add_in_force(c, obj);
+	return dump(obj);
+}
+
+static char *random_change_id(void)
+{
+	u64 id[2] = { 0 };
+
+	if (getrandom(id, sizeof(id), 0) != sizeof(id))
+		id[0] = loop_clock_us();
+	return g_strdup_printf("auto-%016llx%016llx", (unsigned long long)id[0],
+			       (unsigned long long)id[1]);
+}
+
+/* Reads If-Match and Change-Id into CHANGE. */
+static void read_change_headers(struct mg_connection *conn, struct store_change *change,
+				struct findings *found)
+{
+	const char *match = mg_get_header(conn, "If-Match");
+	const char *id = mg_get_header(conn, "Change-Id");
+
+	if (match) {
+		char *end;
+
+		change->has_if_match = true;
+		match += *match == '"';
+		change->if_match = strtoull(match, &end, 10);
+		if (end == match || (*end && strcmp(end, "\"")))
+			find_add(found, "If-Match", "not a version number");
+	}
+	if (id && (!*id || strlen(id) > STORE_CHANGE_ID_MAX_BYTES))
+		find_add(found, "Change-Id", "empty, or longer than %d bytes",
+			 STORE_CHANGE_ID_MAX_BYTES);
+	change->change_id = id ? g_strdup(id) : random_change_id();
+}
+
+static int run_change(struct control *c, struct mg_connection *conn,
+		      const struct store_change *change)
+{
+	struct waiter w = { .control = c, .render = render_change, .own_json = change->json };
+	int ret;
+
+	w.op = op_new(OP_CHANGE);
+	w.op->command = store_change_pack(change);
+	run_op(&w);
+	if (w.op->outcome == OP_DONE)
+		ret = http_send(conn, w.op->result.status, "application/json",
+				w.op->result.status >= 300 ? "not-run" : NULL, NULL, w.body);
+	else
+		ret = send_outcome(conn, w.op);
+	g_free(w.body);
+	op_free(w.op);
+	return ret;
+}
+
+static int put_service(struct control *c, struct mg_connection *conn, const char *name)
+{
+	FIND_AUTO(found);
+	__attribute__((cleanup(store_change_clear))) struct store_change change = { 0 };
+	g_autoptr(GByteArray) body = g_byte_array_new();
+	struct res_service *s;
+	int err = http_read_body(conn, body, RES_JSON_MAX_BYTES);
+
+	if (err == ERR_TOOBIG)
+		return http_send_error(conn, 413, "not-run", ctr_name(CTR_BODY_TOO_LARGE),
+				       "the declaration is too large");
+	if (err)
+		return http_send_error(conn, 400, "not-run", ctr_name(CTR_BAD_REQUEST),
+				       "the request body ended early");
+	change.op = STORE_PUT;
+	change.name = g_strdup(name);
+	read_change_headers(conn, &change, &found);
+	s = res_parse((const char *)body->data, body->len, &found);
+	if (s && strcmp(s->name, name))
+		find_add(&found, "$.name", "is \"%s\", the path says \"%s\"", s->name, name);
+	if (s)
+		change.json = res_dump(s);
+	res_free(s);
+	if (find_count(&found))
+		return send_findings(conn, &found);
+	return run_change(c, conn, &change);
+}
+
+static int delete_service(struct control *c, struct mg_connection *conn, const char *name)
+{
+	FIND_AUTO(found);
+	__attribute__((cleanup(store_change_clear))) struct store_change change = { 0 };
+
+	change.op = STORE_DELETE;
+	change.name = g_strdup(name);
+	read_change_headers(conn, &change, &found);
+	if (find_count(&found))
+		return send_findings(conn, &found);
+	return run_change(c, conn, &change);
+}
+
+static char *render_service(struct control *c, struct waiter *w)
+{
+	const struct store_item *item = store_find(&c->store, w->name);
+	json_t *obj;
+
+	if (!item)
+		return NULL;
+	obj = item_json(item->json, item->version, item->revision);
+	add_in_force(c, obj);
+	return dump(obj);
+}
+
+static char *render_services(struct control *c, struct waiter *w)
+{
+	bool unused;
+	g_autoptr(GPtrArray) items = store_since(&c->store, 0, &unused);
+	json_t *list = json_array();
+	json_t *obj;
+
+	(void)w;
+	for (guint i = 0; i < items->len; i++) {
+		const struct store_item *item = g_ptr_array_index(items, i);
+
+		json_array_append_new(list, item_json(item->json, item->version, item->revision));
+	}
+	obj = json_pack("{s:o, s:I}", "services", list, "revision", (json_int_t)c->store.revision);
+	add_in_force(c, obj);
+	return dump(obj);
+}
+
+static int run_read(struct control *c, struct mg_connection *conn, const char *name,
+		    char *(*render)(struct control *c, struct waiter *w))
+{
+	struct waiter w = { .control = c, .render = render, .name = name };
+	int ret;
+
+	w.op = op_new(OP_READ);
+	run_op(&w);
+	if (w.op->outcome != OP_DONE)
+		ret = send_outcome(conn, w.op);
+	else if (!w.body)
+		ret = http_send_error(conn, 404, NULL, NULL, "no such service");
+	else
+		ret = http_send(conn, 200, "application/json", NULL, NULL, w.body);
+	g_free(w.body);
+	op_free(w.op);
+	return ret;
+}
+
+static int on_services(struct mg_connection *conn, void *arg)
+{
+	struct control *c = arg;
+	const struct mg_request_info *ri = mg_get_request_info(conn);
+	const char *name = ri->local_uri + strlen("/v1/services");
+
+	if (*name == '/')
+		name++;
+	if (!*name) {
+		if (strcmp(ri->request_method, "GET"))
+			return http_send_error(conn, 405, NULL, NULL, "use GET here");
+		return run_read(c, conn, NULL, render_services);
+	}
+	if (!res_name_ok(name))
+		return http_send_error(conn, 400, "not-run", ctr_name(CTR_CHANGE_INVALID),
+				       "not a service name");
+	if (!strcmp(ri->request_method, "GET"))
+		return run_read(c, conn, name, render_service);
+	if (!strcmp(ri->request_method, "PUT"))
+		return put_service(c, conn, name);
+	if (!strcmp(ri->request_method, "DELETE"))
+		return delete_service(c, conn, name);
+	return http_send_error(conn, 405, NULL, NULL, "use GET, PUT or DELETE");
+}
+
+/* Status: local knowledge, also without a quorum. */
+
+static json_t *members_json(struct control *c)
+{
+	json_t *list = json_array();
+	u64 now = loop_clock_us();
+
+	for (u32 i = 0; i < c->raft.members.n; i++) {
+		const struct raft_member *m = &c->raft.members.m[i];
+		const struct raft_progress *p = &c->raft.progress[i];
+		g_autofree char *at = g_strdup_printf("%s:%u", m->at.host, m->at.port);
+		g_autofree char *replica =
+			g_strdup_printf("%016llx", (unsigned long long)m->replica);
+		json_t *one = json_pack("{s:i, s:s, s:s, s:b}", "id", (int)m->id, "address", at,
+					"replica", replica, "voter", m->is_voter);
+
+		if (c->raft.role == RAFT_LEADER && m->id != c->raft.id) {
+			json_object_set_new(one, "match", json_integer((json_int_t)p->match));
+			json_object_set_new(one, "silent_ms",
+					    json_integer((json_int_t)((now - p->heard_us) / 1000)));
+		}
+		json_array_append_new(list, one);
+	}
+	return list;
+}
+
+static json_t *nodes_json(struct control *c)
+{
+	g_autoptr(GPtrArray) items = directory_since(&c->directory, 0);
+	json_t *list = json_array();
+
+	for (guint i = 0; i < items->len; i++) {
+		const struct directory_item *item = g_ptr_array_index(items, i);
+		const struct dir_entry *e = &item->entry;
+
+		json_array_append_new(list, json_pack("{s:s, s:s, s:s, s:s, s:s, s:i, s:i}", "node",
+						      e->node, "zone", e->zone, "region", e->region,
+						      "state", dir_state_name(e->state), "service",
+						      e->service, "slots", (int)e->slots, "control",
+						      (int)item->owner));
+	}
+	return list;
+}
+
+struct status_request {
+	struct control *control;
+	char *body;
+};
+
+static json_t *upstreams_json(struct control *c)
+{
+	g_autoptr(GPtrArray) items = directory_since(&c->directory, 0);
+	json_t *list = json_array();
+
+	for (guint i = 0; i < items->len; i++) {
+		const struct directory_item *item = g_ptr_array_index(items, i);
+		const struct dir_entry *e = &item->entry;
+
+		if (e->state != DIR_UP && e->state != DIR_DRAINING)
+			continue;
+		json_array_append_new(list,
+				      json_pack("{s:s, s:s, s:s, s:s, s:i, s:i}", "service",
+						e->service, "node", e->node, "zone", e->zone,
+						"state", dir_state_name(e->state), "slots",
+						(int)e->slots, "connections", (int)e->connections));
+	}
+	return list;
+}
+
+static const char *role_name(enum raft_role role)
+{
+	static const char *const names[] = { "forming", "follower", "precandidate", "candidate",
+					     "leader" };
+
+	return names[role];
+}
+
+static void make_status(void *arg)
+{
+	struct status_request *req = arg;
+	struct control *c = req->control;
+	bool is_fresh = raft_is_fresh(&c->raft, 2 * US_PER_S, loop_clock_us());
+	json_t *obj = json_pack("{s:s, s:i, s:s, s:I, s:b, s:I, s:I, s:I}", "cluster", c->cluster,
+				"id", (int)c->raft.id, "role", role_name(c->raft.role), "term",
+				(json_int_t)c->raft.term, "fresh", is_fresh, "revision",
+				(json_int_t)c->store.revision, "commit", (json_int_t)c->raft.commit,
+				"applied", (json_int_t)c->raft.applied);
+
+	if (c->raft.leader)
+		json_object_set_new(obj, "leader", json_pack("{s:i}", "id", (int)c->raft.leader));
+	else
+		json_object_set_new(obj, "leader", json_null());
+	json_object_set_new(obj, "members", members_json(c));
+	json_object_set_new(obj, "nodes", nodes_json(c));
+	json_object_set_new(obj, "upstreams", upstreams_json(c));
+	add_in_force(c, obj);
+	req->body = dump(obj);
+}
+
+static int on_status(struct mg_connection *conn, void *arg)
+{
+	struct status_request req = { .control = arg };
+	int ret;
+
+	loop_call(req.control->loop, make_status, &req);
+	ret = http_send(conn, 200, "application/json", NULL, NULL, req.body);
+	g_free(req.body);
+	return ret;
+}
+
+static int on_members(struct mg_connection *conn, void *arg)
+{
+	const struct mg_request_info *ri = mg_get_request_info(conn);
+	const char *rest = ri->local_uri + strlen("/v1/members/");
+	struct waiter w = { .control = arg };
+	char *end = NULL;
+	u32 id = (u32)strtoul(rest, &end, 10);
+	int ret;
+
+	if (end == rest)
+		return http_send_error(conn, 404, NULL, NULL, "no such member");
+	if (!strcmp(ri->request_method, "POST") && !strcmp(end, "/replace"))
+		w.op = op_new(OP_REPLACE);
+	else if (!strcmp(ri->request_method, "DELETE") && !*end)
+		w.op = op_new(OP_REMOVE);
+	else
+		return http_send_error(conn, 405, NULL, NULL, "use POST .../replace or DELETE");
+	w.op->member = id;
+	run_op(&w);
+	if (w.op->outcome == OP_DONE)
+		ret = http_send_error(conn, w.op->result.status, NULL, NULL, w.op->text);
+	else
+		ret = send_outcome(conn, w.op);
+	op_free(w.op);
+	return ret;
+}
+
+/* Watch: one JSON object a line, held open. */
+
+struct watch_step {
+	struct control *control;
+	u64 from;
+	GString *lines;
+};
+
+static void collect_changes(void *arg)
+{
+	struct watch_step *step = arg;
+	struct control *c = step->control;
+	bool is_snapshot;
+	g_autoptr(GPtrArray) items = store_since(&c->store, step->from, &is_snapshot);
+
+	if (c->store.revision <= step->from)
+		return;
+	for (guint i = 0; i < items->len; i++) {
+		const struct store_item *item = g_ptr_array_index(items, i);
+		json_t *obj = json_pack("{s:s, s:I, s:I}", "name", item->name, "version",
+					(json_int_t)item->version, "revision",
+					(json_int_t)item->revision);
+		g_autofree char *line = NULL;
+
+		if (item->json)
+			json_object_set_new(obj, "service", json_loads(item->json, 0, NULL));
+		else
+			json_object_set_new(obj, "deleted", json_true());
+		line = dump(obj);
+		g_string_append(step->lines, line);
+	}
+	step->from = c->store.revision;
+}
+
+static int on_watch(struct mg_connection *conn, void *arg)
+{
+	const struct mg_request_info *ri = mg_get_request_info(conn);
+	struct watch_step step = { .control = arg };
+	char from[32] = "0";
+	u32 quiet_ms = 0;
+
+	if (ri->query_string)
+		mg_get_var(ri->query_string, strlen(ri->query_string), "from", from, sizeof(from));
+	step.from = strtoull(from, NULL, 10);
+	mg_printf(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/x-ndjson\r\n"
+			"Transfer-Encoding: chunked\r\n\r\n");
+	while (!__atomic_load_n(&step.control->is_stopping, __ATOMIC_ACQUIRE)) {
+		step.lines = g_string_new(NULL);
+		loop_call(step.control->loop, collect_changes, &step);
+		quiet_ms += WATCH_POLL_MS;
+		/* An empty line shows a closed connection. */
+		if (!step.lines->len && quiet_ms >= WATCH_KEEPALIVE_MS)
+			g_string_append_c(step.lines, '\n');
+		if (step.lines->len) {
+			int n = mg_send_chunk(conn, step.lines->str, (unsigned int)step.lines->len);
+
+			quiet_ms = 0;
+			if (n <= 0) {
+				g_string_free(step.lines, TRUE);
+				return 200;
+			}
+		}
+		g_string_free(step.lines, TRUE);
+		g_usleep(WATCH_POLL_MS * 1000);
+	}
+	mg_send_chunk(conn, "", 0);
+	return 200;
+}
+
+int api_start(struct control *c)
+{
+	const struct control_settings *s = &c->settings->control;
+
+	c->http = http_listen(s->address, s->api_port, API_THREADS);
+	if (!c->http) {
+		log_event(LOG_ERROR, "cannot listen; is the port in use?", "address", s->address,
+			  "api_port", log_u64(s->api_port), NULL);
+		return ERR_IO;
+	}
+	mg_set_request_handler(c->http, "/v1/services", on_services, c);
+	mg_set_request_handler(c->http, "/v1/watch", on_watch, c);
+	mg_set_request_handler(c->http, "/v1/status", on_status, c);
+	mg_set_request_handler(c->http, "/v1/members/", on_members, c);
+	mg_set_request_handler(c->http, "/v1/metrics", http_metrics, NULL);
+	return 0;
+}
+
+void api_stop(struct control *c)
+{
+	__atomic_store_n(&c->is_stopping, true, __ATOMIC_RELEASE);
+	if (c->http)
+		mg_stop(c->http);
+}
--- /dev/null
+++ b/control/control.c
@@ -0,0 +1,184 @@
+#include "control/control.h"
+
+#include "control/op.h"
+#include "lib/err.h"
+#include "lib/log.h"
+#include "wire/ctl.h"
+
+#include <string.h>
+#include <time.h>
+
+static void on_link_up(struct link *k)
+{
+	if (k->remote.role == LINK_NODE)
+		nodes_up(k->arg, k);
+}
+
+static int on_link_frame(struct link *k, u32 type, struct frame_in *in)
+{
+	if (k->remote.role == LINK_NODE)
+		return nodes_frame(k->arg, k, type, in);
+	return peers_frame(k->arg, k, type, in);
+}
+
+static void on_link_down(struct link *k, int err)
+{
+	struct control *c = k->arg;
+
+	(void)err;
+	op_link_down(c, k);
+	nodes_down(c, k);
+}
+
+static const struct link_ops accepted_ops = {
+	.up = on_link_up,
+	.frame = on_link_frame,
+	.down = on_link_down,
+};
+
+static void on_second(void *arg, u64 now_us)
+{
+	struct control *c = arg;
+
+	if (directory_expire(&c->directory, now_us))
+		nodes_push(c);
+	peers_spread_directory(c);
+	peers_second(c, now_us);
+	loop_timer_set(c->loop, &c->second_timer, now_us + CTL_RENEW_INTERVAL_US);
+}
+
+static void on_fresh(void *arg, u64 now_us)
+{
+	struct control *c = arg;
+
+	op_poll(c, now_us);
+	nodes_tell_fresh(c);
+	nodes_push(c);
+	loop_timer_set(c->loop, &c->fresh_timer, now_us + CTL_FRESH_INTERVAL_US);
+}
+
+static u64 wall_clock_us(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_REALTIME, &now);
+	return (u64)now.tv_sec * US_PER_S + (u64)now.tv_nsec / 1000;
+}
+
+static void set_identity(struct control *c)
+{
+	const struct control_settings *s = &c->settings->control;
+
+	c->self.cluster = g_strdup(c->settings->cluster);
+	c->self.role = LINK_CONTROL;
+	c->self.name = g_strdup_printf("%s:%u", s->address, s->peer_port);
+	c->self.zone = g_strdup(s->zone);
+	c->self.region = g_strdup(s->region);
+	c->self.incarnation = wall_clock_us();
+	c->self.api_port = s->api_port;
+}
+
+static int listen_for_links(struct control *c)
+{
+	const struct control_settings *s = &c->settings->control;
+
+	c->listener = link_listen(c->loop, &c->self, s->address, s->peer_port, &accepted_ops, c);
+	if (c->listener)
+		return 0;
+	log_event(LOG_ERROR, "cannot listen; is the port in use?", "address", s->address,
+		  "peer_port", log_u64(s->peer_port), NULL);
+	return ERR_IO;
+}
+
+static void start_timers(struct control *c)
+{
+	u64 now = loop_clock_us();
+
+	c->second_timer = (struct loop_timer){ .fire = on_second, .arg = c };
+	c->fresh_timer = (struct loop_timer){ .fire = on_fresh, .arg = c };
+	loop_timer_set(c->loop, &c->second_timer, now + CTL_RENEW_INTERVAL_US);
+	loop_timer_set(c->loop, &c->fresh_timer, now + CTL_FRESH_INTERVAL_US);
+	raft_host_arm(c);
+}
+
+static int control_start(struct krn_service *s, struct krn *k)
+{
+	struct control *c = (struct control *)s;
+	int err;
+
+	(void)k;
+	set_identity(c);
+	c->loop = loop_new("control");
+	err = raft_host_open(c);
+	if (err)
+		return err;
+	err = listen_for_links(c);
+	if (err)
+		return err;
+	peers_start(c);
+	start_timers(c);
+	err = loop_start(c->loop);
+	return err ? err : api_start(c);
+}
+
+static void stop_on_loop(void *arg)
+{
+	struct control *c = arg;
+
+	link_unlisten(c->listener);
+	peers_stop(c);
+	while (c->nodes->len) {
+		struct link **first = g_ptr_array_index(c->nodes, 0);
+		struct link *k = *first;
+
+		nodes_down(c, k);
+		link_close(k);
+	}
+	loop_timer_cancel(c->loop, &c->raft_timer);
+	loop_timer_cancel(c->loop, &c->second_timer);
+	loop_timer_cancel(c->loop, &c->fresh_timer);
+}
+
+static void control_stop(struct krn_service *s)
+{
+	struct control *c = (struct control *)s;
+
+	api_stop(c);
+	loop_call(c->loop, stop_on_loop, c);
+	loop_stop(c->loop);
+	raft_host_close(c);
+	loop_free(c->loop);
+}
+
+static const struct krn_ops control_ops = {
+	.name = "control",
+	.start = control_start,
+	.stop = control_stop,
+};
+
+struct control *control_new(const struct settings *s)
+{
+	struct control *c = g_new0(struct control, 1);
+
+	c->service.ops = &control_ops;
+	c->settings = s;
+	c->cluster = s->cluster;
+	c->nodes = g_ptr_array_new();
+	c->ops = g_hash_table_new(g_int64_hash, g_int64_equal);
+	store_init(&c->store);
+	directory_init(&c->directory);
+	return c;
+}
+
+void control_free(struct control *c)
+{
+	store_clear(&c->store);
+	directory_clear(&c->directory);
+	g_ptr_array_unref(c->nodes);
+	g_hash_table_unref(c->ops);
+	g_free(c->self.cluster);
+	g_free(c->self.name);
+	g_free(c->self.zone);
+	g_free(c->self.region);
+	g_free(c);
+}
--- /dev/null
+++ b/control/control.h
@@ -0,0 +1,92 @@
+/*
+ * control - the control role: log, store, directory, links, resource interface
+ *
+ * All state belongs to the loop's thread; the threads of the HTTP server hand
+ * operations over and wait.
+ *
+ * SOURCE control/control.c (service), control/raft_host.c (storage and
+ * messages for raft), control/op.c (operations), control/members.c
+ * (membership changes), control/nodes.c (links from nodes), control/peers.c
+ * (links between control processes), control/api.c (HTTP)
+ */
+#ifndef CONTROL_H
+#define CONTROL_H
+
+#include "control/directory.h"
+#include "control/raft.h"
+#include "control/store.h"
+#include "control/wal.h"
+#include "kernel/krn.h"
+#include "kernel/link.h"
+#include "lib/settings.h"
+
+struct mg_context;
+
+struct control {
+	struct krn_service service;
+	const struct settings *settings;
+	const char *cluster;
+	struct loop *loop;
+	struct link_id self;
+	struct link_listener *listener;
+
+	struct wal wal;
+	struct raft raft;
+	struct store store;
+	struct directory directory;
+
+	GHashTable *peers; /* "HOST:PORT" -> struct control_peer, links dialled */
+	GPtrArray *nodes; /* of struct node_link, accepted from nodes */
+	GHashTable *summaries; /* control id -> struct applied_summary of other processes */
+
+	GHashTable *ops; /* op sequence -> struct op */
+	u64 op_seq;
+	struct loop_timer raft_timer;
+	struct loop_timer second_timer;
+	struct loop_timer fresh_timer;
+	struct mg_context *http;
+	bool is_stopping;
+};
+
+struct control *control_new(const struct settings *s);
+void control_free(struct control *c);
+
+/* raft_host */
+int raft_host_open(struct control *c);
+void raft_host_close(struct control *c);
+void raft_host_arm(struct control *c); /* sets the timer to raft's next due time */
+
+/* peers */
+void peers_start(struct control *c);
+void peers_stop(struct control *c);
+struct link *peers_link(struct control *c, u32 id); /* NULL when not up */
+u16 peers_api_port(struct control *c, u32 id);
+void peers_send_raft(struct control *c, u32 to, const struct raft_msg *m);
+void peers_refresh(struct control *c); /* dials members that are new */
+void peers_second(struct control *c, u64 now_us); /* renewals and summaries */
+void peers_spread_directory(struct control *c); /* sends directory changes on */
+int peers_frame(struct control *c, struct link *k, u32 type, struct frame_in *in);
+
+/* nodes */
+void nodes_up(struct control *c, struct link *k);
+void nodes_down(struct control *c, struct link *k);
+int nodes_frame(struct control *c, struct link *k, u32 type, struct frame_in *in);
+void nodes_push(struct control *c); /* sends what each node lacks */
+void nodes_tell_fresh(struct control *c);
+
+/* Nodes and the configuration revision that they have applied. */
+struct in_force {
+	u64 revision;
+	u32 nodes;
+	u32 of;
+	GPtrArray *behind; /* of char */
+};
+
+void nodes_in_force(struct control *c, struct in_force *out);
+void in_force_clear(struct in_force *f);
+
+/* api */
+int api_start(struct control *c);
+void api_stop(struct control *c);
+
+#endif
--- /dev/null
+++ b/control/members.c
@@ -0,0 +1,86 @@
+#include "control/op.h"
+
+#include "lib/err.h"
+
+static u16 refuse(u16 status, char **text, const char *why)
+{
+	*text = g_strdup(why);
+	return status;
+}
+
+static struct raft_progress *progress_of(struct raft *r, const struct raft_member *m)
+{
+	return &r->progress[m - r->members.m];
+}
+
+static u16 propose(struct control *c, const struct raft_members *next, u64 now_us, char **text,
+		   const char *step)
+{
+	u64 index;
+	int err = raft_propose_members(&c->raft, next, now_us, &index);
+
+	if (err == ERR_BUSY)
+		return refuse(202, text, "waiting for another membership change");
+	if (err)
+		return refuse(503, text, err_text(err));
+	return refuse(202, text, step);
+}
+
+/* The blank replica becomes a learner, in place of the voter that lost its disk. */
+static u16 admit_learner(struct control *c, u32 id, u64 replica, u64 now_us, char **text)
+{
+	struct raft_members next = c->raft.members;
+	struct raft_member *m = raft_member_find(&next, id);
+
+	m->replica = replica;
+	m->is_voter = false;
+	return propose(c, &next, now_us, text, "the new replica is a learner");
+}
+
+static u16 promote(struct control *c, u32 id, u64 now_us, char **text)
+{
+	struct raft_members next = c->raft.members;
+
+	raft_member_find(&next, id)->is_voter = true;
+	return propose(c, &next, now_us, text, "the new replica becomes a voter");
+}
+
+u16 members_replace(struct control *c, u32 id, u64 now_us, char **text)
+{
+	struct raft *r = &c->raft;
+	struct raft_member *m = raft_member_find(&r->members, id);
+	struct raft_progress *p;
+
+	if (!m)
+		return refuse(404, text, "no member with this id");
+	if (id == r->id)
+		return refuse(409, text, "this member is the leader and holds the log");
+	p = progress_of(r, m);
+	if (!p->seen_replica || now_us - p->seen_us > RAFT_ELECTION_MAX_US)
+		return refuse(202, text, "waiting for the replica at the member's address");
+	if (p->seen_replica != m->replica)
+		return admit_learner(c, id, p->seen_replica, now_us, text);
+	if (r->members_index > r->commit)
+		return refuse(202, text, "waiting for the membership change to commit");
+	if (p->match < r->commit || p->match < r->members_index)
+		return refuse(202, text, "the new replica is catching up");
+	if (!m->is_voter)
+		return promote(c, id, now_us, text);
+	return refuse(200, text, "the member holds the log");
+}
+
+u16 members_remove(struct control *c, u32 id, u64 now_us, char **text)
+{
+	struct raft_members next = c->raft.members;
+	struct raft_member *m = raft_member_find(&next, id);
+	u16 status;
+
+	if (!m)
+		return refuse(200, text, "no member with this id");
+	if (next.n == 1)
+		return refuse(409, text, "this is the last member");
+	*m = next.m[next.n - 1];
+	next.n--;
+	status = propose(c, &next, now_us, text, "removal proposed");
+	return status;
+}
--- /dev/null
+++ b/control/nodes.c
@@ -0,0 +1,212 @@
+/* Links from nodes: registrations, renewals, and the watch on the configuration. */
+#include "control/control.h"
+
+#include "lib/ctr.h"
+#include "lib/err.h"
+#include "lib/log.h"
+#include "wire/ctl.h"
+
+#include <string.h>
+
+/* Items of one CTL_CONFIG frame stay under the frame limit. */
+#define CONFIG_FRAME_BYTES (256 * 1024)
+
+struct node_link {
+	struct link *link;
+	char *node;
+	bool is_watching;
+	u64 sent_revision;
+	u64 dir_seq;
+};
+
+static struct node_link *find(struct control *c, const struct link *k)
+{
+	for (guint i = 0; i < c->nodes->len; i++) {
+		struct node_link *n = g_ptr_array_index(c->nodes, i);
+
+		if (n->link == k)
+			return n;
+	}
+	return NULL;
+}
+
+static void tell_fresh(struct control *c, struct node_link *n, u64 now_us)
+{
+	FRAME_AUTO(f, CTL_FRESH);
+
+	frame_put_bool(&f, raft_is_fresh(&c->raft, CTL_LEASE_US, now_us));
+	frame_put_u64(&f, c->store.revision);
+	link_send(n->link, &f);
+}
+
+void nodes_tell_fresh(struct control *c)
+{
+	u64 now = loop_clock_us();
+
+	for (guint i = 0; i < c->nodes->len; i++)
+		tell_fresh(c, g_ptr_array_index(c->nodes, i), now);
+}
+
+void nodes_up(struct control *c, struct link *k)
+{
+	struct node_link *n = g_new0(struct node_link, 1);
+
+	n->link = k;
+	n->node = g_strdup(k->remote.name);
+	g_ptr_array_add(c->nodes, n);
+	tell_fresh(c, n, loop_clock_us());
+}
+
+void nodes_down(struct control *c, struct link *k)
+{
+	struct node_link *n = find(c, k);
+
+	if (!n)
+		return;
+	g_ptr_array_remove_fast(c->nodes, n);
+	g_free(n->node);
+	g_free(n);
+}
+
+static int take_register(struct control *c, struct link *k, struct frame_in *in)
+{
+	__attribute__((cleanup(dir_entry_clear))) struct dir_entry e = { 0 };
+
+	dir_entry_get(in, &e);
+	/* Only the node itself writes its entry. */
+	if (frame_done(in) || strcmp(e.node, k->remote.name))
+		return ERR_INVAL;
+	directory_put(&c->directory, &e, c->raft.id, loop_clock_us());
+	nodes_push(c);
+	peers_spread_directory(c);
+	return 0;
+}
+
+static int take_renew(struct control *c, struct link *k, struct frame_in *in)
+{
+	u64 applied = frame_get_u64(in);
+	struct directory_item *item = directory_find(&c->directory, k->remote.name);
+
+	if (frame_done(in))
+		return ERR_INVAL;
+	/* An unknown or superseded node must register again. */
+	if (directory_renew(&c->directory, k->remote.name, k->remote.incarnation, loop_clock_us()))
+		return ERR_CLOSED;
+	item->applied_revision = applied;
+	return 0;
+}
+
+static int take_watch(struct control *c, struct link *k, struct frame_in *in)
+{
+	struct node_link *n = find(c, k);
+
+	n->sent_revision = frame_get_u64(in);
+	n->is_watching = true;
+	if (frame_done(in))
+		return ERR_INVAL;
+	nodes_push(c);
+	return 0;
+}
+
+int nodes_frame(struct control *c, struct link *k, u32 type, struct frame_in *in)
+{
+	switch (type) {
+	case CTL_REGISTER:
+		return take_register(c, k, in);
+	case CTL_RENEW:
+		return take_renew(c, k, in);
+	case CTL_WATCH:
+		return take_watch(c, k, in);
+	default:
+		return ERR_INVAL;
+	}
+}
+
+static void put_item(struct frame_out *f, const struct store_item *item)
+{
+	frame_put_str(f, item->name);
+	frame_put_u64(f, item->version);
+	frame_put_u64(f, item->revision);
+	frame_put_bool(f, item->json != NULL);
+	frame_put_str(f, item->json);
+}
+
+/* How many items from FROM on fit into one frame; at least one. */
+static guint fitting(GPtrArray *items, guint from)
+{
+	size_t bytes = 0;
+	guint n = 0;
+
+	while (from + n < items->len && n < CTL_ITEMS_PER_FRAME) {
+		const struct store_item *item = g_ptr_array_index(items, from + n);
+
+		bytes += strlen(item->name) + (item->json ? strlen(item->json) : 0);
+		if (n && bytes > CONFIG_FRAME_BYTES)
+			break;
+		n++;
+	}
+	return n;
+}
+
+static void push_config(struct control *c, struct node_link *n)
+{
+	bool is_snapshot;
+	g_autoptr(GPtrArray) items = store_since(&c->store, n->sent_revision, &is_snapshot);
+	guint from = 0;
+
+	do {
+		guint count = fitting(items, from);
+		FRAME_AUTO(f, CTL_CONFIG);
+
+		frame_put_u64(&f, c->store.revision);
+		frame_put_bool(&f, is_snapshot);
+		frame_put_bool(&f, from + count == items->len);
+		frame_put_u64(&f, count);
+		for (guint i = from; i < from + count; i++)
+			put_item(&f, g_ptr_array_index(items, i));
+		link_send(n->link, &f);
+		from += count;
+	} while (from < items->len);
+	n->sent_revision = c->store.revision;
+}
+
+static void push_directory(struct control *c, struct node_link *n)
+{
+	g_autoptr(GPtrArray) items = directory_since(&c->directory, n->dir_seq);
+	guint from = 0;
+
+	do {
+		guint count = MIN(items->len - from, (guint)CTL_ITEMS_PER_FRAME);
+		FRAME_AUTO(f, CTL_DIR);
+
+		frame_put_u64(&f, c->raft.id);
+		frame_put_bool(&f, n->dir_seq == 0);
+		frame_put_bool(&f, from + count == items->len);
+		frame_put_u64(&f, count);
+		for (guint i = from; i < from + count; i++) {
+			const struct directory_item *item = g_ptr_array_index(items, i);
+
+			dir_entry_put(&f, &item->entry);
+		}
+		link_send(n->link, &f);
+		from += count;
+	} while (from < items->len);
+	n->dir_seq = c->directory.seq;
+}
+
+/* A process that is not fresh gives out no configuration, but its directory goes on. */
+void nodes_push(struct control *c)
+{
+	bool is_fresh = raft_is_fresh(&c->raft, CTL_LEASE_US, loop_clock_us());
+
+	for (guint i = 0; i < c->nodes->len; i++) {
+		struct node_link *n = g_ptr_array_index(c->nodes, i);
+
+		if (!n->is_watching)
+			continue;
+		if (is_fresh && n->sent_revision < c->store.revision)
+			push_config(c, n);
+		if (n->dir_seq < c->directory.seq)
+			push_directory(c, n);
+	}
+}
--- /dev/null
+++ b/control/op.c
@@ -0,0 +1,275 @@
+#include "control/op.h"
+
+#include "lib/ctr.h"
+#include "lib/err.h"
+#include "wire/ctl.h"
+
+#define OP_TEXT_MAX_BYTES 1024
+
+struct op *op_new(enum op_kind kind)
+{
+	struct op *o = g_new0(struct op, 1);
+
+	o->kind = kind;
+	return o;
+}
+
+void op_free(struct op *o)
+{
+	if (o->command)
+		g_bytes_unref(o->command);
+	g_free(o->text);
+	g_free(o);
+}
+
+static void finish(struct control *c, struct op *o, enum op_outcome outcome)
+{
+	/* A refusal speaks of the last try only. */
+	if (outcome == OP_NOT_RUN && o->kind == OP_CHANGE && o->tries > 1)
+		outcome = OP_UNKNOWN;
+	o->outcome = outcome;
+	if (outcome == OP_UNKNOWN)
+		ctr_inc(CTR_CHANGE_UNKNOWN);
+	if (outcome == OP_NOT_RUN)
+		ctr_inc(CTR_NO_QUORUM);
+	g_hash_table_steal(c->ops, &o->seq);
+	o->done(c, o);
+}
+
+static void start_member_change(struct control *c, struct op *o, u64 now_us)
+{
+	if (o->kind == OP_REPLACE)
+		o->result.status = members_replace(c, o->member, now_us, &o->text);
+	else
+		o->result.status = members_remove(c, o->member, now_us, &o->text);
+	finish(c, o, OP_DONE);
+}
+
+static void start_here(struct control *c, struct op *o, u64 now_us)
+{
+	int err;
+
+	switch (o->kind) {
+	case OP_CHANGE:
+		/* The entry may be applied before raft_propose returns. */
+		o->index = raft_last_index(&c->raft) + 1;
+		o->term = c->raft.term;
+		o->is_started = true;
+		o->may_have_run = true;
+		o->tries++;
+		raft_propose(&c->raft, RAFT_COMMAND, o->command, now_us, &(u64){ 0 });
+		break;
+	case OP_READ:
+		o->is_started = true;
+		err = raft_read(&c->raft, o->seq, now_us);
+		if (err)
+			o->is_started = false;
+		break;
+	default:
+		start_member_change(c, o, now_us);
+		break;
+	}
+}
+
+static void forward(struct op *o, struct link *k)
+{
+	gsize len = 0;
+	const void *data = o->command ? g_bytes_get_data(o->command, &len) : NULL;
+	FRAME_AUTO(f, CTL_FORWARD);
+
+	frame_put_u64(&f, o->seq);
+	frame_put_u64(&f, o->kind);
+	frame_put_u64(&f, o->member);
+	frame_put_bin(&f, data, len);
+	if (link_send(k, &f))
+		return;
+	o->is_started = true;
+	o->may_have_run = o->kind == OP_CHANGE;
+	o->index = 0;
+	o->tries++;
+	o->forwarded_to = k;
+}
+
+static void start(struct control *c, struct op *o, u64 now_us)
+{
+	struct link *k;
+
+	if (c->raft.role == RAFT_LEADER) {
+		start_here(c, o, now_us);
+		return;
+	}
+	/* A forwarded operation is not forwarded again, so it cannot go in circles. */
+	if (o->origin || !c->raft.leader)
+		return;
+	k = peers_link(c, c->raft.leader);
+	if (k)
+		forward(o, k);
+}
+
+void op_submit(struct control *c, struct op *o)
+{
+	u64 now = loop_clock_us();
+
+	o->seq = ++c->op_seq;
+	o->start_us = now;
+	g_hash_table_insert(c->ops, &o->seq, o);
+	start(c, o, now);
+	raft_host_arm(c);
+}
+
+static void poll_one(struct control *c, struct op *o, u64 now_us)
+{
+	u64 age = now_us - o->start_us;
+
+	if (o->read_index && c->raft.applied >= o->read_index) {
+		finish(c, o, OP_DONE);
+		return;
+	}
+	if (age > OP_TIMEOUT_US || (!o->is_started && age > OP_NO_LEADER_US)) {
+		finish(c, o, o->may_have_run ? OP_UNKNOWN : OP_NOT_RUN);
+		return;
+	}
+	if (!o->is_started)
+		start(c, o, now_us);
+}
+
+void op_poll(struct control *c, u64 now_us)
+{
+	g_autoptr(GList) all = g_hash_table_get_values(c->ops);
+
+	for (GList *l = all; l; l = l->next)
+		poll_one(c, l->data, now_us);
+}
+
+void op_applied(struct control *c, const struct raft_entry *e, const struct store_result *result)
+{
+	g_autoptr(GList) all = g_hash_table_get_values(c->ops);
+
+	for (GList *l = all; l; l = l->next) {
+		struct op *o = l->data;
+
+		if (o->kind != OP_CHANGE || !o->index || o->index != e->index)
+			continue;
+		/* Another entry at this index: the proposed one is overwritten for good. */
+		if (o->term != e->term) {
+			finish(c, o, OP_NOT_RUN);
+			continue;
+		}
+		o->result = *result;
+		finish(c, o, OP_DONE);
+	}
+}
+
+void op_restored(struct control *c)
+{
+	g_autoptr(GList) all = g_hash_table_get_values(c->ops);
+
+	for (GList *l = all; l; l = l->next) {
+		struct op *o = l->data;
+
+		if (o->index && o->index <= c->raft.applied)
+			finish(c, o, OP_UNKNOWN);
+	}
+}
+
+void op_read_ready(struct control *c, u64 seq, bool is_ok)
+{
+	struct op *o = g_hash_table_lookup(c->ops, &seq);
+
+	if (!o)
+		return;
+	if (!is_ok) {
+		o->is_started = false;
+		return;
+	}
+	o->read_index = c->raft.commit;
+	finish(c, o, OP_DONE);
+}
+
+void op_link_down(struct control *c, const struct link *k)
+{
+	g_autoptr(GList) all = g_hash_table_get_values(c->ops);
+
+	for (GList *l = all; l; l = l->next) {
+		struct op *o = l->data;
+
+		/* Changes carry a change id, so they can be sent to the next leader. */
+		if (o->forwarded_to == k) {
+			o->forwarded_to = NULL;
+			o->is_started = false;
+		}
+		if (o->origin == k)
+			o->origin = NULL;
+	}
+}
+
+static void answer_forward(struct control *c, struct op *o)
+{
+	FRAME_AUTO(f, CTL_FORWARDED);
+
+	(void)c;
+	if (o->origin) {
+		frame_put_u64(&f, o->origin_request);
+		frame_put_u64(&f, o->outcome);
+		frame_put_u64(&f, o->result.status);
+		frame_put_u64(&f, o->result.version);
+		frame_put_u64(&f, o->result.revision);
+		frame_put_bool(&f, o->result.is_repeat);
+		frame_put_u64(&f, o->read_index);
+		frame_put_str(&f, o->text);
+		link_send(o->origin, &f);
+	}
+	op_free(o);
+}
+
+int op_take_forward(struct control *c, struct link *k, struct frame_in *in)
+{
+	struct op *o = op_new(0);
+	const void *data;
+	size_t len;
+
+	o->origin = k;
+	o->origin_request = frame_get_u64(in);
+	o->kind = (enum op_kind)frame_get_u64(in);
+	o->member = (u32)frame_get_u64(in);
+	data = frame_get_bin(in, &len);
+	o->command = g_bytes_new(data, len);
+	o->done = answer_forward;
+	if (frame_done(in) || o->kind < OP_CHANGE || o->kind > OP_REMOVE) {
+		op_free(o);
+		return ERR_INVAL;
+	}
+	op_submit(c, o);
+	return 0;
+}
+
+int op_take_forwarded(struct control *c, struct frame_in *in)
+{
+	u64 seq = frame_get_u64(in);
+	enum op_outcome outcome = (enum op_outcome)frame_get_u64(in);
+	struct op *o = g_hash_table_lookup(c->ops, &seq);
+	struct store_result result = { 0 };
+	g_autofree char *text = NULL;
+	u64 read_index;
+
+	result.status = (u16)frame_get_u64(in);
+	result.version = frame_get_u64(in);
+	result.revision = frame_get_u64(in);
+	result.is_repeat = frame_get_bool(in);
+	read_index = frame_get_u64(in);
+	text = frame_get_str(in, OP_TEXT_MAX_BYTES);
+	if (frame_done(in) || outcome < OP_DONE || outcome > OP_UNKNOWN)
+		return ERR_INVAL;
+	if (!o)
+		return 0;
+	o->result = result;
+	g_free(o->text);
+	o->text = g_steal_pointer(&text);
+	if (outcome == OP_DONE && o->kind == OP_READ) {
+		o->read_index = read_index;
+		poll_one(c, o, loop_clock_us());
+		return 0;
+	}
+	finish(c, o, outcome);
+	return 0;
+}
--- /dev/null
+++ b/control/op.h
@@ -0,0 +1,71 @@
+/*
+ * op - an operator's request on its way through the log
+ *
+ * An operation starts at any control process, is handed to the leader when
+ * that is another one, and ends with an outcome that is true: DONE after
+ * commit, NOT_RUN when it can never run, UNKNOWN when its fate is open at the
+ * deadline.
+ *
+ * SOURCE control/op.c
+ */
+#ifndef OP_H
+#define OP_H
+
+#include "control/control.h"
+
+#define OP_TIMEOUT_US (5 * US_PER_S)
+/* A request fails sooner when no leader is found in this time. */
+#define OP_NO_LEADER_US (3 * US_PER_S)
+
+enum op_kind { OP_CHANGE = 1, OP_READ, OP_REPLACE, OP_REMOVE };
+enum op_outcome { OP_PENDING, OP_DONE, OP_NOT_RUN, OP_UNKNOWN };
+
+struct op {
+	u64 seq;
+	enum op_kind kind;
+	GBytes *command; /* OP_CHANGE */
+	u32 member; /* OP_REPLACE, OP_REMOVE */
+	u64 start_us;
+
+	bool is_started; /* proposed here or forwarded */
+	bool may_have_run;
+	u32 tries; /* proposals and forwards so far */
+	u64 index; /* where it was proposed; 0 when forwarded */
+	u64 term;
+	struct link *forwarded_to;
+	u64 read_index; /* OP_READ: answer when this is applied; 0 while unknown */
+
+	enum op_outcome outcome;
+	struct store_result result;
+	char *text; /* why, for OP_REPLACE and OP_REMOVE; from g_strdup */
+
+	void (*done)(struct control *c, struct op *o); /* frees the op */
+	void *arg;
+	struct link *origin; /* forwarded from this link */
+	u64 origin_request;
+};
+
+struct op *op_new(enum op_kind kind);
+void op_free(struct op *o);
+void op_submit(struct control *c, struct op *o);
+
+/* op_poll - start what waits for a leader, end what is over its deadline. */
+void op_poll(struct control *c, u64 now_us);
+
+void op_applied(struct control *c, const struct raft_entry *e, const struct store_result *result);
+void op_read_ready(struct control *c, u64 seq, bool is_ok);
+void op_restored(struct control *c);
+void op_link_down(struct control *c, const struct link *k);
+
+int op_take_forward(struct control *c, struct link *k, struct frame_in *in);
+int op_take_forwarded(struct control *c, struct frame_in *in);
+
+/*
+ * members_replace, members_remove - carry a membership change one step
+ * further; called again until it is done. Returns the status for the
+ * operator: 200 done, 202 in progress, 4xx or 5xx refused, with *TEXT.
+ */
+u16 members_replace(struct control *c, u32 id, u64 now_us, char **text);
+u16 members_remove(struct control *c, u32 id, u64 now_us, char **text);
+
+#endif
--- /dev/null
+++ b/control/raft.h
@@ -0,0 +1,213 @@
+/*
+ * raft - the replicated log, as a state machine without threads or sockets
+ *
+ * The owner feeds messages, proposals and ticks with the time; the machine
+ * calls back through struct raft_ops. Pre-vote and check-quorum keep a
+ * replica that is cut off from disturbing the group or from believing that it
+ * leads. A vote or an acknowledgement counts only when it comes from the data
+ * folder (replica id) that the membership names, so an emptied disk cannot
+ * help to elect a leader.
+ *
+ * UNITS microseconds
+ * ERRORS raft_propose: ERR_NOTLEADER, ERR_BUSY; a storage callback that
+ * fails ends the process, because a failed fsync must not be retried
+ * SOURCE control/raft.c, control/raft_log.c
+ */
+#ifndef RAFT_H
+#define RAFT_H
+
+#include "lib/frame.h"
+#include "lib/rng.h"
+#include "lib/settings.h"
+#include "lib/types.h"
+
+#include <glib.h>
+
+#define RAFT_MEMBERS_MAX 32
+#define RAFT_HEARTBEAT_US (150 * US_PER_MS)
+#define RAFT_ELECTION_MIN_US (1000 * US_PER_MS)
+#define RAFT_ELECTION_MAX_US (2000 * US_PER_MS)
+#define RAFT_BATCH_ENTRIES 64
+#define RAFT_BATCH_BYTES (256 * 1024)
+
+enum raft_kind { RAFT_NOOP = 1, RAFT_COMMAND, RAFT_MEMBERS };
+
+struct raft_entry {
+	u64 index;
+	u64 term;
+	enum raft_kind kind;
+	GBytes *data;
+};
+
+struct raft_member {
+	u32 id;
+	u64 replica; /* id of the data folder that votes for this member */
+	bool is_voter;
+	struct endpoint at;
+};
+
+struct raft_members {
+	u32 n;
+	struct raft_member m[RAFT_MEMBERS_MAX];
+};
+
+enum raft_msg_type {
+	RAFT_PREVOTE = 1,
+	RAFT_PREVOTE_REPLY,
+	RAFT_VOTE,
+	RAFT_VOTE_REPLY,
+	RAFT_APPEND,
+	RAFT_APPEND_REPLY,
+	RAFT_INSTALL,
+	RAFT_INSTALL_REPLY,
+	RAFT_FORM, /* a founding replica tells its replica id */
+	RAFT_FORMED, /* the founding members, complete */
+	RAFT_TIMEOUT_NOW, /* leader transfer */
+};
+
+/* One message; fields that a type does not use are 0. */
+struct raft_msg {
+	enum raft_msg_type type;
+	u32 from;
+	u64 replica; /* of the sender */
+	u64 term;
+	u64 index; /* last log index, or previous index of an append */
+	u64 log_term; /* term at index */
+	u64 commit;
+	u64 round; /* heartbeat round, returned in the reply */
+	bool is_ok;
+	bool is_transfer;
+	GPtrArray *entries; /* of struct raft_entry, or NULL */
+	struct raft_members members; /* RAFT_INSTALL, RAFT_FORMED */
+	GBytes *snapshot; /* RAFT_INSTALL */
+};
+
+enum raft_role { RAFT_FORMING, RAFT_FOLLOWER, RAFT_PRECANDIDATE, RAFT_CANDIDATE, RAFT_LEADER };
+
+struct raft;
+
+/* What the machine asks of its owner. Storage calls return only when the data is synced. */
+struct raft_ops {
+	void (*send)(struct raft *r, u32 to, const struct raft_msg *m);
+	void (*save_state)(struct raft *r, u64 term, u32 vote);
+	void (*append)(struct raft *r,
+		       GPtrArray *entries); /* also truncates from the first index */
+	void (*save_snapshot)(struct raft *r, u64 index, u64 term,
+			      const struct raft_members *members, GBytes *state);
+	void (*apply)(struct raft *r, const struct raft_entry *e);
+	void (*restore)(struct raft *r, u64 index, GBytes *state);
+	GBytes *(*snapshot)(struct raft *r); /* the state after the last applied entry */
+	void (*read_ready)(struct raft *r, u64 read_id, bool is_ok);
+};
+
+/* What the leader knows of one member. */
+struct raft_progress {
+	u64 next;
+	u64 match;
+	u64 heard_us; /* last answer of the replica that the membership names */
+	u64 sent_us;
+	u64 round; /* highest heartbeat round answered */
+	u64 seen_replica; /* replica id in the last answer, named by the membership or not */
+	u64 seen_us;
+	bool is_installing;
+};
+
+struct raft {
+	const struct raft_ops *ops;
+	void *arg;
+	u32 id;
+	u64 replica;
+	struct rng rng;
+
+	enum raft_role role;
+	u64 term;
+	u32 vote;
+	u32 leader; /* 0 when none is known */
+	u64 commit;
+	u64 applied;
+	struct raft_members members; /* the latest in the log, committed or not */
+	u64 members_index;
+	struct raft_members committed_members;
+
+	GPtrArray *log; /* entries after the snapshot */
+	u64 snap_index;
+	u64 snap_term;
+	GBytes *snap_state;
+	struct raft_members snap_members;
+
+	u64 election_due_us;
+	u64 heartbeat_due_us;
+	u64 leader_heard_us;
+	u64 leader_commit; /* highest commit index the leader told */
+	u32 votes[RAFT_MEMBERS_MAX];
+	u32 nvotes;
+	struct raft_progress progress[RAFT_MEMBERS_MAX]; /* by position in members */
+	u64 round;
+	GArray *reads; /* of struct raft_read */
+	u32 transfer_to;
+
+	struct raft_members founding; /* from the settings; replica ids fill in while forming */
+};
+
+struct raft_read {
+	u64 id;
+	u64 round;
+};
+
+void raft_init(struct raft *r, const struct raft_ops *ops, void *arg, u32 id, u64 replica, u64 seed,
+	       u64 now_us);
+void raft_clear(struct raft *r);
+
+/* raft_load_* - hand over what the disk holds, before the first tick. */
+void raft_load_state(struct raft *r, u64 term, u32 vote);
+void raft_load_snapshot(struct raft *r, u64 index, u64 term, const struct raft_members *members,
+			GBytes *state);
+void raft_load_entry(struct raft *r, const struct raft_entry *e);
+
+/* raft_found - an empty folder: form a new group with MEMBERS once all of them are heard. */
+void raft_found(struct raft *r, const struct raft_members *members);
+
+void raft_step(struct raft *r, const struct raft_msg *m, u64 now_us);
+void raft_tick(struct raft *r, u64 now_us);
+
+/* raft_next_due_us - when raft_tick has something to do. */
+u64 raft_next_due_us(const struct raft *r);
+
+/* raft_propose - append DATA to the log; *INDEX is where. Leader only. */
+int raft_propose(struct raft *r, enum raft_kind kind, GBytes *data, u64 now_us, u64 *index);
+
+/* raft_propose_members - change the membership; ERR_BUSY while another change is open. */
+int raft_propose_members(struct raft *r, const struct raft_members *next, u64 now_us, u64 *index);
+
+/* raft_read - call read_ready(READ_ID) once leadership is confirmed by a quorum. */
+int raft_read(struct raft *r, u64 read_id, u64 now_us);
+
+/* raft_transfer - hand leadership to member TO when it holds the log. */
+int raft_transfer(struct raft *r, u32 to, u64 now_us);
+
+/* raft_compact - snapshot the applied state and drop the entries before it. */
+void raft_compact(struct raft *r);
+
+/* raft_is_fresh - true while the leader (or, on the leader, a quorum) was heard within LEASE_US. */
+bool raft_is_fresh(const struct raft *r, u64 lease_us, u64 now_us);
+
+u64 raft_last_index(const struct raft *r);
+u64 raft_term_at(const struct raft *r, u64 index); /* 0 when not in the log */
+const struct raft_entry *raft_entry_at(const struct raft *r, u64 index);
+
+struct raft_entry *raft_entry_new(u64 index, u64 term, enum raft_kind kind, GBytes *data);
+void raft_entry_free(struct raft_entry *e);
+
+/* raft_members_pack - members as bytes; raft_members_unpack - 0 or ERR_INVAL. */
+GBytes *raft_members_pack(const struct raft_members *m);
+int raft_members_unpack(struct raft_members *m, GBytes *data);
+void raft_members_put(struct frame_out *f, const struct raft_members *m);
+void raft_members_get(struct frame_in *in, struct raft_members *m);
+struct raft_member *raft_member_find(struct raft_members *m, u32 id);
+
+/* raft_msg_put, raft_msg_get - a message as frame fields; get returns 0 or ERR_INVAL. */
+void raft_msg_put(struct frame_out *f, const struct raft_msg *m);
+int raft_msg_get(struct frame_in *in, struct raft_msg *m);
+void raft_msg_clear(struct raft_msg *m);
+
+#endif
--- /dev/null
+++ b/control/raft_host.c
@@ -0,0 +1,175 @@
+/* Storage and messages for raft, and what is applied to the store. */
+#include "control/control.h"
+
+#include "control/op.h"
+#include "lib/ctr.h"
+#include "lib/err.h"
+#include "lib/log.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <sys/random.h>
+
+/* The log is compacted when it holds more entries than this. */
+#define COMPACT_ENTRIES 4096
+
+/* What could not be synced may be lost, and a retry can report success wrongly. */
+static void require(int err, const char *what)
+{
+	if (!err)
+		return;
+	log_event(LOG_ERROR, "cannot write to the data folder, ending", "operation", what, "error",
+		  err_text(err), NULL);
+	_Exit(1);
+}
+
+static void host_send(struct raft *r, u32 to, const struct raft_msg *m)
+{
+	peers_send_raft(r->arg, to, m);
+}
+
+static void host_save_state(struct raft *r, u64 term, u32 vote)
+{
+	struct control *c = r->arg;
+
+	require(wal_save_state(&c->wal, term, vote), "save state");
+}
+
+static void host_append(struct raft *r, GPtrArray *entries)
+{
+	struct control *c = r->arg;
+
+	require(wal_append(&c->wal, entries), "append");
+}
+
+static void host_save_snapshot(struct raft *r, u64 index, u64 term,
+			       const struct raft_members *members, GBytes *state)
+{
+	struct control *c = r->arg;
+
+	require(wal_save_snapshot(&c->wal, r, index, term, members, state), "snapshot");
+}
+
+static void count_result(const struct store_result *result)
+{
+	if (result->is_repeat)
+		ctr_inc(CTR_CHANGE_REPEATED);
+	else if (result->status == 409)
+		ctr_inc(CTR_CHANGE_CONFLICT);
+	else if (result->status < 300)
+		ctr_inc(CTR_CHANGE_ACCEPTED);
+}
+
+static void host_apply(struct raft *r, const struct raft_entry *e)
+{
+	struct control *c = r->arg;
+	struct store_result result = { 0 };
+
+	if (e->kind == RAFT_COMMAND) {
+		store_apply(&c->store, e->data, &result);
+		count_result(&result);
+	}
+	op_applied(c, e, &result);
+}
+
+static void host_restore(struct raft *r, u64 index, GBytes *state)
+{
+	struct control *c = r->arg;
+
+	(void)index;
+	if (store_restore(&c->store, state))
+		require(ERR_CORRUPT, "restore");
+	op_restored(c);
+}
+
+static GBytes *host_snapshot(struct raft *r)
+{
+	struct control *c = r->arg;
+
+	return store_snapshot(&c->store);
+}
+
+static void host_read_ready(struct raft *r, u64 read_id, bool is_ok)
+{
+	op_read_ready(r->arg, read_id, is_ok);
+}
+
+static const struct raft_ops host_ops = {
+	.send = host_send,
+	.save_state = host_save_state,
+	.append = host_append,
+	.save_snapshot = host_save_snapshot,
+	.apply = host_apply,
+	.restore = host_restore,
+	.snapshot = host_snapshot,
+	.read_ready = host_read_ready,
+};
+
+static u64 random_id(void)
+{
+	u64 id = 0;
+
+	while (!id)
+		if (getrandom(&id, sizeof(id), 0) != sizeof(id))
+			id = 0;
+	return id;
+}
+
+static void found_group(struct control *c)
+{
+	const GArray *list = c->settings->control.members;
+	struct raft_members founding = { 0 };
+
+	for (guint i = 0; i < list->len && i < RAFT_MEMBERS_MAX; i++) {
+		const struct member_setting *m = &g_array_index(list, struct member_setting, i);
+
+		founding.m[founding.n].id = m->id;
+		founding.m[founding.n].at = m->at;
+		founding.n++;
+	}
+	raft_found(&c->raft, &founding);
+}
+
+void raft_host_arm(struct control *c)
+{
+	loop_timer_set(c->loop, &c->raft_timer, raft_next_due_us(&c->raft));
+}
+
+static void on_raft_timer(void *arg, u64 now_us)
+{
+	struct control *c = arg;
+
+	raft_tick(&c->raft, now_us);
+	op_poll(c, now_us);
+	if (c->raft.log->len > COMPACT_ENTRIES)
+		raft_compact(&c->raft);
+	raft_host_arm(c);
+	nodes_push(c);
+}
+
+int raft_host_open(struct control *c)
+{
+	const struct control_settings *s = &c->settings->control;
+	g_autofree char *why = NULL;
+	struct disk *disk = disk_open(s->data, &why);
+	int err = disk ? wal_open(&c->wal, disk, random_id(), &why) : ERR_IO;
+
+	if (!err) {
+		raft_init(&c->raft, &host_ops, c, s->id, c->wal.replica, random_id(),
+			  loop_clock_us());
+		err = wal_load(&c->wal, &c->raft, &why);
+		if (!err && c->raft.role == RAFT_FORMING)
+			found_group(c);
+	}
+	if (err)
+		log_event(LOG_ERROR, "cannot use the data folder", "data", s->data, "error",
+			  why ? why : err_text(err), NULL);
+	c->raft_timer = (struct loop_timer){ .fire = on_raft_timer, .arg = c };
+	return err;
+}
+
+void raft_host_close(struct control *c)
+{
+	raft_clear(&c->raft);
+	c->wal.disk->ops->close(c->wal.disk);
+}
--- /dev/null
+++ b/control/store.c
@@ -0,0 +1,345 @@
+#include "control/store.h"
+
+#include "lib/err.h"
+#include "lib/frame.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+#define STORE_TEXT_MAX_BYTES (512 * 1024)
+#define STORE_ITEMS_MAX 1000000
+
+struct change_memo {
+	char *id;
+	u64 hash;
+	struct store_result result;
+};
+
+static void item_free(gpointer p)
+{
+	struct store_item *item = p;
+
+	g_free(item->name);
+	g_free(item->json);
+	g_free(item);
+}
+
+static void memo_free(gpointer p)
+{
+	struct change_memo *memo = p;
+
+	g_free(memo->id);
+	g_free(memo);
+}
+
+void store_init(struct store *s)
+{
+	memset(s, 0, sizeof(*s));
+	s->items = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, item_free);
+	s->changes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, memo_free);
+	s->change_order = g_queue_new();
+}
+
+void store_clear(struct store *s)
+{
+	g_queue_free(s->change_order);
+	g_hash_table_unref(s->changes);
+	g_hash_table_unref(s->items);
+}
+
+GBytes *store_change_pack(const struct store_change *c)
+{
+	FRAME_AUTO(f, c->op);
+
+	frame_put_str(&f, c->name);
+	frame_put_bool(&f, c->has_if_match);
+	frame_put_u64(&f, c->if_match);
+	frame_put_str(&f, c->change_id);
+	frame_put_str(&f, c->json);
+	frame_end(&f);
+	return g_bytes_new(f.buf.data + FRAME_HEADER_BYTES, f.buf.size - FRAME_HEADER_BYTES);
+}
+
+int store_change_unpack(struct store_change *c, GBytes *data)
+{
+	struct frame_in in;
+	gsize len;
+	const void *p = g_bytes_get_data(data, &len);
+
+	frame_read(&in, p, len);
+	c->op = (enum store_op)frame_get_u64(&in);
+	c->name = frame_get_str(&in, STORE_TEXT_MAX_BYTES);
+	c->has_if_match = frame_get_bool(&in);
+	c->if_match = frame_get_u64(&in);
+	c->change_id = frame_get_str(&in, STORE_CHANGE_ID_MAX_BYTES);
+	c->json = frame_get_str(&in, STORE_TEXT_MAX_BYTES);
+	return frame_done(&in);
+}
+
+void store_change_clear(struct store_change *c)
+{
+	g_free(c->name);
+	g_free(c->change_id);
+	g_free(c->json);
+}
+
+const struct store_item *store_find(const struct store *s, const char *name)
+{
+	const struct store_item *item = g_hash_table_lookup(s->items, name);
+
+	return item && item->json ? item : NULL;
+}
+
+static gint by_revision(gconstpointer a, gconstpointer b)
+{
+	const struct store_item *x = *(const struct store_item *const *)a;
+	const struct store_item *y = *(const struct store_item *const *)b;
+
+	if (x->revision == y->revision)
+		return 0;
+	return x->revision < y->revision ? -1 : 1;
+}
+
+GPtrArray *store_since(const struct store *s, u64 revision, bool *is_snapshot)
+{
+	GPtrArray *out = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer value;
+
+	*is_snapshot = revision < s->floor_revision || revision == 0;
+	g_hash_table_iter_init(&iter, s->items);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct store_item *item = value;
+
+		if (*is_snapshot ? item->json != NULL : item->revision > revision)
+			g_ptr_array_add(out, value);
+	}
+	g_ptr_array_sort(out, by_revision);
+	return out;
+}
+
+/* Forgets the older half of the deletions, so that this runs seldom. */
+static void prune_tombstones(struct store *s)
+{
+	g_autoptr(GPtrArray) dead = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, s->items);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (!((struct store_item *)value)->json)
+			g_ptr_array_add(dead, value);
+	g_ptr_array_sort(dead, by_revision);
+	for (guint i = 0; i < dead->len / 2; i++) {
+		struct store_item *item = g_ptr_array_index(dead, i);
+
+		s->floor_revision = MAX(s->floor_revision, item->revision);
+		s->version_floor = MAX(s->version_floor, item->version);
+		g_hash_table_remove(s->items, item->name);
+		s->tombstones--;
+	}
+}
+
+static void put(struct store *s, const struct store_change *c, struct store_result *out)
+{
+	struct store_item *item = g_hash_table_lookup(s->items, c->name);
+
+	out->status = item && item->json ? 200 : 201;
+	if (!item) {
+		item = g_new0(struct store_item, 1);
+		item->name = g_strdup(c->name);
+		item->version = s->version_floor;
+		g_hash_table_insert(s->items, item->name, item);
+	} else if (!item->json) {
+		s->tombstones--;
+	}
+	g_free(item->json);
+	item->json = g_strdup(c->json);
+	item->version++;
+	item->revision = ++s->revision;
+	out->version = item->version;
+}
+
+static void drop(struct store *s, const struct store_change *c, struct store_result *out)
+{
+	struct store_item *item = g_hash_table_lookup(s->items, c->name);
+
+	if (!item || !item->json) {
+		out->status = 404;
+		return;
+	}
+	out->status = 200;
+	g_clear_pointer(&item->json, g_free);
+	item->version++;
+	item->revision = ++s->revision;
+	out->version = item->version;
+	if (++s->tombstones > STORE_TOMBSTONES_MAX)
+		prune_tombstones(s);
+}
+
+static void carry_out(struct store *s, const struct store_change *c, struct store_result *out)
+{
+	const struct store_item *item = store_find(s, c->name);
+	u64 current = item ? item->version : 0;
+
+	if (c->has_if_match && c->if_match != current) {
+		out->status = 409;
+		out->version = current;
+	} else if (c->op == STORE_PUT) {
+		put(s, c, out);
+	} else {
+		drop(s, c, out);
+	}
+	out->revision = s->revision;
+}
+
+static void remember(struct store *s, const char *id, u64 hash, const struct store_result *result)
+{
+	struct change_memo *memo = g_new0(struct change_memo, 1);
+
+	memo->id = g_strdup(id);
+	memo->hash = hash;
+	memo->result = *result;
+	g_hash_table_insert(s->changes, memo->id, memo);
+	g_queue_push_tail(s->change_order, memo);
+	while (g_queue_get_length(s->change_order) > STORE_CHANGE_IDS_MAX) {
+		struct change_memo *oldest = g_queue_pop_head(s->change_order);
+
+		g_hash_table_remove(s->changes, oldest->id);
+	}
+}
+
+void store_apply(struct store *s, GBytes *command, struct store_result *out)
+{
+	__attribute__((cleanup(store_change_clear))) struct store_change c = { 0 };
+	struct change_memo *memo;
+	gsize len;
+	const void *p = g_bytes_get_data(command, &len);
+	u64 hash = XXH64(p, len, 0);
+
+	memset(out, 0, sizeof(*out));
+	if (store_change_unpack(&c, command)) {
+		out->status = 400;
+		return;
+	}
+	memo = *c.change_id ? g_hash_table_lookup(s->changes, c.change_id) : NULL;
+	if (memo && memo->hash != hash) {
+		out->status = 422;
+		out->revision = s->revision;
+		return;
+	}
+	if (memo) {
+		*out = memo->result;
+		out->is_repeat = true;
+		return;
+	}
+	carry_out(s, &c, out);
+	if (*c.change_id)
+		remember(s, c.change_id, hash, out);
+}
+
+static void put_items(struct frame_out *f, const struct store *s)
+{
+	g_autoptr(GPtrArray) items = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, s->items);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		g_ptr_array_add(items, value);
+	g_ptr_array_sort(items, by_revision);
+	frame_put_u64(f, items->len);
+	for (guint i = 0; i < items->len; i++) {
+		const struct store_item *item = g_ptr_array_index(items, i);
+
+		frame_put_str(f, item->name);
+		frame_put_u64(f, item->version);
+		frame_put_u64(f, item->revision);
+		frame_put_bool(f, item->json != NULL);
+		frame_put_str(f, item->json);
+	}
+}
+
+static void put_memos(struct frame_out *f, const struct store *s)
+{
+	frame_put_u64(f, g_queue_get_length(s->change_order));
+	for (GList *l = s->change_order->head; l; l = l->next) {
+		const struct change_memo *memo = l->data;
+
+		frame_put_str(f, memo->id);
+		frame_put_u64(f, memo->hash);
+		frame_put_u64(f, memo->result.status);
+		frame_put_u64(f, memo->result.version);
+		frame_put_u64(f, memo->result.revision);
+	}
+}
+
+GBytes *store_snapshot(const struct store *s)
+{
+	FRAME_AUTO(f, 0);
+
+	frame_put_u64(&f, s->revision);
+	frame_put_u64(&f, s->floor_revision);
+	frame_put_u64(&f, s->version_floor);
+	put_items(&f, s);
+	put_memos(&f, s);
+	frame_end(&f);
+	return g_bytes_new(f.buf.data + FRAME_HEADER_BYTES, f.buf.size - FRAME_HEADER_BYTES);
+}
+
+static void get_items(struct store *s, struct frame_in *in)
+{
+	u32 n = frame_get_count(in, STORE_ITEMS_MAX);
+
+	for (u32 i = 0; i < n && !in->err; i++) {
+		struct store_item *item = g_new0(struct store_item, 1);
+		bool is_live;
+
+		item->name = frame_get_str(in, STORE_TEXT_MAX_BYTES);
+		item->version = frame_get_u64(in);
+		item->revision = frame_get_u64(in);
+		is_live = frame_get_bool(in);
+		item->json = frame_get_str(in, STORE_TEXT_MAX_BYTES);
+		if (!is_live) {
+			g_clear_pointer(&item->json, g_free);
+			s->tombstones++;
+		}
+		g_hash_table_insert(s->items, item->name, item);
+	}
+}
+
+static void get_memos(struct store *s, struct frame_in *in)
+{
+	u32 n = frame_get_count(in, STORE_CHANGE_IDS_MAX);
+
+	for (u32 i = 0; i < n && !in->err; i++) {
+		g_autofree char *id = frame_get_str(in, STORE_CHANGE_ID_MAX_BYTES);
+		u64 hash = frame_get_u64(in);
+		struct store_result result = { 0 };
+
+		result.status = (u16)frame_get_u64(in);
+		result.version = frame_get_u64(in);
+		result.revision = frame_get_u64(in);
+		remember(s, id, hash, &result);
+	}
+}
+
+int store_restore(struct store *s, GBytes *data)
+{
+	struct frame_in in;
+	gsize len;
+	const void *p = g_bytes_get_data(data, &len);
+
+	store_clear(s);
+	store_init(s);
+	if (!len)
+		return 0;
+	frame_read(&in, p, len);
+	frame_get_u64(&in);
+	s->revision = frame_get_u64(&in);
+	s->floor_revision = frame_get_u64(&in);
+	s->version_floor = frame_get_u64(&in);
+	get_items(s, &in);
+	get_memos(s, &in);
+	return frame_done(&in);
+}
--- /dev/null
+++ b/control/wal.c
@@ -0,0 +1,295 @@
+#include "control/wal.h"
+
+#include "lib/err.h"
+
+#include <arpa/inet.h>
+#include <endian.h>
+#include <string.h>
+#include <xxhash.h>
+
+#define WAL_LOG "log"
+#define WAL_SNAPSHOT "snapshot"
+#define WAL_REPLICA "replica"
+#define WAL_HEADER_BYTES 16
+#define WAL_RECORD_MAX_BYTES (64 * 1024 * 1024)
+
+enum record_type { REC_STATE = 1, REC_ENTRY, REC_SNAPSHOT, REC_REPLICA };
+
+/* Record: length, checksum of the length, checksum of the payload, payload. */
+static void add_record(GByteArray *out, struct frame_out *f)
+{
+	size_t len = frame_end(f) - FRAME_HEADER_BYTES;
+	const char *payload = f->buf.data + FRAME_HEADER_BYTES;
+	u32 be_len = htonl((u32)len);
+	u32 be_check = htonl(XXH32(&be_len, sizeof(be_len), 0));
+	u64 be_hash = htobe64(XXH64(payload, len, 0));
+
+	g_byte_array_append(out, (const guint8 *)&be_len, sizeof(be_len));
+	g_byte_array_append(out, (const guint8 *)&be_check, sizeof(be_check));
+	g_byte_array_append(out, (const guint8 *)&be_hash, sizeof(be_hash));
+	g_byte_array_append(out, (const guint8 *)payload, (guint)len);
+}
+
+static bool is_zero(const u8 *p, size_t len)
+{
+	for (size_t i = 0; i < len; i++)
+		if (p[i])
+			return false;
+	return true;
+}
+
+/*
+ * Reads the record at *OFF. Returns 1 with IN set, 0 at the end or at a torn
+ * tail, ERR_CORRUPT when a whole record fails its checksum.
+ */
+static int next_record(const GByteArray *file, size_t *off, struct frame_in *in)
+{
+	const u8 *p = file->data + *off;
+	size_t left = file->len - *off;
+	u32 be_len;
+	u32 be_check;
+	u64 be_hash;
+	size_t len;
+
+	if (left < WAL_HEADER_BYTES || is_zero(p, left))
+		return 0;
+	memcpy(&be_len, p, sizeof(be_len));
+	memcpy(&be_check, p + 4, sizeof(be_check));
+	memcpy(&be_hash, p + 8, sizeof(be_hash));
+	if (ntohl(be_check) != XXH32(&be_len, sizeof(be_len), 0))
+		return ERR_CORRUPT;
+	len = ntohl(be_len);
+	if (len > WAL_RECORD_MAX_BYTES)
+		return ERR_CORRUPT;
+	if (len > left - WAL_HEADER_BYTES)
+		return 0;
+	if (be64toh(be_hash) != XXH64(p + WAL_HEADER_BYTES, len, 0))
+		return ERR_CORRUPT;
+	frame_read(in, p + WAL_HEADER_BYTES, len);
+	*off += WAL_HEADER_BYTES + len;
+	return 1;
+}
+
+static void put_entry(GByteArray *out, const struct raft_entry *e)
+{
+	gsize len;
+	const void *data = g_bytes_get_data(e->data, &len);
+	FRAME_AUTO(f, REC_ENTRY);
+
+	frame_put_u64(&f, e->index);
+	frame_put_u64(&f, e->term);
+	frame_put_u64(&f, e->kind);
+	frame_put_bin(&f, data, len);
+	add_record(out, &f);
+}
+
+static void put_state(GByteArray *out, u64 term, u32 vote)
+{
+	FRAME_AUTO(f, REC_STATE);
+
+	frame_put_u64(&f, term);
+	frame_put_u64(&f, vote);
+	add_record(out, &f);
+}
+
+static int append_synced(struct wal *w, const GByteArray *records)
+{
+	int err = w->disk->ops->append(w->disk, WAL_LOG, records->data, records->len);
+
+	return err ? err : w->disk->ops->sync(w->disk, WAL_LOG);
+}
+
+int wal_save_state(struct wal *w, u64 term, u32 vote)
+{
+	g_autoptr(GByteArray) out = g_byte_array_new();
+
+	put_state(out, term, vote);
+	return append_synced(w, out);
+}
+
+int wal_append(struct wal *w, GPtrArray *entries)
+{
+	g_autoptr(GByteArray) out = g_byte_array_new();
+
+	for (guint i = 0; i < entries->len; i++)
+		put_entry(out, g_ptr_array_index(entries, i));
+	return append_synced(w, out);
+}
+
+int wal_save_snapshot(struct wal *w, const struct raft *r, u64 index, u64 term,
+		      const struct raft_members *members, GBytes *state)
+{
+	g_autoptr(GByteArray) snapshot = g_byte_array_new();
+	g_autoptr(GByteArray) log = g_byte_array_new();
+	gsize len;
+	const void *data = g_bytes_get_data(state, &len);
+	int err;
+	FRAME_AUTO(f, REC_SNAPSHOT);
+
+	frame_put_u64(&f, index);
+	frame_put_u64(&f, term);
+	raft_members_put(&f, members);
+	frame_put_bin(&f, data, len);
+	add_record(snapshot, &f);
+	err = w->disk->ops->replace(w->disk, WAL_SNAPSHOT, snapshot->data, snapshot->len);
+	if (err)
+		return err;
+	put_state(log, r->term, r->vote);
+	/* Entries after the snapshot stay only when they continue it. */
+	if (raft_term_at(r, index) == term)
+		for (u64 i = index + 1; i <= raft_last_index(r); i++)
+			put_entry(log, raft_entry_at(r, i));
+	return w->disk->ops->replace(w->disk, WAL_LOG, log->data, log->len);
+}
+
+static int format(struct wal *w, u64 replica)
+{
+	g_autoptr(GByteArray) out = g_byte_array_new();
+	FRAME_AUTO(f, REC_REPLICA);
+
+	frame_put_u64(&f, replica);
+	add_record(out, &f);
+	w->replica = replica;
+	w->is_new = true;
+	return w->disk->ops->replace(w->disk, WAL_REPLICA, out->data, out->len);
+}
+
+static int read_replica(struct wal *w, const GByteArray *file)
+{
+	struct frame_in in;
+	size_t off = 0;
+
+	if (next_record(file, &off, &in) != 1 || frame_get_u64(&in) != REC_REPLICA)
+		return ERR_CORRUPT;
+	w->replica = frame_get_u64(&in);
+	return frame_done(&in) ? ERR_CORRUPT : 0;
+}
+
+static int exists(struct wal *w, const char *name)
+{
+	g_autoptr(GByteArray) file = g_byte_array_new();
+
+	return w->disk->ops->read(w->disk, name, file) != ERR_NOTFOUND;
+}
+
+int wal_open(struct wal *w, struct disk *disk, u64 fresh_replica, char **why)
+{
+	g_autoptr(GByteArray) file = g_byte_array_new();
+	int err;
+
+	memset(w, 0, sizeof(*w));
+	w->disk = disk;
+	err = disk->ops->read(disk, WAL_REPLICA, file);
+	if (err == ERR_NOTFOUND && (exists(w, WAL_LOG) || exists(w, WAL_SNAPSHOT)))
+		err = ERR_CORRUPT;
+	if (err == ERR_NOTFOUND)
+		err = format(w, fresh_replica);
+	else if (!err)
+		err = read_replica(w, file);
+	if (err == ERR_CORRUPT)
+		*why = g_strdup("the file \"replica\" is missing or damaged; empty the folder and "
+				"run member replace");
+	else if (err)
+		*why = g_strdup("cannot read or write the data folder");
+	return err;
+}
+
+static int load_snapshot(struct raft *r, const GByteArray *file)
+{
+	struct raft_members members;
+	g_autoptr(GBytes) state = NULL;
+	struct frame_in in;
+	size_t off = 0;
+	size_t len;
+	const void *data;
+	u64 index;
+	u64 term;
+
+	if (next_record(file, &off, &in) != 1 || frame_get_u64(&in) != REC_SNAPSHOT)
+		return ERR_CORRUPT;
+	index = frame_get_u64(&in);
+	term = frame_get_u64(&in);
+	raft_members_get(&in, &members);
+	data = frame_get_bin(&in, &len);
+	if (frame_done(&in))
+		return ERR_CORRUPT;
+	state = g_bytes_new(data, len);
+	raft_load_snapshot(r, index, term, &members, state);
+	return 0;
+}
+
+static int load_entry(struct raft *r, struct frame_in *in)
+{
+	u64 index = frame_get_u64(in);
+	u64 term = frame_get_u64(in);
+	enum raft_kind kind = (enum raft_kind)frame_get_u64(in);
+	size_t len;
+	const void *data = frame_get_bin(in, &len);
+	g_autoptr(GBytes) bytes = g_bytes_new(data, len);
+	struct raft_entry e = { .index = index, .term = term, .kind = kind, .data = bytes };
+
+	/* A gap means that records are missing. */
+	if (frame_done(in) || index > raft_last_index(r) + 1)
+		return ERR_CORRUPT;
+	raft_load_entry(r, &e);
+	return 0;
+}
+
+static int load_record(struct raft *r, struct frame_in *in)
+{
+	u64 type = frame_get_u64(in);
+
+	if (type == REC_STATE) {
+		u64 term = frame_get_u64(in);
+		u32 vote = (u32)frame_get_u64(in);
+
+		raft_load_state(r, term, vote);
+		return frame_done(in) ? ERR_CORRUPT : 0;
+	}
+	return type == REC_ENTRY ? load_entry(r, in) : ERR_CORRUPT;
+}
+
+static int load_log(struct wal *w, struct raft *r, const GByteArray *file, size_t *off)
+{
+	struct frame_in in;
+	int ret;
+
+	(void)w;
+	while ((ret = next_record(file, off, &in)) == 1) {
+		int err = load_record(r, &in);
+
+		if (err)
+			return err;
+	}
+	return ret;
+}
+
+int wal_load(struct wal *w, struct raft *r, char **why)
+{
+	g_autoptr(GByteArray) snapshot = g_byte_array_new();
+	g_autoptr(GByteArray) log = g_byte_array_new();
+	size_t off = 0;
+	int err = w->disk->ops->read(w->disk, WAL_SNAPSHOT, snapshot);
+
+	if (!err && load_snapshot(r, snapshot)) {
+		*why = g_strdup("the snapshot is damaged; empty the folder and run member replace");
+		return ERR_CORRUPT;
+	}
+	if (err && err != ERR_NOTFOUND)
+		return err;
+	err = w->disk->ops->read(w->disk, WAL_LOG, log);
+	if (err)
+		return err == ERR_NOTFOUND ? 0 : err;
+	err = load_log(w, r, log, &off);
+	if (err) {
+		*why = g_strdup_printf("the log is damaged at byte %zu of %u; empty the folder and "
+				       "run member replace",
+				       off, log->len);
+		return err;
+	}
+	if (off < log->len)
+		err = w->disk->ops->truncate(w->disk, WAL_LOG, off);
+	if (!err && off < log->len)
+		err = w->disk->ops->sync(w->disk, WAL_LOG);
+	return err;
+}
--- /dev/null
+++ b/kernel/link.c
@@ -0,0 +1,452 @@
+#include "kernel/link.h"
+
+#include "lib/ctr.h"
+#include "lib/err.h"
+#include "lib/log.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <glib.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define LINK_READ_BYTES (64 * 1024)
+#define LINK_BACKLOG 512
+#define LINK_ID_TEXT_MAX 128
+/* Samples slower than this multiple of the best round trip do not move the clock offset. */
+#define LINK_OFFSET_RTT_FACTOR 2
+/* The best round trip is forgotten after this time, so that a route change is followed. */
+#define LINK_OFFSET_AGE_US (60 * US_PER_S)
+
+struct link_private {
+	struct loop *loop;
+	const struct link_id *self;
+	struct loop_fd fd;
+	struct loop_timer tick;
+	GByteArray *in;
+	GByteArray *out;
+	size_t out_off;
+	bool is_connecting;
+	bool wants_write;
+	bool is_dead;
+	u64 heard_us;
+	u64 best_rtt_us;
+	u64 best_rtt_at_us;
+};
+
+struct link_listener {
+	struct loop *loop;
+	const struct link_id *self;
+	struct loop_fd fd;
+	const struct link_ops *ops;
+	void *arg;
+};
+
+static void id_clear(struct link_id *id)
+{
+	g_free(id->cluster);
+	g_free(id->name);
+	g_free(id->zone);
+	g_free(id->region);
+	memset(id, 0, sizeof(*id));
+}
+
+static void link_free(void *arg)
+{
+	struct link *k = arg;
+
+	id_clear(&k->remote);
+	g_byte_array_unref(k->priv->in);
+	g_byte_array_unref(k->priv->out);
+	g_free(k->priv);
+	g_free(k);
+}
+
+void link_close(struct link *k)
+{
+	struct link_private *p = k->priv;
+
+	if (p->is_dead)
+		return;
+	p->is_dead = true;
+	loop_timer_cancel(p->loop, &p->tick);
+	loop_fd_remove(p->loop, &p->fd);
+	close(p->fd.fd);
+	loop_post(p->loop, link_free, k);
+}
+
+static void fail(struct link *k, int err)
+{
+	if (k->priv->is_dead)
+		return;
+	if (k->is_up)
+		ctr_inc(CTR_LINK_DOWN);
+	if (err == ERR_TIMEOUT)
+		ctr_inc(CTR_LINK_SILENT);
+	if (err == ERR_INVAL)
+		ctr_inc(CTR_FRAME_BAD);
+	if (err == ERR_TOOBIG)
+		ctr_inc(CTR_FRAME_TOO_LARGE);
+	link_close(k);
+	k->ops->down(k, err);
+}
+
+static void flush(struct link *k);
+
+static void send_hello(struct link *k)
+{
+	const struct link_id *self = k->priv->self;
+	FRAME_AUTO(f, LINK_HELLO);
+
+	frame_put_str(&f, self->cluster);
+	frame_put_u64(&f, self->role);
+	frame_put_str(&f, self->name);
+	frame_put_str(&f, self->zone);
+	frame_put_str(&f, self->region);
+	frame_put_u64(&f, self->incarnation);
+	frame_put_u64(&f, self->api_port);
+	link_send(k, &f);
+}
+
+static int take_hello(struct link *k, struct frame_in *in)
+{
+	id_clear(&k->remote);
+	k->remote.cluster = frame_get_str(in, LINK_ID_TEXT_MAX);
+	k->remote.role = (enum link_role)frame_get_u64(in);
+	k->remote.name = frame_get_str(in, LINK_ID_TEXT_MAX);
+	k->remote.zone = frame_get_str(in, LINK_ID_TEXT_MAX);
+	k->remote.region = frame_get_str(in, LINK_ID_TEXT_MAX);
+	k->remote.incarnation = frame_get_u64(in);
+	k->remote.api_port = (u16)frame_get_u64(in);
+	if (frame_done(in) || k->is_up)
+		return ERR_INVAL;
+	if (strcmp(k->remote.cluster, k->priv->self->cluster)) {
+		log_event(LOG_WARN, "link from another cluster", "peer", k->remote.name, "cluster",
+			  k->remote.cluster, NULL);
+		return ERR_INVAL;
+	}
+	k->is_up = true;
+	ctr_inc(CTR_LINK_UP);
+	k->ops->up(k);
+	return 0;
+}
+
+static void send_ping(struct link *k)
+{
+	FRAME_AUTO(f, LINK_PING);
+
+	frame_put_u64(&f, loop_clock_us());
+	link_send(k, &f);
+}
+
+static int answer_ping(struct link *k, struct frame_in *in)
+{
+	u64 sent = frame_get_u64(in);
+	FRAME_AUTO(f, LINK_PONG);
+
+	frame_put_u64(&f, sent);
+	frame_put_u64(&f, loop_clock_us());
+	link_send(k, &f);
+	return frame_done(in);
+}
+
+static int take_pong(struct link *k, struct frame_in *in)
+{
+	struct link_private *p = k->priv;
+	u64 sent = frame_get_u64(in);
+	u64 remote = frame_get_u64(in);
+	u64 now = loop_clock_us();
+	u64 rtt;
+
+	if (frame_done(in) || sent > now)
+		return ERR_INVAL;
+	rtt = now - sent;
+	k->rtt_us = k->rtt_us ? (k->rtt_us * 7 + rtt) / 8 : rtt;
+	if (now - p->best_rtt_at_us > LINK_OFFSET_AGE_US)
+		p->best_rtt_us = 0;
+	if (!p->best_rtt_us || rtt < p->best_rtt_us) {
+		p->best_rtt_us = rtt;
+		p->best_rtt_at_us = now;
+	}
+	if (!k->has_offset || rtt <= p->best_rtt_us * LINK_OFFSET_RTT_FACTOR) {
+		k->clock_offset_us = (i64)remote - (i64)(sent + rtt / 2);
+		k->has_offset = true;
+	}
+	return 0;
+}
+
+u64 link_to_local_us(const struct link *k, u64 remote_us)
+{
+	return (u64)((i64)remote_us - k->clock_offset_us);
+}
+
+static int dispatch(struct link *k, const void *payload, size_t len)
+{
+	struct frame_in in;
+	u32 type;
+
+	frame_read(&in, payload, len);
+	type = (u32)frame_get_u64(&in);
+	if (in.err)
+		return ERR_INVAL;
+	if (type == LINK_HELLO)
+		return take_hello(k, &in);
+	if (!k->is_up)
+		return ERR_INVAL;
+	if (type == LINK_PING)
+		return answer_ping(k, &in);
+	if (type == LINK_PONG)
+		return take_pong(k, &in);
+	return k->ops->frame(k, type, &in);
+}
+
+/* Takes whole frames out of the read buffer. */
+static int take_frames(struct link *k)
+{
+	struct link_private *p = k->priv;
+	size_t off = 0;
+	int err = 0;
+
+	while (!err && !p->is_dead && p->in->len - off >= FRAME_HEADER_BYTES) {
+		u32 len;
+
+		memcpy(&len, p->in->data + off, sizeof(len));
+		len = ntohl(len);
+		if (len > FRAME_MAX_BYTES)
+			return ERR_TOOBIG;
+		if (p->in->len - off - FRAME_HEADER_BYTES < len)
+			break;
+		err = dispatch(k, p->in->data + off + FRAME_HEADER_BYTES, len);
+		off += FRAME_HEADER_BYTES + len;
+	}
+	if (off)
+		g_byte_array_remove_range(p->in, 0, (guint)off);
+	return err;
+}
+
+static int read_some(struct link *k)
+{
+	struct link_private *p = k->priv;
+	guint old = p->in->len;
+	ssize_t n;
+
+	g_byte_array_set_size(p->in, old + LINK_READ_BYTES);
+	n = recv(p->fd.fd, p->in->data + old, LINK_READ_BYTES, 0);
+	g_byte_array_set_size(p->in, old + (n > 0 ? (guint)n : 0));
+	if (n == 0)
+		return ERR_CLOSED;
+	if (n < 0)
+		return errno == EAGAIN || errno == EINTR ? 0 : ERR_CLOSED;
+	p->heard_us = loop_clock_us();
+	return take_frames(k);
+}
+
+static void set_write(struct link *k, bool wants)
+{
+	struct link_private *p = k->priv;
+
+	if (p->wants_write == wants)
+		return;
+	p->wants_write = wants;
+	loop_fd_change(p->loop, &p->fd, wants ? EPOLLIN | EPOLLOUT : EPOLLIN);
+}
+
+static void flush(struct link *k)
+{
+	struct link_private *p = k->priv;
+
+	while (p->out_off < p->out->len) {
+		ssize_t n = send(p->fd.fd, p->out->data + p->out_off, p->out->len - p->out_off,
+				 MSG_NOSIGNAL);
+
+		if (n < 0)
+			break; /* EPOLLOUT or the read side tells what happened */
+		p->out_off += (size_t)n;
+	}
+	if (p->out_off == p->out->len) {
+		g_byte_array_set_size(p->out, 0);
+		p->out_off = 0;
+	}
+	set_write(k, p->out->len > 0);
+}
+
+size_t link_queued_bytes(const struct link *k)
+{
+	return k->priv->out->len - k->priv->out_off;
+}
+
+int link_send(struct link *k, struct frame_out *frame)
+{
+	struct link_private *p = k->priv;
+	size_t len = frame_end(frame);
+
+	if (p->is_dead)
+		return ERR_CLOSED;
+	if (len > FRAME_MAX_BYTES + FRAME_HEADER_BYTES)
+		return ERR_TOOBIG;
+	if (link_queued_bytes(k) + len > LINK_SEND_QUEUE_MAX_BYTES)
+		return ERR_TOOBIG;
+	g_byte_array_append(p->out, (const guint8 *)frame->buf.data, (guint)len);
+	if (!p->is_connecting)
+		flush(k);
+	return 0;
+}
+
+static int finish_connect(struct link *k)
+{
+	struct link_private *p = k->priv;
+	socklen_t size = sizeof(int);
+	int soerr = 0;
+
+	getsockopt(p->fd.fd, SOL_SOCKET, SO_ERROR, &soerr, &size);
+	if (soerr)
+		return ERR_REFUSED;
+	p->is_connecting = false;
+	p->heard_us = loop_clock_us();
+	p->wants_write = true;
+	flush(k);
+	return 0;
+}
+
+static void on_ready(void *arg, u32 events)
+{
+	struct link *k = arg;
+	int err = 0;
+
+	if (k->priv->is_connecting && (events & (EPOLLOUT | EPOLLERR | EPOLLHUP)))
+		err = finish_connect(k);
+	if (!err && (events & (EPOLLIN | EPOLLHUP | EPOLLERR)))
+		err = read_some(k);
+	if (err) {
+		fail(k, err);
+		return;
+	}
+	if (!k->priv->is_dead && (events & EPOLLOUT))
+		flush(k);
+}
+
+static void on_tick(void *arg, u64 now_us)
+{
+	struct link *k = arg;
+	struct link_private *p = k->priv;
+
+	/* Data that waits in the socket was heard, though this process was stopped. */
+	if (now_us - p->heard_us > LINK_SILENT_US && !p->is_connecting) {
+		int err = read_some(k);
+
+		if (err) {
+			fail(k, err);
+			return;
+		}
+	}
+	if (p->is_dead)
+		return;
+	if (now_us - p->heard_us > LINK_SILENT_US) {
+		fail(k, ERR_TIMEOUT);
+		return;
+	}
+	if (k->is_up)
+		send_ping(k);
+	loop_timer_set(p->loop, &p->tick, now_us + LINK_PING_INTERVAL_US);
+}
+
+static struct link *link_new(struct loop *l, const struct link_id *self, int fd,
+			     const struct link_ops *ops, void *arg)
+{
+	struct link *k = g_new0(struct link, 1);
+	struct link_private *p = g_new0(struct link_private, 1);
+	u64 now = loop_clock_us();
+	int one = 1;
+
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	k->ops = ops;
+	k->arg = arg;
+	k->priv = p;
+	p->loop = l;
+	p->self = self;
+	p->in = g_byte_array_new();
+	p->out = g_byte_array_new();
+	p->heard_us = now;
+	p->fd = (struct loop_fd){ .ready = on_ready, .arg = k, .fd = fd };
+	p->tick = (struct loop_timer){ .fire = on_tick, .arg = k };
+	loop_timer_set(l, &p->tick, now + LINK_PING_INTERVAL_US);
+	return k;
+}
+
+static struct sockaddr_in make_address(const char *host, u16 port)
+{
+	struct sockaddr_in addr = { .sin_family = AF_INET, .sin_port = htons(port) };
+
+	inet_pton(AF_INET, host, &addr.sin_addr);
+	return addr;
+}
+
+struct link *link_dial(struct loop *l, const struct link_id *self, const char *host, u16 port,
+		       const struct link_ops *ops, void *arg)
+{
+	struct sockaddr_in addr = make_address(host, port);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	struct link *k;
+
+	if (fd < 0)
+		return NULL;
+	if (connect(fd, (struct sockaddr *)&addr, sizeof(addr)) && errno != EINPROGRESS) {
+		close(fd);
+		return NULL;
+	}
+	k = link_new(l, self, fd, ops, arg);
+	k->priv->is_connecting = true;
+	k->priv->wants_write = true;
+	loop_fd_add(l, &k->priv->fd, EPOLLIN | EPOLLOUT);
+	send_hello(k);
+	return k;
+}
+
+static void on_accept(void *arg, u32 events)
+{
+	struct link_listener *s = arg;
+	struct link *k;
+	int fd = accept4(s->fd.fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+	(void)events;
+	if (fd < 0)
+		return;
+	k = link_new(s->loop, s->self, fd, s->ops, s->arg);
+	loop_fd_add(s->loop, &k->priv->fd, EPOLLIN);
+	send_hello(k);
+}
+
+struct link_listener *link_listen(struct loop *l, const struct link_id *self, const char *host,
+				  u16 port, const struct link_ops *ops, void *arg)
+{
+	struct sockaddr_in addr = make_address(host, port);
+	struct link_listener *s;
+	int one = 1;
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+	if (fd < 0)
+		return NULL;
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	if (bind(fd, (struct sockaddr *)&addr, sizeof(addr)) || listen(fd, LINK_BACKLOG)) {
+		close(fd);
+		return NULL;
+	}
+	s = g_new0(struct link_listener, 1);
+	s->loop = l;
+	s->self = self;
+	s->ops = ops;
+	s->arg = arg;
+	s->fd = (struct loop_fd){ .ready = on_accept, .arg = s, .fd = fd };
+	loop_fd_add(l, &s->fd, EPOLLIN);
+	return s;
+}
+
+void link_unlisten(struct link_listener *s)
+{
+	loop_fd_remove(s->loop, &s->fd);
+	close(s->fd.fd);
+	g_free(s);
+}
--- /dev/null
+++ b/lib/ctr.h
@@ -0,0 +1,38 @@
+/*
+ * ctr - counters
+ *
+ * One counter for each reason. The name of a refusal counter is also the
+ * value of the Lavenderlead-Reason header.
+ *
+ * SOURCE lib/ctr.c, lib/ctr_list.h
+ */
+#ifndef CTR_H
+#define CTR_H
+
+#include "lib/types.h"
+
+#include <glib.h>
+
+enum ctr {
+#define CTR(id, name, help) CTR_##id,
+#include "lib/ctr_list.h"
+#undef CTR
+	CTR_COUNT
+};
+
+void ctr_add(enum ctr c, u64 n);
+u64 ctr_get(enum ctr c);
+const char *ctr_name(enum ctr c);
+
+/* ctr_find - the counter called NAME, or CTR_COUNT. */
+enum ctr ctr_find(const char *name);
+
+/* ctr_print - append all counters to OUT in the text exposition format. */
+void ctr_print(GString *out);
+
+static inline void ctr_inc(enum ctr c)
+{
+	ctr_add(c, 1);
+}
+
+#endif
--- /dev/null
+++ b/lib/find.c
@@ -0,0 +1,55 @@
+#include "lib/find.h"
+
+#include <stdarg.h>
+
+static void finding_free(gpointer p)
+{
+	struct finding *one = p;
+
+	g_free(one->place);
+	g_free(one->text);
+	g_free(one);
+}
+
+void find_init(struct findings *f)
+{
+	f->list = g_ptr_array_new_with_free_func(finding_free);
+}
+
+void find_clear(struct findings *f)
+{
+	if (f->list)
+		g_ptr_array_unref(f->list);
+	f->list = NULL;
+}
+
+guint find_count(const struct findings *f)
+{
+	return f->list->len;
+}
+
+const struct finding *find_at(const struct findings *f, guint i)
+{
+	return g_ptr_array_index(f->list, i);
+}
+
+void find_add(struct findings *f, const char *place, const char *fmt, ...)
+{
+	struct finding *one = g_new0(struct finding, 1);
+	va_list ap;
+
+	va_start(ap, fmt);
+	one->place = g_strdup(place);
+	one->text = g_strdup_vprintf(fmt, ap);
+	va_end(ap);
+	g_ptr_array_add(f->list, one);
+}
+
+void find_print(const struct findings *f, FILE *out)
+{
+	for (guint i = 0; i < f->list->len; i++) {
+		const struct finding *one = find_at(f, i);
+
+		fprintf(out, "%s: %s\n", one->place, one->text);
+	}
+}
--- /dev/null
+++ b/lib/http.h
@@ -0,0 +1,45 @@
+/*
+ * http - a whole HTTP request or answer, held in memory
+ *
+ * SOURCE lib/http.c
+ */
+#ifndef HTTP_H
+#define HTTP_H
+
+#include "lib/frame.h"
+#include "lib/types.h"
+
+#include <glib.h>
+
+#define HTTP_HEADERS_MAX 64
+#define HTTP_TEXT_MAX 16384
+
+struct http_header {
+	char *name;
+	char *value;
+};
+
+/* A request uses method and target; an answer uses status. */
+struct http_msg {
+	u16 status;
+	char *method;
+	char *target; /* path and query */
+	GPtrArray *headers; /* of struct http_header */
+	GByteArray *body;
+};
+
+struct http_msg *http_new(void);
+void http_free(struct http_msg *m);
+void http_add_header(struct http_msg *m, const char *name, const char *value);
+
+/* http_header - the value of the first header called NAME, or NULL. */
+const char *http_header(const struct http_msg *m, const char *name);
+
+/* http_is_hop_header - true for headers that belong to one connection and are not passed on. */
+bool http_is_hop_header(const char *name);
+
+/* http_put - append all but the body to a frame; http_get - read it back, NULL on a bad frame. */
+void http_put(struct frame_out *f, const struct http_msg *m);
+struct http_msg *http_get(struct frame_in *in);
+
+#endif
--- /dev/null
+++ b/lib/http_server.c
@@ -0,0 +1,99 @@
+#include "lib/http_server.h"
+
+#include "lib/ctr.h"
+#include "lib/err.h"
+
+#include <civetweb.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define READ_BYTES 16384
+#define KEEP_ALIVE_TIMEOUT_MS "60000"
+#define REQUEST_TIMEOUT_MS "30000"
+
+struct mg_context *http_listen(const char *address, u16 port, u32 threads)
+{
+	struct mg_callbacks callbacks;
+	g_autofree char *ports = g_strdup_printf("%s:%u", address, port);
+	g_autofree char *count = g_strdup_printf("%u", threads);
+	const char *options[] = { "listening_ports",
+				  ports,
+				  "num_threads",
+				  count,
+				  "tcp_nodelay",
+				  "1",
+				  "enable_keep_alive",
+				  "yes",
+				  "keep_alive_timeout_ms",
+				  KEEP_ALIVE_TIMEOUT_MS,
+				  "request_timeout_ms",
+				  REQUEST_TIMEOUT_MS,
+				  NULL };
+
+	memset(&callbacks, 0, sizeof(callbacks));
+	return mg_start(&callbacks, NULL, options);
+}
+
+int http_send(struct mg_connection *conn, int status, const char *type, const char *outcome,
+	      const char *reason, const char *body)
+{
+	size_t len = strlen(body);
+	g_autoptr(GString) head = g_string_new(NULL);
+
+	g_string_printf(head, "HTTP/1.1 %d %s\r\nContent-Type: %s\r\nContent-Length: %zu\r\n",
+			status, mg_get_response_code_text(conn, status), type, len);
+	if (outcome)
+		g_string_append_printf(head, "Lavenderlead-Outcome: %s\r\n", outcome);
+	if (reason)
+		g_string_append_printf(head, "Lavenderlead-Reason: %s\r\n", reason);
+	g_string_append(head, "\r\n");
+	mg_write(conn, head->str, head->len);
+	mg_write(conn, body, len);
+	return status;
+}
+
+int http_send_error(struct mg_connection *conn, int status, const char *outcome, const char *reason,
+		    const char *text)
+{
+	json_t *obj = json_pack("{s:s}", status < 300 ? "state" : "error", text);
+	char *body = json_dumps(obj, JSON_COMPACT);
+	int ret = http_send(conn, status, "application/json", outcome, reason, body);
+
+	free(body);
+	json_decref(obj);
+	return ret;
+}
+
+int http_read_body(struct mg_connection *conn, GByteArray *out, u64 max)
+{
+	const struct mg_request_info *ri = mg_get_request_info(conn);
+	int n;
+
+	if (ri->content_length > 0 && (u64)ri->content_length > max)
+		return ERR_TOOBIG;
+	do {
+		guint old = out->len;
+
+		g_byte_array_set_size(out, old + READ_BYTES);
+		n = mg_read(conn, out->data + old, READ_BYTES);
+		g_byte_array_set_size(out, old + (n > 0 ? (guint)n : 0));
+		if (out->len > max)
+			return ERR_TOOBIG;
+	} while (n > 0);
+	if (n < 0)
+		return ERR_SHORT;
+	if (ri->content_length > 0 && out->len < (u64)ri->content_length)
+		return ERR_SHORT;
+	return 0;
+}
+
+int http_metrics(struct mg_connection *conn, void *unused)
+{
+	g_autoptr(GString) out = g_string_new(NULL);
+
+	(void)unused;
+	ctr_print(out);
+	return http_send(conn, 200, "text/plain; version=0.0.4", NULL, NULL, out->str);
+}
--- /dev/null
+++ b/lib/res.c
@@ -0,0 +1,333 @@
+#include "lib/res.h"
+
+#include <jansson.h>
+#include <string.h>
+
+#define NAME_MAX_BYTES 63
+#define TEXT_MAX_BYTES 255
+#define TARGET_MAX_MS (24 * 3600 * 1000)
+#define WORTH_MAX 1000000
+
+static void match_free(gpointer p)
+{
+	struct res_match *m = p;
+
+	g_free(m->method);
+	g_free(m->path);
+	g_free(m);
+}
+
+static void rank_free(gpointer p)
+{
+	struct res_rank *r = p;
+
+	g_free(r->name);
+	g_ptr_array_unref(r->matches);
+	g_free(r);
+}
+
+void res_free(struct res_service *s)
+{
+	if (!s)
+		return;
+	g_free(s->name);
+	g_ptr_array_unref(s->hosts);
+	g_ptr_array_unref(s->ranks);
+	g_free(s);
+}
+
+bool res_name_ok(const char *name)
+{
+	size_t len = strlen(name);
+
+	if (len == 0 || len > NAME_MAX_BYTES)
+		return false;
+	for (const char *p = name; *p; p++)
+		if (!g_ascii_isalnum(*p) && *p != '-' && *p != '_')
+			return false;
+	return true;
+}
+
+static void check_keys(json_t *obj, const char *path, const char *const *known,
+		       struct findings *found)
+{
+	const char *key;
+	json_t *value;
+
+	json_object_foreach(obj, key, value)
+	{
+		g_autofree char *at = g_strdup_printf("%s.%s", path, key);
+
+		if (!g_strv_contains(known, key))
+			find_add(found, at, "unknown key");
+	}
+}
+
+static char *get_text(json_t *obj, const char *path, const char *key, struct findings *found)
+{
+	g_autofree char *at = g_strdup_printf("%s.%s", path, key);
+	json_t *value = json_object_get(obj, key);
+	const char *text = json_string_value(value);
+
+	if (!value)
+		find_add(found, at, "missing");
+	else if (!text)
+		find_add(found, at, "not a string");
+	else if (!*text || strlen(text) > TEXT_MAX_BYTES)
+		find_add(found, at, "empty, or longer than %d bytes", TEXT_MAX_BYTES);
+	return g_strdup(text ? text : "");
+}
+
+static char *get_name(json_t *obj, const char *path, struct findings *found)
+{
+	g_autofree char *at = g_strdup_printf("%s.name", path);
+	guint before = find_count(found);
+	char *name = get_text(obj, path, "name", found);
+
+	if (find_count(found) == before && !res_name_ok(name))
+		find_add(found, at, "use letters, digits, '-' and '_', at most %d", NAME_MAX_BYTES);
+	return name;
+}
+
+static u32 get_number(json_t *obj, const char *path, const char *key, u32 min, u32 max,
+		      struct findings *found)
+{
+	g_autofree char *at = g_strdup_printf("%s.%s", path, key);
+	json_t *value = json_object_get(obj, key);
+	json_int_t n = json_integer_value(value);
+
+	if (!value) {
+		find_add(found, at, "missing");
+		return 0;
+	}
+	if (!json_is_integer(value) || n < (json_int_t)min || n > (json_int_t)max) {
+		find_add(found, at, "not a whole number from %u to %u", min, max);
+		return 0;
+	}
+	return (u32)n;
+}
+
+static bool get_flag(json_t *obj, const char *path, const char *key, bool absent,
+		     struct findings *found)
+{
+	g_autofree char *at = g_strdup_printf("%s.%s", path, key);
+	json_t *value = json_object_get(obj, key);
+
+	if (!value)
+		return absent;
+	if (!json_is_boolean(value))
+		find_add(found, at, "not true or false");
+	return json_is_true(value);
+}
+
+/* The list at KEY, or NULL with a finding when it is not a list of 1 to MAX. */
+static json_t *get_list(json_t *obj, const char *path, const char *key, size_t min, size_t max,
+			struct findings *found)
+{
+	g_autofree char *at = g_strdup_printf("%s.%s", path, key);
+	json_t *list = json_object_get(obj, key);
+
+	if (!list && min == 0)
+		return NULL;
+	if (!json_is_array(list) || json_array_size(list) < min || json_array_size(list) > max) {
+		find_add(found, at, "not a list of %zu to %zu items", min, max);
+		return NULL;
+	}
+	return list;
+}
+
+static struct res_match *parse_match(json_t *obj, const char *path, struct findings *found)
+{
+	static const char *const known[] = { "method", "path", NULL };
+	struct res_match *m = g_new0(struct res_match, 1);
+	g_autofree char *at = g_strdup_printf("%s.path", path);
+
+	check_keys(obj, path, known, found);
+	if (json_object_get(obj, "method"))
+		m->method = get_text(obj, path, "method", found);
+	m->path = get_text(obj, path, "path", found);
+	if (*m->path && m->path[0] != '/')
+		find_add(found, at, "must begin with /");
+	return m;
+}
+
+static struct res_rank *parse_rank(json_t *obj, const char *path, struct findings *found)
+{
+	static const char *const known[] = { "name",  "match",	       "idempotent", "target_ms",
+					     "worth", "floor_percent", NULL };
+	struct res_rank *r = g_new0(struct res_rank, 1);
+	json_t *list;
+	json_t *one;
+	size_t i;
+
+	check_keys(obj, path, known, found);
+	r->name = get_name(obj, path, found);
+	r->is_idempotent = get_flag(obj, path, "idempotent", true, found);
+	r->target_ms = get_number(obj, path, "target_ms", 1, TARGET_MAX_MS, found);
+	r->worth = get_number(obj, path, "worth", 0, WORTH_MAX, found);
+	r->floor_percent = get_number(obj, path, "floor_percent", 0, 100, found);
+	r->matches = g_ptr_array_new_with_free_func(match_free);
+	list = get_list(obj, path, "match", 1, RES_MATCHES_MAX, found);
+	json_array_foreach(list, i, one)
+	{
+		g_autofree char *at = g_strdup_printf("%s.match[%zu]", path, i);
+
+		if (json_is_object(one))
+			g_ptr_array_add(r->matches, parse_match(one, at, found));
+		else
+			find_add(found, at, "not an object");
+	}
+	return r;
+}
+
+static void parse_hosts(struct res_service *s, json_t *root, struct findings *found)
+{
+	json_t *list = get_list(root, "$", "hosts", 0, RES_HOSTS_MAX, found);
+	json_t *one;
+	size_t i;
+
+	json_array_foreach(list, i, one)
+	{
+		g_autofree char *at = g_strdup_printf("$.hosts[%zu]", i);
+		const char *host = json_string_value(one);
+
+		if (!host || !*host || strlen(host) > TEXT_MAX_BYTES)
+			find_add(found, at, "not a host name");
+		else
+			g_ptr_array_add(s->hosts, g_ascii_strdown(host, -1));
+	}
+}
+
+static bool has_rank(const struct res_service *s, const char *name)
+{
+	for (guint i = 0; i < s->ranks->len; i++) {
+		const struct res_rank *r = g_ptr_array_index(s->ranks, i);
+
+		if (!strcmp(r->name, name))
+			return true;
+	}
+	return false;
+}
+
+static void parse_ranks(struct res_service *s, json_t *root, struct findings *found)
+{
+	json_t *list = get_list(root, "$", "ranks", 1, RES_RANKS_MAX, found);
+	u32 floor_sum = 0;
+	json_t *one;
+	size_t i;
+
+	json_array_foreach(list, i, one)
+	{
+		g_autofree char *at = g_strdup_printf("$.ranks[%zu]", i);
+		struct res_rank *r;
+
+		if (!json_is_object(one)) {
+			find_add(found, at, "not an object");
+			continue;
+		}
+		r = parse_rank(one, at, found);
+		if (has_rank(s, r->name))
+			find_add(found, at, "a rank with this name came before: \"%s\"", r->name);
+		floor_sum += r->floor_percent;
+		g_ptr_array_add(s->ranks, r);
+	}
+	if (floor_sum > 100)
+		find_add(found, "$.ranks", "floor_percent adds up to %u, more than 100", floor_sum);
+}
+
+struct res_service *res_parse(const char *json, size_t len, struct findings *found)
+{
+	static const char *const known[] = { "name",	 "hosts",  "ranks", "version",
+					     "revision", "status", NULL };
+	guint before = find_count(found);
+	struct res_service *s;
+	json_error_t err;
+	json_t *root;
+
+	if (len > RES_JSON_MAX_BYTES) {
+		find_add(found, "$", "longer than %d bytes", RES_JSON_MAX_BYTES);
+		return NULL;
+	}
+	root = json_loadb(json, len, JSON_REJECT_DUPLICATES, &err);
+	if (!json_is_object(root)) {
+		g_autofree char *at = g_strdup_printf("line %d", root ? 1 : err.line);
+
+		find_add(found, at, "not a JSON object: %s", root ? "other type" : err.text);
+		json_decref(root);
+		return NULL;
+	}
+	s = g_new0(struct res_service, 1);
+	s->hosts = g_ptr_array_new_with_free_func(g_free);
+	s->ranks = g_ptr_array_new_with_free_func(rank_free);
+	check_keys(root, "$", known, found);
+	s->name = get_name(root, "$", found);
+	parse_hosts(s, root, found);
+	parse_ranks(s, root, found);
+	json_decref(root);
+	if (find_count(found) > before) {
+		res_free(s);
+		return NULL;
+	}
+	return s;
+}
+
+static json_t *dump_rank(const struct res_rank *r)
+{
+	json_t *matches = json_array();
+
+	for (guint i = 0; i < r->matches->len; i++) {
+		const struct res_match *m = g_ptr_array_index(r->matches, i);
+		json_t *one = json_pack("{s:s}", "path", m->path);
+
+		if (m->method)
+			json_object_set_new(one, "method", json_string(m->method));
+		json_array_append_new(matches, one);
+	}
+	return json_pack("{s:s, s:o, s:b, s:i, s:i, s:i}", "name", r->name, "match", matches,
+			 "idempotent", r->is_idempotent, "target_ms", (int)r->target_ms, "worth",
+			 (int)r->worth, "floor_percent", (int)r->floor_percent);
+}
+
+char *res_dump(const struct res_service *s)
+{
+	json_t *hosts = json_array();
+	json_t *ranks = json_array();
+	json_t *root;
+	char *text;
+	char *copy;
+
+	for (guint i = 0; i < s->hosts->len; i++)
+		json_array_append_new(hosts, json_string(g_ptr_array_index(s->hosts, i)));
+	for (guint i = 0; i < s->ranks->len; i++)
+		json_array_append_new(ranks, dump_rank(g_ptr_array_index(s->ranks, i)));
+	root = json_pack("{s:s, s:o, s:o}", "name", s->name, "hosts", hosts, "ranks", ranks);
+	text = json_dumps(root, JSON_COMPACT | JSON_SORT_KEYS);
+	copy = g_strdup(text);
+	free(text);
+	json_decref(root);
+	return copy;
+}
+
+static bool matches(const struct res_match *m, const char *method, const char *path)
+{
+	size_t len = strlen(m->path);
+
+	if (m->method && strcmp(m->method, method))
+		return false;
+	if (strncmp(m->path, path, len))
+		return false;
+	/* "/a" covers "/a" and "/a/b", not "/ab". */
+	return m->path[len - 1] == '/' || path[len] == 0 || path[len] == '/';
+}
+
+int res_rank_of(const struct res_service *s, const char *method, const char *path)
+{
+	for (guint i = 0; i < s->ranks->len; i++) {
+		const struct res_rank *r = g_ptr_array_index(s->ranks, i);
+
+		for (guint j = 0; j < r->matches->len; j++)
+			if (matches(g_ptr_array_index(r->matches, j), method, path))
+				return (int)i;
+	}
+	return -1;
+}
--- /dev/null
+++ b/lib/res.h
@@ -0,0 +1,57 @@
+/*
+ * res - the declared resources: services and their ranks
+ *
+ * The JSON form is described in resources(5). res_parse reports every
+ * problem with its JSON path.
+ *
+ * UNITS milliseconds, percent
+ * SOURCE lib/res.c
+ */
+#ifndef RES_H
+#define RES_H
+
+#include "lib/find.h"
+#include "lib/types.h"
+
+#include <glib.h>
+
+#define RES_RANKS_MAX 32
+#define RES_HOSTS_MAX 64
+#define RES_MATCHES_MAX 64
+#define RES_JSON_MAX_BYTES (256 * 1024)
+
+/* Requests that belong to a rank: METHOD may be NULL for any, PATH is a prefix. */
+struct res_match {
+	char *method;
+	char *path;
+};
+
+struct res_rank {
+	char *name;
+	GPtrArray *matches; /* of struct res_match */
+	bool is_idempotent;
+	u32 target_ms;
+	u32 worth;
+	u32 floor_percent;
+};
+
+struct res_service {
+	char *name;
+	GPtrArray *hosts; /* of char */
+	GPtrArray *ranks; /* of struct res_rank */
+};
+
+/* res_parse - a service from JSON, or NULL with findings. */
+struct res_service *res_parse(const char *json, size_t len, struct findings *found);
+
+/* res_dump - compact JSON with sorted keys, the same text for equal services; g_free it. */
+char *res_dump(const struct res_service *s);
+void res_free(struct res_service *s);
+
+/* res_rank_of - index of the first rank that matches, or -1. PATH has no query part. */
+int res_rank_of(const struct res_service *s, const char *method, const char *path);
+
+/* res_name_ok - true for a usable service name: letters, digits, '-' and '_', at most 63. */
+bool res_name_ok(const char *name);
+
+#endif
--- /dev/null
+++ b/lib/settings.c
@@ -0,0 +1,478 @@
+#include "lib/settings.h"
+
+#include "lib/err.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <ini.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define SETTINGS_LINE_MAX 4096
+#define DEFAULT_PROBES_PER_S 20
+#define DEFAULT_PROBE_BYTES_PER_S 4096
+#define DEFAULT_MAX_BODY_BYTES (8 * 1024 * 1024)
+#define DEFAULT_SHUTDOWN_GRACE_S 30
+#define MAX_BODY_LIMIT_BYTES (1024 * 1024 * 1024ULL)
+
+/* State of one load. */
+struct loader {
+	struct settings *s;
+	struct findings *found;
+	const char *path;
+	FILE *file;
+	int line;
+	bool has_cluster;
+	GHashTable *seen; /* "section.key" -> line */
+};
+
+struct key {
+	const char *section;
+	const char *name;
+	void (*set)(struct loader *l, const char *value);
+};
+
+static char *place(const struct loader *l, int line)
+{
+	return g_strdup_printf("%s:%d", l->path, line);
+}
+
+static void complain(struct loader *l, const char *text, const char *value)
+{
+	g_autofree char *at = place(l, l->line);
+
+	find_add(l->found, at, "%s: \"%s\"", text, value);
+}
+
+static bool parse_number(const char *text, u64 min, u64 max, u64 *out)
+{
+	char *end;
+
+	errno = 0;
+	*out = strtoull(text, &end, 10);
+	if (errno || end == text || *end || text[0] == '-')
+		return false;
+	return *out >= min && *out <= max;
+}
+
+static u64 number(struct loader *l, const char *value, u64 min, u64 max)
+{
+	g_autofree char *at = place(l, l->line);
+	u64 n = 0;
+
+	if (!parse_number(value, min, max, &n))
+		find_add(l->found, at, "not a whole number from %llu to %llu: \"%s\"",
+			 (unsigned long long)min, (unsigned long long)max, value);
+	return n;
+}
+
+static u16 port(struct loader *l, const char *value)
+{
+	return (u16)number(l, value, 1, UINT16_MAX);
+}
+
+static char *text(struct loader *l, const char *value)
+{
+	if (!*value)
+		complain(l, "the value is empty", value);
+	return g_strdup(value);
+}
+
+static char *address(struct loader *l, const char *value)
+{
+	struct in_addr in;
+
+	if (inet_pton(AF_INET, value, &in) != 1)
+		complain(l, "not an IPv4 address", value);
+	return g_strdup(value);
+}
+
+int endpoint_parse(struct endpoint *e, const char *value)
+{
+	const char *colon = strrchr(value, ':');
+	struct in_addr in;
+	u64 n;
+
+	if (!colon || (size_t)(colon - value) >= sizeof(e->host))
+		return ERR_INVAL;
+	memcpy(e->host, value, (size_t)(colon - value));
+	e->host[colon - value] = 0;
+	if (inet_pton(AF_INET, e->host, &in) != 1 || !parse_number(colon + 1, 1, UINT16_MAX, &n))
+		return ERR_INVAL;
+	e->port = (u16)n;
+	return 0;
+}
+
+static void set_cluster(struct loader *l, const char *v)
+{
+	l->s->cluster = text(l, v);
+}
+
+static void set_node_address(struct loader *l, const char *v)
+{
+	l->s->node.address = address(l, v);
+}
+
+static void set_node_zone(struct loader *l, const char *v)
+{
+	l->s->node.zone = text(l, v);
+}
+
+static void set_node_region(struct loader *l, const char *v)
+{
+	l->s->node.region = text(l, v);
+}
+
+static void set_caller_port(struct loader *l, const char *v)
+{
+	l->s->node.caller_port = port(l, v);
+}
+
+static void set_node_peer_port(struct loader *l, const char *v)
+{
+	l->s->node.peer_port = port(l, v);
+}
+
+static void set_local_port(struct loader *l, const char *v)
+{
+	l->s->node.local_port = port(l, v);
+}
+
+static void set_node_control(struct loader *l, const char *v)
+{
+	g_auto(GStrv) parts = g_strsplit(v, ",", -1);
+
+	for (char **p = parts; *p; p++) {
+		struct endpoint e = { 0 };
+
+		if (!*g_strstrip(*p))
+			continue;
+		if (endpoint_parse(&e, *p))
+			complain(l, "not an ADDRESS:PORT", *p);
+		else
+			g_array_append_val(l->s->node.control, e);
+	}
+}
+
+static void set_probes(struct loader *l, const char *v)
+{
+	l->s->node.probe_budget_per_s = number(l, v, 0, 1000000);
+}
+
+static void set_probe_bytes(struct loader *l, const char *v)
+{
+	l->s->node.probe_budget_bytes_per_s = number(l, v, 0, UINT32_MAX);
+}
+
+static void set_max_body(struct loader *l, const char *v)
+{
+	l->s->node.max_body_bytes = number(l, v, 1, MAX_BODY_LIMIT_BYTES);
+}
+
+static void set_grace(struct loader *l, const char *v)
+{
+	l->s->node.shutdown_grace_s = number(l, v, 0, 24 * 3600);
+}
+
+static void set_id(struct loader *l, const char *v)
+{
+	l->s->control.id = (u32)number(l, v, 1, UINT32_MAX);
+}
+
+static void set_control_address(struct loader *l, const char *v)
+{
+	l->s->control.address = address(l, v);
+}
+
+static void set_control_zone(struct loader *l, const char *v)
+{
+	l->s->control.zone = text(l, v);
+}
+
+static void set_control_region(struct loader *l, const char *v)
+{
+	l->s->control.region = text(l, v);
+}
+
+static void set_data(struct loader *l, const char *v)
+{
+	l->s->control.data = text(l, v);
+}
+
+static void set_api_port(struct loader *l, const char *v)
+{
+	l->s->control.api_port = port(l, v);
+}
+
+static void set_control_peer_port(struct loader *l, const char *v)
+{
+	l->s->control.peer_port = port(l, v);
+}
+
+static int parse_member(struct member_setting *m, const char *value)
+{
+	g_autofree char *copy = g_strdup(value);
+	char *at = strchr(copy, '@');
+	u64 id;
+
+	if (!at)
+		return ERR_INVAL;
+	*at = 0;
+	if (!parse_number(copy, 1, UINT32_MAX, &id))
+		return ERR_INVAL;
+	m->id = (u32)id;
+	return endpoint_parse(&m->at, at + 1);
+}
+
+static void set_members(struct loader *l, const char *v)
+{
+	g_auto(GStrv) parts = g_strsplit(v, ",", -1);
+
+	for (char **p = parts; *p; p++) {
+		struct member_setting m = { 0 };
+
+		if (!*g_strstrip(*p))
+			continue;
+		if (parse_member(&m, *p))
+			complain(l, "not an ID@ADDRESS:PORT", *p);
+		else
+			g_array_append_val(l->s->control.members, m);
+	}
+}
+
+static int pick(struct loader *l, const char *v, const char *const *names, int n)
+{
+	for (int i = 0; i < n; i++)
+		if (!strcmp(names[i], v))
+			return i;
+	complain(l, "unknown value", v);
+	return 0;
+}
+
+static void set_level(struct loader *l, const char *v)
+{
+	static const char *const names[] = { "error", "warn", "info", "debug" };
+
+	l->s->log_level = (enum log_level)pick(l, v, names, G_N_ELEMENTS(names));
+}
+
+static void set_format(struct loader *l, const char *v)
+{
+	static const char *const names[] = { "text", "json" };
+
+	l->s->log_format = (enum log_format)pick(l, v, names, G_N_ELEMENTS(names));
+}
+
+static void set_log_file(struct loader *l, const char *v)
+{
+	l->s->log_file = text(l, v);
+}
+
+static const struct key keys[] = {
+	{ "cluster", "name", set_cluster },
+	{ "node", "address", set_node_address },
+	{ "node", "zone", set_node_zone },
+	{ "node", "region", set_node_region },
+	{ "node", "caller_port", set_caller_port },
+	{ "node", "peer_port", set_node_peer_port },
+	{ "node", "local_port", set_local_port },
+	{ "node", "control", set_node_control },
+	{ "node", "probe_budget_per_s", set_probes },
+	{ "node", "probe_budget_bytes_per_s", set_probe_bytes },
+	{ "node", "max_body_bytes", set_max_body },
+	{ "node", "shutdown_grace_s", set_grace },
+	{ "control", "id", set_id },
+	{ "control", "address", set_control_address },
+	{ "control", "zone", set_control_zone },
+	{ "control", "region", set_control_region },
+	{ "control", "data", set_data },
+	{ "control", "api_port", set_api_port },
+	{ "control", "peer_port", set_control_peer_port },
+	{ "control", "members", set_members },
+	{ "log", "level", set_level },
+	{ "log", "format", set_format },
+	{ "log", "file", set_log_file },
+};
+
+static bool is_known_section(const char *section)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(keys); i++)
+		if (!strcmp(keys[i].section, section))
+			return true;
+	return false;
+}
+
+static const struct key *find_key(const char *section, const char *name)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(keys); i++)
+		if (!strcmp(keys[i].section, section) && !strcmp(keys[i].name, name))
+			return &keys[i];
+	return NULL;
+}
+
+/* A key given twice would leak and hide a value; continuation lines of lists come here too. */
+static bool is_repeat(struct loader *l, const char *section, const char *name)
+{
+	char *full = g_strdup_printf("%s.%s", section, name);
+	bool is_list = !strcmp(full, "node.control") || !strcmp(full, "control.members");
+
+	if (g_hash_table_contains(l->seen, full) && !is_list) {
+		complain(l, "key given twice", name);
+		g_free(full);
+		return true;
+	}
+	g_hash_table_insert(l->seen, full, GINT_TO_POINTER(l->line));
+	return false;
+}
+
+static int on_value(void *arg, const char *section, const char *name, const char *value)
+{
+	struct loader *l = arg;
+	const struct key *k = find_key(section, name);
+
+	if (!strcmp(section, "node"))
+		l->s->node.is_on = true;
+	if (!strcmp(section, "control"))
+		l->s->control.is_on = true;
+	if (!is_known_section(section))
+		complain(l, "unknown section", section);
+	else if (!k)
+		complain(l, "unknown key", name);
+	else if (!is_repeat(l, section, name))
+		k->set(l, value);
+	return 1;
+}
+
+/* A reader for inih that counts lines. */
+static char *read_line(char *out, int size, void *arg)
+{
+	struct loader *l = arg;
+	char *line = fgets(out, size, l->file);
+
+	if (line)
+		l->line++;
+	if (line && !strchr(line, '\n') && !feof(l->file))
+		complain(l, "the line is too long, over bytes", "4000");
+	return line;
+}
+
+static int line_of(const struct loader *l, const char *key)
+{
+	return GPOINTER_TO_INT(g_hash_table_lookup(l->seen, key));
+}
+
+static void need(struct loader *l, const char *section, const char *name)
+{
+	g_autofree char *full = g_strdup_printf("%s.%s", section, name);
+	g_autofree char *at = place(l, l->line);
+
+	if (!g_hash_table_contains(l->seen, full))
+		find_add(l->found, at, "section [%s] needs the key %s", section, name);
+}
+
+static void check_needs(struct loader *l)
+{
+	static const char *const node[] = { "address",	 "zone",       "caller_port",
+					    "peer_port", "local_port", "control" };
+	static const char *const control[] = { "id", "address", "data", "api_port", "peer_port" };
+
+	need(l, "cluster", "name");
+	for (size_t i = 0; l->s->node.is_on && i < G_N_ELEMENTS(node); i++)
+		need(l, "node", node[i]);
+	for (size_t i = 0; l->s->control.is_on && i < G_N_ELEMENTS(control); i++)
+		need(l, "control", control[i]);
+	if (!l->s->node.is_on && !l->s->control.is_on) {
+		g_autofree char *at = place(l, l->line);
+
+		find_add(l->found, at, "neither [node] nor [control] is present: no role is on");
+	}
+}
+
+static void check_ports(struct loader *l)
+{
+	const struct {
+		const char *key;
+		u16 port;
+	} ports[] = {
+		{ "node.caller_port", l->s->node.caller_port },
+		{ "node.peer_port", l->s->node.peer_port },
+		{ "node.local_port", l->s->node.local_port },
+		{ "control.api_port", l->s->control.api_port },
+		{ "control.peer_port", l->s->control.peer_port },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(ports); i++) {
+		for (size_t j = 0; j < i; j++) {
+			g_autofree char *at = place(l, line_of(l, ports[i].key));
+
+			if (ports[i].port && ports[i].port == ports[j].port)
+				find_add(l->found, at, "port %u is used twice, by %s and %s",
+					 ports[i].port, ports[j].key, ports[i].key);
+		}
+	}
+}
+
+static void set_defaults(struct settings *s)
+{
+	memset(s, 0, sizeof(*s));
+	s->node.control = g_array_new(FALSE, TRUE, sizeof(struct endpoint));
+	s->control.members = g_array_new(FALSE, TRUE, sizeof(struct member_setting));
+	s->node.probe_budget_per_s = DEFAULT_PROBES_PER_S;
+	s->node.probe_budget_bytes_per_s = DEFAULT_PROBE_BYTES_PER_S;
+	s->node.max_body_bytes = DEFAULT_MAX_BODY_BYTES;
+	s->node.shutdown_grace_s = DEFAULT_SHUTDOWN_GRACE_S;
+	s->log_level = LOG_INFO;
+}
+
+static void fill_absent(struct settings *s)
+{
+	if (!s->node.region)
+		s->node.region = g_strdup("");
+	if (!s->control.zone)
+		s->control.zone = g_strdup(s->node.zone ? s->node.zone : "");
+	if (!s->control.region)
+		s->control.region = g_strdup(s->node.region);
+}
+
+int settings_load(struct settings *s, const char *path, struct findings *found)
+{
+	struct loader l = { .s = s, .found = found, .path = path };
+	int ret;
+
+	set_defaults(s);
+	l.file = fopen(path, "r");
+	if (!l.file) {
+		find_add(found, path, "cannot read: %s", g_strerror(errno));
+		return ERR_INVAL;
+	}
+	l.seen = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	ini_max_line = SETTINGS_LINE_MAX;
+	ret = ini_parse_stream(read_line, &l, on_value, &l);
+	fclose(l.file);
+	if (ret) {
+		l.line = ret > 0 ? ret : 0;
+		complain(&l, "neither a section, a key nor a comment", "");
+	}
+	check_needs(&l);
+	check_ports(&l);
+	g_hash_table_unref(l.seen);
+	fill_absent(s);
+	return find_count(found) ? ERR_INVAL : 0;
+}
+
+void settings_clear(struct settings *s)
+{
+	g_free(s->cluster);
+	g_free(s->node.address);
+	g_free(s->node.zone);
+	g_free(s->node.region);
+	g_array_unref(s->node.control);
+	g_free(s->control.address);
+	g_free(s->control.zone);
+	g_free(s->control.region);
+	g_free(s->control.data);
+	g_array_unref(s->control.members);
+	g_free(s->log_file);
+	memset(s, 0, sizeof(*s));
+}
--- /dev/null
+++ b/lib/settings.h
@@ -0,0 +1,73 @@
+/*
+ * settings - the INI settings of a process
+ *
+ * settings_load reports every problem of the file in one run.
+ *
+ * UNITS as in the names of the fields
+ * SOURCE lib/settings.c
+ */
+#ifndef SETTINGS_H
+#define SETTINGS_H
+
+#include "lib/find.h"
+#include "lib/log.h"
+#include "lib/types.h"
+
+/* An IPv4 address and a port. */
+struct endpoint {
+	char host[64];
+	u16 port;
+};
+
+struct member_setting {
+	u32 id;
+	struct endpoint at;
+};
+
+struct node_settings {
+	bool is_on;
+	char *address;
+	char *zone;
+	char *region;
+	u16 caller_port;
+	u16 peer_port;
+	u16 local_port;
+	GArray *control; /* of struct endpoint */
+	u64 probe_budget_per_s;
+	u64 probe_budget_bytes_per_s;
+	u64 max_body_bytes;
+	u64 shutdown_grace_s;
+};
+
+struct control_settings {
+	bool is_on;
+	u32 id;
+	char *address;
+	char *zone;
+	char *region;
+	char *data;
+	u16 api_port;
+	u16 peer_port;
+	GArray *members; /* of struct member_setting */
+};
+
+struct settings {
+	char *cluster;
+	struct node_settings node;
+	struct control_settings control;
+	enum log_level log_level;
+	enum log_format log_format;
+	char *log_file;
+};
+
+/*
+ * settings_load - read PATH into S; problems go to FOUND with FILE:LINE.
+ * Returns 0, or ERR_INVAL when there are findings. S must be cleared in both cases.
+ */
+int settings_load(struct settings *s, const char *path, struct findings *found);
+void settings_clear(struct settings *s);
+
+/* endpoint_parse - "HOST:PORT" with a numeric host. Returns 0 or ERR_INVAL. */
+int endpoint_parse(struct endpoint *e, const char *text);
+
+#endif
--- /dev/null
+++ b/node/config.h
@@ -0,0 +1,57 @@
+/*
+ * config - the configuration in force at a node, an immutable snapshot
+ *
+ * Readers take the snapshot under RCU; the loop's thread publishes a new one
+ * for each revision. A revision below the current one is never published.
+ *
+ * SOURCE node/config.c
+ */
+#ifndef CONFIG_H
+#define CONFIG_H
+
+#include "lib/res.h"
+
+struct config_service {
+	struct res_service *res;
+	u64 version;
+	gint refs;
+};
+
+struct config {
+	u64 revision;
+	GHashTable *by_name; /* name -> struct config_service */
+	GHashTable *by_host; /* host -> struct config_service, not owned */
+};
+
+/* One service as it came from a control process; JSON is NULL after a deletion. */
+struct config_change {
+	char *name;
+	u64 version;
+	char *json;
+};
+
+/*
+ * config_apply - publish REVISION: CHANGES on top of the current snapshot, or
+ * instead of it when IS_SNAPSHOT. Loop's thread only. Returns 0, or
+ * ERR_CONFLICT when REVISION is not above the current one.
+ */
+int config_apply(u64 revision, bool is_snapshot, GPtrArray *changes);
+u64 config_revision(void);
+
+/* config_read_lock, config_read_unlock - around the use of config_current. */
+void config_read_lock(void);
+void config_read_unlock(void);
+
+/* config_current - the snapshot, or NULL before the first one. */
+const struct config *config_current(void);
+
+/* config_find_host - by declared host, else by the first label of HOST; port is ignored. */
+const struct config_service *config_find_host(const struct config *c, const char *host);
+const struct config_service *config_find(const struct config *c, const char *name);
+
+void config_change_free(gpointer change);
+
+/* config_reset - forget everything; for tests and the end of the process. */
+void config_reset(void);
+
+#endif
--- /dev/null
+++ b/node/mesh.c
@@ -0,0 +1,406 @@
+/* Links between nodes: one dialled for own calls, those accepted for others' calls. */
+#include "node/node.h"
+
+#include "lib/err.h"
+#include "lib/log.h"
+#include "wire/peer.h"
+
+#include <string.h>
+
+/* A call or a reply whose body is still coming. */
+struct partial {
+	struct call_id id;
+	struct peer_call call; /* msg is NULL for a reply */
+	struct peer_reply reply;
+	u64 body_len;
+	u64 deadline_us;
+};
+
+struct mesh_peer {
+	struct node *node;
+	char *name;
+	struct link *link;
+	struct loop_timer redial;
+	GHashTable *partials; /* call id -> struct partial */
+};
+
+struct mesh {
+	struct link_listener *listener;
+	GHashTable *dialled; /* name -> struct mesh_peer */
+	GPtrArray *accepted; /* of struct mesh_peer */
+};
+
+static guint id_hash(gconstpointer p)
+{
+	const struct call_id *id = p;
+
+	return (guint)(id->incarnation * 31 + id->seq);
+}
+
+static gboolean id_equal(gconstpointer a, gconstpointer b)
+{
+	return !memcmp(a, b, sizeof(struct call_id));
+}
+
+static void partial_free(gpointer arg)
+{
+	struct partial *p = arg;
+
+	peer_call_clear(&p->call);
+	http_free(p->reply.msg);
+	g_free(p);
+}
+
+static GHashTable *partials_new(void)
+{
+	return g_hash_table_new_full(id_hash, id_equal, NULL, partial_free);
+}
+
+/* Hands a whole call or reply on. */
+static void complete(struct mesh_peer *m, struct partial *p)
+{
+	if (p->call.msg) {
+		home_call(m->node, m->link, &p->call, p->deadline_us);
+	} else {
+		entry_reply(m->node, p->id, p->reply.msg, &p->reply.load);
+		p->reply.msg = NULL;
+	}
+	g_hash_table_remove(m->partials, &p->id);
+}
+
+static int add_partial(struct mesh_peer *m, struct partial *p)
+{
+	if (p->body_len > m->node->settings->node.max_body_bytes ||
+	    g_hash_table_contains(m->partials, &p->id)) {
+		partial_free(p);
+		return ERR_INVAL;
+	}
+	g_hash_table_insert(m->partials, &p->id, p);
+	if (!p->body_len)
+		complete(m, p);
+	return 0;
+}
+
+static int take_call(struct mesh_peer *m, struct frame_in *in)
+{
+	struct partial *p = g_new0(struct partial, 1);
+
+	if (peer_call_get(in, &p->call)) {
+		g_free(p);
+		return ERR_INVAL;
+	}
+	p->id = p->call.id;
+	p->body_len = p->call.body_len;
+	p->deadline_us = link_to_local_us(m->link, p->call.deadline_us);
+	return add_partial(m, p);
+}
+
+static int take_reply(struct mesh_peer *m, struct frame_in *in)
+{
+	struct partial *p = g_new0(struct partial, 1);
+
+	if (peer_reply_get(in, &p->reply)) {
+		g_free(p);
+		return ERR_INVAL;
+	}
+	p->id = p->reply.id;
+	p->body_len = p->reply.body_len;
+	return add_partial(m, p);
+}
+
+static int take_body(struct mesh_peer *m, struct frame_in *in)
+{
+	struct peer_body b;
+	struct partial *p;
+	GByteArray *body;
+
+	if (peer_body_get(in, &b))
+		return ERR_INVAL;
+	p = g_hash_table_lookup(m->partials, &b.id);
+	if (!p)
+		return ERR_INVAL;
+	body = p->call.msg ? p->call.msg->body : p->reply.msg->body;
+	if (body->len + b.len > p->body_len)
+		return ERR_INVAL;
+	g_byte_array_append(body, b.data, (guint)b.len);
+	if (body->len == p->body_len)
+		complete(m, p);
+	return 0;
+}
+
+static int take_refuse(struct mesh_peer *m, struct frame_in *in)
+{
+	struct peer_refuse r = { 0 };
+	enum ctr reason;
+
+	if (peer_refuse_get(in, &r))
+		return ERR_INVAL;
+	reason = ctr_find(r.reason);
+	g_free(r.reason);
+	if (reason == CTR_COUNT)
+		return ERR_INVAL;
+	entry_refuse(m->node, r.id, reason, r.is_not_run, &r.load);
+	return 0;
+}
+
+static int take_id(struct mesh_peer *m, u32 type, struct frame_in *in)
+{
+	struct call_id id = peer_id_get(in);
+
+	if (frame_done(in))
+		return ERR_INVAL;
+	if (type == PEER_CANCEL)
+		home_cancel(m->node, id);
+	else
+		home_fence(m->node, m->link, id);
+	return 0;
+}
+
+static int take_fenced(struct mesh_peer *m, struct frame_in *in)
+{
+	struct call_id id = peer_id_get(in);
+	enum fence_state state = (enum fence_state)frame_get_u64(in);
+
+	if (frame_done(in) || state < FENCE_NOT_RUN || state > FENCE_UNKNOWN)
+		return ERR_INVAL;
+	entry_fenced(m->node, id, state);
+	return 0;
+}
+
+static int take_load(struct mesh_peer *m, struct frame_in *in)
+{
+	struct choose_target *t = choose_find(&m->node->choose, m->link->remote.name);
+	struct peer_load load;
+
+	peer_load_get(in, &load);
+	if (frame_done(in))
+		return ERR_INVAL;
+	if (t)
+		choose_load(t, &load, loop_clock_us());
+	return 0;
+}
+
+static int answer_probe(struct mesh_peer *m, struct frame_in *in)
+{
+	struct peer_load load;
+	FRAME_AUTO(f, PEER_LOAD);
+
+	home_load(m->node, &load);
+	peer_load_put(&f, &load);
+	link_send(m->link, &f);
+	return frame_done(in);
+}
+
+static int on_frame(struct link *k, u32 type, struct frame_in *in)
+{
+	struct mesh_peer *m = k->arg;
+
+	switch (type) {
+	case PEER_CALL:
+		return take_call(m, in);
+	case PEER_BODY:
+		return take_body(m, in);
+	case PEER_REPLY:
+		return take_reply(m, in);
+	case PEER_REFUSE:
+		return take_refuse(m, in);
+	case PEER_CANCEL:
+	case PEER_FENCE:
+		return take_id(m, type, in);
+	case PEER_FENCED:
+		return take_fenced(m, in);
+	case PEER_PROBE:
+		return answer_probe(m, in);
+	case PEER_LOAD:
+	case PEER_GOAWAY:
+		return take_load(m, in);
+	default:
+		return ERR_INVAL;
+	}
+}
+
+/* Dialled links */
+
+static void dial(struct mesh_peer *m);
+
+static void on_dialled_up(struct link *k)
+{
+	struct mesh_peer *m = k->arg;
+
+	entry_link_up(m->node, m->name, k->remote.incarnation);
+}
+
+static void on_dialled_down(struct link *k, int err)
+{
+	struct mesh_peer *m = k->arg;
+
+	(void)err;
+	m->link = NULL;
+	g_hash_table_remove_all(m->partials);
+	entry_link_down(m->node, m->name);
+}
+
+static const struct link_ops dialled_ops = {
+	.up = on_dialled_up,
+	.frame = on_frame,
+	.down = on_dialled_down,
+};
+
+#define REDIAL_US (200 * US_PER_MS)
+
+static void on_redial(void *arg, u64 now_us)
+{
+	(void)now_us;
+	dial(arg);
+}
+
+static void dial(struct mesh_peer *m)
+{
+	struct endpoint at;
+
+	if (m->link || endpoint_parse(&at, m->name))
+		return;
+	m->link = link_dial(m->node->loop, &m->node->self, at.host, at.port, &dialled_ops, m);
+}
+
+static void peer_free(gpointer arg)
+{
+	struct mesh_peer *m = arg;
+
+	loop_timer_cancel(m->node->loop, &m->redial);
+	if (m->link)
+		link_close(m->link);
+	g_hash_table_unref(m->partials);
+	g_free(m->name);
+	g_free(m);
+}
+
+static struct mesh_peer *peer_new(struct node *n, const char *name)
+{
+	struct mesh_peer *m = g_new0(struct mesh_peer, 1);
+
+	m->node = n;
+	m->name = g_strdup(name);
+	m->partials = partials_new();
+	m->redial = (struct loop_timer){ .fire = on_redial, .arg = m };
+	return m;
+}
+
+struct link *mesh_link(struct node *n, const char *peer)
+{
+	struct mesh_peer *m = g_hash_table_lookup(n->mesh->dialled, peer);
+
+	if (!m) {
+		m = peer_new(n, peer);
+		g_hash_table_insert(n->mesh->dialled, m->name, m);
+	}
+	if (!m->link && !m->redial.is_set) {
+		dial(m);
+		loop_timer_set(n->loop, &m->redial, loop_clock_us() + REDIAL_US);
+	}
+	return m->link && m->link->is_up ? m->link : NULL;
+}
+
+bool mesh_is_dialling(struct node *n, const char *peer)
+{
+	struct mesh_peer *m = g_hash_table_lookup(n->mesh->dialled, peer);
+
+	return m && m->link && !m->link->is_up;
+}
+
+/* Accepted links */
+
+static void drop_accepted(struct node *n, struct mesh_peer *m)
+{
+	home_link_down(n, m->link);
+	g_ptr_array_remove_fast(n->mesh->accepted, m);
+	peer_free(m);
+}
+
+/*
+ * A node dials one link. When it comes again, the bytes left in the old link
+ * must not be read any more: a call in them could follow its own fence.
+ */
+static void drop_older(struct node *n, const char *name)
+{
+	for (guint i = n->mesh->accepted->len; i > 0; i--) {
+		struct mesh_peer *m = g_ptr_array_index(n->mesh->accepted, i - 1);
+
+		if (!strcmp(m->name, name))
+			drop_accepted(n, m);
+	}
+}
+
+static void on_accepted_up(struct link *k)
+{
+	struct node *n = k->arg;
+	struct mesh_peer *m;
+
+	drop_older(n, k->remote.name);
+	m = peer_new(n, k->remote.name);
+	m->link = k;
+	k->arg = m;
+	g_ptr_array_add(n->mesh->accepted, m);
+}
+
+static void on_accepted_down(struct link *k, int err)
+{
+	struct mesh_peer *m = k->arg;
+	struct node *n;
+
+	(void)err;
+	if (!k->is_up)
+		return;
+	n = m->node;
+	home_link_down(n, k);
+	m->link = NULL;
+	g_ptr_array_remove_fast(n->mesh->accepted, m);
+	peer_free(m);
+}
+
+static const struct link_ops accepted_ops = {
+	.up = on_accepted_up,
+	.frame = on_frame,
+	.down = on_accepted_down,
+};
+
+void mesh_goaway(struct node *n)
+{
+	struct peer_load load;
+
+	home_load(n, &load);
+	for (guint i = 0; i < n->mesh->accepted->len; i++) {
+		struct mesh_peer *m = g_ptr_array_index(n->mesh->accepted, i);
+		FRAME_AUTO(f, PEER_GOAWAY);
+
+		peer_load_put(&f, &load);
+		link_send(m->link, &f);
+	}
+}
+
+int mesh_start(struct node *n)
+{
+	const struct node_settings *s = &n->settings->node;
+	struct mesh *m = g_new0(struct mesh, 1);
+
+	n->mesh = m;
+	m->dialled = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, peer_free);
+	m->accepted = g_ptr_array_new();
+	m->listener = link_listen(n->loop, &n->self, s->address, s->peer_port, &accepted_ops, n);
+	if (m->listener)
+		return 0;
+	log_event(LOG_ERROR, "cannot listen; is the port in use?", "address", s->address,
+		  "peer_port", log_u64(s->peer_port), NULL);
+	return ERR_IO;
+}
+
+void mesh_stop(struct node *n)
+{
+	while (n->mesh->accepted->len)
+		drop_accepted(n, g_ptr_array_index(n->mesh->accepted, 0));
+	g_hash_table_unref(n->mesh->dialled);
+	if (n->mesh->listener)
+		link_unlisten(n->mesh->listener);
+	g_ptr_array_unref(n->mesh->accepted);
+	g_clear_pointer(&n->mesh, g_free);
+}
--- /dev/null
+++ b/node/node.c
@@ -0,0 +1,174 @@
+#include "node/node.h"
+
+#include "lib/err.h"
+#include "lib/log.h"
+#include "node/config.h"
+
+#include <time.h>
+
+#define SHUTDOWN_POLL_US 20000
+
+void node_announce(struct node *n)
+{
+	n->own.version++;
+	choose_set(&n->choose, &n->own);
+	watch_register(n);
+}
+
+/* An upstream that is silent for its time to live has left. */
+static void on_second(void *arg, u64 now_us)
+{
+	struct node *n = arg;
+	bool has_upstream = n->own.state == DIR_UP || n->own.state == DIR_DRAINING;
+
+	if (has_upstream && now_us - n->upstream_seen_us > NODE_UPSTREAM_TTL_US) {
+		log_event(LOG_WARN, "upstream is silent, leaving", "service", n->own.service, NULL);
+		n->own.state = DIR_NO_UPSTREAM;
+		node_announce(n);
+		mesh_goaway(n);
+	}
+	home_second(n, now_us);
+	loop_timer_set(n->loop, &n->second_timer, now_us + US_PER_S);
+}
+
+static u64 wall_clock_us(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_REALTIME, &now);
+	return (u64)now.tv_sec * US_PER_S + (u64)now.tv_nsec / 1000;
+}
+
+static void set_identity(struct node *n)
+{
+	const struct node_settings *s = &n->settings->node;
+
+	n->self.cluster = g_strdup(n->settings->cluster);
+	n->self.role = LINK_NODE;
+	n->self.name = g_strdup_printf("%s:%u", s->address, s->peer_port);
+	n->self.zone = g_strdup(s->zone);
+	n->self.region = g_strdup(s->region);
+	n->self.incarnation = wall_clock_us();
+	n->own.node = g_strdup(n->self.name);
+	n->own.zone = g_strdup(s->zone);
+	n->own.region = g_strdup(s->region);
+	n->own.incarnation = n->self.incarnation;
+	n->own.state = DIR_NO_UPSTREAM;
+	n->own.service = g_strdup("");
+}
+
+static int node_start(struct krn_service *s, struct krn *k)
+{
+	struct node *n = (struct node *)s;
+	int err;
+
+	(void)k;
+	set_identity(n);
+	n->loop = loop_new("node");
+	choose_init(&n->choose, n->self.zone, n->self.incarnation);
+	choose_set(&n->choose, &n->own);
+	n->second_timer = (struct loop_timer){ .fire = on_second, .arg = n };
+	loop_timer_set(n->loop, &n->second_timer, loop_clock_us() + US_PER_S);
+	err = entry_start(n);
+	if (!err)
+		err = home_start(n);
+	if (!err)
+		err = mesh_start(n);
+	if (!err)
+		err = watch_start(n);
+	if (!err)
+		err = loop_start(n->loop);
+	if (!err)
+		err = local_start(n);
+	return err ? err : caller_start(n);
+}
+
+static void begin_stop(void *arg)
+{
+	struct node *n = arg;
+
+	__atomic_store_n(&n->is_stopping, true, __ATOMIC_RELEASE);
+	n->own.state = DIR_DRAINING;
+	node_announce(n);
+	mesh_goaway(n);
+}
+
+struct progress {
+	struct node *node;
+	u32 calls;
+};
+
+static void count_progress(void *arg)
+{
+	struct progress *p = arg;
+
+	p->calls = home_in_progress(p->node) + entry_in_progress(p->node);
+}
+
+static void wait_for_calls(struct node *n)
+{
+	u64 end = loop_clock_us() + n->settings->node.shutdown_grace_s * US_PER_S;
+	struct progress p = { .node = n };
+
+	do {
+		loop_call(n->loop, count_progress, &p);
+		if (!p.calls)
+			return;
+		g_usleep(SHUTDOWN_POLL_US);
+	} while (loop_clock_us() < end);
+	log_event(LOG_WARN, "shutdown grace is over with calls in progress", "calls",
+		  log_u64(p.calls), NULL);
+}
+
+static void leave_directory(void *arg)
+{
+	struct node *n = arg;
+
+	n->own.state = DIR_GONE;
+	n->own.version++;
+	watch_register(n);
+}
+
+static void stop_on_loop(void *arg)
+{
+	struct node *n = arg;
+
+	watch_stop(n);
+	mesh_stop(n);
+	loop_timer_cancel(n->loop, &n->second_timer);
+}
+
+static void node_stop(struct krn_service *s)
+{
+	struct node *n = (struct node *)s;
+
+	loop_call(n->loop, begin_stop, n);
+	wait_for_calls(n);
+	loop_call(n->loop, leave_directory, n);
+	caller_stop(n);
+	local_stop(n);
+	home_stop(n);
+	loop_call(n->loop, stop_on_loop, n);
+	loop_stop(n->loop);
+}
+
+static const struct krn_ops node_ops = { .name = "node", .start = node_start, .stop = node_stop };
+
+struct node *node_new(const struct settings *s)
+{
+	struct node *n = g_new0(struct node, 1);
+
+	n->service.ops = &node_ops;
+	n->settings = s;
+	return n;
+}
+
+void node_free(struct node *n)
+{
+	g_free(n->self.cluster);
+	g_free(n->self.name);
+	g_free(n->self.zone);
+	g_free(n->self.region);
+	dir_entry_clear(&n->own);
+	g_free(n);
+}
--- /dev/null
+++ b/test/programs/upstream.c
@@ -0,0 +1,140 @@
+/*
+ * upstream - a stand-in upstream
+ *
+ * upstream -p PORT -n LOCAL_PORT -s SERVICE [-k SLOTS] [-d DELAY_MS] [-l LOG]
+ *
+ * Announces itself to the node at LOCAL_PORT and answers each request with a
+ * body that repeats the request. Appends "ID METHOD" to LOG when a request
+ * begins to run, ID being its header Request-Id, so that runs can be counted.
+ * Ends at SIGTERM.
+ */
+#include "lib/http_server.h"
+#include "lib/types.h"
+
+#include <civetweb.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#define SERVER_THREADS 64
+#define BODY_MAX_BYTES (16 * 1024 * 1024)
+#define RENEW_S 1
+
+struct options {
+	u16 port;
+	u16 local_port;
+	const char *service;
+	u32 slots;
+	u32 delay_ms;
+	FILE *log;
+};
+
+static struct options opt = { .slots = 12 };
+static pthread_mutex_t log_lock = PTHREAD_MUTEX_INITIALIZER;
+
+static void log_run(struct mg_connection *conn)
+{
+	const struct mg_request_info *ri = mg_get_request_info(conn);
+	const char *id = mg_get_header(conn, "Request-Id");
+
+	if (!opt.log)
+		return;
+	pthread_mutex_lock(&log_lock);
+	fprintf(opt.log, "%s %s\n", id ? id : "-", ri->request_method);
+	fflush(opt.log);
+	pthread_mutex_unlock(&log_lock);
+}
+
+static int on_request(struct mg_connection *conn, void *unused)
+{
+	const struct mg_request_info *ri = mg_get_request_info(conn);
+	g_autoptr(GByteArray) body = g_byte_array_new();
+	g_autofree char *text = NULL;
+	const char *id = mg_get_header(conn, "Request-Id");
+	const char *delay = mg_get_header(conn, "Delay-Ms");
+
+	(void)unused;
+	if (http_read_body(conn, body, BODY_MAX_BYTES))
+		return http_send_error(conn, 400, NULL, NULL, "short request body");
+	log_run(conn);
+	g_usleep((delay ? strtoul(delay, NULL, 10) : opt.delay_ms) * 1000);
+	text = g_strdup_printf("%s %s id=%s from=%s:%u body=%.*s\n", ri->request_method,
+			       ri->local_uri, id ? id : "-", opt.service, opt.port, (int)body->len,
+			       (const char *)body->data);
+	return http_send(conn, 200, "text/plain", NULL, NULL, text);
+}
+
+static void announce(const char *method, const char *body)
+{
+	char why[128];
+	struct mg_connection *conn =
+		mg_connect_client("127.0.0.1", opt.local_port, 0, why, sizeof(why));
+
+	if (!conn)
+		return;
+	mg_printf(conn,
+		  "%s /v1/upstream HTTP/1.1\r\nHost: node\r\nConnection: close\r\n"
+		  "Content-Length: %zu\r\n\r\n%s",
+		  method, strlen(body), body);
+	mg_get_response(conn, why, sizeof(why), 1000);
+	mg_close_connection(conn);
+}
+
+static int parse(int argc, char **argv)
+{
+	int c;
+
+	while ((c = getopt(argc, argv, "p:n:s:k:d:l:")) != -1) {
+		if (c == 'p')
+			opt.port = (u16)atoi(optarg);
+		else if (c == 'n')
+			opt.local_port = (u16)atoi(optarg);
+		else if (c == 's')
+			opt.service = optarg;
+		else if (c == 'k')
+			opt.slots = (u32)atoi(optarg);
+		else if (c == 'd')
+			opt.delay_ms = (u32)atoi(optarg);
+		else if (c == 'l')
+			opt.log = fopen(optarg, "a");
+	}
+	return opt.port && opt.local_port && opt.service ? 0 : -1;
+}
+
+int main(int argc, char **argv)
+{
+	g_autofree char *text = NULL;
+	struct mg_context *server;
+	struct timespec pause = { .tv_sec = RENEW_S };
+	sigset_t set;
+
+	if (parse(argc, argv)) {
+		fprintf(stderr, "usage: upstream -p PORT -n LOCAL_PORT -s SERVICE [-k SLOTS] "
+				"[-d DELAY_MS] [-l LOG]\n");
+		return 2;
+	}
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGINT);
+	pthread_sigmask(SIG_BLOCK, &set, NULL);
+	signal(SIGPIPE, SIG_IGN);
+	mg_init_library(0);
+	server = http_listen("127.0.0.1", opt.port, SERVER_THREADS);
+	if (!server) {
+		fprintf(stderr, "upstream: cannot listen on port %u\n", opt.port);
+		return 1;
+	}
+	mg_set_request_handler(server, "/", on_request, NULL);
+	text = g_strdup_printf("{\"service\":\"%s\",\"port\":%u,\"slots\":%u,\"connections\":200,"
+			       "\"load_path\":\"/load\"}",
+			       opt.service, opt.port, opt.slots);
+	do
+		announce("PUT", text);
+	while (sigtimedwait(&set, NULL, &pause) < 0);
+	announce("DELETE", "");
+	mg_stop(server);
+	return 0;
+}
--- /dev/null
+++ b/wire/ctl.h
@@ -0,0 +1,34 @@
+/*
+ * ctl - frame types between nodes and control processes, and between control processes
+ *
+ * node to control:    CTL_REGISTER entry; CTL_RENEW applied revision;
+ *                     CTL_WATCH configuration revision
+ * control to node:    CTL_CONFIG, CTL_DIR, CTL_FRESH
+ * control to control: CTL_RAFT, CTL_DIR, CTL_OWNED, CTL_FORWARD, CTL_FORWARDED
+ */
+#ifndef CTL_H
+#define CTL_H
+
+#include "kernel/link.h"
+
+#define CTL_RENEW_INTERVAL_US (1 * US_PER_S)
+#define CTL_FRESH_INTERVAL_US (500 * US_PER_MS)
+/* A control process is fresh while its leader was heard within this time. */
+#define CTL_LEASE_US (2 * US_PER_S)
+#define CTL_ITEMS_PER_FRAME 256
+
+enum ctl_type {
+	CTL_REGISTER = LINK_TYPE_FIRST,
+	CTL_RENEW, /* applied revision */
+	CTL_WATCH, /* revision the node has */
+	CTL_CONFIG, /* revision, is_snapshot, is_last, count, {name, version, revision, is_live,
+		       json} */
+	CTL_DIR, /* is_snapshot, is_last, count, {entry} */
+	CTL_FRESH, /* is_fresh, revision */
+	CTL_RAFT, /* a raft message */
+	CTL_OWNED, /* control id; count, {revision, nodes}; count, {node, revision} */
+	CTL_FORWARD, /* request id, operation, argument */
+	CTL_FORWARDED, /* request id, result fields */
+};
+
+#endif
--- /dev/null
+++ b/wire/peer.h
@@ -0,0 +1,106 @@
+/*
+ * peer - the messages between nodes
+ *
+ * A call is named by (incarnation of the entry node, sequence). BODY frames
+ * follow CALL and REPLY until body_len bytes have come. Times are on the
+ * sender's clock.
+ *
+ * SOURCE wire/peer.c
+ */
+#ifndef PEER_H
+#define PEER_H
+
+#include "kernel/link.h"
+#include "lib/http.h"
+#include "lib/types.h"
+
+#define PEER_BODY_BYTES (64 * 1024)
+#define PEER_NAME_MAX_BYTES 128
+
+enum peer_type {
+	PEER_CALL = LINK_TYPE_FIRST,
+	PEER_BODY,
+	PEER_REPLY,
+	PEER_REFUSE,
+	PEER_CANCEL,
+	PEER_FENCE,
+	PEER_FENCED,
+	PEER_PROBE,
+	PEER_LOAD,
+	PEER_GOAWAY,
+};
+
+struct call_id {
+	u64 incarnation;
+	u64 seq;
+};
+
+/* The load of a home node, sent with every reply and refusal. */
+struct peer_load {
+	u32 running;
+	u32 queued;
+	u32 limit; /* calls that may run at once now */
+	u32 lowest_worth; /* calls below are refused now */
+	u64 service_us; /* typical time of one call at the upstream */
+	bool is_draining;
+};
+
+struct peer_call {
+	struct call_id id;
+	char *service;
+	char *rank;
+	u64 deadline_us;
+	u64 revision; /* configuration of the entry node */
+	u64 body_len;
+	struct http_msg *msg;
+};
+
+struct peer_reply {
+	struct call_id id;
+	struct peer_load load;
+	u64 body_len;
+	struct http_msg *msg;
+};
+
+struct peer_refuse {
+	struct call_id id;
+	struct peer_load load;
+	bool is_not_run;
+	char *reason; /* a counter's name */
+};
+
+enum fence_state {
+	FENCE_NOT_RUN = 1, /* did not run and never will */
+	FENCE_RUNNING, /* the reply will follow */
+	FENCE_DONE, /* the reply follows at once */
+	FENCE_UNKNOWN, /* the home node does not remember this call */
+};
+
+struct peer_body {
+	struct call_id id;
+	const void *data;
+	size_t len;
+};
+
+void peer_call_put(struct frame_out *f, const struct peer_call *c);
+int peer_call_get(struct frame_in *in, struct peer_call *c);
+void peer_call_clear(struct peer_call *c);
+
+void peer_reply_put(struct frame_out *f, const struct peer_reply *r);
+int peer_reply_get(struct frame_in *in, struct peer_reply *r);
+
+void peer_refuse_put(struct frame_out *f, const struct peer_refuse *r);
+int peer_refuse_get(struct frame_in *in, struct peer_refuse *r);
+
+int peer_body_get(struct frame_in *in, struct peer_body *b);
+
+void peer_id_put(struct frame_out *f, struct call_id id);
+struct call_id peer_id_get(struct frame_in *in);
+
+void peer_load_put(struct frame_out *f, const struct peer_load *l);
+void peer_load_get(struct frame_in *in, struct peer_load *l);
+
+/* peer_send_body - the bytes as BODY frames; 0 or the error of link_send. */
+int peer_send_body(struct link *k, struct call_id id, const GByteArray *body);
+
+#endif
