A checker of the promises for failure runs, with seeded violations

The checker reads transcripts of callers, upstreams, operators and observers. 12 tests: a clean run gives no finding; a doubled run, a false not-run, a swapped, short or invented answer, a lost or altered accepted change, two winners of a race, a refused change that stands, a reverted revision and a malformed line are each found.

--- /dev/null
+++ b/test/fakes/verdict.c
@@ -0,0 +1,242 @@
+#include "test/fakes/verdict.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+struct verdict_call {
+	char *method;
+	char *outcome;
+	char *body;
+};
+
+struct verdict_change {
+	char *name;
+	char *change_id;
+	char *outcome;
+	u64 version;
+	u64 mark;
+};
+
+/* The highest revision that a node has shown. */
+struct verdict_node {
+	u64 highest;
+};
+
+static void call_free(gpointer p)
+{
+	struct verdict_call *c = p;
+
+	g_free(c->method);
+	g_free(c->outcome);
+	g_free(c->body);
+	g_free(c);
+}
+
+static void change_free(gpointer p)
+{
+	struct verdict_change *c = p;
+
+	g_free(c->name);
+	g_free(c->change_id);
+	g_free(c->outcome);
+	g_free(c);
+}
+
+void verdict_init(struct verdict *v)
+{
+	v->calls = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, call_free);
+	v->runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	v->changes = g_ptr_array_new_with_free_func(change_free);
+	v->state = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, change_free);
+	v->revisions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+}
+
+void verdict_clear(struct verdict *v)
+{
+	g_hash_table_unref(v->calls);
+	g_hash_table_unref(v->runs);
+	g_ptr_array_unref(v->changes);
+	g_hash_table_unref(v->state);
+	g_hash_table_unref(v->revisions);
+}
+
+/* Splits LINE into exactly N fields, or returns NULL with a finding. */
+static char **split(const char *line, guint n, const char *kind, struct findings *found)
+{
+	char **parts = g_strsplit(line, " ", -1);
+
+	if (g_strv_length(parts) == n)
+		return parts;
+	find_add(found, kind, "malformed line \"%s\"", line);
+	g_strfreev(parts);
+	return NULL;
+}
+
+void verdict_add_caller(struct verdict *v, const char *line, struct findings *found)
+{
+	g_auto(GStrv) parts = split(line, 6, "caller", found);
+	struct verdict_call *c;
+
+	if (!parts)
+		return;
+	if (g_hash_table_contains(v->calls, parts[0])) {
+		find_add(found, parts[0], "the caller got two answers");
+		return;
+	}
+	c = g_new0(struct verdict_call, 1);
+	c->method = g_strdup(parts[1]);
+	c->outcome = g_strdup(parts[3]);
+	c->body = g_strdup(parts[5]);
+	g_hash_table_insert(v->calls, g_strdup(parts[0]), c);
+}
+
+void verdict_add_upstream(struct verdict *v, const char *line, struct findings *found)
+{
+	g_auto(GStrv) parts = split(line, 2, "upstream", found);
+	guint n;
+
+	if (!parts)
+		return;
+	n = GPOINTER_TO_UINT(g_hash_table_lookup(v->runs, parts[0]));
+	g_hash_table_insert(v->runs, g_strdup(parts[0]), GUINT_TO_POINTER(n + 1));
+}
+
+void verdict_add_operator(struct verdict *v, const char *line, struct findings *found)
+{
+	g_auto(GStrv) parts = split(line, 5, "operator", found);
+	struct verdict_change *c;
+
+	if (!parts)
+		return;
+	c = g_new0(struct verdict_change, 1);
+	c->name = g_strdup(parts[0]);
+	c->change_id = g_strdup(parts[1]);
+	c->outcome = g_strdup(parts[2]);
+	c->version = strtoull(parts[3], NULL, 10);
+	c->mark = strtoull(parts[4], NULL, 10);
+	g_ptr_array_add(v->changes, c);
+}
+
+void verdict_add_state(struct verdict *v, const char *line, struct findings *found)
+{
+	g_auto(GStrv) parts = split(line, 3, "state", found);
+	struct verdict_change *c;
+
+	if (!parts)
+		return;
+	c = g_new0(struct verdict_change, 1);
+	c->name = g_strdup(parts[0]);
+	c->version = strtoull(parts[1], NULL, 10);
+	c->mark = strtoull(parts[2], NULL, 10);
+	g_hash_table_replace(v->state, c->name, c);
+}
+
+void verdict_add_observer(struct verdict *v, const char *line, struct findings *found)
+{
+	g_auto(GStrv) parts = split(line, 2, "observer", found);
+	struct verdict_node *n;
+	u64 revision;
+
+	if (!parts)
+		return;
+	revision = strtoull(parts[1], NULL, 10);
+	n = g_hash_table_lookup(v->revisions, parts[0]);
+	if (!n) {
+		n = g_new0(struct verdict_node, 1);
+		g_hash_table_insert(v->revisions, g_strdup(parts[0]), n);
+	}
+	/* A restarted node has no configuration at first and takes no calls. */
+	if (revision && revision < n->highest)
+		find_add(found, parts[0], "reverted from revision %llu to %llu",
+			 (unsigned long long)n->highest, (unsigned long long)revision);
+	n->highest = MAX(n->highest, revision);
+}
+
+static void check_call(const char *id, const struct verdict_call *c, guint runs,
+		       struct findings *found)
+{
+	bool is_answer = !strcmp(c->outcome, "answer");
+
+	if (!strcmp(c->outcome, "not-run") && runs)
+		find_add(found, id, "said not-run, ran %u times", runs);
+	if (is_answer && !strcmp(c->body, "other"))
+		find_add(found, id, "got the answer of another call");
+	if (is_answer && !strcmp(c->body, "short"))
+		find_add(found, id, "got a short answer as a whole one");
+	if (is_answer && !runs)
+		find_add(found, id, "got an answer without a run");
+}
+
+static void check_calls(struct verdict *v, struct findings *found)
+{
+	GHashTableIter iter;
+	gpointer id;
+	gpointer call;
+
+	g_hash_table_iter_init(&iter, v->calls);
+	while (g_hash_table_iter_next(&iter, &id, &call)) {
+		guint runs = GPOINTER_TO_UINT(g_hash_table_lookup(v->runs, id));
+
+		check_call(id, call, runs, found);
+		if (runs > 1 && !strcmp(((struct verdict_call *)call)->method, "POST"))
+			find_add(found, id, "a non-idempotent call ran %u times", runs);
+	}
+}
+
+static void check_accepted(struct verdict *v, const struct verdict_change *c,
+			   struct findings *found)
+{
+	const struct verdict_change *now = g_hash_table_lookup(v->state, c->name);
+
+	if (!now || now->version < c->version)
+		find_add(found, c->name, "accepted version %llu is lost",
+			 (unsigned long long)c->version);
+	else if (now->version == c->version && now->mark != c->mark)
+		find_add(found, c->name, "version %llu is not what was accepted",
+			 (unsigned long long)c->version);
+}
+
+/* Of several changes that race for one version, one is accepted. */
+static void check_single_winner(struct verdict *v, guint at, struct findings *found)
+{
+	const struct verdict_change *c = g_ptr_array_index(v->changes, at);
+
+	for (guint i = 0; i < at; i++) {
+		const struct verdict_change *other = g_ptr_array_index(v->changes, i);
+
+		if (strcmp(other->outcome, "accepted") || strcmp(other->name, c->name))
+			continue;
+		if (other->version == c->version && strcmp(other->change_id, c->change_id))
+			find_add(found, c->name, "version %llu was accepted twice, as %s and %s",
+				 (unsigned long long)c->version, other->change_id, c->change_id);
+	}
+}
+
+/* A change that was refused must not be what stands. */
+static void check_refused(struct verdict *v, const struct verdict_change *c, struct findings *found)
+{
+	const struct verdict_change *now = g_hash_table_lookup(v->state, c->name);
+
+	if (now && now->mark == c->mark)
+		find_add(found, c->name, "change %s was refused and stands", c->change_id);
+}
+
+static void check_changes(struct verdict *v, struct findings *found)
+{
+	for (guint i = 0; i < v->changes->len; i++) {
+		const struct verdict_change *c = g_ptr_array_index(v->changes, i);
+
+		if (!strcmp(c->outcome, "accepted")) {
+			check_accepted(v, c, found);
+			check_single_winner(v, i, found);
+		} else if (strcmp(c->outcome, "unknown")) {
+			check_refused(v, c, found);
+		}
+	}
+}
+
+void verdict_check(struct verdict *v, struct findings *found)
+{
+	check_calls(v, found);
+	check_changes(v, found);
+}
--- /dev/null
+++ b/test/programs/operator.c
@@ -0,0 +1,144 @@
+/*
+ * operator - changes services, in races with other operators
+ *
+ * operator -a PORT,PORT,... -i ID -n CHANGES -k SERVICES [-s SEED] [-w PAUSE_MS]
+ *
+ * Makes CHANGES changes to the services race-0 ... race-(SERVICES-1), each with
+ * If-Match at the version last seen and a change id of its own, at a random
+ * control process. An answer that was lost or unknown is asked for again with
+ * the same change id, a few times. Prints one line for each change, as
+ * test/fakes/verdict.h describes; the mark is the target_ms of the first rank.
+ */
+#include "lib/err.h"
+#include "lib/rng.h"
+#include "test/fakes/httpc.h"
+
+#include <civetweb.h>
+#include <glib.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#define PORTS_MAX 16
+#define SERVICES_MAX 64
+#define RESENDS 6
+#define ANSWER_TIMEOUT_MS 8000
+#define RESEND_PAUSE_US 200000
+#define MARKS_PER_OPERATOR 100000
+
+struct operator
+{
+	u16 ports[PORTS_MAX];
+	u32 nports;
+	u32 id;
+	u32 changes;
+	u32 services;
+	u32 pause_ms;
+	struct rng rng;
+	u64 versions[SERVICES_MAX];
+};
+
+static char *make_service(const char *name, u32 mark)
+{
+	return g_strdup_printf("{\"name\":\"%s\",\"ranks\":[{\"name\":\"all\",\"match\":[{\"path\":"
+			       "\"/\"}],\"target_ms\":%u,\"worth\":1,\"floor_percent\":1}]}",
+			       name, mark);
+}
+
+static u64 version_in(const char *body)
+{
+	json_t *obj = json_loads(body, 0, NULL);
+	u64 version = (u64)json_integer_value(json_object_get(obj, "version"));
+
+	json_decref(obj);
+	return version;
+}
+
+/* Sends the change until an answer decides it. Returns the outcome's name. */
+static const char *change(struct operator* o, const char *name, const char *headers,
+			  const char *body, u64 *version)
+{
+	g_autofree char *path = g_strdup_printf("/v1/services/%s", name);
+	bool may_stand = false;
+
+	for (u32 i = 0; i < RESENDS; i++) {
+		u16 port = o->ports[rng_below(&o->rng, o->nports)];
+		struct httpc_reply r;
+		int err = httpc_call("127.0.0.1", port, "PUT", path, headers, body,
+				     ANSWER_TIMEOUT_MS, &r);
+		int status = r.status;
+
+		*version = err ? 0 : version_in(r.body);
+		if (err == ERR_TIMEOUT || (!err && r.outcome && !strcmp(r.outcome, "unknown")))
+			may_stand = true;
+		httpc_reply_clear(&r);
+		if (!err && (status == 200 || status == 201))
+			return "accepted";
+		if (!err && status == 409)
+			return "conflict";
+		g_usleep(RESEND_PAUSE_US);
+	}
+	return may_stand ? "unknown" : "not-run";
+}
+
+static void run(struct operator* o)
+{
+	for (u32 i = 0; i < o->changes; i++) {
+		u32 at = rng_below(&o->rng, o->services);
+		u32 mark = o->id * MARKS_PER_OPERATOR + i + 1;
+		g_autofree char *name = g_strdup_printf("race-%u", at);
+		g_autofree char *body = make_service(name, mark);
+		g_autofree char *id = g_strdup_printf("op%u-%u", o->id, i);
+		g_autofree char *headers = NULL;
+		const char *outcome;
+		u64 version;
+
+		headers = g_strdup_printf("If-Match: %llu\r\nChange-Id: %s\r\n",
+					  (unsigned long long)o->versions[at], id);
+		outcome = change(o, name, headers, body, &version);
+		if (version)
+			o->versions[at] = version;
+		printf("%s %s %s %llu %u\n", name, id, outcome, (unsigned long long)version, mark);
+		fflush(stdout);
+		g_usleep(o->pause_ms * 1000);
+	}
+}
+
+static void add_ports(struct operator* o, const char *text)
+{
+	g_auto(GStrv) parts = g_strsplit(text, ",", PORTS_MAX);
+
+	for (char **p = parts; *p; p++)
+		o->ports[o->nports++] = (u16)atoi(*p);
+}
+
+int main(int argc, char **argv)
+{
+	struct operator o = { .changes = 10, .services = 1 };
+	int c;
+
+	while ((c = getopt(argc, argv, "a:i:n:k:s:w:")) != -1) {
+		if (c == 'a')
+			add_ports(&o, optarg);
+		else if (c == 'i')
+			o.id = (u32)atoi(optarg);
+		else if (c == 'n')
+			o.changes = (u32)atoi(optarg);
+		else if (c == 'k')
+			o.services = MIN((u32)atoi(optarg), (u32)SERVICES_MAX);
+		else if (c == 's')
+			o.rng.state = strtoull(optarg, NULL, 10);
+		else if (c == 'w')
+			o.pause_ms = (u32)atoi(optarg);
+	}
+	if (!o.nports || !o.services) {
+		fprintf(stderr, "usage: operator -a PORT,... -i ID -n CHANGES -k SERVICES "
+				"[-s SEED] [-w PAUSE_MS]\n");
+		return 2;
+	}
+	mg_init_library(0);
+	run(&o);
+	return 0;
+}
--- /dev/null
+++ b/test/programs/verdict.c
@@ -0,0 +1,60 @@
+/*
+ * verdict - check the transcripts of a failure run
+ *
+ * verdict -c CALLER... -u UPSTREAM... -o OPERATOR... -s STATE... -n OBSERVER...
+ *
+ * Each option takes one file and may be repeated. Prints every broken
+ * promise and a summary; exits 1 when there is one.
+ */
+#include "test/fakes/verdict.h"
+
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+typedef void add_line(struct verdict *v, const char *line, struct findings *found);
+
+static void add_file(struct verdict *v, const char *path, add_line *add, struct findings *found)
+{
+	g_autofree char *text = NULL;
+	g_auto(GStrv) lines = NULL;
+
+	if (!g_file_get_contents(path, &text, NULL, NULL)) {
+		find_add(found, path, "cannot read");
+		return;
+	}
+	lines = g_strsplit(text, "\n", -1);
+	for (char **line = lines; *line; line++)
+		if (**line)
+			add(v, *line, found);
+}
+
+int main(int argc, char **argv)
+{
+	struct verdict v;
+	int c;
+	FIND_AUTO(found);
+
+	verdict_init(&v);
+	while ((c = getopt(argc, argv, "c:u:o:s:n:")) != -1) {
+		if (c == 'c')
+			add_file(&v, optarg, verdict_add_caller, &found);
+		else if (c == 'u')
+			add_file(&v, optarg, verdict_add_upstream, &found);
+		else if (c == 'o')
+			add_file(&v, optarg, verdict_add_operator, &found);
+		else if (c == 's')
+			add_file(&v, optarg, verdict_add_state, &found);
+		else if (c == 'n')
+			add_file(&v, optarg, verdict_add_observer, &found);
+		else
+			return 2;
+	}
+	verdict_check(&v, &found);
+	find_print(&found, stdout);
+	printf("%u calls, %u ids run, %u changes, %u nodes seen: %u broken promises\n",
+	       g_hash_table_size(v.calls), g_hash_table_size(v.runs), v.changes->len,
+	       g_hash_table_size(v.revisions), find_count(&found));
+	verdict_clear(&v);
+	return find_count(&found) > 0;
+}
--- /dev/null
+++ b/test/verdict_test.c
@@ -0,0 +1,155 @@
+/* The checker finds seeded violations, and nothing in a clean run. */
+#include "test/fakes/verdict.h"
+
+#include <string.h>
+
+struct fixture {
+	struct verdict v;
+	struct findings found;
+};
+
+static void setup(struct fixture *f, gconstpointer unused)
+{
+	(void)unused;
+	verdict_init(&f->v);
+	find_init(&f->found);
+	verdict_add_caller(&f->v, "a POST 200 answer - own", &f->found);
+	verdict_add_upstream(&f->v, "a POST", &f->found);
+	verdict_add_caller(&f->v, "b GET 200 answer - own", &f->found);
+	verdict_add_upstream(&f->v, "b GET", &f->found);
+	verdict_add_upstream(&f->v, "b GET", &f->found);
+	verdict_add_caller(&f->v, "c POST 503 not-run queue-wait none", &f->found);
+	verdict_add_caller(&f->v, "d POST 502 unknown peer-lost none", &f->found);
+	verdict_add_upstream(&f->v, "d POST", &f->found);
+	verdict_add_operator(&f->v, "sightings c1 accepted 1 101", &f->found);
+	verdict_add_operator(&f->v, "sightings c2 conflict 1 102", &f->found);
+	verdict_add_operator(&f->v, "sightings c3 unknown 0 103", &f->found);
+	verdict_add_state(&f->v, "sightings 2 103", &f->found);
+	verdict_add_observer(&f->v, "n1 1", &f->found);
+	verdict_add_observer(&f->v, "n1 2", &f->found);
+	verdict_add_observer(&f->v, "n1 0", &f->found);
+	verdict_add_observer(&f->v, "n1 2", &f->found);
+}
+
+static void teardown(struct fixture *f, gconstpointer unused)
+{
+	(void)unused;
+	verdict_clear(&f->v);
+	find_clear(&f->found);
+}
+
+/* Exactly one finding, whose text contains WORDS. */
+static void expect(struct fixture *f, const char *words)
+{
+	verdict_check(&f->v, &f->found);
+	g_assert_cmpuint(find_count(&f->found), ==, 1);
+	g_assert_nonnull(strstr(find_at(&f->found, 0)->text, words));
+}
+
+static void test_clean(struct fixture *f, gconstpointer unused)
+{
+	(void)unused;
+	verdict_check(&f->v, &f->found);
+	g_assert_cmpuint(find_count(&f->found), ==, 0);
+}
+
+static void test_doubled_run(struct fixture *f, gconstpointer unused)
+{
+	(void)unused;
+	verdict_add_upstream(&f->v, "a POST", &f->found);
+	expect(f, "ran 2 times");
+}
+
+static void test_false_not_run(struct fixture *f, gconstpointer unused)
+{
+	(void)unused;
+	verdict_add_upstream(&f->v, "c POST", &f->found);
+	expect(f, "said not-run, ran 1 times");
+}
+
+static void test_swapped_answer(struct fixture *f, gconstpointer unused)
+{
+	(void)unused;
+	verdict_add_caller(&f->v, "e GET 200 answer - other", &f->found);
+	verdict_add_upstream(&f->v, "e GET", &f->found);
+	expect(f, "answer of another call");
+}
+
+static void test_short_answer(struct fixture *f, gconstpointer unused)
+{
+	(void)unused;
+	verdict_add_caller(&f->v, "e GET 200 answer - short", &f->found);
+	verdict_add_upstream(&f->v, "e GET", &f->found);
+	expect(f, "short answer");
+}
+
+static void test_answer_without_run(struct fixture *f, gconstpointer unused)
+{
+	(void)unused;
+	verdict_add_caller(&f->v, "e GET 200 answer - own", &f->found);
+	expect(f, "without a run");
+}
+
+static void test_lost_change(struct fixture *f, gconstpointer unused)
+{
+	(void)unused;
+	verdict_add_operator(&f->v, "atlas c4 accepted 7 104", &f->found);
+	verdict_add_state(&f->v, "atlas 6 99", &f->found);
+	expect(f, "accepted version 7 is lost");
+}
+
+static void test_changed_content(struct fixture *f, gconstpointer unused)
+{
+	(void)unused;
+	verdict_add_operator(&f->v, "atlas c4 accepted 7 104", &f->found);
+	verdict_add_state(&f->v, "atlas 7 99", &f->found);
+	expect(f, "not what was accepted");
+}
+
+static void test_two_winners(struct fixture *f, gconstpointer unused)
+{
+	(void)unused;
+	verdict_add_operator(&f->v, "sightings c5 accepted 1 105", &f->found);
+	expect(f, "accepted twice");
+}
+
+static void test_refused_change_stands(struct fixture *f, gconstpointer unused)
+{
+	(void)unused;
+	verdict_add_operator(&f->v, "sightings c6 not-run 0 103", &f->found);
+	expect(f, "was refused and stands");
+}
+
+static void test_reverted_revision(struct fixture *f, gconstpointer unused)
+{
+	(void)unused;
+	verdict_add_observer(&f->v, "n1 1", &f->found);
+	expect(f, "reverted from revision 2 to 1");
+}
+
+static void test_malformed_line(struct fixture *f, gconstpointer unused)
+{
+	(void)unused;
+	verdict_add_caller(&f->v, "only two", &f->found);
+	expect(f, "malformed line");
+}
+
+#define ADD(path, fn) g_test_add(path, struct fixture, NULL, setup, fn, teardown)
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	ADD("/verdict/clean", test_clean);
+	ADD("/verdict/doubled-run", test_doubled_run);
+	ADD("/verdict/false-not-run", test_false_not_run);
+	ADD("/verdict/swapped-answer", test_swapped_answer);
+	ADD("/verdict/short-answer", test_short_answer);
+	ADD("/verdict/answer-without-run", test_answer_without_run);
+	ADD("/verdict/lost-change", test_lost_change);
+	ADD("/verdict/changed-content", test_changed_content);
+	ADD("/verdict/two-winners", test_two_winners);
+	ADD("/verdict/refused-change-stands", test_refused_change_stands);
+	ADD("/verdict/reverted-revision", test_reverted_revision);
+	ADD("/verdict/malformed-line", test_malformed_line);
+	return g_test_run();
+}
