--- a/Makefile
+++ b/Makefile
@@ -65,9 +65,13 @@
 	$(MAKE) lavenderlead tests
 	tools/demo
 
+fault:
+	$(MAKE) -s lavenderlead tests
+	tools/fault $(RUN)
+
 clean:
 	rm -rf $(OUT) lavenderlead
 
-.PHONY: all install-deps tests format lint check demo clean
+.PHONY: all install-deps tests format lint check demo fault clean
 .SECONDARY:
 -include $(shell find $(OUT) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/bench/state_bench.c
@@ -0,0 +1,189 @@
+/*
+ * state_bench - memory of each kind of state, as a slope over two sizes
+ *
+ * state_bench [-n ITEMS]
+ *
+ * Fills each table with ITEMS and then with twice as many, and prints the heap
+ * bytes an item and the time an item; ITEMS is 10,500 when not given, so the
+ * larger size is the 21,000 targets of the target size.
+ */
+#include "control/directory.h"
+#include "control/store.h"
+#include "kernel/loop.h"
+#include "lib/rng.h"
+#include "node/call_table.h"
+#include "node/choose.h"
+#include "node/config.h"
+
+#include <glib.h>
+#include <malloc.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <unistd.h>
+
+#define SERVICES 1400
+#define ITEMS_DEFAULT 10500
+
+static size_t heap_bytes(void)
+{
+	struct mallinfo2 info = mallinfo2();
+
+	return info.uordblks + info.hblkhd;
+}
+
+static struct dir_entry make_entry(u32 i)
+{
+	struct dir_entry e = { 0 };
+
+	e.node = g_strdup_printf("10.%u.%u.%u:8081", i >> 16, (i >> 8) & 255, i & 255);
+	e.zone = g_strdup_printf("zone-%u", i % 31);
+	e.region = g_strdup_printf("region-%u", i % 8);
+	e.service = g_strdup_printf("service-%u", i % SERVICES);
+	e.incarnation = 1;
+	e.version = 1;
+	e.state = DIR_UP;
+	e.slots = 12;
+	e.connections = 200;
+	return e;
+}
+
+static char *make_json(u32 i)
+{
+	return g_strdup_printf("{\"hosts\":[\"service-%u.example\"],\"name\":\"service-%u\","
+			       "\"ranks\":[{\"floor_percent\":10,\"idempotent\":false,"
+			       "\"match\":[{\"method\":\"POST\",\"path\":\"/submissions\"}],"
+			       "\"name\":\"submission\",\"target_ms\":250,\"worth\":100},"
+			       "{\"floor_percent\":10,\"idempotent\":true,"
+			       "\"match\":[{\"path\":\"/\"}],\"name\":\"page\",\"target_ms\":100,"
+			       "\"worth\":10}]}",
+			       i, i);
+}
+
+static struct directory directory;
+static struct choose choose;
+static struct store store;
+static struct call_table table;
+
+static void fill_directory(u32 from, u32 to)
+{
+	for (u32 i = from; i < to; i++) {
+		struct dir_entry e = make_entry(i);
+
+		directory_put(&directory, &e, 1, 0);
+		dir_entry_clear(&e);
+	}
+}
+
+static void fill_choose(u32 from, u32 to)
+{
+	for (u32 i = from; i < to; i++) {
+		struct dir_entry e = make_entry(i);
+
+		choose_set(&choose, &e);
+		dir_entry_clear(&e);
+	}
+}
+
+static void apply(u32 i, u32 round)
+{
+	struct store_change c = { .op = STORE_PUT };
+	struct store_result result;
+	g_autoptr(GBytes) bytes = NULL;
+
+	c.name = g_strdup_printf("service-%u", i);
+	c.change_id = g_strdup_printf("apply-%08x%08x", i, round);
+	c.json = make_json(i);
+	bytes = store_change_pack(&c);
+	store_apply(&store, bytes, &result);
+	store_change_clear(&c);
+}
+
+static void fill_store(u32 from, u32 to)
+{
+	for (u32 i = from; i < to; i++)
+		apply(i, 0);
+}
+
+/* Changes of the same services, so that only the memory of change ids grows. */
+static void fill_change_ids(u32 from, u32 to)
+{
+	for (u32 i = from; i < to; i++)
+		apply(i % 100, i + 1);
+}
+
+static void fill_config(u32 from, u32 to)
+{
+	g_autoptr(GPtrArray) changes = g_ptr_array_new_with_free_func(config_change_free);
+
+	for (u32 i = from; i < to; i++) {
+		struct config_change *change = g_new0(struct config_change, 1);
+
+		change->name = g_strdup_printf("service-%u", i);
+		change->version = 1;
+		change->json = make_json(i);
+		g_ptr_array_add(changes, change);
+	}
+	config_apply(to, false, changes);
+}
+
+static void fill_calls(u32 from, u32 to)
+{
+	for (u32 i = from; i < to; i++) {
+		struct call_id id = { .incarnation = 1, .seq = i };
+
+		call_begin(&table, id);
+		call_done(&table, id, NULL, 1);
+	}
+}
+
+/* Prints the slope between N and twice N items. */
+static void measure(const char *name, u32 n, void (*fill)(u32 from, u32 to))
+{
+	size_t before;
+	size_t after;
+	u64 start;
+	u64 took;
+
+	fill(0, n);
+	before = heap_bytes();
+	start = loop_clock_us();
+	fill(n, 2 * n);
+	took = loop_clock_us() - start;
+	after = heap_bytes();
+	printf("%-28s %8u %10.1f %10.2f\n", name, 2 * n, ((double)after - (double)before) / n,
+	       (double)took / n);
+}
+
+static void print_snapshot(u32 services)
+{
+	u64 start = loop_clock_us();
+	g_autoptr(GBytes) bytes = store_snapshot(&store);
+	u64 took = loop_clock_us() - start;
+
+	printf("store snapshot: %zu bytes, %llu us, %u services\n", g_bytes_get_size(bytes),
+	       (unsigned long long)took, services);
+}
+
+int main(int argc, char **argv)
+{
+	u32 n = ITEMS_DEFAULT;
+	int c;
+
+	while ((c = getopt(argc, argv, "n:")) != -1)
+		if (c == 'n')
+			n = (u32)atoi(optarg);
+	directory_init(&directory);
+	choose_init(&choose, "zone-1", 1);
+	store_init(&store);
+	call_table_init(&table);
+	printf("%-28s %8s %10s %10s\n", "state", "items", "bytes/item", "us/item");
+	measure("directory entry (control)", n, fill_directory);
+	measure("choose target (node)", n, fill_choose);
+	measure("call record (node)", n, fill_calls);
+	measure("config service (node)", SERVICES / 2, fill_config);
+	measure("store service (control)", SERVICES / 2, fill_store);
+	print_snapshot(SERVICES);
+	measure("change id (control)", 4000, fill_change_ids);
+	print_snapshot(SERVICES);
+	return 0;
+}
--- /dev/null
+++ b/test/mesh.sh
@@ -0,0 +1,92 @@
+# mesh.sh - functions for process-level runs: a mesh of processes on loopback
+# Source it, then: mesh_begin BASE_PORT NODES; start_control I; start_node J;
+# start_upstream J SERVICE [OPTION...]; mesh_end. Only processes started here are
+# signalled, by pid.
+
+declare -A pid
+programs=build/test/programs
+
+mesh_begin() {
+	base=$1
+	dir=$(mktemp -d)
+	pid=()
+	DATA=$dir/data tools/mesh-settings "$dir" mesh "$base" zone-a zone-b zone-c "$2"
+	control=
+	for i in 1 2 3; do
+		control=$control${control:+,}127.0.0.1:$((base + 10 * i))
+	done
+}
+
+# run NAME COMMAND... - start a process under NAME
+run() {
+	local name=$1
+	shift
+	"$@" >>"$dir/$name.out" 2>>"$dir/$name.err" &
+	pid[$name]=$!
+	disown $!
+}
+
+start_control() { run "control$1" ./lavenderlead serve -c "$dir/control$1.ini"; }
+start_node() { run "node$1" ./lavenderlead serve -c "$dir/node$1.ini"; }
+
+start_upstream() {
+	local j=$1 service=$2
+	shift 2
+	run "upstream$j" $programs/upstream -p $((base + 500 + j)) -n $((base + 102 + 10 * j)) \
+		-s "$service" -l "$dir/runs$j" "$@"
+}
+
+caller_port() { echo $((base + 100 + 10 * $1)); }
+local_port() { echo $((base + 102 + 10 * $1)); }
+api_port() { echo $((base + 10 * $1)); }
+
+# signal SIGNAL NAME
+signal() { kill "-$1" "${pid[$2]}" 2>/dev/null; }
+
+# kill_hard NAME - and wait until it is gone
+kill_hard() {
+	signal KILL "$1"
+	wait_gone "$1"
+}
+
+wait_gone() {
+	while kill -0 "${pid[$1]}" 2>/dev/null; do sleep 0.05; done
+	unset "pid[$1]"
+}
+
+# wait_for WHAT COMMAND... - until the command succeeds; fails after 30 s
+wait_for() {
+	local what=$1
+	shift
+	for _ in $(seq 150); do
+		"$@" >/dev/null 2>&1 && return 0
+		sleep 0.2
+	done
+	echo "gave up waiting for: $what"
+	return 1
+}
+
+status() { ./lavenderlead status --control "${1:-$control}"; }
+leader_id() { status "$@" | sed -n '/"leader": {/,/}/s/.*"id": \([0-9]*\).*/\1/p'; }
+has_leader() { [ -n "$(leader_id)" ]; }
+has_upstreams() { [ "$(status | grep -c '"connections"')" = "$1" ]; }
+
+mesh_end() {
+	local name
+	for name in "${!pid[@]}"; do
+		kill -CONT "${pid[$name]}" 2>/dev/null
+		kill -TERM "${pid[$name]}" 2>/dev/null
+	done
+	for _ in $(seq 100); do
+		local left=0
+		for name in "${!pid[@]}"; do
+			kill -0 "${pid[$name]}" 2>/dev/null && left=1
+		done
+		[ $left = 0 ] && break
+		sleep 0.1
+	done
+	for name in "${!pid[@]}"; do
+		kill -KILL "${pid[$name]}" 2>/dev/null
+	done
+	[ "${KEEP_DIR:-0}" = 1 ] || rm -rf "$dir"
+}
