--- a/test/mesh.sh
+++ b/test/mesh.sh
@@ -8,8 +8,10 @@
 
 mesh_begin() {
 	base=$1
-	dir=$(mktemp -d)
+	dir=$(mktemp -d -t lavenderlead-mesh.XXXXXX)
 	pid=()
+	trap mesh_end EXIT
+	trap 'exit 1' HUP INT TERM PIPE
 	DATA=$dir/data tools/mesh-settings "$dir" mesh "$base" zone-a zone-b zone-c "$2"
 	control=
 	for i in 1 2 3; do
@@ -88,5 +90,6 @@
 	for name in "${!pid[@]}"; do
 		kill -KILL "${pid[$name]}" 2>/dev/null
 	done
+	pid=()
 	[ "${KEEP_DIR:-0}" = 1 ] || rm -rf "$dir"
 }
