--- /dev/null
+++ b/test/raft_test.c
@@ -0,0 +1,182 @@
+/* Raft under random schedules and in the cases that went wrong or are feared to. */
+#include "lib/err.h"
+#include "test/fakes/fake_group.h"
+
+#include <string.h>
+
+#define SCHEDULES 1500
+#define FIRST_SEED 1
+#define SPAN_US (10 * US_PER_S)
+#define SETTLE_US (40 * US_PER_S)
+
+/* What a random schedule is doing besides the replicas' own work. */
+struct schedule {
+	struct fake_group *g;
+	u64 seed;
+	u32 lost; /* the member whose disk was emptied and is not yet replaced */
+	u64 replaced;
+};
+
+static u32 any(struct schedule *s)
+{
+	return 1 + rng_below(&s->g->rng, s->g->n);
+}
+
+static void act_cut(struct schedule *s)
+{
+	u32 from = any(s);
+	u32 to = any(s);
+
+	if (rng_below(&s->g->rng, 2)) {
+		fake_group_isolate(s->g, from);
+		return;
+	}
+	s->g->cut[from][to] = from != to;
+	s->g->cut[to][from] = from != to && rng_below(&s->g->rng, 2);
+}
+
+static void act_crash(struct schedule *s)
+{
+	u32 id = any(s);
+	struct fake_disk *d = s->g->r[id].disk;
+
+	if (rng_below(&s->g->rng, 2)) {
+		fake_group_crash(s->g, id);
+		return;
+	}
+	d->fail_at = d->ops + 1 + rng_below(&s->g->rng, 6);
+	d->failure = (enum fake_failure)rng_below(&s->g->rng, 3);
+}
+
+/* Only one disk at a time: the next one may go when the group says that the repair is done. */
+static void act_lose_disk(struct schedule *s)
+{
+	u32 id = any(s);
+
+	if (s->lost || !fake_group_leader(s->g))
+		return;
+	s->lost = id;
+	fake_group_crash(s->g, id);
+	fake_group_lose_disk(s->g, id);
+	fake_group_start(s->g, id);
+}
+
+static void act_replace(struct schedule *s)
+{
+	if (!s->lost || fake_group_replace(s->g, s->lost) != 200)
+		return;
+	s->lost = 0;
+	s->replaced++;
+}
+
+static void act_transfer(struct schedule *s)
+{
+	u32 leader = fake_group_leader(s->g);
+
+	if (leader)
+		raft_transfer(fake_raft(s->g, leader), any(s), s->g->now_us);
+}
+
+static void act_compact(struct schedule *s)
+{
+	struct fake_replica *f = &s->g->r[any(s)];
+
+	if (f->is_up && !f->is_ending && f->control.raft.role != RAFT_FORMING)
+		raft_compact(&f->control.raft);
+}
+
+static void act(struct schedule *s)
+{
+	u32 dice = rng_below(&s->g->rng, 100);
+
+	if (dice < 45)
+		fake_group_propose(s->g, any(s));
+	else if (dice < 65)
+		fake_group_read(s->g, any(s));
+	else if (dice < 68)
+		act_crash(s);
+	else if (dice < 78)
+		fake_group_start(s->g, any(s));
+	else if (dice < 82)
+		act_cut(s);
+	else if (dice < 87)
+		fake_group_heal(s->g);
+	else if (dice < 89)
+		act_transfer(s);
+	else if (dice < 93)
+		act_compact(s);
+	else if (dice < 94)
+		act_lose_disk(s);
+	else
+		act_replace(s);
+}
+
+static void all_well(struct schedule *s)
+{
+	fake_group_heal(s->g);
+	s->g->drop_percent = 0;
+	for (u32 id = 1; id <= s->g->n; id++) {
+		s->g->r[id].disk->fail_at = 0;
+		fake_group_start(s->g, id);
+	}
+}
+
+/* The first breach, or NULL; to be freed. */
+static char *run_schedule(u64 seed, u64 *acked, u64 *reads, u64 *replaced)
+{
+	struct schedule s = { .seed = seed };
+	u32 n = seed % 3 ? 3 : 5;
+	char *broken;
+
+	s.g = fake_group_new(n, seed);
+	s.g->drop_percent = seed % 4 == 0 ? 20 : 2;
+	s.g->double_percent = 5;
+	s.g->delay_max_us = seed % 5 == 0 ? 400000 : 20000;
+	while (!s.g->broken && s.g->now_us < SPAN_US) {
+		fake_group_run(s.g, 1000 + rng_below(&s.g->rng, 40000));
+		act(&s);
+	}
+	all_well(&s);
+	for (u32 i = 0; i < 400 && s.lost && !s.g->broken; i++) {
+		fake_group_run(s.g, 100 * US_PER_MS);
+		act_replace(&s);
+	}
+	if (!s.g->broken && s.lost)
+		s.g->broken = g_strdup_printf("seed %u: the replace does not end", (u32)seed);
+	if (!s.g->broken && !fake_group_settle(s.g, SETTLE_US) && !s.g->broken)
+		s.g->broken = g_strdup_printf("seed %u: the group does not settle", (u32)seed);
+	*acked += s.g->acked;
+	*reads += s.g->reads_done;
+	*replaced += s.replaced;
+	broken = g_strdup(s.g->broken);
+	fake_group_free(s.g);
+	return broken;
+}
+
+static void test_random_schedules(void)
+{
+	u64 acked = 0;
+	u64 reads = 0;
+	u64 replaced = 0;
+	u32 bad = 0;
+
+	for (u64 seed = FIRST_SEED; seed < FIRST_SEED + SCHEDULES; seed++) {
+		g_autofree char *broken = run_schedule(seed, &acked, &reads, &replaced);
+
+		if (broken && bad++ < 10)
+			g_test_message("%s", broken);
+	}
+	g_test_message("%u schedules, %u broken; %u changes acknowledged, %u reads, %u replaces",
+		       SCHEDULES, bad, (u32)acked, (u32)reads, (u32)replaced);
+	g_assert_cmpuint(bad, ==, 0);
+	g_assert_cmpuint(acked, >, SCHEDULES);
+	g_assert_cmpuint(reads, >, SCHEDULES);
+	g_assert_cmpuint(replaced, >, SCHEDULES / 20);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/raft/random-schedules", test_random_schedules);
+	return g_test_run();
+}
