--- a/control/members.c
+++ b/control/members.c
@@ -45,7 +45,15 @@
 	return propose(c, &next, now_us, text, "the new replica becomes a voter");
 }
 
-u16 members_replace(struct control *c, u32 id, u64 now_us, char **text)
+/* The leader itself: it holds the log by what leader means, once its membership is committed. */
+static u16 replace_self(const struct raft *r, char **text)
+{
+	if (r->members_index > r->commit || raft_term_at(r, r->commit) != r->term)
+		return refuse(202, text, "waiting for the membership to commit");
+	return refuse(200, text, "the member leads and holds the log");
+}
+
+u16 members_replace(struct control *c, u32 id, u64 since_us, u64 now_us, char **text)
 {
 	struct raft *r = &c->raft;
 	struct raft_member *m = raft_member_find(&r->members, id);
@@ -54,10 +62,14 @@
 	if (!m)
 		return refuse(404, text, "no member with this id");
 	if (id == r->id)
-		return refuse(409, text, "this member is the leader and holds the log");
+		return replace_self(r, text);
 	p = progress_of(r, m);
-	if (!p->seen_replica || now_us - p->seen_us > RAFT_ELECTION_MAX_US)
+	/* An older answer may be from before the disk was lost. */
+	if (p->seen_round < since_us) {
+		if (now_us - since_us < RAFT_ELECTION_MAX_US)
+			return MEMBERS_ASKING;
 		return refuse(202, text, "waiting for the replica at the member's address");
+	}
 	if (p->seen_replica != m->replica)
 		return admit_learner(c, id, p->seen_replica, now_us, text);
 	if (r->members_index > r->commit)
--- a/control/op.c
+++ b/control/op.c
@@ -39,9 +39,11 @@
 static void start_member_change(struct control *c, struct op *o, u64 now_us)
 {
 	if (o->kind == OP_REPLACE)
-		o->result.status = members_replace(c, o->member, now_us, &o->text);
+		o->result.status = members_replace(c, o->member, o->start_us, now_us, &o->text);
 	else
 		o->result.status = members_remove(c, o->member, now_us, &o->text);
+	if (o->result.status == MEMBERS_ASKING)
+		return;
 	finish(c, o, OP_DONE);
 }
 
--- a/control/op.h
+++ b/control/op.h
@@ -64,8 +64,12 @@
  * members_replace, members_remove - carry a membership change one step
  * further; called again until it is done. Returns the status for the
  * operator: 200 done, 202 in progress, 4xx or 5xx refused, with *TEXT.
+ * members_replace counts only answers to heartbeats sent at SINCE_US or later;
+ * it returns MEMBERS_ASKING without a text while there is none, and is then
+ * called again with the same SINCE_US.
  */
-u16 members_replace(struct control *c, u32 id, u64 now_us, char **text);
+#define MEMBERS_ASKING 0
+u16 members_replace(struct control *c, u32 id, u64 since_us, u64 now_us, char **text);
 u16 members_remove(struct control *c, u32 id, u64 now_us, char **text);
 
 #endif
--- a/control/raft.h
+++ b/control/raft.h
@@ -8,10 +8,16 @@
  * folder (replica id) that the membership names, so an emptied disk cannot
  * help to elect a leader.
  *
- * UNITS microseconds
- * ERRORS raft_propose: ERR_NOTLEADER, ERR_BUSY; a storage callback that
- * fails ends the process, because a failed fsync must not be retried
- * SOURCE control/raft.c, control/raft_log.c
+ * The leader gathers proposals and reads until the next tick, which is due at
+ * once (raft_next_due_us returns 0), and writes them with one sync.
+ *
+ * UNITS microseconds, bytes
+ * ERRORS raft_propose: ERR_NOTLEADER; a storage callback that fails ends the
+ * process, because a failed fsync must not be retried
+ * SOURCE control/raft.c (entry points), control/raft_elect.c,
+ * control/raft_replicate.c (leader), control/raft_follow.c,
+ * control/raft_form.c, control/raft_members.c, control/raft_log.c,
+ * control/raft_msg.c
  */
 #ifndef RAFT_H
 #define RAFT_H
@@ -29,6 +35,16 @@
 #define RAFT_ELECTION_MAX_US (2000 * US_PER_MS)
 #define RAFT_BATCH_ENTRIES 64
 #define RAFT_BATCH_BYTES (256 * 1024)
+/* Entries sent to one member and not yet answered. */
+#define RAFT_INFLIGHT_ENTRIES (4 * RAFT_BATCH_ENTRIES)
+#define RAFT_CHUNK_BYTES (256 * 1024)
+#define RAFT_SNAPSHOT_MAX_BYTES (512 * 1024 * 1024)
+/* Entries before the snapshot that stay in memory for members that are a little behind. */
+#define RAFT_KEEP_ENTRIES 1024
+/* A part of a snapshot without an answer is sent again after this time. */
+#define RAFT_RESEND_US (4 * RAFT_HEARTBEAT_US)
+/* A leader transfer that takes longer is given up. */
+#define RAFT_TRANSFER_US RAFT_ELECTION_MIN_US
 
 enum raft_kind { RAFT_NOOP = 1, RAFT_COMMAND, RAFT_MEMBERS };
 
@@ -58,9 +74,9 @@
 	RAFT_VOTE_REPLY,
 	RAFT_APPEND,
 	RAFT_APPEND_REPLY,
-	RAFT_INSTALL,
+	RAFT_INSTALL, /* a part of the snapshot */
 	RAFT_INSTALL_REPLY,
-	RAFT_FORM, /* a founding replica tells its replica id */
+	RAFT_FORM, /* a founding replica tells its replica id and those it has heard */
 	RAFT_FORMED, /* the founding members, complete */
 	RAFT_TIMEOUT_NOW, /* leader transfer */
 };
@@ -74,12 +90,15 @@
 	u64 index; /* last log index, or previous index of an append */
 	u64 log_term; /* term at index */
 	u64 commit;
-	u64 round; /* heartbeat round, returned in the reply */
+	u64 round; /* time of the heartbeat round on the leader's clock, returned in the reply */
 	bool is_ok;
 	bool is_transfer;
 	GPtrArray *entries; /* of struct raft_entry, or NULL */
-	struct raft_members members; /* RAFT_INSTALL, RAFT_FORMED */
-	GBytes *snapshot; /* RAFT_INSTALL */
+	struct raft_members members; /* RAFT_INSTALL, RAFT_FORM, RAFT_FORMED */
+	u64 to_replica; /* RAFT_INSTALL: the data folder that the membership names */
+	u64 offset; /* RAFT_INSTALL: of this part; in the reply: bytes received so far */
+	u64 total; /* RAFT_INSTALL: bytes of the whole snapshot */
+	GBytes *snapshot; /* RAFT_INSTALL: this part */
 };
 
 enum raft_role { RAFT_FORMING, RAFT_FOLLOWER, RAFT_PRECANDIDATE, RAFT_CANDIDATE, RAFT_LEADER };
@@ -105,11 +124,22 @@
 	u64 next;
 	u64 match;
 	u64 heard_us; /* last answer of the replica that the membership names */
-	u64 sent_us;
 	u64 round; /* highest heartbeat round answered */
+	u64 seen_round; /* the same for the last answer, named by the membership or not */
 	u64 seen_replica; /* replica id in the last answer, named by the membership or not */
 	u64 seen_us;
-	bool is_installing;
+	bool is_probing; /* where the logs match is not known; one message at a time */
+	u64 install_index; /* of the snapshot being sent, or 0 */
+	u64 install_offset; /* of the part sent last */
+	u64 install_sent_us; /* 0 when no part waits for an answer */
+};
+
+/* A snapshot that arrives in parts. */
+struct raft_incoming {
+	u64 term; /* of the leader that sends it */
+	u64 index;
+	u64 total;
+	GByteArray *bytes;
 };
 
 struct raft {
@@ -129,7 +159,10 @@
 	u64 members_index;
 	struct raft_members committed_members;
 
-	GPtrArray *log; /* entries after the snapshot */
+	GPtrArray *log; /* entries after base_index, which is at or before the snapshot */
+	u64 base_index;
+	u64 base_term;
+	u64 synced_index; /* own entries up to here are on disk */
 	u64 snap_index;
 	u64 snap_term;
 	GBytes *snap_state;
@@ -142,11 +175,20 @@
 	u32 votes[RAFT_MEMBERS_MAX];
 	u32 nvotes;
 	struct raft_progress progress[RAFT_MEMBERS_MAX]; /* by position in members */
-	u64 round;
+	u64 round; /* the time when the last heartbeat round was sent, made unique */
 	GArray *reads; /* of struct raft_read */
+	bool is_flush_due; /* proposals or reads wait for the next tick */
+	bool is_round_due; /* reads wait for a heartbeat round */
 	u32 transfer_to;
+	u64 transfer_due_us;
+	struct raft_incoming incoming;
 
 	struct raft_members founding; /* from the settings; replica ids fill in while forming */
+	bool founder_knows_us[RAFT_MEMBERS_MAX]; /* by position in founding */
+
+	u32 chunk_bytes;
+	u32 keep_entries;
+	bool ignore_replica_ids; /* for tests only: shows what the replica ids prevent */
 };
 
 struct raft_read {
@@ -170,19 +212,22 @@
 void raft_step(struct raft *r, const struct raft_msg *m, u64 now_us);
 void raft_tick(struct raft *r, u64 now_us);
 
-/* raft_next_due_us - when raft_tick has something to do. */
+/* raft_next_due_us - when raft_tick has something to do; 0 means at once. */
 u64 raft_next_due_us(const struct raft *r);
 
-/* raft_propose - append DATA to the log; *INDEX is where. Leader only. */
+/* raft_propose - append DATA to the log; *INDEX is where. Leader only; written by the next tick. */
 int raft_propose(struct raft *r, enum raft_kind kind, GBytes *data, u64 now_us, u64 *index);
 
-/* raft_propose_members - change the membership; ERR_BUSY while another change is open. */
+/*
+ * raft_propose_members - change the membership by at most one voter. ERR_BUSY
+ * while another change is open, ERR_INVAL when more than one voter differs.
+ */
 int raft_propose_members(struct raft *r, const struct raft_members *next, u64 now_us, u64 *index);
 
 /* raft_read - call read_ready(READ_ID) once leadership is confirmed by a quorum. */
 int raft_read(struct raft *r, u64 read_id, u64 now_us);
 
-/* raft_transfer - hand leadership to member TO when it holds the log. */
+/* raft_transfer - hand leadership to member TO when it holds the log, within RAFT_TRANSFER_US. */
 int raft_transfer(struct raft *r, u32 to, u64 now_us);
 
 /* raft_compact - snapshot the applied state and drop the entries before it. */
--- /dev/null
+++ b/control/raft_follow.c
@@ -0,0 +1,194 @@
+/* The follower's side of replication. */
+#include "control/raft_impl.h"
+
+#include "lib/ctr.h"
+
+static void hear_leader(struct raft *r, const struct raft_msg *m, u64 now_us)
+{
+	if (m->term > r->term || r->role != RAFT_FOLLOWER)
+		raft_become_follower(r, m->term, m->from, now_us);
+	r->leader = m->from;
+	r->leader_heard_us = now_us;
+	r->leader_commit = MAX(r->leader_commit, m->commit);
+	raft_reset_election(r, now_us);
+}
+
+/* False when the entries of M do not follow each other, or contradict what is committed. */
+static bool is_sound(const struct raft *r, const struct raft_msg *m)
+{
+	u64 term = m->log_term;
+
+	for (guint i = 0; m->entries && i < m->entries->len; i++) {
+		const struct raft_entry *e = g_ptr_array_index(m->entries, i);
+
+		if (e->index != m->index + 1 + i || e->term < term || e->term > m->term)
+			return false;
+		if (e->index > r->base_index && e->index <= r->commit &&
+		    raft_term_at(r, e->index) != e->term)
+			return false;
+		term = e->term;
+	}
+	return true;
+}
+
+/* Appends what is new in M and returns the last index that matches the leader's log. */
+static u64 take_entries(struct raft *r, const struct raft_msg *m)
+{
+	guint n = m->entries ? m->entries->len : 0;
+	guint i = 0;
+
+	while (i < n) {
+		const struct raft_entry *e = g_ptr_array_index(m->entries, i);
+
+		if (e->index > r->base_index && raft_term_at(r, e->index) != e->term)
+			break;
+		i++;
+	}
+	if (i < n && m->index + 1 + i <= raft_last_index(r))
+		raft_truncate(r, m->index + 1 + i);
+	for (; i < n; i++) {
+		const struct raft_entry *e = g_ptr_array_index(m->entries, i);
+
+		raft_add(r, raft_entry_new(e->index, e->term, e->kind, e->data));
+	}
+	raft_sync(r);
+	return m->index + n;
+}
+
+static bool matches(const struct raft *r, const struct raft_msg *m)
+{
+	return m->index <= raft_last_index(r) && raft_term_at(r, m->index) == m->log_term;
+}
+
+static void commit_to(struct raft *r, u64 index)
+{
+	if (index <= r->commit)
+		return;
+	r->commit = index;
+	raft_apply_committed(r);
+}
+
+static void answer_append(struct raft *r, const struct raft_msg *m, struct raft_msg *reply)
+{
+	if (m->index < r->base_index) {
+		reply->index = r->commit;
+		reply->is_ok = true;
+	} else if (!matches(r, m)) {
+		reply->index = MIN(raft_last_index(r), m->index ? m->index - 1 : 0);
+	} else {
+		reply->index = take_entries(r, m);
+		reply->is_ok = true;
+		commit_to(r, MIN(m->commit, reply->index));
+	}
+}
+
+void raft_on_append(struct raft *r, const struct raft_msg *m, u64 now_us)
+{
+	struct raft_msg reply = { .type = RAFT_APPEND_REPLY, .round = m->round };
+
+	if (r->role == RAFT_FORMING) {
+		/* The leader's term makes the answer count: it then sends the snapshot. */
+		reply.term = m->term;
+	} else if (m->term < r->term) {
+		reply.index = raft_last_index(r);
+	} else if (!is_sound(r, m)) {
+		ctr_inc(CTR_RAFT_BAD);
+		return;
+	} else {
+		hear_leader(r, m, now_us);
+		answer_append(r, m, &reply);
+	}
+	raft_send(r, m->from, &reply);
+}
+
+/* Snapshots in parts */
+
+void raft_drop_incoming(struct raft *r)
+{
+	if (r->incoming.bytes)
+		g_byte_array_unref(r->incoming.bytes);
+	r->incoming = (struct raft_incoming){ 0 };
+}
+
+static void expect_snapshot(struct raft *r, const struct raft_msg *m)
+{
+	struct raft_incoming *in = &r->incoming;
+
+	if (in->bytes && in->term == m->term && in->index == m->index && in->total == m->total)
+		return;
+	raft_drop_incoming(r);
+	in->term = m->term;
+	in->index = m->index;
+	in->total = m->total;
+	in->bytes = g_byte_array_new();
+}
+
+/* Adds the part in M when it is the next one. Returns true when the snapshot is whole. */
+static bool take_part(struct raft *r, const struct raft_msg *m)
+{
+	struct raft_incoming *in = &r->incoming;
+	gsize len = 0;
+	const void *p = m->snapshot ? g_bytes_get_data(m->snapshot, &len) : NULL;
+
+	expect_snapshot(r, m);
+	if (m->offset != in->bytes->len || len > in->total - m->offset)
+		return false;
+	if (len)
+		g_byte_array_append(in->bytes, p, (guint)len);
+	return in->bytes->len == in->total;
+}
+
+static void install(struct raft *r, const struct raft_msg *m, u64 now_us)
+{
+	g_autoptr(GBytes) state = g_bytes_new(r->incoming.bytes->data, r->incoming.bytes->len);
+
+	raft_drop_incoming(r);
+	if (m->term > r->term) {
+		r->term = m->term;
+		r->vote = 0;
+	}
+	r->ops->save_snapshot(r, m->index, m->log_term, &m->members, state);
+	raft_reset_log(r, m->index, m->log_term, &m->members, state);
+	/* A blank replica belongs to the group from here on. */
+	hear_leader(r, m, now_us);
+	r->ops->restore(r, m->index, state);
+}
+
+/* The entry at the snapshot's end is here: everything up to it is committed. */
+static bool has_snapshot(const struct raft *r, const struct raft_msg *m)
+{
+	return r->role != RAFT_FORMING && (m->index <= r->commit || matches(r, m));
+}
+
+static void answer_install(struct raft *r, const struct raft_msg *m, struct raft_msg *reply,
+			   u64 now_us)
+{
+	if (r->role != RAFT_FORMING)
+		hear_leader(r, m, now_us);
+	if (has_snapshot(r, m)) {
+		commit_to(r, m->index);
+		raft_drop_incoming(r);
+	} else if (take_part(r, m)) {
+		install(r, m, now_us);
+	} else {
+		reply->term = m->term;
+		reply->index = m->index;
+		reply->offset = r->incoming.bytes->len;
+		return;
+	}
+	reply->index = r->commit;
+	reply->is_ok = true;
+}
+
+void raft_on_install(struct raft *r, const struct raft_msg *m, u64 now_us)
+{
+	struct raft_msg reply = { .type = RAFT_INSTALL_REPLY, .round = m->round };
+
+	if (m->total > RAFT_SNAPSHOT_MAX_BYTES || m->to_replica != r->replica) {
+		ctr_inc(CTR_RAFT_BAD);
+		return;
+	}
+	if (m->term >= r->term)
+		answer_install(r, m, &reply, now_us);
+	raft_send(r, m->from, &reply);
+}
--- /dev/null
+++ b/control/raft_form.c
@@ -0,0 +1,142 @@
+/*
+ * Forming a new group. Each founder tells the others its replica id and the
+ * ids that it has heard. The founder with the lowest id forms the group when
+ * all have told theirs and name its own folder, so that a message from before
+ * a disk was emptied cannot help to form a second group. A founder that was
+ * down meanwhile is told by the ones that have formed.
+ */
+#include "control/raft_impl.h"
+
+#include <string.h>
+
+static void form_group(struct raft *r, const struct raft_members *members, u64 now_us)
+{
+	g_autoptr(GBytes) empty = g_bytes_new(NULL, 0);
+
+	r->term = MAX(r->term, 1);
+	r->ops->save_snapshot(r, 1, 1, members, empty);
+	raft_reset_log(r, 1, 1, members, empty);
+	r->role = RAFT_FOLLOWER;
+	raft_reset_election(r, now_us);
+}
+
+static void send_formed(struct raft *r, u32 to, const struct raft_members *members)
+{
+	struct raft_msg m = { .type = RAFT_FORMED, .members = *members };
+
+	raft_send(r, to, &m);
+}
+
+static bool is_first_founder(const struct raft *r)
+{
+	for (u32 i = 0; i < r->founding.n; i++)
+		if (r->founding.m[i].id < r->id)
+			return false;
+	return r->founding.n > 0;
+}
+
+static bool is_complete(const struct raft *r)
+{
+	for (u32 i = 0; i < r->founding.n; i++)
+		if (r->founding.m[i].id != r->id && !r->founder_knows_us[i])
+			return false;
+	return true;
+}
+
+static void try_form(struct raft *r, u64 now_us)
+{
+	if (!is_first_founder(r) || !is_complete(r))
+		return;
+	form_group(r, &r->founding, now_us);
+	for (u32 i = 0; i < r->founding.n; i++)
+		if (r->founding.m[i].id != r->id)
+			send_formed(r, r->founding.m[i].id, &r->founding);
+}
+
+void raft_found(struct raft *r, const struct raft_members *members)
+{
+	struct raft_member *self;
+
+	r->founding = *members;
+	memset(r->founder_knows_us, 0, sizeof(r->founder_knows_us));
+	for (u32 i = 0; i < r->founding.n; i++) {
+		r->founding.m[i].replica = 0;
+		r->founding.m[i].is_voter = true;
+	}
+	self = raft_member_find(&r->founding, r->id);
+	if (self)
+		self->replica = r->replica;
+}
+
+static void send_form(struct raft *r, u32 to)
+{
+	struct raft_msg m = { .type = RAFT_FORM, .members = r->founding };
+
+	raft_send(r, to, &m);
+}
+
+void raft_announce(struct raft *r, u64 now_us)
+{
+	r->election_due_us = now_us + RAFT_HEARTBEAT_US;
+	try_form(r, now_us);
+	if (r->role != RAFT_FORMING)
+		return;
+	for (u32 i = 0; i < r->founding.n; i++)
+		if (r->founding.m[i].id != r->id)
+			send_form(r, r->founding.m[i].id);
+}
+
+static bool names_us(const struct raft *r, const struct raft_members *members)
+{
+	for (u32 i = 0; i < members->n; i++)
+		if (members->m[i].id == r->id)
+			return members->m[i].replica == r->replica;
+	return false;
+}
+
+/* The sender has not heard that the group was formed, or was down then. */
+static void tell_formed(struct raft *r, const struct raft_msg *m)
+{
+	if (raft_true_member(r, m))
+		send_formed(r, m->from, &r->committed_members);
+}
+
+void raft_on_form(struct raft *r, const struct raft_msg *m, u64 now_us)
+{
+	struct raft_member *member = raft_member_find(&r->founding, m->from);
+	bool knows_us = names_us(r, &m->members);
+
+	if (r->role != RAFT_FORMING) {
+		tell_formed(r, m);
+		return;
+	}
+	if (!member)
+		return;
+	member->replica = m->replica;
+	r->founder_knows_us[member - r->founding.m] = knows_us;
+	if (!knows_us)
+		send_form(r, m->from);
+	try_form(r, now_us);
+}
+
+/* False when MEMBERS name a data folder that has been emptied since. */
+static bool agrees(const struct raft *r, const struct raft_members *members)
+{
+	struct raft_members founding = r->founding;
+
+	for (u32 i = 0; i < members->n; i++) {
+		struct raft_member *known = raft_member_find(&founding, members->m[i].id);
+
+		if (known && known->replica && known->replica != members->m[i].replica)
+			return false;
+	}
+	return true;
+}
+
+void raft_on_formed(struct raft *r, const struct raft_msg *m, u64 now_us)
+{
+	if (r->role != RAFT_FORMING)
+		return;
+	if ((names_us(r, &m->members) && agrees(r, &m->members)) || r->ignore_replica_ids)
+		form_group(r, &m->members, now_us);
+}
--- a/control/raft_log.c
+++ b/control/raft_log.c
@@ -1,9 +1,5 @@
-/* The log in memory and the coding of entries, members and messages. */
-#include "control/raft.h"
-
-#include "lib/err.h"
-
-#include <string.h>
+/* The log in memory: entries, commit, snapshot. */
+#include "control/raft_impl.h"
 
 struct raft_entry *raft_entry_new(u64 index, u64 term, enum raft_kind kind, GBytes *data)
 {
@@ -24,165 +20,112 @@
 
 u64 raft_last_index(const struct raft *r)
 {
-	return r->snap_index + r->log->len;
+	return r->base_index + r->log->len;
 }
 
 const struct raft_entry *raft_entry_at(const struct raft *r, u64 index)
 {
-	if (index <= r->snap_index || index > raft_last_index(r))
+	if (index <= r->base_index || index > raft_last_index(r))
 		return NULL;
-	return g_ptr_array_index(r->log, (guint)(index - r->snap_index - 1));
+	return g_ptr_array_index(r->log, (guint)(index - r->base_index - 1));
 }
 
 u64 raft_term_at(const struct raft *r, u64 index)
 {
 	const struct raft_entry *e;
 
-	if (index == r->snap_index)
-		return r->snap_term;
+	if (index == r->base_index)
+		return r->base_term;
 	e = raft_entry_at(r, index);
 	return e ? e->term : 0;
 }
 
-struct raft_member *raft_member_find(struct raft_members *m, u32 id)
-{
-	for (u32 i = 0; i < m->n; i++)
-		if (m->m[i].id == id)
-			return &m->m[i];
-	return NULL;
-}
-
-void raft_members_put(struct frame_out *f, const struct raft_members *m)
-{
-	frame_put_u64(f, m->n);
-	for (u32 i = 0; i < m->n; i++) {
-		frame_put_u64(f, m->m[i].id);
-		frame_put_u64(f, m->m[i].replica);
-		frame_put_bool(f, m->m[i].is_voter);
-		frame_put_str(f, m->m[i].at.host);
-		frame_put_u64(f, m->m[i].at.port);
-	}
-}
-
-void raft_members_get(struct frame_in *in, struct raft_members *m)
+void raft_truncate(struct raft *r, u64 index)
 {
-	memset(m, 0, sizeof(*m));
-	m->n = frame_get_count(in, RAFT_MEMBERS_MAX);
-	for (u32 i = 0; i < m->n; i++) {
-		g_autofree char *host = NULL;
-
-		m->m[i].id = (u32)frame_get_u64(in);
-		m->m[i].replica = frame_get_u64(in);
-		m->m[i].is_voter = frame_get_bool(in);
-		host = frame_get_str(in, sizeof(m->m[i].at.host) - 1);
-		g_strlcpy(m->m[i].at.host, host, sizeof(m->m[i].at.host));
-		m->m[i].at.port = (u16)frame_get_u64(in);
-	}
+	g_ptr_array_set_size(r->log, (gint)(index - r->base_index - 1));
+	r->synced_index = MIN(r->synced_index, raft_last_index(r));
+	if (r->members_index >= index)
+		raft_find_members(r);
 }
 
-GBytes *raft_members_pack(const struct raft_members *m)
+void raft_add(struct raft *r, struct raft_entry *e)
 {
-	FRAME_AUTO(f, 0);
+	struct raft_members m;
 
-	raft_members_put(&f, m);
-	frame_end(&f);
-	return g_bytes_new(f.buf.data + FRAME_HEADER_BYTES, f.buf.size - FRAME_HEADER_BYTES);
+	g_ptr_array_add(r->log, e);
+	if (e->kind == RAFT_MEMBERS && !raft_members_unpack(&m, e->data))
+		raft_set_members(r, &m, e->index);
 }
 
-int raft_members_unpack(struct raft_members *m, GBytes *data)
+void raft_sync(struct raft *r)
 {
-	struct frame_in in;
-	gsize len;
-	const void *p = g_bytes_get_data(data, &len);
-
-	frame_read(&in, p, len);
-	frame_get_u64(&in);
-	raft_members_get(&in, m);
-	return frame_done(&in);
-}
-
-static void put_entries(struct frame_out *f, GPtrArray *entries)
-{
-	guint n = entries ? entries->len : 0;
-
-	frame_put_u64(f, n);
-	for (guint i = 0; i < n; i++) {
-		const struct raft_entry *e = g_ptr_array_index(entries, i);
-		gsize len;
-		const void *data = g_bytes_get_data(e->data, &len);
-
-		frame_put_u64(f, e->index);
-		frame_put_u64(f, e->term);
-		frame_put_u64(f, e->kind);
-		frame_put_bin(f, data, len);
-	}
+	g_autoptr(GPtrArray) fresh = g_ptr_array_new();
+	u64 last = raft_last_index(r);
+
+	for (u64 i = r->synced_index + 1; i <= last; i++)
+		g_ptr_array_add(fresh, (gpointer)raft_entry_at(r, i));
+	if (fresh->len)
+		r->ops->append(r, fresh);
+	r->synced_index = last;
 }
 
-static void get_entries(struct frame_in *in, struct raft_msg *m)
+void raft_apply_committed(struct raft *r)
 {
-	u32 n = frame_get_count(in, RAFT_BATCH_ENTRIES);
-
-	m->entries = g_ptr_array_new_with_free_func((GDestroyNotify)raft_entry_free);
-	for (u32 i = 0; i < n && !in->err; i++) {
-		u64 index = frame_get_u64(in);
-		u64 term = frame_get_u64(in);
-		enum raft_kind kind = (enum raft_kind)frame_get_u64(in);
-		size_t len;
-		const void *data = frame_get_bin(in, &len);
-		g_autoptr(GBytes) bytes = g_bytes_new(data, len);
-
-		g_ptr_array_add(m->entries, raft_entry_new(index, term, kind, bytes));
+	while (r->applied < r->commit) {
+		const struct raft_entry *e = raft_entry_at(r, r->applied + 1);
+		struct raft_members m;
+
+		r->applied++;
+		if (e->kind == RAFT_MEMBERS && !raft_members_unpack(&m, e->data))
+			r->committed_members = m;
+		r->ops->apply(r, e);
 	}
 }
 
-void raft_msg_put(struct frame_out *f, const struct raft_msg *m)
+static void adopt_snapshot(struct raft *r, u64 index, u64 term, const struct raft_members *members,
+			   GBytes *state)
 {
-	gsize len = 0;
-	const void *state = m->snapshot ? g_bytes_get_data(m->snapshot, &len) : NULL;
-
-	frame_put_u64(f, m->type);
-	frame_put_u64(f, m->from);
-	frame_put_u64(f, m->replica);
-	frame_put_u64(f, m->term);
-	frame_put_u64(f, m->index);
-	frame_put_u64(f, m->log_term);
-	frame_put_u64(f, m->commit);
-	frame_put_u64(f, m->round);
-	frame_put_bool(f, m->is_ok);
-	frame_put_bool(f, m->is_transfer);
-	put_entries(f, m->entries);
-	raft_members_put(f, &m->members);
-	frame_put_bin(f, state, len);
+	g_bytes_ref(state);
+	if (r->snap_state)
+		g_bytes_unref(r->snap_state);
+	r->snap_state = state;
+	r->snap_index = index;
+	r->snap_term = term;
+	r->snap_members = *members;
 }
 
-int raft_msg_get(struct frame_in *in, struct raft_msg *m)
+void raft_reset_log(struct raft *r, u64 index, u64 term, const struct raft_members *members,
+		    GBytes *state)
 {
-	const void *state;
-	size_t len;
-
-	memset(m, 0, sizeof(*m));
-	m->type = (enum raft_msg_type)frame_get_u64(in);
-	m->from = (u32)frame_get_u64(in);
-	m->replica = frame_get_u64(in);
-	m->term = frame_get_u64(in);
-	m->index = frame_get_u64(in);
-	m->log_term = frame_get_u64(in);
-	m->commit = frame_get_u64(in);
-	m->round = frame_get_u64(in);
-	m->is_ok = frame_get_bool(in);
-	m->is_transfer = frame_get_bool(in);
-	get_entries(in, m);
-	raft_members_get(in, &m->members);
-	state = frame_get_bin(in, &len);
-	m->snapshot = g_bytes_new(state, len);
-	return frame_done(in);
+	adopt_snapshot(r, index, term, members, state);
+	g_ptr_array_set_size(r->log, 0);
+	r->base_index = index;
+	r->base_term = term;
+	r->synced_index = index;
+	r->commit = index;
+	r->applied = index;
+	r->committed_members = *members;
+	raft_find_members(r);
 }
 
-void raft_msg_clear(struct raft_msg *m)
+void raft_compact(struct raft *r)
 {
-	if (m->entries)
-		g_ptr_array_unref(m->entries);
-	if (m->snapshot)
-		g_bytes_unref(m->snapshot);
-	memset(m, 0, sizeof(*m));
+	g_autoptr(GBytes) state = NULL;
+	u64 index = r->applied;
+	u64 term = raft_term_at(r, index);
+	u64 base;
+
+	if (index <= r->snap_index)
+		return;
+	raft_sync(r);
+	state = r->ops->snapshot(r);
+	r->ops->save_snapshot(r, index, term, &r->committed_members, state);
+	adopt_snapshot(r, index, term, &r->committed_members, state);
+	base = index > r->keep_entries ? index - r->keep_entries : 0;
+	if (base <= r->base_index)
+		return;
+	term = raft_term_at(r, base);
+	g_ptr_array_remove_range(r->log, 0, (guint)(base - r->base_index));
+	r->base_index = base;
+	r->base_term = term;
 }
--- a/control/wal.c
+++ b/control/wal.c
@@ -11,11 +11,14 @@
 #define WAL_SNAPSHOT "snapshot"
 #define WAL_REPLICA "replica"
 #define WAL_HEADER_BYTES 16
-#define WAL_RECORD_MAX_BYTES (64 * 1024 * 1024)
+#define WAL_RECORD_MAX_BYTES (1024 * 1024 * 1024)
+/* Last byte of a record. A record that was written in part, on a file that had grown, ends in 0. */
+#define WAL_END 0x5a
+#define WAL_END_BYTES 1
 
 enum record_type { REC_STATE = 1, REC_ENTRY, REC_SNAPSHOT, REC_REPLICA };
 
-/* Record: length, checksum of the length, checksum of the payload, payload. */
+/* Record: length, checksum of the length, checksum of the payload, payload, end byte. */
 static void add_record(GByteArray *out, struct frame_out *f)
 {
 	size_t len = frame_end(f) - FRAME_HEADER_BYTES;
@@ -23,11 +26,13 @@
 	u32 be_len = htonl((u32)len);
 	u32 be_check = htonl(XXH32(&be_len, sizeof(be_len), 0));
 	u64 be_hash = htobe64(XXH64(payload, len, 0));
+	guint8 end = WAL_END;
 
 	g_byte_array_append(out, (const guint8 *)&be_len, sizeof(be_len));
 	g_byte_array_append(out, (const guint8 *)&be_check, sizeof(be_check));
 	g_byte_array_append(out, (const guint8 *)&be_hash, sizeof(be_hash));
 	g_byte_array_append(out, (const guint8 *)payload, (guint)len);
+	g_byte_array_append(out, &end, sizeof(end));
 }
 
 static bool is_zero(const u8 *p, size_t len)
@@ -39,34 +44,50 @@
 }
 
 /*
- * Reads the record at *OFF. Returns 1 with IN set, 0 at the end or at a torn
- * tail, ERR_CORRUPT when a whole record fails its checksum.
+ * Reads the length at P, of LEFT bytes. Returns 0, ERR_SHORT when the record is
+ * not all there, or ERR_CORRUPT.
  */
-static int next_record(const GByteArray *file, size_t *off, struct frame_in *in)
+static int read_length(const u8 *p, size_t left, size_t *len)
 {
-	const u8 *p = file->data + *off;
-	size_t left = file->len - *off;
 	u32 be_len;
 	u32 be_check;
-	u64 be_hash;
-	size_t len;
 
-	if (left < WAL_HEADER_BYTES || is_zero(p, left))
-		return 0;
+	if (left <= WAL_HEADER_BYTES || is_zero(p + WAL_HEADER_BYTES, left - WAL_HEADER_BYTES))
+		return ERR_SHORT;
 	memcpy(&be_len, p, sizeof(be_len));
 	memcpy(&be_check, p + 4, sizeof(be_check));
-	memcpy(&be_hash, p + 8, sizeof(be_hash));
 	if (ntohl(be_check) != XXH32(&be_len, sizeof(be_len), 0))
 		return ERR_CORRUPT;
-	len = ntohl(be_len);
-	if (len > WAL_RECORD_MAX_BYTES)
+	*len = ntohl(be_len);
+	if (*len > WAL_RECORD_MAX_BYTES)
 		return ERR_CORRUPT;
-	if (len > left - WAL_HEADER_BYTES)
+	return *len + WAL_END_BYTES > left - WAL_HEADER_BYTES ? ERR_SHORT : 0;
+}
+
+/*
+ * Reads the record at *OFF. Returns 1 with IN set, 0 at the end or at a torn
+ * tail, ERR_CORRUPT when a whole record fails its checksum. A torn record is
+ * short, or nothing but zeros follows from some byte of it on.
+ */
+static int next_record(const GByteArray *file, size_t *off, struct frame_in *in)
+{
+	const u8 *p = file->data + *off;
+	size_t left = file->len - *off;
+	const u8 *end;
+	u64 be_hash;
+	size_t len;
+	int err = read_length(p, left, &len);
+
+	if (err)
+		return err == ERR_SHORT ? 0 : err;
+	end = p + WAL_HEADER_BYTES + len;
+	if (is_zero(end, (size_t)(p + left - end)))
 		return 0;
-	if (be64toh(be_hash) != XXH64(p + WAL_HEADER_BYTES, len, 0))
+	memcpy(&be_hash, p + 8, sizeof(be_hash));
+	if (*end != WAL_END || be64toh(be_hash) != XXH64(p + WAL_HEADER_BYTES, len, 0))
 		return ERR_CORRUPT;
 	frame_read(in, p + WAL_HEADER_BYTES, len);
-	*off += WAL_HEADER_BYTES + len;
+	*off += WAL_HEADER_BYTES + len + WAL_END_BYTES;
 	return 1;
 }
 
@@ -116,6 +137,26 @@
 	return append_synced(w, out);
 }
 
+static int write_replica(struct wal *w)
+{
+	g_autoptr(GByteArray) out = g_byte_array_new();
+	FRAME_AUTO(f, REC_REPLICA);
+
+	frame_put_u64(&f, w->replica);
+	frame_put_bool(&f, w->is_formed);
+	add_record(out, &f);
+	return w->disk->ops->replace(w->disk, WAL_REPLICA, out->data, out->len);
+}
+
+/* From now on a folder without log or snapshot is damaged, not new. */
+static int mark_formed(struct wal *w)
+{
+	if (w->is_formed)
+		return 0;
+	w->is_formed = true;
+	return write_replica(w);
+}
+
 int wal_save_snapshot(struct wal *w, const struct raft *r, u64 index, u64 term,
 		      const struct raft_members *members, GBytes *state)
 {
@@ -139,19 +180,15 @@
 	if (raft_term_at(r, index) == term)
 		for (u64 i = index + 1; i <= raft_last_index(r); i++)
 			put_entry(log, raft_entry_at(r, i));
-	return w->disk->ops->replace(w->disk, WAL_LOG, log->data, log->len);
+	err = w->disk->ops->replace(w->disk, WAL_LOG, log->data, log->len);
+	return err ? err : mark_formed(w);
 }
 
 static int format(struct wal *w, u64 replica)
 {
-	g_autoptr(GByteArray) out = g_byte_array_new();
-	FRAME_AUTO(f, REC_REPLICA);
-
-	frame_put_u64(&f, replica);
-	add_record(out, &f);
 	w->replica = replica;
 	w->is_new = true;
-	return w->disk->ops->replace(w->disk, WAL_REPLICA, out->data, out->len);
+	return write_replica(w);
 }
 
 static int read_replica(struct wal *w, const GByteArray *file)
@@ -162,6 +199,7 @@
 	if (next_record(file, &off, &in) != 1 || frame_get_u64(&in) != REC_REPLICA)
 		return ERR_CORRUPT;
 	w->replica = frame_get_u64(&in);
+	w->is_formed = frame_get_bool(&in);
 	return frame_done(&in) ? ERR_CORRUPT : 0;
 }
 
@@ -218,24 +256,36 @@
 	return 0;
 }
 
-static int load_entry(struct raft *r, struct frame_in *in)
+/* The log being read: after a crash it may begin before the snapshot. */
+struct loader {
+	struct raft *r;
+	u64 last; /* index of the entry read last */
+	bool continues_snapshot; /* the entries read now follow the snapshot's last one */
+};
+
+static int load_entry(struct loader *l, struct frame_in *in)
 {
-	u64 index = frame_get_u64(in);
-	u64 term = frame_get_u64(in);
-	enum raft_kind kind = (enum raft_kind)frame_get_u64(in);
+	struct raft_entry e = { .index = frame_get_u64(in), .term = frame_get_u64(in) };
+	g_autoptr(GBytes) bytes = NULL;
+	const void *data;
 	size_t len;
-	const void *data = frame_get_bin(in, &len);
-	g_autoptr(GBytes) bytes = g_bytes_new(data, len);
-	struct raft_entry e = { .index = index, .term = term, .kind = kind, .data = bytes };
 
+	e.kind = (enum raft_kind)frame_get_u64(in);
+	data = frame_get_bin(in, &len);
+	bytes = g_bytes_new(data, len);
+	e.data = bytes;
 	/* A gap means that records are missing. */
-	if (frame_done(in) || index > raft_last_index(r) + 1)
+	if (frame_done(in) || !e.index || !l->r->snap_index || e.index > l->last + 1)
 		return ERR_CORRUPT;
-	raft_load_entry(r, &e);
+	l->last = e.index;
+	if (e.index <= l->r->snap_index)
+		l->continues_snapshot = e.index == l->r->snap_index && e.term == l->r->snap_term;
+	if (e.index <= l->r->snap_index || l->continues_snapshot)
+		raft_load_entry(l->r, &e);
 	return 0;
 }
 
-static int load_record(struct raft *r, struct frame_in *in)
+static int load_record(struct loader *l, struct frame_in *in)
 {
 	u64 type = frame_get_u64(in);
 
@@ -243,20 +293,20 @@
 		u64 term = frame_get_u64(in);
 		u32 vote = (u32)frame_get_u64(in);
 
-		raft_load_state(r, term, vote);
+		raft_load_state(l->r, term, vote);
 		return frame_done(in) ? ERR_CORRUPT : 0;
 	}
-	return type == REC_ENTRY ? load_entry(r, in) : ERR_CORRUPT;
+	return type == REC_ENTRY ? load_entry(l, in) : ERR_CORRUPT;
 }
 
-static int load_log(struct wal *w, struct raft *r, const GByteArray *file, size_t *off)
+static int load_records(struct raft *r, const GByteArray *file, size_t *off)
 {
+	struct loader l = { .r = r, .last = r->snap_index, .continues_snapshot = true };
 	struct frame_in in;
 	int ret;
 
-	(void)w;
 	while ((ret = next_record(file, off, &in)) == 1) {
-		int err = load_record(r, &in);
+		int err = load_record(&l, &in);
 
 		if (err)
 			return err;
@@ -264,32 +314,68 @@
 	return ret;
 }
 
+static int cut_tail(struct wal *w, size_t len)
+{
+	int err = w->disk->ops->truncate(w->disk, WAL_LOG, len);
+
+	return err ? err : w->disk->ops->sync(w->disk, WAL_LOG);
+}
+
+static int load_log(struct wal *w, struct raft *r, const GByteArray *log, char **why)
+{
+	size_t off = 0;
+	int err = load_records(r, log, &off);
+
+	if (err)
+		*why = g_strdup_printf("the log is damaged at byte %zu of %u; empty the folder and "
+				       "run member replace",
+				       off, log->len);
+	else if (off < log->len)
+		err = cut_tail(w, off);
+	return err;
+}
+
+/* After a crash between the first snapshot and the first log. */
+static int start_log(struct wal *w, const struct raft *r)
+{
+	g_autoptr(GByteArray) log = g_byte_array_new();
+
+	put_state(log, r->term, r->vote);
+	return w->disk->ops->replace(w->disk, WAL_LOG, log->data, log->len);
+}
+
+/* ERR_NOTFOUND is damage once the folder belongs to a group. */
+static int read_file(struct wal *w, const char *name, GByteArray *out, char **why)
+{
+	int err = w->disk->ops->read(w->disk, name, out);
+
+	if (err != ERR_NOTFOUND || !w->is_formed)
+		return err;
+	*why = g_strdup_printf(
+		"the file \"%s\" is missing; empty the folder and run member replace", name);
+	return ERR_CORRUPT;
+}
+
 int wal_load(struct wal *w, struct raft *r, char **why)
 {
 	g_autoptr(GByteArray) snapshot = g_byte_array_new();
 	g_autoptr(GByteArray) log = g_byte_array_new();
-	size_t off = 0;
-	int err = w->disk->ops->read(w->disk, WAL_SNAPSHOT, snapshot);
+	bool has_snapshot;
+	int err = read_file(w, WAL_SNAPSHOT, snapshot, why);
 
+	has_snapshot = !err;
 	if (!err && load_snapshot(r, snapshot)) {
 		*why = g_strdup("the snapshot is damaged; empty the folder and run member replace");
 		return ERR_CORRUPT;
 	}
 	if (err && err != ERR_NOTFOUND)
 		return err;
-	err = w->disk->ops->read(w->disk, WAL_LOG, log);
+	err = read_file(w, WAL_LOG, log, why);
+	if (!err)
+		err = load_log(w, r, log, why);
+	else if (err == ERR_NOTFOUND)
+		err = has_snapshot ? start_log(w, r) : 0;
 	if (err)
-		return err == ERR_NOTFOUND ? 0 : err;
-	err = load_log(w, r, log, &off);
-	if (err) {
-		*why = g_strdup_printf("the log is damaged at byte %zu of %u; empty the folder and "
-				       "run member replace",
-				       off, log->len);
 		return err;
-	}
-	if (off < log->len)
-		err = w->disk->ops->truncate(w->disk, WAL_LOG, off);
-	if (!err && off < log->len)
-		err = w->disk->ops->sync(w->disk, WAL_LOG);
-	return err;
+	return has_snapshot ? mark_formed(w) : 0;
 }
--- a/control/wal.h
+++ b/control/wal.h
@@ -4,8 +4,10 @@
  * Files: "replica" holds the id of the data folder, made when it is
  * formatted; "snapshot" holds the state up to an index; "log" holds records
  * after it. Each record carries a checksum of its length and of its payload.
- * An incomplete record at the end (a torn write) is cut; any other damage is
- * refused, and the folder must then be emptied and the member replaced.
+ * An incomplete record at the end (a torn write: too short, or zeros from some
+ * byte on) is cut; any other damage, and a missing file, is refused, and the
+ * folder must then be emptied and the member replaced. The file system must
+ * write the data of an append before the new length or leave zeros.
  *
  * ERRORS ERR_CORRUPT, ERR_IO
  * SOURCE control/wal.c
@@ -20,6 +22,7 @@
 	struct disk *disk;
 	u64 replica;
 	bool is_new; /* the folder was empty */
+	bool is_formed; /* it belongs to a group: log and snapshot must be there */
 };
 
 /*
--- a/test/fakes/fake_group.c
+++ b/test/fakes/fake_group.c
@@ -331,11 +331,16 @@
 	raft_init(r, &group_ops, f, id, f->control.wal.replica, rng_next(&g->rng), g->now_us);
 	if (!err)
 		err = wal_load(&f->control.wal, r, &why);
+	f->is_up = true;
+	/* A process that cannot read or write its disk ends. */
+	if (err == ERR_IO) {
+		fake_group_crash(g, id);
+		return;
+	}
 	if (err)
 		breach(g, why ? why : "the disk is refused", id, 0);
 	if (r->role == RAFT_FORMING)
 		raft_found(r, &members);
-	f->is_up = true;
 }
 
 void fake_group_crash(struct fake_group *g, u32 id)
@@ -570,7 +575,7 @@
 	return !raft_read(fake_raft(g, id), g->reads->len - 1, g->now_us);
 }
 
-u16 fake_group_replace(struct fake_group *g, u32 id)
+u16 fake_group_replace(struct fake_group *g, u32 id, u64 since_us)
 {
 	u32 leader = fake_group_leader(g);
 	g_autofree char *text = NULL;
@@ -578,7 +583,7 @@
 
 	if (!leader)
 		return 0;
-	status = members_replace(&g->r[leader].control, id, g->now_us, &text);
+	status = members_replace(&g->r[leader].control, id, since_us, g->now_us, &text);
 	after_step(g, leader);
 	return status;
 }
--- a/test/fakes/fake_group.h
+++ b/test/fakes/fake_group.h
@@ -76,7 +76,10 @@
 
 bool fake_group_propose(struct fake_group *g, u32 id); /* true when ID leads */
 bool fake_group_read(struct fake_group *g, u32 id);
-u16 fake_group_replace(struct fake_group *g, u32 id); /* one step at the leader; 0 without one */
+
+/* fake_group_replace - one step of the replace that was asked for at SINCE_US; 0 without a leader.
+ */
+u16 fake_group_replace(struct fake_group *g, u32 id, u64 since_us);
 struct raft *fake_raft(struct fake_group *g, u32 id);
 
 #endif
--- a/test/raft_test.c
+++ b/test/raft_test.c
@@ -14,6 +14,7 @@
 	struct fake_group *g;
 	u64 seed;
 	u32 lost; /* the member whose disk was emptied and is not yet replaced */
+	u64 asked_us; /* when the replace was asked for */
 	u64 replaced;
 };
 
@@ -56,6 +57,7 @@
 	if (s->lost || !fake_group_leader(s->g))
 		return;
 	s->lost = id;
+	s->asked_us = s->g->now_us;
 	fake_group_crash(s->g, id);
 	fake_group_lose_disk(s->g, id);
 	fake_group_start(s->g, id);
@@ -63,7 +65,7 @@
 
 static void act_replace(struct schedule *s)
 {
-	if (!s->lost || fake_group_replace(s->g, s->lost) != 200)
+	if (!s->lost || fake_group_replace(s->g, s->lost, s->asked_us) != 200)
 		return;
 	s->lost = 0;
 	s->replaced++;
@@ -121,6 +123,25 @@
 	}
 }
 
+static void dump(struct fake_group *g)
+{
+	for (u32 id = 1; id <= g->n; id++) {
+		struct raft *r = fake_raft(g, id);
+
+		g_test_message("replica %u %" G_GUINT64_FORMAT " up %d role %d term %u leader %u "
+			       "base %u snap %u last %u commit %u members %u at %u forming %u",
+			       id, r->replica, g->r[id].is_up, r->role, (u32)r->term, r->leader,
+			       (u32)r->base_index, (u32)r->snap_index,
+			       g->r[id].is_up ? (u32)raft_last_index(r) : 0, (u32)r->commit,
+			       r->members.n, (u32)r->members_index, r->founding.n);
+		for (u32 i = 0; i < r->members.n; i++)
+			g_test_message("  member %u %u voter %d next %u match %u",
+				       r->members.m[i].id, (u32)r->members.m[i].replica,
+				       r->members.m[i].is_voter, (u32)r->progress[i].next,
+				       (u32)r->progress[i].match);
+	}
+}
+
 /* The first breach, or NULL; to be freed. */
 static char *run_schedule(u64 seed, u64 *acked, u64 *reads, u64 *replaced)
 {
@@ -145,6 +166,8 @@
 		s.g->broken = g_strdup_printf("seed %u: the replace does not end", (u32)seed);
 	if (!s.g->broken && !fake_group_settle(s.g, SETTLE_US) && !s.g->broken)
 		s.g->broken = g_strdup_printf("seed %u: the group does not settle", (u32)seed);
+	if (s.g->broken && g_getenv("RAFT_TEST_DUMP"))
+		dump(s.g);
 	*acked += s.g->acked;
 	*reads += s.g->reads_done;
 	*replaced += s.replaced;
@@ -159,8 +182,11 @@
 	u64 reads = 0;
 	u64 replaced = 0;
 	u32 bad = 0;
+	const char *only = g_getenv("RAFT_TEST_SEED");
+	u64 first = only ? g_ascii_strtoull(only, NULL, 10) : FIRST_SEED;
+	u64 count = only ? 1 : SCHEDULES;
 
-	for (u64 seed = FIRST_SEED; seed < FIRST_SEED + SCHEDULES; seed++) {
+	for (u64 seed = first; seed < first + count; seed++) {
 		g_autofree char *broken = run_schedule(seed, &acked, &reads, &replaced);
 
 		if (broken && bad++ < 10)
