--- a/control/raft_form.c
+++ b/control/raft_form.c
@@ -119,24 +119,18 @@
 	try_form(r, now_us);
 }
 
-/* False when MEMBERS name a data folder that has been emptied since. */
-static bool agrees(const struct raft *r, const struct raft_members *members)
+/* True for a message from before the sender's disk was emptied. */
+static bool is_stale(struct raft *r, const struct raft_msg *m)
 {
-	struct raft_members founding = r->founding;
+	const struct raft_member *known = raft_member_find(&r->founding, m->from);
 
-	for (u32 i = 0; i < members->n; i++) {
-		struct raft_member *known = raft_member_find(&founding, members->m[i].id);
-
-		if (known && known->replica && known->replica != members->m[i].replica)
-			return false;
-	}
-	return true;
+	return known && known->replica && known->replica != m->replica;
 }
 
 void raft_on_formed(struct raft *r, const struct raft_msg *m, u64 now_us)
 {
 	if (r->role != RAFT_FORMING)
 		return;
-	if ((names_us(r, &m->members) && agrees(r, &m->members)) || r->ignore_replica_ids)
+	if ((names_us(r, &m->members) && !is_stale(r, m)) || r->ignore_replica_ids)
 		form_group(r, &m->members, now_us);
 }
--- a/test/fakes/fake_group.c
+++ b/test/fakes/fake_group.c
@@ -329,6 +329,10 @@
 	f->hash = 0;
 	err = wal_open(&f->control.wal, &f->disk->disk, id * 1000 + ++g->formats, &why);
 	raft_init(r, &group_ops, f, id, f->control.wal.replica, rng_next(&g->rng), g->now_us);
+	if (g->chunk_bytes) {
+		r->chunk_bytes = g->chunk_bytes;
+		r->keep_entries = g->keep_entries;
+	}
 	if (!err)
 		err = wal_load(&f->control.wal, r, &why);
 	f->is_up = true;
--- a/test/fakes/fake_group.h
+++ b/test/fakes/fake_group.h
@@ -40,6 +40,8 @@
 	u32 double_percent;
 	u32 delay_max_us;
 	u32 state_pad_bytes; /* makes snapshots larger */
+	u32 chunk_bytes; /* for replicas that start from now on; 0: as is */
+	u32 keep_entries;
 	u32 formats;
 
 	GPtrArray *queue; /* of struct fake_message */
--- a/test/raft_test.c
+++ b/test/raft_test.c
@@ -4,7 +4,7 @@
 
 #include <string.h>
 
-#define SCHEDULES 1500
+#define SCHEDULES 3000
 #define FIRST_SEED 1
 #define SPAN_US (10 * US_PER_S)
 #define SETTLE_US (40 * US_PER_S)
@@ -16,6 +16,8 @@
 	u32 lost; /* the member whose disk was emptied and is not yet replaced */
 	u64 asked_us; /* when the replace was asked for */
 	u64 replaced;
+	u32 crash_permille; /* of the acts */
+	u32 cut_permille;
 };
 
 static u32 any(struct schedule *s)
@@ -85,31 +87,49 @@
 
 	if (f->is_up && !f->is_ending && f->control.raft.role != RAFT_FORMING)
 		raft_compact(&f->control.raft);
+	if (f->is_ending)
+		fake_group_crash(s->g, f->id);
+}
+
+static void act_propose(struct schedule *s)
+{
+	u32 leader = fake_group_leader(s->g);
+	u32 id = leader && rng_below(&s->g->rng, 4) ? leader : any(s);
+
+	for (u32 n = 1 + rng_below(&s->g->rng, 3); n; n--)
+		fake_group_propose(s->g, id);
+}
+
+static void act_read(struct schedule *s)
+{
+	u32 leader = fake_group_leader(s->g);
+
+	fake_group_read(s->g, leader && rng_below(&s->g->rng, 2) ? leader : any(s));
 }
 
 static void act(struct schedule *s)
 {
-	u32 dice = rng_below(&s->g->rng, 100);
+	u32 dice = rng_below(&s->g->rng, 1000);
 
-	if (dice < 45)
-		fake_group_propose(s->g, any(s));
-	else if (dice < 65)
-		fake_group_read(s->g, any(s));
-	else if (dice < 68)
+	if (dice < 450)
+		act_propose(s);
+	else if (dice < 650)
+		act_read(s);
+	else if (dice < 650 + s->crash_permille)
 		act_crash(s);
-	else if (dice < 78)
+	else if (dice < 720)
 		fake_group_start(s->g, any(s));
-	else if (dice < 82)
+	else if (dice < 720 + s->cut_permille)
 		act_cut(s);
-	else if (dice < 87)
+	else if (dice < 770)
 		fake_group_heal(s->g);
-	else if (dice < 89)
+	else if (dice < 780)
 		act_transfer(s);
-	else if (dice < 93)
+	else if (dice < 820)
 		act_compact(s);
-	else if (dice < 94)
+	else if (dice < 824)
 		act_lose_disk(s);
-	else
+	else if (dice < 900)
 		act_replace(s);
 }
 
@@ -118,6 +138,8 @@
 	fake_group_heal(s->g);
 	s->g->drop_percent = 0;
 	for (u32 id = 1; id <= s->g->n; id++) {
+		if (s->g->r[id].is_ending)
+			fake_group_crash(s->g, id);
 		s->g->r[id].disk->fail_at = 0;
 		fake_group_start(s->g, id);
 	}
@@ -153,6 +175,15 @@
 	s.g->drop_percent = seed % 4 == 0 ? 20 : 2;
 	s.g->double_percent = 5;
 	s.g->delay_max_us = seed % 5 == 0 ? 400000 : 20000;
+	s.g->state_pad_bytes = seed % 2 ? 0 : 300;
+	s.g->chunk_bytes = 128;
+	s.g->keep_entries = seed % 7 ? 0 : 8;
+	for (u32 id = 1; id <= n; id++) {
+		fake_raft(s.g, id)->chunk_bytes = s.g->chunk_bytes;
+		fake_raft(s.g, id)->keep_entries = s.g->keep_entries;
+	}
+	s.crash_permille = seed % 2 ? 4 : 16;
+	s.cut_permille = seed % 3 ? 3 : 20;
 	while (!s.g->broken && s.g->now_us < SPAN_US) {
 		fake_group_run(s.g, 1000 + rng_below(&s.g->rng, 40000));
 		act(&s);
