Directory: beats of owners, copies passed on, tombstones that hold

Cause: an entry moved behind a cut was kept alive by its old owner's heartbeat; a process that was stopped withdrew its live entries; reports of dead control processes were counted for ever; moved nodes counted twice. Entries now carry owner, its incarnation and owner_rev; every process passes copies and beats on; only confirmed nodes count as in force. A restarted node's first configuration follows a read through the leader.

--- a/control/api.c
+++ b/control/api.c
@@ -351,11 +351,12 @@
 		const struct directory_item *item = g_ptr_array_index(items, i);
 		const struct dir_entry *e = &item->entry;
 
-		json_array_append_new(list, json_pack("{s:s, s:s, s:s, s:s, s:s, s:i, s:i}", "node",
-						      e->node, "zone", e->zone, "region", e->region,
-						      "state", dir_state_name(e->state), "service",
-						      e->service, "slots", (int)e->slots, "control",
-						      (int)item->owner));
+		json_array_append_new(list,
+				      json_pack("{s:s, s:s, s:s, s:s, s:s, s:i, s:i}", "node",
+						e->node, "zone", e->zone, "region", e->region,
+						"state", dir_state_name(directory_state(item)),
+						"service", e->service, "slots", (int)e->slots,
+						"control", (int)item->owner));
 	}
 	return list;
 }
@@ -373,13 +374,14 @@
 	for (guint i = 0; i < items->len; i++) {
 		const struct directory_item *item = g_ptr_array_index(items, i);
 		const struct dir_entry *e = &item->entry;
+		enum dir_state state = directory_state(item);
 
-		if (e->state != DIR_UP && e->state != DIR_DRAINING)
+		if (state != DIR_UP && state != DIR_DRAINING)
 			continue;
 		json_array_append_new(list,
 				      json_pack("{s:s, s:s, s:s, s:s, s:i, s:i}", "service",
 						e->service, "node", e->node, "zone", e->zone,
-						"state", dir_state_name(e->state), "slots",
+						"state", dir_state_name(state), "slots",
 						(int)e->slots, "connections", (int)e->connections));
 	}
 	return list;
--- a/control/control.c
+++ b/control/control.c
@@ -41,8 +41,7 @@
 	struct control *c = arg;
 
 	if (directory_expire(&c->directory, now_us))
-		nodes_push(c);
-	peers_spread_directory(c);
+		peers_spread_soon(c);
 	peers_second(c, now_us);
 	loop_timer_set(c->loop, &c->second_timer, now_us + CTL_RENEW_INTERVAL_US);
 }
@@ -76,6 +75,7 @@
 	c->self.region = g_strdup(s->region);
 	c->self.incarnation = wall_clock_us();
 	c->self.api_port = s->api_port;
+	c->directory.incarnation = c->self.incarnation;
 }
 
 static int listen_for_links(struct control *c)
@@ -137,6 +137,8 @@
 	loop_timer_cancel(c->loop, &c->raft_timer);
 	loop_timer_cancel(c->loop, &c->second_timer);
 	loop_timer_cancel(c->loop, &c->fresh_timer);
+	loop_timer_cancel(c->loop, &c->spread_timer);
+	loop_timer_cancel(c->loop, &c->beat_timer);
 }
 
 static void control_stop(struct krn_service *s)
@@ -166,7 +168,7 @@
 	c->nodes = g_ptr_array_new();
 	c->ops = g_hash_table_new(g_int64_hash, g_int64_equal);
 	store_init(&c->store);
-	directory_init(&c->directory);
+	directory_init(&c->directory, s->control.id, 0);
 	return c;
 }
 
--- a/control/control.h
+++ b/control/control.h
@@ -7,12 +7,14 @@
  * SOURCE control/control.c (service), control/raft_host.c (storage and
  * messages for raft), control/op.c (operations), control/members.c
  * (membership changes), control/nodes.c (links from nodes), control/peers.c
- * (links between control processes), control/api.c (HTTP)
+ * (links between control processes), control/spread.c (directory and reports
+ * on them), control/api.c (HTTP)
  */
 #ifndef CONTROL_H
 #define CONTROL_H
 
 #include "control/directory.h"
+#include "control/in_force.h"
 #include "control/raft.h"
 #include "control/store.h"
 #include "control/wal.h"
@@ -37,13 +39,18 @@
 
 	GHashTable *peers; /* "HOST:PORT" -> struct control_peer, links dialled */
 	GPtrArray *nodes; /* of struct node_link, accepted from nodes */
-	GHashTable *summaries; /* control id -> struct applied_summary of other processes */
+	GHashTable *reports; /* control id -> struct in_force_report of other processes */
+	u64 beat;
 
 	GHashTable *ops; /* op sequence -> struct op */
 	u64 op_seq;
 	struct loop_timer raft_timer;
 	struct loop_timer second_timer;
 	struct loop_timer fresh_timer;
+	struct loop_timer spread_timer; /* set while directory changes wait to be sent */
+	struct loop_timer beat_timer; /* set while changed applied revisions wait to be sent */
+	u32 confirm_round; /* reads that confirm first configurations, see nodes.c */
+	bool is_confirming;
 	struct mg_context *http;
 	bool is_stopping;
 };
@@ -63,8 +70,10 @@
 u16 peers_api_port(struct control *c, u32 id);
 void peers_send_raft(struct control *c, u32 to, const struct raft_msg *m);
 void peers_refresh(struct control *c); /* dials members that are new */
-void peers_second(struct control *c, u64 now_us); /* renewals and summaries */
+void peers_second(struct control *c, u64 now_us); /* beats and reports */
+void peers_beat_soon(struct control *c); /* an applied revision changed */
 void peers_spread_directory(struct control *c); /* sends directory changes on */
+void peers_spread_soon(struct control *c); /* also to nodes; changes go together */
 int peers_frame(struct control *c, struct link *k, u32 type, struct frame_in *in);
 
 /* nodes */
@@ -74,16 +83,8 @@
 void nodes_push(struct control *c); /* sends what each node lacks */
 void nodes_tell_fresh(struct control *c);
 
-/* Nodes and the configuration revision that they have applied. */
-struct in_force {
-	u64 revision;
-	u32 nodes;
-	u32 of;
-	GPtrArray *behind; /* of char */
-};
-
+void nodes_push_directory(struct control *c);
 void nodes_in_force(struct control *c, struct in_force *out);
-void in_force_clear(struct in_force *f);
 
 /* api */
 int api_start(struct control *c);
--- a/control/directory.c
+++ b/control/directory.c
@@ -11,15 +11,21 @@
 	g_free(item);
 }
 
-void directory_init(struct directory *d)
+void directory_init(struct directory *d, u32 self, u64 incarnation)
 {
+	d->self = self;
+	d->incarnation = incarnation;
 	d->items = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, item_free);
+	d->owners = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	g_queue_init(&d->order);
 	d->seq = 0;
+	d->checked_us = 0;
 }
 
 void directory_clear(struct directory *d)
 {
 	g_hash_table_unref(d->items);
+	g_hash_table_unref(d->owners);
 }
 
 struct directory_item *directory_find(const struct directory *d, const char *node)
@@ -27,116 +33,258 @@
 	return g_hash_table_lookup(d->items, node);
 }
 
-static int add(struct directory *d, const struct dir_entry *e, u32 owner, u64 now_us)
+const struct directory_owner *directory_owner(const struct directory *d, u32 owner)
 {
-	struct directory_item *item = g_new0(struct directory_item, 1);
+	return g_hash_table_lookup(d->owners, GUINT_TO_POINTER(owner));
+}
 
-	dir_entry_copy(&item->entry, e);
-	item->owner = owner;
-	item->renewed_us = now_us;
+enum dir_state directory_state(const struct directory_item *item)
+{
+	return item->is_withdrawn || item->is_silent ? DIR_GONE : item->entry.state;
+}
+
+bool directory_is_own(const struct directory *d, const struct directory_item *item)
+{
+	return item->owner == d->self && item->owner_incarnation == d->incarnation;
+}
+
+/* Moves ITEM to the end of the order of changes. */
+static void changed(struct directory *d, struct directory_item *item, u32 from, u64 now_us)
+{
+	item->from = from;
+	item->gone_us = directory_state(item) == DIR_GONE ? now_us : 0;
 	item->seq = ++d->seq;
+	g_queue_unlink(&d->order, &item->link);
+	g_queue_push_tail_link(&d->order, &item->link);
+}
+
+static struct directory_item *find_or_add(struct directory *d, const char *node)
+{
+	struct directory_item *item = directory_find(d, node);
+
+	if (item)
+		return item;
+	item = g_new0(struct directory_item, 1);
+	item->entry.node = g_strdup(node);
+	item->link.data = item;
+	g_queue_push_tail_link(&d->order, &item->link);
 	g_hash_table_insert(d->items, item->entry.node, item);
-	return 1;
+	return item;
+}
+
+/* The key of the table belongs to the entry, so the node's name stays. */
+static void set_entry(struct directory_item *item, const struct dir_entry *e)
+{
+	char *node = g_steal_pointer(&item->entry.node);
+
+	dir_entry_clear(&item->entry);
+	dir_entry_copy(&item->entry, e);
+	g_free(item->entry.node);
+	item->entry.node = node;
+}
+
+/* The beat that the owner of ITEM has to send, or NULL. */
+static const struct directory_owner *owner_of(const struct directory *d,
+					      const struct directory_item *item)
+{
+	const struct directory_owner *o = directory_owner(d, item->owner);
+
+	return o && o->incarnation == item->owner_incarnation ? o : NULL;
 }
 
-int directory_put(struct directory *d, const struct dir_entry *e, u32 owner, u64 now_us)
+static void take_over(struct directory *d, struct directory_item *item, u64 owner_rev, u64 now_us)
+{
+	item->owner = d->self;
+	item->owner_incarnation = d->incarnation;
+	item->owner_rev = owner_rev;
+	item->is_withdrawn = false;
+	item->is_silent = false;
+	item->renewed_us = now_us;
+	changed(d, item, 0, now_us);
+}
+
+int directory_register(struct directory *d, const struct dir_entry *e, u64 now_us)
 {
 	struct directory_item *item = directory_find(d, e->node);
 
-	if (!item)
-		return add(d, e, owner, now_us);
-	if (dir_entry_is_newer(&item->entry, e)) {
+	if (item && dir_entry_is_newer(&item->entry, e)) {
 		ctr_inc(CTR_REGISTER_STALE);
 		return ERR_CONFLICT;
 	}
-	if (!dir_entry_is_newer(e, &item->entry)) {
-		if (item->owner != owner)
-			return 0;
+	if (item && !dir_entry_is_newer(e, &item->entry)) {
 		item->renewed_us = now_us;
-		if (item->entry.state == e->state)
+		if (directory_is_own(d, item) && !item->is_withdrawn)
 			return 0;
-		/* The owner says that the node expired, or that it did not. */
-		item->entry.state = e->state;
-		item->seq = ++d->seq;
+		take_over(d, item, item->owner_rev + 1, now_us);
 		return 1;
 	}
-	g_hash_table_remove(d->items, e->node);
-	return add(d, e, owner, now_us);
+	if (item && item->entry.incarnation != e->incarnation)
+		item->applied_revision = 0;
+	item = find_or_add(d, e->node);
+	set_entry(item, e);
+	take_over(d, item, 0, now_us);
+	return 1;
+}
+
+/* Of equal versions the higher owner_rev is newer; the owner's id makes the order total. */
+static bool is_copy_newer(const struct directory_item *a, const struct directory_item *b)
+{
+	if (dir_entry_is_newer(&a->entry, &b->entry))
+		return true;
+	if (dir_entry_is_newer(&b->entry, &a->entry))
+		return false;
+	if (a->owner_rev != b->owner_rev)
+		return a->owner_rev > b->owner_rev;
+	return a->owner > b->owner;
+}
+
+int directory_merge(struct directory *d, const struct directory_item *copy, u32 from, u64 now_us)
+{
+	struct directory_item *item = directory_find(d, copy->entry.node);
+
+	if (item && !is_copy_newer(copy, item)) {
+		if (!is_copy_newer(item, copy))
+			return 0;
+		ctr_inc(CTR_REGISTER_STALE);
+		return ERR_CONFLICT;
+	}
+	item = find_or_add(d, copy->entry.node);
+	set_entry(item, &copy->entry);
+	item->owner = copy->owner;
+	item->owner_incarnation = copy->owner_incarnation;
+	item->owner_rev = copy->owner_rev;
+	item->is_withdrawn = copy->is_withdrawn;
+	item->is_silent = false;
+	item->renewed_us = now_us;
+	/* An old copy of an own entry that was forgotten: nobody renews it. */
+	if (directory_is_own(d, item) && !item->is_withdrawn) {
+		item->is_withdrawn = true;
+		item->owner_rev++;
+		from = 0;
+	}
+	changed(d, item, from, now_us);
+	return 1;
 }
 
 int directory_renew(struct directory *d, const char *node, u64 incarnation, u64 now_us)
 {
 	struct directory_item *item = directory_find(d, node);
 
-	if (!item || item->entry.incarnation != incarnation || item->entry.state == DIR_GONE)
+	if (!item || item->entry.incarnation != incarnation || !directory_is_own(d, item) ||
+	    item->is_withdrawn)
 		return ERR_NOTFOUND;
 	item->renewed_us = now_us;
 	return 0;
 }
 
-void directory_renew_owned(struct directory *d, u32 owner, u64 now_us)
+bool directory_hear(struct directory *d, u32 owner, u64 incarnation, u64 beat, u64 now_us)
+{
+	struct directory_owner *o = g_hash_table_lookup(d->owners, GUINT_TO_POINTER(owner));
+
+	if (!o) {
+		o = g_new0(struct directory_owner, 1);
+		g_hash_table_insert(d->owners, GUINT_TO_POINTER(owner), o);
+	}
+	if (incarnation < o->incarnation || (incarnation == o->incarnation && beat <= o->beat))
+		return false;
+	o->incarnation = incarnation;
+	o->beat = beat;
+	o->heard_us = now_us;
+	return true;
+}
+
+/* Moves the times on by the time that this process was stopped. */
+static void forgive(struct directory *d, u64 stopped_us)
 {
 	GHashTableIter iter;
 	gpointer value;
 
-	g_hash_table_iter_init(&iter, d->items);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct directory_item *item = value;
+	g_hash_table_iter_init(&iter, d->owners);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((struct directory_owner *)value)->heard_us += stopped_us;
+	for (GList *l = d->order.head; l; l = l->next)
+		((struct directory_item *)l->data)->renewed_us += stopped_us;
+}
 
-		if (item->owner == owner && item->entry.state != DIR_GONE)
-			item->renewed_us = now_us;
-	}
+static bool is_overdue(u64 since_us, u64 now_us)
+{
+	return since_us < now_us && now_us - since_us >= DIRECTORY_TTL_US;
 }
 
-static bool expire_one(struct directory *d, struct directory_item *item, u64 now_us)
+static bool withdraw(struct directory *d, struct directory_item *item, u64 now_us)
 {
-	if (item->entry.state == DIR_GONE || now_us - item->renewed_us < DIRECTORY_TTL_US)
+	if (item->is_withdrawn || item->entry.state == DIR_GONE ||
+	    !is_overdue(item->renewed_us, now_us))
 		return false;
 	ctr_inc(CTR_REGISTER_EXPIRED);
-	item->entry.state = DIR_GONE;
-	item->seq = ++d->seq;
+	item->is_withdrawn = true;
+	item->owner_rev++;
+	changed(d, item, 0, now_us);
 	return true;
 }
 
+static bool follow_owner(struct directory *d, struct directory_item *item, u64 now_us)
+{
+	const struct directory_owner *o = owner_of(d, item);
+	u64 since = o ? MAX(o->heard_us, item->renewed_us) : item->renewed_us;
+	bool is_silent = is_overdue(since, now_us);
+
+	if (item->is_silent == is_silent)
+		return false;
+	item->is_silent = is_silent;
+	if (item->is_withdrawn || item->entry.state == DIR_GONE)
+		return false;
+	if (is_silent)
+		ctr_inc(CTR_REGISTER_EXPIRED);
+	changed(d, item, 0, now_us);
+	return true;
+}
+
+static bool expire_one(struct directory *d, struct directory_item *item, u64 now_us)
+{
+	if (directory_is_own(d, item))
+		return withdraw(d, item, now_us);
+	return follow_owner(d, item, now_us);
+}
+
+static void forget(struct directory *d, struct directory_item *item)
+{
+	g_queue_unlink(&d->order, &item->link);
+	g_hash_table_remove(d->items, item->entry.node);
+}
+
 u32 directory_expire(struct directory *d, u64 now_us)
 {
-	GHashTableIter iter;
-	gpointer value;
+	u64 last_seq = d->seq;
+	GList *next;
 	u32 n = 0;
 
-	g_hash_table_iter_init(&iter, d->items);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct directory_item *item = value;
+	if (d->checked_us && now_us > d->checked_us + DIRECTORY_PAUSE_US)
+		forgive(d, now_us - d->checked_us);
+	d->checked_us = now_us;
+	for (GList *l = d->order.head; l; l = next) {
+		struct directory_item *item = l->data;
 
+		next = l->next;
+		/* What changed in this round stands at the end. */
+		if (item->seq > last_seq)
+			break;
 		if (expire_one(d, item, now_us))
 			n++;
-		else if (item->entry.state == DIR_GONE &&
-			 now_us - item->renewed_us > DIRECTORY_TOMBSTONE_US)
-			g_hash_table_iter_remove(&iter);
+		else if (item->gone_us && now_us - item->gone_us > DIRECTORY_TOMBSTONE_US)
+			forget(d, item);
 	}
 	return n;
 }
 
-static gint by_seq(gconstpointer a, gconstpointer b)
-{
-	const struct directory_item *x = *(const struct directory_item *const *)a;
-	const struct directory_item *y = *(const struct directory_item *const *)b;
-
-	if (x->seq == y->seq)
-		return 0;
-	return x->seq < y->seq ? -1 : 1;
-}
-
 GPtrArray *directory_since(const struct directory *d, u64 seq)
 {
 	GPtrArray *out = g_ptr_array_new();
-	GHashTableIter iter;
-	gpointer value;
+	GList *l = d->order.tail;
 
-	g_hash_table_iter_init(&iter, d->items);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		if (((struct directory_item *)value)->seq > seq)
-			g_ptr_array_add(out, value);
-	g_ptr_array_sort(out, by_seq);
+	while (l && ((struct directory_item *)l->data)->seq > seq)
+		l = l->prev;
+	for (l = l ? l->next : d->order.head; l; l = l->next)
+		g_ptr_array_add(out, l->data);
 	return out;
 }
--- a/control/nodes.c
+++ b/control/nodes.c
@@ -1,6 +1,7 @@
 /* Links from nodes: registrations, renewals, and the watch on the configuration. */
 #include "control/control.h"
 
+#include "control/op.h"
 #include "lib/ctr.h"
 #include "lib/err.h"
 #include "lib/log.h"
@@ -15,7 +16,10 @@
 	struct link *link;
 	char *node;
 	bool is_watching;
+	bool is_confirmed; /* may get the configuration, see confirm */
+	u32 confirm_round; /* the read that it waits for; 0 while none was started */
 	u64 sent_revision;
+	bool has_directory;
 	u64 dir_seq;
 };
 
@@ -76,9 +80,10 @@
 	/* Only the node itself writes its entry. */
 	if (frame_done(in) || strcmp(e.node, k->remote.name))
 		return ERR_INVAL;
-	directory_put(&c->directory, &e, c->raft.id, loop_clock_us());
-	nodes_push(c);
-	peers_spread_directory(c);
+	if (directory_register(&c->directory, &e, loop_clock_us()) == 1) {
+		peers_spread_soon(c);
+		peers_beat_soon(c);
+	}
 	return 0;
 }
 
@@ -92,19 +97,69 @@
 	/* An unknown or superseded node must register again. */
 	if (directory_renew(&c->directory, k->remote.name, k->remote.incarnation, loop_clock_us()))
 		return ERR_CLOSED;
+	if (item->applied_revision != applied)
+		peers_beat_soon(c);
 	item->applied_revision = applied;
 	return 0;
 }
 
+/*
+ * A restarted node does not know which revision it had, so its first
+ * configuration must hold every change accepted before it asked: a read
+ * through the leader confirms that. Nodes that ask at the same time share it.
+ */
+static void on_confirmed(struct control *c, struct op *o)
+{
+	bool is_ok = o->outcome == OP_DONE;
+
+	op_free(o);
+	c->is_confirming = false;
+	for (guint i = 0; i < c->nodes->len; i++) {
+		struct node_link *n = g_ptr_array_index(c->nodes, i);
+
+		if (n->confirm_round != c->confirm_round)
+			continue;
+		n->is_confirmed |= is_ok;
+		n->confirm_round = 0;
+	}
+	nodes_push(c);
+}
+
+static void confirm(struct control *c)
+{
+	bool is_wanted = false;
+	struct op *o;
+
+	if (c->is_confirming)
+		return;
+	c->confirm_round++;
+	for (guint i = 0; i < c->nodes->len; i++) {
+		struct node_link *n = g_ptr_array_index(c->nodes, i);
+
+		if (!n->is_watching || n->is_confirmed)
+			continue;
+		n->confirm_round = c->confirm_round;
+		is_wanted = true;
+	}
+	if (!is_wanted)
+		return;
+	c->is_confirming = true;
+	o = op_new(OP_READ);
+	o->done = on_confirmed;
+	op_submit(c, o);
+}
+
 static int take_watch(struct control *c, struct link *k, struct frame_in *in)
 {
 	struct node_link *n = find(c, k);
 
 	n->sent_revision = frame_get_u64(in);
 	n->is_watching = true;
+	n->is_confirmed = n->sent_revision > 0;
 	if (frame_done(in))
 		return ERR_INVAL;
 	nodes_push(c);
+	nodes_push_directory(c);
 	return 0;
 }
 
@@ -164,7 +219,9 @@
 		frame_put_u64(&f, count);
 		for (guint i = from; i < from + count; i++)
 			put_item(&f, g_ptr_array_index(items, i));
-		link_send(n->link, &f);
+		/* The revision stays as it is, so that nothing is missed. */
+		if (link_send(n->link, &f))
+			return;
 		from += count;
 	} while (from < items->len);
 	n->sent_revision = c->store.revision;
@@ -180,33 +237,52 @@
 		FRAME_AUTO(f, CTL_DIR);
 
 		frame_put_u64(&f, c->raft.id);
-		frame_put_bool(&f, n->dir_seq == 0);
+		frame_put_bool(&f, !n->has_directory);
 		frame_put_bool(&f, from + count == items->len);
 		frame_put_u64(&f, count);
 		for (guint i = from; i < from + count; i++) {
 			const struct directory_item *item = g_ptr_array_index(items, i);
+			struct dir_entry e = item->entry;
 
-			dir_entry_put(&f, &item->entry);
+			e.state = directory_state(item);
+			dir_entry_put(&f, &e);
 		}
-		link_send(n->link, &f);
+		/* A queue that is full belongs to a node that is not heard any more. */
+		if (link_send(n->link, &f))
+			return;
 		from += count;
 	} while (from < items->len);
 	n->dir_seq = c->directory.seq;
+	n->has_directory = true;
+}
+
+void nodes_push_directory(struct control *c)
+{
+	for (guint i = 0; i < c->nodes->len; i++) {
+		struct node_link *n = g_ptr_array_index(c->nodes, i);
+
+		if (n->is_watching && (!n->has_directory || n->dir_seq < c->directory.seq))
+			push_directory(c, n);
+	}
 }
 
 /* A process that is not fresh gives out no configuration, but its directory goes on. */
 void nodes_push(struct control *c)
 {
-	bool is_fresh = raft_is_fresh(&c->raft, CTL_LEASE_US, loop_clock_us());
+	bool is_waiting = false;
 
+	if (!raft_is_fresh(&c->raft, CTL_LEASE_US, loop_clock_us()))
+		return;
 	for (guint i = 0; i < c->nodes->len; i++) {
 		struct node_link *n = g_ptr_array_index(c->nodes, i);
 
 		if (!n->is_watching)
 			continue;
-		if (is_fresh && n->sent_revision < c->store.revision)
+		if (!n->is_confirmed)
+			is_waiting = true;
+		else if (n->sent_revision < c->store.revision)
 			push_config(c, n);
-		if (n->dir_seq < c->directory.seq)
-			push_directory(c, n);
 	}
+	if (is_waiting)
+		confirm(c);
 }
--- /dev/null
+++ b/control/spread.c
@@ -0,0 +1,220 @@
+/*
+ * The directory and the reports on it, from process to process. Everything is
+ * passed on, so that a process still hears of another one whose link to it is cut.
+ */
+#include "control/peer.h"
+
+#include "wire/ctl.h"
+
+#define PEERS_MAX 256
+
+static void put_copy(struct frame_out *f, const struct directory_item *item)
+{
+	dir_entry_put(f, &item->entry);
+	frame_put_u64(f, item->owner);
+	frame_put_u64(f, item->owner_incarnation);
+	frame_put_u64(f, item->owner_rev);
+	frame_put_bool(f, item->is_withdrawn);
+}
+
+static void get_copy(struct frame_in *in, struct directory_item *item)
+{
+	dir_entry_get(in, &item->entry);
+	item->owner = (u32)frame_get_u64(in);
+	item->owner_incarnation = frame_get_u64(in);
+	item->owner_rev = frame_get_u64(in);
+	item->is_withdrawn = frame_get_bool(in);
+}
+
+/* The changes that P does not have; it has those that came from it. */
+static GPtrArray *changes_for(struct control *c, const struct control_peer *p)
+{
+	g_autoptr(GPtrArray) all = directory_since(&c->directory, p->dir_seq);
+	GPtrArray *out = g_ptr_array_new();
+
+	for (guint i = 0; i < all->len; i++) {
+		struct directory_item *item = g_ptr_array_index(all, i);
+
+		if (item->from != p->id || !p->dir_seq)
+			g_ptr_array_add(out, item);
+	}
+	return out;
+}
+
+static void spread_to(struct control *c, struct control_peer *p)
+{
+	g_autoptr(GPtrArray) items = changes_for(c, p);
+
+	for (guint from = 0; from < items->len; from += CTL_ITEMS_PER_FRAME) {
+		guint n = MIN(items->len - from, (guint)CTL_ITEMS_PER_FRAME);
+		FRAME_AUTO(f, CTL_COPY);
+
+		frame_put_u64(&f, n);
+		for (guint i = from; i < from + n; i++)
+			put_copy(&f, g_ptr_array_index(items, i));
+		if (link_send(p->link, &f))
+			return;
+	}
+	p->dir_seq = c->directory.seq;
+}
+
+void peers_spread_directory(struct control *c)
+{
+	peers_each(c, spread_to);
+}
+
+static void on_spread(void *arg, u64 now_us)
+{
+	struct control *c = arg;
+
+	(void)now_us;
+	peers_spread_directory(c);
+	nodes_push_directory(c);
+}
+
+void peers_spread_soon(struct control *c)
+{
+	if (c->spread_timer.is_set)
+		return;
+	c->spread_timer = (struct loop_timer){ .fire = on_spread, .arg = c };
+	loop_timer_set(c->loop, &c->spread_timer, loop_clock_us() + CTL_SPREAD_DELAY_US);
+}
+
+int spread_take_copies(struct control *c, struct link *k, struct frame_in *in)
+{
+	u32 n = frame_get_count(in, CTL_ITEMS_PER_FRAME);
+	u64 now = loop_clock_us();
+	u32 from = peers_id(c, k);
+
+	for (u32 i = 0; i < n && !in->err; i++) {
+		struct directory_item copy = { 0 };
+
+		get_copy(in, &copy);
+		if (!in->err)
+			directory_merge(&c->directory, &copy, from, now);
+		dir_entry_clear(&copy.entry);
+	}
+	peers_spread_soon(c);
+	return frame_done(in);
+}
+
+/* Beats */
+
+/* The age keeps a process that passes a beat on from making it look new. */
+static void put_beat(struct frame_out *f, u32 id, const struct directory_owner *o, u64 now_us,
+		     const struct in_force_report *r)
+{
+	frame_put_u64(f, id);
+	frame_put_u64(f, o->incarnation);
+	frame_put_u64(f, o->beat);
+	frame_put_u64(f, now_us > o->heard_us ? now_us - o->heard_us : 0);
+	in_force_report_put(f, r);
+}
+
+/* Passes on the reports of others, except the receiver's own and old ones. */
+static u32 put_others(struct control *c, const struct control_peer *p, u64 now_us,
+		      struct frame_out *f)
+{
+	GHashTableIter iter;
+	gpointer key;
+	gpointer r;
+	u32 n = 0;
+
+	g_hash_table_iter_init(&iter, c->reports);
+	while (g_hash_table_iter_next(&iter, &key, &r)) {
+		u32 id = GPOINTER_TO_UINT(key);
+		const struct directory_owner *o = directory_owner(&c->directory, id);
+
+		if (id == p->id || now_us > o->heard_us + DIRECTORY_TTL_US)
+			continue;
+		n++;
+		if (f)
+			put_beat(f, id, o, now_us, r);
+	}
+	return n;
+}
+
+static void send_beats(struct control *c, struct control_peer *p, bool is_own_only,
+		       const struct in_force_report *own)
+{
+	u64 now = loop_clock_us();
+	struct directory_owner self = { .incarnation = c->self.incarnation,
+					.beat = c->beat,
+					.heard_us = now };
+	FRAME_AUTO(f, CTL_BEAT);
+
+	frame_put_u64(&f, is_own_only ? 1 : 1 + put_others(c, p, now, NULL));
+	put_beat(&f, c->raft.id, &self, now, own);
+	if (!is_own_only)
+		put_others(c, p, now, &f);
+	link_send(p->link, &f);
+}
+
+static void beat_all(struct control *c, bool is_own_only)
+{
+	struct in_force_report *own = in_force_report(&c->directory, c->store.revision);
+	GHashTableIter iter;
+	gpointer value;
+
+	c->beat++;
+	g_hash_table_iter_init(&iter, c->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct control_peer *p = value;
+
+		if (p->link && p->link->is_up)
+			send_beats(c, p, is_own_only, own);
+	}
+	in_force_report_free(own);
+}
+
+static void on_beat(void *arg, u64 now_us)
+{
+	(void)now_us;
+	beat_all(arg, true);
+}
+
+void peers_beat_soon(struct control *c)
+{
+	if (c->beat_timer.is_set)
+		return;
+	c->beat_timer = (struct loop_timer){ .fire = on_beat, .arg = c };
+	loop_timer_set(c->loop, &c->beat_timer, loop_clock_us() + CTL_BEAT_DELAY_US);
+}
+
+void peers_second(struct control *c, u64 now_us)
+{
+	(void)now_us;
+	beat_all(c, false);
+	peers_refresh(c);
+}
+
+static void take_beat(struct control *c, struct frame_in *in, u64 now_us)
+{
+	u32 id = (u32)frame_get_u64(in);
+	u64 incarnation = frame_get_u64(in);
+	u64 beat = frame_get_u64(in);
+	u64 age_us = MIN(frame_get_u64(in), now_us);
+	struct in_force_report *r = in_force_report_get(in);
+
+	if (in->err || id == c->raft.id ||
+	    !directory_hear(&c->directory, id, incarnation, beat, now_us - age_us)) {
+		in_force_report_free(r);
+		return;
+	}
+	g_hash_table_insert(c->reports, GUINT_TO_POINTER(id), r);
+}
+
+int spread_take_beats(struct control *c, struct frame_in *in)
+{
+	u32 n = frame_get_count(in, PEERS_MAX);
+	u64 now = loop_clock_us();
+
+	for (u32 i = 0; i < n && !in->err; i++)
+		take_beat(c, in, now);
+	return frame_done(in);
+}
+
+void nodes_in_force(struct control *c, struct in_force *out)
+{
+	in_force_count(&c->directory, c->reports, c->store.revision, loop_clock_us(), out);
+}
--- a/wire/ctl.h
+++ b/wire/ctl.h
@@ -4,7 +4,7 @@
  * node to control:    CTL_REGISTER entry; CTL_RENEW applied revision;
  *                     CTL_WATCH configuration revision
  * control to node:    CTL_CONFIG, CTL_DIR, CTL_FRESH
- * control to control: CTL_RAFT, CTL_DIR, CTL_OWNED, CTL_FORWARD, CTL_FORWARDED
+ * control to control: CTL_RAFT, CTL_COPY, CTL_BEAT, CTL_FORWARD, CTL_FORWARDED
  */
 #ifndef CTL_H
 #define CTL_H
@@ -16,6 +16,10 @@
 /* A control process is fresh while its leader was heard within this time. */
 #define CTL_LEASE_US (2 * US_PER_S)
 #define CTL_ITEMS_PER_FRAME 256
+/* Changes of the directory within this time are sent together. */
+#define CTL_SPREAD_DELAY_US (50 * US_PER_MS)
+/* Changed applied revisions are reported after this time, else once a second. */
+#define CTL_BEAT_DELAY_US (100 * US_PER_MS)
 
 enum ctl_type {
 	CTL_REGISTER = LINK_TYPE_FIRST,
@@ -26,7 +30,8 @@
 	CTL_DIR, /* is_snapshot, is_last, count, {entry} */
 	CTL_FRESH, /* is_fresh, revision */
 	CTL_RAFT, /* a raft message */
-	CTL_OWNED, /* control id; count, {revision, nodes}; count, {node, revision} */
+	CTL_BEAT, /* count, {control id, incarnation, beat, report} */
+	CTL_COPY, /* count, {entry, owner, its incarnation, owner_rev, is_withdrawn} */
 	CTL_FORWARD, /* request id, operation, argument */
 	CTL_FORWARDED, /* request id, result fields */
 };
