--- a/node/watch.c
+++ b/node/watch.c
@@ -1,4 +1,12 @@
-/* The link to one control process: registration, renewals, the watch. */
+/*
+ * The link to one control process: registration, renewals, the watch.
+ *
+ * The main link is kept to a control process that is fresh. While it is not,
+ * or while it is far away, a second link tries the others one by one: the
+ * nearest first, each node in an order of its own, so that nodes spread.
+ * When none is fresh the nearest one that answers is kept, so that joins and
+ * leaves still spread in a zone that is cut off.
+ */
 #include "node/node.h"
 
 #include "lib/err.h"
@@ -7,19 +15,48 @@
 #include "wire/ctl.h"
 
 #include <string.h>
+#include <xxhash.h>
 
-#define REDIAL_US (200 * US_PER_MS)
+#define TICK_US (100 * US_PER_MS)
 /* A control process that is not fresh for this time is left for another one. */
 #define NOT_FRESH_MAX_US (2 * US_PER_S)
+/* A trial ends without a verdict after this time. */
+#define TRIAL_MAX_US (1500 * US_PER_MS)
+#define RETRY_US (500 * US_PER_MS)
+/* How often a farther one looks for a nearer one. */
+#define NEARER_RETRY_US (15 * US_PER_S)
+/* By then a control process has heard of all that is alive. */
+#define SWEEP_US (10 * US_PER_S)
 #define CONFIG_TEXT_MAX_BYTES (512 * 1024)
 
+enum distance { SAME_ZONE, SAME_REGION, UNKNOWN_DISTANCE, OTHER_REGION };
+
+struct candidate {
+	struct endpoint at;
+	enum distance distance;
+	u64 order; /* among candidates of the same distance */
+	u64 retry_us;
+};
+
+struct side {
+	struct watch *w;
+	struct link *link;
+	struct candidate *to;
+	u64 start_us;
+	u64 fresh_us; /* when the control process was last fresh; 0 for never */
+};
+
 struct watch {
 	struct node *node;
-	struct link *link;
-	guint at; /* position in the settings' list */
+	struct side main;
+	struct side trial;
+	GArray *candidates; /* of struct candidate */
 	struct loop_timer timer;
-	u64 fresh_us; /* when the control process was last fresh, or linked */
+	u64 renew_due_us;
+	u64 sweep_due_us; /* 0 when done */
+	GHashTable *told; /* nodes in the directory of the main control process */
 	GPtrArray *changes; /* of struct config_change, until the last frame */
+	bool was_linked;
 };
 
 static void send_renew(struct watch *w)
@@ -27,7 +64,12 @@
 	FRAME_AUTO(f, CTL_RENEW);
 
 	frame_put_u64(&f, config_revision());
-	link_send(w->link, &f);
+	link_send(w->main.link, &f);
+}
+
+static bool is_up(const struct side *s)
+{
+	return s->link && s->link->is_up;
 }
 
 void watch_register(struct node *n)
@@ -35,27 +77,31 @@
 	struct watch *w = n->watch;
 	FRAME_AUTO(f, CTL_REGISTER);
 
-	if (!w || !w->link || !w->link->is_up)
+	if (!w || !is_up(&w->main))
 		return;
 	dir_entry_put(&f, &n->own);
-	link_send(w->link, &f);
+	link_send(w->main.link, &f);
 	send_renew(w);
 }
 
-static void on_up(struct link *k)
+static void drop(struct side *s)
 {
-	struct watch *w = k->arg;
-	FRAME_AUTO(f, CTL_WATCH);
+	if (s->link)
+		link_close(s->link);
+	s->link = NULL;
+	s->to = NULL;
+}
 
-	w->fresh_us = loop_clock_us();
-	/* A new version, so that this control process takes the entry over. */
-	w->node->own.version++;
-	watch_register(w->node);
-	frame_put_u64(&f, config_revision());
-	link_send(k, &f);
-	log_event(LOG_INFO, "control link up", "control", k->remote.name, NULL);
+static void drop_main(struct watch *w)
+{
+	drop(&w->main);
+	g_ptr_array_set_size(w->changes, 0);
+	g_hash_table_remove_all(w->told);
+	w->sweep_due_us = 0;
 }
 
+/* Messages on the main link */
+
 static struct config_change *get_change(struct frame_in *in)
 {
 	struct config_change *change = g_new0(struct config_change, 1);
@@ -102,20 +148,94 @@
 		__attribute__((cleanup(dir_entry_clear))) struct dir_entry e = { 0 };
 
 		dir_entry_get(in, &e);
+		if (in->err)
+			break;
+		if (w->sweep_due_us)
+			g_hash_table_add(w->told, g_strdup(e.node));
 		/* The node itself knows its own entry best. */
-		if (!in->err && strcmp(e.node, w->node->self.name))
+		if (strcmp(e.node, w->node->self.name))
 			choose_set(&w->node->choose, &e);
 	}
 	return frame_done(in);
 }
 
-static void move_on(struct watch *w)
+/* What left while no control process was there is not in the new one's directory. */
+static void sweep(struct watch *w)
 {
-	ctr_inc(CTR_CONTROL_MOVED);
-	w->at = (w->at + 1) % w->node->settings->node.control->len;
+	struct choose *c = &w->node->choose;
+	g_autoptr(GList) names = g_hash_table_get_keys(c->targets);
+
+	for (GList *l = names; l; l = l->next) {
+		__attribute__((cleanup(dir_entry_clear))) struct dir_entry e = { 0 };
+		const char *name = l->data;
+
+		if (g_hash_table_contains(w->told, name) || !strcmp(name, w->node->self.name))
+			continue;
+		dir_entry_copy(&e, &choose_find(c, name)->entry);
+		e.state = DIR_GONE;
+		choose_set(c, &e);
+	}
+	w->sweep_due_us = 0;
+	g_hash_table_remove_all(w->told);
 }
 
-static int take_fresh(struct watch *w, struct frame_in *in)
+/* Links */
+
+static enum distance distance_of(const struct watch *w, const struct link *k)
+{
+	const struct link_id *self = &w->node->self;
+
+	if (strcmp(self->region, k->remote.region))
+		return OTHER_REGION;
+	return strcmp(self->zone, k->remote.zone) ? SAME_REGION : SAME_ZONE;
+}
+
+static bool is_main_fresh(const struct watch *w, u64 now_us)
+{
+	return is_up(&w->main) && w->main.fresh_us && now_us - w->main.fresh_us <= NOT_FRESH_MAX_US;
+}
+
+/* The trial becomes the main link. */
+static void promote(struct watch *w, u64 now_us)
+{
+	struct link *k = w->trial.link;
+	FRAME_AUTO(f, CTL_WATCH);
+
+	if (w->was_linked)
+		ctr_inc(CTR_CONTROL_MOVED);
+	w->was_linked = true;
+	drop_main(w);
+	w->main = w->trial;
+	w->trial.link = NULL;
+	w->trial.to = NULL;
+	k->arg = &w->main;
+	w->sweep_due_us = now_us + SWEEP_US;
+	/* A new version, so that this control process takes the entry over. */
+	w->node->own.version++;
+	watch_register(w->node);
+	frame_put_u64(&f, config_revision());
+	link_send(k, &f);
+	log_event(LOG_INFO, "control link up", "control", k->remote.name, "fresh",
+		  w->main.fresh_us ? "yes" : "no", NULL);
+}
+
+static void judge_trial(struct watch *w, bool is_fresh, u64 now_us)
+{
+	struct candidate *to = w->trial.to;
+	bool has_fresh = is_main_fresh(w, now_us);
+	bool is_nearer = !w->main.to || to->distance < w->main.to->distance;
+
+	if (is_fresh)
+		w->trial.fresh_us = now_us;
+	if (is_fresh ? !has_fresh || is_nearer : !has_fresh && is_nearer) {
+		promote(w, now_us);
+		return;
+	}
+	to->retry_us = now_us + (has_fresh ? NEARER_RETRY_US : RETRY_US);
+	drop(&w->trial);
+}
+
+static int take_fresh(struct side *s, struct frame_in *in)
 {
 	bool is_fresh = frame_get_bool(in);
 	u64 revision = frame_get_u64(in);
@@ -123,68 +243,147 @@
 
 	if (frame_done(in))
 		return ERR_INVAL;
-	if (is_fresh && revision >= config_revision())
-		w->fresh_us = now;
+	is_fresh = is_fresh && revision >= config_revision();
+	if (s == &s->w->trial)
+		judge_trial(s->w, is_fresh, now);
+	else if (is_fresh)
+		s->fresh_us = now;
 	return 0;
 }
 
 static int on_frame(struct link *k, u32 type, struct frame_in *in)
 {
-	struct watch *w = k->arg;
+	struct side *s = k->arg;
 
 	switch (type) {
 	case CTL_CONFIG:
-		return take_config(w, in);
+		return take_config(s->w, in);
 	case CTL_DIR:
-		return take_directory(w, in);
+		return take_directory(s->w, in);
 	case CTL_FRESH:
-		return take_fresh(w, in);
+		return take_fresh(s, in);
 	default:
 		return ERR_INVAL;
 	}
 }
 
+static void on_up(struct link *k)
+{
+	struct side *s = k->arg;
+
+	s->to->distance = distance_of(s->w, k);
+}
+
 static void on_down(struct link *k, int err)
 {
-	struct watch *w = k->arg;
+	struct side *s = k->arg;
+	struct watch *w = s->w;
 
+	s->to->retry_us = loop_clock_us() + RETRY_US;
+	s->link = NULL;
+	if (s == &w->trial) {
+		drop(s);
+		return;
+	}
 	log_event(LOG_WARN, "control link down", "control", k->remote.name ? k->remote.name : "",
 		  "error", err_text(err), NULL);
-	w->link = NULL;
-	g_ptr_array_set_size(w->changes, 0);
-	move_on(w);
-	loop_timer_set(w->node->loop, &w->timer, loop_clock_us() + REDIAL_US);
+	drop_main(w);
 }
 
 static const struct link_ops ops = { .up = on_up, .frame = on_frame, .down = on_down };
 
-static void dial(struct watch *w)
+static bool is_before(const struct candidate *a, const struct candidate *b)
 {
-	const GArray *list = w->node->settings->node.control;
-	const struct endpoint *at = &g_array_index(list, struct endpoint, w->at);
+	if (a->distance != b->distance)
+		return a->distance < b->distance;
+	return a->order < b->order;
+}
 
-	w->link = link_dial(w->node->loop, &w->node->self, at->host, at->port, &ops, w);
-	w->fresh_us = loop_clock_us();
-	if (!w->link)
-		move_on(w);
+/* The best candidate that is due; with a fresh main link only a nearer one. */
+static struct candidate *pick(struct watch *w, bool has_fresh, u64 now_us)
+{
+	struct candidate *best = NULL;
+
+	for (guint i = 0; i < w->candidates->len; i++) {
+		struct candidate *c = &g_array_index(w->candidates, struct candidate, i);
+
+		if (c == w->main.to || c->retry_us > now_us)
+			continue;
+		if (has_fresh && c->distance != UNKNOWN_DISTANCE &&
+		    c->distance >= w->main.to->distance)
+			continue;
+		if (!best || is_before(c, best))
+			best = c;
+	}
+	return best;
+}
+
+static void try_another(struct watch *w, u64 now_us)
+{
+	bool has_fresh = is_main_fresh(w, now_us);
+	struct candidate *to;
+
+	if (has_fresh && w->main.to->distance == SAME_ZONE)
+		return;
+	to = pick(w, has_fresh, now_us);
+	if (!to)
+		return;
+	to->retry_us = now_us + (has_fresh ? NEARER_RETRY_US : RETRY_US);
+	w->trial.to = to;
+	w->trial.start_us = now_us;
+	w->trial.fresh_us = 0;
+	w->trial.link =
+		link_dial(w->node->loop, &w->node->self, to->at.host, to->at.port, &ops, &w->trial);
+	if (!w->trial.link)
+		w->trial.to = NULL;
+}
+
+static void check_trial(struct watch *w, u64 now_us)
+{
+	if (w->trial.link && now_us - w->trial.start_us > TRIAL_MAX_US) {
+		w->trial.to->retry_us = now_us + TRIAL_MAX_US;
+		drop(&w->trial);
+	}
+	if (!w->trial.link)
+		try_another(w, now_us);
+}
+
+/* Counts a main link that stopped being fresh, once. */
+static void check_main(struct watch *w, u64 now_us)
+{
+	if (!is_up(&w->main) || !w->main.fresh_us || is_main_fresh(w, now_us))
+		return;
+	ctr_inc(CTR_CONTROL_NOT_FRESH);
+	w->main.fresh_us = 0;
 }
 
 static void on_timer(void *arg, u64 now_us)
 {
 	struct watch *w = arg;
 
-	if (w->link && now_us - w->fresh_us > NOT_FRESH_MAX_US) {
-		ctr_inc(CTR_CONTROL_NOT_FRESH);
-		link_close(w->link);
-		w->link = NULL;
-		g_ptr_array_set_size(w->changes, 0);
-		move_on(w);
-	}
-	if (!w->link)
-		dial(w);
-	else if (w->link->is_up)
+	check_main(w, now_us);
+	check_trial(w, now_us);
+	if (is_up(&w->main) && now_us >= w->renew_due_us) {
 		send_renew(w);
-	loop_timer_set(w->node->loop, &w->timer, now_us + CTL_RENEW_INTERVAL_US);
+		w->renew_due_us = now_us + CTL_RENEW_INTERVAL_US;
+	}
+	if (w->sweep_due_us && now_us >= w->sweep_due_us && is_main_fresh(w, now_us))
+		sweep(w);
+	loop_timer_set(w->node->loop, &w->timer, now_us + TICK_US);
+}
+
+static void add_candidates(struct watch *w)
+{
+	const GArray *list = w->node->settings->node.control;
+	u64 self = XXH64(w->node->self.name, strlen(w->node->self.name), 0);
+
+	for (guint i = 0; i < list->len; i++) {
+		struct candidate c = { .at = g_array_index(list, struct endpoint, i),
+				       .distance = UNKNOWN_DISTANCE };
+
+		c.order = XXH64(c.at.host, strlen(c.at.host), self + c.at.port);
+		g_array_append_val(w->candidates, c);
+	}
 }
 
 int watch_start(struct node *n)
@@ -193,9 +392,12 @@
 
 	n->watch = w;
 	w->node = n;
+	w->main.w = w;
+	w->trial.w = w;
 	w->changes = g_ptr_array_new_with_free_func(config_change_free);
-	/* Nodes spread over the control processes. */
-	w->at = g_str_hash(n->self.name) % n->settings->node.control->len;
+	w->told = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	w->candidates = g_array_new(FALSE, TRUE, sizeof(struct candidate));
+	add_candidates(w);
 	w->timer = (struct loop_timer){ .fire = on_timer, .arg = w };
 	loop_timer_set(n->loop, &w->timer, loop_clock_us());
 	return 0;
@@ -206,8 +408,10 @@
 	struct watch *w = n->watch;
 
 	loop_timer_cancel(n->loop, &w->timer);
-	if (w->link)
-		link_close(w->link);
+	drop(&w->main);
+	drop(&w->trial);
+	g_array_unref(w->candidates);
+	g_hash_table_unref(w->told);
 	g_ptr_array_unref(w->changes);
 	g_clear_pointer(&n->watch, g_free);
 }
