--- a/control/api.c
+++ b/control/api.c
@@ -1,5 +1,5 @@
 /* The resource interface over HTTP. */
-#include "control/control.h"
+#include "control/api.h"
 
 #include "control/op.h"
 #include "lib/ctr.h"
@@ -15,9 +15,7 @@
 #include <string.h>
 #include <sys/random.h>
 
-#define API_THREADS 32
-#define WATCH_POLL_MS 100
-#define WATCH_KEEPALIVE_MS 5000
+#define API_THREADS 64
 
 /* A request that waits on a server thread for the loop's thread. */
 struct waiter {
@@ -33,7 +31,7 @@
 	const char *own_json; /* the service that a PUT brought */
 };
 
-static void add_in_force(struct control *c, json_t *obj)
+void api_add_in_force(struct control *c, json_t *obj)
 {
 	struct in_force f;
 	json_t *behind = json_array();
@@ -57,7 +55,7 @@
 	return obj;
 }
 
-static char *dump(json_t *obj)
+char *api_dump(json_t *obj)
 {
 	char *text = json_dumps(obj, JSON_COMPACT);
 	char *copy = g_strconcat(text, "\n", NULL);
@@ -124,7 +122,8 @@
 		json_array_append_new(
 			list, json_pack("{s:s, s:s}", "path", one->place, "text", one->text));
 	}
-	body = dump(json_pack("{s:s, s:o}", "error", "the service is not valid", "findings", list));
+	body = api_dump(
+		json_pack("{s:s, s:o}", "error", "the service is not valid", "findings", list));
 	return http_send(conn, 400, "application/json", "not-run", ctr_name(CTR_CHANGE_INVALID),
 			 body);
 }
@@ -146,8 +145,8 @@
 				    json_string("this Change-Id was used for another change"));
 	if (r->status == 404)
 		json_object_set_new(obj, "error", json_string("no such service"));
-	add_in_force(c, obj);
-	return dump(obj);
+	api_add_in_force(c, obj);
+	return api_dump(obj);
 }
 
 static char *random_change_id(void)
@@ -160,6 +159,16 @@
 			       (unsigned long long)id[1]);
 }
 
+/* Digits, bare or in quotes as an entity tag. */
+static bool parse_version(const char *text, u64 *out)
+{
+	size_t len = strlen(text);
+	bool is_quoted = len > 1 && text[0] == '"' && text[len - 1] == '"';
+	g_autofree char *digits = g_strndup(text + is_quoted, len - 2 * is_quoted);
+
+	return g_ascii_string_to_unsigned(digits, 10, 0, G_MAXINT64, out, NULL);
+}
+
 /* Reads If-Match and Change-Id into CHANGE. */
 static void read_change_headers(struct mg_connection *conn, struct store_change *change,
 				struct findings *found)
@@ -167,15 +176,9 @@
 	const char *match = mg_get_header(conn, "If-Match");
 	const char *id = mg_get_header(conn, "Change-Id");
 
-	if (match) {
-		char *end;
-
-		change->has_if_match = true;
-		match += *match == '"';
-		change->if_match = strtoull(match, &end, 10);
-		if (end == match || (*end && strcmp(end, "\"")))
-			find_add(found, "If-Match", "not a version number");
-	}
+	change->has_if_match = match != NULL;
+	if (match && !parse_version(match, &change->if_match))
+		find_add(found, "If-Match", "not a version number");
 	if (id && (!*id || strlen(id) > STORE_CHANGE_ID_MAX_BYTES))
 		find_add(found, "Change-Id", "empty, or longer than %d bytes",
 			 STORE_CHANGE_ID_MAX_BYTES);
@@ -250,8 +253,8 @@
 	if (!item)
 		return NULL;
 	obj = item_json(item->json, item->version, item->revision);
-	add_in_force(c, obj);
-	return dump(obj);
+	api_add_in_force(c, obj);
+	return api_dump(obj);
 }
 
 static char *render_services(struct control *c, struct waiter *w)
@@ -268,8 +271,8 @@
 		json_array_append_new(list, item_json(item->json, item->version, item->revision));
 	}
 	obj = json_pack("{s:o, s:I}", "services", list, "revision", (json_int_t)c->store.revision);
-	add_in_force(c, obj);
-	return dump(obj);
+	api_add_in_force(c, obj);
+	return api_dump(obj);
 }
 
 static int run_read(struct control *c, struct mg_connection *conn, const char *name,
@@ -413,8 +416,13 @@
 	json_object_set_new(obj, "members", members_json(c));
 	json_object_set_new(obj, "nodes", nodes_json(c));
 	json_object_set_new(obj, "upstreams", upstreams_json(c));
-	add_in_force(c, obj);
-	req->body = dump(obj);
+	api_add_in_force(c, obj);
+	req->body = api_dump(obj);
+}
+
+bool api_is_get(struct mg_connection *conn)
+{
+	return !strcmp(mg_get_request_info(conn)->request_method, "GET");
 }
 
 static int on_status(struct mg_connection *conn, void *arg)
@@ -422,6 +430,9 @@
 	struct status_request req = { .control = arg };
 	int ret;
 
+	if (!api_is_get(conn))
+		return http_send_error(conn, 405, NULL, NULL, "use GET here");
+
 	loop_call(req.control->loop, make_status, &req);
 	ret = http_send(conn, 200, "application/json", NULL, NULL, req.body);
 	g_free(req.body);
@@ -455,73 +466,10 @@
 	return ret;
 }
 
-/* Watch: one JSON object a line, held open. */
-
-struct watch_step {
-	struct control *control;
-	u64 from;
-	GString *lines;
-};
-
-static void collect_changes(void *arg)
-{
-	struct watch_step *step = arg;
-	struct control *c = step->control;
-	bool is_snapshot;
-	g_autoptr(GPtrArray) items = store_since(&c->store, step->from, &is_snapshot);
-
-	if (c->store.revision <= step->from)
-		return;
-	for (guint i = 0; i < items->len; i++) {
-		const struct store_item *item = g_ptr_array_index(items, i);
-		json_t *obj = json_pack("{s:s, s:I, s:I}", "name", item->name, "version",
-					(json_int_t)item->version, "revision",
-					(json_int_t)item->revision);
-		g_autofree char *line = NULL;
-
-		if (item->json)
-			json_object_set_new(obj, "service", json_loads(item->json, 0, NULL));
-		else
-			json_object_set_new(obj, "deleted", json_true());
-		line = dump(obj);
-		g_string_append(step->lines, line);
-	}
-	step->from = c->store.revision;
-}
-
-static int on_watch(struct mg_connection *conn, void *arg)
+static int on_unknown(struct mg_connection *conn, void *unused)
 {
-	const struct mg_request_info *ri = mg_get_request_info(conn);
-	struct watch_step step = { .control = arg };
-	char from[32] = "0";
-	u32 quiet_ms = 0;
-
-	if (ri->query_string)
-		mg_get_var(ri->query_string, strlen(ri->query_string), "from", from, sizeof(from));
-	step.from = strtoull(from, NULL, 10);
-	mg_printf(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/x-ndjson\r\n"
-			"Transfer-Encoding: chunked\r\n\r\n");
-	while (!__atomic_load_n(&step.control->is_stopping, __ATOMIC_ACQUIRE)) {
-		step.lines = g_string_new(NULL);
-		loop_call(step.control->loop, collect_changes, &step);
-		quiet_ms += WATCH_POLL_MS;
-		/* An empty line shows a closed connection. */
-		if (!step.lines->len && quiet_ms >= WATCH_KEEPALIVE_MS)
-			g_string_append_c(step.lines, '\n');
-		if (step.lines->len) {
-			int n = mg_send_chunk(conn, step.lines->str, (unsigned int)step.lines->len);
-
-			quiet_ms = 0;
-			if (n <= 0) {
-				g_string_free(step.lines, TRUE);
-				return 200;
-			}
-		}
-		g_string_free(step.lines, TRUE);
-		g_usleep(WATCH_POLL_MS * 1000);
-	}
-	mg_send_chunk(conn, "", 0);
-	return 200;
+	(void)unused;
+	return http_send_error(conn, 404, NULL, NULL, "no such resource");
 }
 
 int api_start(struct control *c)
@@ -535,10 +483,11 @@
 		return ERR_IO;
 	}
 	mg_set_request_handler(c->http, "/v1/services", on_services, c);
-	mg_set_request_handler(c->http, "/v1/watch", on_watch, c);
+	mg_set_request_handler(c->http, "/v1/watch", api_on_watch, c);
 	mg_set_request_handler(c->http, "/v1/status", on_status, c);
 	mg_set_request_handler(c->http, "/v1/members/", on_members, c);
 	mg_set_request_handler(c->http, "/v1/metrics", http_metrics, NULL);
+	mg_set_request_handler(c->http, "/", on_unknown, NULL);
 	return 0;
 }
 
--- a/control/members.c
+++ b/control/members.c
@@ -75,8 +75,13 @@
 	struct raft_member *m = raft_member_find(&next, id);
 	u16 status;
 
+	if (c->raft.members_index > c->raft.commit)
+		return refuse(202, text, "waiting for the membership change to commit");
 	if (!m)
 		return refuse(200, text, "no member with this id");
+	if (id == c->raft.id)
+		return refuse(409, text,
+			      "this member is the leader; end its process, then remove it");
 	if (next.n == 1)
 		return refuse(409, text, "this is the last member");
 	*m = next.m[next.n - 1];
--- a/control/op.c
+++ b/control/op.c
@@ -125,7 +125,8 @@
 		finish(c, o, OP_DONE);
 		return;
 	}
-	if (age > OP_TIMEOUT_US || (!o->is_started && age > OP_NO_LEADER_US)) {
+	/* What may have run is worth the wait for the next leader, which knows. */
+	if (age > OP_TIMEOUT_US || (!o->is_started && !o->may_have_run && age > OP_NO_LEADER_US)) {
 		finish(c, o, o->may_have_run ? OP_UNKNOWN : OP_NOT_RUN);
 		return;
 	}
--- a/lib/ctr_list.h
+++ b/lib/ctr_list.h
@@ -65,6 +65,7 @@
 CTR(CHANGE_INVALID, "change-invalid", "changes refused because they are not valid")
 CTR(CHANGE_UNKNOWN, "change-unknown", "changes whose outcome is not known")
 CTR(NO_QUORUM, "no-quorum", "requests refused because there is no quorum")
+CTR(WATCHES_FULL, "watches-full", "watches refused because too many are open")
 CTR(ELECTION, "election", "elections started")
 CTR(BECAME_LEADER, "became-leader", "times this replica became leader")
 CTR(STEPPED_DOWN, "stepped-down", "times this leader stepped down")
