settings: every finding in one run, read through conf

Cause: inih tells the first bad line only, calls nobody for a section without keys and cuts a line at a NUL byte; an empty control= passed the check and made a node divide by zero at its start; member lists without the own id, with another address than the own one or with repeats passed too; names longer than the link's greeting allows would have kept every link down. Tried: the line length is not cut at 200 bytes (the library takes ini_max_line), so 19 addresses in a line worked before; a test holds it.

--- /dev/null
+++ b/lib/conf.c
@@ -0,0 +1,164 @@
+#include "lib/conf.h"
+
+#include "lib/err.h"
+
+#include <ini.h>
+#include <string.h>
+
+/* After so many lines that are not INI the file is surely something else. */
+#define BAD_LINES_MAX 100
+
+struct reader {
+	const char *path;
+	GStrv lines;
+	int line; /* the line that inih works on, counted from 1 */
+	const struct conf_ops *ops;
+	void *arg;
+	struct findings *found;
+};
+
+static void complain(struct reader *r, int line, const char *text)
+{
+	g_autofree char *at = g_strdup_printf("%s:%d", r->path, line);
+
+	find_add(r->found, at, "%s", text);
+}
+
+/* The next line for inih; fgets does the same with a file. */
+static char *next_line(char *out, int size, void *arg)
+{
+	struct reader *r = arg;
+	const char *text = r->lines[r->line];
+
+	if (!text)
+		return NULL;
+	r->line++;
+	g_snprintf(out, (gulong)size, "%s\n", text);
+	return out;
+}
+
+static int ignore_value(void *arg, const char *section, const char *name, const char *value)
+{
+	(void)arg;
+	(void)section;
+	(void)name;
+	(void)value;
+	return 1;
+}
+
+/* inih passes on no line number, so the reader keeps it. */
+static int on_value(void *arg, const char *section, const char *name, const char *value)
+{
+	struct reader *r = arg;
+
+	r->ops->value(r->arg, section, name, value, r->line);
+	return 1;
+}
+
+/* inih calls nobody for a section header, and a section may have no keys. */
+static char *next_line_with_sections(char *out, int size, void *arg)
+{
+	struct reader *r = arg;
+	char *line = next_line(out, size, arg);
+	const char *end = line && *line == '[' ? strchr(line, ']') : NULL;
+
+	if (end) {
+		g_autofree char *name = g_strndup(line + 1, (gsize)(end - line - 1));
+
+		r->ops->section(r->arg, name, r->line);
+	}
+	return line;
+}
+
+static void blank(struct reader *r, int line)
+{
+	r->lines[line - 1][0] = 0;
+}
+
+static void check_line(struct reader *r, int line)
+{
+	const char *text = r->lines[line - 1];
+
+	if (strlen(text) > CONF_LINE_MAX_BYTES)
+		complain(r, line,
+			 "the line is longer than " G_STRINGIFY(CONF_LINE_MAX_BYTES) " bytes");
+	else if (text[0] != '[' && text[strspn(text, " \t")] == '[')
+		complain(r, line, "a section header must not be indented");
+	else
+		return;
+	blank(r, line);
+}
+
+/* inih tells the first bad line only: it is reported, blanked, and the rest read again. */
+static void check_syntax(struct reader *r)
+{
+	for (int i = 0; i < BAD_LINES_MAX; i++) {
+		int line;
+
+		r->line = 0;
+		line = ini_parse_stream(next_line, r, ignore_value, NULL);
+		if (line <= 0)
+			return;
+		complain(r, line, "neither a section, a key with a value nor a comment");
+		blank(r, line);
+	}
+}
+
+static void set_up_inih(void)
+{
+	ini_use_stack = false;
+	ini_allow_realloc = false;
+	ini_max_line = CONF_LINE_MAX_BYTES + 3;
+	ini_initial_alloc = CONF_LINE_MAX_BYTES + 3;
+}
+
+static int line_at(const char *text, const char *at)
+{
+	int line = 1;
+
+	for (const char *p = text; p < at; p++)
+		line += *p == '\n';
+	return line;
+}
+
+/* Returns the whole file, or NULL with a finding. */
+static char *load(struct reader *r)
+{
+	g_autoptr(GError) error = NULL;
+	g_autofree char *text = NULL;
+	const char *bad;
+	gsize len;
+
+	if (!g_file_get_contents(r->path, &text, &len, &error)) {
+		find_add(r->found, r->path, "cannot read: %s", error->message);
+		return NULL;
+	}
+	if (len > CONF_FILE_MAX_BYTES) {
+		find_add(r->found, r->path, "longer than %d bytes", CONF_FILE_MAX_BYTES);
+		return NULL;
+	}
+	if (!g_utf8_validate(text, (gssize)len, &bad)) {
+		complain(r, line_at(text, bad), "not a text file: neither ASCII nor UTF-8");
+		return NULL;
+	}
+	return g_steal_pointer(&text);
+}
+
+int conf_read(const char *path, const struct conf_ops *ops, void *arg, struct findings *found)
+{
+	struct reader r = { .path = path, .ops = ops, .arg = arg, .found = found };
+	g_autofree char *text = load(&r);
+	g_auto(GStrv) lines = NULL;
+
+	if (!text)
+		return ERR_INVAL;
+	lines = g_strsplit(text, "\n", -1);
+	r.lines = lines;
+	for (int i = 0; lines[i]; i++)
+		check_line(&r, i + 1);
+	set_up_inih();
+	check_syntax(&r);
+	r.line = 0;
+	ini_parse_stream(next_line_with_sections, &r, on_value, &r);
+	return 0;
+}
--- a/lib/settings.c
+++ b/lib/settings.c
@@ -1,30 +1,32 @@
 #include "lib/settings.h"
 
+#include "lib/conf.h"
 #include "lib/err.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
-#include <ini.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#define SETTINGS_LINE_MAX 4096
 #define DEFAULT_PROBES_PER_S 20
 #define DEFAULT_PROBE_BYTES_PER_S 4096
 #define DEFAULT_MAX_BODY_BYTES (8 * 1024 * 1024)
 #define DEFAULT_SHUTDOWN_GRACE_S 30
 #define MAX_BODY_LIMIT_BYTES (1024 * 1024 * 1024ULL)
+#define PROBES_LIMIT_PER_S 1000000
+#define GRACE_LIMIT_S (24 * 3600)
+/* Names travel in every greeting between processes, which bounds its texts. */
+#define NAME_LIMIT_BYTES 63
+#define CONTROL_LIST_MAX 64
+#define MEMBERS_MAX 32
 
 /* State of one load. */
 struct loader {
 	struct settings *s;
 	struct findings *found;
 	const char *path;
-	FILE *file;
 	int line;
-	bool has_cluster;
-	GHashTable *seen; /* "section.key" -> line */
+	GHashTable *seen; /* "section" and "section.key" -> line */
 };
 
 struct key {
@@ -51,7 +53,7 @@
 
 	errno = 0;
 	*out = strtoull(text, &end, 10);
-	if (errno || end == text || *end || text[0] == '-')
+	if (errno || *end || !g_ascii_isdigit(text[0]))
 		return false;
 	return *out >= min && *out <= max;
 }
@@ -72,6 +74,7 @@
 	return (u16)number(l, value, 1, UINT16_MAX);
 }
 
+/* Every setter is called once, as is_repeat sees to it. */
 static char *text(struct loader *l, const char *value)
 {
 	if (!*value)
@@ -79,12 +82,29 @@
 	return g_strdup(value);
 }
 
+/* A name that travels: of a cluster, zone or region. */
+static char *name(struct loader *l, const char *value)
+{
+	bool is_ok = strlen(value) <= NAME_LIMIT_BYTES;
+
+	for (const char *p = value; *p; p++)
+		is_ok &= g_ascii_isalnum(*p) || strchr("-_.", *p);
+	if (!is_ok)
+		complain(l,
+			 "use letters, digits, '-', '_' and '.', at most " G_STRINGIFY(
+				 NAME_LIMIT_BYTES),
+			 value);
+	return text(l, value);
+}
+
 static char *address(struct loader *l, const char *value)
 {
 	struct in_addr in;
 
 	if (inet_pton(AF_INET, value, &in) != 1)
 		complain(l, "not an IPv4 address", value);
+	else if (in.s_addr == INADDR_ANY || in.s_addr == INADDR_BROADCAST)
+		complain(l, "other processes reach this one here, give its own address", value);
 	return g_strdup(value);
 }
 
@@ -106,7 +126,7 @@
 
 static void set_cluster(struct loader *l, const char *v)
 {
-	l->s->cluster = text(l, v);
+	l->s->cluster = name(l, v);
 }
 
 static void set_node_address(struct loader *l, const char *v)
@@ -116,12 +136,12 @@
 
 static void set_node_zone(struct loader *l, const char *v)
 {
-	l->s->node.zone = text(l, v);
+	l->s->node.zone = name(l, v);
 }
 
 static void set_node_region(struct loader *l, const char *v)
 {
-	l->s->node.region = text(l, v);
+	l->s->node.region = name(l, v);
 }
 
 static void set_caller_port(struct loader *l, const char *v)
@@ -139,25 +159,44 @@
 	l->s->node.local_port = port(l, v);
 }
 
+static bool has_endpoint(const GArray *list, const struct endpoint *e)
+{
+	for (guint i = 0; i < list->len; i++) {
+		const struct endpoint *one = &g_array_index(list, struct endpoint, i);
+
+		if (one->port == e->port && !strcmp(one->host, e->host))
+			return true;
+	}
+	return false;
+}
+
+static void add_endpoint(struct loader *l, const char *value)
+{
+	GArray *list = l->s->node.control;
+	struct endpoint e = { 0 };
+
+	if (endpoint_parse(&e, value))
+		complain(l, "not an ADDRESS:PORT", value);
+	else if (has_endpoint(list, &e))
+		complain(l, "given twice", value);
+	else if (list->len == CONTROL_LIST_MAX)
+		complain(l, "more than " G_STRINGIFY(CONTROL_LIST_MAX) " control processes", value);
+	else
+		g_array_append_val(list, e);
+}
+
 static void set_node_control(struct loader *l, const char *v)
 {
 	g_auto(GStrv) parts = g_strsplit(v, ",", -1);
 
-	for (char **p = parts; *p; p++) {
-		struct endpoint e = { 0 };
-
-		if (!*g_strstrip(*p))
-			continue;
-		if (endpoint_parse(&e, *p))
-			complain(l, "not an ADDRESS:PORT", *p);
-		else
-			g_array_append_val(l->s->node.control, e);
-	}
+	for (char **p = parts; *p; p++)
+		if (*g_strstrip(*p))
+			add_endpoint(l, *p);
 }
 
 static void set_probes(struct loader *l, const char *v)
 {
-	l->s->node.probe_budget_per_s = number(l, v, 0, 1000000);
+	l->s->node.probe_budget_per_s = number(l, v, 0, PROBES_LIMIT_PER_S);
 }
 
 static void set_probe_bytes(struct loader *l, const char *v)
@@ -172,7 +211,7 @@
 
 static void set_grace(struct loader *l, const char *v)
 {
-	l->s->node.shutdown_grace_s = number(l, v, 0, 24 * 3600);
+	l->s->node.shutdown_grace_s = number(l, v, 0, GRACE_LIMIT_S);
 }
 
 static void set_id(struct loader *l, const char *v)
@@ -187,12 +226,12 @@
 
 static void set_control_zone(struct loader *l, const char *v)
 {
-	l->s->control.zone = text(l, v);
+	l->s->control.zone = name(l, v);
 }
 
 static void set_control_region(struct loader *l, const char *v)
 {
-	l->s->control.region = text(l, v);
+	l->s->control.region = name(l, v);
 }
 
 static void set_data(struct loader *l, const char *v)
@@ -225,20 +264,45 @@
 	return endpoint_parse(&m->at, at + 1);
 }
 
-static void set_members(struct loader *l, const char *v)
+static const char *member_clash(const GArray *list, const struct member_setting *m)
 {
-	g_auto(GStrv) parts = g_strsplit(v, ",", -1);
+	for (guint i = 0; i < list->len; i++) {
+		const struct member_setting *one = &g_array_index(list, struct member_setting, i);
+
+		if (one->id == m->id)
+			return "a member with this id came before";
+		if (one->at.port == m->at.port && !strcmp(one->at.host, m->at.host))
+			return "a member with this address came before";
+	}
+	return NULL;
+}
 
-	for (char **p = parts; *p; p++) {
-		struct member_setting m = { 0 };
+static void add_member(struct loader *l, const char *value)
+{
+	GArray *list = l->s->control.members;
+	struct member_setting m = { 0 };
+	const char *clash;
 
-		if (!*g_strstrip(*p))
-			continue;
-		if (parse_member(&m, *p))
-			complain(l, "not an ID@ADDRESS:PORT", *p);
-		else
-			g_array_append_val(l->s->control.members, m);
+	if (parse_member(&m, value)) {
+		complain(l, "not an ID@ADDRESS:PORT", value);
+		return;
 	}
+	clash = member_clash(list, &m);
+	if (clash)
+		complain(l, clash, value);
+	else if (list->len == MEMBERS_MAX)
+		complain(l, "more than " G_STRINGIFY(MEMBERS_MAX) " members", value);
+	else
+		g_array_append_val(list, m);
+}
+
+static void set_members(struct loader *l, const char *v)
+{
+	g_auto(GStrv) parts = g_strsplit(v, ",", -1);
+
+	for (char **p = parts; *p; p++)
+		if (*g_strstrip(*p))
+			add_member(l, *p);
 }
 
 static int pick(struct loader *l, const char *v, const char *const *names, int n)
@@ -318,7 +382,7 @@
 	bool is_list = !strcmp(full, "node.control") || !strcmp(full, "control.members");
 
 	if (g_hash_table_contains(l->seen, full) && !is_list) {
-		complain(l, "key given twice", name);
+		complain(l, "key given twice, or an indented line after it", name);
 		g_free(full);
 		return true;
 	}
@@ -326,37 +390,39 @@
 	return false;
 }
 
-static int on_value(void *arg, const char *section, const char *name, const char *value)
+static void on_section(void *arg, const char *section, int line)
 {
 	struct loader *l = arg;
-	const struct key *k = find_key(section, name);
 
-	if (!strcmp(section, "node"))
-		l->s->node.is_on = true;
-	if (!strcmp(section, "control"))
-		l->s->control.is_on = true;
+	l->line = line;
 	if (!is_known_section(section))
 		complain(l, "unknown section", section);
-	else if (!k)
-		complain(l, "unknown key", name);
-	else if (!is_repeat(l, section, name))
-		k->set(l, value);
-	return 1;
+	else if (g_hash_table_contains(l->seen, section))
+		complain(l, "section given twice", section);
+	else
+		g_hash_table_insert(l->seen, g_strdup(section), GINT_TO_POINTER(line));
+	l->s->node.is_on |= !strcmp(section, "node");
+	l->s->control.is_on |= !strcmp(section, "control");
 }
 
-/* A reader for inih that counts lines. */
-static char *read_line(char *out, int size, void *arg)
+static void on_value(void *arg, const char *section, const char *name, const char *value, int line)
 {
 	struct loader *l = arg;
-	char *line = fgets(out, size, l->file);
+	const struct key *k = find_key(section, name);
 
-	if (line)
-		l->line++;
-	if (line && !strchr(line, '\n') && !feof(l->file))
-		complain(l, "the line is too long, over bytes", "4000");
-	return line;
+	l->line = line;
+	if (!*section)
+		complain(l, "a key before the first section", name);
+	else if (!is_known_section(section))
+		return; /* reported at its header */
+	else if (!k)
+		complain(l, "unknown key", name);
+	else if (!is_repeat(l, section, name))
+		k->set(l, value);
 }
 
+static const struct conf_ops conf_ops = { .section = on_section, .value = on_value };
+
 static int line_of(const struct loader *l, const char *key)
 {
 	return GPOINTER_TO_INT(g_hash_table_lookup(l->seen, key));
@@ -365,7 +431,7 @@
 static void need(struct loader *l, const char *section, const char *name)
 {
 	g_autofree char *full = g_strdup_printf("%s.%s", section, name);
-	g_autofree char *at = place(l, l->line);
+	g_autofree char *at = place(l, MAX(line_of(l, section), 1));
 
 	if (!g_hash_table_contains(l->seen, full))
 		find_add(l->found, at, "section [%s] needs the key %s", section, name);
@@ -375,7 +441,8 @@
 {
 	static const char *const node[] = { "address",	 "zone",       "caller_port",
 					    "peer_port", "local_port", "control" };
-	static const char *const control[] = { "id", "address", "data", "api_port", "peer_port" };
+	static const char *const control[] = { "id",   "address",  "zone",
+					       "data", "api_port", "peer_port" };
 
 	need(l, "cluster", "name");
 	for (size_t i = 0; l->s->node.is_on && i < G_N_ELEMENTS(node); i++)
@@ -383,12 +450,45 @@
 	for (size_t i = 0; l->s->control.is_on && i < G_N_ELEMENTS(control); i++)
 		need(l, "control", control[i]);
 	if (!l->s->node.is_on && !l->s->control.is_on) {
-		g_autofree char *at = place(l, l->line);
+		g_autofree char *at = place(l, 1);
 
 		find_add(l->found, at, "neither [node] nor [control] is present: no role is on");
 	}
 }
 
+/* An empty list would leave a node without configuration for ever. */
+static void check_control_list(struct loader *l)
+{
+	int line = line_of(l, "node.control");
+	g_autofree char *at = place(l, line);
+
+	if (line && !l->s->node.control->len)
+		find_add(l->found, at, "control names no control process");
+}
+
+/* Founding members must agree on the list, and each must be in it as the others reach it. */
+static void check_members(struct loader *l)
+{
+	const struct control_settings *c = &l->s->control;
+	g_autofree char *at = place(l, line_of(l, "control.members"));
+
+	if (!c->members->len || !c->id || !c->address || !c->peer_port)
+		return;
+	for (guint i = 0; i < c->members->len; i++) {
+		const struct member_setting *m =
+			&g_array_index(c->members, struct member_setting, i);
+
+		if (m->id != c->id)
+			continue;
+		if (m->at.port != c->peer_port || strcmp(m->at.host, c->address))
+			find_add(l->found, at,
+				 "members has %u@%s:%u, but address and peer_port are %s:%u", m->id,
+				 m->at.host, m->at.port, c->address, c->peer_port);
+		return;
+	}
+	find_add(l->found, at, "members lacks the own id %u", c->id);
+}
+
 static void check_ports(struct loader *l)
 {
 	const struct {
@@ -438,27 +538,19 @@
 int settings_load(struct settings *s, const char *path, struct findings *found)
 {
 	struct loader l = { .s = s, .found = found, .path = path };
-	int ret;
+	guint before = find_count(found);
 
 	set_defaults(s);
-	l.file = fopen(path, "r");
-	if (!l.file) {
-		find_add(found, path, "cannot read: %s", g_strerror(errno));
-		return ERR_INVAL;
-	}
 	l.seen = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	ini_max_line = SETTINGS_LINE_MAX;
-	ret = ini_parse_stream(read_line, &l, on_value, &l);
-	fclose(l.file);
-	if (ret) {
-		l.line = ret > 0 ? ret : 0;
-		complain(&l, "neither a section, a key nor a comment", "");
+	if (!conf_read(path, &conf_ops, &l, found)) {
+		check_needs(&l);
+		check_control_list(&l);
+		check_members(&l);
+		check_ports(&l);
 	}
-	check_needs(&l);
-	check_ports(&l);
 	g_hash_table_unref(l.seen);
 	fill_absent(s);
-	return find_count(found) ? ERR_INVAL : 0;
+	return find_count(found) > before ? ERR_INVAL : 0;
 }
 
 void settings_clear(struct settings *s)
