res: idempotence by method when a rank says nothing; hosts of two services; odd paths

Cause: a rank without the key idempotent made a POST repeatable, so a submission that matched a catch-all rank could run twice; nodes walked a hash table to give out hosts, so two nodes could send a host to different services; declared methods in small letters and paths with a query, % codes or dot segments were accepted and never matched; a host with a port too. Now GET, HEAD, OPTIONS, TRACE, PUT and DELETE may repeat unless the rank says otherwise, the service whose name sorts first has a host, and check and apply report such a pair. Refusing it in the store was ruled out here: a PUT that loses a race would need the check within the replicated apply.

--- a/cmd/declare.c
+++ b/cmd/declare.c
@@ -42,6 +42,23 @@
 	g_ptr_array_add(list, s);
 }
 
+/* The nodes would give such a host to one service, and the other would get no calls. */
+static void check_hosts(const char *path, GPtrArray *list, struct findings *found)
+{
+	for (guint i = 0; i < list->len; i++) {
+		for (guint j = 0; j < i; j++) {
+			const struct res_service *a = g_ptr_array_index(list, j);
+			const struct res_service *b = g_ptr_array_index(list, i);
+			const char *host = res_host_clash(a, b);
+
+			if (host)
+				find_add(found, path,
+					 "the services \"%s\" and \"%s\" claim the host %s",
+					 a->name, b->name, host);
+		}
+	}
+}
+
 static gint by_name(gconstpointer a, gconstpointer b)
 {
 	return strcmp(*(char *const *)a, *(char *const *)b);
@@ -71,5 +88,6 @@
 		load_folder(path, list, found);
 	else
 		load_file(path, list, found);
+	check_hosts(path, list, found);
 	return list;
 }
--- a/lib/res.c
+++ b/lib/res.c
@@ -107,17 +107,16 @@
 	return (u32)n;
 }
 
-static bool get_flag(json_t *obj, const char *path, const char *key, bool absent,
-		     struct findings *found)
+static enum res_repeat get_repeat(json_t *obj, const char *path, struct findings *found)
 {
-	g_autofree char *at = g_strdup_printf("%s.%s", path, key);
-	json_t *value = json_object_get(obj, key);
+	g_autofree char *at = g_strdup_printf("%s.idempotent", path);
+	json_t *value = json_object_get(obj, "idempotent");
 
 	if (!value)
-		return absent;
+		return RES_REPEAT_BY_METHOD;
 	if (!json_is_boolean(value))
 		find_add(found, at, "not true or false");
-	return json_is_true(value);
+	return json_is_true(value) ? RES_REPEAT_ALWAYS : RES_REPEAT_NEVER;
 }
 
 /* The list at KEY, or NULL with a finding when it is not a list of 1 to MAX. */
@@ -129,6 +128,10 @@
 
 	if (!list && min == 0)
 		return NULL;
+	if (!list) {
+		find_add(found, at, "missing");
+		return NULL;
+	}
 	if (!json_is_array(list) || json_array_size(list) < min || json_array_size(list) > max) {
 		find_add(found, at, "not a list of %zu to %zu items", min, max);
 		return NULL;
@@ -136,18 +139,50 @@
 	return list;
 }
 
+/* Methods are compared as they are, so "get" would never match. */
+static bool is_method(const char *text)
+{
+	for (const char *p = text; *p; p++)
+		if (!g_ascii_isupper(*p) && *p != '-')
+			return false;
+	return *text;
+}
+
+/* Requests are matched by their decoded path without query, so these would never match. */
+static const char *path_fault(const char *path)
+{
+	if (*path != '/')
+		return "must begin with /";
+	if (strpbrk(path, "?#"))
+		return "a path has no query: leave out what follows ? or #";
+	if (strchr(path, '%'))
+		return "paths are matched decoded: write the character instead of its % code";
+	if (strstr(path, "//") || strstr(path, "/./") || strstr(path, "/../") ||
+	    g_str_has_suffix(path, "/.") || g_str_has_suffix(path, "/.."))
+		return "must have no //, /. or /..";
+	for (const char *p = path; *p; p++)
+		if (g_ascii_iscntrl(*p) || *p == '\\')
+			return "must have no control characters and no backslash";
+	return NULL;
+}
+
 static struct res_match *parse_match(json_t *obj, const char *path, struct findings *found)
 {
 	static const char *const known[] = { "method", "path", NULL };
 	struct res_match *m = g_new0(struct res_match, 1);
-	g_autofree char *at = g_strdup_printf("%s.path", path);
+	g_autofree char *at_path = g_strdup_printf("%s.path", path);
+	g_autofree char *at_method = g_strdup_printf("%s.method", path);
+	const char *fault;
 
 	check_keys(obj, path, known, found);
 	if (json_object_get(obj, "method"))
 		m->method = get_text(obj, path, "method", found);
 	m->path = get_text(obj, path, "path", found);
-	if (*m->path && m->path[0] != '/')
-		find_add(found, at, "must begin with /");
+	fault = *m->path ? path_fault(m->path) : NULL;
+	if (fault)
+		find_add(found, at_path, "%s", fault);
+	if (m->method && *m->method && !is_method(m->method))
+		find_add(found, at_method, "not a method in capital letters, as in GET");
 	return m;
 }
 
@@ -162,7 +197,7 @@
 
 	check_keys(obj, path, known, found);
 	r->name = get_name(obj, path, found);
-	r->is_idempotent = get_flag(obj, path, "idempotent", true, found);
+	r->repeat = get_repeat(obj, path, found);
 	r->target_ms = get_number(obj, path, "target_ms", 1, TARGET_MAX_MS, found);
 	r->worth = get_number(obj, path, "worth", 0, WORTH_MAX, found);
 	r->floor_percent = get_number(obj, path, "floor_percent", 0, 100, found);
@@ -180,6 +215,34 @@
 	return r;
 }
 
+static bool is_host(const char *host)
+{
+	size_t len = strlen(host);
+
+	if (len == 0 || len > TEXT_MAX_BYTES || *host == '.' || host[len - 1] == '.')
+		return false;
+	for (const char *p = host; *p; p++)
+		if (!g_ascii_isalnum(*p) && !strchr("-_.", *p))
+			return false;
+	return true;
+}
+
+static bool has_host(const struct res_service *s, const char *host)
+{
+	for (guint i = 0; i < s->hosts->len; i++)
+		if (!g_ascii_strcasecmp(g_ptr_array_index(s->hosts, i), host))
+			return true;
+	return false;
+}
+
+const char *res_host_clash(const struct res_service *a, const struct res_service *b)
+{
+	for (guint i = 0; i < a->hosts->len; i++)
+		if (has_host(b, g_ptr_array_index(a->hosts, i)))
+			return g_ptr_array_index(a->hosts, i);
+	return NULL;
+}
+
 static void parse_hosts(struct res_service *s, json_t *root, struct findings *found)
 {
 	json_t *list = get_list(root, "$", "hosts", 0, RES_HOSTS_MAX, found);
@@ -191,8 +254,10 @@
 		g_autofree char *at = g_strdup_printf("$.hosts[%zu]", i);
 		const char *host = json_string_value(one);
 
-		if (!host || !*host || strlen(host) > TEXT_MAX_BYTES)
-			find_add(found, at, "not a host name");
+		if (!host || !is_host(host))
+			find_add(found, at, "not a host name without port");
+		else if (has_host(s, host))
+			find_add(found, at, "this host came before: \"%s\"", host);
 		else
 			g_ptr_array_add(s->hosts, g_ascii_strdown(host, -1));
 	}
@@ -226,7 +291,7 @@
 			continue;
 		}
 		r = parse_rank(one, at, found);
-		if (has_rank(s, r->name))
+		if (*r->name && has_rank(s, r->name))
 			find_add(found, at, "a rank with this name came before: \"%s\"", r->name);
 		floor_sum += r->floor_percent;
 		g_ptr_array_add(s->ranks, r);
@@ -274,6 +339,7 @@
 static json_t *dump_rank(const struct res_rank *r)
 {
 	json_t *matches = json_array();
+	json_t *rank;
 
 	for (guint i = 0; i < r->matches->len; i++) {
 		const struct res_match *m = g_ptr_array_index(r->matches, i);
@@ -283,9 +349,13 @@
 			json_object_set_new(one, "method", json_string(m->method));
 		json_array_append_new(matches, one);
 	}
-	return json_pack("{s:s, s:o, s:b, s:i, s:i, s:i}", "name", r->name, "match", matches,
-			 "idempotent", r->is_idempotent, "target_ms", (int)r->target_ms, "worth",
-			 (int)r->worth, "floor_percent", (int)r->floor_percent);
+	rank = json_pack("{s:s, s:o, s:i, s:i, s:i}", "name", r->name, "match", matches,
+			 "target_ms", (int)r->target_ms, "worth", (int)r->worth, "floor_percent",
+			 (int)r->floor_percent);
+	if (r->repeat != RES_REPEAT_BY_METHOD)
+		json_object_set_new(rank, "idempotent",
+				    json_boolean(r->repeat == RES_REPEAT_ALWAYS));
+	return rank;
 }
 
 char *res_dump(const struct res_service *s)
@@ -331,3 +401,13 @@
 	}
 	return -1;
 }
+
+bool res_is_idempotent(const struct res_rank *r, const char *method)
+{
+	static const char *const idempotent[] = { "GET", "HEAD",   "OPTIONS", "TRACE",
+						  "PUT", "DELETE", NULL };
+
+	if (r->repeat == RES_REPEAT_BY_METHOD)
+		return g_strv_contains(idempotent, method);
+	return r->repeat == RES_REPEAT_ALWAYS;
+}
--- a/lib/res.h
+++ b/lib/res.h
@@ -26,10 +26,17 @@
 	char *path;
 };
 
+/* What the declaration says on running a request of the rank twice. */
+enum res_repeat {
+	RES_REPEAT_BY_METHOD, /* nothing: GET, HEAD, OPTIONS, TRACE, PUT and DELETE may repeat */
+	RES_REPEAT_NEVER,
+	RES_REPEAT_ALWAYS,
+};
+
 struct res_rank {
 	char *name;
 	GPtrArray *matches; /* of struct res_match */
-	bool is_idempotent;
+	enum res_repeat repeat;
 	u32 target_ms;
 	u32 worth;
 	u32 floor_percent;
@@ -48,9 +55,21 @@
 char *res_dump(const struct res_service *s);
 void res_free(struct res_service *s);
 
-/* res_rank_of - index of the first rank that matches, or -1. PATH has no query part. */
+/*
+ * res_rank_of - index of the first rank that matches, or -1. PATH is decoded,
+ * without dot segments, doubled slashes or a query part.
+ */
 int res_rank_of(const struct res_service *s, const char *method, const char *path);
 
+/* res_is_idempotent - true when a request of rank R with METHOD may run twice. */
+bool res_is_idempotent(const struct res_rank *r, const char *method);
+
+/*
+ * res_host_clash - the host that A and B both claim, or NULL. Of two services
+ * that claim a host the one whose name sorts first has it, at every node.
+ */
+const char *res_host_clash(const struct res_service *a, const struct res_service *b);
+
 /* res_name_ok - true for a usable service name: letters, digits, '-' and '_', at most 63. */
 bool res_name_ok(const char *name);
 
--- a/node/caller.c
+++ b/node/caller.c
@@ -49,7 +49,7 @@
 		rank = g_ptr_array_index(s->res->ranks, (guint)at);
 		call->service = g_strdup(s->res->name);
 		call->rank = g_strdup(rank->name);
-		call->is_idempotent = rank->is_idempotent;
+		call->is_idempotent = res_is_idempotent(rank, ri->request_method);
 	}
 	config_read_unlock();
 	return result;
--- a/node/config.c
+++ b/node/config.c
@@ -109,6 +109,16 @@
 	g_hash_table_insert(c->by_name, s->res->name, s);
 }
 
+static void claim_host(struct config *c, const char *host, struct config_service *s)
+{
+	const struct config_service *other = g_hash_table_lookup(c->by_host, host);
+
+	if (other && strcmp(other->res->name, s->res->name) < 0)
+		return;
+	g_hash_table_insert(c->by_host, (gpointer)host, s);
+}
+
+/* The order of the walk differs between nodes, the service that gets a host does not. */
 static void index_hosts(struct config *c)
 {
 	GHashTableIter iter;
@@ -119,7 +129,7 @@
 		struct config_service *s = value;
 
 		for (guint i = 0; i < s->res->hosts->len; i++)
-			g_hash_table_insert(c->by_host, g_ptr_array_index(s->res->hosts, i), s);
+			claim_host(c, g_ptr_array_index(s->res->hosts, i), s);
 	}
 }
 
--- a/node/home.c
+++ b/node/home.c
@@ -230,20 +230,20 @@
 }
 
 /* Finds the rank in the own configuration. Returns -1 when it is not declared here. */
-static int find_rank(const char *service, const char *rank, bool *is_idempotent)
+static int find_rank(const struct peer_call *call, const char *method, bool *is_idempotent)
 {
 	const struct config_service *s;
 	int found = -1;
 
 	config_read_lock();
-	s = config_current() ? config_find(config_current(), service) : NULL;
+	s = config_current() ? config_find(config_current(), call->service) : NULL;
 	for (guint i = 0; s && i < s->res->ranks->len; i++) {
 		const struct res_rank *r = g_ptr_array_index(s->res->ranks, i);
 
-		if (strcmp(r->name, rank))
+		if (strcmp(r->name, call->rank))
 			continue;
 		found = (int)i;
-		*is_idempotent = r->is_idempotent;
+		*is_idempotent = res_is_idempotent(r, method);
 	}
 	config_read_unlock();
 	return found;
@@ -269,7 +269,7 @@
 
 static int admit_job(struct node *n, struct job *j, const struct peer_call *call, u64 now_us)
 {
-	int rank = find_rank(call->service, call->rank, &j->is_idempotent);
+	int rank = find_rank(call, j->msg->method, &j->is_idempotent);
 
 	if (n->own.state == DIR_DRAINING || n->is_stopping)
 		return -CTR_DRAINING;
