--- a/test/res_test.c
+++ b/test/res_test.c
@@ -130,18 +130,15 @@
 
 static void test_rank_matching(void)
 {
-	struct res_service
-		*
-			s =
-				parse("{\"name\":\"s\",\"ranks\":[" RANK("checklist", "{\"method\":"
-										      "\"POST\","
-										      "\"path\":\"/"
-										      "checklists\""
-										      "}") "," RANK(
-					"photo",
-					"{\"path\":\"/photos/\"},{\"method\":\"PUT\",\"path\":\"/"
-					"p\"}") "," RANK("get", "{\"method\":\"GET\",\"path\":\"/"
-								"\"}") "]}");
+	struct res_service *s = parse("{\"name\":\"s\",\"ranks\":[" RANK(
+		"checklist",
+		"{\"method\":"
+		"\"POST\","
+		"\"path\":\"/"
+		"checklists\""
+		"}") "," RANK("photo", "{\"path\":\"/photos/\"},{\"method\":\"PUT\",\"path\":\"/"
+				       "p\"}") "," RANK("get", "{\"method\":\"GET\",\"path\":\"/"
+							       "\"}") "]}");
 	static const struct {
 		const char *method;
 		const char *path;
@@ -208,7 +205,6 @@
 	static const char *const order[][3] = { { "atlas", "bulletin", "checklist" },
 						{ "checklist", "bulletin", "atlas" },
 						{ "bulletin", "checklist", "atlas" } };
-	u64 revision = 1;
 
 	for (size_t i = 0; i < G_N_ELEMENTS(order); i++) {
 		g_autoptr(GPtrArray) list = g_ptr_array_new_with_free_func(config_change_free);
@@ -216,7 +212,7 @@
 
 		for (size_t j = 0; j < 3; j++)
 			g_ptr_array_add(list, change(order[i][j], "one.example"));
-		g_assert_cmpint(config_apply(revision++, true, list), ==, 0);
+		g_assert_cmpint(config_apply(i + 1, true, list), ==, 0);
 		config_read_lock();
 		s = config_find_host(config_current(), "ONE.example:8080");
 		g_assert_cmpstr(s->res->name, ==, "atlas");
