--- a/cmd/client.c
+++ b/cmd/client.c
@@ -7,6 +7,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/random.h>
 
 #define ANSWER_TIMEOUT_MS 10000
 #define READ_BYTES 16384
@@ -30,14 +31,20 @@
 	for (char **p = parts; *p; p++) {
 		struct endpoint e = { 0 };
 
-		if (endpoint_parse(&e, g_strstrip(*p))) {
-			fprintf(stderr, "not an ADDRESS:PORT: \"%s\"\n", *p);
-			g_array_unref(c->control);
+		if (!*g_strstrip(*p))
+			continue;
+		if (endpoint_parse(&e, *p)) {
+			fprintf(stderr, "not an ADDRESS:PORT with a numeric address: \"%s\"\n", *p);
+			client_close(c);
 			return ERR_INVAL;
 		}
 		g_array_append_val(c->control, e);
 	}
-	return 0;
+	if (c->control->len)
+		return 0;
+	fprintf(stderr, "the list of control processes is empty: give ADDRESS:PORT,...\n");
+	client_close(c);
+	return ERR_INVAL;
 }
 
 void client_close(struct client *c)
@@ -51,7 +58,13 @@
 	memset(r, 0, sizeof(*r));
 }
 
-static char *read_all(struct mg_connection *conn)
+void client_next(struct client *c)
+{
+	c->at = (c->at + 1) % c->control->len;
+}
+
+/* Returns NULL when the connection ended before the announced length. */
+static char *read_all(struct mg_connection *conn, i64 announced)
 {
 	GString *out = g_string_new(NULL);
 	char part[READ_BYTES];
@@ -59,6 +72,10 @@
 
 	while ((n = mg_read(conn, part, sizeof(part))) > 0)
 		g_string_append_len(out, part, n);
+	if (n < 0 || (announced >= 0 && out->len < (u64)announced)) {
+		g_string_free(out, TRUE);
+		return NULL;
+	}
 	return g_string_free(out, FALSE);
 }
 
@@ -90,33 +107,36 @@
 		mg_write(conn, body, len);
 }
 
+/* Returns 0, ERR_REFUSED when nothing was sent, or ERR_TIMEOUT when no whole answer came. */
 static int call_one(struct client *c, const char *method, const char *path, const char *headers,
 		    const char *body, struct client_reply *reply)
 {
 	struct mg_connection *conn = connect_to(c);
 	const struct mg_response_info *ri;
 	char why[256];
-	int err = 0;
+	char *answer = NULL;
 
 	if (!conn)
 		return ERR_REFUSED;
 	send_request(conn, method, path, headers, body);
 	if (mg_get_response(conn, why, sizeof(why), ANSWER_TIMEOUT_MS) > 0) {
 		ri = mg_get_response_info(conn);
-		client_reply_clear(reply);
-		reply->status = ri->status_code;
-		reply->is_unknown = says_unknown(ri);
-		reply->body = read_all(conn);
-	} else {
-		err = ERR_TIMEOUT;
+		answer = read_all(conn, ri->content_length);
+		if (answer) {
+			client_reply_clear(reply);
+			reply->status = ri->status_code;
+			reply->is_unknown = says_unknown(ri);
+			reply->body = answer;
+		}
 	}
 	mg_close_connection(conn);
-	return err;
+	return answer ? 0 : ERR_TIMEOUT;
 }
 
 int client_call(struct client *c, const char *method, const char *path, const char *headers,
 		const char *body, struct client_reply *reply)
 {
+	bool is_read = !strcmp(method, "GET");
 	int result = ERR_REFUSED;
 	bool was_lost = false;
 
@@ -128,10 +148,13 @@
 		if (!err)
 			result = 0;
 		was_lost |= err == ERR_TIMEOUT || (!err && reply->is_unknown);
-		c->at = (c->at + 1) % c->control->len;
+		client_next(c);
 		if (c->at == 0)
 			g_usleep(ROUND_PAUSE_US);
 	}
+	/* A read that was lost changed nothing. */
+	if (is_read)
+		return result;
 	if (!result)
 		reply->is_unknown |= was_lost;
 	else if (was_lost)
@@ -139,35 +162,62 @@
 	return result;
 }
 
-int client_stream(struct client *c, const char *path)
+char *client_change_headers(const char *prefix, u64 version)
+{
+	u64 id[2] = { 0 };
+
+	if (getrandom(id, sizeof(id), 0) != sizeof(id))
+		return NULL;
+	if (version == CLIENT_ANY_VERSION)
+		return g_strdup_printf("Change-Id: %s-%016llx%016llx\r\n", prefix,
+				       (unsigned long long)id[0], (unsigned long long)id[1]);
+	return g_strdup_printf("If-Match: %llu\r\nChange-Id: %s-%016llx%016llx\r\n",
+			       (unsigned long long)version, prefix, (unsigned long long)id[0],
+			       (unsigned long long)id[1]);
+}
+
+/* Passes the lines on until the stream ends or is silent. Returns how many lines came. */
+static u64 take_lines(struct mg_connection *conn, void (*line)(void *arg, const char *text),
+		      void *arg)
 {
-	for (guint i = 0; i < c->control->len; i++) {
-		struct mg_connection *conn = connect_to(c);
-		char part[READ_BYTES];
-		int n;
+	g_autoptr(GString) text = g_string_new(NULL);
+	u64 lines = 0;
+	char c;
 
-		c->at = (c->at + 1) % c->control->len;
-		if (!conn)
-			continue;
-		send_request(conn, "GET", path, NULL, NULL);
-		if (mg_get_response(conn, part, sizeof(part), ANSWER_TIMEOUT_MS) <= 0) {
-			mg_close_connection(conn);
+	while (mg_read(conn, &c, 1) == 1) {
+		if (c != '\n') {
+			g_string_append_c(text, c);
 			continue;
 		}
-		while ((n = mg_read(conn, part, sizeof(part))) > 0) {
-			fwrite(part, 1, (size_t)n, stdout);
-			fflush(stdout);
-		}
-		mg_close_connection(conn);
-		return 0;
+		if (text->len)
+			line(arg, text->str);
+		lines += text->len > 0;
+		g_string_truncate(text, 0);
 	}
-	return ERR_REFUSED;
+	return lines;
+}
+
+int client_stream(struct client *c, const char *path, void (*line)(void *arg, const char *text),
+		  void *arg)
+{
+	struct mg_connection *conn = connect_to(c);
+	char why[256];
+	int err = ERR_CLOSED;
+
+	if (!conn)
+		return ERR_REFUSED;
+	send_request(conn, "GET", path, NULL, NULL);
+	if (mg_get_response(conn, why, sizeof(why), ANSWER_TIMEOUT_MS) > 0 &&
+	    mg_get_response_info(conn)->status_code == 200 && take_lines(conn, line, arg))
+		err = 0;
+	mg_close_connection(conn);
+	return err;
 }
 
 int client_explain(int err, const struct client_reply *reply)
 {
 	if (err == ERR_REFUSED) {
-		fprintf(stderr, "no control process could be reached; check --control\n");
+		fprintf(stderr, "no control process answered; check --control and that they run\n");
 		return CMD_REFUSED;
 	}
 	if (err || reply->is_unknown) {
@@ -177,5 +227,8 @@
 	fprintf(stderr, "refused with status %d: %s", reply->status, reply->body);
 	if (!g_str_has_suffix(reply->body, "\n"))
 		fprintf(stderr, "\n");
+	if (reply->status == 503)
+		fprintf(stderr,
+			"most control processes must run and reach each other; see status\n");
 	return CMD_REFUSED;
 }
--- /dev/null
+++ b/cmd/diff.c
@@ -0,0 +1,78 @@
+#include "cmd/diff.h"
+
+#include <glib.h>
+#include <jansson.h>
+#include <stdlib.h>
+
+static void diff(const char *path, json_t *old, json_t *new, FILE *out);
+
+static char *show(json_t *value)
+{
+	char *text = value ? json_dumps(value, JSON_COMPACT | JSON_ENCODE_ANY) : NULL;
+	char *copy = g_strdup(text ? text : "(none)");
+
+	free(text);
+	return copy;
+}
+
+static void diff_objects(const char *path, json_t *old, json_t *new, FILE *out)
+{
+	const char *key;
+	json_t *value;
+
+	json_object_foreach(old, key, value)
+	{
+		g_autofree char *at = g_strdup_printf("%s.%s", path, key);
+
+		diff(at, value, json_object_get(new, key), out);
+	}
+	json_object_foreach(new, key, value)
+	{
+		g_autofree char *at = g_strdup_printf("%s.%s", path, key);
+
+		if (!json_object_get(old, key))
+			diff(at, NULL, value, out);
+	}
+}
+
+static void diff_lists(const char *path, json_t *old, json_t *new, FILE *out)
+{
+	size_t n = MAX(json_array_size(old), json_array_size(new));
+
+	for (size_t i = 0; i < n; i++) {
+		g_autofree char *at = g_strdup_printf("%s[%zu]", path, i);
+
+		diff(at, json_array_get(old, i), json_array_get(new, i), out);
+	}
+}
+
+static void diff(const char *path, json_t *old, json_t *new, FILE *out)
+{
+	g_autofree char *old_text = NULL;
+	g_autofree char *new_text = NULL;
+
+	if (json_equal(old, new))
+		return;
+	if (json_is_object(old) && json_is_object(new)) {
+		diff_objects(path, old, new, out);
+		return;
+	}
+	if (json_is_array(old) && json_is_array(new)) {
+		diff_lists(path, old, new, out);
+		return;
+	}
+	old_text = show(old);
+	new_text = show(new);
+	fprintf(out, "  %s: %s -> %s\n", path, old_text, new_text);
+}
+
+void diff_print(const char *old_json, const char *new_json, FILE *out)
+{
+	json_t *old = json_loads(old_json, 0, NULL);
+	json_t *new = json_loads(new_json, 0, NULL);
+
+	if (old && new)
+		diff("$", old, new, out);
+	json_decref(old);
+	json_decref(new);
+}
--- a/cmd/get.c
+++ b/cmd/get.c
@@ -10,7 +10,9 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/random.h>
+
+#define WATCH_ROUNDS 5
+#define WATCH_PAUSE_US 200000
 
 static void print_pretty(const char *body)
 {
@@ -89,17 +91,51 @@
 	int code = cmd_parse(argc, argv, table, "Delete a service.");
 	g_autofree char *path = NULL;
 	g_autofree char *headers = NULL;
-	u64 id = 0;
 
 	if (code >= 0)
 		return code;
 	path = service_path(kind->sval[0], name->sval[0]);
-	if (!path || getrandom(&id, sizeof(id), 0) != sizeof(id))
+	if (!path)
 		return CMD_USAGE;
-	headers = g_strdup_printf("Change-Id: delete-%016llx\r\n", (unsigned long long)id);
+	headers = client_change_headers("delete", CLIENT_ANY_VERSION);
+	if (!headers) {
+		fprintf(stderr, "delete: the system gives no random numbers\n");
+		return CMD_REFUSED;
+	}
 	return call_and_print(text_or_null(control), "DELETE", path, headers);
 }
 
+/* Prints a change and remembers its revision, from which the next stream goes on. */
+static void print_change(void *arg, const char *text)
+{
+	u64 *revision = arg;
+	json_t *obj = json_loads(text, 0, NULL);
+	u64 at = (u64)json_integer_value(json_object_get(obj, "revision"));
+
+	printf("%s\n", text);
+	fflush(stdout);
+	*revision = MAX(*revision, at);
+	json_decref(obj);
+}
+
+/* Goes on at the next control process when one ends; returns when none answers any more. */
+static void follow(struct client *c, u64 revision)
+{
+	guint failures = 0;
+
+	while (failures < WATCH_ROUNDS * c->control->len) {
+		g_autofree char *path =
+			g_strdup_printf("/v1/watch?from=%llu", (unsigned long long)revision);
+
+		if (client_stream(c, path, print_change, &revision))
+			failures++;
+		else
+			failures = 0;
+		client_next(c);
+		g_usleep(WATCH_PAUSE_US);
+	}
+}
+
 int cmd_watch(int argc, char **argv)
 {
 	struct arg_lit *help = arg_lit0(NULL, "help", "print this text");
@@ -108,19 +144,20 @@
 	struct arg_end *end = arg_end(8);
 	void *table[] = { help, from, control, end };
 	int code = cmd_parse(argc, argv, table, "Print changes as they are accepted.");
-	g_autofree char *path = NULL;
 	struct client c;
 
 	if (code >= 0)
 		return code;
+	if (from->count && from->ival[0] < 0) {
+		fprintf(stderr, "watch: --from must not be negative\n");
+		return CMD_USAGE;
+	}
 	if (client_open(&c, text_or_null(control)))
 		return CMD_USAGE;
-	path = g_strdup_printf("/v1/watch?from=%d", from->count ? from->ival[0] : 0);
-	code = client_stream(&c, path) ? CMD_REFUSED : CMD_DONE;
-	if (code)
-		fprintf(stderr, "no control process could be reached; check --control\n");
+	follow(&c, from->count ? (u64)from->ival[0] : 0);
 	client_close(&c);
-	return code;
+	fprintf(stderr, "no control process answered; check --control and that they run\n");
+	return CMD_REFUSED;
 }
 
 int cmd_status(int argc, char **argv)
--- a/cmd/main.c
+++ b/cmd/main.c
@@ -12,8 +12,13 @@
 
 static int cmd_version(int argc, char **argv)
 {
-	(void)argc;
-	(void)argv;
+	struct arg_lit *help = arg_lit0(NULL, "help", "print this text");
+	struct arg_end *end = arg_end(8);
+	void *table[] = { help, end };
+	int code = cmd_parse(argc, argv, table, "Print the version.");
+
+	if (code >= 0)
+		return code;
 	printf("lavenderlead %s\n", CMD_VERSION);
 	return CMD_DONE;
 }
--- a/cmd/member.c
+++ b/cmd/member.c
@@ -11,6 +11,7 @@
 
 #define STEP_US 200000
 #define DEFAULT_WAIT_S 60
+#define WAIT_LIMIT_S (24 * 3600)
 
 static int list_members(struct client *c)
 {
@@ -48,7 +49,9 @@
 {
 	g_autofree char *last = NULL;
 
-	for (int i = 0; i <= wait_s * 1000000 / STEP_US; i++) {
+	gint64 end = g_get_monotonic_time() + (gint64)wait_s * G_USEC_PER_SEC;
+
+	while (g_get_monotonic_time() <= end) {
 		struct client_reply reply = { 0 };
 		int err = client_call(c, method, path, NULL, NULL, &reply);
 
@@ -80,6 +83,10 @@
 
 	if (!strcmp(action, "list"))
 		return list_members(c);
+	if (strcmp(action, "replace") && strcmp(action, "remove")) {
+		fprintf(stderr, "unknown action \"%s\"; use list, replace or remove\n", action);
+		return CMD_USAGE;
+	}
 	if (!id || strspn(id, "0123456789") != strlen(id)) {
 		fprintf(stderr, "member %s: give the member's ID, a number\n", action);
 		return CMD_USAGE;
@@ -88,12 +95,8 @@
 		path = g_strdup_printf("/v1/members/%s/replace", id);
 		return drive(c, "POST", path, wait_s);
 	}
-	if (!strcmp(action, "remove")) {
-		path = g_strdup_printf("/v1/members/%s", id);
-		return drive(c, "DELETE", path, wait_s);
-	}
-	fprintf(stderr, "unknown action \"%s\"; use list, replace or remove\n", action);
-	return CMD_USAGE;
+	path = g_strdup_printf("/v1/members/%s", id);
+	return drive(c, "DELETE", path, wait_s);
 }
 
 int cmd_member(int argc, char **argv)
@@ -110,6 +113,10 @@
 
 	if (code >= 0)
 		return code;
+	if (wait->count && (wait->ival[0] < 1 || wait->ival[0] > WAIT_LIMIT_S)) {
+		fprintf(stderr, "member: --wait takes 1 to %d seconds\n", WAIT_LIMIT_S);
+		return CMD_USAGE;
+	}
 	if (client_open(&c, control->count ? control->sval[0] : NULL))
 		return CMD_USAGE;
 	code = run(&c, action->sval[0], id->count ? id->sval[0] : NULL,
--- /dev/null
+++ b/test/cmd_test.sh
@@ -0,0 +1,129 @@
+#!/bin/bash
+# cmd_test - the command line: help, exit codes, errors, resends, what apply shows and waits for
+# shellcheck source=test/cmd_lib.sh
+. "$(dirname "$0")/cmd_lib.sh"
+L=./lavenderlead
+S=build/test/programs/control_stand_in
+port=27100
+mkdir "$dir/d"
+
+service() { # NAME WORTH HOST
+	cat >"$dir/d/$1.json" <<-JSON
+		{"name":"$1","hosts":["$3"],"ranks":[{"name":"r","match":[{"path":"/"}],
+		"target_ms":100,"worth":$2,"floor_percent":10}]}
+	JSON
+}
+
+# stand_in ARGS... - on the next port, in $c; its log in $dir/log.PORT
+stand_in() {
+	port=$((port + 1))
+	c=127.0.0.1:$port
+	start $S -p $port -l "$dir/log.$port" "$@"
+	wait_for "stand-in at $c" curl -sf "http://$c/v1/status"
+}
+
+# ids PORT - how many different change ids it saw
+ids() { cut -d' ' -f3 "$dir/log.$1" | sort -u | wc -l; }
+acts() { cut -d' ' -f1,4 "$dir/log.$1" | tr '\n' ' '; }
+
+# Help and usage.
+for cmd in serve check apply get delete watch status member version; do
+	run 0 "usage: lavenderlead $cmd" $L $cmd --help
+done
+run 0 "lavenderlead 0" $L version
+run 2 "usage" $L
+run 2 "unknown command" $L frobnicate
+run 2 "help tells" $L apply
+run 2 "help tells" $L apply -f x --colour
+run 2 "LAVENDERLEAD_CONTROL" $L get
+run 2 "numeric address" $L get --control localhost:1
+run 2 "list of control processes is empty" $L get --control ,
+run 2 "unknown kind" $L get rank x --control 127.0.0.1:1
+run 2 "not a service name" $L get service ../x --control 127.0.0.1:1
+run 2 "give the member's ID" $L member replace --control 127.0.0.1:1
+run 2 "unknown action" $L member promote 1 --control 127.0.0.1:1
+run 2 "0 to 86400" $L apply -f examples/breizh/services --wait=-1 --control 127.0.0.1:1
+run 1 "check --control" $L get --control 127.0.0.1:27199
+
+# check reports everything of every file in one run.
+printf '[cluster]\nname=x\n[node]\nzone=a b\nzonk=1\n' >"$dir/bad.ini"
+service one 1 a.example
+sed 's/"worth":1/"worth":-1/; s/"path":"\/"/"path":"x"/' "$dir/d/one.json" >"$dir/bad.json"
+run 2 "bad.ini:5: unknown key" $L check -c "$dir/bad.ini" -c /nonexistent -f "$dir/bad.json"
+for want in "bad.ini:4: use letters" "bad.ini:3: section \[node\] needs the key address" \
+	"/nonexistent: cannot read" "bad.json:\$.ranks\[0\].worth" \
+	"bad.json:\$.ranks\[0\].match\[0\].path"; do
+	grep -q "$want" <<<"$out" || fail "check: no \"$want\" in: $out"
+done
+run 0 "" $L check -c examples/breizh/node1.ini -c examples/lakes/control3.ini \
+	-f examples/breizh/services -f examples/lakes/services
+service two 1 A.example
+run 2 'services "one" and "two" claim the host a.example' $L check -f "$dir/d"
+mkdir "$dir/empty"
+run 2 "no \*.json file" $L check -f "$dir/empty"
+rm "$dir/d/two.json"
+run 2 "cannot read" $L apply -f "$dir/none.json" --control 127.0.0.1:1
+
+# apply shows what it will change, changes nothing in a dry run, and is idempotent.
+stand_in
+run 0 "create one" $L apply -f "$dir/d" --dry-run --control $c
+same "changes of a dry run" "$(cat "$dir/log.$port")" ""
+run 0 "revision 1 is in force" $L apply -f "$dir/d" --control $c
+run 0 "unchanged one" $L apply -f "$dir/d" --control $c
+same "changes" "$(acts $port)" "PUT ok "
+service one 7 a.example
+run 0 'ranks\[0\].worth: 1 -> 7' env LAVENDERLEAD_CONTROL=$c $L apply -f "$dir/d"
+same "changes" "$(acts $port)" "PUT ok PUT ok "
+
+# --prune deletes what is not declared; a host is not taken from a service that stays.
+rm "$dir/d/one.json"
+service two 1 a.example
+run 1 'claimed by the service "one" too' $L apply -f "$dir/d" --control $c
+run 0 "delete one" $L apply -f "$dir/d" --prune --dry-run --control $c
+same "changes" "$(acts $port)" "PUT ok PUT ok "
+run 0 "delete one" $L apply -f "$dir/d" --prune --control $c
+same "changes" "$(acts $port)" "PUT ok PUT ok PUT ok DELETE ok "
+run 0 "version" $L delete service two --control $c
+
+# A process that is down is skipped, in whatever place of the list.
+run 0 "create two" $L apply -f "$dir/d" --control 127.0.0.1:27198,$c,127.0.0.1:27199
+
+# A lost, cut or unknown answer: the same change again with the same change id.
+for act in lost drop short unknown; do
+	stand_in -a $act
+	run 0 "create two" $L apply -f "$dir/d" --control $c
+	same "change ids after $act" "$(ids $port)" 1
+	same "acts" "$(acts $port)" "PUT $act PUT ok "
+	stand_in -a ok,$act
+	run 0 "" $L apply -f "$dir/d" --control $c
+	run 0 "" $L delete service two --control $c
+	same "change ids after $act" "$(ids $port)" 2
+done
+
+# Outcome unknown to the end is 3; refused for sure is 1.
+stand_in -a lost,lost,lost,lost,lost,lost
+run 3 "outcome is not known" $L apply -f "$dir/d" --control $c
+same "change ids" "$(ids $port)" 1
+stand_in -a unknown,none,none
+run 3 "outcome is not known" $L apply -f "$dir/d" --control $c
+stand_in -a none,none,none
+run 1 "no leader with a quorum" $L apply -f "$dir/d" --control $c
+stand_in -a conflict
+run 1 "run apply again" $L apply -f "$dir/d" --control $c
+
+# Not in force in time: the nodes that are behind are told. A stale process is not believed.
+stand_in -b
+run 3 "127.0.0.1:8081" $L apply -f "$dir/d" --wait 1 --control $c
+run 0 "unchanged two" $L apply -f "$dir/d" --wait 0 --control $c
+stand_in
+good=$c
+stand_in -t
+run 0 "is in force" $L apply -f "$dir/d" --wait 20 --control $good,$c
+run 3 "not in force" $L apply -f "$dir/d" --wait 1 --control $c
+
+# member list, and watch, which goes on after a stream ends.
+run 0 "1 127.0.0.1:1 voter leader" $L member list --control $good
+run 1 '"revision":2' $L watch --control $good
+same "lines" "$(grep -c revision <<<"$out")" 2
+run 1 "check --control" $L watch --from 2 --control $good
+finish
