--- a/lib/ctr_list.h
+++ b/lib/ctr_list.h
@@ -42,6 +42,7 @@
 CTR(LATE_REPLY, "late-reply", "replies dropped because no call waits for them")
 CTR(TOMBSTONE_HIT, "tombstone-hit", "calls refused because their id was fenced")
 CTR(DUPLICATE_CALL, "duplicate-call", "calls dropped because their id was seen before")
+CTR(CALL_FORGOTTEN, "call-forgotten", "calls dropped because their id may have been forgotten")
 CTR(EJECTED, "ejected", "upstreams ejected as outliers")
 /* Load measurement. */
 CTR(PROBE_SENT, "probe-sent", "load probes sent")
--- a/node/home.c
+++ b/node/home.c
@@ -27,12 +27,18 @@
 	struct http_msg *reply;
 };
 
+struct worker {
+	struct node *node;
+	pthread_t thread;
+	struct upstream *upstream;
+};
+
 struct home {
 	struct admit admit;
 	struct call_table table;
 	GHashTable *jobs; /* call id -> struct job, queued or running */
 	GAsyncQueue *work;
-	pthread_t workers[HOME_WORKERS_MAX];
+	struct worker workers[HOME_WORKERS_MAX];
 	u32 nworkers;
 	u64 revision; /* of the ranks in admit */
 	struct loop_timer tick;
@@ -55,6 +61,7 @@
 static void job_free(struct job *j)
 {
 	http_free(j->msg);
+	http_free(j->reply);
 	g_free(j);
 }
 
@@ -94,14 +101,27 @@
 	link_send(origin, &f);
 }
 
+static void end_job(struct node *n, struct job *j)
+{
+	g_hash_table_remove(n->home->jobs, &j->id);
+	job_free(j);
+}
+
 /* The tombstone comes before the word not-run. */
 static void refuse_not_run(struct node *n, struct job *j, enum ctr reason)
 {
 	ctr_inc(reason);
 	call_refused(&n->home->table, j->id, loop_clock_us());
 	send_refusal(n, j->origin, j->is_local, j->id, reason, true);
-	g_hash_table_remove(n->home->jobs, &j->id);
-	job_free(j);
+	end_job(n, j);
+}
+
+static void refuse_unknown(struct node *n, struct job *j, enum ctr reason)
+{
+	ctr_inc(reason);
+	call_done(&n->home->table, j->id, NULL, loop_clock_us());
+	send_refusal(n, j->origin, j->is_local, j->id, reason, false);
+	end_job(n, j);
 }
 
 static void send_reply(struct node *n, struct link *origin, struct call_id id,
@@ -117,20 +137,6 @@
 		peer_send_body(origin, id, msg->body);
 }
 
-static struct http_msg *copy_answer(const struct http_msg *m)
-{
-	struct http_msg *copy = http_new();
-
-	copy->status = m->status;
-	for (guint i = 0; i < m->headers->len; i++) {
-		const struct http_header *h = g_ptr_array_index(m->headers, i);
-
-		http_add_header(copy, h->name, h->value);
-	}
-	g_byte_array_append(copy->body, m->body->data, m->body->len);
-	return copy;
-}
-
 static enum ctr reason_of(int err)
 {
 	switch (err) {
@@ -147,6 +153,19 @@
 	}
 }
 
+/* The same for a call of which nothing was written. */
+static enum ctr unrun_reason_of(int err)
+{
+	switch (err) {
+	case ERR_TIMEOUT:
+		return CTR_EXPIRED_UNRUN;
+	case ERR_CANCELLED:
+		return CTR_CANCELLED;
+	default:
+		return CTR_UPSTREAM_REFUSED;
+	}
+}
+
 static bool is_shed(const struct http_msg *m)
 {
 	const char *outcome = http_header(m, "Lavenderlead-Outcome");
@@ -156,19 +175,20 @@
 
 static void start_next(struct node *n);
 
+/* Only a call from another node that may not be repeated is asked for later by a fence. */
 static void deliver(struct node *n, struct job *j)
 {
 	struct peer_load load;
 
 	home_load(n, &load);
 	if (j->is_local)
-		entry_reply(n, j->id, copy_answer(j->reply), &load);
+		entry_reply(n, j->id, g_steal_pointer(&j->reply), &load);
 	else if (j->origin)
 		send_reply(n, j->origin, j->id, j->reply);
-	/* Only what may not be repeated is asked for later by a fence. */
 	if (j->is_idempotent)
 		http_free(g_steal_pointer(&j->reply));
-	call_done(&n->home->table, j->id, j->reply, loop_clock_us());
+	call_done(&n->home->table, j->id, g_steal_pointer(&j->reply), loop_clock_us());
+	end_job(n, j);
 }
 
 static void finish_job(void *arg)
@@ -177,38 +197,27 @@
 	struct node *n = j->node;
 
 	admit_done(&n->home->admit, &j->req, loop_clock_us());
-	if (!j->err && is_shed(j->reply)) {
-		http_free(j->reply);
+	if (!j->err && is_shed(j->reply))
 		refuse_not_run(n, j, CTR_UPSTREAM_SHED);
-	} else if (j->err == ERR_REFUSED) {
-		refuse_not_run(n, j, CTR_UPSTREAM_REFUSED);
-	} else if (j->err) {
-		enum ctr reason = reason_of(j->err);
-
-		ctr_inc(reason);
-		call_done(&n->home->table, j->id, NULL, loop_clock_us());
-		send_refusal(n, j->origin, j->is_local, j->id, reason, false);
-		g_hash_table_remove(n->home->jobs, &j->id);
-		job_free(j);
-	} else {
+	else if (!j->err)
 		deliver(n, j);
-		g_hash_table_remove(n->home->jobs, &j->id);
-		job_free(j);
-	}
+	else if (!j->upstream.is_written)
+		refuse_not_run(n, j, unrun_reason_of(j->err));
+	else
+		refuse_unknown(n, j, reason_of(j->err));
 	start_next(n);
 }
 
 static void *worker_main(void *arg)
 {
-	struct node *n = arg;
-	struct upstream *u = upstream_new();
+	struct worker *w = arg;
+	struct node *n = w->node;
 	struct job *j;
 
 	while ((j = g_async_queue_pop(n->home->work)) != &poison) {
-		j->err = upstream_run(u, j->port, &j->upstream, &j->reply);
+		j->err = upstream_run(w->upstream, j->port, &j->upstream, &j->reply);
 		loop_post(n->loop, finish_job, j);
 	}
-	upstream_free(u);
 	return NULL;
 }
 
@@ -289,9 +298,11 @@
 {
 	struct home *h = n->home;
 	struct job *j;
-	int err;
+	int err = call_begin(&h->table, call->id);
 
-	if (call_begin(&h->table, call->id)) {
+	if (err) {
+		if (err == ERR_NOTFOUND)
+			send_refusal(n, origin, !origin, call->id, CTR_CALL_FORGOTTEN, false);
 		peer_call_clear(call);
 		return;
 	}
@@ -305,12 +316,8 @@
 		start_next(n);
 }
 
-void home_cancel(struct node *n, struct call_id id)
+static void cancel_job(struct node *n, struct job *j)
 {
-	struct job *j = g_hash_table_lookup(n->home->jobs, &id);
-
-	if (!j)
-		return;
 	if (j->req.state == ADMIT_QUEUED) {
 		admit_cancel(&n->home->admit, &j->req);
 		refuse_not_run(n, j, CTR_CANCELLED);
@@ -319,6 +326,22 @@
 	__atomic_store_n(&j->upstream.is_cancelled, true, __ATOMIC_RELEASE);
 }
 
+void home_cancel(struct node *n, struct call_id id)
+{
+	struct job *j = g_hash_table_lookup(n->home->jobs, &id);
+
+	if (j)
+		cancel_job(n, j);
+}
+
+void home_cancel_all(struct node *n)
+{
+	g_autoptr(GList) list = g_hash_table_get_values(n->home->jobs);
+
+	for (GList *l = list; l; l = l->next)
+		cancel_job(n, l->data);
+}
+
 void home_fence(struct node *n, struct link *origin, struct call_id id)
 {
 	const struct http_msg *reply;
@@ -337,26 +360,29 @@
 
 void home_link_down(struct node *n, struct link *origin)
 {
-	GHashTableIter iter;
-	gpointer value;
+	g_autoptr(GList) list = g_hash_table_get_values(n->home->jobs);
 
-	g_hash_table_iter_init(&iter, n->home->jobs);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct job *j = value;
+	for (GList *l = list; l; l = l->next) {
+		struct job *j = l->data;
 
-		if (j->origin == origin)
-			j->origin = NULL;
+		if (j->origin != origin || j->is_local)
+			continue;
+		j->origin = NULL;
+		/* The entry has tried an idempotent call elsewhere, and fences the others. */
+		if (j->is_idempotent)
+			cancel_job(n, j);
 	}
 }
 
 void home_configure(struct node *n)
 {
+	u32 slots = MIN(n->own.slots, n->home->nworkers);
 	struct admit_rank ranks[ADMIT_RANKS_MAX];
 	const struct config_service *s;
 	u32 count = 0;
 
-	if (n->home->admit.slots != n->own.slots)
-		admit_set_slots(&n->home->admit, n->own.slots);
+	if (n->home->admit.slots != slots)
+		admit_set_slots(&n->home->admit, slots);
 	if (n->home->revision == config_revision())
 		return;
 	config_read_lock();
@@ -382,9 +408,12 @@
 static void on_tick(void *arg, u64 now_us)
 {
 	struct node *n = arg;
+	struct home *h = n->home;
 
 	start_next(n);
-	loop_timer_set(n->loop, &n->home->tick, now_us + HOME_TICK_US);
+	for (u32 i = 0; i < h->nworkers && h->admit.running; i++)
+		upstream_interrupt(h->workers[i].upstream);
+	loop_timer_set(n->loop, &h->tick, now_us + HOME_TICK_US);
 }
 
 int home_start(struct node *n)
@@ -402,8 +431,14 @@
 	pthread_attr_init(&attr);
 	pthread_attr_setstacksize(&attr, HOME_WORKER_STACK_BYTES);
 	while (h->nworkers < HOME_WORKERS_MAX) {
-		if (pthread_create(&h->workers[h->nworkers], &attr, worker_main, n))
+		struct worker *w = &h->workers[h->nworkers];
+
+		w->node = n;
+		w->upstream = upstream_new();
+		if (pthread_create(&w->thread, &attr, worker_main, w)) {
+			upstream_free(w->upstream);
 			break;
+		}
 		h->nworkers++;
 	}
 	pthread_attr_destroy(&attr);
@@ -417,5 +452,19 @@
 	for (u32 i = 0; i < h->nworkers; i++)
 		g_async_queue_push(h->work, &poison);
 	for (u32 i = 0; i < h->nworkers; i++)
-		pthread_join(h->workers[i], NULL);
+		pthread_join(h->workers[i].thread, NULL);
+}
+
+void home_free(struct node *n)
+{
+	struct home *h = n->home;
+
+	for (u32 i = 0; i < h->nworkers; i++)
+		upstream_free(h->workers[i].upstream);
+	loop_timer_cancel(n->loop, &h->tick);
+	admit_clear(&h->admit);
+	call_table_clear(&h->table);
+	g_hash_table_unref(h->jobs);
+	g_async_queue_unref(h->work);
+	g_clear_pointer(&n->home, g_free);
 }
--- a/node/node.h
+++ b/node/node.h
@@ -96,9 +96,13 @@
 /* home: calls for the own upstream */
 
 int home_start(struct node *n);
+
+/* home_stop - join the workers; the loop still runs. home_free - after loop_stop. */
 void home_stop(struct node *n);
+void home_free(struct node *n);
 void home_call(struct node *n, struct link *origin, struct peer_call *call, u64 deadline_us);
 void home_cancel(struct node *n, struct call_id id);
+void home_cancel_all(struct node *n);
 void home_fence(struct node *n, struct link *origin, struct call_id id);
 void home_link_down(struct node *n, struct link *origin);
 void home_configure(struct node *n); /* slots, ranks or state changed */
--- /dev/null
+++ b/test/fakes/raw_server.c
@@ -0,0 +1,125 @@
+#include "test/fakes/raw_server.h"
+
+#include <arpa/inet.h>
+#include <poll.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define BACKLOG 64
+#define WAIT_MAX_MS 10000
+
+static struct sockaddr_in loopback(u16 port)
+{
+	struct sockaddr_in addr = { .sin_family = AF_INET, .sin_port = htons(port) };
+
+	addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	return addr;
+}
+
+int raw_listen(u16 *port)
+{
+	struct sockaddr_in addr = loopback(0);
+	socklen_t len = sizeof(addr);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	g_assert_cmpint(bind(fd, (struct sockaddr *)&addr, sizeof(addr)), ==, 0);
+	g_assert_cmpint(listen(fd, BACKLOG), ==, 0);
+	getsockname(fd, (struct sockaddr *)&addr, &len);
+	*port = ntohs(addr.sin_port);
+	return fd;
+}
+
+int raw_connect(u16 port)
+{
+	struct sockaddr_in addr = loopback(port);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	if (!connect(fd, (struct sockaddr *)&addr, sizeof(addr)))
+		return fd;
+	close(fd);
+	return -1;
+}
+
+static gpointer serve_main(gpointer arg)
+{
+	struct raw_server *s = arg;
+	u32 nth = 0;
+	int fd;
+
+	while ((fd = accept(s->fd, NULL, NULL)) >= 0) {
+		s->serve(s, fd, ++nth);
+		close(fd);
+	}
+	return NULL;
+}
+
+void raw_start(struct raw_server *s, raw_serve serve, void *arg)
+{
+	memset(s, 0, sizeof(*s));
+	s->fd = raw_listen(&s->port);
+	s->serve = serve;
+	s->arg = arg;
+	s->thread = g_thread_new("raw-server", serve_main, s);
+}
+
+void raw_stop(struct raw_server *s)
+{
+	shutdown(s->fd, SHUT_RDWR);
+	g_thread_join(s->thread);
+	close(s->fd);
+}
+
+static size_t body_length(const char *head)
+{
+	const char *at = strcasestr(head, "\r\nContent-Length:");
+
+	return at ? strtoul(at + strlen("\r\nContent-Length:"), NULL, 10) : 0;
+}
+
+bool raw_read_request(struct raw_server *s, int fd)
+{
+	g_autoptr(GString) in = g_string_new(NULL);
+	char buf[4096];
+	const char *end = NULL;
+
+	while (!end || in->len < (size_t)(end + 4 - in->str) + body_length(in->str)) {
+		ssize_t n = recv(fd, buf, sizeof(buf), 0);
+
+		if (n <= 0)
+			return false;
+		g_string_append_len(in, buf, n);
+		end = strstr(in->str, "\r\n\r\n");
+	}
+	g_atomic_int_inc(&s->requests);
+	return true;
+}
+
+void raw_write(int fd, const char *text)
+{
+	size_t len = strlen(text);
+
+	while (len) {
+		ssize_t n = send(fd, text, len, MSG_NOSIGNAL);
+
+		if (n <= 0)
+			return;
+		text += n;
+		len -= (size_t)n;
+	}
+}
+
+void raw_reset(int fd)
+{
+	struct linger now = { .l_onoff = 1 };
+
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+}
+
+bool raw_wait_closed(int fd)
+{
+	struct pollfd p = { .fd = fd, .events = POLLRDHUP };
+
+	return poll(&p, 1, WAIT_MAX_MS) == 1;
+}
--- /dev/null
+++ b/test/upstream_test.c
@@ -0,0 +1,386 @@
+/* The HTTP client towards the upstream, against raw sockets. */
+#include "kernel/loop.h"
+#include "lib/err.h"
+#include "node/upstream.h"
+#include "test/fakes/raw_server.h"
+
+#include <civetweb.h>
+#include <glib.h>
+#include <string.h>
+
+#define BODY_MAX_BYTES 65536
+#define LONG_US (20 * US_PER_S)
+/* Longer than any step in which the client could wait. */
+#define PAUSE_US (60 * US_PER_MS)
+
+struct fixture {
+	struct raw_server server;
+	struct upstream *u;
+	struct http_msg *request;
+	struct upstream_call call;
+	struct http_msg *reply;
+};
+
+static void setup(struct fixture *f, const char *method, raw_serve serve, void *arg)
+{
+	memset(f, 0, sizeof(*f));
+	raw_start(&f->server, serve, arg);
+	f->u = upstream_new();
+	f->request = http_new();
+	f->request->method = g_strdup(method);
+	f->request->target = g_strdup("/species/hoopoe");
+	if (!strcmp(method, "POST"))
+		g_byte_array_append(f->request->body, (const guint8 *)"one hoopoe", 10);
+}
+
+static int run(struct fixture *f)
+{
+	http_free(g_steal_pointer(&f->reply));
+	f->call = (struct upstream_call){ .request = f->request,
+					  .deadline_us = loop_clock_us() + LONG_US,
+					  .max_body_bytes = BODY_MAX_BYTES };
+	return upstream_run(f->u, f->server.port, &f->call, &f->reply);
+}
+
+static void teardown(struct fixture *f)
+{
+	upstream_free(f->u);
+	raw_stop(&f->server);
+	http_free(f->request);
+	http_free(f->reply);
+}
+
+static void assert_body(const struct fixture *f, const char *text)
+{
+	g_assert_nonnull(f->reply);
+	g_assert_cmpmem(f->reply->body->data, f->reply->body->len, text, strlen(text));
+}
+
+static void serve_text(struct raw_server *s, int fd, u32 nth)
+{
+	(void)nth;
+	if (raw_read_request(s, fd))
+		raw_write(fd, s->arg);
+}
+
+static void serve_text_then_reset(struct raw_server *s, int fd, u32 nth)
+{
+	serve_text(s, fd, nth);
+	g_usleep(PAUSE_US);
+	raw_reset(fd);
+}
+
+/* One answer with TEXT, then the end of the connection; returns the client's verdict. */
+static int answer(const char *method, raw_serve serve, const char *text, const char *body)
+{
+	struct fixture f;
+	int err;
+
+	setup(&f, method, serve, (char *)text);
+	err = run(&f);
+	g_assert_cmpint(g_atomic_int_get(&f.server.requests), ==, 1);
+	g_assert_true(f.call.is_written);
+	if (err)
+		g_assert_null(f.reply);
+	else
+		assert_body(&f, body);
+	teardown(&f);
+	return err;
+}
+
+static void test_whole(void)
+{
+	g_assert_cmpint(answer("GET", serve_text,
+			       "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", "hello"),
+			==, 0);
+	g_assert_cmpint(answer("GET", serve_text,
+			       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+			       "5\r\nhello\r\n6\r\n hoops\r\n0\r\n\r\n",
+			       "hello hoops"),
+			==, 0);
+}
+
+static void test_short_content_length(void)
+{
+	const char *text = "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nhello";
+
+	g_assert_cmpint(answer("GET", serve_text, text, NULL), ==, ERR_SHORT);
+	g_assert_cmpint(answer("GET", serve_text_then_reset, text, NULL), ==, ERR_SHORT);
+}
+
+static void test_unfinished_chunks(void)
+{
+	static const char *const texts[] = {
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhel",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nhello\r\n0\r\n\r\n",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+		g_assert_cmpint(answer("GET", serve_text, texts[i], NULL), ==, ERR_SHORT);
+		g_assert_cmpint(answer("GET", serve_text_then_reset, texts[i], NULL), ==,
+				ERR_SHORT);
+	}
+}
+
+/* The end of the connection is the end of such a body, but a reset is not. */
+static void test_close_delimited(void)
+{
+	const char *text = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhello";
+
+	g_assert_cmpint(answer("GET", serve_text, text, "hello"), ==, 0);
+	g_assert_cmpint(answer("GET", serve_text_then_reset, text, NULL), ==, ERR_SHORT);
+}
+
+static void test_garbage_head(void)
+{
+	static const char *const texts[] = { "\x01\x02\x03 what\r\n\r\n", "HTTP/1.1\r\n\r\n",
+					     "HTTP/1.1 200 OK\r\nConte", "" };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++)
+		g_assert_cmpint(answer("GET", serve_text, texts[i], NULL), ==, ERR_CLOSED);
+}
+
+static void test_body_over_the_limit(void)
+{
+	g_autofree char *body = g_strnfill(BODY_MAX_BYTES + 1, 'x');
+	g_autofree char *text = g_strdup_printf("HTTP/1.1 200 OK\r\nContent-Length: %u\r\n\r\n%s",
+						BODY_MAX_BYTES + 1, body);
+
+	g_assert_cmpint(answer("GET", serve_text, text, NULL), ==, ERR_TOOBIG);
+	body[BODY_MAX_BYTES] = 0;
+	g_free(text);
+	text = g_strdup_printf("HTTP/1.1 200 OK\r\nContent-Length: %u\r\n\r\n%s", BODY_MAX_BYTES,
+			       body);
+	g_assert_cmpint(answer("GET", serve_text, text, body), ==, 0);
+}
+
+static void test_answers_without_body(void)
+{
+	g_assert_cmpint(answer("HEAD", serve_text,
+			       "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\n", ""),
+			==, 0);
+	g_assert_cmpint(answer("GET", serve_text, "HTTP/1.1 204 No Content\r\n\r\n", ""), ==, 0);
+	g_assert_cmpint(answer("GET", serve_text,
+			       "HTTP/1.1 304 Not Modified\r\nContent-Length: 50\r\n\r\n", ""),
+			==, 0);
+}
+
+static void serve_slowly(struct raw_server *s, int fd, u32 nth)
+{
+	static const char *const parts[] = { "HTTP/1.1 2", "00 OK\r\nContent-Le",
+					     "ngth: 5\r\n\r", "\nhe", "llo" };
+
+	(void)nth;
+	raw_read_request(s, fd);
+	for (size_t i = 0; i < G_N_ELEMENTS(parts); i++) {
+		g_usleep(PAUSE_US);
+		raw_write(fd, parts[i]);
+	}
+}
+
+static void test_slow_head(void)
+{
+	g_assert_cmpint(answer("GET", serve_slowly, "", "hello"), ==, 0);
+}
+
+static void serve_many(struct raw_server *s, int fd, u32 nth)
+{
+	while (raw_read_request(s, fd)) {
+		g_autofree char *text = g_strdup_printf("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n"
+							"\r\nc%u.",
+							nth);
+
+		raw_write(fd, text);
+	}
+}
+
+static void test_keep_alive(void)
+{
+	struct fixture f;
+
+	setup(&f, "GET", serve_many, NULL);
+	for (u32 i = 0; i < 3; i++) {
+		g_assert_cmpint(run(&f), ==, 0);
+		assert_body(&f, "c1.");
+	}
+	g_assert_cmpint(g_atomic_int_get(&f.server.requests), ==, 3);
+	teardown(&f);
+}
+
+/* The second request on a connection is read and the connection closed without an answer. */
+static void serve_one_read_two(struct raw_server *s, int fd, u32 nth)
+{
+	(void)nth;
+	if (!raw_read_request(s, fd))
+		return;
+	raw_write(fd, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+	raw_read_request(s, fd);
+}
+
+static void test_post_is_sent_once(void)
+{
+	struct fixture f;
+
+	setup(&f, "POST", serve_one_read_two, NULL);
+	g_assert_cmpint(run(&f), ==, 0);
+	g_assert_cmpint(run(&f), ==, ERR_CLOSED);
+	g_assert_true(f.call.is_written);
+	g_assert_cmpint(g_atomic_int_get(&f.server.requests), ==, 2);
+	g_assert_cmpint(run(&f), ==, 0);
+	teardown(&f);
+}
+
+static void test_refused(void)
+{
+	struct fixture f;
+	u16 closed;
+	int fd = raw_listen(&closed);
+
+	setup(&f, "POST", serve_many, NULL);
+	close(fd);
+	f.call = (struct upstream_call){ .request = f.request,
+					 .deadline_us = loop_clock_us() + LONG_US,
+					 .max_body_bytes = BODY_MAX_BYTES };
+	g_assert_cmpint(upstream_run(f.u, closed, &f.call, &f.reply), ==, ERR_REFUSED);
+	g_assert_false(f.call.is_written);
+	teardown(&f);
+}
+
+/* What is expired or cancelled before it was written does not run. */
+static void test_not_written(void)
+{
+	struct fixture f;
+
+	setup(&f, "POST", serve_many, NULL);
+	f.call = (struct upstream_call){ .request = f.request,
+					 .deadline_us = loop_clock_us(),
+					 .max_body_bytes = BODY_MAX_BYTES };
+	g_assert_cmpint(upstream_run(f.u, f.server.port, &f.call, &f.reply), ==, ERR_TIMEOUT);
+	g_assert_false(f.call.is_written);
+	f.call.deadline_us += LONG_US;
+	f.call.is_cancelled = true;
+	g_assert_cmpint(upstream_run(f.u, f.server.port, &f.call, &f.reply), ==, ERR_CANCELLED);
+	g_assert_false(f.call.is_written);
+	g_assert_cmpint(g_atomic_int_get(&f.server.requests), ==, 0);
+	teardown(&f);
+}
+
+struct interrupter {
+	struct fixture *f;
+	gint is_done;
+	gint must_cancel;
+};
+
+/* As the home node's tick does: again and again, since a signal may come before the wait. */
+static gpointer interrupt_main(gpointer arg)
+{
+	struct interrupter *i = arg;
+
+	while (!g_atomic_int_get(&i->is_done)) {
+		if (g_atomic_int_get(&i->must_cancel))
+			__atomic_store_n(&i->f->call.is_cancelled, true, __ATOMIC_RELEASE);
+		upstream_interrupt(i->f->u);
+		g_usleep(US_PER_MS);
+	}
+	return NULL;
+}
+
+struct stall {
+	const char *text;
+	struct interrupter *i;
+	bool saw_close;
+};
+
+/* Reads the request, writes TEXT, and then only waits for the client to go away. */
+static void serve_stall(struct raw_server *s, int fd, u32 nth)
+{
+	struct stall *stall = s->arg;
+
+	(void)nth;
+	raw_read_request(s, fd);
+	raw_write(fd, stall->text);
+	g_atomic_int_set(&stall->i->must_cancel, 1);
+	stall->saw_close = raw_wait_closed(fd);
+}
+
+static void check_cancelled(const char *text)
+{
+	struct fixture f;
+	struct interrupter i = { .f = &f };
+	struct stall stall = { .text = text, .i = &i };
+	GThread *thread;
+
+	setup(&f, "GET", serve_stall, &stall);
+	f.call = (struct upstream_call){ .request = f.request,
+					 .deadline_us = loop_clock_us() + LONG_US,
+					 .max_body_bytes = BODY_MAX_BYTES };
+	thread = g_thread_new("interrupter", interrupt_main, &i);
+	g_assert_cmpint(upstream_run(f.u, f.server.port, &f.call, &f.reply), ==, ERR_CANCELLED);
+	g_atomic_int_set(&i.is_done, 1);
+	g_thread_join(thread);
+	g_assert_null(f.reply);
+	teardown(&f);
+	g_assert_true(stall.saw_close);
+}
+
+/* Cancellation reaches the upstream: its connection closes before, within and after the head. */
+static void test_cancel(void)
+{
+	check_cancelled("");
+	check_cancelled("HTTP/1.1 200 OK\r\nConte");
+	check_cancelled("HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nhello");
+	check_cancelled("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n");
+	check_cancelled("HTTP/1.1 200 OK\r\n\r\nhello");
+}
+
+static void check_deadline(const char *text)
+{
+	struct fixture f;
+	struct interrupter unused = { 0 };
+	struct interrupter i = { .f = &f };
+	struct stall stall = { .text = text, .i = &unused };
+	GThread *thread;
+
+	setup(&f, "GET", serve_stall, &stall);
+	f.call = (struct upstream_call){ .request = f.request,
+					 .deadline_us = loop_clock_us() + 50 * US_PER_MS,
+					 .max_body_bytes = BODY_MAX_BYTES };
+	thread = g_thread_new("interrupter", interrupt_main, &i);
+	g_assert_cmpint(upstream_run(f.u, f.server.port, &f.call, &f.reply), ==, ERR_TIMEOUT);
+	g_atomic_int_set(&i.is_done, 1);
+	g_thread_join(thread);
+	teardown(&f);
+	g_assert_true(stall.saw_close);
+}
+
+static void test_deadline(void)
+{
+	check_deadline("");
+	check_deadline("HTTP/1.1 200 OK\r\nConte");
+	check_deadline("HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nhello");
+	check_deadline("HTTP/1.1 200 OK\r\n\r\nhello");
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	mg_init_library(0);
+	g_test_add_func("/upstream/whole", test_whole);
+	g_test_add_func("/upstream/short-content-length", test_short_content_length);
+	g_test_add_func("/upstream/unfinished-chunks", test_unfinished_chunks);
+	g_test_add_func("/upstream/close-delimited", test_close_delimited);
+	g_test_add_func("/upstream/garbage-head", test_garbage_head);
+	g_test_add_func("/upstream/body-over-the-limit", test_body_over_the_limit);
+	g_test_add_func("/upstream/answers-without-body", test_answers_without_body);
+	g_test_add_func("/upstream/slow-head", test_slow_head);
+	g_test_add_func("/upstream/keep-alive", test_keep_alive);
+	g_test_add_func("/upstream/post-is-sent-once", test_post_is_sent_once);
+	g_test_add_func("/upstream/refused", test_refused);
+	g_test_add_func("/upstream/not-written", test_not_written);
+	g_test_add_func("/upstream/cancel", test_cancel);
+	g_test_add_func("/upstream/deadline", test_deadline);
+	return g_test_run();
+}
