--- a/bench/state_bench.c
+++ b/bench/state_bench.c
@@ -69,7 +69,7 @@
 	for (u32 i = from; i < to; i++) {
 		struct dir_entry e = make_entry(i);
 
-		directory_put(&directory, &e, 1, 0);
+		directory_register(&directory, &e, 0);
 		dir_entry_clear(&e);
 	}
 }
@@ -172,7 +172,7 @@
 	while ((c = getopt(argc, argv, "n:")) != -1)
 		if (c == 'n')
 			n = (u32)atoi(optarg);
-	directory_init(&directory);
+	directory_init(&directory, 1, 1);
 	choose_init(&choose, "zone-1", 1);
 	store_init(&store);
 	call_table_init(&table);
