--- a/kernel/link.c
+++ b/kernel/link.c
@@ -32,9 +32,13 @@
 	bool is_connecting;
 	bool wants_write;
 	bool is_dead;
+	bool has_hello;
+	int failure; /* closes the link at the next tick */
 	u64 heard_us;
+	u64 began_us;
 	u64 best_rtt_us;
 	u64 best_rtt_at_us;
+	u64 offset_rtt_us; /* round trip of the sample that gave the clock offset */
 };
 
 struct link_listener {
@@ -90,6 +94,8 @@
 		ctr_inc(CTR_FRAME_BAD);
 	if (err == ERR_TOOBIG)
 		ctr_inc(CTR_FRAME_TOO_LARGE);
+	if (err == ERR_BUSY)
+		ctr_inc(CTR_LINK_QUEUE_FULL);
 	link_close(k);
 	k->ops->down(k, err);
 }
@@ -121,16 +127,14 @@
 	k->remote.region = frame_get_str(in, LINK_ID_TEXT_MAX);
 	k->remote.incarnation = frame_get_u64(in);
 	k->remote.api_port = (u16)frame_get_u64(in);
-	if (frame_done(in) || k->is_up)
+	if (frame_done(in) || k->priv->has_hello)
 		return ERR_INVAL;
 	if (strcmp(k->remote.cluster, k->priv->self->cluster)) {
 		log_event(LOG_WARN, "link from another cluster", "peer", k->remote.name, "cluster",
 			  k->remote.cluster, NULL);
 		return ERR_INVAL;
 	}
-	k->is_up = true;
-	ctr_inc(CTR_LINK_UP);
-	k->ops->up(k);
+	k->priv->has_hello = true;
 	return 0;
 }
 
@@ -153,6 +157,20 @@
 	return frame_done(in);
 }
 
+/*
+ * The link is up at the first PONG: from then on times can be compared. Each
+ * end answers the other's first PING before it gets its own PONG, so both are
+ * up before a frame of the owner comes.
+ */
+static void come_up(struct link *k)
+{
+	if (k->is_up)
+		return;
+	k->is_up = true;
+	ctr_inc(CTR_LINK_UP);
+	k->ops->up(k);
+}
+
 static int take_pong(struct link *k, struct frame_in *in)
 {
 	struct link_private *p = k->priv;
@@ -173,14 +191,19 @@
 	}
 	if (!k->has_offset || rtt <= p->best_rtt_us * LINK_OFFSET_RTT_FACTOR) {
 		k->clock_offset_us = (i64)remote - (i64)(sent + rtt / 2);
+		p->offset_rtt_us = rtt;
 		k->has_offset = true;
 	}
+	come_up(k);
 	return 0;
 }
 
 u64 link_to_local_us(const struct link *k, u64 remote_us)
 {
-	return (u64)((i64)remote_us - k->clock_offset_us);
+	i64 uncertainty_us = (i64)(k->priv->offset_rtt_us / 2);
+	i64 local_us = (i64)remote_us - k->clock_offset_us - uncertainty_us;
+
+	return local_us > 0 ? (u64)local_us : 0;
 }
 
 static int dispatch(struct link *k, const void *payload, size_t len)
@@ -194,12 +217,14 @@
 		return ERR_INVAL;
 	if (type == LINK_HELLO)
 		return take_hello(k, &in);
-	if (!k->is_up)
+	if (!k->priv->has_hello)
 		return ERR_INVAL;
 	if (type == LINK_PING)
 		return answer_ping(k, &in);
 	if (type == LINK_PONG)
 		return take_pong(k, &in);
+	if (!k->is_up)
+		return ERR_INVAL;
 	return k->ops->frame(k, type, &in);
 }
 
@@ -273,6 +298,15 @@
 	set_write(k, p->out->len > 0);
 }
 
+/* Sent bytes leave the buffer when they are most of it, so that it stays bounded. */
+static void drop_sent(struct link_private *p)
+{
+	if (p->out_off < LINK_READ_BYTES || p->out_off < p->out->len / 2)
+		return;
+	g_byte_array_remove_range(p->out, 0, (guint)p->out_off);
+	p->out_off = 0;
+}
+
 size_t link_queued_bytes(const struct link *k)
 {
 	return k->priv->out->len - k->priv->out_off;
@@ -287,14 +321,27 @@
 		return ERR_CLOSED;
 	if (len > FRAME_MAX_BYTES + FRAME_HEADER_BYTES)
 		return ERR_TOOBIG;
-	if (link_queued_bytes(k) + len > LINK_SEND_QUEUE_MAX_BYTES)
-		return ERR_TOOBIG;
+	if (p->failure)
+		return p->failure;
+	if (link_queued_bytes(k) + len > LINK_SEND_QUEUE_MAX_BYTES) {
+		/* A part of a message may be queued; what was lost must not go unnoticed. */
+		p->failure = ERR_BUSY;
+		loop_timer_set(p->loop, &p->tick, loop_clock_us());
+		return ERR_BUSY;
+	}
+	drop_sent(p);
 	g_byte_array_append(p->out, (const guint8 *)frame->buf.data, (guint)len);
 	if (!p->is_connecting)
 		flush(k);
 	return 0;
 }
 
+static void greet(struct link *k)
+{
+	send_hello(k);
+	send_ping(k);
+}
+
 static int finish_connect(struct link *k)
 {
 	struct link_private *p = k->priv;
@@ -306,8 +353,7 @@
 		return ERR_REFUSED;
 	p->is_connecting = false;
 	p->heard_us = loop_clock_us();
-	p->wants_write = true;
-	flush(k);
+	greet(k);
 	return 0;
 }
 
@@ -328,24 +374,35 @@
 		flush(k);
 }
 
+/* 0, or why the link ends at this time. */
+static int check_time(const struct link *k, u64 now_us)
+{
+	const struct link_private *p = k->priv;
+
+	if (p->failure)
+		return p->failure;
+	if (p->is_connecting && now_us - p->began_us >= LINK_CONNECT_US)
+		return ERR_TIMEOUT;
+	if (!k->is_up && now_us - p->began_us > LINK_SILENT_US)
+		return ERR_TIMEOUT;
+	return now_us - p->heard_us > LINK_SILENT_US ? ERR_TIMEOUT : 0;
+}
+
 static void on_tick(void *arg, u64 now_us)
 {
 	struct link *k = arg;
 	struct link_private *p = k->priv;
+	int err = 0;
 
 	/* Data that waits in the socket was heard, though this process was stopped. */
-	if (now_us - p->heard_us > LINK_SILENT_US && !p->is_connecting) {
-		int err = read_some(k);
-
-		if (err) {
-			fail(k, err);
-			return;
-		}
-	}
+	if (now_us - p->heard_us > LINK_SILENT_US && !p->is_connecting)
+		err = read_some(k);
 	if (p->is_dead)
 		return;
-	if (now_us - p->heard_us > LINK_SILENT_US) {
-		fail(k, ERR_TIMEOUT);
+	if (!err)
+		err = check_time(k, loop_clock_us());
+	if (err) {
+		fail(k, err);
 		return;
 	}
 	if (k->is_up)
@@ -370,6 +427,7 @@
 	p->in = g_byte_array_new();
 	p->out = g_byte_array_new();
 	p->heard_us = now;
+	p->began_us = now;
 	p->fd = (struct loop_fd){ .ready = on_ready, .arg = k, .fd = fd };
 	p->tick = (struct loop_timer){ .fire = on_tick, .arg = k };
 	loop_timer_set(l, &p->tick, now + LINK_PING_INTERVAL_US);
@@ -400,9 +458,10 @@
 	k = link_new(l, self, fd, ops, arg);
 	k->priv->is_connecting = true;
 	k->priv->wants_write = true;
-	loop_fd_add(l, &k->priv->fd, EPOLLIN | EPOLLOUT);
-	send_hello(k);
-	return k;
+	if (!loop_fd_add(l, &k->priv->fd, EPOLLIN | EPOLLOUT))
+		return k;
+	link_close(k);
+	return NULL;
 }
 
 static void on_accept(void *arg, u32 events)
@@ -415,8 +474,10 @@
 	if (fd < 0)
 		return;
 	k = link_new(s->loop, s->self, fd, s->ops, s->arg);
-	loop_fd_add(s->loop, &k->priv->fd, EPOLLIN);
-	send_hello(k);
+	if (loop_fd_add(s->loop, &k->priv->fd, EPOLLIN))
+		link_close(k);
+	else
+		greet(k);
 }
 
 struct link_listener *link_listen(struct loop *l, const struct link_id *self, const char *host,
--- a/kernel/link.h
+++ b/kernel/link.h
@@ -11,7 +11,7 @@
  *
  * UNITS microseconds, bytes
  * ERRORS down() gets ERR_CLOSED, ERR_REFUSED, ERR_TIMEOUT (silence),
- * ERR_INVAL (bad frame) or ERR_TOOBIG
+ * ERR_INVAL (bad frame), ERR_TOOBIG, or ERR_BUSY (the send queue was full)
  * SOURCE kernel/link.c
  */
 #ifndef LINK_H
@@ -22,6 +22,7 @@
 
 #define LINK_PING_INTERVAL_US (500 * US_PER_MS)
 #define LINK_SILENT_US (2 * US_PER_S)
+#define LINK_CONNECT_US (1 * US_PER_S)
 #define LINK_SEND_QUEUE_MAX_BYTES (64 * 1024 * 1024)
 
 /* Frame types below LINK_TYPE_FIRST belong to this module. */
@@ -43,7 +44,7 @@
 struct link;
 
 struct link_ops {
-	void (*up)(struct link *k); /* HELLO was received */
+	void (*up)(struct link *k); /* HELLO was received and the clock offset is known */
 	int (*frame)(struct link *k, u32 type, struct frame_in *in); /* an error closes the link */
 	void (*down)(struct link *k, int err);
 };
@@ -70,7 +71,11 @@
 				  u16 port, const struct link_ops *ops, void *arg);
 void link_unlisten(struct link_listener *s);
 
-/* link_send - queue the frame; ends and frees nothing of the caller's. 0, or ERR_TOOBIG. */
+/*
+ * link_send - queue the frame; frees nothing of the caller's. Returns 0,
+ * ERR_TOOBIG for a frame over the limit, or ERR_BUSY when the queue is full:
+ * then the link goes down soon.
+ */
 int link_send(struct link *k, struct frame_out *frame);
 
 /* link_close - close; down() is not called. */
@@ -79,7 +84,10 @@
 /* link_queued_bytes - bytes accepted by link_send that the socket has not taken yet. */
 size_t link_queued_bytes(const struct link *k);
 
-/* link_to_local_us - a time on the remote clock as a time on the own clock. */
+/*
+ * link_to_local_us - a time on the remote clock as a time on the own clock,
+ * never later than the true one.
+ */
 u64 link_to_local_us(const struct link *k, u64 remote_us);
 
 #endif
--- a/kernel/loop.c
+++ b/kernel/loop.c
@@ -81,6 +81,16 @@
 	g_free(l);
 }
 
+static bool has_posted(struct loop *l)
+{
+	bool ret;
+
+	pthread_mutex_lock(&l->lock);
+	ret = l->queue->len > 0;
+	pthread_mutex_unlock(&l->lock);
+	return ret;
+}
+
 static void run_posted(struct loop *l)
 {
 	GArray *empty = g_array_new(FALSE, FALSE, sizeof(struct posted));
@@ -160,7 +170,8 @@
 		run_posted(l);
 		run_timers(l);
 	}
-	run_posted(l);
+	while (has_posted(l))
+		run_posted(l);
 	return NULL;
 }
 
--- a/lib/settings.c
+++ b/lib/settings.c
@@ -154,6 +154,12 @@
 	l->s->node.peer_port = port(l, v);
 }
 
+static void set_peer_listen(struct loader *l, const char *v)
+{
+	if (endpoint_parse(&l->s->node.peer_listen, v))
+		complain(l, "not an ADDRESS:PORT", v);
+}
+
 static void set_local_port(struct loader *l, const char *v)
 {
 	l->s->node.local_port = port(l, v);
@@ -340,6 +346,7 @@
 	{ "node", "region", set_node_region },
 	{ "node", "caller_port", set_caller_port },
 	{ "node", "peer_port", set_node_peer_port },
+	{ "node", "peer_listen", set_peer_listen },
 	{ "node", "local_port", set_local_port },
 	{ "node", "control", set_node_control },
 	{ "node", "probe_budget_per_s", set_probes },
--- a/lib/settings.h
+++ b/lib/settings.h
@@ -31,6 +31,7 @@
 	char *region;
 	u16 caller_port;
 	u16 peer_port;
+	struct endpoint peer_listen; /* port 0: listen on address and peer_port */
 	u16 local_port;
 	GArray *control; /* of struct endpoint */
 	u64 probe_budget_per_s;
--- a/node/call_table.c
+++ b/node/call_table.c
@@ -84,6 +84,7 @@
 		f->seq = id.incarnation <= t->old_incarnation ? UINT64_MAX : id.seq;
 		g_tree_insert(t->floors, &f->incarnation, f);
 		bound_floors(t);
+		/* cppcheck-suppress memleak ; the tree owns it */
 		return;
 	}
 	f->seq = MAX(f->seq, id.seq);
--- a/node/call_table.h
+++ b/node/call_table.h
@@ -64,7 +64,8 @@
 /* call_done - the call ran; takes over REPLY, which may be NULL for an unknown outcome. */
 void call_done(struct call_table *t, struct call_id id, struct http_msg *reply, u64 now_us);
 
-/* call_fence - what became of ID; an id never seen gets a tombstone. *REPLY stays with the table. */
+/* call_fence - what became of ID; an id never seen gets a tombstone. *REPLY stays with the table.
+ */
 enum fence_state call_fence(struct call_table *t, struct call_id id, u64 now_us,
 			    const struct http_msg **reply);
 
--- a/node/caller.c
+++ b/node/caller.c
@@ -13,18 +13,8 @@
 #define CALLER_THREADS 256
 #define DEFAULT_TIMEOUT_MS 30000
 #define TIMEOUT_MAX_MS 600000
-
-static int refuse(struct mg_connection *conn, int status, const char *outcome, enum ctr reason,
-		  const char *text)
-{
-	return http_send_error(conn, status, outcome, ctr_name(reason), text);
-}
-
-static int refuse_counted(struct mg_connection *conn, int status, enum ctr reason, const char *text)
-{
-	ctr_inc(reason);
-	return refuse(conn, status, "not-run", reason, text);
-}
+#define DISCARD_BYTES 16384
+#define DISCARD_MAX_US (5 * US_PER_S)
 
 /* Fills in service, rank and idempotence. Returns CTR_CALLS, or the reason of a refusal. */
 static enum ctr route(const struct mg_request_info *ri, const char *host, struct entry_call *call)
@@ -82,8 +72,10 @@
 	return m;
 }
 
-static int send_answer(struct mg_connection *conn, const struct http_msg *m, bool is_head)
+/* IS_LAST ends the connection, and says so. */
+static int send_answer(struct mg_connection *conn, const struct http_msg *m, bool is_last)
 {
+	bool is_head = !strcmp(mg_get_request_info(conn)->request_method, "HEAD");
 	g_autoptr(GString) head = g_string_new(NULL);
 
 	g_string_printf(head, "HTTP/1.1 %d %s\r\n", m->status,
@@ -95,6 +87,10 @@
 	}
 	if (!is_head && m->status != 204 && m->status != 304)
 		g_string_append_printf(head, "Content-Length: %u\r\n", m->body->len);
+	if (is_last) {
+		g_string_append(head, "Connection: close\r\n");
+		mg_disable_connection_keep_alive(conn);
+	}
 	g_string_append(head, "\r\n");
 	mg_write(conn, head->str, head->len);
 	if (!is_head)
@@ -102,6 +98,23 @@
 	return m->status;
 }
 
+/* An answer made by the system; the reason was counted where it arose. */
+static int refuse(struct mg_connection *conn, u16 status, bool is_not_run, enum ctr reason,
+		  const char *text, bool is_last)
+{
+	g_autofree char *body = g_strdup_printf("{\"error\":\"%s\"}\n", text);
+	struct http_msg *m = http_new();
+
+	m->status = status;
+	http_add_header(m, "Content-Type", "application/json");
+	http_add_header(m, "Lavenderlead-Outcome", is_not_run ? "not-run" : "unknown");
+	http_add_header(m, "Lavenderlead-Reason", ctr_name(reason));
+	g_byte_array_append(m->body, (const guint8 *)body, (guint)strlen(body));
+	send_answer(conn, m, is_last);
+	http_free(m);
+	return status;
+}
+
 static const char *describe(const struct entry_call *call)
 {
 	if (call->status == 504)
@@ -110,61 +123,125 @@
 				  "the outcome is not known, the call may have run";
 }
 
-static int finish(struct mg_connection *conn, struct entry_call *call)
+static bool is_stopping(const struct node *n)
 {
-	int ret;
+	return __atomic_load_n(&n->is_stopping, __ATOMIC_ACQUIRE);
+}
 
-	if (call->answer) {
-		ctr_inc(CTR_ANSWERS);
-		ret = send_answer(conn, call->answer, !strcmp(call->msg->method, "HEAD"));
-	} else {
-		ret = refuse(conn, call->status, call->is_not_run ? "not-run" : "unknown",
-			     call->reason, describe(call));
+/* Reads on, so that a caller still sending sees the answer and not a reset. */
+static void discard_body(struct mg_connection *conn, u64 max)
+{
+	u64 end_us = loop_clock_us() + DISCARD_MAX_US;
+	char buf[DISCARD_BYTES];
+	u64 sum = 0;
+	int n;
+
+	do {
+		n = mg_read(conn, buf, sizeof(buf));
+		sum += n > 0 ? (u64)n : 0;
+	} while (n > 0 && sum < max && loop_clock_us() < end_us);
+}
+
+static int answer_call(struct node *n, struct mg_connection *conn, struct entry_call *call)
+{
+	entry_run(n, call);
+	if (!call->answer)
+		return refuse(conn, call->status, call->is_not_run, call->reason, describe(call),
+			      is_stopping(n));
+	ctr_inc(CTR_ANSWERS);
+	return send_answer(conn, call->answer, is_stopping(n));
+}
+
+static int refuse_body(struct node *n, struct mg_connection *conn, int err)
+{
+	if (err != ERR_TOOBIG) {
+		ctr_inc(CTR_BAD_REQUEST);
+		return refuse(conn, 400, true, CTR_BAD_REQUEST,
+			      "the request body ended before its length", true);
 	}
-	http_free(call->answer);
-	http_free(call->msg);
-	g_free(call->service);
-	g_free(call->rank);
-	return ret;
+	ctr_inc(CTR_BODY_TOO_LARGE);
+	refuse(conn, 413, true, CTR_BODY_TOO_LARGE, "the request body is too large", true);
+	discard_body(conn, 2 * n->settings->node.max_body_bytes);
+	return 413;
 }
 
-static int on_call(struct mg_connection *conn, void *arg)
+static void allow_body(struct mg_connection *conn, u64 max)
+{
+	const char *expect = mg_get_header(conn, "Expect");
+	const struct mg_request_info *ri = mg_get_request_info(conn);
+
+	if (!expect || g_ascii_strcasecmp(expect, "100-continue"))
+		return;
+	if (ri->content_length <= 0 || (u64)ri->content_length <= max)
+		mg_printf(conn, "HTTP/1.1 100 Continue\r\n\r\n");
+}
+
+static int take_call(struct node *n, struct mg_connection *conn, struct entry_call *call, u64 ms)
+{
+	u64 max = n->settings->node.max_body_bytes;
+	int err;
+
+	allow_body(conn, max);
+	err = http_read_body(conn, call->msg->body, max);
+	if (err)
+		return refuse_body(n, conn, err);
+	if (ms)
+		return answer_call(n, conn, call);
+	ctr_inc(CTR_DEADLINE);
+	return refuse(conn, 504, true, CTR_DEADLINE, "the deadline passed", is_stopping(n));
+}
+
+/* Refused before the body was read, so the connection cannot be used again when there is one. */
+static int refuse_early(struct node *n, struct mg_connection *conn, enum ctr reason)
+{
+	bool has_body = mg_get_request_info(conn)->content_length > 0 ||
+			mg_get_header(conn, "Transfer-Encoding");
+
+	ctr_inc(reason);
+	switch (reason) {
+	case CTR_NO_SERVICE:
+		return refuse(conn, 404, true, reason, "no service for this host", has_body);
+	case CTR_NO_RANK:
+		return refuse(conn, 404, true, reason, "no rank of the service matches", has_body);
+	case CTR_DRAINING:
+		return refuse(conn, 503, true, reason, "this node is shutting down", true);
+	default:
+		return refuse(conn, 503, true, reason, "no configuration received yet",
+			      has_body || is_stopping(n));
+	}
+}
+
+static int serve(struct node *n, struct mg_connection *conn)
 {
-	struct node *n = arg;
 	const struct mg_request_info *ri = mg_get_request_info(conn);
 	struct entry_call call = { 0 };
 	u64 ms = timeout_ms(conn);
 	enum ctr reason;
-	int err;
+	int status;
 
 	ctr_inc(CTR_CALLS);
 	call.deadline_us = loop_clock_us() + ms * US_PER_MS;
-	if (__atomic_load_n(&n->is_stopping, __ATOMIC_ACQUIRE))
-		return refuse_counted(conn, 503, CTR_DRAINING, "this node is shutting down");
-	reason = route(ri, mg_get_header(conn, "Host"), &call);
-	if (reason == CTR_NO_SERVICE)
-		return refuse_counted(conn, 404, reason, "no service for this host");
-	if (reason == CTR_NO_RANK)
-		return refuse_counted(conn, 404, reason, "no rank of the service matches");
+	reason = is_stopping(n) ? CTR_DRAINING : route(ri, mg_get_header(conn, "Host"), &call);
 	if (reason != CTR_CALLS)
-		return refuse_counted(conn, 503, reason, "no configuration received yet");
+		return refuse_early(n, conn, reason);
 	call.msg = make_request(ri);
-	err = http_read_body(conn, call.msg->body, n->settings->node.max_body_bytes);
-	if (err) {
-		ctr_inc(err == ERR_TOOBIG ? CTR_BODY_TOO_LARGE : CTR_BAD_REQUEST);
-		call.reason = err == ERR_TOOBIG ? CTR_BODY_TOO_LARGE : CTR_BAD_REQUEST;
-		call.status = err == ERR_TOOBIG ? 413 : 400;
-		call.is_not_run = true;
-		mg_disable_connection_keep_alive(conn);
-	} else if (!ms) {
-		ctr_inc(CTR_DEADLINE);
-		call.reason = CTR_DEADLINE;
-		call.status = 504;
-		call.is_not_run = true;
-	} else {
-		entry_run(n, &call);
-	}
-	return finish(conn, &call);
+	status = take_call(n, conn, &call, ms);
+	http_free(call.answer);
+	http_free(call.msg);
+	g_free(call.service);
+	g_free(call.rank);
+	return status;
+}
+
+static int on_call(struct mg_connection *conn, void *arg)
+{
+	struct node *n = arg;
+	int status;
+
+	__atomic_add_fetch(&n->callers, 1, __ATOMIC_ACQ_REL);
+	status = serve(n, conn);
+	__atomic_sub_fetch(&n->callers, 1, __ATOMIC_ACQ_REL);
+	return status;
 }
 
 int caller_start(struct node *n)
--- a/node/entry.c
+++ b/node/entry.c
@@ -7,6 +7,9 @@
 #include <pthread.h>
 #include <string.h>
 
+/* Head and framing of a call, more than the HTTP server takes in. */
+#define CALL_OVERHEAD_BYTES (64 * 1024)
+
 enum try_state { TRY_CONNECTING, TRY_SENT, TRY_FENCING };
 
 /* One try of a call at one home node; each has its own id. */
@@ -14,6 +17,9 @@
 try {
 	struct call_id id;
 	struct entry_call *call;
+	/* Head and framing of a call, more than the HTTP server takes in. */
+#define CALL_OVERHEAD_BYTES (64 * 1024)
+
 	enum try_state state;
 	char *home;
 	u64 home_incarnation;
@@ -34,9 +40,9 @@
 
 struct entry {
 	GHashTable *tries; /* sequence -> struct try */
+	GHashTable *calls; /* set of struct entry_call */
 	u64 seq;
 	struct retry_budget budget;
-	u32 in_progress;
 };
 
 static void attempt(struct node *n, struct entry_call *call);
@@ -54,7 +60,7 @@
 	struct entry_private *p = call->priv;
 
 	loop_timer_cancel(n->loop, &p->deadline);
-	n->entry->in_progress--;
+	g_hash_table_remove(n->entry->calls, call);
 	pthread_mutex_lock(&p->lock);
 	p->is_done = true;
 	pthread_cond_signal(&p->cond);
@@ -63,7 +69,7 @@
 
 static u16 status_of(enum ctr reason, bool is_not_run)
 {
-	if (reason == CTR_DEADLINE || reason == CTR_UPSTREAM_TIMEOUT)
+	if (reason == CTR_DEADLINE || reason == CTR_UPSTREAM_TIMEOUT || reason == CTR_EXPIRED_UNRUN)
 		return 504;
 	return is_not_run ? 503 : 502;
 }
@@ -101,19 +107,33 @@
 		choose_ended(target, result, now - t->sent_us, now);
 }
 
-/* The try ends before the cancel goes out, so the home's refusal finds nobody. */
+/*
+ * The try ends before the cancel goes out, so the home's refusal finds nobody.
+ * A call that waits for its link was sent to nobody.
+ */
 static void cancel_current(struct node *n, struct entry_call *call, enum choose_result result)
 {
 	struct try *t = call->priv->current;
 	g_autofree char *home = g_strdup(t->home);
+	bool was_sent = t->state != TRY_CONNECTING;
 	struct call_id id = t->id;
 
-	call->priv->may_have_run = true;
-	note_end(n, t, result);
+	note_end(n, t, was_sent ? result : CHOOSE_CANCELLED);
 	try_end(n, t);
+	if (!was_sent)
+		return;
+	call->priv->may_have_run = true;
 	send_cancel(n, home, id);
 }
 
+/* Ends a call without its answer; not-run is said when no try was sent. */
+static void abandon(struct node *n, struct entry_call *call, enum ctr reason)
+{
+	if (call->priv->current)
+		cancel_current(n, call, CHOOSE_FAILED);
+	give_up(n, call, reason, true);
+}
+
 static void on_deadline(void *arg, u64 now_us)
 {
 	struct entry_call *call = arg;
@@ -121,12 +141,7 @@
 
 	(void)now_us;
 	ctr_inc(CTR_DEADLINE);
-	if (!call->priv->current) {
-		give_up(n, call, CTR_DEADLINE, true);
-		return;
-	}
-	cancel_current(n, call, CHOOSE_FAILED);
-	give_up(n, call, CTR_DEADLINE, false);
+	abandon(n, call, CTR_DEADLINE);
 }
 
 static void again_or_give_up(struct node *n, struct entry_call *call, enum ctr reason,
@@ -151,6 +166,15 @@
 	}
 }
 
+/*
+ * Only whole calls are queued: a link without room counts as one that is not there.
+ */
+static bool has_room(const struct link *k, const struct entry_call *call)
+{
+	return link_queued_bytes(k) + call->msg->body->len + CALL_OVERHEAD_BYTES <
+	       LINK_SEND_QUEUE_MAX_BYTES;
+}
+
 static void send_to_peer(struct try *t, struct link *k)
 {
 	struct entry_call *call = t->call;
@@ -166,7 +190,7 @@
 	t->state = TRY_SENT;
 	t->home_incarnation = k->remote.incarnation;
 	peer_call_put(&f, &out);
-	/* A link that takes no more bytes goes down soon, and the fence tells the outcome. */
+	/* A link that takes no more bytes goes down, and the fence tells the outcome. */
 	if (!link_send(k, &f))
 		peer_send_body(k, t->id, call->msg->body);
 }
@@ -253,7 +277,7 @@
 		return;
 	}
 	k = mesh_link(n, home);
-	if (k)
+	if (k && has_room(k, call))
 		send_to_peer(try_new(n, call, target, now), k);
 	else if (mesh_is_dialling(n, home))
 		try_new(n, call, target, now); /* sent when the link is up */
@@ -381,6 +405,30 @@
 	return out;
 }
 
+/* The last load came from before the upstream was up again. */
+static void end_draining(struct node *n, const struct dir_entry *e)
+{
+	struct choose_target *target = choose_find(&n->choose, e->node);
+
+	if (target && e->state == DIR_UP && !dir_entry_is_newer(&target->entry, e))
+		target->load.is_draining = false;
+}
+
+void entry_directory(struct node *n, const struct dir_entry *e)
+{
+	g_autoptr(GList) list = tries_at(n, e->node);
+
+	end_draining(n, e);
+	for (GList *l = list; l; l = l->next) {
+		struct try *t = l->data;
+
+		if (t->state != TRY_FENCING || e->incarnation < t->home_incarnation)
+			continue;
+		if (e->state == DIR_GONE || e->incarnation > t->home_incarnation)
+			lost(n, t);
+	}
+}
+
 void entry_link_down(struct node *n, const char *peer)
 {
 	g_autoptr(GList) list = tries_at(n, peer);
@@ -426,9 +474,19 @@
 	}
 }
 
+void entry_abandon_all(struct node *n)
+{
+	g_autoptr(GList) list = g_hash_table_get_values(n->entry->calls);
+
+	for (GList *l = list; l; l = l->next) {
+		ctr_inc(CTR_DRAINING);
+		abandon(n, l->data, CTR_DRAINING);
+	}
+}
+
 u32 entry_in_progress(struct node *n)
 {
-	return n->entry->in_progress;
+	return g_hash_table_size(n->entry->calls);
 }
 
 static void submit(void *arg)
@@ -437,7 +495,7 @@
 	struct entry_private *p = call->priv;
 	struct node *n = p->node;
 
-	n->entry->in_progress++;
+	g_hash_table_add(n->entry->calls, call);
 	loop_timer_set(n->loop, &p->deadline, call->deadline_us);
 	attempt(n, call);
 }
@@ -467,12 +525,14 @@
 {
 	n->entry = g_new0(struct entry, 1);
 	n->entry->tries = g_hash_table_new(g_int64_hash, g_int64_equal);
+	n->entry->calls = g_hash_table_new(NULL, NULL);
 	retry_budget_init(&n->entry->budget);
 	return 0;
 }
 
 void entry_stop(struct node *n)
 {
+	g_hash_table_unref(n->entry->calls);
 	g_hash_table_unref(n->entry->tries);
 	g_clear_pointer(&n->entry, g_free);
 }
--- a/node/local.c
+++ b/node/local.c
@@ -34,8 +34,7 @@
 		return;
 	n->own.state = state;
 	node_announce(n);
-	if (state != DIR_UP)
-		mesh_goaway(n);
+	mesh_goaway(n);
 }
 
 static void set_details(struct node *n, const struct announcement *a)
--- a/node/mesh.c
+++ b/node/mesh.c
@@ -7,6 +7,9 @@
 
 #include <string.h>
 
+/* Bodies that may be incomplete on one link at the same time. */
+#define PARTIALS_MAX 4
+
 /* A call or a reply whose body is still coming. */
 struct partial {
 	struct call_id id;
@@ -68,9 +71,11 @@
 	g_hash_table_remove(m->partials, &p->id);
 }
 
+/* A sender queues the body right after its head, so more than one of these is rare. */
 static int add_partial(struct mesh_peer *m, struct partial *p)
 {
 	if (p->body_len > m->node->settings->node.max_body_bytes ||
+	    g_hash_table_size(m->partials) >= PARTIALS_MAX ||
 	    g_hash_table_contains(m->partials, &p->id)) {
 		partial_free(p);
 		return ERR_INVAL;
@@ -250,8 +255,11 @@
 
 static void on_redial(void *arg, u64 now_us)
 {
-	(void)now_us;
-	dial(arg);
+	struct mesh_peer *m = arg;
+
+	dial(m);
+	if (!m->link)
+		loop_timer_set(m->node->loop, &m->redial, now_us + REDIAL_US);
 }
 
 static void dial(struct mesh_peer *m)
@@ -378,19 +386,33 @@
 	}
 }
 
+size_t mesh_queued_bytes(struct node *n)
+{
+	size_t sum = 0;
+
+	for (guint i = 0; i < n->mesh->accepted->len; i++) {
+		const struct mesh_peer *m = g_ptr_array_index(n->mesh->accepted, i);
+
+		sum += link_queued_bytes(m->link);
+	}
+	return sum;
+}
+
 int mesh_start(struct node *n)
 {
 	const struct node_settings *s = &n->settings->node;
+	const char *host = s->peer_listen.port ? s->peer_listen.host : s->address;
+	u16 port = s->peer_listen.port ? s->peer_listen.port : s->peer_port;
 	struct mesh *m = g_new0(struct mesh, 1);
 
 	n->mesh = m;
 	m->dialled = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, peer_free);
 	m->accepted = g_ptr_array_new();
-	m->listener = link_listen(n->loop, &n->self, s->address, s->peer_port, &accepted_ops, n);
+	m->listener = link_listen(n->loop, &n->self, host, port, &accepted_ops, n);
 	if (m->listener)
 		return 0;
-	log_event(LOG_ERROR, "cannot listen; is the port in use?", "address", s->address,
-		  "peer_port", log_u64(s->peer_port), NULL);
+	log_event(LOG_ERROR, "cannot listen; is the port in use?", "address", host, "peer_port",
+		  log_u64(port), NULL);
 	return ERR_IO;
 }
 
--- a/node/node.c
+++ b/node/node.c
@@ -1,12 +1,16 @@
 #include "node/node.h"
 
+#include "lib/ctr.h"
 #include "lib/err.h"
 #include "lib/log.h"
 #include "node/config.h"
 
 #include <time.h>
 
-#define SHUTDOWN_POLL_US 20000
+#define SHUTDOWN_POLL_US (20 * US_PER_MS)
+#define SHUTDOWN_QUIET_US (300 * US_PER_MS)
+#define SHUTDOWN_QUIET_MAX_US (2 * US_PER_S)
+#define SHUTDOWN_SERVERS_US (5 * US_PER_S)
 
 void node_announce(struct node *n)
 {
@@ -96,28 +100,72 @@
 struct progress {
 	struct node *node;
 	u32 calls;
+	size_t bytes; /* of replies on their way to other nodes */
 };
 
 static void count_progress(void *arg)
 {
 	struct progress *p = arg;
 
-	p->calls = home_in_progress(p->node) + entry_in_progress(p->node);
+	p->calls = home_in_progress(p->node) + entry_in_progress(p->node) +
+		   __atomic_load_n(&p->node->callers, __ATOMIC_ACQUIRE);
+	p->bytes = mesh_queued_bytes(p->node);
 }
 
-static void wait_for_calls(struct node *n)
+/* Waits for the calls in progress. Returns how many are left at END_US. */
+static u32 wait_for_calls(struct node *n, u64 end_us)
 {
-	u64 end = loop_clock_us() + n->settings->node.shutdown_grace_s * US_PER_S;
 	struct progress p = { .node = n };
 
 	do {
 		loop_call(n->loop, count_progress, &p);
-		if (!p.calls)
-			return;
+		if (!p.calls && !p.bytes)
+			return 0;
 		g_usleep(SHUTDOWN_POLL_US);
-	} while (loop_clock_us() < end);
-	log_event(LOG_WARN, "shutdown grace is over with calls in progress", "calls",
-		  log_u64(p.calls), NULL);
+	} while (loop_clock_us() < end_us);
+	return p.calls;
+}
+
+/* Callers with open connections learn by an answer that this node is going. */
+static void wait_until_quiet(u64 end_us)
+{
+	u64 calls = ctr_get(CTR_CALLS);
+	u64 quiet_us = loop_clock_us();
+
+	while (loop_clock_us() < end_us && loop_clock_us() - quiet_us < SHUTDOWN_QUIET_US) {
+		g_usleep(SHUTDOWN_POLL_US);
+		if (ctr_get(CTR_CALLS) == calls)
+			continue;
+		calls = ctr_get(CTR_CALLS);
+		quiet_us = loop_clock_us();
+	}
+}
+
+static void abandon_calls(void *arg)
+{
+	struct node *n = arg;
+
+	entry_abandon_all(n);
+	home_cancel_all(n);
+}
+
+static void finish_calls(struct node *n)
+{
+	u64 grace_us = n->settings->node.shutdown_grace_s * US_PER_S;
+	u64 now = loop_clock_us();
+	/* The rest of the grace is for the HTTP servers, which take their time to stop. */
+	u64 end_us = now + MAX(grace_us / 2, grace_us - MIN(grace_us, SHUTDOWN_SERVERS_US));
+	u32 left = wait_for_calls(n, end_us);
+
+	if (left) {
+		log_event(LOG_WARN, "shutdown grace is over with calls in progress", "calls",
+			  log_u64(left), NULL);
+		loop_call(n->loop, abandon_calls, n);
+		end_us = loop_clock_us() + SHUTDOWN_QUIET_US;
+	} else {
+		wait_until_quiet(MIN(end_us, loop_clock_us() + SHUTDOWN_QUIET_MAX_US));
+	}
+	wait_for_calls(n, end_us);
 }
 
 static void leave_directory(void *arg)
@@ -143,13 +191,18 @@
 	struct node *n = (struct node *)s;
 
 	loop_call(n->loop, begin_stop, n);
-	wait_for_calls(n);
+	finish_calls(n);
 	loop_call(n->loop, leave_directory, n);
 	caller_stop(n);
 	local_stop(n);
 	home_stop(n);
 	loop_call(n->loop, stop_on_loop, n);
 	loop_stop(n->loop);
+	home_free(n);
+	entry_stop(n);
+	choose_clear(&n->choose);
+	loop_free(n->loop);
+	config_reset();
 }
 
 static const struct krn_ops node_ops = { .name = "node", .start = node_start, .stop = node_stop };
--- a/node/node.h
+++ b/node/node.h
@@ -36,6 +36,7 @@
 	u16 upstream_port;
 	u64 upstream_seen_us; /* last announcement */
 	bool is_stopping;
+	u32 callers; /* callers' requests being served; atomic */
 	struct loop_timer second_timer;
 
 	struct choose choose;
@@ -87,6 +88,12 @@
 void entry_fenced(struct node *n, struct call_id id, enum fence_state state);
 void entry_link_up(struct node *n, const char *peer, u64 incarnation);
 void entry_link_down(struct node *n, const char *peer);
+
+/* entry_directory - what the directory says of a home; a gone or restarted one answers no fence. */
+void entry_directory(struct node *n, const struct dir_entry *e);
+
+/* entry_abandon_all - end all calls now: the grace of the shutdown is over. */
+void entry_abandon_all(struct node *n);
 u32 entry_in_progress(struct node *n);
 
 /* caller: the HTTP side of entry */
@@ -120,6 +127,9 @@
 
 /* mesh_is_dialling - true while a link to PEER may still come up. */
 bool mesh_is_dialling(struct node *n, const char *peer);
+
+/* mesh_queued_bytes - replies that the sockets have not taken yet. */
+size_t mesh_queued_bytes(struct node *n);
 void mesh_goaway(struct node *n);
 
 /* watch: link to control */
--- a/node/upstream.c
+++ b/node/upstream.c
@@ -203,7 +203,8 @@
 	for (int i = 0; i < ri->num_headers; i++)
 		if (!g_ascii_strcasecmp(ri->http_headers[i].name, "Transfer-Encoding"))
 			return false;
-	return ri->content_length < 0 && (!saved_errno || saved_errno == EAGAIN) && waited_us < LIBRARY_READ_US;
+	return ri->content_length < 0 && (!saved_errno || saved_errno == EAGAIN) &&
+	       waited_us < LIBRARY_READ_US;
 }
 
 static int read_body(struct upstream *u, const struct mg_response_info *ri,
--- a/node/watch.c
+++ b/node/watch.c
@@ -153,8 +153,10 @@
 		if (w->sweep_due_us)
 			g_hash_table_add(w->told, g_strdup(e.node));
 		/* The node itself knows its own entry best. */
-		if (strcmp(e.node, w->node->self.name))
-			choose_set(&w->node->choose, &e);
+		if (!strcmp(e.node, w->node->self.name))
+			continue;
+		choose_set(&w->node->choose, &e);
+		entry_directory(w->node, &e);
 	}
 	return frame_done(in);
 }
@@ -174,6 +176,7 @@
 		dir_entry_copy(&e, &choose_find(c, name)->entry);
 		e.state = DIR_GONE;
 		choose_set(c, &e);
+		entry_directory(w->node, &e);
 	}
 	w->sweep_due_us = 0;
 	g_hash_table_remove_all(w->told);
--- /dev/null
+++ b/test/link_test.c
@@ -0,0 +1,495 @@
+/* Framed links between two ends on loopback; one end is often a raw socket. */
+#include "kernel/link.h"
+#include "lib/ctr.h"
+#include "lib/err.h"
+#include "lib/log.h"
+#include "test/fakes/raw_server.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <glib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define TYPE_TEXT LINK_TYPE_FIRST
+#define WAIT_MAX_US (20 * US_PER_S)
+/* The clock of the raw end is that of another machine. */
+#define SHIFT_US (100000 * US_PER_S)
+
+static struct link_id here = { .cluster = (char *)"breizh",
+			       .role = LINK_NODE,
+			       .name = (char *)"127.0.0.1:1",
+			       .zone = (char *)"z",
+			       .region = (char *)"r",
+			       .incarnation = 1 };
+
+struct end {
+	struct loop *loop;
+	struct link_listener *listener;
+	u16 port;
+	struct link *link;
+	bool closes_in_frame;
+	bool had_offset;
+	gint ups;
+	gint frames;
+	gint downs;
+	gint err;
+	i64 to_local_us;
+	u64 remote_us;
+};
+
+static void on_up(struct link *k)
+{
+	struct end *e = k->arg;
+
+	e->link = k;
+	e->had_offset = k->has_offset;
+	g_atomic_int_inc(&e->ups);
+}
+
+static int on_frame(struct link *k, u32 type, struct frame_in *in)
+{
+	struct end *e = k->arg;
+
+	(void)in;
+	if (type != TYPE_TEXT)
+		return ERR_INVAL;
+	g_atomic_int_inc(&e->frames);
+	if (e->closes_in_frame) {
+		e->link = NULL;
+		link_close(k);
+	}
+	return 0;
+}
+
+static void on_down(struct link *k, int err)
+{
+	struct end *e = k->arg;
+
+	e->link = NULL;
+	g_atomic_int_set(&e->err, err);
+	g_atomic_int_inc(&e->downs);
+}
+
+static const struct link_ops ops = { .up = on_up, .frame = on_frame, .down = on_down };
+
+static void do_listen(void *arg)
+{
+	struct end *e = arg;
+
+	e->listener = link_listen(e->loop, &here, "127.0.0.1", e->port, &ops, e);
+	g_assert_nonnull(e->listener);
+}
+
+static void do_dial(void *arg)
+{
+	struct end *e = arg;
+
+	e->link = link_dial(e->loop, &here, "127.0.0.1", e->port, &ops, e);
+	g_assert_nonnull(e->link);
+}
+
+static void do_close(void *arg)
+{
+	struct end *e = arg;
+
+	if (e->link)
+		link_close(e->link);
+	if (e->listener)
+		link_unlisten(e->listener);
+}
+
+static void start(struct end *e)
+{
+	memset(e, 0, sizeof(*e));
+	e->loop = loop_new("test");
+	g_assert_cmpint(loop_start(e->loop), ==, 0);
+}
+
+static void start_listener(struct end *e)
+{
+	int fd;
+
+	start(e);
+	fd = raw_listen(&e->port);
+	close(fd);
+	loop_call(e->loop, do_listen, e);
+}
+
+static void stop(struct end *e)
+{
+	loop_call(e->loop, do_close, e);
+	loop_stop(e->loop);
+	loop_free(e->loop);
+}
+
+static void wait_for(gint *value, gint least)
+{
+	u64 end = loop_clock_us() + WAIT_MAX_US;
+
+	while (g_atomic_int_get(value) < least && loop_clock_us() < end)
+		g_usleep(US_PER_MS);
+	g_assert_cmpint(g_atomic_int_get(value), >=, least);
+}
+
+/* The raw end */
+
+static void raw_send(int fd, struct frame_out *f)
+{
+	size_t len = frame_end(f);
+
+	g_assert_cmpint(send(fd, f->buf.data, len, MSG_NOSIGNAL), ==, (ssize_t)len);
+}
+
+static void raw_hello(int fd, const char *cluster)
+{
+	FRAME_AUTO(f, LINK_HELLO);
+
+	frame_put_str(&f, cluster);
+	frame_put_u64(&f, LINK_NODE);
+	frame_put_str(&f, "127.0.0.1:2");
+	frame_put_str(&f, "z");
+	frame_put_str(&f, "r");
+	frame_put_u64(&f, 5);
+	frame_put_u64(&f, 0);
+	raw_send(fd, &f);
+}
+
+/* The type of the next frame, its first number in *VALUE; 0 at the end of the connection. */
+static u32 raw_frame(int fd, u64 *value)
+{
+	char buf[1024];
+	struct frame_in in;
+	u32 len;
+	u32 type;
+
+	if (recv(fd, &len, sizeof(len), MSG_WAITALL) != sizeof(len))
+		return 0;
+	len = ntohl(len);
+	g_assert_cmpuint(len, <, sizeof(buf));
+	g_assert_cmpint(recv(fd, buf, len, MSG_WAITALL), ==, (ssize_t)len);
+	frame_read(&in, buf, len);
+	type = (u32)frame_get_u64(&in);
+	*value = type == LINK_PING ? frame_get_u64(&in) : 0;
+	return type;
+}
+
+static void raw_pong(int fd, u64 sent_us)
+{
+	FRAME_AUTO(f, LINK_PONG);
+
+	frame_put_u64(&f, sent_us);
+	frame_put_u64(&f, loop_clock_us() + SHIFT_US);
+	raw_send(fd, &f);
+}
+
+static void raw_text(int fd)
+{
+	FRAME_AUTO(f, TYPE_TEXT);
+
+	raw_send(fd, &f);
+}
+
+/* Waits for the first PING and answers it after DELAY_US. */
+static void raw_come_up(int fd, u64 delay_us)
+{
+	u64 sent_us;
+	u32 type;
+
+	raw_hello(fd, "breizh");
+	while ((type = raw_frame(fd, &sent_us)) != LINK_PING)
+		g_assert_cmpuint(type, !=, 0);
+	g_usleep(delay_us);
+	raw_pong(fd, sent_us);
+}
+
+static void assert_closed(int fd)
+{
+	u64 unused;
+
+	while (raw_frame(fd, &unused))
+		;
+	close(fd);
+}
+
+/* Tests */
+
+static void test_up(void)
+{
+	struct end a;
+	struct end b;
+
+	start_listener(&a);
+	start(&b);
+	b.port = a.port;
+	loop_call(b.loop, do_dial, &b);
+	wait_for(&a.ups, 1);
+	wait_for(&b.ups, 1);
+	g_assert_true(a.had_offset);
+	g_assert_true(b.had_offset);
+	stop(&b);
+	wait_for(&a.downs, 1);
+	g_assert_cmpint(a.err, ==, ERR_CLOSED);
+	stop(&a);
+}
+
+/* One link that does wrong ends with its reason counted; the listener goes on. */
+static void check_refused(enum ctr reason, void (*misbehave)(int fd))
+{
+	u64 before = ctr_get(reason);
+	struct end e;
+	int fd;
+
+	start_listener(&e);
+	fd = raw_connect(e.port);
+	misbehave(fd);
+	assert_closed(fd);
+	g_assert_cmpuint(ctr_get(reason), ==, before + 1);
+	fd = raw_connect(e.port);
+	raw_come_up(fd, 0);
+	wait_for(&e.ups, 1);
+	close(fd);
+	wait_for(&e.downs, 1);
+	stop(&e);
+}
+
+static void send_bytes(int fd, const void *data, size_t len)
+{
+	g_assert_cmpint(send(fd, data, len, MSG_NOSIGNAL), ==, (ssize_t)len);
+}
+
+static void send_garbage(int fd)
+{
+	send_bytes(fd, "\0\0\0\4\xc1\xc1\xc1\xc1", 8);
+}
+
+static void send_huge_length(int fd)
+{
+	send_bytes(fd, "\x7f\xff\xff\xff", 4);
+}
+
+static void send_empty_frame(int fd)
+{
+	send_bytes(fd, "\0\0\0\0", 4);
+}
+
+static void send_before_hello(int fd)
+{
+	raw_text(fd);
+}
+
+static void send_before_pong(int fd)
+{
+	raw_hello(fd, "breizh");
+	raw_text(fd);
+}
+
+static void send_other_cluster(int fd)
+{
+	raw_hello(fd, "lakes");
+}
+
+static void send_hello_twice(int fd)
+{
+	raw_hello(fd, "breizh");
+	raw_hello(fd, "breizh");
+}
+
+static void send_nothing(int fd)
+{
+	(void)fd;
+}
+
+static void send_half_a_frame(int fd)
+{
+	send_bytes(fd, "\0\0\0\x20\x01\x02", 6);
+}
+
+static void send_only_hello(int fd)
+{
+	raw_hello(fd, "breizh");
+}
+
+static void test_bad_frames(void)
+{
+	check_refused(CTR_FRAME_BAD, send_garbage);
+	check_refused(CTR_FRAME_BAD, send_empty_frame);
+	check_refused(CTR_FRAME_BAD, send_before_hello);
+	check_refused(CTR_FRAME_BAD, send_before_pong);
+	check_refused(CTR_FRAME_BAD, send_other_cluster);
+	check_refused(CTR_FRAME_BAD, send_hello_twice);
+	check_refused(CTR_FRAME_TOO_LARGE, send_huge_length);
+}
+
+static void test_silence(void)
+{
+	check_refused(CTR_LINK_SILENT, send_nothing);
+	check_refused(CTR_LINK_SILENT, send_half_a_frame);
+	check_refused(CTR_LINK_SILENT, send_only_hello);
+}
+
+/* An end that goes silent later, as a stopped process does. */
+static void test_silence_when_up(void)
+{
+	struct end e;
+	int fd;
+
+	start_listener(&e);
+	fd = raw_connect(e.port);
+	raw_come_up(fd, 0);
+	wait_for(&e.downs, 1);
+	g_assert_cmpint(e.err, ==, ERR_TIMEOUT);
+	close(fd);
+	stop(&e);
+}
+
+/* Frames that follow in the same read are not handed to an owner that closed the link. */
+static void test_close_in_handler(void)
+{
+	struct end e;
+	int fd;
+
+	start_listener(&e);
+	e.closes_in_frame = true;
+	fd = raw_connect(e.port);
+	raw_come_up(fd, 0);
+	for (u32 i = 0; i < 10; i++)
+		raw_text(fd);
+	wait_for(&e.frames, 1);
+	assert_closed(fd);
+	stop(&e);
+	g_assert_cmpint(e.frames, ==, 1);
+	g_assert_cmpint(e.downs, ==, 0);
+}
+
+/* A listener whose backlog is full answers no SYN. */
+static void test_connect_without_answer(void)
+{
+	struct end e;
+	int fillers[8];
+	u16 port;
+	int fd = raw_listen(&port);
+
+	listen(fd, 0);
+	for (size_t i = 0; i < G_N_ELEMENTS(fillers); i++) {
+		struct sockaddr_in addr = { .sin_family = AF_INET, .sin_port = htons(port) };
+
+		addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		fillers[i] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+		connect(fillers[i], (struct sockaddr *)&addr, sizeof(addr));
+	}
+	start(&e);
+	e.port = port;
+	loop_call(e.loop, do_dial, &e);
+	wait_for(&e.downs, 1);
+	g_assert_cmpint(e.err, ==, ERR_TIMEOUT);
+	g_assert_cmpint(e.ups, ==, 0);
+	stop(&e);
+	for (size_t i = 0; i < G_N_ELEMENTS(fillers); i++)
+		close(fillers[i]);
+	close(fd);
+}
+
+static void test_connect_refused(void)
+{
+	struct end e;
+	int fd;
+
+	start(&e);
+	fd = raw_listen(&e.port);
+	close(fd);
+	loop_call(e.loop, do_dial, &e);
+	wait_for(&e.downs, 1);
+	g_assert_cmpint(e.err, ==, ERR_REFUSED);
+	stop(&e);
+}
+
+static void fill_queue(void *arg)
+{
+	static char block[512 * 1024];
+	struct end *e = arg;
+	int err = 0;
+
+	for (u32 i = 0; !err; i++) {
+		FRAME_AUTO(f, TYPE_TEXT);
+
+		g_assert_cmpuint(i, <, 2 * LINK_SEND_QUEUE_MAX_BYTES / sizeof(block));
+		frame_put_bin(&f, block, sizeof(block));
+		err = link_send(e->link, &f);
+		g_assert_cmpuint(link_queued_bytes(e->link), <=, LINK_SEND_QUEUE_MAX_BYTES);
+	}
+	g_assert_cmpint(err, ==, ERR_BUSY);
+}
+
+/* An end that does not read: the queue is bounded, and the loss of a frame ends the link. */
+static void test_queue_is_bounded(void)
+{
+	struct end e;
+	int fd;
+
+	start_listener(&e);
+	fd = raw_connect(e.port);
+	raw_come_up(fd, 0);
+	wait_for(&e.ups, 1);
+	loop_call(e.loop, fill_queue, &e);
+	wait_for(&e.downs, 1);
+	g_assert_cmpint(e.err, ==, ERR_BUSY);
+	close(fd);
+	stop(&e);
+}
+
+static void to_local(void *arg)
+{
+	struct end *e = arg;
+
+	e->to_local_us = (i64)link_to_local_us(e->link, e->remote_us);
+}
+
+/*
+ * A deadline told by a machine with another clock is never taken for a later
+ * one, also when the first PONG came late; and it is not far too early.
+ */
+static void check_deadline(u64 delay_us)
+{
+	u64 deadline_us = loop_clock_us() + 5 * US_PER_S;
+	struct end e;
+	int fd;
+
+	start_listener(&e);
+	fd = raw_connect(e.port);
+	raw_come_up(fd, delay_us);
+	wait_for(&e.ups, 1);
+	e.remote_us = deadline_us + SHIFT_US;
+	loop_call(e.loop, to_local, &e);
+	g_assert_cmpint(e.to_local_us, <=, deadline_us);
+	g_assert_cmpint(e.to_local_us, >=, deadline_us - e.link->rtt_us);
+	e.remote_us = 1;
+	loop_call(e.loop, to_local, &e);
+	g_assert_cmpint(e.to_local_us, ==, 0);
+	close(fd);
+	wait_for(&e.downs, 1);
+	stop(&e);
+}
+
+static void test_deadline(void)
+{
+	check_deadline(0);
+	check_deadline(200 * US_PER_MS);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	log_open(NULL, LOG_ERROR, LOG_TEXT);
+	g_test_add_func("/link/up", test_up);
+	g_test_add_func("/link/bad-frames", test_bad_frames);
+	g_test_add_func("/link/silence", test_silence);
+	g_test_add_func("/link/silence-when-up", test_silence_when_up);
+	g_test_add_func("/link/close-in-handler", test_close_in_handler);
+	g_test_add_func("/link/connect-without-answer", test_connect_without_answer);
+	g_test_add_func("/link/connect-refused", test_connect_refused);
+	g_test_add_func("/link/queue-is-bounded", test_queue_is_bounded);
+	g_test_add_func("/link/deadline", test_deadline);
+	return g_test_run();
+}
--- a/test/upstream_test.c
+++ b/test/upstream_test.c
@@ -10,6 +10,7 @@
 
 #define BODY_MAX_BYTES 65536
 #define LONG_US (20 * US_PER_S)
+#define SHORT_US (50 * US_PER_MS)
 /* Longer than any step in which the client could wait. */
 #define PAUSE_US (60 * US_PER_MS)
 
@@ -42,6 +43,13 @@
 	return upstream_run(f->u, f->server.port, &f->call, &f->reply);
 }
 
+static void check_run(struct fixture *f, int expected)
+{
+	int err = run(f);
+
+	g_assert_cmpint(err, ==, expected);
+}
+
 static void teardown(struct fixture *f)
 {
 	upstream_free(f->u);
@@ -146,22 +154,22 @@
 static void test_body_over_the_limit(void)
 {
 	g_autofree char *body = g_strnfill(BODY_MAX_BYTES + 1, 'x');
-	g_autofree char *text = g_strdup_printf("HTTP/1.1 200 OK\r\nContent-Length: %u\r\n\r\n%s",
+	g_autofree char *text = g_strdup_printf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s",
 						BODY_MAX_BYTES + 1, body);
 
 	g_assert_cmpint(answer("GET", serve_text, text, NULL), ==, ERR_TOOBIG);
 	body[BODY_MAX_BYTES] = 0;
 	g_free(text);
-	text = g_strdup_printf("HTTP/1.1 200 OK\r\nContent-Length: %u\r\n\r\n%s", BODY_MAX_BYTES,
+	text = g_strdup_printf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", BODY_MAX_BYTES,
 			       body);
 	g_assert_cmpint(answer("GET", serve_text, text, body), ==, 0);
 }
 
 static void test_answers_without_body(void)
 {
-	g_assert_cmpint(answer("HEAD", serve_text,
-			       "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\n", ""),
-			==, 0);
+	g_assert_cmpint(
+		answer("HEAD", serve_text, "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\n", ""), ==,
+		0);
 	g_assert_cmpint(answer("GET", serve_text, "HTTP/1.1 204 No Content\r\n\r\n", ""), ==, 0);
 	g_assert_cmpint(answer("GET", serve_text,
 			       "HTTP/1.1 304 Not Modified\r\nContent-Length: 50\r\n\r\n", ""),
@@ -170,8 +178,8 @@
 
 static void serve_slowly(struct raw_server *s, int fd, u32 nth)
 {
-	static const char *const parts[] = { "HTTP/1.1 2", "00 OK\r\nContent-Le",
-					     "ngth: 5\r\n\r", "\nhe", "llo" };
+	static const char *const parts[] = { "HTTP/1.1 2", "00 OK\r\nContent-Le", "ngth: 5\r\n\r",
+					     "\nhe", "llo" };
 
 	(void)nth;
 	raw_read_request(s, fd);
@@ -203,7 +211,7 @@
 
 	setup(&f, "GET", serve_many, NULL);
 	for (u32 i = 0; i < 3; i++) {
-		g_assert_cmpint(run(&f), ==, 0);
+		check_run(&f, 0);
 		assert_body(&f, "c1.");
 	}
 	g_assert_cmpint(g_atomic_int_get(&f.server.requests), ==, 3);
@@ -225,11 +233,11 @@
 	struct fixture f;
 
 	setup(&f, "POST", serve_one_read_two, NULL);
-	g_assert_cmpint(run(&f), ==, 0);
-	g_assert_cmpint(run(&f), ==, ERR_CLOSED);
+	check_run(&f, 0);
+	check_run(&f, ERR_CLOSED);
 	g_assert_true(f.call.is_written);
 	g_assert_cmpint(g_atomic_int_get(&f.server.requests), ==, 2);
-	g_assert_cmpint(run(&f), ==, 0);
+	check_run(&f, 0);
 	teardown(&f);
 }
 
@@ -270,6 +278,7 @@
 
 struct interrupter {
 	struct fixture *f;
+	GThread *thread;
 	gint is_done;
 	gint must_cancel;
 };
@@ -306,21 +315,22 @@
 	stall->saw_close = raw_wait_closed(fd);
 }
 
-static void check_cancelled(const char *text)
+/* An answer that stalls after TEXT ends by cancellation, or at the deadline. */
+static void check_stall(const char *text, u64 timeout_us, int expected)
 {
 	struct fixture f;
 	struct interrupter i = { .f = &f };
-	struct stall stall = { .text = text, .i = &i };
-	GThread *thread;
+	struct interrupter never = { 0 };
+	struct stall stall = { .text = text, .i = expected == ERR_CANCELLED ? &i : &never };
 
 	setup(&f, "GET", serve_stall, &stall);
 	f.call = (struct upstream_call){ .request = f.request,
-					 .deadline_us = loop_clock_us() + LONG_US,
+					 .deadline_us = loop_clock_us() + timeout_us,
 					 .max_body_bytes = BODY_MAX_BYTES };
-	thread = g_thread_new("interrupter", interrupt_main, &i);
-	g_assert_cmpint(upstream_run(f.u, f.server.port, &f.call, &f.reply), ==, ERR_CANCELLED);
+	i.thread = g_thread_new("interrupter", interrupt_main, &i);
+	g_assert_cmpint(upstream_run(f.u, f.server.port, &f.call, &f.reply), ==, expected);
 	g_atomic_int_set(&i.is_done, 1);
-	g_thread_join(thread);
+	g_thread_join(i.thread);
 	g_assert_null(f.reply);
 	teardown(&f);
 	g_assert_true(stall.saw_close);
@@ -329,39 +339,20 @@
 /* Cancellation reaches the upstream: its connection closes before, within and after the head. */
 static void test_cancel(void)
 {
-	check_cancelled("");
-	check_cancelled("HTTP/1.1 200 OK\r\nConte");
-	check_cancelled("HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nhello");
-	check_cancelled("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n");
-	check_cancelled("HTTP/1.1 200 OK\r\n\r\nhello");
-}
-
-static void check_deadline(const char *text)
-{
-	struct fixture f;
-	struct interrupter unused = { 0 };
-	struct interrupter i = { .f = &f };
-	struct stall stall = { .text = text, .i = &unused };
-	GThread *thread;
-
-	setup(&f, "GET", serve_stall, &stall);
-	f.call = (struct upstream_call){ .request = f.request,
-					 .deadline_us = loop_clock_us() + 50 * US_PER_MS,
-					 .max_body_bytes = BODY_MAX_BYTES };
-	thread = g_thread_new("interrupter", interrupt_main, &i);
-	g_assert_cmpint(upstream_run(f.u, f.server.port, &f.call, &f.reply), ==, ERR_TIMEOUT);
-	g_atomic_int_set(&i.is_done, 1);
-	g_thread_join(thread);
-	teardown(&f);
-	g_assert_true(stall.saw_close);
+	check_stall("", LONG_US, ERR_CANCELLED);
+	check_stall("HTTP/1.1 200 OK\r\nConte", LONG_US, ERR_CANCELLED);
+	check_stall("HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nhello", LONG_US, ERR_CANCELLED);
+	check_stall("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n", LONG_US,
+		    ERR_CANCELLED);
+	check_stall("HTTP/1.1 200 OK\r\n\r\nhello", LONG_US, ERR_CANCELLED);
 }
 
 static void test_deadline(void)
 {
-	check_deadline("");
-	check_deadline("HTTP/1.1 200 OK\r\nConte");
-	check_deadline("HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nhello");
-	check_deadline("HTTP/1.1 200 OK\r\n\r\nhello");
+	check_stall("", SHORT_US, ERR_TIMEOUT);
+	check_stall("HTTP/1.1 200 OK\r\nConte", SHORT_US, ERR_TIMEOUT);
+	check_stall("HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nhello", SHORT_US, ERR_TIMEOUT);
+	check_stall("HTTP/1.1 200 OK\r\n\r\nhello", SHORT_US, ERR_TIMEOUT);
 }
 
 int main(int argc, char **argv)
