--- /dev/null
+++ b/bench/policy_bench.c
@@ -0,0 +1,183 @@
+/*
+ * policy_bench - the decisions against random, round robin and least load by poll
+ *
+ * policy_bench [-s SEED] [-t SECONDS]
+ *
+ * Virtual time: the figures do not depend on the machine. All policies of a
+ * scenario see the same calls. Prints a table for each scenario and the targets.
+ */
+#include "test/fakes/fleet.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <unistd.h>
+
+#define POLICIES 4
+
+static const char *const policy_names[POLICIES] = { "random", "round-robin", "polled", "ours" };
+
+struct scenario {
+	const char *name;
+	void (*change)(struct fleet_plan *plan);
+	u32 load_percent;
+};
+
+static u64 seed = 1;
+static u64 seconds = 20;
+static int missed;
+
+static void calm(struct fleet_plan *plan)
+{
+	(void)plan;
+}
+
+static void straggler(struct fleet_plan *plan)
+{
+	plan->straggler_percent = 400;
+}
+
+static void shifting(struct fleet_plan *plan)
+{
+	plan->shift_us = 100 * US_PER_MS;
+	plan->shift_percent = 400;
+}
+
+static void shifting_fast(struct fleet_plan *plan)
+{
+	shifting(plan);
+	plan->shift_us = 20 * US_PER_MS;
+}
+
+static void shifting_slowly(struct fleet_plan *plan)
+{
+	shifting(plan);
+	plan->shift_us = 500 * US_PER_MS;
+}
+
+/* Floods are twice what all slots can take. */
+static void low_flood(struct fleet_plan *plan)
+{
+	plan->ranks[1].flood_per_s = 12000;
+}
+
+static void urgent_flood(struct fleet_plan *plan)
+{
+	plan->ranks[0].flood_per_s = 12000;
+}
+
+static const struct scenario scenarios[] = {
+	{ "a calm", calm, 50 },
+	{ "b one straggler, 4 times slower", straggler, 50 },
+	{ "c load shifting within a millisecond, every 100 ms", shifting, 50 },
+	{ "c the same every 20 ms", shifting_fast, 50 },
+	{ "c the same every 500 ms", shifting_slowly, 50 },
+	{ "d low flood", low_flood, 50 },
+	{ "e urgent flood", urgent_flood, 50 },
+};
+
+static double ms(u64 us)
+{
+	return (double)us / 1000;
+}
+
+static double percent(u64 part, u64 whole)
+{
+	return whole ? 100 * (double)part / (double)whole : 0;
+}
+
+static void print_rank(const char *policy, const struct fleet_result *r, u32 rank,
+		       const struct fleet_result *random)
+{
+	const struct fleet_outcome *o = &r->ranks[rank];
+	u64 p99 = fleet_percentile(o, 990);
+	u64 base = fleet_percentile(&random->ranks[rank], 990);
+
+	printf("| %-11s | %-9s | %8.1f | %8.1f | %8.1f | %5.2f | %6.1f | %6.1f | %6.1f |\n", policy,
+	       rank ? "page" : "checklist", ms(fleet_percentile(o, 500)), ms(p99),
+	       ms(fleet_percentile(o, 999)), (double)p99 / (double)MAX(base, 1),
+	       percent(o->answered, o->arrived), percent(o->in_target, o->arrived),
+	       percent(o->slot_time_us, r->slot_time_us));
+}
+
+static void verdict(const char *what, bool is_met)
+{
+	printf("target %s: %s\n", what, is_met ? "met" : "MISSED");
+	missed += !is_met;
+}
+
+static void check_half(const struct fleet_result *r)
+{
+	for (u32 rank = 0; rank < 2; rank++)
+		verdict(rank ? "page: at most half of random's p99" :
+			       "checklist: at most half of random's p99",
+			fleet_percentile(&r[FLEET_OURS].ranks[rank], 990) * 2 <=
+				fleet_percentile(&r[FLEET_RANDOM].ranks[rank], 990));
+}
+
+static void check(char scenario, const struct fleet_result *r)
+{
+	const struct fleet_result *ours = &r[FLEET_OURS];
+
+	if (scenario == 'b' || scenario == 'c')
+		check_half(r);
+	if (scenario == 'd')
+		verdict("checklist in its target for 99 in 100",
+			ours->ranks[0].in_target * 100ULL >= ours->ranks[0].arrived * 99ULL);
+	if (scenario == 'd' || scenario == 'e')
+		verdict("page keeps its floor of 10 % of the slot time",
+			ours->ranks[1].slot_time_us * 10 >= ours->slot_time_us);
+}
+
+static void run(const struct scenario *s)
+{
+	struct fleet_result r[POLICIES];
+
+	printf("\n%s (load %u %% of the slots before the event)\n\n", s->name, s->load_percent);
+	printf("| policy      | rank      |   p50 ms |   p99 ms | p99.9 ms | ratio | answer |"
+	       " target |  share |\n"
+	       "| ----------- | --------- | -------- | -------- | -------- | ----- | ------ |"
+	       " ------ | ------ |\n");
+	for (u32 p = 0; p < POLICIES; p++) {
+		struct fleet_plan plan = fleet_ornibreizh(p, seed, s->load_percent);
+
+		plan.end_us = plan.event_us + seconds * US_PER_S;
+		s->change(&plan);
+		fleet_run(&plan, &r[p]);
+		print_rank(policy_names[p], &r[p], 0, &r[0]);
+		print_rank(policy_names[p], &r[p], 1, &r[0]);
+	}
+	for (u32 p = FLEET_POLLED; p < POLICIES; p++)
+		printf("%s%s: %.1f probes, %.0f bytes a second and node",
+		       p == FLEET_POLLED ? "\n" : "", policy_names[p],
+		       (double)r[p].probes / 9 / (double)(seconds + 5),
+		       (double)r[p].probe_bytes / 9 / (double)(seconds + 5));
+	printf("; %u retries, %u hedges, %u shed at the source\nslots in use: ",
+	       r[FLEET_OURS].retries, r[FLEET_OURS].hedges, r[FLEET_OURS].shed);
+	for (u32 p = 0; p < POLICIES; p++)
+		printf(" %s %.0f %%", policy_names[p],
+		       percent(r[p].slot_time_us, 60 * seconds * US_PER_S));
+	printf("\n");
+	check(s->name[0], r);
+	for (u32 p = 0; p < POLICIES; p++)
+		fleet_result_clear(&r[p]);
+}
+
+int main(int argc, char **argv)
+{
+	int c;
+
+	while ((c = getopt(argc, argv, "s:t:")) != -1) {
+		if (c == 's')
+			seed = strtoull(optarg, NULL, 10);
+		else if (c == 't')
+			seconds = strtoull(optarg, NULL, 10);
+		else
+			return 2;
+	}
+	printf("seed %llu, %llu s measured in each run\n", (unsigned long long)seed,
+	       (unsigned long long)seconds);
+	for (u32 i = 0; i < G_N_ELEMENTS(scenarios); i++)
+		run(&scenarios[i]);
+	printf("\n%d targets missed\n", missed);
+	return missed > 0;
+}
--- a/lib/ctr_list.h
+++ b/lib/ctr_list.h
@@ -21,6 +21,8 @@
     "the connection to the upstream was refused before a byte was written")
 CTR(PEER_UNREACHABLE, "peer-unreachable", "the home node has no link")
 CTR(WRONG_HOME, "wrong-home", "the home node does not serve the service")
+CTR(REFUSED_BELOW, "refused-below",
+    "a deeper node refused a call of the upstream, not tried again here")
 CTR(SHED_AT_SOURCE, "shed-at-source", "refused at the entry node, the rank is shed by the homes")
 /* Outcomes that are not known. */
 CTR(UPSTREAM_BROKEN, "upstream-broken",
@@ -34,6 +36,7 @@
 CTR(RETRY_IDEMPOTENT, "retry-idempotent", "retries of idempotent calls after an unknown outcome")
 CTR(RETRY_BUDGET_EMPTY, "retry-budget-empty", "retries not made because the budget is used up")
 CTR(HEDGE, "hedge", "second tries of slow idempotent calls")
+CTR(HEDGE_BUDGET_EMPTY, "hedge-budget-empty", "second tries not made because the budget is used up")
 CTR(HEDGE_WON, "hedge-won", "hedges that answered first")
 CTR(FENCE_SENT, "fence-sent", "fences sent to home nodes")
 CTR(FENCE_DONE, "fence-done", "fences answered with a stored reply")
@@ -46,6 +49,8 @@
 /* Load measurement. */
 CTR(PROBE_SENT, "probe-sent", "load probes sent")
 CTR(PROBE_DENIED, "probe-denied", "load probes not sent because the budget is used up")
+CTR(PROBE_UNANSWERED, "probe-unanswered",
+    "probes of others not answered because the budget is used up")
 CTR(PROBE_BYTES, "probe-bytes", "bytes of load probes and their answers")
 /* Links. */
 CTR(LINK_UP, "link-up", "links brought up")
--- a/node/admit.c
+++ b/node/admit.c
@@ -6,6 +6,7 @@
 #define SERVICE_FIRST_GUESS_US (10 * US_PER_MS)
 #define USED_WINDOW_US (100 * (i64)US_PER_MS)
 #define CREDIT_WINDOW_US (100 * (i64)US_PER_MS)
+#define WAIT_MAX_US (60 * US_PER_S)
 #define WHOLE_PPM 1000000
 #define PPM_PER_PERCENT 10000
 
@@ -217,9 +218,17 @@
 	return true;
 }
 
+/* What is served should still meet its target: the call's own time is set aside. */
+static u64 wait_max_us(const struct admit *a, u32 rank)
+{
+	u64 target = a->ranks[rank].target_us;
+
+	return target - MIN(service_us(a, rank), target / 2);
+}
+
 static u64 leave_us(const struct admit *a, const struct admit_req *r)
 {
-	return MIN(r->deadline_us, r->queued_us + a->ranks[r->rank].target_us);
+	return MIN(r->deadline_us, r->queued_us + wait_max_us(a, r->rank));
 }
 
 int admit_offer(struct admit *a, struct admit_req *r, u64 now_us)
@@ -228,7 +237,7 @@
 	struct admit_queue *q = &a->queues[r->rank];
 
 	advance(a, now_us);
-	if (expected_wait_us(a, r->rank) > MIN(left, a->ranks[r->rank].target_us))
+	if (expected_wait_us(a, r->rank) > MIN(left, wait_max_us(a, r->rank)))
 		return -CTR_QUEUE_WAIT;
 	if (r->bytes > ADMIT_QUEUE_MAX_BYTES || !evict_for(a, r))
 		return -CTR_QUEUE_MEMORY;
@@ -275,6 +284,12 @@
 	return best;
 }
 
+/* Slot time that no other rank waits for costs no credit. */
+static bool is_contended(const struct admit *a, u32 rank)
+{
+	return a->queued > a->queues[rank].waiting.length;
+}
+
 static void start(struct admit *a, struct admit_req *r, u64 now_us)
 {
 	struct admit_queue *q = &a->queues[r->rank];
@@ -282,7 +297,7 @@
 	leave_queue(a, r);
 	r->state = ADMIT_RUNNING;
 	r->started_us = now_us;
-	r->charged_us = service_us(a, r->rank);
+	r->charged_us = is_contended(a, r->rank) ? service_us(a, r->rank) : 0;
 	q->credit_us -= (i64)r->charged_us;
 	q->running++;
 	a->running++;
@@ -359,7 +374,8 @@
 	advance(a, now_us);
 	a->running--;
 	q->running--;
-	q->credit_us += (i64)r->charged_us - (i64)took;
+	if (r->charged_us)
+		q->credit_us += (i64)r->charged_us - (i64)took;
 	r->state = ADMIT_LEFT;
 	if (!is_served)
 		return;
@@ -385,10 +401,37 @@
 	for (u32 i = 0; i < a->nranks; i++) {
 		least = MIN(least, a->ranks[i].worth);
 		most = MAX(most, a->ranks[i].worth);
-		if (expected_wait_us(a, i) <= a->ranks[i].target_us)
+		if (expected_wait_us(a, i) <= wait_max_us(a, i))
 			lowest = MIN(lowest, a->ranks[i].worth);
 	}
 	if (!a->nranks || lowest == least)
 		return 0;
 	return lowest == UINT32_MAX ? most + 1 : lowest;
 }
+
+/* The worthiest ranks, each once. */
+static void add_wait(struct peer_load *load, u32 worth, u64 wait_us)
+{
+	u32 at = load->nwaits;
+
+	while (at && load->waits[at - 1].worth < worth)
+		at--;
+	if ((at && load->waits[at - 1].worth == worth) || at == PEER_WAITS_MAX)
+		return;
+	load->nwaits = MIN(load->nwaits + 1, (u32)PEER_WAITS_MAX);
+	memmove(&load->waits[at + 1], &load->waits[at],
+		(load->nwaits - at - 1) * sizeof(load->waits[0]));
+	load->waits[at] = (struct peer_wait){ .worth = worth, .wait_us = wait_us };
+}
+
+void admit_load(struct admit *a, struct peer_load *load, u64 now_us)
+{
+	memset(load, 0, sizeof(*load));
+	load->lowest_worth = admit_lowest_worth(a, now_us);
+	load->running = a->running;
+	load->queued = a->queued;
+	load->limit = a->limit;
+	load->service_us = a->service_us;
+	for (u32 i = 0; i < a->nranks; i++)
+		add_wait(load, a->ranks[i].worth, MIN(expected_wait_us(a, i), WAIT_MAX_US));
+}
--- a/node/admit.h
+++ b/node/admit.h
@@ -17,6 +17,7 @@
 #include "lib/ctr.h"
 #include "lib/types.h"
 #include "node/limit.h"
+#include "wire/peer.h"
 
 #include <glib.h>
 
@@ -112,4 +113,7 @@
  */
 u32 admit_lowest_worth(struct admit *a, u64 now_us);
 
+/* admit_load - what entry nodes are told; is_draining is left to the owner. */
+void admit_load(struct admit *a, struct peer_load *load, u64 now_us);
+
 #endif
--- a/node/caller.c
+++ b/node/caller.c
@@ -50,6 +50,7 @@
 		call->service = g_strdup(s->res->name);
 		call->rank = g_strdup(rank->name);
 		call->is_idempotent = rank->is_idempotent;
+		call->worth = rank->worth;
 	}
 	config_read_unlock();
 	return result;
--- a/node/choose.c
+++ b/node/choose.c
@@ -1,10 +1,21 @@
 #include "node/choose.h"
 
 #include <string.h>
+#include <xxhash.h>
 
-#define SAMPLES 2
-#define LATENCY_SMOOTHING 8
-#define UNREACHABLE_US (1 * US_PER_S)
+#define SAMPLES 2 /* in the own zone, and as many elsewhere */
+#define OWN_ZONE_MAX (CHOOSE_SUBSET_MAX / 2)
+#define ZONE_US (200ULL)
+#define REGION_US (2 * US_PER_MS)
+#define WORLD_US (50 * US_PER_MS)
+/* Entries that come so soon after the start are of upstreams that were there before. */
+#define FIRST_US (5 * US_PER_S)
+#define RAMP_US (5 * US_PER_S)
+#define PROBE_AGE_US (100 * US_PER_MS)
+/* An older word that a rank is refused counts no more. */
+#define REFUSED_AGE_US (250 * US_PER_MS)
+/* Services without a call for this time are not probed. */
+#define SERVICE_IDLE_US (10 * US_PER_S)
 
 static void target_free(gpointer p)
 {
@@ -14,16 +25,34 @@
 	g_free(t);
 }
 
-void choose_init(struct choose *c, const char *zone, u64 seed)
+static void service_free(gpointer p)
 {
+	struct choose_service *s = p;
+
+	g_ptr_array_unref(s->targets);
+	g_ptr_array_unref(s->subset);
+	g_free(s->name);
+	g_free(s);
+}
+
+void choose_init(struct choose *c, const char *node, const char *zone, const char *region, u64 seed,
+		 u64 now_us)
+{
+	c->node = g_strdup(node);
 	c->zone = g_strdup(zone);
+	c->region = g_strdup(region);
+	c->started_us = now_us;
 	c->targets = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, target_free);
+	c->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, service_free);
 	c->rng.state = seed;
 }
 
 void choose_clear(struct choose *c)
 {
+	g_free(c->node);
 	g_free(c->zone);
+	g_free(c->region);
+	g_hash_table_unref(c->services);
 	g_hash_table_unref(c->targets);
 }
 
@@ -32,17 +61,75 @@
 	return g_hash_table_lookup(c->targets, node);
 }
 
-void choose_set(struct choose *c, const struct dir_entry *e)
+struct choose_service *choose_find_service(struct choose *c, const char *service)
 {
-	struct choose_target *t = choose_find(c, e->node);
+	return g_hash_table_lookup(c->services, service);
+}
 
-	if (t && dir_entry_is_newer(&t->entry, e))
-		return;
-	if (e->state == DIR_GONE) {
-		if (t)
-			t->entry.state = DIR_GONE;
+static struct choose_service *service_of(struct choose *c, const char *name)
+{
+	struct choose_service *s = choose_find_service(c, name);
+
+	if (s)
+		return s;
+	s = g_new0(struct choose_service, 1);
+	s->name = g_strdup(name);
+	s->targets = g_ptr_array_new();
+	s->subset = g_ptr_array_new();
+	g_hash_table_insert(c->services, s->name, s);
+	return s;
+}
+
+static void leave_service(struct choose *c, struct choose_target *t)
+{
+	struct choose_service *s = t->service;
+
+	if (!s)
 		return;
-	}
+	t->service = NULL;
+	g_ptr_array_remove_fast(s->targets, t);
+	g_ptr_array_remove(s->subset, t);
+	s->is_stale = true;
+	if (!s->targets->len)
+		g_hash_table_remove(c->services, s->name);
+}
+
+static void join_service(struct choose *c, struct choose_target *t)
+{
+	t->service = service_of(c, t->entry.service);
+	t->service->is_stale = true;
+	g_ptr_array_add(t->service->targets, t);
+}
+
+static u64 far_us(const struct choose *c, const struct dir_entry *e)
+{
+	if (!strcmp(e->node, c->node))
+		return 0;
+	if (!strcmp(e->zone, c->zone))
+		return ZONE_US;
+	return strcmp(e->region, c->region) ? WORLD_US : REGION_US;
+}
+
+/* What was known of the upstream is dropped, and it is cold unless it ran before this node. */
+static void forget(struct choose *c, struct choose_target *t, u64 now_us)
+{
+	t->load_us = 0;
+	memset(&t->load, 0, sizeof(t->load));
+	t->sent_since = 0;
+	t->latency_us = 0;
+	t->answers = 0;
+	t->failed_permille = 0;
+	t->failed_in_row = 0;
+	t->ejected_until_us = 0;
+	t->ejections = 0;
+	t->unreachable_until_us = 0;
+	t->warm_us = now_us < c->started_us + FIRST_US ? 0 : now_us + RAMP_US;
+}
+
+static struct choose_target *target_of(struct choose *c, const struct dir_entry *e)
+{
+	struct choose_target *t = choose_find(c, e->node);
+
 	if (t) {
 		g_hash_table_steal(c->targets, e->node);
 		dir_entry_clear(&t->entry);
@@ -51,88 +138,216 @@
 	}
 	dir_entry_copy(&t->entry, e);
 	g_hash_table_insert(c->targets, t->entry.node, t);
+	return t;
 }
 
-static bool is_excluded(const char *node, GPtrArray *exclude)
+void choose_set(struct choose *c, const struct dir_entry *e, u64 now_us)
 {
-	for (guint i = 0; exclude && i < exclude->len; i++)
-		if (!strcmp(g_ptr_array_index(exclude, i), node))
-			return true;
-	return false;
+	struct choose_target *t = choose_find(c, e->node);
+	bool was_up = t && t->service && t->entry.incarnation == e->incarnation &&
+		      !strcmp(t->entry.service, e->service);
+
+	if (t && dir_entry_is_newer(&t->entry, e))
+		return;
+	if (!t && e->state == DIR_GONE)
+		return;
+	if (t)
+		leave_service(c, t);
+	t = target_of(c, e);
+	t->far_us = far_us(c, e);
+	t->is_own_zone = !strcmp(e->zone, c->zone) && !strcmp(e->region, c->region);
+	if (e->state != DIR_UP)
+		return;
+	if (!was_up)
+		forget(c, t, now_us);
+	t->load.is_draining = false;
+	join_service(c, t);
 }
 
-static GPtrArray *candidates(struct choose *c, const char *service, GPtrArray *exclude, u64 now_us)
+/* Subset */
+
+struct ranked {
+	struct choose_target *target;
+	u64 weight;
+};
+
+static gint by_weight(gconstpointer a, gconstpointer b)
 {
-	GPtrArray *out = g_ptr_array_new();
-	GHashTableIter iter;
-	gpointer value;
+	const struct ranked *x = a;
+	const struct ranked *y = b;
 
-	g_hash_table_iter_init(&iter, c->targets);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct choose_target *t = value;
+	return x->weight > y->weight ? -1 : x->weight < y->weight;
+}
 
-		if (t->entry.state != DIR_UP || strcmp(t->entry.service, service))
-			continue;
-		if (t->load.is_draining || t->unreachable_until_us > now_us)
-			continue;
-		if (!is_excluded(t->entry.node, exclude))
-			g_ptr_array_add(out, t);
+static GArray *rank_targets(const struct choose *c, const struct choose_service *s)
+{
+	GArray *list = g_array_sized_new(FALSE, FALSE, sizeof(struct ranked), s->targets->len);
+	u64 seed = XXH64(c->node, strlen(c->node), 0);
+
+	for (guint i = 0; i < s->targets->len; i++) {
+		struct choose_target *t = g_ptr_array_index(s->targets, i);
+		struct ranked r = { t, XXH64(t->entry.node, strlen(t->entry.node), seed) };
+
+		g_array_append_val(list, r);
+	}
+	g_array_sort(list, by_weight);
+	return list;
+}
+
+static void take_ranked(struct choose_service *s, GArray *list, bool is_own_zone, u32 max)
+{
+	for (guint i = 0; i < list->len && s->subset->len < max; i++) {
+		struct choose_target *t = g_array_index(list, struct ranked, i).target;
+
+		if (t->is_own_zone == is_own_zone)
+			g_ptr_array_add(s->subset, t);
 	}
-	return out;
 }
 
-static u64 score(const struct choose *c, const struct choose_target *t)
+static u32 count_own_zone(const struct choose_service *s)
+{
+	u32 n = 0;
+
+	for (guint i = 0; i < s->targets->len; i++)
+		n += ((struct choose_target *)g_ptr_array_index(s->targets, i))->is_own_zone;
+	return n;
+}
+
+/* Places that the other zones leave free go to the own zone too. */
+static void make_subset(const struct choose *c, struct choose_service *s)
+{
+	g_autoptr(GArray) list = rank_targets(c, s);
+	u32 others = s->targets->len - count_own_zone(s);
+	u32 own_max = MAX((u32)OWN_ZONE_MAX, CHOOSE_SUBSET_MAX - MIN(others, CHOOSE_SUBSET_MAX));
+
+	g_ptr_array_set_size(s->subset, 0);
+	take_ranked(s, list, true, own_max);
+	s->nown_zone = s->subset->len;
+	take_ranked(s, list, false, CHOOSE_SUBSET_MAX);
+	s->is_stale = false;
+}
+
+static struct choose_service *ready_service(struct choose *c, const char *name)
+{
+	struct choose_service *s = choose_find_service(c, name);
+
+	if (s && s->is_stale)
+		make_subset(c, s);
+	return s;
+}
+
+/* Choice */
+
+static bool is_excluded(const struct choose_target *t, GPtrArray *exclude)
+{
+	for (guint i = 0; exclude && i < exclude->len; i++)
+		if (!strcmp(g_ptr_array_index(exclude, i), t->entry.node))
+			return true;
+	return false;
+}
+
+struct choice {
+	struct choose *choose;
+	GPtrArray *exclude;
+	u32 worth;
+	u64 now_us;
+	struct choose_target *best;
+	u64 best_score;
+};
+
+static void consider(struct choice *ch, struct choose_target *t)
 {
-	u32 slots = MAX(t->entry.slots, 1u);
-	u64 work = t->load.running + t->load.queued + t->sent_since;
-	u64 zone_us = strcmp(t->entry.zone, c->zone) ? US_PER_MS : 0;
+	u64 score = choose_score(t, ch->worth, ch->now_us);
 
-	return zone_us + (work + 1) * MAX(t->latency_us, 100) / slots;
+	if (ch->best && score >= ch->best_score)
+		return;
+	ch->best = t;
+	ch->best_score = score;
 }
 
-struct choose_target *choose_pick(struct choose *c, const char *service, GPtrArray *exclude,
-				  u64 now_us)
+/* Considers SAMPLES of those in LIST between FROM and TO that can be used. */
+static void sample(struct choice *ch, GPtrArray *list, u32 from, u32 to)
 {
-	g_autoptr(GPtrArray) list = candidates(c, service, exclude, now_us);
-	struct choose_target *best = NULL;
+	struct choose_target *usable[CHOOSE_SUBSET_MAX];
+	u32 n = 0;
 
-	for (u32 i = 0; i < SAMPLES && list->len; i++) {
-		guint at = rng_below(&c->rng, list->len);
-		struct choose_target *t = g_ptr_array_index(list, at);
+	for (u32 i = from; i < to && n < CHOOSE_SUBSET_MAX; i++) {
+		struct choose_target *t = g_ptr_array_index(list, i);
 
-		if (!best || score(c, t) < score(c, best))
-			best = t;
-		g_ptr_array_remove_index_fast(list, at);
+		if (choose_is_usable(t, ch->now_us) && !is_excluded(t, ch->exclude))
+			usable[n++] = t;
+	}
+	for (u32 i = 0; i < SAMPLES && n; i++) {
+		u32 at = rng_below(&ch->choose->rng, n);
+
+		consider(ch, usable[at]);
+		usable[at] = usable[--n];
 	}
-	return best;
 }
 
-void choose_sent(struct choose_target *t)
+struct choose_target *choose_pick(struct choose *c, const char *service, u32 worth,
+				  GPtrArray *exclude, u64 now_us)
 {
-	t->sent_since++;
-	t->in_flight++;
+	struct choose_service *s = ready_service(c, service);
+	struct choice ch = { .choose = c, .exclude = exclude, .worth = worth, .now_us = now_us };
+
+	if (!s)
+		return NULL;
+	s->used_us = now_us;
+	sample(&ch, s->subset, 0, s->nown_zone);
+	sample(&ch, s->subset, s->nown_zone, s->subset->len);
+	if (!ch.best && s->targets->len > s->subset->len)
+		sample(&ch, s->targets, 0, s->targets->len);
+	return ch.best;
 }
 
-void choose_ended(struct choose_target *t, enum choose_result result, u64 took_us, u64 now_us)
+u32 choose_lowest_worth(struct choose *c, const char *service, u64 now_us)
 {
-	(void)now_us;
-	if (t->in_flight)
-		t->in_flight--;
-	if (result == CHOOSE_ANSWERED)
-		t->latency_us = t->latency_us ?
-					(t->latency_us * (LATENCY_SMOOTHING - 1) + took_us) /
-						LATENCY_SMOOTHING :
-					took_us;
+	struct choose_service *s = ready_service(c, service);
+	u32 lowest = UINT32_MAX;
+
+	for (guint i = 0; s && i < s->subset->len; i++) {
+		const struct choose_target *t = g_ptr_array_index(s->subset, i);
+
+		if (!choose_is_usable(t, now_us))
+			continue;
+		if (!t->load_us || now_us - t->load_us > REFUSED_AGE_US)
+			return 0;
+		lowest = MIN(lowest, t->load.lowest_worth);
+	}
+	return lowest == UINT32_MAX ? 0 : lowest;
 }
 
-void choose_load(struct choose_target *t, const struct peer_load *load, u64 now_us)
+/* Since the load was told or asked for. */
+static u64 load_age_us(const struct choose_target *t, u64 now_us)
 {
-	t->load = *load;
-	t->load_us = now_us;
-	t->sent_since = 0;
+	u64 at = MAX(t->load_us, t->probed_us);
+
+	return at ? now_us - MIN(at, now_us) : UINT64_MAX;
 }
 
-void choose_unreachable(struct choose_target *t, u64 now_us)
+struct choose_target *choose_to_probe(struct choose *c, u64 now_us)
 {
-	t->unreachable_until_us = now_us + UNREACHABLE_US;
+	struct choose_target *oldest = NULL;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, c->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct choose_service *s = value;
+
+		if (!s->used_us || now_us - s->used_us > SERVICE_IDLE_US)
+			continue;
+		for (guint i = 0; i < s->subset->len; i++) {
+			struct choose_target *t = g_ptr_array_index(s->subset, i);
+
+			if (t->unreachable_until_us > now_us || !t->far_us)
+				continue;
+			if (load_age_us(t, now_us) < PROBE_AGE_US)
+				continue;
+			if (!oldest || load_age_us(t, now_us) > load_age_us(oldest, now_us))
+				oldest = t;
+		}
+	}
+	return oldest;
 }
--- a/node/choose.h
+++ b/node/choose.h
@@ -4,8 +4,13 @@
  * A state machine over the directory and the loads that replies bring. The
  * random source and the time are passed in.
  *
+ * Of each service this node uses a subset, by rendezvous hash, which bounds its
+ * links and probes. Of these it samples some (power of d choices), in the own
+ * zone and elsewhere, and takes the one with the lowest score: the time a call
+ * is expected to take.
+ *
  * UNITS microseconds
- * SOURCE node/choose.c
+ * SOURCE node/choose.c (directory, choice), node/score.c (one upstream)
  */
 #ifndef CHOOSE_H
 #define CHOOSE_H
@@ -17,45 +22,105 @@
 
 #include <glib.h>
 
+/* Upstreams of a service that one node uses. */
+#define CHOOSE_SUBSET_MAX 12
+/* At most one of so many upstreams of a service is ejected. */
+#define CHOOSE_EJECT_PART 3
+
+struct choose_service;
+
 /* One upstream as this entry node sees it. */
 struct choose_target {
 	struct dir_entry entry;
+	struct choose_service *service; /* NULL unless the upstream is up */
+	bool is_own_zone;
+	u64 far_us; /* round trip by its place, while none was measured */
+	u64 rtt_us; /* measured on the link; 0 while unknown */
+	u64 warm_us; /* when it takes its full share of calls */
 	struct peer_load load; /* as last told */
 	u64 load_us; /* when; 0 for never */
+	u64 probed_us; /* last probe */
 	u32 sent_since; /* own calls sent after the last load */
 	u32 in_flight; /* own calls without an answer */
+	u64 silent_since_us; /* with calls in flight: the last answer, or the first of them */
 	u64 latency_us; /* smoothed, whole call */
+	u64 latency_at_us;
+	u32 answers; /* in the smoothed latency; stops at a bound */
+	u32 failed_permille; /* smoothed share of errors and refusals */
+	u32 failed_in_row;
+	u64 failed_at_us;
 	u64 unreachable_until_us;
+	u64 ejected_until_us;
+	u32 ejections; /* without a good time between */
+};
+
+struct choose_service {
+	char *name;
+	GPtrArray *targets; /* of struct choose_target: all that are up */
+	GPtrArray *subset; /* those that this node uses, the own zone first */
+	u32 nown_zone; /* of the subset */
+	bool is_stale; /* the subset must be made again */
+	u64 used_us; /* last call */
 };
 
 struct choose {
+	char *node;
 	char *zone;
+	char *region;
+	u64 started_us;
 	GHashTable *targets; /* node -> struct choose_target */
+	GHashTable *services; /* name -> struct choose_service */
 	struct rng rng;
 };
 
-enum choose_result { CHOOSE_ANSWERED, CHOOSE_REFUSED, CHOOSE_FAILED, CHOOSE_CANCELLED };
+enum choose_result {
+	CHOOSE_ANSWERED,
+	CHOOSE_REFUSED, /* by admission: the queue is long, the upstream is well */
+	CHOOSE_FAILED, /* an error or no answer */
+	CHOOSE_TIMED_OUT, /* at the caller's deadline; a failure when others would have answered */
+	CHOOSE_CANCELLED, /* says nothing about the upstream */
+};
 
-void choose_init(struct choose *c, const char *zone, u64 seed);
+void choose_init(struct choose *c, const char *node, const char *zone, const char *region, u64 seed,
+		 u64 now_us);
 void choose_clear(struct choose *c);
 
 /* choose_set - take an entry of the directory; a gone entry is dropped. */
-void choose_set(struct choose *c, const struct dir_entry *e);
+void choose_set(struct choose *c, const struct dir_entry *e, u64 now_us);
 
 /*
- * choose_pick - an upstream of SERVICE that is not in EXCLUDE (of node names;
- * may be NULL), or NULL.
+ * choose_pick - an upstream of SERVICE for a call of WORTH that is not in
+ * EXCLUDE (of node names; may be NULL), or NULL.
  */
-struct choose_target *choose_pick(struct choose *c, const char *service, GPtrArray *exclude,
-				  u64 now_us);
+struct choose_target *choose_pick(struct choose *c, const char *service, u32 worth,
+				  GPtrArray *exclude, u64 now_us);
 struct choose_target *choose_find(struct choose *c, const char *node);
+struct choose_service *choose_find_service(struct choose *c, const char *service);
+
+/*
+ * choose_lowest_worth - calls of SERVICE of lower worth are refused by every
+ * upstream in use whose load is known; 0 when one takes all, or none is known.
+ */
+u32 choose_lowest_worth(struct choose *c, const char *service, u64 now_us);
+
+/*
+ * choose_to_probe - the upstream in use whose load is known least, or NULL when
+ * all are known well enough.
+ */
+struct choose_target *choose_to_probe(struct choose *c, u64 now_us);
 
 /* choose_sent, choose_ended - own calls, so that the score follows at once. */
-void choose_sent(struct choose_target *t);
+void choose_sent(struct choose_target *t, u64 now_us);
 void choose_ended(struct choose_target *t, enum choose_result result, u64 took_us, u64 now_us);
 void choose_load(struct choose_target *t, const struct peer_load *load, u64 now_us);
 
 /* choose_unreachable - no link; not chosen for a short time. */
 void choose_unreachable(struct choose_target *t, u64 now_us);
 
+/* choose_score - the expected time of a call of WORTH, penalties included. */
+u64 choose_score(const struct choose_target *t, u32 worth, u64 now_us);
+
+/* choose_is_usable - not draining, unreachable or ejected. */
+bool choose_is_usable(const struct choose_target *t, u64 now_us);
+
 #endif
--- a/node/entry.c
+++ b/node/entry.c
@@ -26,8 +26,10 @@
 	pthread_cond_t cond;
 	bool is_done;
 	struct loop_timer deadline;
+	struct loop_timer hedge_timer;
 	GPtrArray *tried; /* of char: home nodes that refused or failed */
 	struct try *current;
+	struct try *hedge; /* second try of a slow call, beside the current one */
 	u32 tries;
 	bool may_have_run;
 };
@@ -36,6 +38,8 @@
 	GHashTable *tries; /* sequence -> struct try */
 	u64 seq;
 	struct retry_budget budget;
+	struct hedge hedge;
+	struct shed shed;
 	u32 in_progress;
 };
 
@@ -43,7 +47,11 @@
 
 static void try_end(struct node *n, struct try *t)
 {
-	t->call->priv->current = NULL;
+	struct entry_private *p = t->call->priv;
+
+	if (t == p->current)
+		p->current = p->hedge;
+	p->hedge = NULL;
 	g_hash_table_remove(n->entry->tries, &t->id.seq);
 	g_free(t->home);
 	g_free(t);
@@ -54,6 +62,7 @@
 	struct entry_private *p = call->priv;
 
 	loop_timer_cancel(n->loop, &p->deadline);
+	loop_timer_cancel(n->loop, &p->hedge_timer);
 	n->entry->in_progress--;
 	pthread_mutex_lock(&p->lock);
 	p->is_done = true;
@@ -125,7 +134,8 @@
 		give_up(n, call, CTR_DEADLINE, true);
 		return;
 	}
-	cancel_current(n, call, CHOOSE_FAILED);
+	while (call->priv->current)
+		cancel_current(n, call, CHOOSE_TIMED_OUT);
 	give_up(n, call, CTR_DEADLINE, false);
 }
 
@@ -134,8 +144,12 @@
 {
 	u64 now = loop_clock_us();
 	u64 left = call->deadline_us > now ? call->deadline_us - now : 0;
+	struct retry_failure failure = { .is_not_run = is_not_run,
+					 .is_refused_below = reason == CTR_REFUSED_BELOW };
 
-	switch (retry_decide(&n->entry->budget, call->priv->tries, is_not_run, call->is_idempotent,
+	if (call->priv->current)
+		return; /* the other try goes on */
+	switch (retry_decide(&n->entry->budget, call->priv->tries, failure, call->is_idempotent,
 			     left)) {
 	case RETRY_AGAIN:
 		ctr_inc(is_not_run ? CTR_RETRY_NOT_RUN : CTR_RETRY_IDEMPOTENT);
@@ -151,7 +165,15 @@
 	}
 }
 
-static void send_to_peer(struct try *t, struct link *k)
+static void note_rtt(struct node *n, const char *home, u64 rtt_us)
+{
+	struct choose_target *target = choose_find(&n->choose, home);
+
+	if (target)
+		target->rtt_us = rtt_us;
+}
+
+static void send_to_peer(struct node *n, struct try *t, struct link *k)
 {
 	struct entry_call *call = t->call;
 	struct peer_call out = { .id = t->id,
@@ -165,6 +187,7 @@
 
 	t->state = TRY_SENT;
 	t->home_incarnation = k->remote.incarnation;
+	note_rtt(n, t->home, k->rtt_us);
 	peer_call_put(&f, &out);
 	/* A link that takes no more bytes goes down soon, and the fence tells the outcome. */
 	if (!link_send(k, &f))
@@ -205,9 +228,12 @@
 	t->call = call;
 	t->home = g_strdup(target->entry.node);
 	t->sent_us = now_us;
-	call->priv->current = t;
+	if (call->priv->current)
+		call->priv->hedge = t;
+	else
+		call->priv->current = t;
 	g_hash_table_insert(n->entry->tries, &t->id.seq, t);
-	choose_sent(target);
+	choose_sent(target, now_us);
 	return t;
 }
 
@@ -230,37 +256,76 @@
 	ctr_inc(CTR_PEER_UNREACHABLE);
 	call->reason = CTR_PEER_UNREACHABLE;
 	call->priv->tries--;
-	attempt(n, call);
+	if (!call->priv->current)
+		attempt(n, call);
 }
 
-static void attempt(struct node *n, struct entry_call *call)
+static void try_at(struct node *n, struct entry_call *call, struct choose_target *target,
+		   u64 now_us)
 {
 	struct entry_private *p = call->priv;
-	u64 now = loop_clock_us();
-	struct choose_target *target = choose_pick(&n->choose, call->service, p->tried, now);
-	const char *home;
+	const char *home = target->entry.node;
 	struct link *k;
 
-	if (!target) {
-		no_target(n, call);
-		return;
-	}
-	home = target->entry.node;
 	p->tries++;
 	g_ptr_array_add(p->tried, g_strdup(home));
 	if (!strcmp(home, n->self.name)) {
-		send_home(n, try_new(n, call, target, now));
+		send_home(n, try_new(n, call, target, now_us));
 		return;
 	}
 	k = mesh_link(n, home);
 	if (k)
-		send_to_peer(try_new(n, call, target, now), k);
+		send_to_peer(n, try_new(n, call, target, now_us), k);
 	else if (mesh_is_dialling(n, home))
-		try_new(n, call, target, now); /* sent when the link is up */
+		try_new(n, call, target, now_us); /* sent when the link is up */
 	else
 		skip_unreachable(n, call, home);
 }
 
+static void attempt(struct node *n, struct entry_call *call)
+{
+	struct entry_private *p = call->priv;
+	u64 now = loop_clock_us();
+	struct choose_target *target =
+		choose_pick(&n->choose, call->service, call->worth, p->tried, now);
+
+	if (target)
+		try_at(n, call, target, now);
+	else
+		no_target(n, call);
+}
+
+/* A slow call is tried a second time elsewhere; the first answer counts. */
+static void on_hedge(void *arg, u64 now_us)
+{
+	struct entry_call *call = arg;
+	struct entry_private *p = call->priv;
+	struct node *n = p->node;
+	struct choose_target *target;
+
+	if (!p->current || p->hedge || p->tries >= RETRY_TRIES_MAX)
+		return;
+	target = choose_pick(&n->choose, call->service, call->worth, p->tried, now_us);
+	if (!target)
+		return;
+	if (!hedge_take(&n->entry->hedge)) {
+		ctr_inc(CTR_HEDGE_BUDGET_EMPTY);
+		return;
+	}
+	ctr_inc(CTR_HEDGE);
+	try_at(n, call, target, now_us);
+}
+
+static void start_hedge_timer(struct node *n, struct entry_call *call)
+{
+	struct hedge *h = &n->entry->hedge;
+	u64 delay = hedge_delay_us(h, call->service, call->rank);
+
+	hedge_called(h);
+	if (delay)
+		loop_timer_set(n->loop, &call->priv->hedge_timer, loop_clock_us() + delay);
+}
+
 static struct try *find_try(struct node *n, struct call_id id)
 {
 	struct try *t = NULL;
@@ -272,6 +337,29 @@
 	return t;
 }
 
+static enum choose_result result_of(enum ctr reason, bool is_not_run)
+{
+	if (reason == CTR_REFUSED_BELOW || reason == CTR_CANCELLED)
+		return CHOOSE_CANCELLED;
+	if (reason == CTR_UPSTREAM_SHED || reason == CTR_UPSTREAM_REFUSED || !is_not_run)
+		return CHOOSE_FAILED;
+	return CHOOSE_REFUSED;
+}
+
+/* What the answer teaches: latency, budgets, and that the rank is admitted. */
+static void learn(struct node *n, const struct try *t, const struct http_msg *answer)
+{
+	const struct entry_call *call = t->call;
+	u64 now = loop_clock_us();
+
+	note_end(n, t, answer->status < 500 ? CHOOSE_ANSWERED : CHOOSE_FAILED);
+	retry_answered(&n->entry->budget);
+	shed_taken(&n->entry->shed, call->service, call->rank, now);
+	hedge_answered(&n->entry->hedge, call->service, call->rank, now - t->sent_us);
+	if (t == call->priv->hedge)
+		ctr_inc(CTR_HEDGE_WON);
+}
+
 static void take_load(struct node *n, const struct try *t, const struct peer_load *load)
 {
 	struct choose_target *target = choose_find(&n->choose, t->home);
@@ -292,9 +380,10 @@
 	}
 	call = t->call;
 	take_load(n, t, load);
-	note_end(n, t, CHOOSE_ANSWERED);
-	retry_answered(&n->entry->budget);
+	learn(n, t, answer);
 	try_end(n, t);
+	if (call->priv->current)
+		cancel_current(n, call, CHOOSE_CANCELLED);
 	call->answer = answer;
 	call->status = answer->status;
 	wake_caller(n, call);
@@ -310,7 +399,7 @@
 		return;
 	call = t->call;
 	take_load(n, t, load);
-	note_end(n, t, is_not_run ? CHOOSE_REFUSED : CHOOSE_FAILED);
+	note_end(n, t, result_of(reason, is_not_run));
 	try_end(n, t);
 	call->reason = reason;
 	if (!is_not_run)
@@ -413,7 +502,7 @@
 		FRAME_AUTO(f, PEER_FENCE);
 
 		if (t->state == TRY_CONNECTING)
-			send_to_peer(t, mesh_link(n, peer));
+			send_to_peer(n, t, mesh_link(n, peer));
 		if (t->state != TRY_FENCING)
 			continue;
 		if (t->home_incarnation != incarnation) {
@@ -431,6 +520,15 @@
 	return n->entry->in_progress;
 }
 
+static bool is_shed_here(struct node *n, const struct entry_call *call)
+{
+	u64 now = loop_clock_us();
+	u32 lowest = choose_lowest_worth(&n->choose, call->service, now);
+
+	return shed_decide(&n->entry->shed, &n->choose.rng, call->service, call->rank, call->worth,
+			   lowest, now);
+}
+
 static void submit(void *arg)
 {
 	struct entry_call *call = arg;
@@ -439,6 +537,13 @@
 
 	n->entry->in_progress++;
 	loop_timer_set(n->loop, &p->deadline, call->deadline_us);
+	if (is_shed_here(n, call)) {
+		ctr_inc(CTR_SHED_AT_SOURCE);
+		give_up(n, call, CTR_SHED_AT_SOURCE, true);
+		return;
+	}
+	if (call->is_idempotent)
+		start_hedge_timer(n, call);
 	attempt(n, call);
 }
 
@@ -450,6 +555,7 @@
 	pthread_cond_init(&p.cond, NULL);
 	p.tried = g_ptr_array_new_with_free_func(g_free);
 	p.deadline = (struct loop_timer){ .fire = on_deadline, .arg = call };
+	p.hedge_timer = (struct loop_timer){ .fire = on_hedge, .arg = call };
 	call->priv = &p;
 	call->reason = CTR_CALLS;
 	loop_post(n->loop, submit, call);
@@ -468,11 +574,15 @@
 	n->entry = g_new0(struct entry, 1);
 	n->entry->tries = g_hash_table_new(g_int64_hash, g_int64_equal);
 	retry_budget_init(&n->entry->budget);
+	hedge_init(&n->entry->hedge);
+	shed_init(&n->entry->shed);
 	return 0;
 }
 
 void entry_stop(struct node *n)
 {
 	g_hash_table_unref(n->entry->tries);
+	hedge_clear(&n->entry->hedge);
+	shed_clear(&n->entry->shed);
 	g_clear_pointer(&n->entry, g_free);
 }
--- /dev/null
+++ b/node/hedge.c
@@ -0,0 +1,79 @@
+#include "node/hedge.h"
+
+#define WHOLE_HEDGE 100
+#define PERCENTILE 95
+/* One sample moves the estimate by at most this share of it. */
+#define STEP_PART 20
+#define SAMPLES_MIN 50
+#define DELAY_MIN_US (1 * US_PER_MS)
+#define DELAYS_MAX 4096
+
+struct hedge_delay {
+	u64 percentile_us;
+	u32 samples;
+};
+
+void hedge_init(struct hedge *h)
+{
+	h->delays = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	h->hundredths = HEDGE_BUDGET_MAX;
+}
+
+void hedge_clear(struct hedge *h)
+{
+	g_hash_table_unref(h->delays);
+}
+
+void hedge_called(struct hedge *h)
+{
+	h->hundredths = MIN(h->hundredths + HEDGE_SHARE_PERCENT, (u32)HEDGE_BUDGET_MAX);
+}
+
+static struct hedge_delay *find(struct hedge *h, const char *service, const char *rank)
+{
+	g_autofree char *key = g_strconcat(service, "/", rank, NULL);
+	struct hedge_delay *d = g_hash_table_lookup(h->delays, key);
+
+	if (d)
+		return d;
+	/* Services come and go; what is forgotten is learnt again soon. */
+	if (g_hash_table_size(h->delays) >= DELAYS_MAX)
+		g_hash_table_remove_all(h->delays);
+	d = g_new0(struct hedge_delay, 1);
+	g_hash_table_insert(h->delays, g_steal_pointer(&key), d);
+	return d;
+}
+
+/*
+ * Up by 95 parts when a call took longer, down by 5 when not: it rests where
+ * 5 in 100 take longer.
+ */
+void hedge_answered(struct hedge *h, const char *service, const char *rank, u64 took_us)
+{
+	struct hedge_delay *d = find(h, service, rank);
+	u64 step;
+
+	if (!d->samples)
+		d->percentile_us = took_us;
+	d->samples++;
+	step = d->percentile_us / STEP_PART + 1;
+	if (took_us > d->percentile_us)
+		d->percentile_us += step * PERCENTILE / 100;
+	else
+		d->percentile_us -= step * (100 - PERCENTILE) / 100;
+}
+
+u64 hedge_delay_us(struct hedge *h, const char *service, const char *rank)
+{
+	const struct hedge_delay *d = find(h, service, rank);
+
+	return d->samples < SAMPLES_MIN ? 0 : MAX(d->percentile_us, DELAY_MIN_US);
+}
+
+bool hedge_take(struct hedge *h)
+{
+	if (h->hundredths < WHOLE_HEDGE)
+		return false;
+	h->hundredths -= WHOLE_HEDGE;
+	return true;
+}
--- /dev/null
+++ b/node/hedge.h
@@ -0,0 +1,40 @@
+/*
+ * hedge - when a slow idempotent call gets a second try beside the first
+ *
+ * The delay is a high percentile of the latency of the rank. The budget is a
+ * small share of the calls, so that a general slowness is not made worse.
+ *
+ * UNITS microseconds
+ * SOURCE node/hedge.c
+ */
+#ifndef HEDGE_H
+#define HEDGE_H
+
+#include "lib/types.h"
+
+#include <glib.h>
+
+#define HEDGE_SHARE_PERCENT 5
+#define HEDGE_BUDGET_MAX 1000 /* in hundredths of a hedge */
+
+struct hedge {
+	GHashTable *delays; /* "service/rank" -> struct hedge_delay */
+	u32 hundredths;
+};
+
+void hedge_init(struct hedge *h);
+void hedge_clear(struct hedge *h);
+
+/* hedge_called - an idempotent call began; it earns a share of a hedge. */
+void hedge_called(struct hedge *h);
+
+/* hedge_answered - a call was answered after TOOK_US. */
+void hedge_answered(struct hedge *h, const char *service, const char *rank, u64 took_us);
+
+/* hedge_delay_us - after so long a second try is due; 0 while too little is known. */
+u64 hedge_delay_us(struct hedge *h, const char *service, const char *rank);
+
+/* hedge_take - true when the budget allows a second try now. */
+bool hedge_take(struct hedge *h);
+
+#endif
--- a/node/home.c
+++ b/node/home.c
@@ -60,14 +60,7 @@
 
 void home_load(struct node *n, struct peer_load *load)
 {
-	struct admit *a = &n->home->admit;
-
-	memset(load, 0, sizeof(*load));
-	load->running = a->running;
-	load->queued = a->queued;
-	load->limit = a->limit;
-	load->lowest_worth = admit_lowest_worth(a, loop_clock_us());
-	load->service_us = a->service_us;
+	admit_load(&n->home->admit, load, loop_clock_us());
 	load->is_draining = n->own.state != DIR_UP;
 }
 
@@ -154,6 +147,12 @@
 	return m->status == 503 && outcome && !strcmp(outcome, "not-run");
 }
 
+/* A refusal with a reason was made by a deeper node, for a call of the upstream. */
+static enum ctr shed_reason(const struct http_msg *m)
+{
+	return http_header(m, "Lavenderlead-Reason") ? CTR_REFUSED_BELOW : CTR_UPSTREAM_SHED;
+}
+
 static void start_next(struct node *n);
 
 static void deliver(struct node *n, struct job *j)
@@ -183,8 +182,10 @@
 
 	admit_done(&n->home->admit, &j->req, is_served(j), loop_clock_us());
 	if (!j->err && is_shed(j->reply)) {
+		enum ctr reason = shed_reason(j->reply);
+
 		http_free(j->reply);
-		refuse_not_run(n, j, CTR_UPSTREAM_SHED);
+		refuse_not_run(n, j, reason);
 	} else if (j->err == ERR_REFUSED) {
 		refuse_not_run(n, j, CTR_UPSTREAM_REFUSED);
 	} else if (j->err) {
--- a/node/limit.c
+++ b/node/limit.c
@@ -3,12 +3,13 @@
 #include <glib.h>
 #include <string.h>
 
-#define WINDOW_MIN_US (100 * US_PER_MS)
-#define WINDOW_MIN_SAMPLES 64
+#define WINDOW_MIN_US (250 * US_PER_MS)
+#define WINDOW_MIN_SAMPLES 128
 /* Latency over the baseline, in percent. */
 #define SLOW_PERCENT 200
-#define CALM_PERCENT 150
-#define CUT_MIN_PERCENT 50
+#define CUT_PERCENT 70
+#define HOLD_FIRST_US (2 * US_PER_S)
+#define HOLD_MAX_US (60 * US_PER_S)
 /* Limits below this part of the slots are not taken. */
 #define LOWEST_PART 4
 #define LIGHT_PART 2
@@ -80,17 +81,58 @@
 	}
 }
 
+/* Work done a second: calls, weighted by what they take without load. */
+static double work_rate(const struct limit *l, u64 span_us)
+{
+	double work = 0;
+
+	for (u32 i = 0; i < LIMIT_RANKS_MAX; i++)
+		work += (double)l->ranks[i].count * (double)l->ranks[i].baseline_us;
+	return span_us ? work / (double)span_us : 0;
+}
+
+static void take_back(struct limit *l, u64 now_us)
+{
+	l->now = MIN(l->before_cut, l->slots);
+	l->hold_us = CLAMP(l->hold_us * 2, HOLD_FIRST_US, HOLD_MAX_US);
+	l->hold_until_us = now_us + l->hold_us;
+}
+
+/* True when the window showed that the last cut was wrong; it is taken back. */
+static bool judge_cut(struct limit *l, double rate, u64 now_us)
+{
+	bool is_wrong = l->before_cut && l->most_running >= l->now && rate < l->rate_before;
+
+	if (is_wrong)
+		take_back(l, now_us);
+	else if (l->before_cut)
+		l->hold_us = 0;
+	l->before_cut = 0;
+	return is_wrong;
+}
+
+static void adapt(struct limit *l, u64 slowness, double rate, u64 now_us)
+{
+	if (judge_cut(l, rate, now_us))
+		return;
+	if (slowness <= SLOW_PERCENT || now_us < l->hold_until_us) {
+		l->now = MIN(l->now + 1, l->slots);
+		return;
+	}
+	if (l->most_running < l->now || l->now == lowest(l))
+		return;
+	l->before_cut = l->now;
+	l->rate_before = rate;
+	l->now = MAX(lowest(l), l->now * CUT_PERCENT / 100);
+}
+
 static void end_window(struct limit *l, u64 now_us)
 {
 	u64 slowness = slowness_percent(l);
+	double rate = work_rate(l, now_us - l->window_start_us);
 
 	learn(l, slowness);
-	if (slowness > SLOW_PERCENT && l->most_running >= l->now)
-		l->now = MAX(
-			lowest(l),
-			(u32)(l->now * MAX(CUT_MIN_PERCENT, 100 * SLOW_PERCENT / slowness) / 100));
-	else if (slowness <= CALM_PERCENT && l->now < l->slots)
-		l->now++;
+	adapt(l, slowness, rate, now_us);
 	for (u32 i = 0; i < LIMIT_RANKS_MAX; i++) {
 		l->ranks[i].sum_us = 0;
 		l->ranks[i].count = 0;
--- a/node/limit.h
+++ b/node/limit.h
@@ -4,6 +4,8 @@
  * At most the announced slots; less while the latency of calls is far over
  * the unloaded baseline, as it is when a neighbour takes the upstream's
  * processor. The baseline is kept by rank, so a change of the mix is no load.
+ * A cut is an experiment: when less is done after it, the calls are slow for
+ * another reason than their number, and the cut is taken back.
  *
  * UNITS microseconds
  * SOURCE node/limit.c
@@ -28,6 +30,10 @@
 	u32 most_running; /* in the window */
 	u64 sum_running;
 	u64 window_start_us;
+	u32 before_cut; /* limit; 0 without a cut under trial */
+	double rate_before; /* work done a second, before the cut */
+	u64 hold_us; /* no cuts for so long */
+	u64 hold_until_us;
 	struct limit_rank ranks[LIMIT_RANKS_MAX];
 };
 
--- a/node/mesh.c
+++ b/node/mesh.c
@@ -185,10 +185,16 @@
 	struct peer_load load;
 	FRAME_AUTO(f, PEER_LOAD);
 
+	if (frame_done(in))
+		return ERR_INVAL;
+	if (!probe_answer(&m->node->probe, loop_clock_us())) {
+		ctr_inc(CTR_PROBE_UNANSWERED);
+		return 0;
+	}
 	home_load(m->node, &load);
 	peer_load_put(&f, &load);
 	link_send(m->link, &f);
-	return frame_done(in);
+	return 0;
 }
 
 static int on_frame(struct link *k, u32 type, struct frame_in *in)
--- a/node/node.c
+++ b/node/node.c
@@ -7,11 +7,12 @@
 #include <time.h>
 
 #define SHUTDOWN_POLL_US 20000
+#define PROBE_TICK_US (50 * US_PER_MS)
 
 void node_announce(struct node *n)
 {
 	n->own.version++;
-	choose_set(&n->choose, &n->own);
+	choose_set(&n->choose, &n->own, loop_clock_us());
 	watch_register(n);
 }
 
@@ -31,6 +32,25 @@
 	loop_timer_set(n->loop, &n->second_timer, now_us + US_PER_S);
 }
 
+static void send_probe(struct node *n, const char *home)
+{
+	struct link *k = mesh_link(n, home);
+	FRAME_AUTO(f, PEER_PROBE);
+
+	if (k && !link_send(k, &f))
+		ctr_inc(CTR_PROBE_SENT);
+}
+
+static void on_probe(void *arg, u64 now_us)
+{
+	struct node *n = arg;
+	struct choose_target *t;
+
+	while ((t = probe_next(&n->probe, &n->choose, now_us)))
+		send_probe(n, t->entry.node);
+	loop_timer_set(n->loop, &n->probe_timer, now_us + PROBE_TICK_US);
+}
+
 static u64 wall_clock_us(void)
 {
 	struct timespec now;
@@ -65,8 +85,13 @@
 	(void)k;
 	set_identity(n);
 	n->loop = loop_new("node");
-	choose_init(&n->choose, n->self.zone, n->self.incarnation);
-	choose_set(&n->choose, &n->own);
+	choose_init(&n->choose, n->self.name, n->self.zone, n->self.region, n->self.incarnation,
+		    loop_clock_us());
+	choose_set(&n->choose, &n->own, loop_clock_us());
+	probe_init(&n->probe, n->settings->node.probe_budget_per_s,
+		   n->settings->node.probe_budget_bytes_per_s, loop_clock_us());
+	n->probe_timer = (struct loop_timer){ .fire = on_probe, .arg = n };
+	loop_timer_set(n->loop, &n->probe_timer, loop_clock_us() + PROBE_TICK_US);
 	n->second_timer = (struct loop_timer){ .fire = on_second, .arg = n };
 	loop_timer_set(n->loop, &n->second_timer, loop_clock_us() + US_PER_S);
 	err = entry_start(n);
@@ -136,6 +161,7 @@
 	watch_stop(n);
 	mesh_stop(n);
 	loop_timer_cancel(n->loop, &n->second_timer);
+	loop_timer_cancel(n->loop, &n->probe_timer);
 }
 
 static void node_stop(struct krn_service *s)
--- a/node/node.h
+++ b/node/node.h
@@ -18,7 +18,10 @@
 #include "node/admit.h"
 #include "node/call_table.h"
 #include "node/choose.h"
+#include "node/hedge.h"
+#include "node/probe.h"
 #include "node/retry.h"
+#include "node/shed.h"
 
 struct mg_context;
 struct home;
@@ -39,6 +42,8 @@
 	struct loop_timer second_timer;
 
 	struct choose choose;
+	struct probe probe;
+	struct loop_timer probe_timer;
 	struct entry *entry;
 	struct home *home;
 	struct mesh *mesh;
@@ -64,6 +69,7 @@
 	char *service;
 	char *rank;
 	bool is_idempotent;
+	u32 worth;
 	u64 deadline_us;
 	/* set on the loop's thread */
 	struct http_msg *answer; /* NULL: the system answers */
--- /dev/null
+++ b/node/probe.h
@@ -0,0 +1,36 @@
+/*
+ * probe - measuring load where no reply told it, within a budget
+ *
+ * The budget is that of the node, over all services: probes and bytes, for the
+ * probes it sends with their answers, and for the answers it gives.
+ *
+ * UNITS microseconds, bytes
+ * SOURCE node/probe.c
+ */
+#ifndef PROBE_H
+#define PROBE_H
+
+#include "node/budget.h"
+#include "node/choose.h"
+
+/* At most: a PROBE frame, a LOAD frame. */
+#define PROBE_FRAME_BYTES 8
+#define PROBE_LOAD_BYTES 200
+
+struct probe {
+	struct budget count;
+	struct budget bytes;
+};
+
+void probe_init(struct probe *p, u64 per_s, u64 bytes_per_s, u64 now_us);
+
+/*
+ * probe_next - the upstream to probe now, or NULL when all loads are known well
+ * enough or the budget is used up (counted). The cost is taken.
+ */
+struct choose_target *probe_next(struct probe *p, struct choose *c, u64 now_us);
+
+/* probe_answer - true when the budget allows to answer a probe. The cost is taken. */
+bool probe_answer(struct probe *p, u64 now_us);
+
+#endif
--- a/node/retry.c
+++ b/node/retry.c
@@ -1,6 +1,8 @@
 #include "node/retry.h"
 
 #define WHOLE_RETRY 100
+/* Time for the way back over one hop. */
+#define HOP_US (1 * US_PER_MS)
 
 void retry_budget_init(struct retry_budget *b)
 {
@@ -14,10 +16,12 @@
 		b->hundredths = RETRY_BUDGET_MAX;
 }
 
-enum retry_verdict retry_decide(struct retry_budget *b, u32 tries, bool is_not_run,
+enum retry_verdict retry_decide(struct retry_budget *b, u32 tries, struct retry_failure failure,
 				bool is_idempotent, u64 left_us)
 {
-	if (!is_not_run && !is_idempotent)
+	if (failure.is_refused_below)
+		return RETRY_GIVE_UP;
+	if (!failure.is_not_run && !is_idempotent)
 		return RETRY_GIVE_UP;
 	if (tries >= RETRY_TRIES_MAX || !left_us)
 		return RETRY_GIVE_UP;
@@ -26,3 +30,10 @@
 	b->hundredths -= WHOLE_RETRY;
 	return RETRY_AGAIN;
 }
+
+u64 retry_time_below_ms(u64 deadline_us, u64 now_us)
+{
+	u64 left = deadline_us > now_us ? deadline_us - now_us : 0;
+
+	return left > HOP_US ? (left - HOP_US) / US_PER_MS : 0;
+}
--- a/node/upstream.c
+++ b/node/upstream.c
@@ -2,6 +2,7 @@
 
 #include "kernel/loop.h"
 #include "lib/err.h"
+#include "node/retry.h"
 
 #include <civetweb.h>
 #include <stdio.h>
@@ -75,8 +76,9 @@
 		    g_ascii_strcasecmp(h->name, "Lavenderlead-Timeout-Ms"))
 			g_string_append_printf(head, "%s: %s\r\n", h->name, h->value);
 	}
-	g_string_append_printf(head, "Lavenderlead-Timeout-Ms: %llu\r\n",
-			       (unsigned long long)left_ms(call));
+	g_string_append_printf(
+		head, "Lavenderlead-Timeout-Ms: %llu\r\n",
+		(unsigned long long)retry_time_below_ms(call->deadline_us, loop_clock_us()));
 	if (sends_body(m))
 		g_string_append_printf(head, "Content-Length: %u\r\n", m->body->len);
 	g_string_append(head, "Connection: keep-alive\r\n\r\n");
--- a/node/watch.c
+++ b/node/watch.c
@@ -104,7 +104,7 @@
 		dir_entry_get(in, &e);
 		/* The node itself knows its own entry best. */
 		if (!in->err && strcmp(e.node, w->node->self.name))
-			choose_set(&w->node->choose, &e);
+			choose_set(&w->node->choose, &e, loop_clock_us());
 	}
 	return frame_done(in);
 }
--- a/wire/peer.h
+++ b/wire/peer.h
@@ -35,6 +35,14 @@
 	u64 seq;
 };
 
+/* Ranks beyond these are not told; the worthiest are told first. */
+#define PEER_WAITS_MAX 8
+
+struct peer_wait {
+	u32 worth;
+	u64 wait_us; /* expected time in the queue of a new call */
+};
+
 /* The load of a home node, sent with every reply and refusal. */
 struct peer_load {
 	u32 running;
@@ -43,6 +51,8 @@
 	u32 lowest_worth; /* calls below are refused now */
 	u64 service_us; /* typical time of one call at the upstream */
 	bool is_draining;
+	u32 nwaits;
+	struct peer_wait waits[PEER_WAITS_MAX];
 };
 
 struct peer_call {
