--- a/bench/state_bench.c
+++ b/bench/state_bench.c
@@ -79,7 +79,7 @@
 	for (u32 i = from; i < to; i++) {
 		struct dir_entry e = make_entry(i);
 
-		choose_set(&choose, &e);
+		choose_set(&choose, &e, 0);
 		dir_entry_clear(&e);
 	}
 }
@@ -173,7 +173,7 @@
 		if (c == 'n')
 			n = (u32)atoi(optarg);
 	directory_init(&directory, 1, 1);
-	choose_init(&choose, "zone-1", 1);
+	choose_init(&choose, "10.0.0.1:8081", "zone-1", 1);
 	store_init(&store);
 	call_table_init(&table);
 	printf("%-28s %8s %10s %10s\n", "state", "items", "bytes/item", "us/item");
--- a/node/caller.c
+++ b/node/caller.c
@@ -40,6 +40,7 @@
 		call->service = g_strdup(s->res->name);
 		call->rank = g_strdup(rank->name);
 		call->is_idempotent = res_is_idempotent(rank, ri->request_method);
+		call->worth = rank->worth;
 	}
 	config_read_unlock();
 	return result;
--- a/node/watch.c
+++ b/node/watch.c
@@ -155,7 +155,7 @@
 		/* The node itself knows its own entry best. */
 		if (!strcmp(e.node, w->node->self.name))
 			continue;
-		choose_set(&w->node->choose, &e);
+		choose_set(&w->node->choose, &e, loop_clock_us());
 		entry_directory(w->node, &e);
 	}
 	return frame_done(in);
@@ -175,7 +175,7 @@
 			continue;
 		dir_entry_copy(&e, &choose_find(c, name)->entry);
 		e.state = DIR_GONE;
-		choose_set(c, &e);
+		choose_set(c, &e, loop_clock_us());
 		entry_directory(w->node, &e);
 	}
 	w->sweep_due_us = 0;
