--- a/bench/state_bench.c
+++ b/bench/state_bench.c
@@ -173,7 +173,7 @@
 		if (c == 'n')
 			n = (u32)atoi(optarg);
 	directory_init(&directory, 1, 1);
-	choose_init(&choose, "10.0.0.1:8081", "zone-1", 1);
+	choose_init(&choose, "10.0.0.1:8081", "zone-1", "region-1", 1, 0);
 	store_init(&store);
 	call_table_init(&table);
 	printf("%-28s %8s %10s %10s\n", "state", "items", "bytes/item", "us/item");
