--- a/control/spread.c
+++ b/control/spread.c
@@ -193,11 +193,11 @@
 	u32 id = (u32)frame_get_u64(in);
 	u64 incarnation = frame_get_u64(in);
 	u64 beat = frame_get_u64(in);
-	u64 age_us = MIN(frame_get_u64(in), now_us);
+	u64 age_us = frame_get_u64(in);
 	struct in_force_report *r = in_force_report_get(in);
 
 	if (in->err || id == c->raft.id ||
-	    !directory_hear(&c->directory, id, incarnation, beat, now_us - age_us)) {
+	    !directory_hear(&c->directory, id, incarnation, beat, now_us - MIN(age_us, now_us))) {
 		in_force_report_free(r);
 		return;
 	}
--- /dev/null
+++ b/test/control_test.sh
@@ -0,0 +1,502 @@
+#!/bin/bash
+# control_test.sh [CASE...] - three control processes and a few nodes under faults
+# Links between the processes run through test/programs/relay, so that they can be
+# cut without a reset. Conditions are waited for; no verdict depends on elapsed time.
+set -u
+cd "$(dirname "$0")/.." || exit 1
+BASE=${BASE:-21000}
+bin=$PWD/lavenderlead
+dir=$(mktemp -d)
+declare -A pid
+failures=0
+COMMAND=$((BASE + 500))
+all_api=127.0.0.1:$((BASE + 10)),127.0.0.1:$((BASE + 20)),127.0.0.1:$((BASE + 30))
+
+api() { echo "127.0.0.1:$((BASE + 10 * $1))"; }
+peer_port() { echo $((BASE + 10 * $1 + 1)); }
+local_port() { echo $((BASE + 102 + 10 * $1)); }
+caller_port() { echo $((BASE + 100 + 10 * $1)); }
+node_name() { echo "127.0.0.1:$((BASE + 101 + 10 * $1))"; }
+
+fail() {
+	echo "FAILED $*"
+	failures=$((failures + 1))
+}
+
+# wait_for WHAT COMMAND... - until the command succeeds, at most 30 s
+wait_for() {
+	local what=$1
+	shift
+	for _ in $(seq 300); do
+		"$@" >/dev/null 2>&1 && return 0
+		sleep 0.1
+	done
+	fail "no $what after 30 s"
+	return 1
+}
+
+start_process() {
+	local name=$1
+	"$bin" serve -c "$dir/$name.ini" >>"$dir/$name.log" 2>&1 &
+	pid[$name]=$!
+}
+
+# end SIGNAL NAME
+end() {
+	[ -n "${pid[$2]:-}" ] || return
+	kill "-$1" "${pid[$2]}" 2>/dev/null
+	# A stopped process takes no other signal.
+	kill -CONT "${pid[$2]}" 2>/dev/null
+	wait "${pid[$2]}" 2>/dev/null
+	unset "pid[$2]"
+}
+
+signal() { kill "-$1" "${pid[$2]}"; }
+
+relay() {
+	exec 9<>"/dev/tcp/127.0.0.1/$COMMAND" || return 1
+	echo "$*" >&9
+	read -r _ <&9
+	exec 9>&-
+}
+
+# cut_off N - nothing reaches control N and nothing leaves it, without a reset
+cut_off() {
+	relay cut "$(peer_port "$1")" "*"
+	relay cut "*" "$(peer_port "$1")"
+}
+
+# cut_pair N M - between control N and control M only
+cut_pair() {
+	relay cut "$(peer_port "$1")" "$(peer_port "$2")"
+	relay cut "$(peer_port "$2")" "$(peer_port "$1")"
+}
+
+# http METHOD CONTROL PATH [CURL ARGUMENT...] - prints STATUS, then the Outcome header, then the body
+http() {
+	local method=$1 at=$2 path=$3 out=$dir/http.$BASHPID
+	shift 3
+	curl -s -m 12 -X "$method" -o "$out.body" -D "$out.head" \
+		-w '%{http_code}' "$@" "http://$(api "$at")$path"
+	printf ' %s ' "$(sed -n 's/^[Ll]avenderlead-[Oo]utcome: \([a-z-]*\).*/\1/p' "$out.head" 2>/dev/null)"
+	cat "$out.body" 2>/dev/null
+	rm -f "$out.body" "$out.head"
+}
+
+service() { # NAME TARGET_MS
+	echo "{\"name\":\"$1\",\"hosts\":[\"$1.example\"],\"ranks\":[{\"name\":\"page\",\"match\":[{\"path\":\"/\"}],\"target_ms\":$2,\"worth\":10,\"floor_percent\":10}]}"
+}
+
+put() { # CONTROL NAME TARGET_MS [CURL ARGUMENT...]
+	local at=$1 name=$2 ms=$3
+	shift 3
+	http PUT "$at" "/v1/services/$name" "$@" --data "$(service "$name" "$ms")"
+}
+
+# number KEY - the first value of KEY in the JSON on standard input
+number() { grep -o "\"$1\":[0-9]*" | head -1 | cut -d: -f2; }
+
+status() { curl -s -m 5 "http://$(api "$1")/v1/status"; }
+leader_at() { status "$1" | grep -o '"leader":{"id":[0-9]*' | cut -d: -f3; }
+revision_at() { status "$1" | sed 's/.*"fresh"//' | number revision; }
+is_fresh() { status "$1" | grep -q '"fresh":true'; }
+is_not_fresh() { status "$1" | grep -q '"fresh":false'; }
+in_force() { status "$1" | grep -o '"inForce":{[^}]*}'; }
+
+# in_force_is CONTROL NODES OF
+in_force_is() { in_force "$1" | grep -q "\"nodes\":$2,\"of\":$3,"; }
+is_behind() { in_force "$1" | grep -q "\"behind\":\[.*$(node_name "$2")\""; }
+node_revision() { curl -s -m 5 "http://127.0.0.1:$(local_port "$1")/v1/status" | number revision; }
+node_revision_is() { [ "$(node_revision "$1")" = "$2" ]; }
+node_counter() { curl -s "http://127.0.0.1:$(local_port "$1")/v1/metrics" | sed -n "s/^lavenderlead_$2_total //p"; }
+# sees NODE OTHER STATE - the state of an upstream as a node has it
+sees() { curl -s -m 5 "http://127.0.0.1:$(local_port "$1")/v1/status" | grep -q "\"node\":\"$(node_name "$2")\",[^}]*\"state\":\"$3\""; }
+
+has_leader() { [ -n "$(leader_at "$1")" ]; }
+knows_other_leader() { # CONTROL OLD_LEADER
+	local l
+	l=$(leader_at "$1")
+	[ -n "$l" ] && [ "$l" != "$2" ]
+}
+
+others() { # CONTROL - the two other ids
+	for i in 1 2 3; do [ "$i" != "$1" ] && echo "$i"; done
+}
+
+node_uses() { # NODE CONTROL, as control sees it
+	status "$2" | grep -q "\"node\":\"$(node_name "$1")\",[^}]*\"state\":\"[^g][^}]*\"control\":$2}"
+}
+
+stop_all() {
+	local name
+	for name in "${!pid[@]}"; do
+		kill -CONT "${pid[$name]}" 2>/dev/null
+		kill -KILL "${pid[$name]}" 2>/dev/null
+	done
+	wait 2>/dev/null
+	if [ "$failures" -gt 0 ] && [ -n "${KEEP:-}" ]; then
+		echo "logs: $dir"
+	else
+		rm -rf "$dir"
+	fi
+}
+trap stop_all EXIT
+
+start_all() {
+	local i routes=
+	DATA=$dir/data tools/mesh-settings "$dir" breizh "$BASE" breizh-rennes breizh-brest breizh-vannes 5
+	for i in 1 2 3; do
+		routes="$routes $(($(peer_port "$i") + 500)):$(peer_port "$i")"
+		sed -i "/^members=\|^control=/s/127.0.0.1:$(peer_port "$i")/127.0.0.1:$(($(peer_port "$i") + 500))/" "$dir"/*.ini
+	done
+	# shellcheck disable=SC2086
+	build/test/programs/relay "$COMMAND" $routes >"$dir/relay.log" 2>&1 &
+	pid[relay]=$!
+	wait_for relay relay heal
+	for i in 1 2 3; do start_process "control$i"; done
+	for i in 1 2 3 4; do
+		start_process "node$i"
+		build/test/programs/upstream -p $((BASE + 600 + i)) -n "$(local_port "$i")" -s sightings \
+			>"$dir/upstream$i.log" 2>&1 &
+		pid[upstream$i]=$!
+	done
+	wait_for "leader" has_leader 1
+	wait_for "registration of 4 nodes" in_force_is 1 4 4
+}
+
+# Operators
+
+case_apply_at_once() {
+	local i codes="" revision pids=()
+	mkdir -p "$dir/declared"
+	service sightings 250 >"$dir/declared/sightings.json"
+	service atlas 1000 >"$dir/declared/atlas.json"
+	for i in 1 2 3 4; do
+		"$bin" apply -f "$dir/declared" --control $all_api >"$dir/apply$i" 2>&1 &
+		pids+=($!)
+	done
+	for i in "${pids[@]}"; do
+		wait "$i"
+		codes="$codes $?"
+	done
+	revision=$(http GET 1 /v1/services | number revision)
+	[ "$revision" = 2 ] || fail "revision $revision after 4 operators applied 2 services:$codes"
+	case $codes in
+	*0*) ;;
+	*) fail "no operator had success:$codes" ;;
+	esac
+	"$bin" apply -f "$dir/declared" --control $all_api >/dev/null 2>&1 || fail "apply again"
+	[ "$(http GET 2 /v1/services | number revision)" = 2 ] || fail "apply again changed something"
+}
+
+case_if_match_race() {
+	local i version won lost pids=()
+	put 1 race 100 >/dev/null
+	version=$(http GET 1 /v1/services/race | number version)
+	for i in $(seq 12); do
+		put $((i % 3 + 1)) race $((100 + i)) -H "If-Match: $version" >"$dir/race$i" &
+		pids+=($!)
+	done
+	wait "${pids[@]}"
+	won=$(grep -l "^200 " "$dir"/race* | wc -l)
+	lost=$(grep -l "^409 .*\"version\":$((version + 1))," "$dir"/race* | wc -l)
+	[ "$won" = 1 ] || fail "$won clients won the race"
+	[ "$lost" = 11 ] || fail "$lost clients were told the current version"
+}
+
+case_resend() {
+	local first again other
+	first=$(put 1 resend 100 -H "Change-Id: resend-1" -H "If-Match: 0" | number version)
+	put 2 resend 200 >/dev/null
+	again=$(put 3 resend 100 -H "Change-Id: resend-1" -H "If-Match: 0")
+	[ "${again%% *}" = 201 ] || fail "the first answer was 201, again: $again"
+	[ "$(echo "$again" | number version)" = "$first" ] || fail "another version: $again"
+	http GET 1 /v1/services/resend | grep -q '"target_ms":200' || fail "the resend ran again"
+	other=$(put 1 resend 300 -H "Change-Id: resend-1")
+	[ "${other%% *}" = 422 ] || fail "one Change-Id for two changes: $other"
+}
+
+# Failover. The leader is cut off silently, then heals.
+case_silent_cut() {
+	local old new version answer outcome now revision
+	put 1 cut 100 >/dev/null
+	version=$(http GET 1 /v1/services/cut | number version)
+	old=$(leader_at 1)
+	new=$(others "$old" | head -1)
+	cut_off "$old"
+	answer=$(put "$old" cut 200 -H "Change-Id: cut-1" -H "If-Match: $version")
+	outcome=$(echo "$answer" | cut -d' ' -f2)
+	case $answer in
+	"503 unknown "* | "503 not-run "*) ;;
+	*) fail "a leader without a quorum answered: $answer" ;;
+	esac
+	answer=$(http GET "$old" /v1/services/cut)
+	[ "${answer%% *}" = 503 ] || fail "a read from a leader that is cut off: $answer"
+	wait_for "new leader" knows_other_leader "$new" "$old"
+	now=$(http GET "$new" /v1/services/cut | number version)
+	[ "$outcome" = unknown ] || [ "$now" = "$version" ] || fail "not-run was not true"
+	wait_for "nodes at the fresh control processes" in_force_is "$new" 4 4
+	answer=$(put "$new" cut 200 -H "Change-Id: cut-1" -H "If-Match: $version")
+	[ "${answer%% *}" = 200 ] || fail "the resend of the change: $answer"
+	revision=$(echo "$answer" | number revision)
+	wait_for "change in force beside the cut" in_force_is "$new" 4 4
+	for i in 1 2 3 4; do
+		[ "$(node_revision $i)" -ge "$revision" ] || fail "node $i is not at $revision"
+	done
+	[ "$(revision_at "$old")" -lt "$revision" ] || fail "the cut did not hold"
+	relay heal
+	wait_for "old leader to catch up" is_fresh "$old"
+	answer=$(put "$old" cut 200 -H "Change-Id: cut-1" -H "If-Match: $version")
+	[ "$(echo "$answer" | number revision)" = "$revision" ] || fail "another first answer: $answer"
+	now=$(http GET "$old" /v1/services/cut | number version)
+	[ "$now" = $((version + 1)) ] || fail "the change ran $((now - version)) times"
+}
+
+# Two control processes lose each other; the third one passes on what they spread.
+case_pair_cut() {
+	local a b
+	a=$(leader_at 1)
+	b=$(others "$a" | head -1)
+	# shellcheck disable=SC2046
+	cut_pair $(others "$a")
+	end KILL node5
+	start_process node5
+	for a in 1 2 3; do
+		wait_for "new node at control $a" in_force_is "$a" 5 5
+	done
+	end KILL node5
+	for a in 1 2 3; do
+		wait_for "dead node to leave at control $a" in_force_is "$a" 4 4
+	done
+	relay heal
+	wait_for "fresh control $b" is_fresh "$b"
+}
+
+case_kill_leader() {
+	local old new answer
+	old=$(leader_at 1)
+	new=$(others "$old" | head -1)
+	put "$old" kill 100 -H "Change-Id: kill-1" >/dev/null
+	end KILL "control$old"
+	answer=
+	wait_for "new leader" knows_other_leader "$new" "$old"
+	answer=$(put "$new" kill 100 -H "Change-Id: kill-1")
+	[ "${answer%% *}" = 201 ] || fail "the first answer after failover: $answer"
+	start_process "control$old"
+	wait_for "the killed one to be fresh" is_fresh "$old"
+	answer=$(put "$old" kill 100 -H "Change-Id: kill-1")
+	[ "${answer%% *}" = 201 ] || fail "the first answer after restart: $answer"
+	[ "$(http GET "$old" /v1/services/kill | number version)" = \
+		"$(echo "$answer" | number version)" ] || fail "the resend ran again"
+}
+
+case_stop_leader() {
+	local old new answer version
+	old=$(leader_at 1)
+	new=$(others "$old" | head -1)
+	put "$new" stop 100 >/dev/null
+	signal STOP "control$old"
+	wait_for "new leader" knows_other_leader "$new" "$old"
+	version=$(put "$new" stop 200 | number version)
+	signal CONT "control$old"
+	answer=$(http GET "$old" /v1/services/stop)
+	case $answer in
+	"503 "*) ;;
+	"200 "*) [ "$(echo "$answer" | number version)" = "$version" ] || fail "a stale read: $answer" ;;
+	*) fail "a read after the stop: $answer" ;;
+	esac
+	wait_for "the stopped one to be fresh" is_fresh "$old"
+	wait_for "all nodes" in_force_is "$old" 4 4
+}
+
+# Restarts after hundreds of changes: one exchange brings them.
+case_missed_changes() {
+	local old revision
+	old=$(others "$(leader_at 1)" | head -1)
+	end KILL "control$old"
+	end KILL node2
+	local at
+	at=$(leader_at "$(others "$old" | head -1)")
+	for i in $(seq 300); do
+		printf 'url = "http://%s/v1/services/many%d"\nrequest = PUT\ndata = "%s"\noutput = /dev/null\nwrite-out = "%%{http_code}\\n"\nnext\n' \
+			"$(api "$at")" $((i % 20)) "$(service many$((i % 20)) $((100 + i)) | sed 's/"/\\"/g')"
+	done | sed '$d' >"$dir/many.curl"
+	[ "$(curl -s -m 30 -K "$dir/many.curl" | grep -c '^20[01]$')" = 300 ] || fail "300 changes"
+	revision=$(revision_at "$at")
+	start_process "control$old"
+	start_process node2
+	wait_for "node 2 at revision $revision" node_revision_is 2 "$revision"
+	[ "$(node_counter 2 config_applied)" = 1 ] || fail "node 2 took $(node_counter 2 config_applied) exchanges"
+	wait_for "control $old to catch up" is_fresh "$old"
+	[ "$(revision_at "$old")" = "$revision" ] || fail "control $old is at $(revision_at "$old")"
+	wait_for "all nodes in force" in_force_is "$old" 4 4
+}
+
+# A node that restarts beside a stale control process takes nothing from it.
+case_stale_control() {
+	local stale new revision
+	stale=$(others "$(leader_at 1)" | head -1)
+	new=$(others "$stale" | head -1)
+	sed "s/^control=.*/control=127.0.0.1:$(peer_port "$stale")/" "$dir/node5.ini" >"$dir/stuck.ini"
+	# Not through the relay: the node reaches the stale process.
+	cut_off "$stale"
+	wait_for "new leader" has_leader "$new"
+	revision=$(put "$new" stale 100 | number revision)
+	start_process stuck
+	wait_for "the node at the stale process" node_uses 5 "$stale"
+	is_not_fresh "$stale" || fail "the process that is cut off is fresh"
+	[ "$(node_revision 5)" = 0 ] || fail "configuration from a stale control process"
+	relay heal
+	wait_for "node 5 at revision $revision" node_revision_is 5 "$revision"
+	end KILL stuck
+	wait_for "node 5 to leave" in_force_is "$new" 4 4
+}
+
+# A node that is frozen is behind, and then no longer counted.
+case_in_force() {
+	local watch
+	curl -s -N "http://$(api 1)/v1/watch?from=$(revision_at 1)" >"$dir/watch" &
+	watch=$!
+	signal STOP node3
+	put 1 frozen 100 >/dev/null
+	is_behind 1 3 || in_force_is 1 3 3 || fail "the frozen node is not behind: $(in_force 1)"
+	wait_for "the frozen node to leave the count" in_force_is 2 3 3
+	signal CONT node3
+	wait_for "the node again" in_force_is 2 4 4
+	grep -q '"name":"frozen"' "$dir/watch" || fail "the watch did not tell the change"
+	wait_for "progress on the watch" grep -q '"inForce":{.*"nodes":3,"of":4,.*"behind":\[' "$dir/watch"
+	wait_for "progress on the watch" grep -q '"inForce":{.*"nodes":3,"of":3,' "$dir/watch"
+	kill "$watch"
+	wait "$watch" 2>/dev/null
+}
+
+call_runs() { # NODE
+	[ "$(curl -s -m 5 -o /dev/null -w '%{http_code}' -H 'Host: sightings.example' "http://127.0.0.1:$(caller_port "$1")/species")" = 200 ]
+}
+
+# No quorum: writes are refused truly, the directory goes on; then no control at all.
+case_no_quorum() {
+	local keep answer version i
+	keep=$(leader_at 1)
+	version=$(http GET "$keep" /v1/services/sightings | number version)
+	for i in $(others "$keep"); do end KILL "control$i"; done
+	wait_for "loss of the quorum" is_not_fresh "$keep"
+	answer=$(put "$keep" sightings 333 -H "If-Match: $version")
+	case $answer in
+	"503 not-run "*) ;;
+	"503 unknown "*) ;;
+	*) fail "a change without a quorum: $answer" ;;
+	esac
+	answer=$(http GET "$keep" /v1/services/sightings)
+	[ "${answer%% *}" = 503 ] || fail "a read without a quorum: $answer"
+	for i in 1 2 3 4; do wait_for "node $i at control $keep" node_uses $i "$keep"; done
+	end TERM upstream1
+	end KILL node1
+	wait_for "dead node to leave at node 2" sees 2 1 gone
+	start_process node1
+	build/test/programs/upstream -p $((BASE + 601)) -n "$(local_port 1)" -s sightings \
+		>>"$dir/upstream1.log" 2>&1 &
+	pid[upstream1]=$!
+	wait_for "node to join at node 2" sees 2 1 up
+	[ "$(node_revision 1)" = 0 ] || fail "first configuration without a quorum"
+	end KILL "control$keep"
+	for i in 2 3 4; do call_runs $i || fail "node $i does not serve without control"; done
+	end KILL upstream4
+	end KILL node4
+	for i in 1 2 3; do start_process "control$i"; done
+	wait_for "all nodes in force again" in_force_is 1 3 3
+	wait_for "node 1 to serve" call_runs 1
+	wait_for "what died without control to leave at node 2" sees 2 4 gone
+	start_process node4
+	build/test/programs/upstream -p $((BASE + 604)) -n "$(local_port 4)" -s sightings \
+		>>"$dir/upstream4.log" 2>&1 &
+	pid[upstream4]=$!
+	wait_for "node 4 again" in_force_is 1 4 4
+}
+
+# A lost disk is repaired; another VM is lost right after.
+case_replace() {
+	local lost second revision i answer
+	lost=$(others "$(leader_at 1)" | head -1)
+	end KILL "control$lost"
+	rm -rf "$dir/data/control$lost"
+	for i in 1 2 3 4 5; do put "$(others "$lost" | head -1)" "replace$i" 100 >/dev/null; done
+	revision=$(http GET "$(others "$lost" | head -1)" /v1/services | number revision)
+	start_process "control$lost"
+	"$bin" member replace "$lost" --control $all_api >"$dir/replace" 2>&1 || fail "member replace: $(cat "$dir/replace")"
+	second=$(leader_at "$lost")
+	[ -n "$second" ] && [ "$second" != "$lost" ] || second=$(others "$lost" | head -1)
+	end KILL "control$second"
+	wait_for "leader of the rest" knows_other_leader "$lost" "$second"
+	answer=$(http GET "$lost" /v1/services)
+	[ "$(echo "$answer" | number revision)" -ge "$revision" ] || fail "revision $revision is lost: $(echo "$answer" | number revision)"
+	for i in 1 2 3 4 5; do
+		echo "$answer" | grep -q "\"name\":\"replace$i\"" || fail "service replace$i is lost"
+	done
+	answer=$(put "$lost" replaced 100)
+	[ "${answer%% *}" = 201 ] || fail "a change after the repair: $answer"
+	start_process "control$second"
+	wait_for "the second VM" is_fresh "$second"
+}
+
+expect() { # STATUS WHAT ANSWER
+	[ "${3%% *}" = "$1" ] || fail "$2: expected $1, got $3"
+	case $3 in
+	*'"error":'*) ;;
+	*) fail "$2: no error text: $3" ;;
+	esac
+}
+
+case_bad_input() {
+	local big
+	expect 400 "not JSON" "$(http PUT 1 /v1/services/bad --data '{"name":')"
+	expect 400 "an empty body" "$(http PUT 1 /v1/services/bad)"
+	expect 400 "an array" "$(http PUT 1 /v1/services/bad --data '[1,2]')"
+	expect 400 "another name" "$(http PUT 1 /v1/services/bad --data "$(service other 100)")"
+	expect 400 "a bad name" "$(http PUT 1 '/v1/services/a%20b' --data "$(service ab 100)")"
+	expect 400 "a negative If-Match" "$(put 1 bad 100 -H 'If-Match: -1')"
+	expect 400 "If-Match with a sign" "$(put 1 bad 100 -H 'If-Match: +1')"
+	expect 400 "If-Match with text" "$(put 1 bad 100 -H 'If-Match: 1x')"
+	expect 400 "half a quote" "$(put 1 bad 100 -H 'If-Match: "1')"
+	expect 400 "a huge If-Match" "$(put 1 bad 100 -H 'If-Match: 99999999999999999999999')"
+	expect 400 "a long Change-Id" "$(put 1 bad 100 -H "Change-Id: $(printf 'x%.0s' $(seq 200))")"
+	expect 405 "POST to a service" "$(http POST 1 /v1/services/bad --data x)"
+	expect 405 "PUT to the list" "$(http PUT 1 /v1/services --data x)"
+	expect 405 "PUT to the watch" "$(http PUT 1 /v1/watch --data x)"
+	expect 405 "DELETE of the status" "$(http DELETE 1 /v1/status)"
+	expect 400 "a bad from" "$(http GET 1 '/v1/watch?from=abc')"
+	expect 404 "another path" "$(http GET 1 /v2/services)"
+	expect 404 "a path that begins like one" "$(http GET 1 /v1/servicesX)"
+	expect 404 "a member without a number" "$(http DELETE 1 /v1/members/x)"
+	expect 404 "a service that does not exist" "$(http GET 1 /v1/services/none)"
+	expect 404 "deletion of it" "$(http DELETE 1 /v1/services/none)"
+	big=$dir/big
+	head -c 2000000 /dev/zero | tr '\0' ' ' >"$big"
+	expect 413 "a body that is too large" "$(http PUT 1 /v1/services/bad --data-binary "@$big" -H 'Expect:')"
+	printf 'PUT /v1/services/bad HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\nshort' |
+		timeout 5 bash -c "exec 8<>/dev/tcp/127.0.0.1/$((BASE + 10)); cat >&8; exec 8>&-"
+	head -c 20000 /dev/urandom | timeout 5 bash -c "exec 8<>/dev/tcp/127.0.0.1/$((BASE + 10)); cat >&8; exec 8>&-" 2>/dev/null
+	head -c 20000 /dev/urandom | timeout 5 bash -c "exec 8<>/dev/tcp/127.0.0.1/$(peer_port 1); cat >&8; exec 8>&-" 2>/dev/null
+	is_fresh 1 || fail "control 1 does not answer after bad input"
+	expect 404 "nothing was declared" "$(http GET 1 /v1/services/bad)"
+}
+
+# Nodes sit at the control process of their zone, also after it was away.
+at_home() {
+	node_uses 1 1 && node_uses 2 2 && node_uses 3 3 && node_uses 4 1
+}
+
+case_nearest() {
+	wait_for "every node at the control process of its zone" at_home
+}
+
+start_all
+cases=${*:-apply_at_once if_match_race resend nearest silent_cut pair_cut kill_leader stop_leader missed_changes stale_control in_force bad_input no_quorum replace}
+for name in $cases; do
+	before=$failures
+	began=$SECONDS
+	"case_$name"
+	[ "$failures" = "$before" ] && echo "ok $name ($((SECONDS - began)) s)"
+done
+echo "control_test: $failures failures"
+[ "$failures" = 0 ]
