--- a/control/spread.c
+++ b/control/spread.c
@@ -193,7 +193,8 @@
 	u32 id = (u32)frame_get_u64(in);
 	u64 incarnation = frame_get_u64(in);
 	u64 beat = frame_get_u64(in);
-	u64 age_us = MIN(frame_get_u64(in), now_us);
+	u64 told_us = frame_get_u64(in); /* MIN would read it twice */
+	u64 age_us = MIN(told_us, now_us);
 	struct in_force_report *r = in_force_report_get(in);
 
 	if (in->err || id == c->raft.id ||
