--- /dev/null
+++ b/test/programs/caller.c
@@ -0,0 +1,272 @@
+/*
+ * caller - bounded HTTP load with a transcript
+ *
+ * caller -p PORT[,PORT...] -H HOST -i PREFIX [-n CALLS] [-c CONNECTIONS]
+ *        [-w PAUSE_MS] [-m MIXED|GET|POST] [-d DELAY_MS] [-t TIMEOUT_MS]
+ *        [-b BODY_BYTES] [-G] [-q QUIT_MS] [-f FAIL]
+ *
+ * CONNECTIONS threads share CALLS calls; thread T enters at the port T modulo
+ * the number of ports. MIXED posts every second call. DELAY_MS asks the
+ * stand-in upstream for a delay. Connections are kept open; one that is said
+ * to close is closed. -q: a caller gives up after QUIT_MS and disconnects.
+ * FAIL is a failure that every third call asks of the upstream.
+ * -G: a thread leaves its port for the next one when it is told to close or
+ * cannot connect, and ends after the last port.
+ *
+ * Prints one line a call: ID METHOD STATUS OUTCOME REASON BODY. OUTCOME:
+ * answer, not-run, unknown, or none when no answer came (not-run when there
+ * was no connection). BODY: own, other, short or none. ID is PREFIX-NUMBER.
+ */
+#include "kernel/loop.h"
+
+#include <civetweb.h>
+#include <glib.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#define PORTS_MAX 64
+#define READ_BYTES 16384
+#define EXTRA_WAIT_MS 10000
+
+struct options {
+	u16 ports[PORTS_MAX];
+	u32 nports;
+	const char *host;
+	const char *prefix;
+	u32 calls;
+	u32 connections;
+	u32 pause_ms;
+	const char *methods;
+	u32 delay_ms;
+	u32 timeout_ms;
+	u32 body_bytes;
+	u32 quit_ms;
+	bool goes_on;
+	const char *fail;
+};
+
+static struct options opt = {
+	.calls = 100, .connections = 4, .methods = "MIXED", .timeout_ms = 5000, .body_bytes = 16
+};
+static gint next_call;
+static pthread_mutex_t print_lock = PTHREAD_MUTEX_INITIALIZER;
+
+/* One thread's connection. */
+struct client {
+	struct mg_connection *conn;
+	u32 at; /* index of the port */
+	bool is_over; /* no port is left */
+};
+
+struct answer {
+	int status;
+	char outcome[16];
+	char reason[64];
+	const char *body;
+};
+
+static void disconnect(struct client *c)
+{
+	if (c->conn)
+		mg_close_connection(c->conn);
+	c->conn = NULL;
+}
+
+static void leave_port(struct client *c)
+{
+	disconnect(c);
+	if (!opt.goes_on)
+		return;
+	c->at++;
+	c->is_over = c->at >= opt.nports;
+}
+
+static const char *header(const struct mg_response_info *ri, const char *name)
+{
+	for (int i = 0; i < ri->num_headers; i++)
+		if (!g_ascii_strcasecmp(ri->http_headers[i].name, name))
+			return ri->http_headers[i].value;
+	return NULL;
+}
+
+/* Distinct for each call, so that a mixed-up answer shows. */
+static char *make_body(const char *id)
+{
+	GString *s = g_string_new(id);
+
+	while (s->len < opt.body_bytes)
+		g_string_append_printf(s, ".%s", id);
+	return g_string_free(s, FALSE);
+}
+
+static int send_call(struct client *c, const char *id, const char *method, const char *body,
+		     const char *fail)
+{
+	size_t len = strcmp(method, "POST") ? 0 : strlen(body);
+	const char *path = len ? "/checklists" : "/species/hoopoe";
+
+	if (mg_printf(c->conn,
+		      "%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\n"
+		      "Lavenderlead-Timeout-Ms: %u\r\nDelay-Ms: %u\r\n%s%s%sContent-Length: "
+		      "%zu\r\n\r\n",
+		      method, path, opt.host, id, opt.timeout_ms, opt.delay_ms,
+		      fail ? "Fail: " : "", fail ? fail : "", fail ? "\r\n" : "", len) <= 0)
+		return -1;
+	return len && mg_write(c->conn, body, len) != (int)len ? -1 : 0;
+}
+
+static const char *judge(const char *id, const char *method, const char *body, const GString *in)
+{
+	const char *sent = strcmp(method, "POST") ? "" : body;
+	g_autofree char *head = g_strdup_printf("%s ", method);
+	g_autofree char *mine = g_strdup_printf(" id=%s ", id);
+	g_autofree char *tail = g_strdup_printf(" body=%s\n", sent);
+
+	if (g_str_has_prefix(in->str, head) && strstr(in->str, mine) &&
+	    g_str_has_suffix(in->str, tail))
+		return "own";
+	return "other";
+}
+
+static void read_answer(struct client *c, const char *id, const char *method, const char *body,
+			struct answer *a)
+{
+	const struct mg_response_info *ri = mg_get_response_info(c->conn);
+	const char *outcome = header(ri, "Lavenderlead-Outcome");
+	const char *reason = header(ri, "Lavenderlead-Reason");
+	const char *connection = header(ri, "Connection");
+	g_autoptr(GString) in = g_string_new(NULL);
+	char part[READ_BYTES];
+	int n;
+
+	a->status = ri->status_code;
+	g_strlcpy(a->outcome, outcome ? outcome : "answer", sizeof(a->outcome));
+	g_strlcpy(a->reason, reason ? reason : "-", sizeof(a->reason));
+	while ((n = mg_read(c->conn, part, sizeof(part))) > 0)
+		g_string_append_len(in, part, n);
+	if (n < 0 || (ri->content_length > 0 && (long long)in->len < ri->content_length))
+		a->body = "short";
+	else
+		a->body = outcome ? "none" : judge(id, method, body, in);
+	if (connection && !strcmp(connection, "close"))
+		leave_port(c);
+}
+
+static void run_call(struct client *c, const char *id, const char *method, const char *fail,
+		     struct answer *a)
+{
+	g_autofree char *body = make_body(id);
+	u32 wait_ms = opt.quit_ms ? opt.quit_ms : opt.timeout_ms + EXTRA_WAIT_MS;
+	char why[256];
+
+	if (!c->conn)
+		c->conn = mg_connect_client("127.0.0.1", opt.ports[c->at], 0, why, sizeof(why));
+	if (!c->conn) {
+		g_strlcpy(a->outcome, "not-run", sizeof(a->outcome));
+		g_strlcpy(a->reason, "no-connection", sizeof(a->reason));
+		leave_port(c);
+		return;
+	}
+	if (!send_call(c, id, method, body, fail) &&
+	    mg_get_response(c->conn, why, sizeof(why), (int)wait_ms) > 0)
+		read_answer(c, id, method, body, a);
+	if (!a->status)
+		leave_port(c);
+}
+
+static const char *method_of(gint number)
+{
+	if (strcmp(opt.methods, "MIXED"))
+		return opt.methods;
+	return number % 2 ? "POST" : "GET";
+}
+
+static gpointer client_main(gpointer arg)
+{
+	struct client c = { .at = GPOINTER_TO_UINT(arg) };
+	gint number;
+
+	while (!c.is_over && (number = g_atomic_int_add(&next_call, 1)) < (gint)opt.calls) {
+		g_autofree char *id = g_strdup_printf("%s-%d", opt.prefix, number);
+		struct answer a = { .outcome = "none", .reason = "-", .body = "none" };
+
+		run_call(&c, id, method_of(number), number % 3 ? NULL : opt.fail, &a);
+		pthread_mutex_lock(&print_lock);
+		printf("%s %s %d %s %s %s\n", id, method_of(number), a.status, a.outcome, a.reason,
+		       a.body);
+		pthread_mutex_unlock(&print_lock);
+		g_usleep(opt.pause_ms * US_PER_MS);
+	}
+	disconnect(&c);
+	return NULL;
+}
+
+static void parse_ports(const char *text)
+{
+	g_auto(GStrv) parts = g_strsplit(text, ",", PORTS_MAX);
+
+	for (char **p = parts; *p; p++)
+		opt.ports[opt.nports++] = (u16)atoi(*p);
+}
+
+static int parse(int argc, char **argv)
+{
+	int c;
+
+	while ((c = getopt(argc, argv, "p:H:i:n:c:w:m:d:t:b:q:f:G")) != -1) {
+		if (c == 'p')
+			parse_ports(optarg);
+		else if (c == 'H')
+			opt.host = optarg;
+		else if (c == 'i')
+			opt.prefix = optarg;
+		else if (c == 'n')
+			opt.calls = (u32)atoi(optarg);
+		else if (c == 'c')
+			opt.connections = (u32)atoi(optarg);
+		else if (c == 'w')
+			opt.pause_ms = (u32)atoi(optarg);
+		else if (c == 'm')
+			opt.methods = optarg;
+		else if (c == 'd')
+			opt.delay_ms = (u32)atoi(optarg);
+		else if (c == 't')
+			opt.timeout_ms = (u32)atoi(optarg);
+		else if (c == 'b')
+			opt.body_bytes = (u32)atoi(optarg);
+		else if (c == 'q')
+			opt.quit_ms = (u32)atoi(optarg);
+		else if (c == 'f')
+			opt.fail = optarg;
+		else if (c == 'G')
+			opt.goes_on = true;
+		else
+			return -1;
+	}
+	return opt.nports && opt.host && opt.prefix ? 0 : -1;
+}
+
+int main(int argc, char **argv)
+{
+	g_autofree GThread **threads = NULL;
+
+	if (parse(argc, argv)) {
+		fprintf(stderr, "usage: caller -p PORT[,PORT...] -H HOST -i PREFIX [-n CALLS] "
+				"[-c CONNECTIONS] [-w PAUSE_MS] [-m MIXED|GET|POST] [-d DELAY_MS] "
+				"[-t TIMEOUT_MS] [-b BODY_BYTES] [-q QUIT_MS] [-G] [-f FAIL]\n");
+		return 2;
+	}
+	signal(SIGPIPE, SIG_IGN);
+	mg_init_library(0);
+	threads = g_new0(GThread *, opt.connections);
+	for (u32 i = 0; i < opt.connections; i++)
+		threads[i] = g_thread_new("client", client_main,
+					  GUINT_TO_POINTER(opt.goes_on ? 0 : i % opt.nports));
+	for (u32 i = 0; i < opt.connections; i++)
+		g_thread_join(threads[i]);
+	return 0;
+}
--- a/test/programs/upstream.c
+++ b/test/programs/upstream.c
@@ -6,7 +6,10 @@
  * Announces itself to the node at LOCAL_PORT and answers each request with a
  * body that repeats the request. Appends "ID METHOD" to LOG when a request
  * begins to run, ID being its header Request-Id, so that runs can be counted.
- * Ends at SIGTERM.
+ * A request may ask for a delay with the header Delay-Ms, and for a failure
+ * with the header Fail: close (runs, no answer), short (runs, half an answer),
+ * chunks (runs, an unfinished list of chunks) or shed (does not run, 503
+ * not-run). SIGUSR1 drains, SIGUSR2 stops the announcements, SIGTERM ends.
  */
 #include "lib/http_server.h"
 #include "lib/types.h"
@@ -48,6 +51,23 @@
 	pthread_mutex_unlock(&log_lock);
 }
 
+/* A request that fails as it asked for. Returns 0 when it asked for no failure. */
+static int fail(struct mg_connection *conn, const char *how)
+{
+	if (!how)
+		return 0;
+	if (!strcmp(how, "shed"))
+		return http_send_error(conn, 503, "not-run", "upstream-shed", "shed");
+	log_run(conn);
+	mg_disable_connection_keep_alive(conn);
+	if (!strcmp(how, "short"))
+		mg_printf(conn, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf an answer");
+	else if (!strcmp(how, "chunks"))
+		mg_printf(conn,
+			  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n");
+	return 200;
+}
+
 static int on_request(struct mg_connection *conn, void *unused)
 {
 	const struct mg_request_info *ri = mg_get_request_info(conn);
@@ -55,10 +75,14 @@
 	g_autofree char *text = NULL;
 	const char *id = mg_get_header(conn, "Request-Id");
 	const char *delay = mg_get_header(conn, "Delay-Ms");
+	int status;
 
 	(void)unused;
 	if (http_read_body(conn, body, BODY_MAX_BYTES))
 		return http_send_error(conn, 400, NULL, NULL, "short request body");
+	status = fail(conn, mg_get_header(conn, "Fail"));
+	if (status)
+		return status;
 	log_run(conn);
 	g_usleep((delay ? strtoul(delay, NULL, 10) : opt.delay_ms) * 1000);
 	text = g_strdup_printf("%s %s id=%s from=%s:%u body=%.*s\n", ri->request_method,
@@ -109,7 +133,9 @@
 	g_autofree char *text = NULL;
 	struct mg_context *server;
 	struct timespec pause = { .tv_sec = RENEW_S };
+	bool is_silent = false;
 	sigset_t set;
+	int sig;
 
 	if (parse(argc, argv)) {
 		fprintf(stderr, "usage: upstream -p PORT -n LOCAL_PORT -s SERVICE [-k SLOTS] "
@@ -119,6 +145,8 @@
 	sigemptyset(&set);
 	sigaddset(&set, SIGTERM);
 	sigaddset(&set, SIGINT);
+	sigaddset(&set, SIGUSR1);
+	sigaddset(&set, SIGUSR2);
 	pthread_sigmask(SIG_BLOCK, &set, NULL);
 	signal(SIGPIPE, SIG_IGN);
 	mg_init_library(0);
@@ -131,9 +159,17 @@
 	text = g_strdup_printf("{\"service\":\"%s\",\"port\":%u,\"slots\":%u,\"connections\":200,"
 			       "\"load_path\":\"/load\"}",
 			       opt.service, opt.port, opt.slots);
-	do
-		announce("PUT", text);
-	while (sigtimedwait(&set, NULL, &pause) < 0);
+	do {
+		if (!is_silent)
+			announce("PUT", text);
+		sig = sigtimedwait(&set, NULL, &pause);
+		if (sig == SIGUSR1) {
+			g_free(text);
+			text = g_strdup("{\"state\":\"draining\"}");
+		}
+		if (sig == SIGUSR2)
+			is_silent = true;
+	} while (sig != SIGTERM && sig != SIGINT);
 	announce("DELETE", "");
 	mg_stop(server);
 	return 0;
