--- a/test/control_test.sh
+++ b/test/control_test.sh
@@ -1,6 +1,6 @@
 #!/bin/bash
 # control_test.sh [CASE...] - three control processes and a few nodes under faults
-# Links between the processes run through test/programs/relay, so that they can be
+# Links between the processes run through test/programs/partition, so that they can be
 # cut without a reset. Conditions are waited for; no verdict depends on elapsed time.
 set -u
 cd "$(dirname "$0")/.." || exit 1
@@ -150,7 +150,7 @@
 		sed -i "/^members=\|^control=/s/127.0.0.1:$(peer_port "$i")/127.0.0.1:$(($(peer_port "$i") + 500))/" "$dir"/*.ini
 	done
 	# shellcheck disable=SC2086
-	build/test/programs/relay "$COMMAND" $routes >"$dir/relay.log" 2>&1 &
+	build/test/programs/partition "$COMMAND" $routes >"$dir/relay.log" 2>&1 &
 	pid[relay]=$!
 	wait_for relay relay heal
 	for i in 1 2 3; do start_process "control$i"; done
