test: choice of upstreams; a recovered straggler gets its share again

The told service time stayed at that of the slow time while no call came, and no call came because of it (cold-start test: under 1 in 100 calls after the slow time). A home node without calls now forgets it within a second.

--- a/node/admit.c
+++ b/node/admit.c
@@ -4,6 +4,7 @@
 
 #define SERVICE_SMOOTHING 8
 #define SERVICE_FIRST_GUESS_US (10 * US_PER_MS)
+#define SERVICE_FORGET_US ((i64)US_PER_S)
 #define SERVICE_GUESS_CALLS 4
 /* Lately: the last calls, so many. */
 #define SERVED_SMOOTHING 16
@@ -101,6 +102,17 @@
 	q->used_ppm += (share_ppm - q->used_ppm) * MIN(span_us, USED_WINDOW_US) / USED_WINDOW_US;
 }
 
+/* Without calls the last ones' time says less and less, else a slow time would keep calls away. */
+static void forget_service(struct admit *a, i64 span_us)
+{
+	double guess = (double)limit_baseline_us(&a->limiter);
+
+	if (guess <= 0)
+		guess = SERVICE_FIRST_GUESS_US;
+	a->slot_time_us += (guess * a->served - a->slot_time_us) *
+			   (double)MIN(span_us, SERVICE_FORGET_US) / SERVICE_FORGET_US;
+}
+
 static void advance(struct admit *a, u64 now_us)
 {
 	i64 span_us = now_us > a->now_us ? (i64)(now_us - a->now_us) : 0;
@@ -109,6 +121,8 @@
 		return;
 	a->now_us = now_us;
 	a->slot_time_us += (double)a->running * (double)span_us;
+	if (!a->running)
+		forget_service(a, span_us);
 	/* Longer spans change nothing more and could overflow. */
 	span_us = MIN(span_us, (i64)US_PER_S);
 	for (u32 i = 0; i < a->nranks; i++)
--- a/node/limit.c
+++ b/node/limit.c
@@ -40,6 +40,18 @@
 	l->sum_running = 0;
 }
 
+u64 limit_baseline_us(const struct limit *l)
+{
+	u64 sum = 0;
+	u32 n = 0;
+
+	for (u32 i = 0; i < LIMIT_RANKS_MAX; i++) {
+		sum += l->ranks[i].baseline_us;
+		n += l->ranks[i].baseline_us > 0;
+	}
+	return n ? sum / n : 0;
+}
+
 /* Latency of the window against the baseline, in percent; 100 while unknown. */
 static u64 slowness_percent(const struct limit *l)
 {
--- a/node/limit.h
+++ b/node/limit.h
@@ -42,6 +42,9 @@
 /* limit_sample - a call of RANK took TOOK_US; at most RUNNING calls ran when it began or ended. */
 void limit_sample(struct limit *l, u32 rank, u64 took_us, u32 running, u64 now_us);
 
+/* limit_baseline_us - mean over the ranks that are known; 0 when none is. */
+u64 limit_baseline_us(const struct limit *l);
+
 /* limit_forget - the meaning of the ranks changed. */
 void limit_forget(struct limit *l);
 
--- /dev/null
+++ b/test/choose_test.c
@@ -0,0 +1,520 @@
+/* Choice of upstreams: subset, zones, stragglers, errors, cold starts, ejection. */
+#include "node/choose.h"
+#include "test/fakes/fleet.h"
+
+#include <string.h>
+
+#define START_US US_PER_S
+#define LATER_US (100 * US_PER_S)
+
+static const char *const zones[] = { "lakes-a", "lakes-b", "lakes-c" };
+
+static void setup(struct choose *c)
+{
+	choose_init(c, "10.0.0.1:8081", zones[0], "lakes", 7, START_US);
+}
+
+static void announce_state(struct choose *c, const char *service, u32 i, u64 version,
+			   enum dir_state state, u64 now_us)
+{
+	char name[32];
+	struct dir_entry e = { .node = name,
+			       .zone = (char *)zones[i % 3],
+			       .region = (char *)"lakes",
+			       .incarnation = 1,
+			       .version = version,
+			       .state = state,
+			       .service = (char *)service,
+			       .slots = 12,
+			       .connections = 200 };
+
+	g_snprintf(name, sizeof(name), "10.%u.%u.%u:8081", i >> 16, (i >> 8) & 255, i & 255);
+	choose_set(c, &e, now_us);
+}
+
+static void announce(struct choose *c, const char *service, u32 i)
+{
+	announce_state(c, service, i, 1, DIR_UP, START_US);
+}
+
+static struct choose_target *target(struct choose *c, u32 i)
+{
+	g_autofree char *name =
+		g_strdup_printf("10.%u.%u.%u:8081", i >> 16, (i >> 8) & 255, i & 255);
+
+	return choose_find(c, name);
+}
+
+static struct peer_load idle_load(u64 service_us)
+{
+	return (struct peer_load){ .limit = 12, .service_us = service_us };
+}
+
+static u32 count_picks(struct choose *c, const struct choose_target *t, u32 n, u64 now_us)
+{
+	u32 count = 0;
+
+	for (u32 i = 0; i < n; i++)
+		count += choose_pick(c, "bulletin", 10, NULL, now_us) == t;
+	return count;
+}
+
+static void test_subset_bounds_the_links(void)
+{
+	struct choose c;
+	g_autoptr(GHashTable) used = g_hash_table_new(NULL, NULL);
+
+	setup(&c);
+	for (u32 i = 10; i < 510; i++)
+		announce(&c, "bulletin", i);
+	for (u32 i = 0; i < 5000; i++)
+		g_hash_table_add(used, choose_pick(&c, "bulletin", 10, NULL, LATER_US));
+	g_assert_cmpuint(g_hash_table_size(used), <=, CHOOSE_SUBSET_MAX);
+	g_assert_cmpuint(g_hash_table_size(used), >, CHOOSE_SUBSET_MAX / 3);
+	choose_clear(&c);
+}
+
+/* One upstream that leaves changes one place of the subset. */
+static void test_subset_is_stable(void)
+{
+	struct choose c;
+	struct choose_service *s;
+	g_autoptr(GHashTable) before = g_hash_table_new(NULL, NULL);
+	u32 same = 0;
+
+	setup(&c);
+	for (u32 i = 10; i < 510; i++)
+		announce(&c, "bulletin", i);
+	choose_pick(&c, "bulletin", 10, NULL, LATER_US);
+	s = choose_find_service(&c, "bulletin");
+	for (guint i = 0; i < s->subset->len; i++)
+		g_hash_table_add(before, g_ptr_array_index(s->subset, i));
+	g_assert_cmpuint(g_hash_table_size(before), ==, CHOOSE_SUBSET_MAX);
+	((struct choose_target *)g_ptr_array_index(s->subset, 3))->entry.state = DIR_UP;
+	for (u32 i = 10; i < 510; i++)
+		if (target(&c, i) == g_ptr_array_index(s->subset, 3))
+			announce_state(&c, "bulletin", i, 2, DIR_GONE, LATER_US);
+	choose_pick(&c, "bulletin", 10, NULL, LATER_US);
+	for (guint i = 0; i < s->subset->len; i++)
+		same += g_hash_table_contains(before, g_ptr_array_index(s->subset, i));
+	g_assert_cmpuint(s->subset->len, ==, CHOOSE_SUBSET_MAX);
+	g_assert_cmpuint(same, ==, CHOOSE_SUBSET_MAX - 1);
+	choose_clear(&c);
+}
+
+/* The lists are kept by service: a pick looks at the targets of one. */
+static void test_target_size(void)
+{
+	struct choose c;
+	char name[32];
+
+	setup(&c);
+	for (u32 i = 0; i < 21000; i++) {
+		g_snprintf(name, sizeof(name), "service-%u", i % 1400);
+		announce(&c, name, i + 10);
+	}
+	g_assert_cmpuint(g_hash_table_size(c.services), ==, 1400);
+	for (u32 i = 0; i < 200000; i++) {
+		struct choose_target *t;
+
+		g_snprintf(name, sizeof(name), "service-%u", i % 1400);
+		t = choose_pick(&c, name, 10, NULL, LATER_US);
+		g_assert_cmpstr(t->entry.service, ==, name);
+		g_assert_cmpuint(t->service->targets->len, ==, 15);
+	}
+	for (u32 i = 0; i < 21000; i++) {
+		g_snprintf(name, sizeof(name), "service-%u", i % 1400);
+		announce_state(&c, name, i + 10, 2, DIR_GONE, LATER_US);
+	}
+	g_assert_cmpuint(g_hash_table_size(c.services), ==, 0);
+	choose_clear(&c);
+}
+
+static void test_own_zone_first_while_slots_are_free(void)
+{
+	struct choose c;
+	struct peer_load busy = { .running = 12, .queued = 30, .limit = 12, .service_us = 10000 };
+
+	setup(&c);
+	for (u32 i = 12; i < 18; i++)
+		announce(&c, "bulletin", i);
+	for (u32 i = 0; i < 200; i++)
+		g_assert_true(choose_pick(&c, "bulletin", 10, NULL, LATER_US)->is_own_zone);
+	choose_load(target(&c, 12), &busy, LATER_US);
+	choose_load(target(&c, 15), &busy, LATER_US);
+	for (u32 i = 0; i < 200; i++)
+		g_assert_false(choose_pick(&c, "bulletin", 10, NULL, LATER_US)->is_own_zone);
+	choose_clear(&c);
+}
+
+static void test_own_calls_count_at_once(void)
+{
+	struct choose c;
+
+	setup(&c);
+	for (u32 i = 12; i < 17; i++)
+		announce(&c, "bulletin", i);
+	for (u32 i = 0; i < 60; i++)
+		choose_sent(choose_pick(&c, "bulletin", 10, NULL, LATER_US), LATER_US);
+	for (u32 i = 12; i < 17; i++)
+		g_assert_cmpuint(target(&c, i)->in_flight, >=, 6);
+	choose_clear(&c);
+}
+
+/* A report is forgotten with time, else an upstream told to be busy is never asked again. */
+static void test_load_is_aged(void)
+{
+	struct choose c;
+	struct peer_load busy = { .running = 12, .queued = 90, .limit = 12, .service_us = 10000 };
+
+	setup(&c);
+	announce(&c, "bulletin", 12);
+	announce(&c, "bulletin", 15);
+	choose_load(target(&c, 12), &busy, LATER_US);
+	g_assert_cmpuint(count_picks(&c, target(&c, 12), 100, LATER_US), ==, 0);
+	g_assert_cmpuint(count_picks(&c, target(&c, 12), 100, LATER_US + US_PER_S), >, 0);
+	choose_clear(&c);
+}
+
+static void test_silence_shows_a_straggler(void)
+{
+	struct choose c;
+	struct peer_load load = idle_load(10 * US_PER_MS);
+
+	setup(&c);
+	announce(&c, "bulletin", 12);
+	announce(&c, "bulletin", 15);
+	choose_load(target(&c, 12), &load, LATER_US);
+	choose_load(target(&c, 15), &load, LATER_US);
+	choose_sent(target(&c, 12), LATER_US);
+	/* No answer for 5 times the usual time: its report still says idle and fast. */
+	g_assert_cmpuint(count_picks(&c, target(&c, 12), 100, LATER_US + 50 * US_PER_MS), ==, 0);
+	choose_ended(target(&c, 12), CHOOSE_ANSWERED, 60 * US_PER_MS, LATER_US + 60 * US_PER_MS);
+	choose_clear(&c);
+}
+
+static u32 count_ejected(struct choose *c, u32 from, u32 to, u64 now_us)
+{
+	u32 n = 0;
+
+	for (u32 i = from; i < to; i++)
+		n += target(c, i)->ejected_until_us > now_us;
+	return n;
+}
+
+static void fail_all(struct choose *c, u32 from, u32 to, u64 now_us)
+{
+	for (u32 k = 0; k < 20; k++)
+		for (u32 i = from; i < to; i++) {
+			choose_sent(target(c, i), now_us);
+			choose_ended(target(c, i), CHOOSE_FAILED, 200, now_us);
+		}
+}
+
+static void test_ejection_is_bounded(void)
+{
+	for (u32 n = 1; n <= 30; n++) {
+		struct choose c;
+
+		setup(&c);
+		for (u32 i = 12; i < 12 + n; i++)
+			announce(&c, "bulletin", i);
+		fail_all(&c, 12, 12 + n, LATER_US);
+		g_assert_cmpuint(count_ejected(&c, 12, 12 + n, LATER_US), ==, n / 3);
+		g_assert_nonnull(choose_pick(&c, "bulletin", 10, NULL, LATER_US));
+		/* Ejections end by themselves. */
+		g_assert_cmpuint(count_ejected(&c, 12, 12 + n, LATER_US + 60 * US_PER_S), ==, 0);
+		choose_clear(&c);
+	}
+}
+
+static void test_slow_outlier_is_ejected(void)
+{
+	struct choose c;
+
+	setup(&c);
+	for (u32 i = 12; i < 17; i++)
+		announce(&c, "bulletin", i);
+	choose_pick(&c, "bulletin", 10, NULL, LATER_US);
+	for (u32 k = 0; k < 20; k++)
+		for (u32 i = 12; i < 17; i++) {
+			u64 took = i == 14 ? 200 * US_PER_MS : 10 * US_PER_MS;
+
+			choose_sent(target(&c, i), LATER_US);
+			choose_ended(target(&c, i), CHOOSE_ANSWERED, took, LATER_US);
+		}
+	g_assert_true(target(&c, 14)->ejected_until_us > LATER_US);
+	g_assert_cmpuint(count_ejected(&c, 12, 17, LATER_US), ==, 1);
+	choose_clear(&c);
+}
+
+/* A caller that gives 1 ms must not make upstreams look bad that need 10 ms. */
+static void test_hurried_callers_eject_nobody(void)
+{
+	struct choose c;
+	struct peer_load load = idle_load(10 * US_PER_MS);
+
+	setup(&c);
+	for (u32 i = 12; i < 17; i++) {
+		announce(&c, "bulletin", i);
+		choose_load(target(&c, i), &load, LATER_US);
+	}
+	for (u32 k = 0; k < 100; k++) {
+		choose_sent(target(&c, 14), LATER_US);
+		choose_ended(target(&c, 14), CHOOSE_TIMED_OUT, US_PER_MS, LATER_US);
+	}
+	g_assert_cmpuint(count_ejected(&c, 12, 17, LATER_US), ==, 0);
+	for (u32 k = 0; k < 10; k++) {
+		choose_sent(target(&c, 14), LATER_US);
+		choose_ended(target(&c, 14), CHOOSE_TIMED_OUT, US_PER_S, LATER_US);
+	}
+	g_assert_cmpuint(count_ejected(&c, 12, 17, LATER_US), ==, 1);
+	choose_clear(&c);
+}
+
+static void test_draining_gets_nothing_and_may_come_back(void)
+{
+	struct choose c;
+	struct peer_load load = { .limit = 12, .is_draining = true };
+
+	setup(&c);
+	announce(&c, "bulletin", 12);
+	choose_load(target(&c, 12), &load, LATER_US);
+	g_assert_null(choose_pick(&c, "bulletin", 10, NULL, LATER_US));
+	announce_state(&c, "bulletin", 12, 2, DIR_DRAINING, LATER_US);
+	g_assert_null(choose_pick(&c, "bulletin", 10, NULL, LATER_US));
+	announce_state(&c, "bulletin", 12, 3, DIR_UP, LATER_US);
+	g_assert_nonnull(choose_pick(&c, "bulletin", 10, NULL, LATER_US));
+	/* An older entry that comes late changes nothing. */
+	announce_state(&c, "bulletin", 12, 2, DIR_DRAINING, LATER_US);
+	g_assert_nonnull(choose_pick(&c, "bulletin", 10, NULL, LATER_US));
+	choose_clear(&c);
+}
+
+static void test_refused_rank_goes_elsewhere(void)
+{
+	struct choose c;
+	struct peer_load refuses = { .limit = 12, .service_us = 1000, .lowest_worth = 50 };
+	struct peer_load takes = idle_load(20 * US_PER_MS);
+
+	setup(&c);
+	announce(&c, "bulletin", 12);
+	announce(&c, "bulletin", 15);
+	choose_load(target(&c, 12), &refuses, LATER_US);
+	choose_load(target(&c, 15), &takes, LATER_US);
+	g_assert_true(choose_pick(&c, "bulletin", 10, NULL, LATER_US) == target(&c, 15));
+	g_assert_true(choose_pick(&c, "bulletin", 50, NULL, LATER_US) == target(&c, 12));
+	g_assert_cmpuint(choose_lowest_worth(&c, "bulletin", LATER_US), ==, 0);
+	choose_load(target(&c, 15), &refuses, LATER_US);
+	g_assert_cmpuint(choose_lowest_worth(&c, "bulletin", LATER_US), ==, 50);
+	g_assert_cmpuint(choose_lowest_worth(&c, "bulletin", LATER_US + US_PER_S), ==, 0);
+	choose_clear(&c);
+}
+
+/* Scenarios with the whole of the decisions, against the naive policies with the same calls. */
+
+static u64 p99(const struct fleet_result *r, u32 rank)
+{
+	return fleet_percentile(&r->ranks[rank], 990);
+}
+
+static u64 share_of_first(const struct fleet_result *r)
+{
+	u64 all = 0;
+	u64 first = 0;
+
+	for (u32 rank = 0; rank < 2; rank++) {
+		first += r->ranks[rank].sent[0];
+		for (u32 i = 0; i < FLEET_TARGETS_MAX; i++)
+			all += r->ranks[rank].sent[i];
+	}
+	return first * 100 / MAX(all, 1);
+}
+
+static void run(enum fleet_policy policy, void (*change)(struct fleet_plan *plan),
+		struct fleet_result *r)
+{
+	struct fleet_plan plan = fleet_ornibreizh(policy, 11, 50);
+
+	change(&plan);
+	fleet_run(&plan, r);
+	g_assert_cmpuint(r->most_running, <=, plan.slots);
+}
+
+static void straggler(struct fleet_plan *plan)
+{
+	plan->straggler_percent = 400;
+}
+
+static void test_straggler(void)
+{
+	struct fleet_result naive, ours;
+
+	run(FLEET_RANDOM, straggler, &naive);
+	run(FLEET_OURS, straggler, &ours);
+	for (u32 rank = 0; rank < 2; rank++)
+		g_assert_cmpuint(p99(&ours, rank) * 2, <=, p99(&naive, rank));
+	fleet_result_clear(&naive);
+	fleet_result_clear(&ours);
+}
+
+static void recovering(struct fleet_plan *plan)
+{
+	plan->straggler_percent = 2000;
+	plan->straggler_us = 3 * US_PER_S;
+	plan->sent_after_us = 7 * US_PER_S;
+}
+
+static void test_recovered_straggler_gets_its_share(void)
+{
+	struct fleet_result ours;
+
+	run(FLEET_OURS, recovering, &ours);
+	g_assert_cmpuint(share_of_first(&ours), >=, 100 / 5 / 2);
+	fleet_result_clear(&ours);
+}
+
+static void shifting(struct fleet_plan *plan)
+{
+	plan->shift_us = 100 * US_PER_MS;
+	plan->shift_percent = 400;
+}
+
+static void test_shifting_load(void)
+{
+	struct fleet_result naive, ours;
+
+	run(FLEET_RANDOM, shifting, &naive);
+	run(FLEET_OURS, shifting, &ours);
+	for (u32 rank = 0; rank < 2; rank++)
+		g_assert_cmpuint(p99(&ours, rank) * 2, <=, p99(&naive, rank));
+	fleet_result_clear(&naive);
+	fleet_result_clear(&ours);
+}
+
+static void failing_fast(struct fleet_plan *plan)
+{
+	plan->is_failing_fast = true;
+}
+
+/* The naive least load sends most calls to the upstream that is always free, as it fails them. */
+static void test_fail_fast_attracts_no_work(void)
+{
+	struct fleet_result naive, ours;
+
+	run(FLEET_POLLED, failing_fast, &naive);
+	run(FLEET_OURS, failing_fast, &ours);
+	g_assert_cmpuint(share_of_first(&naive), >, 100 / 5);
+	g_assert_cmpuint(share_of_first(&ours), <, 100 / 5 / 4);
+	fleet_result_clear(&naive);
+	fleet_result_clear(&ours);
+}
+
+static void lying(struct fleet_plan *plan)
+{
+	plan->straggler_percent = 400;
+	plan->is_lying = true;
+}
+
+static void test_lying_load_endpoint(void)
+{
+	struct fleet_result naive, ours;
+
+	run(FLEET_POLLED, lying, &naive);
+	run(FLEET_OURS, lying, &ours);
+	for (u32 rank = 0; rank < 2; rank++) {
+		g_assert_cmpuint(naive.ranks[rank].in_target * 2, <, naive.ranks[rank].arrived);
+		g_assert_cmpuint(ours.ranks[rank].in_target * 100ULL, >=,
+				 ours.ranks[rank].arrived * 99ULL);
+	}
+	fleet_result_clear(&naive);
+	fleet_result_clear(&ours);
+}
+
+static void cold(struct fleet_plan *plan)
+{
+	plan->cold_percent = 2000;
+	plan->end_us = plan->event_us + 4 * US_PER_S;
+}
+
+static void test_cold_start_ramps_up(void)
+{
+	struct fleet_result naive, ours;
+
+	run(FLEET_RANDOM, cold, &naive);
+	run(FLEET_OURS, cold, &ours);
+	g_assert_cmpuint(share_of_first(&ours), <, share_of_first(&naive) / 2);
+	g_assert_cmpuint(share_of_first(&ours), >, 0);
+	for (u32 rank = 0; rank < 2; rank++)
+		g_assert_cmpuint(p99(&ours, rank) * 2, <=, p99(&naive, rank));
+	fleet_result_clear(&naive);
+	fleet_result_clear(&ours);
+}
+
+static void low_flood(struct fleet_plan *plan)
+{
+	plan->ranks[1].flood_per_s = 12000;
+}
+
+static void urgent_flood(struct fleet_plan *plan)
+{
+	plan->ranks[0].flood_per_s = 12000;
+}
+
+static void both_floods(struct fleet_plan *plan)
+{
+	low_flood(plan);
+	urgent_flood(plan);
+}
+
+static void assert_floor(const struct fleet_result *r, u32 rank)
+{
+	g_assert_cmpuint(r->ranks[rank].slot_time_us * 10, >=, r->slot_time_us);
+}
+
+static void test_floods(void)
+{
+	struct fleet_result naive, ours;
+
+	run(FLEET_POLLED, low_flood, &naive);
+	run(FLEET_OURS, low_flood, &ours);
+	g_assert_cmpuint(naive.ranks[0].in_target * 100ULL, <, naive.ranks[0].arrived * 99ULL);
+	g_assert_cmpuint(ours.ranks[0].in_target * 100ULL, >=, ours.ranks[0].arrived * 99ULL);
+	assert_floor(&ours, 1);
+	fleet_result_clear(&naive);
+	fleet_result_clear(&ours);
+	run(FLEET_OURS, urgent_flood, &ours);
+	assert_floor(&ours, 1);
+	/* Pushing back at the source leaves no slots idle. */
+	g_assert_cmpuint(ours.slot_time_us * 100, >=, 60ULL * 10 * US_PER_S * 95);
+	fleet_result_clear(&ours);
+	run(FLEET_OURS, both_floods, &ours);
+	assert_floor(&ours, 1);
+	g_assert_cmpuint(ours.slot_time_us * 100, >=, 60ULL * 10 * US_PER_S * 95);
+	fleet_result_clear(&ours);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/choose/subset-bounds", test_subset_bounds_the_links);
+	g_test_add_func("/choose/subset-stable", test_subset_is_stable);
+	g_test_add_func("/choose/target-size", test_target_size);
+	g_test_add_func("/choose/own-zone", test_own_zone_first_while_slots_are_free);
+	g_test_add_func("/choose/own-calls", test_own_calls_count_at_once);
+	g_test_add_func("/choose/aged", test_load_is_aged);
+	g_test_add_func("/choose/silence", test_silence_shows_a_straggler);
+	g_test_add_func("/choose/ejection-bounded", test_ejection_is_bounded);
+	g_test_add_func("/choose/slow-outlier", test_slow_outlier_is_ejected);
+	g_test_add_func("/choose/hurried-callers", test_hurried_callers_eject_nobody);
+	g_test_add_func("/choose/draining", test_draining_gets_nothing_and_may_come_back);
+	g_test_add_func("/choose/refused-rank", test_refused_rank_goes_elsewhere);
+	g_test_add_func("/choose/straggler", test_straggler);
+	g_test_add_func("/choose/recovered", test_recovered_straggler_gets_its_share);
+	g_test_add_func("/choose/shifting", test_shifting_load);
+	g_test_add_func("/choose/fail-fast", test_fail_fast_attracts_no_work);
+	g_test_add_func("/choose/lying-load", test_lying_load_endpoint);
+	g_test_add_func("/choose/cold-start", test_cold_start_ramps_up);
+	g_test_add_func("/choose/floods", test_floods);
+	return g_test_run();
+}
--- a/test/fakes/fleet.c
+++ b/test/fakes/fleet.c
@@ -35,7 +35,8 @@
 	PROBE,
 	ASKED,
 	TOLD,
-	SHIFT
+	SHIFT,
+	RECOVER
 };
 
 struct event {
@@ -399,7 +400,7 @@
 	a->sent_us = f->now_us;
 	c->running[slot] = a;
 	c->tries++;
-	if (is_measured(f, c))
+	if (f->now_us >= f->plan->event_us + f->plan->sent_after_us)
 		f->result->ranks[c->rank].sent[target]++;
 	if (is_ours(f)) {
 		g_ptr_array_add(c->tried, g_strdup_printf("%d", target));
@@ -698,6 +699,8 @@
 {
 	if (f->plan->straggler_percent)
 		set_slowness(f, 0, f->plan->straggler_percent);
+	if (f->plan->straggler_us)
+		post(f, f->now_us + f->plan->straggler_us, RECOVER, 0, NULL);
 	if (f->plan->shift_us)
 		begin_shifts(f);
 	if (!f->plan->cold_percent)
@@ -744,6 +747,9 @@
 	case TOLD:
 		on_told(f, e->arg);
 		break;
+	case RECOVER:
+		set_slowness(f, e->n, 100);
+		break;
 	case SHIFT:
 		on_shift(f, e->n);
 		break;
--- a/test/fakes/fleet.h
+++ b/test/fakes/fleet.h
@@ -45,12 +45,14 @@
 	u64 end_us;
 	u64 timeout_us;
 	u32 straggler_percent; /* slowness of target 0 from the event on */
+	u64 straggler_us; /* until so long after the event; 0 for ever */
 	u32 shift_percent; /* slowness of two targets from the event on */
 	u64 shift_us; /* each of the two changes place about so often */
 	bool is_shift_independent; /* instead, each target is slow for a third of the time */
 	bool is_failing_fast; /* target 0 answers with errors at once, from the event on */
 	bool is_lying; /* the load endpoint of target 0 says idle; home nodes do not ask it */
 	u32 cold_percent; /* target 0 joins at the event, and is so slow for 2 s */
+	u64 sent_after_us; /* tries are counted from so long after the event */
 	u64 probes_per_s;
 	u64 probe_bytes_per_s;
 };
