cmd: a silent answer or watch is left after 12 s

Cause: CivetWeb's client reads without a limit, so a frozen control process held a watch for ever (59 s measured, then stopped). SIGALRM ends the read. Ruled out: the library's request timeout, which a client connection can't set. Test: cmd_test.sh, the stand-in falls silent and the watch goes on elsewhere.

--- a/cmd/client.c
+++ b/cmd/client.c
@@ -4,16 +4,43 @@
 #include "lib/err.h"
 
 #include <civetweb.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/random.h>
+#include <unistd.h>
 
 #define ANSWER_TIMEOUT_MS 10000
+/* A watch brings an empty line every 5 s. */
+#define SILENT_S 12
 #define READ_BYTES 16384
 #define ROUNDS 3
 #define ROUND_PAUSE_US 500000
 
+static void on_alarm(int sig)
+{
+	(void)sig;
+}
+
+/* CivetWeb's client reads without a time limit; a signal ends such a read. */
+static void set_up_alarm(void)
+{
+	struct sigaction act = { .sa_handler = on_alarm };
+
+	sigaction(SIGALRM, &act, NULL);
+}
+
+static int read_or_time_out(struct mg_connection *conn, void *out, size_t size)
+{
+	int n;
+
+	alarm(SILENT_S);
+	n = mg_read(conn, out, size);
+	alarm(0);
+	return n;
+}
+
 int client_open(struct client *c, const char *text)
 {
 	g_auto(GStrv) parts = NULL;
@@ -25,6 +52,7 @@
 		return ERR_INVAL;
 	}
 	mg_init_library(0);
+	set_up_alarm();
 	c->at = 0;
 	c->control = g_array_new(FALSE, TRUE, sizeof(struct endpoint));
 	parts = g_strsplit(text, ",", -1);
@@ -70,7 +98,7 @@
 	char part[READ_BYTES];
 	int n;
 
-	while ((n = mg_read(conn, part, sizeof(part))) > 0)
+	while ((n = read_or_time_out(conn, part, sizeof(part))) > 0)
 		g_string_append_len(out, part, n);
 	if (n < 0 || (announced >= 0 && out->len < (u64)announced)) {
 		g_string_free(out, TRUE);
@@ -184,7 +212,7 @@
 	u64 lines = 0;
 	char c;
 
-	while (mg_read(conn, &c, 1) == 1) {
+	while (read_or_time_out(conn, &c, 1) == 1) {
 		if (c != '\n') {
 			g_string_append_c(text, c);
 			continue;
--- a/test/cmd_test.sh
+++ b/test/cmd_test.sh
@@ -126,4 +126,11 @@
 run 1 '"revision":2' $L watch --control $good
 same "lines" "$(grep -c revision <<<"$out")" 2
 run 1 "check --control" $L watch --from 2 --control $good
+# A stream that falls silent is left, and the next process goes on after the last revision.
+stand_in -s
+$L watch --control $c,$good >"$dir/watch" 2>&1 &
+pids+=($!)
+wait_for "second change" grep '"revision":2' "$dir/watch"
+same "lines" "$(sed -n 1,2p "$dir/watch" | tr '\n' ' ')" \
+	'{"name":"s","revision":1} {"name":"s","revision":2} '
 finish
--- a/test/programs/control_stand_in.c
+++ b/test/programs/control_stand_in.c
@@ -1,15 +1,16 @@
 /*
  * control_stand_in - a control process that misbehaves as told
  *
- * control_stand_in -p PORT -l LOG [-a ACT,ACT,...] [-b] [-t]
+ * control_stand_in -p PORT -l LOG [-a ACT,ACT,...] [-b] [-t] [-s]
  *
  * Keeps services in memory and remembers change ids. Each change request uses
  * up the next ACT: "ok" answers; "lost" carries it out and closes without an
  * answer; "drop" closes without carrying it out; "short" carries it out and
  * cuts the answer; "unknown" and "none" answer 503 unknown and 503 not-run;
  * "conflict" answers 409. Without an ACT left it is "ok". -b: one node stays
- * behind; -t: status says that this process is stale. Appends "METHOD PATH CHANGE-ID ACT"
- * of each change to LOG. A watch gets the changes after FROM and is then closed.
+ * behind; -t: status says that this process is stale; -s: a watch falls silent after one line.
+ * Appends "METHOD PATH CHANGE-ID ACT" of each change to LOG. A watch gets one change
+ * a connection, two in all.
  */
 #include "lib/http_server.h"
 #include "lib/types.h"
@@ -35,6 +36,8 @@
 static FILE *log_file;
 static bool is_behind;
 static bool is_stale;
+static bool is_silent;
+static bool is_stopping;
 
 static const char *next_act(void)
 {
@@ -162,6 +165,13 @@
 	g_autofree char *body = g_strdup_printf("\n{\"name\":\"s\",\"revision\":%d}\n", from + 1);
 
 	(void)unused;
+	if (is_silent) {
+		mg_printf(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+		mg_send_chunk(conn, body, (unsigned int)strlen(body));
+		while (!__atomic_load_n(&is_stopping, __ATOMIC_ACQUIRE))
+			g_usleep(10000);
+		return 200;
+	}
 	mg_disable_connection_keep_alive(conn);
 	return http_send(conn, 200, "application/x-ndjson", NULL, NULL, from < 2 ? body : "");
 }
@@ -174,7 +184,7 @@
 	int sig;
 	int c;
 
-	while ((c = getopt(argc, argv, "p:l:a:bt")) != -1) {
+	while ((c = getopt(argc, argv, "p:l:a:bts")) != -1) {
 		if (c == 'p')
 			port = (u16)atoi(optarg);
 		else if (c == 'l')
@@ -185,9 +195,12 @@
 			is_behind = true;
 		else if (c == 't')
 			is_stale = true;
+		else if (c == 's')
+			is_silent = true;
 	}
 	if (!port || !log_file) {
-		fprintf(stderr, "usage: control_stand_in -p PORT -l LOG [-a ACT,...] [-b] [-t]\n");
+		fprintf(stderr,
+			"usage: control_stand_in -p PORT -l LOG [-a ACT,...] [-b] [-t] [-s]\n");
 		return 2;
 	}
 	sigemptyset(&set);
@@ -206,6 +219,7 @@
 	mg_set_request_handler(server, "/v1/status", on_status, NULL);
 	mg_set_request_handler(server, "/v1/watch", on_watch, NULL);
 	sigwait(&set, &sig);
+	__atomic_store_n(&is_stopping, true, __ATOMIC_RELEASE);
 	mg_stop(server);
 	return 0;
 }
