log, metrics: lines that can't be forged, reopen at once, histograms by service and rank

Cause: a value with a quote or = could forge a key of a text line, and bytes that are not UTF-8 made a JSON line lose its keys and print the bare message; SIGHUP took effect at the next event, so an idle process held a rotated file open; a line lost to a full disk was not told; what CivetWeb refuses by itself had no Lavenderlead headers and no counter. Calls are logged at level debug, with their id.

--- a/cmd/serve.c
+++ b/cmd/serve.c
@@ -33,7 +33,9 @@
 	sigaddset(set, SIGINT);
 	sigaddset(set, SIGHUP);
 	pthread_sigmask(SIG_BLOCK, set, NULL);
+	/* A write to a closed connection or past a file size limit returns an error instead. */
 	signal(SIGPIPE, SIG_IGN);
+	signal(SIGXFSZ, SIG_IGN);
 }
 
 static void wait_for_end(const sigset_t *set)
@@ -42,8 +44,13 @@
 
 	while (sig != SIGTERM && sig != SIGINT) {
 		sigwait(set, &sig);
-		if (sig == SIGHUP)
-			log_reopen();
+		if (sig != SIGHUP)
+			continue;
+		if (log_reopen())
+			log_event(LOG_WARN, "cannot open the log file again, the old one stays",
+				  NULL);
+		else
+			log_event(LOG_INFO, "log file opened again", NULL);
 	}
 }
 
--- a/lib/ctr_list.h
+++ b/lib/ctr_list.h
@@ -70,3 +70,6 @@
 CTR(STEPPED_DOWN, "stepped-down", "times this leader stepped down")
 CTR(REGISTER_STALE, "register-stale", "registrations ignored because a newer one is known")
 CTR(REGISTER_EXPIRED, "register-expired", "registrations that expired")
+/* The process itself. */
+CTR(HTTP_MALFORMED, "http-malformed", "HTTP requests that could not be parsed or had no handler")
+CTR(LOG_LOST, "log-lost", "log lines that could not be written")
--- a/lib/http_server.c
+++ b/lib/http_server.c
@@ -2,6 +2,7 @@
 
 #include "lib/ctr.h"
 #include "lib/err.h"
+#include "lib/hist.h"
 
 #include <civetweb.h>
 #include <jansson.h>
@@ -13,6 +14,20 @@
 #define KEEP_ALIVE_TIMEOUT_MS "60000"
 #define REQUEST_TIMEOUT_MS "30000"
 
+/*
+ * CivetWeb calls this for what it refuses by itself: a malformed request, or
+ * one that no handler takes. Nothing of it was run.
+ */
+static int on_http_error(struct mg_connection *conn, int status, const char *text)
+{
+	(void)text;
+	ctr_inc(CTR_HTTP_MALFORMED);
+	mg_disable_connection_keep_alive(conn);
+	http_send_error(conn, status, "not-run", ctr_name(CTR_HTTP_MALFORMED),
+			mg_get_response_code_text(conn, status));
+	return 0;
+}
+
 struct mg_context *http_listen(const char *address, u16 port, u32 threads)
 {
 	struct mg_callbacks callbacks;
@@ -33,6 +48,7 @@
 				  NULL };
 
 	memset(&callbacks, 0, sizeof(callbacks));
+	callbacks.http_error = on_http_error;
 	return mg_start(&callbacks, NULL, options);
 }
 
@@ -95,5 +111,6 @@
 
 	(void)unused;
 	ctr_print(out);
+	hist_print(out);
 	return http_send(conn, 200, "text/plain; version=0.0.4", NULL, NULL, out->str);
 }
--- a/lib/log.h
+++ b/lib/log.h
@@ -3,6 +3,12 @@
  *
  * log_event takes a message and then key, value pairs of strings, ended by
  * NULL:  log_event(LOG_INFO, "link up", "peer", id, NULL);
+ * Text lines are "TIME LEVEL MESSAGE KEY=VALUE ..."; a value with blanks, quotes
+ * or control characters is quoted and escaped, so that no input can begin a line
+ * or a key of its own. Bytes that are not UTF-8 are replaced.
+ *
+ * An event about a call has the key "call"; calls are told at level debug only.
+ * A line that can't be written is counted by log-lost and dropped.
  *
  * SOURCE lib/log.c
  */
@@ -20,8 +26,15 @@
  */
 int log_open(const char *path, enum log_level level, enum log_format format);
 
-/* log_reopen - open the path again; async-signal-safe flag, acted on at the next event. */
-void log_reopen(void);
+/*
+ * log_reopen - open the path again, at once: an idle process must not hold a
+ * rotated file open. Not for signal handlers. Returns 0, or ERR_IO when the old
+ * file stays in use.
+ */
+int log_reopen(void);
+
+/* log_is_on - true when events of LEVEL are written; saves making their values. */
+bool log_is_on(enum log_level level);
 
 void log_event(enum log_level level, const char *message, ...) __attribute__((sentinel));
 
--- a/node/caller.c
+++ b/node/caller.c
@@ -2,6 +2,7 @@
 #include "node/node.h"
 
 #include "lib/err.h"
+#include "lib/hist.h"
 #include "lib/http_server.h"
 #include "lib/log.h"
 #include "node/config.h"
@@ -110,12 +111,29 @@
 				  "the outcome is not known, the call may have run";
 }
 
-static int finish(struct mg_connection *conn, struct entry_call *call)
+/* One line a call, for looking into a single call; never at level info. */
+static void log_call(const struct entry_call *call, u64 time_us)
 {
+	g_autofree char *id = NULL;
+
+	if (!log_is_on(LOG_DEBUG))
+		return;
+	id = g_strdup_printf("%llx-%llu", (unsigned long long)call->last_id.incarnation,
+			     (unsigned long long)call->last_id.seq);
+	log_event(LOG_DEBUG, "call", "call", id, "service", call->service, "rank", call->rank,
+		  "status", log_u64(call->status), "reason",
+		  call->answer ? "" : ctr_name(call->reason), "time_us", log_u64(time_us), NULL);
+}
+
+static int finish(struct mg_connection *conn, struct entry_call *call, u64 start_us)
+{
+	u64 time_us = loop_clock_us() - start_us;
 	int ret;
 
+	log_call(call, time_us);
 	if (call->answer) {
 		ctr_inc(CTR_ANSWERS);
+		hist_record(call->service, call->rank, time_us);
 		ret = send_answer(conn, call->answer, !strcmp(call->msg->method, "HEAD"));
 	} else {
 		ret = refuse(conn, call->status, call->is_not_run ? "not-run" : "unknown",
@@ -133,12 +151,13 @@
 	struct node *n = arg;
 	const struct mg_request_info *ri = mg_get_request_info(conn);
 	struct entry_call call = { 0 };
+	u64 start_us = loop_clock_us();
 	u64 ms = timeout_ms(conn);
 	enum ctr reason;
 	int err;
 
 	ctr_inc(CTR_CALLS);
-	call.deadline_us = loop_clock_us() + ms * US_PER_MS;
+	call.deadline_us = start_us + ms * US_PER_MS;
 	if (__atomic_load_n(&n->is_stopping, __ATOMIC_ACQUIRE))
 		return refuse_counted(conn, 503, CTR_DRAINING, "this node is shutting down");
 	reason = route(ri, mg_get_header(conn, "Host"), &call);
@@ -164,7 +183,7 @@
 	} else {
 		entry_run(n, &call);
 	}
-	return finish(conn, &call);
+	return finish(conn, &call, start_us);
 }
 
 int caller_start(struct node *n)
--- a/node/entry.c
+++ b/node/entry.c
@@ -206,6 +206,7 @@
 	t->home = g_strdup(target->entry.node);
 	t->sent_us = now_us;
 	call->priv->current = t;
+	call->last_id = t->id;
 	g_hash_table_insert(n->entry->tries, &t->id.seq, t);
 	choose_sent(target);
 	return t;
--- a/node/node.h
+++ b/node/node.h
@@ -70,6 +70,7 @@
 	u16 status;
 	enum ctr reason;
 	bool is_not_run;
+	struct call_id last_id; /* of the last try */
 	struct entry_private *priv;
 };
 
--- /dev/null
+++ b/test/log_test.c
@@ -0,0 +1,178 @@
+#include "lib/ctr.h"
+#include "lib/err.h"
+#include "lib/log.h"
+
+#include <fcntl.h>
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <jansson.h>
+#include <string.h>
+#include <unistd.h>
+
+struct fixture {
+	char *dir;
+	char *path;
+	char *moved;
+};
+
+static void set_up(struct fixture *f, gconstpointer unused)
+{
+	(void)unused;
+	f->dir = g_dir_make_tmp("log-XXXXXX", NULL);
+	f->path = g_build_filename(f->dir, "log", NULL);
+	f->moved = g_build_filename(f->dir, "log.1", NULL);
+}
+
+static void tear_down(struct fixture *f, gconstpointer unused)
+{
+	(void)unused;
+	log_open(NULL, LOG_INFO, LOG_TEXT);
+	g_unlink(f->path);
+	g_unlink(f->moved);
+	g_rmdir(f->dir);
+	g_free(f->dir);
+	g_free(f->path);
+	g_free(f->moved);
+}
+
+static char *read_file(const char *path)
+{
+	char *text = NULL;
+
+	g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
+	return text;
+}
+
+/* The lines after the time, which differs. */
+static char *without_times(const char *path)
+{
+	g_autofree char *text = read_file(path);
+	g_auto(GStrv) lines = g_strsplit(text, "\n", -1);
+	GString *out = g_string_new(NULL);
+
+	for (char **l = lines; *l && **l; l++)
+		g_string_append_printf(out, "%s\n", strchr(*l, ' ') + 1);
+	return g_string_free(out, FALSE);
+}
+
+static void test_levels(struct fixture *f, gconstpointer unused)
+{
+	g_autofree char *got = NULL;
+
+	(void)unused;
+	log_open(f->path, LOG_INFO, LOG_TEXT);
+	log_event(LOG_ERROR, "one", NULL);
+	log_event(LOG_INFO, "two", "call", "1-2", "empty", "", NULL);
+	log_event(LOG_DEBUG, "three", NULL);
+	g_assert_true(log_is_on(LOG_INFO));
+	g_assert_false(log_is_on(LOG_DEBUG));
+	got = without_times(f->path);
+	g_assert_cmpstr(got, ==, "error one\ninfo two call=1-2 empty=\"\"\n");
+}
+
+static void test_text_cannot_be_forged(struct fixture *f, gconstpointer unused)
+{
+	g_autofree char *got = NULL;
+
+	(void)unused;
+	log_open(f->path, LOG_INFO, LOG_TEXT);
+	log_event(LOG_WARN, "m\nx", "peer", "a\r\n2026 error forged", "b", "x=1 level=\"error\"",
+		  "esc", "\x1b[2J\\", "bad", "\xff!", "null", NULL, NULL);
+	got = without_times(f->path);
+	g_assert_cmpstr(got, ==,
+			"warn m\\x0ax peer=\"a\\x0d\\x0a2026 error forged\" "
+			"b=\"x=1 level=\\\"error\\\"\" esc=\"\\x1b[2J\\\\\" bad=\xef\xbf\xbd! "
+			"null=\"\"\n");
+}
+
+static void test_json_cannot_be_forged(struct fixture *f, gconstpointer unused)
+{
+	g_autofree char *got = NULL;
+	json_t *line;
+
+	(void)unused;
+	log_open(f->path, LOG_INFO, LOG_JSON);
+	log_event(LOG_WARN, "m\nx\xff", "peer", "\"}\n{\"level\":\"error\"", "bad", "\xff!", NULL);
+	got = read_file(f->path);
+	g_assert_cmpuint(strcspn(got, "\n"), ==, strlen(got) - 1);
+	line = json_loads(got, 0, NULL);
+	g_assert_cmpstr(json_string_value(json_object_get(line, "level")), ==, "warn");
+	g_assert_cmpstr(json_string_value(json_object_get(line, "event")), ==, "m\nx\xef\xbf\xbd");
+	g_assert_cmpstr(json_string_value(json_object_get(line, "peer")), ==,
+			"\"}\n{\"level\":\"error\"");
+	g_assert_cmpstr(json_string_value(json_object_get(line, "bad")), ==, "\xef\xbf\xbd!");
+	json_decref(line);
+}
+
+/* A rotated file is left at once, not at the next event. */
+static void test_reopen_when_idle(struct fixture *f, gconstpointer unused)
+{
+	g_autofree char *old = NULL;
+	g_autofree char *new = NULL;
+
+	(void)unused;
+	log_open(f->path, LOG_INFO, LOG_TEXT);
+	log_event(LOG_INFO, "before", NULL);
+	g_assert_cmpint(g_rename(f->path, f->moved), ==, 0);
+	g_assert_cmpint(log_reopen(), ==, 0);
+	g_assert_true(g_file_test(f->path, G_FILE_TEST_EXISTS));
+	log_event(LOG_INFO, "after", NULL);
+	old = without_times(f->moved);
+	new = without_times(f->path);
+	g_assert_cmpstr(old, ==, "info before\n");
+	g_assert_cmpstr(new, ==, "info after\n");
+}
+
+static void test_reopen_keeps_the_old_file(struct fixture *f, gconstpointer unused)
+{
+	g_autofree char *got = NULL;
+
+	(void)unused;
+	log_open(f->path, LOG_INFO, LOG_TEXT);
+	g_assert_cmpint(g_rename(f->path, f->moved), ==, 0);
+	g_assert_cmpint(g_mkdir(f->path, 0700), ==, 0);
+	g_assert_cmpint(log_reopen(), ==, ERR_IO);
+	log_event(LOG_INFO, "still here", NULL);
+	got = without_times(f->moved);
+	g_assert_cmpstr(got, ==, "info still here\n");
+	g_rmdir(f->path);
+}
+
+/* /dev/full fails each write as a full disk does. */
+static void test_full_disk_is_counted(struct fixture *f, gconstpointer unused)
+{
+	u64 before = ctr_get(CTR_LOG_LOST);
+	g_autofree char *got = NULL;
+
+	(void)unused;
+	g_assert_cmpint(log_open("/dev/full", LOG_INFO, LOG_TEXT), ==, 0);
+	log_event(LOG_INFO, "lost", NULL);
+	g_assert_cmpuint(ctr_get(CTR_LOG_LOST), ==, before + 1);
+	log_open(f->path, LOG_INFO, LOG_TEXT);
+	log_event(LOG_INFO, "kept", NULL);
+	got = without_times(f->path);
+	g_assert_cmpstr(got, ==, "info kept\n");
+	g_assert_cmpuint(ctr_get(CTR_LOG_LOST), ==, before + 1);
+}
+
+static void test_unwritable_path(struct fixture *f, gconstpointer unused)
+{
+	(void)f;
+	(void)unused;
+	g_assert_cmpint(log_open("/nonexistent/log", LOG_INFO, LOG_TEXT), ==, ERR_IO);
+}
+
+#define ADD(path, test) g_test_add(path, struct fixture, NULL, set_up, test, tear_down)
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	ADD("/log/levels", test_levels);
+	ADD("/log/text-cannot-be-forged", test_text_cannot_be_forged);
+	ADD("/log/json-cannot-be-forged", test_json_cannot_be_forged);
+	ADD("/log/reopen-when-idle", test_reopen_when_idle);
+	ADD("/log/reopen-keeps-the-old-file", test_reopen_keeps_the_old_file);
+	ADD("/log/full-disk-is-counted", test_full_disk_is_counted);
+	ADD("/log/unwritable-path", test_unwritable_path);
+	return g_test_run();
+}
