--- /dev/null
+++ b/test/badinput_test.sh
@@ -0,0 +1,168 @@
+#!/bin/bash
+# badinput_test - bad input, ports in use, folders and full disks: a clear error, a counter, nothing lost
+# shellcheck source=test/cmd_lib.sh
+. "$(dirname "$0")/cmd_lib.sh"
+L=./lavenderlead
+B=build/test/programs/badinput
+base=27400
+control=127.0.0.1:27410,127.0.0.1:27420,127.0.0.1:27430
+
+DATA=$dir/data tools/mesh-settings "$dir" breizh $base breizh-rennes breizh-brest breizh-vannes 2
+for i in 1 2 3; do
+	start $L serve -c "$dir/control$i.ini"
+done
+for i in 1 2; do
+	printf '[log]\nlevel=info\nfile=%s\n' "$dir/node$i.log" >>"$dir/node$i.ini"
+	start $L serve -c "$dir/node$i.ini"
+	start build/test/programs/upstream -p $((base + 500 + i)) -n $((base + 102 + 10 * i)) \
+		-s sightings -l "$dir/runs"
+done
+has_upstreams() { [ "$($L status --control $control | grep -c '"connections"')" = 2 ]; }
+wait_for "registration of 2 upstreams" has_upstreams
+run 0 "in force" $L apply -f examples/breizh/services --control $control
+
+# metric PORT NAME - the value of a counter
+metric() { curl -s "http://127.0.0.1:$1/v1/metrics" | sed -n "s/^lavenderlead_$2_total //p"; }
+
+# alive - every process runs, and calls entered at both nodes get their own answer
+alive() {
+	local what=$1 pid node answer
+	for pid in "${pids[@]}"; do
+		kill -0 "$pid" 2>/dev/null || fail "after $what: process $pid is gone"
+	done
+	for node in 27510 27520; do
+		answer=$(curl -s -m 10 -H 'Host: sightings.breizh.example' \
+			-H "Request-Id: $what-$node" --data x "http://127.0.0.1:$node/checklists")
+		case $answer in
+		"POST /checklists id=$what-$node "*) ;;
+		*) fail "after $what: node $node answered: $answer" ;;
+		esac
+	done
+	run 0 sightings $L get service sightings --control $control
+}
+
+# rises WHAT PORT COUNTER COMMAND... - the counter is higher after the command
+rises() {
+	local what=$1 port=$2 name=$3 before after
+	shift 3
+	before=$(metric "$port" "$name")
+	"$@" >/dev/null || fail "$what: $* failed"
+	after=$(metric "$port" "$name")
+	[ "$after" -gt "$before" ] || fail "$what: $name stays at $after"
+}
+
+alive start
+rises "malformed requests of callers" 27512 http_malformed $B -p 27510 -k http
+rises "malformed requests at local_port" 27512 http_malformed $B -p 27512 -k http
+rises "malformed requests at api_port" 27410 http_malformed $B -p 27410 -k http
+alive http
+rises "bad greetings at a node" 27512 frame_bad $B -p 27511 -k hello
+rises "huge frame at a node" 27512 frame_too_large $B -p 27511 -k hello
+rises "bad greetings at control" 27410 frame_bad $B -p 27411 -k hello
+alive hello
+for seed in 1 2; do
+	rises "frames at a node" 27512 frame_bad $B -p 27511 -k frames -r node -s $seed -n 60
+	for i in 1 2 3; do
+		rises "frames at control" 274${i}0 frame_bad \
+			$B -p 274${i}1 -k frames -r node -s $seed -n 40
+		rises "frames at control" 274${i}0 frame_bad \
+			$B -p 274${i}1 -k frames -r control -s $seed -n 40
+	done
+done
+alive frames
+
+# A body over the limit is refused, not run, and counted.
+head -c 9000000 /dev/zero >"$dir/big"
+rises "large body" 27512 body_too_large curl -s -o "$dir/answer" -D "$dir/head" \
+	-H 'Host: sightings.breizh.example' -H 'Request-Id: big' -H 'Expect:' \
+	--data-binary @"$dir/big" http://127.0.0.1:27510/checklists
+grep -q '^HTTP/1.1 413' "$dir/head" || fail "large body: $(head -1 "$dir/head")"
+grep -q '^Lavenderlead-Outcome: not-run' "$dir/head" || fail "large body: no outcome"
+grep -q '^Lavenderlead-Reason: body-too-large' "$dir/head" || fail "large body: no reason"
+grep -q '^big ' "$dir/runs" && fail "the large body was run"
+
+# What the HTTP library refuses by itself carries the outcome as well.
+printf 'hoopoe\r\n\r\n' >"$dir/request"
+exec 3<>/dev/tcp/127.0.0.1/27510
+cat "$dir/request" >&3
+timeout 5 cat <&3 >"$dir/head"
+exec 3>&-
+grep -q '^Lavenderlead-Outcome: not-run' "$dir/head" || fail "malformed: $(cat "$dir/head")"
+
+# Ports in use: the second process says which, exits with 1, and the first goes on.
+for f in control1 node1; do
+	sed "s|^data=.*|data=$dir/data/second|" "$dir/$f.ini" | grep -v '^file=' >"$dir/second.ini"
+	run 1 "is the port in use" timeout 20 $L serve -c "$dir/second.ini"
+	grep -q '_port=27' <<<"$out" || fail "$f: the error does not name the port: $out"
+done
+# Data folders: in use, and not to be made.
+run 1 "in use by another process" timeout 20 $L serve -c "$dir/control1.ini"
+sed 's|^data=.*|data=/dev/null/x|; s/2741/2749/' "$dir/control1.ini" >"$dir/second.ini"
+run 1 "cannot make /dev/null/x" timeout 20 $L serve -c "$dir/second.ini"
+printf '[log]\nfile=/nonexistent/log\n' >>"$dir/second.ini"
+run 1 "cannot write the log file" timeout 20 $L serve -c "$dir/second.ini"
+alive ports
+
+# SIGHUP: a rotated log file is left at once.
+mv "$dir/node1.log" "$dir/node1.log.1"
+kill -HUP "${pids[3]}"
+wait_for "new log file" grep -q "log file opened again" "$dir/node1.log"
+# No log line a call at level info.
+before=$(wc -l <"$dir/node1.log")
+alive hup
+same "log lines of calls" "$(grep -c sightings "$dir/node1.log")" 0
+[ "$(wc -l <"$dir/node1.log")" -le $((before + 1)) ] || fail "lines of calls in the log"
+
+# A full log disk: the node serves on and counts.
+sed "s|^file=.*|file=/dev/full|; s/=2751/=2755/" "$dir/node1.ini" >"$dir/full.ini"
+start $L serve -c "$dir/full.ini"
+wait_for "node with a full log disk" curl -sf http://127.0.0.1:27552/v1/metrics
+[ "$(metric 27552 log_lost)" -gt 0 ] || fail "log-lost is $(metric 27552 log_lost)"
+
+# A full data disk, by a file size limit: the process ends with a clear error, and nothing that
+# was accepted is lost.
+cat >"$dir/small.ini" <<-INI
+	[cluster]
+	name=small
+	[control]
+	id=1
+	address=127.0.0.1
+	zone=z
+	data=$dir/small
+	api_port=27460
+	peer_port=27461
+	members=1@127.0.0.1:27461
+INI
+mkdir "$dir/many"
+for i in $(seq 60); do
+	sed "s/sightings/s$i/g" examples/breizh/services/sightings.json >"$dir/many/s$i.json"
+done
+(
+	ulimit -f 16
+	exec $L serve -c "$dir/small.ini" >"$dir/small.log" 2>&1
+) &
+small=$!
+pids+=($small)
+wait_for "small group" $L get --control 127.0.0.1:27460
+accepted=0
+for i in $(seq 60); do
+	curl -sf -m 5 -o /dev/null -X PUT --data @"$dir/many/s$i.json" \
+		http://127.0.0.1:27460/v1/services/s$i || break
+	accepted=$i
+done
+[ "$accepted" -gt 0 ] && [ "$accepted" -lt 60 ] || fail "accepted $accepted of 60"
+wait $small
+same "exit of a full disk" $? 1
+grep -q "cannot write to the data folder, ending" "$dir/small.log" || cat "$dir/small.log"
+grep -q "cannot write to the data folder, ending" "$dir/small.log" || fail "no clear error"
+unset 'pids[-1]'
+start $L serve -c "$dir/small.ini"
+wait_for "small group" $L get --control 127.0.0.1:27460
+for i in $(seq "$accepted"); do
+	curl -sf -o /dev/null http://127.0.0.1:27460/v1/services/s$i || fail "lost: s$i"
+done
+alive end
+for id in $(cut -d' ' -f1 "$dir/runs" | grep -v '^-$' | sort | uniq -d); do
+	fail "ran twice: $id"
+done
+finish
