--- a/node/caller.c
+++ b/node/caller.c
@@ -2,6 +2,7 @@
 #include "node/node.h"
 
 #include "lib/err.h"
+#include "lib/hist.h"
 #include "lib/http_server.h"
 #include "lib/log.h"
 #include "node/config.h"
@@ -143,13 +144,33 @@
 	} while (n > 0 && sum < max && loop_clock_us() < end_us);
 }
 
+/* One line a call, for looking into a single call; never at level info. */
+static void log_call(const struct entry_call *call, u64 time_us)
+{
+	g_autofree char *id = NULL;
+
+	if (!log_is_on(LOG_DEBUG))
+		return;
+	id = g_strdup_printf("%llx-%llu", (unsigned long long)call->last_id.incarnation,
+			     (unsigned long long)call->last_id.seq);
+	log_event(LOG_DEBUG, "call", "call", id, "service", call->service, "rank", call->rank,
+		  "status", log_u64(call->status), "reason",
+		  call->answer ? "" : ctr_name(call->reason), "time_us", log_u64(time_us), NULL);
+}
+
 static int answer_call(struct node *n, struct mg_connection *conn, struct entry_call *call)
 {
+	u64 start_us = loop_clock_us();
+	u64 time_us;
+
 	entry_run(n, call);
+	time_us = loop_clock_us() - start_us;
+	log_call(call, time_us);
 	if (!call->answer)
 		return refuse(conn, call->status, call->is_not_run, call->reason, describe(call),
 			      is_stopping(n));
 	ctr_inc(CTR_ANSWERS);
+	hist_record(call->service, call->rank, time_us);
 	return send_answer(conn, call->answer, is_stopping(n));
 }
 
--- a/node/entry.c
+++ b/node/entry.c
@@ -251,6 +251,7 @@
 		call->priv->hedge = t;
 	else
 		call->priv->current = t;
+	call->last_id = t->id;
 	g_hash_table_insert(n->entry->tries, &t->id.seq, t);
 	choose_sent(target, now_us);
 	return t;
--- a/test/programs/partition.c
+++ b/test/programs/partition.c
@@ -85,7 +85,7 @@
 
 	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
 	if (bind(fd, (struct sockaddr *)&a, sizeof(a)) || listen(fd, 256)) {
-		fprintf(stderr, "relay: cannot listen on %u: %s\n", port, strerror(errno));
+		fprintf(stderr, "partition: cannot listen on %u: %s\n", port, strerror(errno));
 		exit(1);
 	}
 	return fd;
@@ -111,8 +111,10 @@
 
 	if (in < 0 || out < 0 || npairs == PAIRS_MAX ||
 	    connect(out, (struct sockaddr *)&a, sizeof(a))) {
-		close(in);
-		close(out);
+		if (in >= 0)
+			close(in);
+		if (out >= 0)
+			close(out);
 		return;
 	}
 	pairs[npairs].a = half_new(in, 0);
@@ -213,7 +215,7 @@
 	else if (n > 0 && sscanf(line, "reset %31s", a) == 1)
 		reset(port_of(a));
 	if (write(fd, "ok\n", 3) < 0)
-		perror("relay");
+		perror("partition");
 	close(fd);
 }
 
@@ -244,7 +246,7 @@
 	int listener;
 
 	if (argc < 3 || argc > ROUTES_MAX + 2) {
-		fprintf(stderr, "usage: relay COMMAND_PORT LISTEN:TARGET ...\n");
+		fprintf(stderr, "usage: partition COMMAND_PORT LISTEN:TARGET ...\n");
 		return 2;
 	}
 	listener = listen_on(port_of(argv[1]));
