--- a/control/store.c
+++ b/control/store.c
@@ -73,6 +73,8 @@
 	c->if_match = frame_get_u64(&in);
 	c->change_id = frame_get_str(&in, STORE_CHANGE_ID_MAX_BYTES);
 	c->json = frame_get_str(&in, STORE_TEXT_MAX_BYTES);
+	if (c->op != STORE_PUT && c->op != STORE_DELETE)
+		return ERR_INVAL;
 	return frame_done(&in);
 }
 
@@ -304,6 +306,11 @@
 			g_clear_pointer(&item->json, g_free);
 			s->tombstones++;
 		}
+		if (g_hash_table_contains(s->items, item->name)) {
+			item_free(item);
+			in->err = ERR_INVAL;
+			return;
+		}
 		g_hash_table_insert(s->items, item->name, item);
 	}
 }
@@ -320,6 +327,10 @@
 		result.status = (u16)frame_get_u64(in);
 		result.version = frame_get_u64(in);
 		result.revision = frame_get_u64(in);
+		if (g_hash_table_contains(s->changes, id)) {
+			in->err = ERR_INVAL;
+			return;
+		}
 		remember(s, id, hash, &result);
 	}
 }
--- /dev/null
+++ b/test/store_test.c
@@ -0,0 +1,587 @@
+/* The store against a naive one that keeps lists of everything that ever happened. */
+#include "control/store.h"
+
+#include "lib/err.h"
+#include "lib/frame.h"
+#include "lib/rng.h"
+
+#include <string.h>
+
+#define RUNS 60
+#define CHANGES_PER_RUN 400
+#define NAMES 12
+#define GARBAGE 4000
+
+struct naive_item {
+	char *name;
+	char *json; /* NULL after a deletion */
+	u64 version;
+	u64 revision;
+};
+
+struct naive_answer {
+	char *id;
+	GBytes *command;
+	struct store_result result;
+};
+
+struct naive {
+	GPtrArray *items; /* of struct naive_item, deleted ones too */
+	GPtrArray *answers; /* of struct naive_answer, oldest first */
+	u64 revision;
+};
+
+static void naive_item_free(gpointer p)
+{
+	struct naive_item *i = p;
+
+	g_free(i->name);
+	g_free(i->json);
+	g_free(i);
+}
+
+static void naive_answer_free(gpointer p)
+{
+	struct naive_answer *a = p;
+
+	g_free(a->id);
+	g_bytes_unref(a->command);
+	g_free(a);
+}
+
+static void naive_init(struct naive *n)
+{
+	n->items = g_ptr_array_new_with_free_func(naive_item_free);
+	n->answers = g_ptr_array_new_with_free_func(naive_answer_free);
+	n->revision = 0;
+}
+
+static void naive_clear(struct naive *n)
+{
+	g_ptr_array_unref(n->items);
+	g_ptr_array_unref(n->answers);
+}
+
+static struct naive_item *naive_find(struct naive *n, const char *name)
+{
+	for (guint i = 0; i < n->items->len; i++) {
+		struct naive_item *item = g_ptr_array_index(n->items, i);
+
+		if (g_str_equal(item->name, name))
+			return item;
+	}
+	return NULL;
+}
+
+static struct naive_answer *naive_answer(struct naive *n, const char *id)
+{
+	guint from =
+		n->answers->len > STORE_CHANGE_IDS_MAX ? n->answers->len - STORE_CHANGE_IDS_MAX : 0;
+
+	for (guint i = from; i < n->answers->len; i++) {
+		struct naive_answer *a = g_ptr_array_index(n->answers, i);
+
+		if (g_str_equal(a->id, id))
+			return a;
+	}
+	return NULL;
+}
+
+static struct store_result naive_change(struct naive *n, const struct store_change *c)
+{
+	struct naive_item *item = naive_find(n, c->name);
+	bool is_live = item && item->json;
+	u64 current = is_live ? item->version : 0;
+	struct store_result r = { .status = is_live ? 200 : 201 };
+
+	if (c->has_if_match && c->if_match != current) {
+		r.status = 409;
+		r.version = current;
+	} else if (c->op == STORE_DELETE && !is_live) {
+		r.status = 404;
+	} else {
+		if (!item) {
+			item = g_new0(struct naive_item, 1);
+			item->name = g_strdup(c->name);
+			g_ptr_array_add(n->items, item);
+		}
+		g_free(item->json);
+		item->json = c->op == STORE_PUT ? g_strdup(c->json) : NULL;
+		item->revision = ++n->revision;
+		r.version = ++item->version;
+	}
+	r.revision = n->revision;
+	return r;
+}
+
+static struct store_result naive_apply(struct naive *n, const struct store_change *c,
+				       GBytes *command)
+{
+	struct naive_answer *a = *c->change_id ? naive_answer(n, c->change_id) : NULL;
+	struct store_result r;
+
+	if (a && !g_bytes_equal(a->command, command))
+		return (struct store_result){ .status = 422, .revision = n->revision };
+	if (a) {
+		r = a->result;
+		r.is_repeat = true;
+		return r;
+	}
+	r = naive_change(n, c);
+	if (!*c->change_id)
+		return r;
+	a = g_new0(struct naive_answer, 1);
+	a->id = g_strdup(c->change_id);
+	a->command = g_bytes_ref(command);
+	a->result = r;
+	g_ptr_array_add(n->answers, a);
+	return r;
+}
+
+static void assert_same_result(const struct store_result *a, const struct store_result *b)
+{
+	g_assert_cmpuint(a->status, ==, b->status);
+	g_assert_cmpuint(a->version, ==, b->version);
+	g_assert_cmpuint(a->revision, ==, b->revision);
+	g_assert_cmpint(a->is_repeat, ==, b->is_repeat);
+}
+
+static void assert_same_state(const struct store *s, struct naive *n)
+{
+	g_assert_cmpuint(s->revision, ==, n->revision);
+	for (guint i = 0; i < n->items->len; i++) {
+		const struct naive_item *want = g_ptr_array_index(n->items, i);
+		const struct store_item *have = store_find(s, want->name);
+
+		g_assert_cmpint(have != NULL, ==, want->json != NULL);
+		if (!have)
+			continue;
+		g_assert_cmpstr(have->json, ==, want->json);
+		g_assert_cmpuint(have->version, ==, want->version);
+		g_assert_cmpuint(have->revision, ==, want->revision);
+	}
+}
+
+/* A random change; its strings live in BUF. */
+struct change_buf {
+	char name[16];
+	char id[24];
+	char json[32];
+};
+
+static struct store_change random_change(struct rng *rng, struct naive *n, struct change_buf *b)
+{
+	struct store_change c = { .name = b->name, .change_id = b->id, .json = b->json };
+	const struct naive_item *item;
+
+	g_snprintf(b->name, sizeof(b->name), "s%u", rng_below(rng, NAMES));
+	g_snprintf(b->json, sizeof(b->json), "{\"v\":%u}", rng_below(rng, 4));
+	b->id[0] = 0;
+	if (rng_below(rng, 2))
+		g_snprintf(b->id, sizeof(b->id), "id%u", rng_below(rng, 200));
+	c.op = rng_below(rng, 3) ? STORE_PUT : STORE_DELETE;
+	if (c.op == STORE_DELETE)
+		b->json[0] = 0;
+	c.has_if_match = rng_below(rng, 2);
+	item = naive_find(n, b->name);
+	if (c.has_if_match)
+		c.if_match = item && rng_below(rng, 4) ? item->version : rng_below(rng, 5);
+	return c;
+}
+
+static void apply_both(struct store *s, struct naive *n, const struct store_change *c)
+{
+	g_autoptr(GBytes) command = store_change_pack(c);
+	struct store_result want = naive_apply(n, c, command);
+	struct store_result have;
+
+	store_apply(s, command, &have);
+	assert_same_result(&have, &want);
+}
+
+static void restore_copy(struct store *s)
+{
+	g_autoptr(GBytes) data = store_snapshot(s);
+	g_autoptr(GBytes) again = NULL;
+	struct store copy;
+
+	store_init(&copy);
+	g_assert_cmpint(store_restore(&copy, data), ==, 0);
+	again = store_snapshot(&copy);
+	/* Equal state is equal bytes, so replicas can be compared. */
+	g_assert_true(g_bytes_equal(data, again));
+	store_clear(s);
+	*s = copy;
+}
+
+static void test_against_naive_store(void)
+{
+	for (u64 seed = 1; seed <= RUNS; seed++) {
+		struct rng rng = { .state = seed };
+		struct store s;
+		struct naive n;
+
+		store_init(&s);
+		naive_init(&n);
+		for (u32 i = 0; i < CHANGES_PER_RUN; i++) {
+			struct change_buf buf;
+			struct store_change c = random_change(&rng, &n, &buf);
+
+			apply_both(&s, &n, &c);
+			assert_same_state(&s, &n);
+			if (rng_below(&rng, 50) == 0)
+				restore_copy(&s);
+		}
+		store_clear(&s);
+		naive_clear(&n);
+	}
+}
+
+static struct store_result put(struct store *s, const char *name, const char *id, i64 if_match,
+			       const char *json)
+{
+	struct store_change c = { .op = json ? STORE_PUT : STORE_DELETE,
+				  .name = (char *)name,
+				  .change_id = (char *)id,
+				  .json = (char *)(json ? json : ""),
+				  .has_if_match = if_match >= 0,
+				  .if_match = if_match >= 0 ? (u64)if_match : 0 };
+	g_autoptr(GBytes) command = store_change_pack(&c);
+	struct store_result r;
+
+	store_apply(s, command, &r);
+	return r;
+}
+
+static void test_one_of_many_at_a_version_wins(void)
+{
+	struct store s;
+
+	store_init(&s);
+	for (i64 version = 0; version < 50; version++) {
+		u32 won = 0;
+
+		for (u32 by = 0; by < 20; by++) {
+			g_autofree char *json = g_strdup_printf("{\"by\":%u}", by);
+			struct store_result r = put(&s, "a", "", version, json);
+
+			won += r.status < 300;
+			g_assert_cmpuint(r.version, ==, (u64)version + 1);
+		}
+		g_assert_cmpuint(won, ==, 1);
+	}
+	store_clear(&s);
+}
+
+static void test_versions_never_repeat(void)
+{
+	struct store s;
+	u64 last = 0;
+
+	store_init(&s);
+	for (u32 i = 0; i < 3 * STORE_TOMBSTONES_MAX; i++) {
+		g_autofree char *name = g_strdup_printf("n%u", i);
+
+		/* "a" comes and goes while the deletions of others push its own out. */
+		if (i % 1000 == 0) {
+			struct store_result r = put(&s, "a", "", 0, "{}");
+
+			g_assert_cmpuint(r.status, ==, 201);
+			g_assert_cmpuint(r.version, >, last);
+			last = put(&s, "a", "", (i64)r.version, NULL).version;
+		}
+		put(&s, name, "", -1, "{}");
+		put(&s, name, "", -1, NULL);
+		g_assert_cmpuint(s.tombstones, <=, STORE_TOMBSTONES_MAX);
+		if (i % 3000 == 0)
+			restore_copy(&s);
+	}
+	store_clear(&s);
+}
+
+static void test_repeat_gets_first_answer(void)
+{
+	struct store s;
+	struct store_result first;
+	struct store_result again;
+
+	store_init(&s);
+	first = put(&s, "a", "id1", 0, "{}");
+	put(&s, "a", "id2", -1, "{\"x\":1}");
+	put(&s, "a", "id3", -1, NULL);
+	restore_copy(&s);
+	again = put(&s, "a", "id1", 0, "{}");
+	g_assert_true(again.is_repeat);
+	again.is_repeat = false;
+	assert_same_result(&again, &first);
+	g_assert_null(store_find(&s, "a"));
+	/* A refusal is remembered too. */
+	first = put(&s, "a", "id4", 7, "{}");
+	g_assert_cmpuint(first.status, ==, 409);
+	put(&s, "a", "", -1, "{}");
+	g_assert_cmpuint(put(&s, "a", "id4", 7, "{}").status, ==, 409);
+	g_assert_cmpuint(put(&s, "a", "id4", 8, "{}").status, ==, 422);
+	g_assert_cmpuint(put(&s, "b", "id1", 0, "{}").status, ==, 422);
+	store_clear(&s);
+}
+
+/* All replicas forget the same id at the same change, whatever they restored between. */
+static void test_ids_are_forgotten_by_position(void)
+{
+	struct store a;
+	struct store b;
+
+	store_init(&a);
+	store_init(&b);
+	for (u32 i = 0; i < STORE_CHANGE_IDS_MAX + 100; i++) {
+		g_autofree char *id = g_strdup_printf("id%u", i);
+
+		put(&a, "x", id, -1, "{}");
+		put(&b, "x", id, -1, "{}");
+		if (i % 5000 == 0)
+			restore_copy(&b);
+		g_assert_cmpuint(g_hash_table_size(a.changes), <=, STORE_CHANGE_IDS_MAX);
+	}
+	g_assert_false(put(&a, "x", "id99", -1, "{}").is_repeat);
+	g_assert_false(put(&b, "x", "id99", -1, "{}").is_repeat);
+	g_assert_true(put(&a, "x", "id101", -1, "{}").is_repeat);
+	g_assert_true(put(&b, "x", "id101", -1, "{}").is_repeat);
+	store_clear(&a);
+	store_clear(&b);
+}
+
+/* What a node holds that was given all up to some revision. */
+static GHashTable *state_copy(struct naive *n)
+{
+	GHashTable *t = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+
+	for (guint i = 0; i < n->items->len; i++) {
+		const struct naive_item *item = g_ptr_array_index(n->items, i);
+
+		if (item->json)
+			g_hash_table_insert(t, g_strdup(item->name), g_strdup(item->json));
+	}
+	return t;
+}
+
+static void catch_up(GHashTable *node, const struct store *s, u64 revision)
+{
+	bool is_snapshot;
+	g_autoptr(GPtrArray) items = store_since(s, revision, &is_snapshot);
+	u64 last = 0;
+
+	if (is_snapshot)
+		g_hash_table_remove_all(node);
+	for (guint i = 0; i < items->len; i++) {
+		const struct store_item *item = g_ptr_array_index(items, i);
+
+		g_assert_cmpuint(item->revision, >, last);
+		last = item->revision;
+		if (item->json)
+			g_hash_table_replace(node, g_strdup(item->name), g_strdup(item->json));
+		else
+			g_hash_table_remove(node, item->name);
+	}
+}
+
+static void assert_caught_up(GHashTable *node, struct naive *n)
+{
+	g_autoptr(GHashTable) want = state_copy(n);
+	GHashTableIter iter;
+	gpointer name;
+	gpointer json;
+
+	g_assert_cmpuint(g_hash_table_size(node), ==, g_hash_table_size(want));
+	g_hash_table_iter_init(&iter, want);
+	while (g_hash_table_iter_next(&iter, &name, &json))
+		g_assert_cmpstr(g_hash_table_lookup(node, name), ==, json);
+}
+
+static void test_since_every_revision(void)
+{
+	struct rng rng = { .state = 3 };
+	g_autoptr(GPtrArray) nodes =
+		g_ptr_array_new_with_free_func((GDestroyNotify)g_hash_table_unref);
+	struct store s;
+	struct naive n;
+
+	store_init(&s);
+	naive_init(&n);
+	g_ptr_array_add(nodes, state_copy(&n));
+	for (u32 i = 0; i < 600; i++) {
+		struct change_buf buf;
+		struct store_change c = random_change(&rng, &n, &buf);
+
+		apply_both(&s, &n, &c);
+		if (n.revision == nodes->len)
+			g_ptr_array_add(nodes, state_copy(&n));
+	}
+	for (guint revision = 0; revision < nodes->len; revision++) {
+		catch_up(g_ptr_array_index(nodes, revision), &s, revision);
+		assert_caught_up(g_ptr_array_index(nodes, revision), &n);
+	}
+	store_clear(&s);
+	naive_clear(&n);
+}
+
+/* The versions differ: the naive store never forgets a deletion. */
+static void change_both(struct store *s, struct naive *n, const struct store_change *c)
+{
+	g_autoptr(GBytes) command = store_change_pack(c);
+	struct store_result r;
+
+	store_apply(s, command, &r);
+	naive_change(n, c);
+	g_assert_cmpuint(s->revision, ==, n->revision);
+}
+
+/* Deletions are forgotten; a node from before then gets the whole state. */
+static void test_since_after_pruning(void)
+{
+	struct store s;
+	struct naive n;
+	GHashTable *old;
+	GHashTable *young = NULL;
+	u64 old_revision = 0;
+	u64 young_revision = 0;
+
+	store_init(&s);
+	naive_init(&n);
+	old = state_copy(&n);
+	for (u32 i = 0; i < STORE_TOMBSTONES_MAX + 500; i++) {
+		g_autofree char *name = g_strdup_printf("n%u", i);
+		struct store_change c = {
+			.op = STORE_PUT, .name = name, .change_id = "", .json = "{}"
+		};
+
+		change_both(&s, &n, &c);
+		if (i == 10 || i == STORE_TOMBSTONES_MAX) {
+			GHashTable **t = i == 10 ? &old : &young;
+
+			if (*t)
+				g_hash_table_unref(*t);
+			*t = state_copy(&n);
+			*(i == 10 ? &old_revision : &young_revision) = n.revision;
+		}
+		c.op = STORE_DELETE;
+		c.json = "";
+		if (i % 500 != 499)
+			change_both(&s, &n, &c);
+	}
+	g_assert_cmpuint(s.floor_revision, >, old_revision);
+	g_assert_cmpuint(s.floor_revision, <, young_revision);
+	catch_up(old, &s, old_revision);
+	assert_caught_up(old, &n);
+	catch_up(young, &s, young_revision);
+	assert_caught_up(young, &n);
+	g_hash_table_unref(old);
+	g_hash_table_unref(young);
+	store_clear(&s);
+	naive_clear(&n);
+}
+
+/* Garbage as a command changes nothing; garbage as a snapshot is refused or restored whole. */
+static void test_garbage(void)
+{
+	struct rng rng = { .state = 9 };
+	g_autoptr(GBytes) good = NULL;
+	struct store s;
+
+	store_init(&s);
+	put(&s, "a", "id1", 0, "{}");
+	put(&s, "b", "id2", 0, "{}");
+	put(&s, "b", "id3", -1, NULL);
+	good = store_snapshot(&s);
+	for (u32 i = 0; i < GARBAGE; i++) {
+		gsize len;
+		const u8 *p = g_bytes_get_data(good, &len);
+		g_autofree u8 *bytes = g_memdup2(p, len);
+		g_autoptr(GBytes) data = NULL;
+		struct store_result r;
+		struct store copy;
+
+		for (u32 k = 1 + rng_below(&rng, 4); k; k--)
+			bytes[rng_below(&rng, (u32)len)] = (u8)rng_next(&rng);
+		data = g_bytes_new(bytes, rng_below(&rng, 2) ? len : rng_below(&rng, (u32)len));
+		store_init(&copy);
+		store_restore(&copy, data);
+		put(&copy, "a", "id1", 0, "{}");
+		put(&copy, "b", "id4", -1, "{}");
+		store_clear(&copy);
+		store_apply(&s, data, &r);
+		g_assert_cmpuint(r.status, ==, 400);
+	}
+	g_assert_cmpuint(s.revision, ==, 3);
+	store_clear(&s);
+}
+
+static void test_unknown_operation_is_refused(void)
+{
+	struct store_change c = {
+		.op = (enum store_op)7, .name = "a", .change_id = "", .json = ""
+	};
+	g_autoptr(GBytes) command = store_change_pack(&c);
+	struct store_result r;
+	struct store s;
+
+	store_init(&s);
+	put(&s, "a", "", 0, "{}");
+	store_apply(&s, command, &r);
+	g_assert_cmpuint(r.status, ==, 400);
+	g_assert_nonnull(store_find(&s, "a"));
+	store_clear(&s);
+}
+
+static GBytes *snapshot_with_twins(bool twin_items)
+{
+	FRAME_AUTO(f, 0);
+
+	for (u32 i = 0; i < 3; i++)
+		frame_put_u64(&f, i);
+	frame_put_u64(&f, twin_items ? 2 : 0);
+	for (u32 i = 0; twin_items && i < 2; i++) {
+		frame_put_str(&f, "a");
+		frame_put_u64(&f, 1);
+		frame_put_u64(&f, 1 + i);
+		frame_put_bool(&f, true);
+		frame_put_str(&f, "{}");
+	}
+	frame_put_u64(&f, twin_items ? 0 : 2);
+	for (u32 i = 0; !twin_items && i < 2; i++) {
+		frame_put_str(&f, "id");
+		for (u32 k = 0; k < 4; k++)
+			frame_put_u64(&f, 1);
+	}
+	frame_end(&f);
+	return g_bytes_new(f.buf.data + FRAME_HEADER_BYTES, f.buf.size - FRAME_HEADER_BYTES);
+}
+
+static void test_twins_in_a_snapshot_are_refused(void)
+{
+	for (u32 i = 0; i < 2; i++) {
+		g_autoptr(GBytes) data = snapshot_with_twins(i == 0);
+		struct store s;
+
+		store_init(&s);
+		g_assert_cmpint(store_restore(&s, data), ==, ERR_INVAL);
+		put(&s, "a", "id", -1, "{}");
+		store_clear(&s);
+	}
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/store/against-naive-store", test_against_naive_store);
+	g_test_add_func("/store/one-of-many-at-a-version-wins", test_one_of_many_at_a_version_wins);
+	g_test_add_func("/store/versions-never-repeat", test_versions_never_repeat);
+	g_test_add_func("/store/repeat-gets-first-answer", test_repeat_gets_first_answer);
+	g_test_add_func("/store/ids-are-forgotten-by-position", test_ids_are_forgotten_by_position);
+	g_test_add_func("/store/since-every-revision", test_since_every_revision);
+	g_test_add_func("/store/since-after-pruning", test_since_after_pruning);
+	g_test_add_func("/store/garbage", test_garbage);
+	g_test_add_func("/store/unknown-operation-is-refused", test_unknown_operation_is_refused);
+	g_test_add_func("/store/twins-in-a-snapshot-are-refused",
+			test_twins_in_a_snapshot_are_refused);
+	return g_test_run();
+}
