--- a/control/disk.c
+++ b/control/disk.c
@@ -18,6 +18,7 @@
 	int lock_fd;
 	int file_fd;
 	char *file_name;
+	bool is_dir_dirty; /* a file was made, its name is not synced */
 };
 
 static void close_file(struct folder *f)
@@ -36,6 +37,7 @@
 	f->file_fd = openat(f->dir_fd, name, O_RDWR | O_APPEND | O_CREAT | O_CLOEXEC, 0600);
 	if (f->file_fd < 0)
 		return ERR_IO;
+	f->is_dir_dirty = true;
 	f->file_name = g_strdup(name);
 	return 0;
 }
@@ -94,6 +96,14 @@
 	return ftruncate(f->file_fd, (off_t)len) ? ERR_IO : 0;
 }
 
+static int sync_dir(struct folder *f)
+{
+	if (fsync(f->dir_fd))
+		return ERR_IO;
+	f->is_dir_dirty = false;
+	return 0;
+}
+
 static int folder_sync(struct disk *d, const char *name)
 {
 	struct folder *f = (struct folder *)d;
@@ -101,7 +111,9 @@
 
 	if (err)
 		return err;
-	return fsync(f->file_fd) || fsync(f->dir_fd) ? ERR_IO : 0;
+	if (fsync(f->file_fd))
+		return ERR_IO;
+	return f->is_dir_dirty ? sync_dir(f) : 0;
 }
 
 static int folder_replace(struct disk *d, const char *name, const void *p, size_t len)
@@ -122,7 +134,7 @@
 	close_file(f);
 	if (renameat(f->dir_fd, temp, f->dir_fd, name))
 		return ERR_IO;
-	return fsync(f->dir_fd) ? ERR_IO : 0;
+	return sync_dir(f);
 }
 
 static void folder_close(struct disk *d)
@@ -146,6 +158,20 @@
 	.close = folder_close,
 };
 
+/* The folder's own name must last too. */
+static int sync_parent(int dir_fd)
+{
+	int fd = openat(dir_fd, "..", O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+	int ret;
+
+	/* A parent that may not be read was there before. */
+	if (fd < 0)
+		return errno == EACCES ? 0 : ERR_IO;
+	ret = fsync(fd);
+	close(fd);
+	return ret ? ERR_IO : 0;
+}
+
 struct disk *disk_open(const char *path, char **why)
 {
 	struct folder *f = g_new0(struct folder, 1);
@@ -158,6 +184,8 @@
 	f->dir_fd = *why ? -1 : open(path, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
 	if (!*why && f->dir_fd < 0)
 		*why = g_strdup_printf("cannot open %s: %s", path, g_strerror(errno));
+	if (!*why && sync_parent(f->dir_fd))
+		*why = g_strdup_printf("cannot sync the parent of %s: %s", path, g_strerror(errno));
 	if (!*why)
 		f->lock_fd = openat(f->dir_fd, "lock", O_RDWR | O_CREAT | O_CLOEXEC, 0600);
 	if (!*why && f->lock_fd < 0)
--- /dev/null
+++ b/test/raft_host_test.c
@@ -0,0 +1,102 @@
+/* What the control process does when its disk fails. */
+#include "control/control.h"
+
+#include <glib/gstdio.h>
+#include <signal.h>
+#include <sys/resource.h>
+
+/* A group of one member on a folder of its own. */
+static struct control *one_member(struct settings *s)
+{
+	struct member_setting self = { .id = 1, .at = { .host = "127.0.0.1", .port = 1 } };
+	struct control *c;
+
+	s->cluster = "test";
+	s->control.id = 1;
+	s->control.data = g_dir_make_tmp("raft_host_test_XXXXXX", NULL);
+	s->control.members = g_array_new(FALSE, FALSE, sizeof(struct member_setting));
+	g_array_append_val(s->control.members, self);
+	c = control_new(s);
+	c->loop = loop_new("test");
+	g_assert_cmpint(raft_host_open(c), ==, 0);
+	return c;
+}
+
+static void empty_folder(const char *path)
+{
+	g_autoptr(GDir) dir = g_dir_open(path, 0, NULL);
+	const char *name;
+
+	while ((name = g_dir_read_name(dir))) {
+		g_autofree char *file = g_build_filename(path, name, NULL);
+
+		g_unlink(file);
+	}
+	g_rmdir(path);
+}
+
+static void tick(struct control *c)
+{
+	raft_tick(&c->raft, MAX(c->raft.election_due_us, raft_next_due_us(&c->raft)));
+}
+
+static void one_member_free(struct control *c, struct settings *s)
+{
+	raft_host_close(c);
+	loop_free(c->loop);
+	control_free(c);
+	empty_folder(s->control.data);
+	g_free(s->control.data);
+	g_array_unref(s->control.members);
+}
+
+static void test_forms_and_leads_alone(void)
+{
+	struct settings s = { 0 };
+	struct control *c = one_member(&s);
+
+	g_assert_cmpint(c->raft.role, ==, RAFT_FORMING);
+	for (u32 i = 0; i < 3; i++)
+		tick(c);
+	g_assert_cmpint(c->raft.role, ==, RAFT_LEADER);
+	g_assert_cmpuint(c->raft.commit, ==, 2);
+	one_member_free(c, &s);
+}
+
+static void fail_a_write(void)
+{
+	struct settings s = { 0 };
+	struct control *c = one_member(&s);
+	const struct rlimit none = { 0, 0 };
+	u64 index;
+
+	for (u32 i = 0; i < 3; i++)
+		tick(c);
+	signal(SIGXFSZ, SIG_IGN);
+	setrlimit(RLIMIT_FSIZE, &none);
+	/* The log stays open. */
+	empty_folder(s.control.data);
+	raft_propose(&c->raft, RAFT_NOOP, NULL, 0, &index);
+	tick(c);
+}
+
+/* Going on would acknowledge what may be lost. */
+static void test_failing_write_ends_the_process(void)
+{
+	if (g_test_subprocess()) {
+		fail_a_write();
+		return;
+	}
+	g_test_trap_subprocess(NULL, 0, 0);
+	g_test_trap_assert_failed();
+	g_test_trap_assert_stderr("*cannot write to the data folder*append*");
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/raft-host/forms-and-leads-alone", test_forms_and_leads_alone);
+	g_test_add_func("/raft-host/failing-write-ends-the-process",
+			test_failing_write_ends_the_process);
+	return g_test_run();
+}
--- /dev/null
+++ b/test/raft_step_test.c
@@ -0,0 +1,591 @@
+/* One replica of raft, fed message by message; what it sends and writes is recorded. */
+#include "control/raft_impl.h"
+#include "lib/err.h"
+
+#include <string.h>
+
+#define SENT_MAX 64
+#define NOW_US (100 * US_PER_S)
+
+struct sent {
+	u32 to;
+	struct raft_msg m; /* without entries and snapshot */
+	guint entries;
+};
+
+struct owner {
+	struct raft r;
+	struct sent sent[SENT_MAX];
+	u32 nsent;
+	u64 saved_term;
+	u32 saved_vote;
+	u64 written; /* last index that was written */
+	u64 applied;
+	u64 reads_ok;
+	u64 reads_failed;
+	u64 write_commit; /* commit index when entries were written last */
+};
+
+static void on_send(struct raft *r, u32 to, const struct raft_msg *m)
+{
+	struct owner *o = r->arg;
+	struct sent *s = &o->sent[o->nsent++ % SENT_MAX];
+
+	s->to = to;
+	s->m = *m;
+	s->entries = m->entries ? m->entries->len : 0;
+}
+
+static void on_save_state(struct raft *r, u64 term, u32 vote)
+{
+	struct owner *o = r->arg;
+
+	o->saved_term = term;
+	o->saved_vote = vote;
+}
+
+static void on_append(struct raft *r, GPtrArray *entries)
+{
+	struct owner *o = r->arg;
+	const struct raft_entry *last = g_ptr_array_index(entries, entries->len - 1);
+
+	o->written = last->index;
+	o->write_commit = r->commit;
+}
+
+static void on_save_snapshot(struct raft *r, u64 index, u64 term,
+			     const struct raft_members *members, GBytes *state)
+{
+	(void)r;
+	(void)index;
+	(void)term;
+	(void)members;
+	(void)state;
+}
+
+static void on_apply(struct raft *r, const struct raft_entry *e)
+{
+	((struct owner *)r->arg)->applied = e->index;
+}
+
+static void on_restore(struct raft *r, u64 index, GBytes *state)
+{
+	(void)state;
+	((struct owner *)r->arg)->applied = index;
+}
+
+static GBytes *on_snapshot(struct raft *r)
+{
+	(void)r;
+	return g_bytes_new(NULL, 0);
+}
+
+static void on_read_ready(struct raft *r, u64 id, bool is_ok)
+{
+	struct owner *o = r->arg;
+
+	(void)id;
+	o->reads_ok += is_ok;
+	o->reads_failed += !is_ok;
+}
+
+static const struct raft_ops ops = {
+	.send = on_send,
+	.save_state = on_save_state,
+	.append = on_append,
+	.save_snapshot = on_save_snapshot,
+	.apply = on_apply,
+	.restore = on_restore,
+	.snapshot = on_snapshot,
+	.read_ready = on_read_ready,
+};
+
+/* Member I has the replica id 10 * I. */
+static struct raft_members members(u32 n)
+{
+	struct raft_members m = { .n = n };
+
+	for (u32 i = 0; i < n; i++)
+		m.m[i] = (struct raft_member){ .id = i + 1,
+					       .replica = 10 * (i + 1),
+					       .is_voter = true };
+	return m;
+}
+
+/* Replica 1 of N, which holds entries 2 to LAST of TERM. */
+static struct owner *owner_new(u32 n, u64 term, u64 last)
+{
+	struct owner *o = g_new0(struct owner, 1);
+	struct raft_members m = members(n);
+	g_autoptr(GBytes) empty = g_bytes_new(NULL, 0);
+
+	raft_init(&o->r, &ops, o, 1, 10, 1, NOW_US);
+	raft_load_snapshot(&o->r, 1, 1, &m, empty);
+	raft_load_state(&o->r, term, 0);
+	for (u64 i = 2; i <= last; i++) {
+		struct raft_entry *e = raft_entry_new(i, term, RAFT_COMMAND, empty);
+
+		raft_load_entry(&o->r, e);
+		raft_entry_free(e);
+	}
+	return o;
+}
+
+static void owner_free(struct owner *o)
+{
+	raft_clear(&o->r);
+	g_free(o);
+}
+
+static const struct sent *last_sent(const struct owner *o)
+{
+	g_assert_cmpuint(o->nsent, >, 0);
+	return &o->sent[(o->nsent - 1) % SENT_MAX];
+}
+
+static void step(struct owner *o, struct raft_msg m, u64 now_us)
+{
+	m.replica = m.replica ? m.replica : 10 * m.from;
+	raft_step(&o->r, &m, now_us);
+}
+
+static void reply(struct owner *o, u32 from, u64 index, bool is_ok)
+{
+	step(o,
+	     (struct raft_msg){ .type = RAFT_APPEND_REPLY,
+				.from = from,
+				.term = o->r.term,
+				.index = index,
+				.round = o->r.round,
+				.is_ok = is_ok },
+	     NOW_US);
+}
+
+/* Replica 1 becomes leader by the votes of the others; its first entry is not written yet. */
+static void elect(struct owner *o)
+{
+	o->r.election_due_us = NOW_US;
+	raft_tick(&o->r, NOW_US);
+	for (u32 from = 2; from <= o->r.members.n; from++)
+		step(o,
+		     (struct raft_msg){ .type = RAFT_PREVOTE_REPLY,
+					.from = from,
+					.term = o->r.term + 1,
+					.is_ok = true },
+		     NOW_US);
+	for (u32 from = 2; from <= o->r.members.n; from++)
+		step(o,
+		     (struct raft_msg){ .type = RAFT_VOTE_REPLY,
+					.from = from,
+					.term = o->r.term,
+					.is_ok = true },
+		     NOW_US);
+	g_assert_cmpint(o->r.role, ==, RAFT_LEADER);
+}
+
+static void ask_vote(struct owner *o, u32 from, u64 term, u64 index, u64 log_term)
+{
+	step(o,
+	     (struct raft_msg){ .type = RAFT_VOTE,
+				.from = from,
+				.term = term,
+				.index = index,
+				.log_term = log_term },
+	     NOW_US);
+}
+
+static void test_vote_is_saved_first(void)
+{
+	struct owner *o = owner_new(3, 1, 3);
+
+	ask_vote(o, 2, 5, 3, 1);
+	g_assert_true(last_sent(o)->m.is_ok);
+	g_assert_cmpuint(o->saved_term, ==, 5);
+	g_assert_cmpuint(o->saved_vote, ==, 2);
+	ask_vote(o, 3, 5, 3, 1);
+	g_assert_false(last_sent(o)->m.is_ok);
+	ask_vote(o, 2, 5, 3, 1);
+	g_assert_true(last_sent(o)->m.is_ok);
+	owner_free(o);
+}
+
+static void test_vote_needs_the_log(void)
+{
+	struct owner *o = owner_new(3, 2, 5);
+
+	ask_vote(o, 2, 5, 4, 2);
+	g_assert_false(last_sent(o)->m.is_ok);
+	ask_vote(o, 2, 6, 9, 1);
+	g_assert_false(last_sent(o)->m.is_ok);
+	ask_vote(o, 2, 7, 2, 3);
+	g_assert_true(last_sent(o)->m.is_ok);
+	owner_free(o);
+}
+
+static void test_candidate_saves_its_vote(void)
+{
+	struct owner *o = owner_new(3, 4, 3);
+
+	elect(o);
+	g_assert_cmpuint(o->saved_term, ==, 5);
+	g_assert_cmpuint(o->saved_vote, ==, 1);
+	owner_free(o);
+}
+
+static void test_vote_of_an_emptied_folder_does_not_count(void)
+{
+	struct owner *o = owner_new(3, 1, 3);
+	struct raft_msg m = {
+		.type = RAFT_PREVOTE_REPLY, .from = 2, .replica = 99, .term = 2, .is_ok = true
+	};
+
+	o->r.election_due_us = NOW_US;
+	raft_tick(&o->r, NOW_US);
+	step(o, m, NOW_US);
+	g_assert_cmpint(o->r.role, ==, RAFT_PRECANDIDATE);
+	m.replica = 20;
+	step(o, m, NOW_US);
+	g_assert_cmpint(o->r.role, ==, RAFT_CANDIDATE);
+	m.type = RAFT_VOTE_REPLY;
+	m.replica = 99;
+	step(o, m, NOW_US);
+	g_assert_cmpint(o->r.role, ==, RAFT_CANDIDATE);
+	owner_free(o);
+}
+
+static void test_acknowledgement_of_an_emptied_folder_does_not_count(void)
+{
+	struct owner *o = owner_new(3, 1, 3);
+
+	elect(o);
+	raft_tick(&o->r, NOW_US);
+	step(o,
+	     (struct raft_msg){ .type = RAFT_APPEND_REPLY,
+				.from = 2,
+				.replica = 99,
+				.term = o->r.term,
+				.index = 4,
+				.round = o->r.round,
+				.is_ok = true },
+	     NOW_US);
+	g_assert_cmpuint(o->r.commit, ==, 1);
+	g_assert_cmpuint(o->r.progress[1].seen_replica, ==, 99);
+	reply(o, 2, 4, true);
+	g_assert_cmpuint(o->r.commit, ==, 4);
+	owner_free(o);
+}
+
+/* An entry of an older term is final only together with one of the own term. */
+static void test_old_term_is_not_committed_alone(void)
+{
+	struct owner *o = owner_new(3, 1, 3);
+
+	elect(o);
+	raft_tick(&o->r, NOW_US);
+	reply(o, 2, 3, true);
+	g_assert_cmpuint(o->r.commit, ==, 1);
+	reply(o, 2, 4, true);
+	g_assert_cmpuint(o->r.commit, ==, 4);
+	owner_free(o);
+}
+
+/* With one member to answer, the leader's own entry counts when it is written. */
+static void test_own_entry_counts_when_written(void)
+{
+	struct owner *o = owner_new(3, 1, 3);
+	u64 index;
+
+	elect(o);
+	raft_tick(&o->r, NOW_US);
+	reply(o, 2, 4, true);
+	g_assert_cmpint(raft_propose(&o->r, RAFT_COMMAND, NULL, NOW_US, &index), ==, 0);
+	g_assert_cmpuint(index, ==, 5);
+	reply(o, 2, 5, true);
+	g_assert_cmpuint(o->r.commit, ==, 4);
+	g_assert_cmpuint(o->written, ==, 4);
+	g_assert_cmpuint(raft_next_due_us(&o->r), ==, 0);
+	raft_tick(&o->r, NOW_US);
+	g_assert_cmpuint(o->written, ==, 5);
+	g_assert_cmpuint(o->write_commit, ==, 4);
+	g_assert_cmpuint(o->r.commit, ==, 5);
+	owner_free(o);
+}
+
+static void test_leader_writes_before_it_follows(void)
+{
+	struct owner *o = owner_new(3, 1, 3);
+	u64 index;
+
+	elect(o);
+	raft_propose(&o->r, RAFT_COMMAND, NULL, NOW_US, &index);
+	step(o, (struct raft_msg){ .type = RAFT_APPEND, .from = 2, .term = 9, .index = 9 }, NOW_US);
+	g_assert_cmpint(o->r.role, ==, RAFT_FOLLOWER);
+	g_assert_cmpuint(o->written, ==, index);
+	g_assert_cmpuint(o->r.synced_index, ==, raft_last_index(&o->r));
+	owner_free(o);
+}
+
+static void test_read_needs_a_round_after_it(void)
+{
+	struct owner *o = owner_new(3, 1, 3);
+
+	elect(o);
+	g_assert_cmpint(raft_read(&o->r, 1, NOW_US), ==, ERR_BUSY);
+	raft_tick(&o->r, NOW_US);
+	reply(o, 2, 4, true);
+	g_assert_cmpint(raft_read(&o->r, 1, NOW_US), ==, 0);
+	/* An answer to the round before. */
+	reply(o, 2, 4, true);
+	g_assert_cmpuint(o->reads_ok, ==, 0);
+	raft_tick(&o->r, NOW_US);
+	g_assert_cmpuint(o->reads_ok, ==, 0);
+	reply(o, 2, 4, true);
+	g_assert_cmpuint(o->reads_ok, ==, 1);
+	g_assert_cmpint(raft_read(&o->r, 2, NOW_US), ==, 0);
+	step(o, (struct raft_msg){ .type = RAFT_APPEND, .from = 2, .term = 9 }, NOW_US);
+	g_assert_cmpuint(o->reads_failed, ==, 1);
+	owner_free(o);
+}
+
+static void test_leader_without_quorum_steps_down(void)
+{
+	struct owner *o = owner_new(3, 1, 3);
+	u64 later = NOW_US + RAFT_ELECTION_MIN_US + 1;
+
+	elect(o);
+	g_assert_true(raft_is_fresh(&o->r, 2 * US_PER_S, NOW_US) == false);
+	raft_tick(&o->r, NOW_US);
+	reply(o, 2, 4, true);
+	g_assert_true(raft_is_fresh(&o->r, 2 * US_PER_S, NOW_US));
+	raft_tick(&o->r, later);
+	g_assert_cmpint(o->r.role, ==, RAFT_FOLLOWER);
+	g_assert_cmpint(raft_propose(&o->r, RAFT_COMMAND, NULL, later, &(u64){ 0 }), ==,
+			ERR_NOTLEADER);
+	g_assert_false(raft_is_fresh(&o->r, 2 * US_PER_S, later));
+	owner_free(o);
+}
+
+static void test_members_wait_for_the_own_term(void)
+{
+	struct owner *o = owner_new(3, 1, 3);
+	struct raft_members next = members(3);
+	u64 index;
+
+	next.n = 2;
+	elect(o);
+	g_assert_cmpint(raft_propose_members(&o->r, &next, NOW_US, &index), ==, ERR_BUSY);
+	raft_tick(&o->r, NOW_US);
+	reply(o, 2, 4, true);
+	g_assert_cmpint(raft_propose_members(&o->r, &next, NOW_US, &index), ==, 0);
+	g_assert_cmpuint(o->r.members.n, ==, 2);
+	owner_free(o);
+}
+
+static struct raft_msg install_msg(u64 index, u64 term)
+{
+	return (struct raft_msg){ .type = RAFT_INSTALL,
+				  .from = 2,
+				  .term = 5,
+				  .index = index,
+				  .log_term = term,
+				  .members = members(3),
+				  .to_replica = 10 };
+}
+
+/* Entries after the snapshot were acknowledged and may be committed. */
+static void test_install_keeps_what_follows(void)
+{
+	struct owner *o = owner_new(3, 1, 9);
+
+	step(o, install_msg(5, 1), NOW_US);
+	g_assert_cmpuint(raft_last_index(&o->r), ==, 9);
+	g_assert_cmpuint(o->r.commit, ==, 5);
+	g_assert_cmpuint(o->applied, ==, 5);
+	g_assert_cmpuint(last_sent(o)->m.index, ==, 5);
+	g_assert_true(last_sent(o)->m.is_ok);
+	owner_free(o);
+}
+
+static void test_install_replaces_another_history(void)
+{
+	struct owner *o = owner_new(3, 1, 9);
+
+	step(o, install_msg(5, 3), NOW_US);
+	g_assert_cmpuint(raft_last_index(&o->r), ==, 5);
+	g_assert_cmpuint(o->r.snap_term, ==, 3);
+	owner_free(o);
+}
+
+static void test_install_parts_in_any_order(void)
+{
+	struct owner *o = owner_new(3, 1, 2);
+	struct raft_msg m = install_msg(50, 3);
+	g_autoptr(GBytes) part = g_bytes_new("abcd", 4);
+	static const u64 offsets[] = { 4, 0, 0, 8, 4, 4, 8 };
+	static const u64 have[] = { 0, 4, 4, 4, 8, 8, 0 };
+
+	m.total = 12;
+	m.snapshot = part;
+	for (u32 i = 0; i < G_N_ELEMENTS(offsets); i++) {
+		m.offset = offsets[i];
+		step(o, m, NOW_US);
+		g_assert_cmpuint(last_sent(o)->m.offset, ==, have[i]);
+		g_assert_cmpint(last_sent(o)->m.is_ok, ==, i + 1 == G_N_ELEMENTS(offsets));
+	}
+	g_assert_cmpuint(g_bytes_get_size(o->r.snap_state), ==, 12);
+	g_assert_cmpuint(o->r.commit, ==, 50);
+	owner_free(o);
+}
+
+static void test_install_is_bounded_and_addressed(void)
+{
+	struct owner *o = owner_new(3, 1, 2);
+	struct raft_msg m = install_msg(50, 3);
+	g_autoptr(GBytes) part = g_bytes_new("abcd", 4);
+
+	m.snapshot = part;
+	m.total = RAFT_SNAPSHOT_MAX_BYTES + 1ULL;
+	step(o, m, NOW_US);
+	m.total = 2;
+	step(o, m, NOW_US);
+	m.total = 4;
+	m.to_replica = 11;
+	step(o, m, NOW_US);
+	g_assert_cmpuint(o->r.commit, ==, 1);
+	owner_free(o);
+}
+
+static void test_blank_replica_asks_for_the_snapshot(void)
+{
+	struct owner *o = g_new0(struct owner, 1);
+	struct raft_msg m = install_msg(50, 3);
+
+	raft_init(&o->r, &ops, o, 1, 10, 1, NOW_US);
+	step(o, (struct raft_msg){ .type = RAFT_APPEND, .from = 2, .term = 5, .index = 60 },
+	     NOW_US);
+	g_assert_cmpuint(last_sent(o)->m.term, ==, 5);
+	g_assert_false(last_sent(o)->m.is_ok);
+	ask_vote(o, 2, 6, 60, 5);
+	g_assert_cmpint(last_sent(o)->m.type, ==, RAFT_APPEND_REPLY);
+	step(o, m, NOW_US);
+	g_assert_cmpint(o->r.role, ==, RAFT_FOLLOWER);
+	g_assert_cmpuint(o->r.term, ==, 5);
+	owner_free(o);
+}
+
+/* Messages that no sound replica sends must neither end the process nor harm the log. */
+static void test_unsound_messages(void)
+{
+	struct owner *o = owner_new(3, 1, 9);
+	g_autoptr(GPtrArray) list = g_ptr_array_new_with_free_func((GDestroyNotify)raft_entry_free);
+	struct raft_msg m = {
+		.type = RAFT_APPEND, .from = 2, .term = 5, .index = 9, .log_term = 1, .commit = 9
+	};
+
+	step(o, m, NOW_US);
+	g_assert_cmpuint(o->r.commit, ==, 9);
+	g_ptr_array_add(list, raft_entry_new(40, 2, RAFT_COMMAND, NULL));
+	m.entries = list;
+	step(o, m, NOW_US);
+	g_assert_cmpuint(raft_last_index(&o->r), ==, 9);
+	/* Against what is committed. */
+	((struct raft_entry *)g_ptr_array_index(list, 0))->index = 6;
+	m.index = 5;
+	step(o, m, NOW_US);
+	g_assert_cmpuint(raft_term_at(&o->r, 6), ==, 1);
+	/* Before the end of time. */
+	m.index = UINT64_MAX;
+	m.log_term = 0;
+	m.entries = NULL;
+	step(o, m, NOW_US);
+	g_assert_false(last_sent(o)->m.is_ok);
+	m.from = 1;
+	step(o, m, NOW_US);
+	m.from = 3;
+	m.type = (enum raft_msg_type)77;
+	step(o, m, NOW_US);
+	owner_free(o);
+}
+
+static void test_answer_beyond_the_log_is_ignored(void)
+{
+	struct owner *o = owner_new(3, 1, 3);
+
+	elect(o);
+	raft_tick(&o->r, NOW_US);
+	reply(o, 2, 900, true);
+	reply(o, 3, 900, true);
+	g_assert_cmpuint(o->r.commit, ==, 1);
+	g_assert_cmpuint(o->r.progress[1].match, ==, 0);
+	owner_free(o);
+}
+
+/* After a long stop the others are heard before an election is called. */
+static void test_late_tick_calls_no_election(void)
+{
+	struct owner *o = owner_new(3, 1, 3);
+
+	raft_tick(&o->r, o->r.election_due_us + US_PER_S);
+	g_assert_cmpint(o->r.role, ==, RAFT_FOLLOWER);
+	raft_tick(&o->r, o->r.election_due_us);
+	g_assert_cmpint(o->r.role, ==, RAFT_PRECANDIDATE);
+	owner_free(o);
+}
+
+static void test_entries_in_flight_are_bounded(void)
+{
+	struct owner *o = owner_new(3, 1, 3);
+	guint entries = 0;
+	u64 index;
+
+	elect(o);
+	raft_tick(&o->r, NOW_US);
+	reply(o, 2, 4, true);
+	for (u32 i = 0; i < 2 * RAFT_INFLIGHT_ENTRIES; i++) {
+		o->nsent = 0;
+		raft_propose(&o->r, RAFT_COMMAND, NULL, NOW_US, &index);
+		raft_tick(&o->r, NOW_US);
+		for (u32 k = 0; k < o->nsent; k++)
+			entries += o->sent[k].to == 2 ? o->sent[k].entries : 0;
+	}
+	/* Each entry once, up to the bound. */
+	g_assert_cmpuint(entries, ==, RAFT_INFLIGHT_ENTRIES);
+	owner_free(o);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/raft-step/vote-is-saved-first", test_vote_is_saved_first);
+	g_test_add_func("/raft-step/vote-needs-the-log", test_vote_needs_the_log);
+	g_test_add_func("/raft-step/candidate-saves-its-vote", test_candidate_saves_its_vote);
+	g_test_add_func("/raft-step/vote-of-an-emptied-folder",
+			test_vote_of_an_emptied_folder_does_not_count);
+	g_test_add_func("/raft-step/acknowledgement-of-an-emptied-folder",
+			test_acknowledgement_of_an_emptied_folder_does_not_count);
+	g_test_add_func("/raft-step/old-term-is-not-committed-alone",
+			test_old_term_is_not_committed_alone);
+	g_test_add_func("/raft-step/own-entry-counts-when-written",
+			test_own_entry_counts_when_written);
+	g_test_add_func("/raft-step/leader-writes-before-it-follows",
+			test_leader_writes_before_it_follows);
+	g_test_add_func("/raft-step/read-needs-a-round-after-it", test_read_needs_a_round_after_it);
+	g_test_add_func("/raft-step/leader-without-quorum-steps-down",
+			test_leader_without_quorum_steps_down);
+	g_test_add_func("/raft-step/members-wait-for-the-own-term",
+			test_members_wait_for_the_own_term);
+	g_test_add_func("/raft-step/install-keeps-what-follows", test_install_keeps_what_follows);
+	g_test_add_func("/raft-step/install-replaces-another-history",
+			test_install_replaces_another_history);
+	g_test_add_func("/raft-step/install-parts-in-any-order", test_install_parts_in_any_order);
+	g_test_add_func("/raft-step/install-is-bounded-and-addressed",
+			test_install_is_bounded_and_addressed);
+	g_test_add_func("/raft-step/blank-replica-asks-for-the-snapshot",
+			test_blank_replica_asks_for_the_snapshot);
+	g_test_add_func("/raft-step/unsound-messages", test_unsound_messages);
+	g_test_add_func("/raft-step/answer-beyond-the-log", test_answer_beyond_the_log_is_ignored);
+	g_test_add_func("/raft-step/late-tick-calls-no-election", test_late_tick_calls_no_election);
+	g_test_add_func("/raft-step/entries-in-flight-are-bounded",
+			test_entries_in_flight_are_bounded);
+	return g_test_run();
+}
--- a/test/wal_test.c
+++ b/test/wal_test.c
@@ -53,6 +53,15 @@
 	return err ? err : wal_load(&f->wal, &f->raft, why);
 }
 
+static void must_open(struct fixture *f, struct fake_disk *disk)
+{
+	g_autofree char *why = NULL;
+	int err = open_wal(f, disk, &why);
+
+	g_assert_cmpstr(why, ==, NULL);
+	g_assert_cmpint(err, ==, 0);
+}
+
 static void close_wal(struct fixture *f)
 {
 	raft_clear(&f->raft);
@@ -126,10 +135,9 @@
 static struct fake_disk *sample(void)
 {
 	struct fake_disk *d = fake_disk_new(1);
-	g_autofree char *why = NULL;
 	struct fixture f;
 
-	g_assert_cmpint(open_wal(&f, d, &why), ==, 0);
+	must_open(&f, d);
 	f.raft.term = 1;
 	g_assert_cmpint(save_snapshot(&f, 1, 1, 100), ==, 0);
 	for (u32 i = 0; i < 4; i++) {
@@ -155,20 +163,18 @@
 {
 	struct fake_disk *copy = fake_disk_copy(d);
 	struct fake_file *log = fake_disk_file(copy, "log");
-	g_autofree char *why = NULL;
-	g_autofree char *again = NULL;
 	struct fixture f;
 	u64 last;
 
 	memset(log->data->data + len, 0, full - len);
 	g_byte_array_set_size(log->data, full);
-	g_assert_cmpint(open_wal(&f, copy, &why), ==, 0);
+	must_open(&f, copy);
 	check_prefix(&f.raft, whole);
 	last = raft_last_index(&f.raft);
 	/* What is appended after the cut is there at the next start. */
 	g_assert_cmpint(append(&f, last + 1, 9, 999, 1), ==, 0);
 	close_wal(&f);
-	g_assert_cmpint(open_wal(&f, copy, &again), ==, 0);
+	must_open(&f, copy);
 	g_assert_cmpuint(raft_last_index(&f.raft), ==, last + 1);
 	g_assert_cmpuint(data_at(&f.raft, last + 1), ==, 999);
 	close_wal(&f);
@@ -180,11 +186,10 @@
 {
 	struct fake_disk *d = sample();
 	guint len = fake_disk_file(d, "log")->data->len;
-	g_autofree char *why = NULL;
 	struct fixture whole;
 	u64 last = 1;
 
-	g_assert_cmpint(open_wal(&whole, d, &why), ==, 0);
+	must_open(&whole, d);
 	g_assert_cmpuint(raft_last_index(&whole.raft), ==, 9);
 	for (guint cut = 0; cut <= len; cut++) {
 		u64 now = open_cut(d, &whole.raft, cut, cut);
@@ -239,9 +244,11 @@
 		struct fake_disk *d = sample();
 		g_autofree char *why = NULL;
 		struct fixture f;
+		int err;
 
 		g_hash_table_remove(d->files, names[n]);
-		g_assert_cmpint(open_wal(&f, d, &why), ==, ERR_CORRUPT);
+		err = open_wal(&f, d, &why);
+		g_assert_cmpint(err, ==, ERR_CORRUPT);
 		g_assert_nonnull(why);
 		close_wal(&f);
 		fake_disk_free(d);
@@ -438,11 +445,9 @@
 
 static void start_run(struct run *w, u64 seed)
 {
-	g_autofree char *why = NULL;
-
 	memset(w, 0, sizeof(*w));
 	w->rng.state = seed;
-	g_assert_cmpint(open_wal(&w->f, fake_disk_new(seed), &why), ==, 0);
+	must_open(&w->f, fake_disk_new(seed));
 	w->f.raft.term = 1;
 	g_assert_cmpint(save_snapshot(&w->f, 1, 1, 100), ==, 0);
 	adopt(&w->acked, &w->f);
@@ -508,10 +513,9 @@
 static void test_crash_between_snapshot_and_log(void)
 {
 	struct fake_disk *d = fake_disk_new(3);
-	g_autofree char *why = NULL;
 	struct fixture f;
 
-	g_assert_cmpint(open_wal(&f, d, &why), ==, 0);
+	must_open(&f, d);
 	f.raft.term = 1;
 	g_assert_cmpint(save_snapshot(&f, 1, 1, 100), ==, 0);
 	g_assert_cmpint(append(&f, 2, 1, 20, 9), ==, 0);
@@ -521,7 +525,7 @@
 	g_assert_cmpint(save_snapshot(&f, 5, 2, 50), ==, ERR_IO);
 	close_wal(&f);
 	fake_disk_crash(d);
-	g_assert_cmpint(open_wal(&f, d, &why), ==, 0);
+	must_open(&f, d);
 	g_assert_cmpuint(f.raft.snap_index, ==, 5);
 	g_assert_cmpuint(raft_last_index(&f.raft), ==, 5);
 	close_wal(&f);
