--- a/test/raft_case_test.c
+++ b/test/raft_case_test.c
@@ -145,6 +145,33 @@
 	}
 }
 
+/* The new folder is cut off as soon as it is a learner, before it holds anything. */
+static void test_replace_waits_for_the_log(void)
+{
+	struct fake_group *g = settled_group(3, 37);
+	u32 leader = fake_group_leader(g);
+	u32 a = follower_but(g, 0);
+	u64 since_us = g->now_us;
+	struct raft_member *m;
+
+	fake_group_crash(g, a);
+	fake_group_lose_disk(g, a);
+	fake_group_start(g, a);
+	while (fake_raft(g, leader)->members_index <= 1) {
+		fake_group_run(g, 10 * US_PER_MS);
+		fake_group_replace(g, a, since_us);
+	}
+	fake_group_isolate(g, a);
+	for (u32 i = 0; i < 100; i++) {
+		fake_group_run(g, 10 * US_PER_MS);
+		g_assert_cmpuint(fake_group_replace(g, a, since_us), !=, 200);
+	}
+	m = raft_member_find(&fake_raft(g, leader)->members, a);
+	g_assert_cmpuint(m->replica, ==, g->r[a].control.wal.replica);
+	g_assert_false(m->is_voter);
+	end(g);
+}
+
 /* A repaired member and one that has not heard of the repair must be able to elect. */
 static void test_replaced_member_is_elected(void)
 {
@@ -405,6 +432,7 @@
 			test_lost_disk_without_replica_ids);
 	g_test_add_func("/raft-case/lost-disk", test_lost_disk);
 	g_test_add_func("/raft-case/replace-then-lose-another", test_replace_then_lose_another);
+	g_test_add_func("/raft-case/replace-waits-for-the-log", test_replace_waits_for_the_log);
 	g_test_add_func("/raft-case/replaced-member-is-elected", test_replaced_member_is_elected);
 	g_test_add_func("/raft-case/replace-does-not-believe-an-old-answer",
 			test_replace_does_not_believe_an_old_answer);
