--- a/control/store.c
+++ b/control/store.c
@@ -73,6 +73,8 @@
 	c->if_match = frame_get_u64(&in);
 	c->change_id = frame_get_str(&in, STORE_CHANGE_ID_MAX_BYTES);
 	c->json = frame_get_str(&in, STORE_TEXT_MAX_BYTES);
+	if (c->op != STORE_PUT && c->op != STORE_DELETE)
+		return ERR_INVAL;
 	return frame_done(&in);
 }
 
