test: the driver in three files; silence, ramp and return from a drain are tested by themselves

Mutants of the decisions (scratch copy) showed three that no test noticed: without silence as a sign of a straggler, without the ramp of a cold upstream, and with the drain told by a link kept after a newer entry. Each has its test now.

--- a/test/choose_test.c
+++ b/test/choose_test.c
@@ -185,14 +185,35 @@
 	announce(&c, "bulletin", 12);
 	announce(&c, "bulletin", 15);
 	choose_load(target(&c, 12), &load, LATER_US);
+	load.running = 8;
 	choose_load(target(&c, 15), &load, LATER_US);
 	choose_sent(target(&c, 12), LATER_US);
+	g_assert_cmpuint(count_picks(&c, target(&c, 12), 100, LATER_US), ==, 100);
 	/* No answer for 5 times the usual time: its report still says idle and fast. */
 	g_assert_cmpuint(count_picks(&c, target(&c, 12), 100, LATER_US + 50 * US_PER_MS), ==, 0);
 	choose_ended(target(&c, 12), CHOOSE_ANSWERED, 60 * US_PER_MS, LATER_US + 60 * US_PER_MS);
 	choose_clear(&c);
 }
 
+/* One that joined just now has all slots free, but takes a tenth of its share at first. */
+static void test_cold_upstream_ramps_up(void)
+{
+	struct choose c;
+
+	setup(&c);
+	announce(&c, "bulletin", 12);
+	announce_state(&c, "bulletin", 15, 1, DIR_UP, LATER_US);
+	for (u32 i = 0; i < 12; i++)
+		choose_sent(choose_pick(&c, "bulletin", 10, NULL, LATER_US), LATER_US);
+	g_assert_cmpuint(target(&c, 15)->in_flight, >, 0);
+	g_assert_cmpuint(target(&c, 15)->in_flight, <=, 3);
+	for (u32 i = 0; i < 12; i++)
+		choose_sent(choose_pick(&c, "bulletin", 10, NULL, LATER_US + 60 * US_PER_S),
+			    LATER_US + 60 * US_PER_S);
+	g_assert_cmpuint(target(&c, 15)->in_flight, >=, 10);
+	choose_clear(&c);
+}
+
 static u32 count_ejected(struct choose *c, u32 from, u32 to, u64 now_us)
 {
 	u32 n = 0;
@@ -281,12 +302,15 @@
 	announce(&c, "bulletin", 12);
 	choose_load(target(&c, 12), &load, LATER_US);
 	g_assert_null(choose_pick(&c, "bulletin", 10, NULL, LATER_US));
-	announce_state(&c, "bulletin", 12, 2, DIR_DRAINING, LATER_US);
+	/* The link told of the drain, the directory of the return. */
+	announce_state(&c, "bulletin", 12, 2, DIR_UP, LATER_US);
+	g_assert_nonnull(choose_pick(&c, "bulletin", 10, NULL, LATER_US));
+	announce_state(&c, "bulletin", 12, 3, DIR_DRAINING, LATER_US);
 	g_assert_null(choose_pick(&c, "bulletin", 10, NULL, LATER_US));
-	announce_state(&c, "bulletin", 12, 3, DIR_UP, LATER_US);
+	announce_state(&c, "bulletin", 12, 4, DIR_UP, LATER_US);
 	g_assert_nonnull(choose_pick(&c, "bulletin", 10, NULL, LATER_US));
 	/* An older entry that comes late changes nothing. */
-	announce_state(&c, "bulletin", 12, 2, DIR_DRAINING, LATER_US);
+	announce_state(&c, "bulletin", 12, 3, DIR_DRAINING, LATER_US);
 	g_assert_nonnull(choose_pick(&c, "bulletin", 10, NULL, LATER_US));
 	choose_clear(&c);
 }
@@ -513,6 +537,7 @@
 	g_test_add_func("/choose/own-calls", test_own_calls_count_at_once);
 	g_test_add_func("/choose/aged", test_load_is_aged);
 	g_test_add_func("/choose/silence", test_silence_shows_a_straggler);
+	g_test_add_func("/choose/ramp", test_cold_upstream_ramps_up);
 	g_test_add_func("/choose/ejection-bounded", test_ejection_is_bounded);
 	g_test_add_func("/choose/slow-outlier", test_slow_outlier_is_ejected);
 	g_test_add_func("/choose/hurried-callers", test_hurried_callers_eject_nobody);
--- /dev/null
+++ b/test/fakes/fleet_entry.c
@@ -0,0 +1,262 @@
+/* Entry nodes: choice, retries, hedges, probes. */
+#include "test/fakes/fleet_private.h"
+
+#include <stdlib.h>
+
+static u32 pick_polled(struct fleet *f, struct entry *e)
+{
+	u32 best = rng_below(&f->choice, f->plan->ntargets);
+
+	for (u32 i = 0; i < f->plan->ntargets; i++)
+		if (e->polled[i] < e->polled[best])
+			best = i;
+	return best;
+}
+
+static int pick(struct fleet *f, struct call *c)
+{
+	struct entry *e = &f->entries[c->entry];
+	struct choose_target *t;
+
+	switch (f->plan->policy) {
+	case FLEET_RANDOM:
+		return (int)rng_below(&f->choice, f->plan->ntargets);
+	case FLEET_ROUND_ROBIN:
+		return (int)(e->next++ % f->plan->ntargets);
+	case FLEET_POLLED:
+		return (int)pick_polled(f, e);
+	default:
+		t = choose_pick(&e->choose, SERVICE, f->plan->ranks[c->rank].worth, c->tried,
+				f->now_us);
+		return t ? atoi(t->entry.node) : -1;
+	}
+}
+
+static struct choose_target *seen(struct fleet *f, const struct attempt *a)
+{
+	char name[16];
+
+	g_snprintf(name, sizeof(name), "%u", a->target);
+	return choose_find(&f->entries[a->call->entry].choose, name);
+}
+
+static void finish(struct fleet *f, struct call *c, struct attempt *a)
+{
+	struct fleet_outcome *o = &f->result->ranks[c->rank];
+	u64 took = f->now_us - c->arrived_us;
+	bool is_good = a && !a->is_error && f->now_us <= c->deadline_us;
+
+	c->is_done = true;
+	if (!fleet_is_measured(f, c))
+		return;
+	o->answered += is_good;
+	o->failed += a && a->is_error;
+	o->refused += !a;
+	o->in_target += is_good && took <= f->plan->ranks[c->rank].target_us;
+	if (!is_good)
+		took = f->plan->timeout_us;
+	g_array_append_val(o->latencies, took);
+}
+
+static bool send_attempt(struct fleet *f, struct call *c, u32 slot)
+{
+	int target = pick(f, c);
+	struct attempt *a;
+
+	if (target < 0)
+		return false;
+	a = g_new0(struct attempt, 1);
+	g_ptr_array_add(f->garbage, a);
+	a->call = c;
+	a->target = (u32)target;
+	a->sent_us = f->now_us;
+	c->running[slot] = a;
+	c->tries++;
+	if (f->now_us >= f->plan->event_us + f->plan->sent_after_us)
+		f->result->ranks[c->rank].sent[target]++;
+	if (fleet_is_ours(f)) {
+		g_ptr_array_add(c->tried, g_strdup_printf("%d", target));
+		choose_sent(seen(f, a), f->now_us);
+	}
+	fleet_post(f, f->now_us + fleet_delay_us(c->entry, a->target), AT_HOME, a->target, a);
+	return true;
+}
+
+static bool is_shed(struct fleet *f, struct call *c)
+{
+	struct entry *e = &f->entries[c->entry];
+	u32 lowest = choose_lowest_worth(&e->choose, SERVICE, f->now_us);
+	char rank[16];
+
+	g_snprintf(rank, sizeof(rank), "%u", c->rank);
+	return shed_decide(&e->shed, &e->choose.rng, SERVICE, rank, f->plan->ranks[c->rank].worth,
+			   lowest, f->now_us);
+}
+
+static void begin_ours(struct fleet *f, struct call *c)
+{
+	struct entry *e = &f->entries[c->entry];
+	char rank[16];
+	u64 delay;
+
+	g_snprintf(rank, sizeof(rank), "%u", c->rank);
+	if (is_shed(f, c)) {
+		f->result->shed++;
+		finish(f, c, NULL);
+		return;
+	}
+	if (f->plan->ranks[c->rank].is_idempotent) {
+		hedge_called(&e->hedge);
+		delay = hedge_delay_us(&e->hedge, SERVICE, rank);
+		if (delay)
+			fleet_post(f, f->now_us + delay, HEDGE, c->entry, c);
+	}
+	if (!send_attempt(f, c, 0))
+		finish(f, c, NULL);
+}
+
+void fleet_on_arrive(struct fleet *f, u32 rank)
+{
+	const struct fleet_rank *r = &f->plan->ranks[rank];
+	u64 per_s = f->now_us >= f->plan->event_us && r->flood_per_s ? r->flood_per_s : r->per_s;
+	struct call *c = g_new0(struct call, 1);
+
+	fleet_post(f, f->now_us + fleet_exponential(&f->rng, (double)US_PER_S / (double)per_s),
+		   ARRIVE, rank, NULL);
+	g_ptr_array_add(f->garbage, c);
+	g_ptr_array_add(f->calls, c);
+	c->rank = rank;
+	c->entry = rng_below(&f->rng, f->plan->nentries);
+	c->arrived_us = f->now_us;
+	c->deadline_us = f->now_us + f->plan->timeout_us;
+	if (fleet_is_measured(f, c))
+		f->result->ranks[rank].arrived++;
+	if (fleet_is_ours(f)) {
+		c->tried = g_ptr_array_new_with_free_func(g_free);
+		begin_ours(f, c);
+	} else {
+		send_attempt(f, c, 0);
+	}
+}
+
+static void drop_attempt(struct call *c, const struct attempt *a)
+{
+	for (u32 i = 0; i < 2; i++)
+		if (c->running[i] == a)
+			c->running[i] = NULL;
+}
+
+static void cancel_others(struct fleet *f, struct call *c)
+{
+	for (u32 i = 0; i < 2; i++) {
+		struct attempt *o = c->running[i];
+
+		if (!o)
+			continue;
+		c->running[i] = NULL;
+		choose_ended(seen(f, o), CHOOSE_CANCELLED, f->now_us - o->sent_us, f->now_us);
+		fleet_post(f, f->now_us + fleet_delay_us(c->entry, o->target), CANCEL, o->target,
+			   o);
+	}
+}
+
+static void learn(struct fleet *f, struct attempt *a, enum choose_result result)
+{
+	struct choose_target *t = seen(f, a);
+
+	choose_load(t, &a->load, f->now_us);
+	choose_ended(t, result, f->now_us - a->sent_us, f->now_us);
+}
+
+void fleet_on_reply(struct fleet *f, struct attempt *a)
+{
+	struct call *c = a->call;
+	struct entry *e = &f->entries[c->entry];
+	char rank[16];
+
+	if (c->is_done)
+		return;
+	drop_attempt(c, a);
+	if (fleet_is_ours(f)) {
+		g_snprintf(rank, sizeof(rank), "%u", c->rank);
+		learn(f, a, a->is_error ? CHOOSE_FAILED : CHOOSE_ANSWERED);
+		retry_answered(&e->budget);
+		shed_taken(&e->shed, SERVICE, rank, f->now_us);
+		hedge_answered(&e->hedge, SERVICE, rank, f->now_us - a->sent_us);
+		cancel_others(f, c);
+	}
+	finish(f, c, a);
+}
+
+void fleet_on_refusal(struct fleet *f, struct attempt *a)
+{
+	struct call *c = a->call;
+	struct retry_failure failure = { .is_not_run = true };
+	u64 left = c->deadline_us > f->now_us ? c->deadline_us - f->now_us : 0;
+
+	if (c->is_done)
+		return;
+	drop_attempt(c, a);
+	learn(f, a, CHOOSE_REFUSED);
+	if (c->running[0] || c->running[1])
+		return;
+	if (retry_decide(&f->entries[c->entry].budget, c->tries, failure,
+			 f->plan->ranks[c->rank].is_idempotent, left) != RETRY_AGAIN) {
+		finish(f, c, NULL);
+		return;
+	}
+	f->result->retries++;
+	if (!send_attempt(f, c, 0))
+		finish(f, c, NULL);
+}
+
+void fleet_on_hedge(struct fleet *f, struct call *c)
+{
+	struct entry *e = &f->entries[c->entry];
+
+	if (c->is_done || !c->running[0] || c->running[1] || c->tries >= RETRY_TRIES_MAX)
+		return;
+	if (!hedge_take(&e->hedge))
+		return;
+	f->result->hedges += send_attempt(f, c, 1);
+}
+
+static void ask(struct fleet *f, u32 entry, u32 target)
+{
+	struct told *t = g_new0(struct told, 1);
+
+	g_ptr_array_add(f->garbage, t);
+	t->entry = entry;
+	t->target = target;
+	f->result->probes++;
+	f->result->probe_bytes += PROBE_FRAME_BYTES + PROBE_LOAD_BYTES;
+	fleet_post(f, f->now_us + fleet_delay_us(entry, target), ASKED, target, t);
+}
+
+void fleet_on_told(struct fleet *f, struct told *t)
+{
+	struct entry *e = &f->entries[t->entry];
+	char name[16];
+
+	if (!fleet_is_ours(f)) {
+		e->polled[t->target] = t->load.running + t->load.queued;
+		return;
+	}
+	g_snprintf(name, sizeof(name), "%u", t->target);
+	choose_load(choose_find(&e->choose, name), &t->load, f->now_us);
+}
+
+void fleet_on_probe(struct fleet *f, u32 entry)
+{
+	struct entry *e = &f->entries[entry];
+	struct choose_target *t;
+
+	fleet_post(f, f->now_us + PROBE_TICK_US, PROBE, entry, NULL);
+	if (f->plan->policy == FLEET_POLLED)
+		for (u64 i = 0; i < f->plan->probes_per_s * PROBE_TICK_US / US_PER_S; i++)
+			ask(f, entry, e->to_poll++ % f->plan->ntargets);
+	if (!fleet_is_ours(f))
+		return;
+	while ((t = probe_next(&e->probe, &e->choose, f->now_us)))
+		ask(f, entry, (u32)atoi(t->entry.node));
+}
