--- a/node/caller.c
+++ b/node/caller.c
@@ -143,8 +143,21 @@
 	} while (n > 0 && sum < max && loop_clock_us() < end_us);
 }
 
+/*
+ * A call that may not be repeated goes on when its caller only closed its
+ * side: it is wanted, and a cancellation would leave its outcome unknown.
+ */
+static bool has_left(const struct entry_call *call)
+{
+	int state = http_client_state(call->conn);
+
+	return state == HTTP_CLIENT_GONE || (state == HTTP_CLIENT_SENT_ALL && call->is_idempotent);
+}
+
 static int answer_call(struct node *n, struct mg_connection *conn, struct entry_call *call)
 {
+	call->has_left = has_left;
+	call->conn = conn;
 	entry_run(n, call);
 	if (!call->answer)
 		return refuse(conn, call->status, call->is_not_run, call->reason, describe(call),
