--- a/test/badinput_test.sh
+++ b/test/badinput_test.sh
@@ -2,8 +2,8 @@
 # badinput_test - bad input, ports in use, folders and full disks: a clear error, a counter, nothing lost
 # shellcheck source=test/cmd_lib.sh
 . "$(dirname "$0")/cmd_lib.sh"
-L=./lavenderlead
-B=build/test/programs/badinput
+L=${BIN:-./lavenderlead}
+B=${OUT:-build}/test/programs/badinput
 base=27400
 control=127.0.0.1:27410,127.0.0.1:27420,127.0.0.1:27430
 
@@ -14,7 +14,7 @@
 for i in 1 2; do
 	printf '[log]\nlevel=info\nfile=%s\n' "$dir/node$i.log" >>"$dir/node$i.ini"
 	start $L serve -c "$dir/node$i.ini"
-	start build/test/programs/upstream -p $((base + 500 + i)) -n $((base + 102 + 10 * i)) \
+	start ${OUT:-build}/test/programs/upstream -p $((base + 500 + i)) -n $((base + 102 + 10 * i)) \
 		-s sightings -l "$dir/runs"
 done
 has_upstreams() { [ "$($L status --control $control | grep -c '"connections"')" = 2 ]; }
--- a/test/cmd_lib.sh
+++ b/test/cmd_lib.sh
@@ -57,6 +57,7 @@
 }
 
 finish() {
+	grep -E 'Sanitizer|runtime error' "$dir"/out "$dir"/*.log 2>/dev/null && fail "sanitizer"
 	[ "$failures" = 0 ] && echo "all passed"
 	exit $((failures > 0))
 }
--- a/test/cmd_test.sh
+++ b/test/cmd_test.sh
@@ -2,8 +2,8 @@
 # cmd_test - the command line: help, exit codes, errors, resends, what apply shows and waits for
 # shellcheck source=test/cmd_lib.sh
 . "$(dirname "$0")/cmd_lib.sh"
-L=./lavenderlead
-S=build/test/programs/control_stand_in
+L=${BIN:-./lavenderlead}
+S=${OUT:-build}/test/programs/control_stand_in
 port=27100
 mkdir "$dir/d"
 
@@ -64,6 +64,20 @@
 rm "$dir/d/two.json"
 run 2 "cannot read" $L apply -f "$dir/none.json" --control 127.0.0.1:1
 
+# The manual pages: their examples pass, and each key of the settings is described.
+example() { sed -n '/^\.EX/,/^\.EE/p' "man/$1" | grep -v '^\.E'; }
+example lavenderlead-settings.5 >"$dir/man.ini"
+example lavenderlead-resources.5 >"$dir/man.json"
+run 0 "" $L check -c "$dir/man.ini" -f "$dir/man.json"
+sed -n 's/^\t{ "[a-z]*", "\([a-z_]*\)", .*/\1/p' lib/settings.c >"$dir/keys"
+[ "$(wc -l <"$dir/keys")" -ge 23 ] || fail "keys found: $(wc -l <"$dir/keys")"
+while read -r key; do
+	grep -qE "^\.BR? .*\b$key\b" man/lavenderlead-settings.5 || fail "no $key in the manual"
+done <"$dir/keys"
+for cmd in serve check apply get "delete service" watch status "member replace" version; do
+	grep -qE "^\.(TP|B|BI|BR) \"?$cmd" man/lavenderlead.1 || fail "no $cmd in the manual"
+done
+
 # apply shows what it will change, changes nothing in a dry run, and is idempotent.
 stand_in
 run 0 "create one" $L apply -f "$dir/d" --dry-run --control $c
