--- a/lib/ctr_list.h
+++ b/lib/ctr_list.h
@@ -16,6 +16,7 @@
 CTR(DEADLINE, "deadline", "the deadline passed before an answer")
 CTR(EXPIRED_UNRUN, "expired-unrun", "left the queue because the deadline passed, not run")
 CTR(CANCELLED, "cancelled", "the caller or the entry node gave up")
+CTR(CALLER_LEFT, "caller-left", "the caller disconnected before the answer")
 CTR(UPSTREAM_SHED, "upstream-shed", "the upstream answered 503 not-run")
 CTR(UPSTREAM_REFUSED, "upstream-refused",
     "the connection to the upstream was refused before a byte was written")
--- a/lib/http_server.c
+++ b/lib/http_server.c
@@ -4,11 +4,15 @@
 #include "lib/err.h"
 #include "lib/hist.h"
 
+#include <arpa/inet.h>
 #include <civetweb.h>
+#include <dirent.h>
 #include <jansson.h>
+#include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #define READ_BYTES 16384
 #define KEEP_ALIVE_TIMEOUT_MS "60000"
@@ -105,6 +109,55 @@
 	return 0;
 }
 
+/* True when FD is the server's end of the connection of RI. */
+static bool is_socket_of(int fd, const struct mg_request_info *ri)
+{
+	struct sockaddr_in peer = { 0 };
+	struct sockaddr_in own = { 0 };
+	socklen_t len = sizeof(peer);
+	char text[INET_ADDRSTRLEN];
+
+	if (getpeername(fd, (struct sockaddr *)&peer, &len) || peer.sin_family != AF_INET)
+		return false;
+	len = sizeof(own);
+	if (getsockname(fd, (struct sockaddr *)&own, &len))
+		return false;
+	inet_ntop(AF_INET, &peer.sin_addr, text, sizeof(text));
+	return ntohs(peer.sin_port) == ri->remote_port && ntohs(own.sin_port) == ri->server_port &&
+	       !strcmp(text, ri->remote_addr);
+}
+
+/* The library does not tell the descriptor, so it is found by the addresses of its ends. */
+static int find_socket(const struct mg_request_info *ri)
+{
+	DIR *dir = opendir("/proc/self/fd");
+	const struct dirent *e;
+	int found = -1;
+
+	while (dir && found < 0 && (e = readdir(dir)))
+		if (is_socket_of(atoi(e->d_name), ri))
+			found = atoi(e->d_name);
+	if (dir)
+		closedir(dir);
+	return found;
+}
+
+int http_client_state(struct mg_connection *conn)
+{
+	const struct mg_request_info *ri = mg_get_request_info(conn);
+	int fd = GPOINTER_TO_INT(mg_get_user_connection_data(conn)) - 1;
+	struct pollfd p = { .events = POLLRDHUP };
+
+	if (fd < 0 || !is_socket_of(fd, ri))
+		fd = find_socket(ri);
+	mg_set_user_connection_data(conn, GINT_TO_POINTER(fd + 1));
+	p.fd = fd;
+	/* A socket without its other end is not found any more. */
+	if (fd < 0 || (poll(&p, 1, 0) > 0 && (p.revents & (POLLHUP | POLLERR))))
+		return HTTP_CLIENT_GONE;
+	return p.revents & POLLRDHUP ? HTTP_CLIENT_SENT_ALL : HTTP_CLIENT_THERE;
+}
+
 int http_metrics(struct mg_connection *conn, void *unused)
 {
 	g_autoptr(GString) out = g_string_new(NULL);
--- a/lib/http_server.h
+++ b/lib/http_server.h
@@ -33,6 +33,15 @@
  */
 int http_read_body(struct mg_connection *conn, GByteArray *out, u64 max);
 
+enum http_client { HTTP_CLIENT_THERE, HTTP_CLIENT_SENT_ALL, HTTP_CLIENT_GONE };
+
+/*
+ * http_client_state - HTTP_CLIENT_SENT_ALL when the client has closed its side
+ * (it may still read, but most have left), HTTP_CLIENT_GONE when the
+ * connection is broken. For use within a request handler.
+ */
+int http_client_state(struct mg_connection *conn);
+
 /* http_metrics - a request handler that prints the counters. */
 int http_metrics(struct mg_connection *conn, void *unused);
 
--- a/node/caller.c
+++ b/node/caller.c
@@ -158,11 +158,24 @@
 		  call->answer ? "" : ctr_name(call->reason), "time_us", log_u64(time_us), NULL);
 }
 
+/*
+ * A call that may not be repeated goes on when its caller only closed its
+ * side: it is wanted, and a cancellation would leave its outcome unknown.
+ */
+static bool has_left(const struct entry_call *call)
+{
+	int state = http_client_state(call->conn);
+
+	return state == HTTP_CLIENT_GONE || (state == HTTP_CLIENT_SENT_ALL && call->is_idempotent);
+}
+
 static int answer_call(struct node *n, struct mg_connection *conn, struct entry_call *call)
 {
 	u64 start_us = loop_clock_us();
 	u64 time_us;
 
+	call->has_left = has_left;
+	call->conn = conn;
 	entry_run(n, call);
 	time_us = loop_clock_us() - start_us;
 	log_call(call, time_us);
--- a/node/entry.c
+++ b/node/entry.c
@@ -10,6 +10,9 @@
 /* Head and framing of a call, more than the HTTP server takes in. */
 #define CALL_OVERHEAD_BYTES (64 * 1024)
 
+/* How often a waiting call looks whether its caller has left. */
+#define CALLER_CHECK_US (100 * US_PER_MS)
+
 enum try_state { TRY_CONNECTING, TRY_SENT, TRY_FENCING };
 
 /* One try of a call at one home node; each has its own id. */
@@ -602,22 +605,60 @@
 	attempt(n, call);
 }
 
+/* Nobody waits for the answer, so the work is not wanted any more. */
+static void leave(void *arg)
+{
+	struct entry_call *call = arg;
+	struct node *n = call->priv->node;
+
+	if (!g_hash_table_contains(n->entry->calls, call))
+		return;
+	ctr_inc(CTR_CALLER_LEFT);
+	abandon(n, call, CTR_CALLER_LEFT, CHOOSE_CANCELLED);
+}
+
+static void cond_init(pthread_cond_t *cond)
+{
+	pthread_condattr_t attr;
+
+	pthread_condattr_init(&attr);
+	pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
+	pthread_cond_init(cond, &attr);
+	pthread_condattr_destroy(&attr);
+}
+
+/* Waits for the end of the call or one step. Returns true at the end. */
+static bool wait_step(struct entry_private *p)
+{
+	u64 until_us = loop_clock_us() + CALLER_CHECK_US;
+	struct timespec until = { .tv_sec = (time_t)(until_us / US_PER_S),
+				  .tv_nsec = (long)(until_us % US_PER_S * 1000) };
+	bool is_done;
+	int err = 0;
+
+	pthread_mutex_lock(&p->lock);
+	while (!p->is_done && !err)
+		err = pthread_cond_timedwait(&p->cond, &p->lock, &until);
+	is_done = p->is_done;
+	pthread_mutex_unlock(&p->lock);
+	return is_done;
+}
+
 void entry_run(struct node *n, struct entry_call *call)
 {
 	struct entry_private p = { .node = n };
 
 	pthread_mutex_init(&p.lock, NULL);
-	pthread_cond_init(&p.cond, NULL);
+	cond_init(&p.cond);
 	p.tried = g_ptr_array_new_with_free_func(g_free);
 	p.deadline = (struct loop_timer){ .fire = on_deadline, .arg = call };
 	p.hedge_timer = (struct loop_timer){ .fire = on_hedge, .arg = call };
 	call->priv = &p;
 	call->reason = CTR_CALLS;
 	loop_post(n->loop, submit, call);
-	pthread_mutex_lock(&p.lock);
-	while (!p.is_done)
-		pthread_cond_wait(&p.cond, &p.lock);
-	pthread_mutex_unlock(&p.lock);
+	while (!wait_step(&p))
+		if (call->has_left && call->has_left(call))
+			loop_call(n->loop, leave, call);
 	g_ptr_array_unref(p.tried);
 	pthread_cond_destroy(&p.cond);
 	pthread_mutex_destroy(&p.lock);
--- a/node/node.h
+++ b/node/node.h
@@ -72,6 +72,8 @@
 	bool is_idempotent;
 	u32 worth;
 	u64 deadline_us;
+	bool (*has_left)(const struct entry_call *call); /* asked now and then; may be NULL */
+	void *conn; /* for has_left */
 	/* set on the loop's thread */
 	struct http_msg *answer; /* NULL: the system answers */
 	u16 status;
--- /dev/null
+++ b/test/fakes/fake_node.c
@@ -0,0 +1,120 @@
+#include "test/fakes/fake_node.h"
+
+#include "node/config.h"
+#include "test/fakes/httpc.h"
+#include "test/fakes/raw_server.h"
+
+#include <civetweb.h>
+#include <string.h>
+#include <unistd.h>
+
+static const char service_json[] =
+	"{\"name\":\"sightings\",\"hosts\":[\"sightings.example\"],\"ranks\":["
+	"{\"name\":\"checklist\",\"match\":[{\"method\":\"POST\",\"path\":\"/\"}],"
+	"\"idempotent\":false,\"target_ms\":20000,\"worth\":100,\"floor_percent\":10},"
+	"{\"name\":\"page\",\"match\":[{\"path\":\"/\"}],"
+	"\"idempotent\":true,\"target_ms\":20000,\"worth\":10,\"floor_percent\":10}]}";
+
+static u16 free_port(void)
+{
+	u16 port;
+	int fd = raw_listen(&port);
+
+	close(fd);
+	return port;
+}
+
+static void configure(void *arg)
+{
+	g_autoptr(GPtrArray) changes = g_ptr_array_new_with_free_func(config_change_free);
+	struct config_change *change = g_new0(struct config_change, 1);
+
+	(void)arg;
+	config_reset(); /* of an earlier node in the same process */
+	change->name = g_strdup("sightings");
+	change->version = 1;
+	change->json = g_strdup(service_json);
+	g_ptr_array_add(changes, change);
+	g_assert_cmpint(config_apply(1, true, changes), ==, 0);
+}
+
+static void fill_settings(struct settings *s)
+{
+	struct endpoint nobody = { .host = "127.0.0.1", .port = free_port() };
+
+	s->cluster = g_strdup("breizh");
+	s->node.is_on = true;
+	s->node.address = g_strdup("127.0.0.1");
+	s->node.zone = g_strdup("z");
+	s->node.region = g_strdup("r");
+	s->node.caller_port = free_port();
+	s->node.peer_port = free_port();
+	s->node.local_port = free_port();
+	s->node.control = g_array_new(FALSE, TRUE, sizeof(struct endpoint));
+	g_array_append_val(s->node.control, nobody);
+	s->node.max_body_bytes = FAKE_NODE_BODY_MAX_BYTES;
+	s->node.shutdown_grace_s = 2;
+	s->control.members = g_array_new(FALSE, TRUE, sizeof(struct member_setting));
+}
+
+void fake_node_start(struct fake_node *f)
+{
+	memset(f, 0, sizeof(*f));
+	mg_init_library(0);
+	log_open(NULL, LOG_ERROR, LOG_TEXT);
+	fill_settings(&f->settings);
+	f->node = node_new(&f->settings);
+	g_assert_cmpint(f->node->service.ops->start(&f->node->service, NULL), ==, 0);
+	loop_call(f->node->loop, configure, NULL);
+}
+
+void fake_node_stop(struct fake_node *f)
+{
+	f->node->service.ops->stop(&f->node->service);
+	node_free(f->node);
+	settings_clear(&f->settings);
+}
+
+struct directory_request {
+	struct node *node;
+	struct dir_entry entry;
+};
+
+static void set_directory(void *arg)
+{
+	struct directory_request *d = arg;
+
+	choose_set(&d->node->choose, &d->entry, loop_clock_us());
+	entry_directory(d->node, &d->entry);
+}
+
+void fake_node_directory(struct fake_node *f, const char *name, u64 incarnation,
+			 enum dir_state state)
+{
+	static u64 version;
+	struct directory_request d = { .node = f->node };
+
+	d.entry = (struct dir_entry){ .node = (char *)name,
+				      .zone = (char *)"z",
+				      .region = (char *)"r",
+				      .incarnation = incarnation,
+				      .version = ++version,
+				      .state = state,
+				      .service = (char *)"sightings",
+				      .slots = 100,
+				      .connections = 100 };
+	loop_call(f->node->loop, set_directory, &d);
+}
+
+void fake_node_announce(struct fake_node *f, u16 port, u32 slots)
+{
+	g_autofree char *body = g_strdup_printf(
+		"{\"service\":\"sightings\",\"port\":%u,\"slots\":%u}", port, slots);
+	struct httpc_reply reply;
+	int err = httpc_call("127.0.0.1", f->settings.node.local_port, "PUT", "/v1/upstream", NULL,
+			     body, 5000, &reply);
+
+	g_assert_cmpint(err, ==, 0);
+	g_assert_cmpint(reply.status, ==, 200);
+	httpc_reply_clear(&reply);
+}
--- /dev/null
+++ b/test/fakes/fake_peer.c
@@ -0,0 +1,363 @@
+#include "test/fakes/fake_peer.h"
+
+#include "lib/err.h"
+#include "test/fakes/raw_server.h"
+
+#include <string.h>
+#include <unistd.h>
+
+#define WAIT_MAX_US (20 * US_PER_S)
+
+void peer_event_free(struct peer_event *e)
+{
+	if (!e)
+		return;
+	g_free(e->method);
+	g_free(e->reason);
+	if (e->body)
+		g_byte_array_unref(e->body);
+	g_free(e);
+}
+
+static struct peer_event *event_new(u32 type, struct call_id id)
+{
+	struct peer_event *e = g_new0(struct peer_event, 1);
+
+	e->type = type;
+	e->id = id;
+	return e;
+}
+
+static void push(struct fake_peer *p, struct peer_event *e)
+{
+	g_async_queue_push(p->events, e);
+}
+
+static void on_up(struct link *k)
+{
+	struct fake_peer *p = k->arg;
+
+	p->link = k;
+	push(p, event_new(PEER_EVENT_UP, (struct call_id){ 0 }));
+}
+
+static void on_down(struct link *k, int err)
+{
+	struct fake_peer *p = k->arg;
+
+	(void)err;
+	if (p->link == k)
+		p->link = NULL;
+	push(p, event_new(PEER_EVENT_DOWN, (struct call_id){ 0 }));
+}
+
+/* A call or reply is an event once its body is whole. */
+static void begin(struct fake_peer *p, struct peer_event *e)
+{
+	e->body = g_byte_array_new();
+	if (e->body_len)
+		p->part = e;
+	else
+		push(p, e);
+}
+
+static int take_call(struct fake_peer *p, struct frame_in *in)
+{
+	struct peer_call call = { 0 };
+	struct peer_event *e;
+
+	if (peer_call_get(in, &call))
+		return ERR_INVAL;
+	e = event_new(PEER_CALL, call.id);
+	e->method = g_strdup(call.msg->method);
+	e->body_len = call.body_len;
+	peer_call_clear(&call);
+	begin(p, e);
+	return 0;
+}
+
+static int take_reply(struct fake_peer *p, struct frame_in *in)
+{
+	struct peer_reply reply = { 0 };
+	struct peer_event *e;
+
+	if (peer_reply_get(in, &reply))
+		return ERR_INVAL;
+	e = event_new(PEER_REPLY, reply.id);
+	e->status = reply.msg->status;
+	e->body_len = reply.body_len;
+	http_free(reply.msg);
+	begin(p, e);
+	return 0;
+}
+
+static int take_body(struct fake_peer *p, struct frame_in *in)
+{
+	struct peer_event *e = p->part;
+	struct peer_body b;
+
+	if (peer_body_get(in, &b) || !e || b.id.seq != e->id.seq)
+		return ERR_INVAL;
+	g_byte_array_append(e->body, b.data, (guint)b.len);
+	if (e->body->len < e->body_len)
+		return 0;
+	p->part = NULL;
+	push(p, e);
+	return 0;
+}
+
+static int take_refuse(struct fake_peer *p, struct frame_in *in)
+{
+	struct peer_refuse r = { 0 };
+	struct peer_event *e;
+
+	if (peer_refuse_get(in, &r))
+		return ERR_INVAL;
+	e = event_new(PEER_REFUSE, r.id);
+	e->reason = r.reason;
+	e->is_not_run = r.is_not_run;
+	push(p, e);
+	return 0;
+}
+
+static int on_frame(struct link *k, u32 type, struct frame_in *in)
+{
+	struct fake_peer *p = k->arg;
+	struct peer_event *e;
+
+	switch (type) {
+	case PEER_CALL:
+		return take_call(p, in);
+	case PEER_REPLY:
+		return take_reply(p, in);
+	case PEER_BODY:
+		return take_body(p, in);
+	case PEER_REFUSE:
+		return take_refuse(p, in);
+	case PEER_CANCEL:
+	case PEER_FENCE:
+	case PEER_FENCED:
+		e = event_new(type, peer_id_get(in));
+		e->state = type == PEER_FENCED ? (enum fence_state)frame_get_u64(in) : 0;
+		push(p, e);
+		return frame_done(in);
+	default:
+		return 0; /* probes, loads: not of interest */
+	}
+}
+
+static const struct link_ops ops = { .up = on_up, .frame = on_frame, .down = on_down };
+
+static void do_listen(void *arg)
+{
+	struct fake_peer *p = arg;
+
+	p->listener = link_listen(p->loop, &p->self, "127.0.0.1", p->port, &ops, p);
+	g_assert_nonnull(p->listener);
+}
+
+static void do_unlisten(void *arg)
+{
+	struct fake_peer *p = arg;
+
+	if (p->listener)
+		link_unlisten(p->listener);
+	p->listener = NULL;
+}
+
+static void do_break(void *arg)
+{
+	struct fake_peer *p = arg;
+
+	if (p->link)
+		link_close(p->link);
+	p->link = NULL;
+	g_clear_pointer(&p->part, peer_event_free);
+}
+
+struct dial_request {
+	struct fake_peer *p;
+	u16 port;
+};
+
+static void do_dial(void *arg)
+{
+	struct dial_request *d = arg;
+
+	g_assert_nonnull(link_dial(d->p->loop, &d->p->self, "127.0.0.1", d->port, &ops, d->p));
+}
+
+void fake_peer_start(struct fake_peer *p, bool is_home)
+{
+	int fd;
+
+	memset(p, 0, sizeof(*p));
+	p->loop = loop_new("fake-peer");
+	p->events = g_async_queue_new();
+	fd = raw_listen(&p->port);
+	close(fd);
+	p->name = g_strdup_printf("127.0.0.1:%u", p->port);
+	p->self = (struct link_id){ .cluster = (char *)"breizh",
+				    .role = LINK_NODE,
+				    .name = p->name,
+				    .zone = (char *)"z",
+				    .region = (char *)"r",
+				    .incarnation = 1000 };
+	g_assert_cmpint(loop_start(p->loop), ==, 0);
+	if (is_home)
+		fake_peer_listen(p);
+}
+
+void fake_peer_stop(struct fake_peer *p)
+{
+	struct peer_event *e;
+
+	fake_peer_unlisten(p);
+	fake_peer_break(p);
+	loop_stop(p->loop);
+	loop_free(p->loop);
+	while ((e = g_async_queue_try_pop(p->events)))
+		peer_event_free(e);
+	g_async_queue_unref(p->events);
+	g_free(p->name);
+}
+
+void fake_peer_listen(struct fake_peer *p)
+{
+	loop_call(p->loop, do_listen, p);
+}
+
+void fake_peer_unlisten(struct fake_peer *p)
+{
+	loop_call(p->loop, do_unlisten, p);
+}
+
+void fake_peer_dial(struct fake_peer *p, u16 port)
+{
+	struct dial_request d = { .p = p, .port = port };
+
+	loop_call(p->loop, do_dial, &d);
+}
+
+void fake_peer_break(struct fake_peer *p)
+{
+	loop_call(p->loop, do_break, p);
+}
+
+struct peer_event *fake_peer_next(struct fake_peer *p, u32 type)
+{
+	struct peer_event *e = g_async_queue_timeout_pop(p->events, WAIT_MAX_US);
+
+	g_assert_nonnull(e);
+	g_assert_cmpuint(e->type, ==, type);
+	return e;
+}
+
+struct send_request {
+	struct fake_peer *p;
+	struct frame_out *head;
+	struct call_id id;
+	GByteArray *body;
+};
+
+static void do_send(void *arg)
+{
+	struct send_request *s = arg;
+
+	g_assert_nonnull(s->p->link);
+	if (s->head)
+		g_assert_cmpint(link_send(s->p->link, s->head), ==, 0);
+	if (s->body)
+		g_assert_cmpint(peer_send_body(s->p->link, s->id, s->body), ==, 0);
+}
+
+static void send_message(struct fake_peer *p, struct frame_out *head, struct call_id id,
+			 const char *body)
+{
+	struct send_request s = { .p = p, .head = head, .id = id };
+
+	if (body) {
+		s.body = g_byte_array_new();
+		g_byte_array_append(s.body, (const guint8 *)body, (guint)strlen(body));
+	}
+	loop_call(p->loop, do_send, &s);
+	if (s.body)
+		g_byte_array_unref(s.body);
+}
+
+static void put_call(struct frame_out *f, struct call_id id, const char *method, u64 body_len,
+		     u64 deadline_us)
+{
+	struct peer_call call = { .id = id,
+				  .service = (char *)"sightings",
+				  .rank = (char *)(strcmp(method, "POST") ? "page" : "checklist"),
+				  .deadline_us = deadline_us,
+				  .body_len = body_len,
+				  .msg = http_new() };
+
+	call.msg->method = g_strdup(method);
+	call.msg->target = g_strdup("/");
+	peer_call_put(f, &call);
+	http_free(call.msg);
+}
+
+void fake_peer_call(struct fake_peer *p, struct call_id id, const char *method, const char *body,
+		    u64 deadline_us)
+{
+	FRAME_AUTO(f, PEER_CALL);
+
+	put_call(&f, id, method, strlen(body), deadline_us);
+	send_message(p, &f, id, body);
+}
+
+void fake_peer_send_head(struct fake_peer *p, struct call_id id, u64 body_len)
+{
+	FRAME_AUTO(f, PEER_CALL);
+
+	put_call(&f, id, "POST", body_len, UINT32_MAX);
+	send_message(p, &f, id, NULL);
+}
+
+void fake_peer_send_body(struct fake_peer *p, struct call_id id, const char *text)
+{
+	send_message(p, NULL, id, text);
+}
+
+void fake_peer_reply(struct fake_peer *p, struct call_id id, const char *body)
+{
+	struct peer_reply reply = { .id = id, .body_len = strlen(body), .msg = http_new() };
+	FRAME_AUTO(f, PEER_REPLY);
+
+	reply.load.limit = 100;
+	reply.msg->status = 200;
+	peer_reply_put(&f, &reply);
+	http_free(reply.msg);
+	send_message(p, &f, id, body);
+}
+
+void fake_peer_refuse(struct fake_peer *p, struct call_id id, enum ctr reason, bool is_not_run)
+{
+	struct peer_refuse refuse = { .id = id, .is_not_run = is_not_run };
+	FRAME_AUTO(f, PEER_REFUSE);
+
+	refuse.reason = (char *)ctr_name(reason);
+	peer_refuse_put(&f, &refuse);
+	send_message(p, &f, id, NULL);
+}
+
+void fake_peer_send_id(struct fake_peer *p, enum peer_type type, struct call_id id)
+{
+	FRAME_AUTO(f, type);
+
+	peer_id_put(&f, id);
+	send_message(p, &f, id, NULL);
+}
+
+void fake_peer_fenced(struct fake_peer *p, struct call_id id, enum fence_state state)
+{
+	FRAME_AUTO(f, PEER_FENCED);
+
+	peer_id_put(&f, id);
+	frame_put_u64(&f, state);
+	send_message(p, &f, id, NULL);
+}
--- /dev/null
+++ b/test/fakes/fake_peer.h
@@ -0,0 +1,69 @@
+/*
+ * fake_peer - another node as the test plays it, over a real link
+ *
+ * The messages that come are queued as events; the test takes them one by one
+ * and answers as it likes.
+ *
+ * SOURCE test/fakes/fake_peer.c
+ */
+#ifndef FAKE_PEER_H
+#define FAKE_PEER_H
+
+#include "lib/ctr.h"
+#include "wire/peer.h"
+
+#include <glib.h>
+
+struct fake_peer {
+	struct loop *loop;
+	struct link_id self;
+	char *name;
+	u16 port;
+	struct link_listener *listener;
+	struct link *link; /* the newest one; NULL when none is up */
+	GAsyncQueue *events; /* of struct peer_event */
+	struct peer_event *part; /* a call or reply whose body is still coming */
+};
+
+enum { PEER_EVENT_UP = 1, PEER_EVENT_DOWN = 2 };
+
+struct peer_event {
+	u32 type; /* enum peer_type, PEER_EVENT_UP or PEER_EVENT_DOWN */
+	struct call_id id;
+	u16 status;
+	char *method;
+	GByteArray *body;
+	u64 body_len;
+	char *reason;
+	bool is_not_run;
+	enum fence_state state;
+};
+
+/* fake_peer_start - a peer with its own address; it listens when IS_HOME. */
+void fake_peer_start(struct fake_peer *p, bool is_home);
+void fake_peer_stop(struct fake_peer *p);
+void fake_peer_listen(struct fake_peer *p);
+void fake_peer_unlisten(struct fake_peer *p);
+void fake_peer_dial(struct fake_peer *p, u16 port);
+
+/* fake_peer_break - close the link. */
+void fake_peer_break(struct fake_peer *p);
+
+/* fake_peer_next - the next event, which must be of TYPE; waits up to 20 s. */
+struct peer_event *fake_peer_next(struct fake_peer *p, u32 type);
+void peer_event_free(struct peer_event *e);
+
+void fake_peer_call(struct fake_peer *p, struct call_id id, const char *method, const char *body,
+		    u64 deadline_us);
+void fake_peer_reply(struct fake_peer *p, struct call_id id, const char *body);
+void fake_peer_refuse(struct fake_peer *p, struct call_id id, enum ctr reason, bool is_not_run);
+void fake_peer_send_id(struct fake_peer *p, enum peer_type type, struct call_id id);
+void fake_peer_fenced(struct fake_peer *p, struct call_id id, enum fence_state state);
+
+/* fake_peer_send_body - a BODY frame by itself. */
+void fake_peer_send_body(struct fake_peer *p, struct call_id id, const char *text);
+
+/* fake_peer_send_head - a CALL that announces BODY_LEN bytes, without them. */
+void fake_peer_send_head(struct fake_peer *p, struct call_id id, u64 body_len);
+
+#endif
--- a/test/fakes/raw_server.c
+++ b/test/fakes/raw_server.c
@@ -1,6 +1,7 @@
 #include "test/fakes/raw_server.h"
 
 #include <arpa/inet.h>
+#include <errno.h>
 #include <poll.h>
 #include <stdlib.h>
 #include <string.h>
@@ -42,6 +43,16 @@
 	return -1;
 }
 
+int raw_connect_soon(u16 port)
+{
+	struct sockaddr_in addr = loopback(port);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+
+	if (connect(fd, (struct sockaddr *)&addr, sizeof(addr)))
+		g_assert_cmpint(errno, ==, EINPROGRESS);
+	return fd;
+}
+
 static gpointer serve_main(gpointer arg)
 {
 	struct raw_server *s = arg;
@@ -123,3 +134,10 @@
 
 	return poll(&p, 1, WAIT_MAX_MS) == 1;
 }
+
+bool raw_is_closed(int fd)
+{
+	struct pollfd p = { .fd = fd, .events = POLLRDHUP };
+
+	return poll(&p, 1, 0) == 1;
+}
--- a/test/fakes/raw_server.h
+++ b/test/fakes/raw_server.h
@@ -39,10 +39,16 @@
 /* raw_wait_closed - wait until the other end has closed; false after 10 s. */
 bool raw_wait_closed(int fd);
 
+/* raw_is_closed - whether the other end has closed. */
+bool raw_is_closed(int fd);
+
 /* raw_listen - a listening socket on 127.0.0.1 and the port that the system chose. */
 int raw_listen(u16 *port);
 
 /* raw_connect - a connected socket, or -1. */
 int raw_connect(u16 port);
 
+/* raw_connect_soon - a socket that connects in the background; used to fill a backlog. */
+int raw_connect_soon(u16 port);
+
 #endif
--- /dev/null
+++ b/test/home_test.c
@@ -0,0 +1,328 @@
+/* The home node: calls come from an entry node that the test plays, and go to a raw upstream. */
+#include "lib/err.h"
+#include "test/fakes/fake_node.h"
+#include "test/fakes/fake_peer.h"
+#include "test/fakes/raw_server.h"
+
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#define LONG_US (20 * US_PER_S)
+#define WAIT_MS 20000
+
+static struct fake_node node;
+static struct fake_peer entry;
+static struct raw_server upstream;
+static GAsyncQueue *permits; /* one for each answer that the upstream may give */
+static gint closed_early; /* connections that the home closed before the answer */
+
+/* Answers each request once it is permitted to. */
+static void serve(struct raw_server *s, int fd, u32 nth)
+{
+	(void)nth;
+	while (raw_read_request(s, fd)) {
+		while (!g_async_queue_timeout_pop(permits, US_PER_MS)) {
+			if (!raw_is_closed(fd))
+				continue;
+			g_atomic_int_inc(&closed_early);
+			return;
+		}
+		raw_write(fd, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nnoted");
+	}
+}
+
+static void permit(void)
+{
+	g_async_queue_push(permits, GINT_TO_POINTER(1));
+}
+
+static void link_up(void)
+{
+	fake_peer_dial(&entry, node.settings.node.peer_port);
+	peer_event_free(fake_peer_next(&entry, PEER_EVENT_UP));
+}
+
+static void start(u32 slots)
+{
+	permits = g_async_queue_new();
+	closed_early = 0;
+	fake_node_start(&node);
+	raw_start(&upstream, serve, NULL);
+	fake_node_announce(&node, upstream.port, slots);
+	fake_peer_start(&entry, false);
+	link_up();
+}
+
+static struct call_id id_of(u64 seq)
+{
+	return (struct call_id){ .incarnation = entry.self.incarnation, .seq = seq };
+}
+
+static void call(u64 seq, const char *method, u64 timeout_us)
+{
+	fake_peer_call(&entry, id_of(seq), method, "one hoopoe", loop_clock_us() + timeout_us);
+}
+
+static void wait_runs(gint n)
+{
+	for (u32 i = 0; i < WAIT_MS && g_atomic_int_get(&upstream.requests) < n; i++)
+		g_usleep(US_PER_MS);
+	g_assert_cmpint(g_atomic_int_get(&upstream.requests), ==, n);
+}
+
+/* The home has closed its connection to the upstream N times before an answer. */
+static void wait_closed_early(gint n)
+{
+	for (u32 i = 0; i < WAIT_MS && g_atomic_int_get(&closed_early) < n; i++)
+		g_usleep(US_PER_MS);
+	g_assert_cmpint(g_atomic_int_get(&closed_early), ==, n);
+}
+
+static void expect_reply(u64 seq)
+{
+	struct peer_event *e = fake_peer_next(&entry, PEER_REPLY);
+
+	g_assert_cmpuint(e->id.seq, ==, seq);
+	g_assert_cmpint(e->status, ==, 200);
+	g_assert_cmpmem(e->body->data, e->body->len, "noted", 5);
+	peer_event_free(e);
+}
+
+static void expect_refusal(u64 seq, const char *reason, bool is_not_run)
+{
+	struct peer_event *e = fake_peer_next(&entry, PEER_REFUSE);
+
+	g_assert_cmpuint(e->id.seq, ==, seq);
+	g_assert_cmpstr(e->reason, ==, reason);
+	g_assert_true(e->is_not_run == is_not_run);
+	peer_event_free(e);
+}
+
+static void fence(u64 seq, enum fence_state expected)
+{
+	struct peer_event *e;
+
+	fake_peer_send_id(&entry, PEER_FENCE, id_of(seq));
+	e = fake_peer_next(&entry, PEER_FENCED);
+	g_assert_cmpuint(e->id.seq, ==, seq);
+	g_assert_cmpint(e->state, ==, expected);
+	peer_event_free(e);
+}
+
+/* A frame that is answered in order shows that the earlier ones were handled. */
+static void flush(void)
+{
+	static u64 seq = 1 << 20;
+
+	fence(seq++, FENCE_NOT_RUN);
+}
+
+/* A call that sat in the socket past its deadline does not run, and never will. */
+static void test_expired(void)
+{
+	start(4);
+	fake_peer_call(&entry, id_of(1), "POST", "one hoopoe", loop_clock_us() - 1);
+	expect_refusal(1, "expired-unrun", true);
+	fence(1, FENCE_NOT_RUN);
+	call(1, "POST", LONG_US);
+	flush();
+	wait_runs(0);
+}
+
+/* The reply is kept for an entry whose link broke, and the id does not run again. */
+static void test_fence_done(void)
+{
+	start(4);
+	call(1, "POST", LONG_US);
+	permit();
+	expect_reply(1);
+	fake_peer_break(&entry);
+	link_up();
+	fence(1, FENCE_DONE);
+	expect_reply(1);
+	call(1, "POST", LONG_US);
+	flush();
+	wait_runs(1);
+}
+
+/* A POST runs on when the link of its entry breaks; the reply goes over the next link. */
+static void test_fence_running(void)
+{
+	start(4);
+	call(1, "POST", LONG_US);
+	wait_runs(1);
+	fake_peer_break(&entry);
+	link_up();
+	fence(1, FENCE_RUNNING);
+	permit();
+	expect_reply(1);
+	wait_runs(1);
+	g_assert_cmpint(g_atomic_int_get(&closed_early), ==, 0);
+}
+
+/* An id that was fenced before its call came never runs. */
+static void test_fence_first(void)
+{
+	start(4);
+	fence(1, FENCE_NOT_RUN);
+	call(1, "POST", LONG_US);
+	flush();
+	wait_runs(0);
+	g_assert_cmpuint(ctr_get(CTR_TOMBSTONE_HIT), ==, 1);
+}
+
+/* Calls with the same id, as a relay that repeats bytes would make them. */
+static void test_duplicate(void)
+{
+	start(4);
+	call(1, "POST", LONG_US);
+	call(1, "POST", LONG_US);
+	permit();
+	permit();
+	expect_reply(1);
+	call(1, "POST", LONG_US);
+	flush();
+	wait_runs(1);
+	g_assert_cmpuint(ctr_get(CTR_DUPLICATE_CALL), ==, 2);
+}
+
+/* A cancelled call leaves its slot, and the upstream sees its connection close. */
+static void test_cancel_running(void)
+{
+	start(1);
+	call(1, "POST", LONG_US);
+	wait_runs(1);
+	fake_peer_send_id(&entry, PEER_CANCEL, id_of(1));
+	expect_refusal(1, "cancelled", false);
+	wait_closed_early(1);
+	call(2, "POST", LONG_US);
+	permit();
+	expect_reply(2);
+	fence(1, FENCE_UNKNOWN);
+}
+
+static void test_cancel_queued(void)
+{
+	start(1);
+	call(1, "POST", LONG_US);
+	wait_runs(1);
+	call(2, "POST", LONG_US);
+	fake_peer_send_id(&entry, PEER_CANCEL, id_of(2));
+	expect_refusal(2, "cancelled", true);
+	permit();
+	expect_reply(1);
+	flush();
+	wait_runs(1);
+}
+
+/* A call that waits past its deadline leaves the queue unrun; one that runs past it frees its slot.
+ */
+static void test_deadlines(void)
+{
+	start(1);
+	call(1, "POST", 400 * US_PER_MS);
+	wait_runs(1);
+	call(2, "POST", 100 * US_PER_MS);
+	expect_refusal(2, "expired-unrun", true);
+	expect_refusal(1, "upstream-timeout", false);
+	wait_closed_early(1);
+	call(3, "POST", LONG_US);
+	permit();
+	expect_reply(3);
+	wait_runs(2);
+}
+
+/* Nobody waits for an idempotent call whose link broke: the entry has tried elsewhere. */
+static void test_link_down_cancels_idempotent(void)
+{
+	start(1);
+	call(1, "GET", LONG_US);
+	wait_runs(1);
+	fake_peer_break(&entry);
+	link_up();
+	wait_closed_early(1);
+	call(2, "POST", LONG_US);
+	permit();
+	expect_reply(2);
+}
+
+/* A link that brings what does not fit together is closed, and counted. */
+static void check_bad(void (*misbehave)(void))
+{
+	u64 before = ctr_get(CTR_FRAME_BAD);
+
+	misbehave();
+	peer_event_free(fake_peer_next(&entry, PEER_EVENT_DOWN));
+	g_assert_cmpuint(ctr_get(CTR_FRAME_BAD), ==, before + 1);
+	link_up();
+}
+
+static void body_of_nobody(void)
+{
+	fake_peer_send_body(&entry, id_of(77), "whose?");
+}
+
+static void body_too_long(void)
+{
+	fake_peer_send_head(&entry, id_of(78), 3);
+	fake_peer_send_body(&entry, id_of(78), "four");
+}
+
+static void head_over_the_limit(void)
+{
+	fake_peer_send_head(&entry, id_of(79), FAKE_NODE_BODY_MAX_BYTES + 1);
+}
+
+static void same_head_twice(void)
+{
+	fake_peer_send_head(&entry, id_of(80), 10);
+	fake_peer_send_head(&entry, id_of(80), 10);
+}
+
+static void many_heads(void)
+{
+	for (u64 i = 0; i < 5; i++)
+		fake_peer_send_head(&entry, id_of(90 + i), 10);
+}
+
+static void test_bad_frames(void)
+{
+	start(4);
+	check_bad(body_of_nobody);
+	check_bad(body_too_long);
+	check_bad(head_over_the_limit);
+	check_bad(same_head_twice);
+	check_bad(many_heads);
+	call(1, "POST", LONG_US);
+	permit();
+	expect_reply(1);
+	wait_runs(1);
+	/* Half a call that its link took away never runs. */
+	fence(80, FENCE_NOT_RUN);
+	flush();
+	wait_runs(1);
+	fake_peer_stop(&entry);
+	fake_node_stop(&node);
+}
+
+int main(int argc, char **argv)
+{
+	int ret;
+
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/home/expired", test_expired);
+	g_test_add_func("/home/fence-done", test_fence_done);
+	g_test_add_func("/home/fence-running", test_fence_running);
+	g_test_add_func("/home/fence-first", test_fence_first);
+	g_test_add_func("/home/duplicate", test_duplicate);
+	g_test_add_func("/home/cancel-running", test_cancel_running);
+	g_test_add_func("/home/cancel-queued", test_cancel_queued);
+	g_test_add_func("/home/deadlines", test_deadlines);
+	g_test_add_func("/home/link-down-cancels-idempotent", test_link_down_cancels_idempotent);
+	g_test_add_func("/home/bad-frames", test_bad_frames);
+	ret = g_test_run();
+	fflush(stdout);
+	_exit(ret); /* nodes still run */
+}
--- a/test/link_test.c
+++ b/test/link_test.c
@@ -6,7 +6,6 @@
 #include "test/fakes/raw_server.h"
 
 #include <arpa/inet.h>
-#include <fcntl.h>
 #include <glib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -372,13 +371,8 @@
 	int fd = raw_listen(&port);
 
 	listen(fd, 0);
-	for (size_t i = 0; i < G_N_ELEMENTS(fillers); i++) {
-		struct sockaddr_in addr = { .sin_family = AF_INET, .sin_port = htons(port) };
-
-		addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-		fillers[i] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-		connect(fillers[i], (struct sockaddr *)&addr, sizeof(addr));
-	}
+	for (size_t i = 0; i < G_N_ELEMENTS(fillers); i++)
+		fillers[i] = raw_connect_soon(port);
 	start(&e);
 	e.port = port;
 	loop_call(e.loop, do_dial, &e);
