--- a/node/caller.c
+++ b/node/caller.c
@@ -14,8 +14,6 @@
 #define CALLER_THREADS 256
 #define DEFAULT_TIMEOUT_MS 30000
 #define TIMEOUT_MAX_MS 600000
-#define DISCARD_BYTES 16384
-#define DISCARD_MAX_US (5 * US_PER_S)
 
 /* Fills in service, rank and idempotence. Returns CTR_CALLS, or the reason of a refusal. */
 static enum ctr route(const struct mg_request_info *ri, const char *host, struct entry_call *call)
@@ -130,20 +128,6 @@
 	return __atomic_load_n(&n->is_stopping, __ATOMIC_ACQUIRE);
 }
 
-/* Reads on, so that a caller still sending sees the answer and not a reset. */
-static void discard_body(struct mg_connection *conn, u64 max)
-{
-	u64 end_us = loop_clock_us() + DISCARD_MAX_US;
-	char buf[DISCARD_BYTES];
-	u64 sum = 0;
-	int n;
-
-	do {
-		n = mg_read(conn, buf, sizeof(buf));
-		sum += n > 0 ? (u64)n : 0;
-	} while (n > 0 && sum < max && loop_clock_us() < end_us);
-}
-
 /* One line a call, for looking into a single call; never at level info. */
 static void log_call(const struct entry_call *call, u64 time_us)
 {
@@ -187,7 +171,7 @@
 	return send_answer(conn, call->answer, is_stopping(n));
 }
 
-static int refuse_body(struct node *n, struct mg_connection *conn, int err)
+static int refuse_body(struct mg_connection *conn, int err)
 {
 	if (err != ERR_TOOBIG) {
 		ctr_inc(CTR_BAD_REQUEST);
@@ -195,9 +179,7 @@
 			      "the request body ended before its length", true);
 	}
 	ctr_inc(CTR_BODY_TOO_LARGE);
-	refuse(conn, 413, true, CTR_BODY_TOO_LARGE, "the request body is too large", true);
-	discard_body(conn, 2 * n->settings->node.max_body_bytes);
-	return 413;
+	return refuse(conn, 413, true, CTR_BODY_TOO_LARGE, "the request body is too large", true);
 }
 
 static void allow_body(struct mg_connection *conn, u64 max)
@@ -219,7 +201,7 @@
 	allow_body(conn, max);
 	err = http_read_body(conn, call->msg->body, max);
 	if (err)
-		return refuse_body(n, conn, err);
+		return refuse_body(conn, err);
 	if (ms)
 		return answer_call(n, conn, call);
 	ctr_inc(CTR_DEADLINE);
--- a/test/entry_test.c
+++ b/test/entry_test.c
@@ -13,6 +13,7 @@
 
 #define CALLERS 32
 #define HTTP_WAIT_MS 20000
+#define BODY_BYTES 4194304
 
 struct caller {
 	struct fake_node *node;
@@ -257,6 +258,7 @@
 		g_usleep(US_PER_MS);
 	/* News of an older incarnation say nothing of the call. */
 	fake_node_directory(&node, home.name, home.self.incarnation - 1, DIR_GONE);
+	g_assert_cmpuint(entry_in_progress(node.node), ==, 1);
 	fake_node_directory(&node, home.name, home.self.incarnation + newer, state);
 	caller_end(&c, 502, "unknown", NULL);
 	g_assert_cmpuint(id.seq, >, 0);
@@ -336,11 +338,11 @@
 static void test_body_too_large(void)
 {
 	static const char *const heads[] = {
-		"POST / HTTP/1.1\r\nHost: sightings.example\r\nContent-Length: 100000\r\n\r\n",
+		"POST / HTTP/1.1\r\nHost: sightings.example\r\nContent-Length: 4194304\r\n\r\n",
 		"POST / HTTP/1.1\r\nHost: sightings.example\r\nTransfer-Encoding: chunked\r\n\r\n"
-		"186a0\r\n",
+		"400000\r\n",
 	};
-	g_autofree char *body = g_strnfill(100000, 'x');
+	g_autofree char *body = g_strnfill(BODY_BYTES, 'x');
 
 	start();
 	for (size_t i = 0; i < G_N_ELEMENTS(heads); i++) {
@@ -348,7 +350,7 @@
 		g_autofree char *answer = NULL;
 
 		send_all(fd, heads[i], strlen(heads[i]));
-		send_all(fd, body, strlen(body));
+		send_all(fd, body, BODY_BYTES);
 		if (i)
 			send_all(fd, "\r\n0\r\n\r\n", 7);
 		answer = read_all(fd);
--- /dev/null
+++ b/test/loop_test.c
@@ -0,0 +1,235 @@
+/* The event loop: timers, posted calls, descriptors. */
+#include "kernel/loop.h"
+
+#include <glib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define THREADS 4
+#define POSTS 2000
+
+static void start(struct loop **l)
+{
+	*l = loop_new("test");
+	g_assert_cmpint(loop_start(*l), ==, 0);
+}
+
+static void stop(struct loop *l)
+{
+	loop_stop(l);
+	loop_free(l);
+}
+
+struct poster {
+	struct loop *loop;
+	u32 sent;
+	u32 next; /* on the loop's thread */
+	u32 out_of_order;
+};
+
+struct post {
+	struct poster *from;
+	u32 n;
+};
+
+static void take_post(void *arg)
+{
+	struct post *p = arg;
+
+	p->from->out_of_order += p->n != p->from->next;
+	p->from->next = p->n + 1;
+	g_free(p);
+}
+
+static gpointer post_main(gpointer arg)
+{
+	struct poster *from = arg;
+
+	for (u32 i = 0; i < POSTS; i++) {
+		struct post *p = g_new0(struct post, 1);
+
+		p->from = from;
+		p->n = i;
+		loop_post(from->loop, take_post, p);
+	}
+	return NULL;
+}
+
+/* Posts of one thread come in order and none is lost, also when the loop stops right after. */
+static void test_posts(void)
+{
+	struct poster posters[THREADS] = { 0 };
+	GThread *threads[THREADS];
+	struct loop *l;
+
+	start(&l);
+	for (u32 i = 0; i < THREADS; i++) {
+		posters[i].loop = l;
+		threads[i] = g_thread_new("poster", post_main, &posters[i]);
+	}
+	for (u32 i = 0; i < THREADS; i++)
+		g_thread_join(threads[i]);
+	stop(l);
+	for (u32 i = 0; i < THREADS; i++) {
+		g_assert_cmpuint(posters[i].next, ==, POSTS);
+		g_assert_cmpuint(posters[i].out_of_order, ==, 0);
+	}
+}
+
+struct chain {
+	struct loop *loop;
+	u32 left;
+};
+
+static void post_next(void *arg)
+{
+	struct chain *c = arg;
+
+	if (c->left && --c->left)
+		loop_post(c->loop, post_next, c);
+}
+
+/* A post made by the last posts before the stop still runs: links are freed that way. */
+static void test_posts_of_posts(void)
+{
+	struct chain c = { .left = 5 };
+
+	start(&c.loop);
+	loop_post(c.loop, post_next, &c);
+	stop(c.loop);
+	g_assert_cmpuint(c.left, ==, 0);
+}
+
+struct timers {
+	struct loop *loop;
+	struct loop_timer t[4];
+	GString *fired;
+	gint count;
+};
+
+static void fire(struct timers *s, char name)
+{
+	g_string_append_c(s->fired, name);
+	g_atomic_int_inc(&s->count);
+}
+
+/* The first one moves the second behind the third, and cancels the fourth. */
+static void fire_a(void *arg, u64 now_us)
+{
+	struct timers *s = arg;
+
+	fire(s, 'a');
+	loop_timer_set(s->loop, &s->t[1], now_us + 40 * US_PER_MS);
+	loop_timer_cancel(s->loop, &s->t[3]);
+}
+
+static void fire_b(void *arg, u64 now_us)
+{
+	(void)now_us;
+	fire(arg, 'b');
+}
+
+static void fire_c(void *arg, u64 now_us)
+{
+	(void)now_us;
+	fire(arg, 'c');
+}
+
+static void fire_d(void *arg, u64 now_us)
+{
+	(void)now_us;
+	fire(arg, 'd');
+}
+
+static void set_timers(void *arg)
+{
+	struct timers *s = arg;
+	u64 now = loop_clock_us();
+	/* All are due when the loop looks: the handlers change the others meanwhile. */
+	u64 due[] = { now - 4, now - 3, now - 2, now - 1 };
+	void (*handlers[])(void *arg, u64 now_us) = { fire_a, fire_b, fire_c, fire_d };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(s->t); i++) {
+		s->t[i] = (struct loop_timer){ .fire = handlers[i], .arg = s };
+		loop_timer_set(s->loop, &s->t[i], due[i]);
+	}
+}
+
+static void test_timers(void)
+{
+	struct timers s = { .fired = g_string_new(NULL) };
+
+	start(&s.loop);
+	loop_call(s.loop, set_timers, &s);
+	for (u32 i = 0; i < 10000 && g_atomic_int_get(&s.count) < 3; i++)
+		g_usleep(US_PER_MS);
+	stop(s.loop);
+	g_assert_cmpstr(s.fired->str, ==, "acb");
+	g_string_free(s.fired, TRUE);
+}
+
+struct pair {
+	struct loop *loop;
+	struct loop_fd fds[2];
+	int others[2];
+	gint ready;
+};
+
+/* Whichever comes first removes the other, whose event may be collected already. */
+static void on_ready(void *arg, u32 events)
+{
+	struct pair *p = arg;
+
+	(void)events;
+	g_atomic_int_inc(&p->ready);
+	for (u32 i = 0; i < 2; i++)
+		loop_fd_remove(p->loop, &p->fds[i]);
+	/* A handler that runs for freed memory would see this. */
+	memset(p->fds, 0xff, sizeof(p->fds));
+}
+
+static void add_both(void *arg)
+{
+	struct pair *p = arg;
+
+	for (u32 i = 0; i < 2; i++) {
+		int ends[2];
+
+		g_assert_cmpint(socketpair(AF_UNIX, SOCK_STREAM, 0, ends), ==, 0);
+		p->others[i] = ends[1];
+		p->fds[i] = (struct loop_fd){ .ready = on_ready, .arg = p, .fd = ends[0] };
+		g_assert_cmpint(write(ends[1], "x", 1), ==, 1);
+		g_assert_cmpint(loop_fd_add(p->loop, &p->fds[i], EPOLLIN), ==, 0);
+	}
+}
+
+static void nothing(void *arg)
+{
+	(void)arg;
+}
+
+static void test_removed_descriptor(void)
+{
+	struct pair p = { 0 };
+
+	start(&p.loop);
+	loop_call(p.loop, add_both, &p);
+	for (u32 i = 0; i < 3; i++)
+		loop_call(p.loop, nothing, NULL);
+	stop(p.loop);
+	g_assert_cmpint(p.ready, ==, 1);
+	for (u32 i = 0; i < 2; i++)
+		close(p.others[i]);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/loop/posts", test_posts);
+	g_test_add_func("/loop/posts-of-posts", test_posts_of_posts);
+	g_test_add_func("/loop/timers", test_timers);
+	g_test_add_func("/loop/removed-descriptor", test_removed_descriptor);
+	return g_test_run();
+}
