--- a/test/fakes/fake_node.c
+++ b/test/fakes/fake_node.c
@@ -94,11 +94,12 @@
 	static u64 version;
 	struct directory_request d = { .node = f->node };
 
+	version++;
 	d.entry = (struct dir_entry){ .node = (char *)name,
 				      .zone = (char *)"z",
 				      .region = (char *)"r",
 				      .incarnation = incarnation,
-				      .version = ++version,
+				      .version = version,
 				      .state = state,
 				      .service = (char *)"sightings",
 				      .slots = 100,
