--- a/control/control.c
+++ b/control/control.c
@@ -82,11 +82,14 @@
 {
 	const struct control_settings *s = &c->settings->control;
 
-	c->listener = link_listen(c->loop, &c->self, s->address, s->peer_port, &accepted_ops, c);
+	const char *host = s->peer_listen.port ? s->peer_listen.host : s->address;
+	u16 port = s->peer_listen.port ? s->peer_listen.port : s->peer_port;
+
+	c->listener = link_listen(c->loop, &c->self, host, port, &accepted_ops, c);
 	if (c->listener)
 		return 0;
-	log_event(LOG_ERROR, "cannot listen; is the port in use?", "address", s->address,
-		  "peer_port", log_u64(s->peer_port), NULL);
+	log_event(LOG_ERROR, "cannot listen; is the port in use?", "address", host, "peer_port",
+		  log_u64(port), NULL);
 	return ERR_IO;
 }
 
--- a/lib/settings.c
+++ b/lib/settings.c
@@ -154,12 +154,18 @@
 	l->s->node.peer_port = port(l, v);
 }
 
-static void set_peer_listen(struct loader *l, const char *v)
+static void set_node_peer_listen(struct loader *l, const char *v)
 {
 	if (endpoint_parse(&l->s->node.peer_listen, v))
 		complain(l, "not an ADDRESS:PORT", v);
 }
 
+static void set_control_peer_listen(struct loader *l, const char *v)
+{
+	if (endpoint_parse(&l->s->control.peer_listen, v))
+		complain(l, "not an ADDRESS:PORT", v);
+}
+
 static void set_local_port(struct loader *l, const char *v)
 {
 	l->s->node.local_port = port(l, v);
@@ -346,7 +352,7 @@
 	{ "node", "region", set_node_region },
 	{ "node", "caller_port", set_caller_port },
 	{ "node", "peer_port", set_node_peer_port },
-	{ "node", "peer_listen", set_peer_listen },
+	{ "node", "peer_listen", set_node_peer_listen },
 	{ "node", "local_port", set_local_port },
 	{ "node", "control", set_node_control },
 	{ "node", "probe_budget_per_s", set_probes },
@@ -360,6 +366,7 @@
 	{ "control", "data", set_data },
 	{ "control", "api_port", set_api_port },
 	{ "control", "peer_port", set_control_peer_port },
+	{ "control", "peer_listen", set_control_peer_listen },
 	{ "control", "members", set_members },
 	{ "log", "level", set_level },
 	{ "log", "format", set_format },
--- a/lib/settings.h
+++ b/lib/settings.h
@@ -49,6 +49,7 @@
 	char *data;
 	u16 api_port;
 	u16 peer_port;
+	struct endpoint peer_listen; /* port 0: listen on address and peer_port */
 	GArray *members; /* of struct member_setting */
 };
 
--- a/node/caller.c
+++ b/node/caller.c
@@ -128,17 +128,6 @@
 	return __atomic_load_n(&n->is_stopping, __ATOMIC_ACQUIRE);
 }
 
-/*
- * A call that may not be repeated goes on when its caller only closed its
- * side: it is wanted, and a cancellation would leave its outcome unknown.
- */
-static bool has_left(const struct entry_call *call)
-{
-	int state = http_client_state(call->conn);
-
-	return state == HTTP_CLIENT_GONE || (state == HTTP_CLIENT_SENT_ALL && call->is_idempotent);
-}
-
 /* One line a call, for looking into a single call; never at level info. */
 static void log_call(const struct entry_call *call, u64 time_us)
 {
@@ -153,6 +142,17 @@
 		  call->answer ? "" : ctr_name(call->reason), "time_us", log_u64(time_us), NULL);
 }
 
+/*
+ * A call that may not be repeated goes on when its caller only closed its
+ * side: it is wanted, and a cancellation would leave its outcome unknown.
+ */
+static bool has_left(const struct entry_call *call)
+{
+	int state = http_client_state(call->conn);
+
+	return state == HTTP_CLIENT_GONE || (state == HTTP_CLIENT_SENT_ALL && call->is_idempotent);
+}
+
 static int answer_call(struct node *n, struct mg_connection *conn, struct entry_call *call)
 {
 	u64 start_us = loop_clock_us();
--- a/test/control_test.sh
+++ b/test/control_test.sh
@@ -151,6 +151,8 @@
 	DATA=$dir/data tools/mesh-settings "$dir" breizh "$BASE" breizh-rennes breizh-brest breizh-vannes 5
 	for i in 1 2 3; do
 		routes="$routes $(($(peer_port "$i") + 500)):$(peer_port "$i")"
+		sed -i "s/^peer_port=$(peer_port "$i")$/peer_port=$(($(peer_port "$i") + 500))/" "$dir/control$i.ini"
+		echo "peer_listen=127.0.0.1:$(peer_port "$i")" >>"$dir/control$i.ini"
 		sed -i "/^members=\|^control=/s/127.0.0.1:$(peer_port "$i")/127.0.0.1:$(($(peer_port "$i") + 500))/" "$dir"/*.ini
 	done
 	# shellcheck disable=SC2086
--- a/test/programs/partition.c
+++ b/test/programs/partition.c
@@ -52,6 +52,7 @@
 
 static struct {
 	int fd;
+	u32 listen;
 	u32 target;
 } routes[ROUTES_MAX];
 static int nroutes;
@@ -131,6 +132,15 @@
 	pairs[i] = pairs[--npairs];
 }
 
+/* A process that is reached through a route is known by the port that it listens on. */
+static u32 own_port(u32 announced)
+{
+	for (int i = 0; i < nroutes; i++)
+		if (routes[i].listen == announced)
+			return routes[i].target;
+	return announced;
+}
+
 /* The HELLO holds the dialling process's name, ADDRESS:PORT. */
 static void learn_port(struct half *h)
 {
@@ -143,7 +153,7 @@
 	at += strlen(HOST) + 1;
 	left = (size_t)(h->buf + h->len - at);
 	memcpy(digits, at, left < 5 ? left : 5);
-	h->port = (u32)strtoul(digits, NULL, 10);
+	h->port = own_port((u32)strtoul(digits, NULL, 10));
 }
 
 static void fill(struct half *h)
@@ -253,7 +263,8 @@
 	for (int i = 2; i < argc; i++) {
 		const char *target = strchr(argv[i], ':');
 
-		routes[nroutes].fd = listen_on(port_of(argv[i]));
+		routes[nroutes].listen = port_of(argv[i]);
+		routes[nroutes].fd = listen_on(routes[nroutes].listen);
 		routes[nroutes++].target = target ? port_of(target + 1) : 0;
 	}
 	for (;;) {
