--- /dev/null
+++ b/bench/control_bench.c
@@ -0,0 +1,184 @@
+/*
+ * control_bench - the control side of many nodes from one process
+ *
+ * control_bench NODES SECONDS PORT...
+ *
+ * Opens NODES links to the control processes at 127.0.0.1:PORT, in turn;
+ * each one registers, renews once a second and applies configurations at
+ * once. Prints "revision R WALL_US" when all links have R, and at the end the
+ * frames and bytes of all links, without PING and PONG, and its own processor time.
+ */
+#include "kernel/link.h"
+#include "wire/ctl.h"
+#include "wire/dir_entry.h"
+
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/resource.h>
+#include <time.h>
+#include <unistd.h>
+
+#define SETTLE_S 8
+#define FIRST_PORT 40000
+
+struct bench_node {
+	struct link_id self;
+	struct link *link;
+	struct loop_timer renew;
+	u64 revision;
+};
+
+static struct loop *loop;
+static struct bench_node *nodes;
+static u32 count;
+static u64 told; /* highest revision printed */
+static bool is_counting;
+static u64 frames_in, bytes_in, frames_out, bytes_out, lost;
+
+static void send_frame(struct bench_node *n, struct frame_out *f)
+{
+	size_t len = frame_end(f);
+
+	if (is_counting) {
+		frames_out++;
+		bytes_out += len;
+	}
+	link_send(n->link, f);
+}
+
+static void send_renew(struct bench_node *n)
+{
+	FRAME_AUTO(f, CTL_RENEW);
+
+	frame_put_u64(&f, n->revision);
+	send_frame(n, &f);
+}
+
+static void on_renew(void *arg, u64 now_us)
+{
+	struct bench_node *n = arg;
+
+	send_renew(n);
+	loop_timer_set(loop, &n->renew, now_us + CTL_RENEW_INTERVAL_US);
+}
+
+static void on_up(struct link *k)
+{
+	struct bench_node *n = k->arg;
+	struct dir_entry e = { .node = n->self.name,
+			       .zone = n->self.zone,
+			       .region = n->self.region,
+			       .incarnation = n->self.incarnation,
+			       .version = 1,
+			       .state = DIR_UP,
+			       .service = (char *)"sightings",
+			       .slots = 12,
+			       .connections = 200 };
+	FRAME_AUTO(reg, CTL_REGISTER);
+	FRAME_AUTO(watch, CTL_WATCH);
+
+	dir_entry_put(&reg, &e);
+	send_frame(n, &reg);
+	frame_put_u64(&watch, 0);
+	send_frame(n, &watch);
+	n->renew = (struct loop_timer){ .fire = on_renew, .arg = n };
+	loop_timer_set(loop, &n->renew, loop_clock_us() + g_random_int_range(0, US_PER_S));
+}
+
+static u64 wall_us(void)
+{
+	struct timespec t;
+
+	clock_gettime(CLOCK_REALTIME, &t);
+	return (u64)t.tv_sec * US_PER_S + (u64)t.tv_nsec / 1000;
+}
+
+static void tell_revision(void)
+{
+	u64 lowest = UINT64_MAX;
+
+	for (u32 i = 0; i < count; i++)
+		lowest = MIN(lowest, nodes[i].revision);
+	if (lowest <= told)
+		return;
+	told = lowest;
+	printf("revision %llu %llu\n", (unsigned long long)told, (unsigned long long)wall_us());
+	fflush(stdout);
+}
+
+static int on_frame(struct link *k, u32 type, struct frame_in *in)
+{
+	struct bench_node *n = k->arg;
+
+	if (is_counting) {
+		frames_in++;
+		bytes_in += in->len + FRAME_HEADER_BYTES;
+	}
+	if (type != CTL_CONFIG)
+		return 0;
+	n->revision = frame_get_u64(in);
+	send_renew(n);
+	tell_revision();
+	return 0;
+}
+
+static void on_down(struct link *k, int err)
+{
+	(void)k;
+	(void)err;
+	lost++;
+}
+
+static const struct link_ops ops = { .up = on_up, .frame = on_frame, .down = on_down };
+
+static void node_start(struct bench_node *n, u32 i, u16 port)
+{
+	n->self = (struct link_id){ .cluster = (char *)"breizh",
+				    .role = LINK_NODE,
+				    .name = g_strdup_printf("127.0.0.1:%u", FIRST_PORT + i),
+				    .zone = (char *)"breizh-brest",
+				    .region = (char *)"breizh",
+				    .incarnation = wall_us() };
+	n->link = link_dial(loop, &n->self, "127.0.0.1", port, &ops, n);
+}
+
+static u64 cpu_us(void)
+{
+	struct rusage u;
+
+	getrusage(RUSAGE_SELF, &u);
+	return (u64)(u.ru_utime.tv_sec + u.ru_stime.tv_sec) * US_PER_S +
+	       (u64)(u.ru_utime.tv_usec + u.ru_stime.tv_usec);
+}
+
+int main(int argc, char **argv)
+{
+	u32 seconds;
+	u64 cpu;
+
+	if (argc < 4) {
+		fprintf(stderr, "usage: control_bench NODES SECONDS PORT...\n");
+		return 2;
+	}
+	count = (u32)strtoul(argv[1], NULL, 10);
+	seconds = (u32)strtoul(argv[2], NULL, 10);
+	nodes = g_new0(struct bench_node, count);
+	loop = loop_new("bench");
+	for (u32 i = 0; i < count; i++)
+		node_start(&nodes[i], i, (u16)strtoul(argv[3 + i % (u32)(argc - 3)], NULL, 10));
+	loop_start(loop);
+	sleep(SETTLE_S);
+	cpu = cpu_us();
+	is_counting = true;
+	printf("counting\n");
+	fflush(stdout);
+	sleep(seconds);
+	is_counting = false;
+	printf("nodes %u seconds %u frames_in %llu bytes_in %llu frames_out %llu bytes_out %llu "
+	       "cpu_us %llu lost %llu\n",
+	       count, seconds, (unsigned long long)frames_in, (unsigned long long)bytes_in,
+	       (unsigned long long)frames_out, (unsigned long long)bytes_out,
+	       (unsigned long long)(cpu_us() - cpu), (unsigned long long)lost);
+	return 0;
+}
--- a/test/programs/relay.c
+++ b/test/programs/relay.c
@@ -111,8 +111,10 @@
 
 	if (in < 0 || out < 0 || npairs == PAIRS_MAX ||
 	    connect(out, (struct sockaddr *)&a, sizeof(a))) {
-		close(in);
-		close(out);
+		if (in >= 0)
+			close(in);
+		if (out >= 0)
+			close(out);
 		return;
 	}
 	pairs[npairs].a = half_new(in, 0);
