--- /dev/null
+++ b/bench/path_bench.sh
@@ -0,0 +1,50 @@
+#!/bin/bash
+# path_bench - the time that the path adds to a call, and what a node costs
+# Real processes on loopback: 3 control, 3 nodes, one stand-in upstream beside node 2.
+# Ways in turn: direct, by its own node (2), by another node (1; one peer hop).
+# BASE is the first port, ROUNDS the calls a way and connection.
+set -u
+cd "$(dirname "$0")/.." || exit 1
+. test/mesh.sh
+rounds=${ROUNDS:-5000}
+mesh_begin "${BASE:-26000}" 3
+
+cpu_ms() { # of process $1
+	local f
+	f=$(sed 's/.*) //' "/proc/$1/stat")
+	set -- $f
+	echo $(((${12} + ${13}) * 1000 / $(getconf CLK_TCK)))
+}
+rss_kb() { sed -n 's/^VmRSS:[^0-9]*\([0-9]*\).*/\1/p' "/proc/$1/status"; }
+threads() { sed -n 's/^Threads:[^0-9]*//p' "/proc/$1/status"; }
+answers() { curl -s -m 5 -o "$dir/answer" -w '%{http_code}' -H 'Host: sightings' \
+	"http://127.0.0.1:$(caller_port "$1")/species/x" | grep -q 200; }
+
+for i in 1 2 3; do start_control $i; done
+for j in 1 2 3; do start_node $j; done
+start_upstream 2 sightings -d 0
+wait_for "a leader" has_leader || exit 1
+wait_for "an upstream" has_upstreams 1 || exit 1
+./lavenderlead apply -f examples/breizh/services/sightings.json --control "$control" || exit 1
+for j in 1 2; do wait_for "an answer by node $j" answers $j || exit 1; done
+
+echo "idle: a node's processor time in 5 s, memory, threads"
+before=$(cpu_ms "${pid[node3]}")
+sleep 5
+echo "node3 cpu_ms $(($(cpu_ms "${pid[node3]}") - before)) rss_kb $(rss_kb "${pid[node3]}")" \
+	"threads $(threads "${pid[node3]}")"
+for connections in 1 8; do
+	n=$((rounds / connections))
+	entry=$(cpu_ms "${pid[node1]}")
+	home=$(cpu_ms "${pid[node2]}")
+	echo "ways: direct, own node, other node; $connections connections"
+	timeout "${LIMIT_S:-40}" build/bench/path_load -n $n -c $connections -H sightings \
+		$((base + 502)) "$(caller_port 2)" "$(caller_port 1)"
+	calls=$(((n + 200) * connections))
+	entry=$(($(cpu_ms "${pid[node1]}") - entry))
+	home=$(($(cpu_ms "${pid[node2]}") - home))
+	echo "entry node: $calls calls cpu_ms $entry, per 1000 calls $((entry * 1000 / calls))" \
+		"rss_kb $(rss_kb "${pid[node1]}")"
+	echo "home node: $((2 * calls)) calls cpu_ms $home, per 1000 calls" \
+		"$((home * 1000 / (2 * calls))) rss_kb $(rss_kb "${pid[node2]}")"
+done
--- /dev/null
+++ b/bench/path_load.c
@@ -0,0 +1,211 @@
+/*
+ * path_load - the time of a call over several ways, taken in turn
+ *
+ * path_load -n ROUNDS -c CONNECTIONS -H HOST PORT...
+ *
+ * Each connection calls the ports in turn, one call at a time, so that a
+ * disturbance of the machine meets all ways alike. The first port is the direct
+ * way. Prints p50, p99 and what they are over those of the direct way.
+ */
+#include "lib/types.h"
+
+#include <arpa/inet.h>
+#include <glib.h>
+#include <netinet/tcp.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <time.h>
+#include <unistd.h>
+
+#define WAYS_MAX 4
+#define CONNECTIONS_MAX 64
+#define REPLY_MAX_BYTES 16384
+#define WARM_UP 200
+
+static u32 rounds = 5000;
+static u32 connections = 1;
+static const char *host = "sightings";
+static u16 ports[WAYS_MAX];
+static u32 nways;
+
+struct worker {
+	pthread_t thread;
+	GArray *took[WAYS_MAX]; /* of u32, microseconds */
+	u32 failed;
+};
+
+static u64 now_us(void)
+{
+	struct timespec t;
+
+	clock_gettime(CLOCK_MONOTONIC, &t);
+	return (u64)t.tv_sec * US_PER_S + (u64)t.tv_nsec / 1000;
+}
+
+static int dial(u16 port)
+{
+	struct sockaddr_in at = { .sin_family = AF_INET, .sin_port = htons(port) };
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	int one = 1;
+
+	at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	if (fd < 0)
+		return -1;
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	if (!connect(fd, (struct sockaddr *)&at, sizeof(at)))
+		return fd;
+	close(fd);
+	return -1;
+}
+
+/* The bytes of the whole reply, or 0 while more must come. */
+static size_t reply_len(const char *buf)
+{
+	const char *end = strstr(buf, "\r\n\r\n");
+	const char *length = strcasestr(buf, "\r\nContent-Length:");
+
+	if (!end || !length || length > end)
+		return 0;
+	return (size_t)(end - buf) + 4 + strtoul(length + 17, NULL, 10);
+}
+
+static bool call(int fd, const char *request)
+{
+	char buf[REPLY_MAX_BYTES + 1];
+	size_t have = 0;
+
+	if (write(fd, request, strlen(request)) != (ssize_t)strlen(request))
+		return false;
+	for (;;) {
+		ssize_t n = read(fd, buf + have, REPLY_MAX_BYTES - have);
+		size_t whole;
+
+		if (n <= 0)
+			return false;
+		have += (size_t)n;
+		buf[have] = 0;
+		whole = reply_len(buf);
+		if (whole && have >= whole)
+			return !strncmp(buf, "HTTP/1.1 200", 12);
+		if (have == REPLY_MAX_BYTES)
+			return false;
+	}
+}
+
+static void measure(struct worker *w, u32 way, int *fd, const char *request, bool is_counted)
+{
+	u64 start = now_us();
+	u32 took;
+
+	if (*fd < 0)
+		*fd = dial(ports[way]);
+	if (*fd < 0 || !call(*fd, request)) {
+		w->failed++;
+		if (*fd >= 0)
+			close(*fd);
+		*fd = -1;
+		return;
+	}
+	took = (u32)(now_us() - start);
+	if (is_counted)
+		g_array_append_val(w->took[way], took);
+}
+
+static void *work(void *arg)
+{
+	struct worker *w = arg;
+	int fds[WAYS_MAX] = { -1, -1, -1, -1 };
+	g_autofree char *request =
+		g_strdup_printf("GET /species/hoopoe HTTP/1.1\r\nHost: %s\r\n\r\n", host);
+
+	for (u32 i = 0; i < rounds + WARM_UP; i++)
+		for (u32 way = 0; way < nways; way++)
+			measure(w, way, &fds[way], request, i >= WARM_UP);
+	for (u32 way = 0; way < nways; way++)
+		if (fds[way] >= 0)
+			close(fds[way]);
+	return NULL;
+}
+
+static gint by_value(gconstpointer a, gconstpointer b)
+{
+	u32 x = *(const u32 *)a;
+	u32 y = *(const u32 *)b;
+
+	return x < y ? -1 : x > y;
+}
+
+static u32 percentile(const GArray *a, u32 percent)
+{
+	return a->len ? g_array_index(a, u32, (u64)a->len * percent / 100) : 0;
+}
+
+static void report(struct worker *workers)
+{
+	u32 base50 = 0;
+	u32 base99 = 0;
+	u32 failed = 0;
+
+	for (u32 i = 0; i < connections; i++)
+		failed += workers[i].failed;
+	for (u32 way = 0; way < nways; way++) {
+		GArray *all = workers[0].took[way];
+
+		for (u32 i = 1; i < connections; i++)
+			g_array_append_vals(all, workers[i].took[way]->data,
+					    workers[i].took[way]->len);
+		g_array_sort(all, by_value);
+		if (!way) {
+			base50 = percentile(all, 50);
+			base99 = percentile(all, 99);
+		}
+		printf("port %u connections %u calls %u p50_us %u p99_us %u added_p50_us %d "
+		       "added_p99_us %d\n",
+		       ports[way], connections, all->len, percentile(all, 50), percentile(all, 99),
+		       (int)percentile(all, 50) - (int)base50,
+		       (int)percentile(all, 99) - (int)base99);
+	}
+	printf("failed %u\n", failed);
+}
+
+static int parse(int argc, char **argv)
+{
+	int c;
+
+	while ((c = getopt(argc, argv, "n:c:H:")) != -1) {
+		if (c == 'n')
+			rounds = (u32)atoi(optarg);
+		else if (c == 'c')
+			connections = (u32)atoi(optarg);
+		else if (c == 'H')
+			host = optarg;
+		else
+			return -1;
+	}
+	while (optind < argc && nways < WAYS_MAX)
+		ports[nways++] = (u16)atoi(argv[optind++]);
+	return nways && connections && connections <= CONNECTIONS_MAX ? 0 : -1;
+}
+
+int main(int argc, char **argv)
+{
+	struct worker workers[CONNECTIONS_MAX] = { 0 };
+
+	if (parse(argc, argv)) {
+		fprintf(stderr,
+			"usage: path_load [-n ROUNDS] [-c CONNECTIONS] [-H HOST] PORT...\n");
+		return 2;
+	}
+	for (u32 i = 0; i < connections; i++) {
+		for (u32 way = 0; way < nways; way++)
+			workers[i].took[way] = g_array_new(FALSE, FALSE, sizeof(u32));
+		pthread_create(&workers[i].thread, NULL, work, &workers[i]);
+	}
+	for (u32 i = 0; i < connections; i++)
+		pthread_join(workers[i].thread, NULL);
+	report(workers);
+	return 0;
+}
