--- a/lib/http_server.c
+++ b/lib/http_server.c
@@ -6,7 +6,6 @@
 
 #include <arpa/inet.h>
 #include <civetweb.h>
-#include <dirent.h>
 #include <jansson.h>
 #include <poll.h>
 #include <stdio.h>
@@ -130,16 +129,13 @@
 /* The library does not tell the descriptor, so it is found by the addresses of its ends. */
 static int find_socket(const struct mg_request_info *ri)
 {
-	DIR *dir = opendir("/proc/self/fd");
-	const struct dirent *e;
-	int found = -1;
-
-	while (dir && found < 0 && (e = readdir(dir)))
-		if (is_socket_of(atoi(e->d_name), ri))
-			found = atoi(e->d_name);
-	if (dir)
-		closedir(dir);
-	return found;
+	g_autoptr(GDir) dir = g_dir_open("/proc/self/fd", 0, NULL);
+	const char *name;
+
+	while (dir && (name = g_dir_read_name(dir)))
+		if (is_socket_of(atoi(name), ri))
+			return atoi(name);
+	return -1;
 }
 
 int http_client_state(struct mg_connection *conn)
