Control measurements; the process test takes free ports

Two runs of the test at once met on the same ports and one talked to the other's processes (stale 200, change id used, cut that did not hold). The relay's command port now decides who has a port range; a run takes the next.

--- a/test/control_test.sh
+++ b/test/control_test.sh
@@ -9,8 +9,6 @@
 dir=$(mktemp -d)
 declare -A pid
 failures=0
-COMMAND=$((BASE + 500))
-all_api=127.0.0.1:$((BASE + 10)),127.0.0.1:$((BASE + 20)),127.0.0.1:$((BASE + 30))
 
 api() { echo "127.0.0.1:$((BASE + 10 * $1))"; }
 peer_port() { echo $((BASE + 10 * $1 + 1)); }
@@ -146,16 +144,29 @@
 }
 trap stop_all EXIT
 
-start_all() {
+# Tries BASE; returns 1 when the ports belong to another run of this test.
+take_ports() {
 	local i routes=
+	COMMAND=$((BASE + 500))
+	all_api=$(api 1),$(api 2),$(api 3)
+	for i in 1 2 3; do routes="$routes $(($(peer_port "$i") + 500)):$(peer_port "$i")"; done
+	# shellcheck disable=SC2086
+	build/test/programs/relay "$COMMAND" $routes >"$dir/relay.log" 2>&1 &
+	pid[relay]=$!
+	sleep 0.5
+	kill -0 "${pid[relay]}" 2>/dev/null
+}
+
+start_all() {
+	local i first=$BASE
+	for i in 0 60 200 260 400; do
+		BASE=$((first + i))
+		take_ports && break
+	done
 	DATA=$dir/data tools/mesh-settings "$dir" breizh "$BASE" breizh-rennes breizh-brest breizh-vannes 5
 	for i in 1 2 3; do
-		routes="$routes $(($(peer_port "$i") + 500)):$(peer_port "$i")"
 		sed -i "/^members=\|^control=/s/127.0.0.1:$(peer_port "$i")/127.0.0.1:$(($(peer_port "$i") + 500))/" "$dir"/*.ini
 	done
-	# shellcheck disable=SC2086
-	build/test/programs/relay "$COMMAND" $routes >"$dir/relay.log" 2>&1 &
-	pid[relay]=$!
 	wait_for relay relay heal
 	for i in 1 2 3; do start_process "control$i"; done
 	for i in 1 2 3 4; do
