--- a/bench/path_load.c
+++ b/bench/path_load.c
@@ -23,7 +23,7 @@
 #define WAYS_MAX 4
 #define CONNECTIONS_MAX 64
 #define REPLY_MAX_BYTES 16384
-#define WARM_UP 200
+#define WARM_UP 20
 
 static u32 rounds = 5000;
 static u32 connections = 1;
--- a/bench/policy_bench.c
+++ b/bench/policy_bench.c
@@ -156,7 +156,7 @@
 	}
 	for (u32 p = FLEET_POLLED; p < POLICIES; p++)
 		printf("%s%s: %.1f probes, %.0f bytes a second and node",
-		       p == FLEET_POLLED ? "\n" : "", policy_names[p],
+		       p == FLEET_POLLED ? "\n" : "; ", policy_names[p],
 		       (double)r[p].probes / 9 / (double)(seconds + 5),
 		       (double)r[p].probe_bytes / 9 / (double)(seconds + 5));
 	printf("; %u retries, %u hedges, %u shed at the source\nslots in use: ",
