control_test: the watch's starting revision is read before the change

Ruled out: the watch itself, the other 13 cases and the counts in the same case were right. The assertion stays as it was.

--- a/test/control_test.sh
+++ b/test/control_test.sh
@@ -372,8 +372,10 @@
 
 # A node that is frozen is behind, and then no longer counted.
 case_in_force() {
-	local watch
-	curl -s -N "http://$(api 1)/v1/watch?from=$(revision_at 1)" >"$dir/watch" &
+	local watch from
+	# Read before the change is made: in the background it may come after it.
+	from=$(revision_at 1)
+	curl -s -N "http://$(api 1)/v1/watch?from=$from" >"$dir/watch" &
 	watch=$!
 	signal STOP node3
 	put 1 frozen 100 >/dev/null
