--- a/bench/control_bench.sh
+++ b/bench/control_bench.sh
@@ -37,10 +37,12 @@
 for i in 1 2 3; do
 	p=$((BASE + 10 * i + 1))
 	routes="$routes $((p + 500)):$p"
+	sed -i "s/^peer_port=$p$/peer_port=$((p + 500))/" "$dir/control$i.ini"
+	echo "peer_listen=127.0.0.1:$p" >>"$dir/control$i.ini"
 	sed -i "/^members=/s/127.0.0.1:$p/127.0.0.1:$((p + 500))/" "$dir"/control*.ini
 done
 # shellcheck disable=SC2086
-build/test/programs/relay $((BASE + 500)) $routes 2>/dev/null &
+build/test/programs/partition $((BASE + 500)) $routes 2>/dev/null &
 pid[relay]=$!
 sleep 0.3
 for i in 1 2 3; do start control$i; done
--- a/node/call_table.c
+++ b/node/call_table.c
@@ -3,21 +3,6 @@
 #include "lib/ctr.h"
 #include "lib/err.h"
 
-static guint id_hash(gconstpointer p)
-{
-	const struct call_id *id = p;
-
-	return (guint)(id->incarnation * 31 + id->seq);
-}
-
-static gboolean id_equal(gconstpointer a, gconstpointer b)
-{
-	const struct call_id *x = a;
-	const struct call_id *y = b;
-
-	return x->incarnation == y->incarnation && x->seq == y->seq;
-}
-
 static void record_free(gpointer p)
 {
 	struct call_record *r = p;
@@ -39,7 +24,7 @@
 
 void call_table_init(struct call_table *t)
 {
-	t->records = g_hash_table_new_full(id_hash, id_equal, NULL, record_free);
+	t->records = g_hash_table_new_full(call_id_hash, call_id_equal, NULL, record_free);
 	t->ended = g_queue_new();
 	t->replied = g_queue_new();
 	t->reply_bytes = 0;
--- /dev/null
+++ b/node/entry_try.c
@@ -0,0 +1,179 @@
+/* Tries of a call at home nodes, and second tries of slow calls. */
+#include "node/entry_impl.h"
+
+#include "node/config.h"
+
+#include <string.h>
+
+/* Head and framing of a call, more than the HTTP server takes in. */
+#define CALL_OVERHEAD_BYTES (64 * 1024)
+
+/* Only whole calls are queued: a link without room counts as one that is not there. */
+static bool has_room(const struct link *k, const struct entry_call *call)
+{
+	return link_queued_bytes(k) + call->msg->body->len + CALL_OVERHEAD_BYTES <
+	       LINK_SEND_QUEUE_MAX_BYTES;
+}
+
+static void note_rtt(struct node *n, const char *home, u64 rtt_us)
+{
+	struct choose_target *target = choose_find(&n->choose, home);
+
+	if (target)
+		target->rtt_us = rtt_us;
+}
+
+void entry_send_to_peer(struct node *n, struct call_try *t, struct link *k)
+{
+	struct entry_call *call = t->call;
+	struct peer_call out = { .id = t->id,
+				 .service = call->service,
+				 .rank = call->rank,
+				 .deadline_us = call->deadline_us,
+				 .revision = config_revision(),
+				 .body_len = call->msg->body->len,
+				 .msg = call->msg };
+	FRAME_AUTO(f, PEER_CALL);
+
+	t->state = TRY_SENT;
+	t->home_incarnation = k->remote.incarnation;
+	note_rtt(n, t->home, k->rtt_us);
+	peer_call_put(&f, &out);
+	/* A link that takes no more bytes goes down, and the fence tells the outcome. */
+	if (!link_send(k, &f))
+		peer_send_body(k, t->id, call->msg->body);
+}
+
+static struct http_msg *copy_request(const struct http_msg *m)
+{
+	struct http_msg *copy = http_new();
+
+	copy->method = g_strdup(m->method);
+	copy->target = g_strdup(m->target);
+	for (guint i = 0; i < m->headers->len; i++) {
+		const struct http_header *h = g_ptr_array_index(m->headers, i);
+
+		http_add_header(copy, h->name, h->value);
+	}
+	g_byte_array_append(copy->body, m->body->data, m->body->len);
+	return copy;
+}
+
+static void send_home(struct node *n, struct call_try *t)
+{
+	struct peer_call call = { .id = t->id,
+				  .service = g_strdup(t->call->service),
+				  .rank = g_strdup(t->call->rank),
+				  .msg = copy_request(t->call->msg) };
+
+	t->state = TRY_SENT;
+	home_call(n, NULL, &call, t->call->deadline_us);
+}
+
+static struct call_try *try_new(struct node *n, struct entry_call *call,
+				struct choose_target *target, u64 now_us)
+{
+	struct call_try *t = g_new0(struct call_try, 1);
+
+	t->id = (struct call_id){ .incarnation = n->self.incarnation, .seq = ++n->entry->seq };
+	t->call = call;
+	t->home = g_strdup(target->entry.node);
+	t->sent_us = now_us;
+	if (call->priv->current)
+		call->priv->hedge = t;
+	else
+		call->priv->current = t;
+	call->last_id = t->id;
+	g_hash_table_insert(n->entry->tries, &t->id.seq, t);
+	choose_sent(target, now_us);
+	return t;
+}
+
+static void no_target(struct node *n, struct entry_call *call)
+{
+	enum ctr reason = call->reason == CTR_CALLS ? CTR_NO_UPSTREAM : call->reason;
+
+	if (reason == CTR_NO_UPSTREAM)
+		ctr_inc(reason);
+	entry_give_up(n, call, reason, true);
+}
+
+/* Nothing was sent, so the next upstream costs no retry. */
+void entry_skip_unreachable(struct node *n, struct entry_call *call, const char *home)
+{
+	struct choose_target *target = choose_find(&n->choose, home);
+
+	if (target)
+		choose_unreachable(target, loop_clock_us());
+	ctr_inc(CTR_PEER_UNREACHABLE);
+	call->reason = CTR_PEER_UNREACHABLE;
+	call->priv->tries--;
+	if (!call->priv->current)
+		entry_attempt(n, call);
+}
+
+static void try_at(struct node *n, struct entry_call *call, struct choose_target *target,
+		   u64 now_us)
+{
+	struct entry_private *p = call->priv;
+	const char *home = target->entry.node;
+	struct link *k;
+
+	p->tries++;
+	g_ptr_array_add(p->tried, g_strdup(home));
+	if (!strcmp(home, n->self.name)) {
+		send_home(n, try_new(n, call, target, now_us));
+		return;
+	}
+	k = mesh_link(n, home);
+	if (k && has_room(k, call))
+		entry_send_to_peer(n, try_new(n, call, target, now_us), k);
+	else if (mesh_is_dialling(n, home))
+		try_new(n, call, target, now_us); /* sent when the link is up */
+	else
+		entry_skip_unreachable(n, call, home);
+}
+
+void entry_attempt(struct node *n, struct entry_call *call)
+{
+	struct entry_private *p = call->priv;
+	u64 now = loop_clock_us();
+	struct choose_target *target =
+		choose_pick(&n->choose, call->service, call->worth, p->tried, now);
+
+	if (target)
+		try_at(n, call, target, now);
+	else
+		no_target(n, call);
+}
+
+/* A slow call is tried a second time elsewhere; the first answer counts. */
+void entry_on_hedge(void *arg, u64 now_us)
+{
+	struct entry_call *call = arg;
+	struct entry_private *p = call->priv;
+	struct node *n = p->node;
+	struct choose_target *target;
+
+	if (!p->current || p->hedge || p->tries >= RETRY_TRIES_MAX)
+		return;
+	target = choose_pick(&n->choose, call->service, call->worth, p->tried, now_us);
+	if (!target)
+		return;
+	if (!hedge_take(&n->entry->hedge)) {
+		ctr_inc(CTR_HEDGE_BUDGET_EMPTY);
+		return;
+	}
+	ctr_inc(CTR_HEDGE);
+	try_at(n, call, target, now_us);
+}
+
+void entry_start_hedge_timer(struct node *n, struct entry_call *call)
+{
+	struct hedge *h = &n->entry->hedge;
+	u64 delay = hedge_delay_us(h, call->service, call->rank);
+
+	hedge_called(h);
+	if (delay)
+		loop_timer_set(n->loop, &call->priv->hedge_timer, loop_clock_us() + delay);
+}
--- a/node/home.c
+++ b/node/home.c
@@ -46,18 +46,6 @@
 
 static struct job poison;
 
-static guint id_hash(gconstpointer p)
-{
-	const struct call_id *id = p;
-
-	return (guint)(id->incarnation * 31 + id->seq);
-}
-
-static gboolean id_equal(gconstpointer a, gconstpointer b)
-{
-	return !memcmp(a, b, sizeof(struct call_id));
-}
-
 static void job_free(struct job *j)
 {
 	http_free(j->msg);
@@ -427,7 +415,7 @@
 	n->home = h;
 	admit_init(&h->admit);
 	call_table_init(&h->table);
-	h->jobs = g_hash_table_new(id_hash, id_equal);
+	h->jobs = g_hash_table_new(call_id_hash, call_id_equal);
 	h->work = g_async_queue_new();
 	h->tick = (struct loop_timer){ .fire = on_tick, .arg = n };
 	loop_timer_set(n->loop, &h->tick, loop_clock_us() + HOME_TICK_US);
--- a/node/mesh.c
+++ b/node/mesh.c
@@ -33,18 +33,6 @@
 	GPtrArray *accepted; /* of struct mesh_peer */
 };
 
-static guint id_hash(gconstpointer p)
-{
-	const struct call_id *id = p;
-
-	return (guint)(id->incarnation * 31 + id->seq);
-}
-
-static gboolean id_equal(gconstpointer a, gconstpointer b)
-{
-	return !memcmp(a, b, sizeof(struct call_id));
-}
-
 static void partial_free(gpointer arg)
 {
 	struct partial *p = arg;
@@ -56,7 +44,7 @@
 
 static GHashTable *partials_new(void)
 {
-	return g_hash_table_new_full(id_hash, id_equal, NULL, partial_free);
+	return g_hash_table_new_full(call_id_hash, call_id_equal, NULL, partial_free);
 }
 
 /* Hands a whole call or reply on. */
--- a/node/node.h
+++ b/node/node.h
@@ -4,7 +4,7 @@
  * All state belongs to the loop's thread. Server threads hand calls over and
  * wait; worker threads carry out calls at the upstream.
  *
- * SOURCE node/node.c (service), node/entry.c (callers' calls), node/caller.c
+ * SOURCE node/node.c (service), node/entry*.c (callers' calls), node/caller.c
  * (callers' HTTP), node/home.c (admission and workers), node/upstream.c (HTTP to
  * the upstream), node/mesh.c (links to other nodes), node/watch.c (link to
  * control), node/local.c (the upstream's announcements)
--- a/wire/peer.c
+++ b/wire/peer.c
@@ -4,6 +4,21 @@
 
 #include <string.h>
 
+guint call_id_hash(gconstpointer p)
+{
+	const struct call_id *id = p;
+
+	return (guint)(id->incarnation * 31 + id->seq);
+}
+
+gboolean call_id_equal(gconstpointer a, gconstpointer b)
+{
+	const struct call_id *x = a;
+	const struct call_id *y = b;
+
+	return x->incarnation == y->incarnation && x->seq == y->seq;
+}
+
 void peer_id_put(struct frame_out *f, struct call_id id)
 {
 	frame_put_u64(f, id.incarnation);
--- a/wire/peer.h
+++ b/wire/peer.h
@@ -43,6 +43,10 @@
 	u64 wait_us; /* expected time in the queue of a new call */
 };
 
+/* call_id_hash, call_id_equal - for hash tables with call ids as keys. */
+guint call_id_hash(gconstpointer id);
+gboolean call_id_equal(gconstpointer a, gconstpointer b);
+
 /* The load of a home node, sent with every reply and refusal. */
 struct peer_load {
 	u32 running;
