--- a/control/raft_replicate.c
+++ b/control/raft_replicate.c
@@ -305,16 +305,25 @@
 		send_lacking(r, pos, now_us);
 }
 
-void raft_on_append_reply(struct raft *r, const struct raft_msg *m, u64 now_us)
+/* Takes an answer that says yes; returns the member's progress when it says no. */
+static struct raft_progress *hear_refusal(struct raft *r, const struct raft_msg *m, u64 now_us)
 {
 	struct raft_progress *p = hear_member(r, m, now_us);
 
 	if (!p || m->index > raft_last_index(r))
+		return NULL;
+	if (!m->is_ok)
+		return p;
+	take_match(r, p, m->index, now_us);
+	return NULL;
+}
+
+void raft_on_append_reply(struct raft *r, const struct raft_msg *m, u64 now_us)
+{
+	struct raft_progress *p = hear_refusal(r, m, now_us);
+
+	if (!p)
 		return;
-	if (m->is_ok) {
-		take_match(r, p, m->index, now_us);
-		return;
-	}
 	p->next = MAX(p->match + 1, MIN(m->index + 1, p->next - 1));
 	p->is_probing = true;
 	send_lacking(r, (u32)(p - r->progress), now_us);
@@ -322,14 +331,10 @@
 
 void raft_on_install_reply(struct raft *r, const struct raft_msg *m, u64 now_us)
 {
-	struct raft_progress *p = hear_member(r, m, now_us);
+	struct raft_progress *p = hear_refusal(r, m, now_us);
 
-	if (!p || m->index > raft_last_index(r))
-		return;
-	if (m->is_ok) {
-		take_match(r, p, m->index, now_us);
+	if (!p)
 		return;
-	}
 	/* An answer for the part sent before, or for another snapshot, moves nothing. */
 	if (m->index != p->install_index || m->offset == p->install_offset)
 		return;
--- a/test/entry_test.c
+++ b/test/entry_test.c
@@ -159,15 +159,21 @@
 	fake_peer_break(&home);
 }
 
+/* As start_broken_call; the link is up again and the fence has come. */
+static void start_fenced_call(struct caller *c, struct call_id *id)
+{
+	start_broken_call(c, id);
+	take_event(PEER_EVENT_UP);
+	take_id(PEER_FENCE, *id);
+}
+
 /* A call whose link broke is asked for by id, and never sent a second time. */
 static void test_fence_not_run(void)
 {
 	struct call_id id;
 	struct caller c;
 
-	start_broken_call(&c, &id);
-	take_event(PEER_EVENT_UP);
-	take_id(PEER_FENCE, id);
+	start_fenced_call(&c, &id);
 	fake_peer_fenced(&home, id, FENCE_NOT_RUN);
 	caller_end(&c, 503, "not-run", NULL);
 	g_assert_null(g_async_queue_try_pop(home.events));
@@ -179,9 +185,7 @@
 	struct call_id id;
 	struct caller c;
 
-	start_broken_call(&c, &id);
-	take_event(PEER_EVENT_UP);
-	take_id(PEER_FENCE, id);
+	start_fenced_call(&c, &id);
 	fake_peer_fenced(&home, id, FENCE_DONE);
 	fake_peer_reply(&home, id, "noted");
 	caller_end(&c, 200, NULL, "noted");
@@ -195,9 +199,7 @@
 	struct call_id id;
 	struct caller c;
 
-	start_broken_call(&c, &id);
-	take_event(PEER_EVENT_UP);
-	take_id(PEER_FENCE, id);
+	start_fenced_call(&c, &id);
 	fake_peer_fenced(&home, id, FENCE_RUNNING);
 	fake_peer_break(&home);
 	take_event(PEER_EVENT_UP);
@@ -213,9 +215,7 @@
 	struct call_id id;
 	struct caller c;
 
-	start_broken_call(&c, &id);
-	take_event(PEER_EVENT_UP);
-	take_id(PEER_FENCE, id);
+	start_fenced_call(&c, &id);
 	fake_peer_fenced(&home, id, FENCE_UNKNOWN);
 	caller_end(&c, 502, "unknown", NULL);
 	stop();
