One clock reader; a function nobody called is gone

wall_clock_us stood in node.c and control.c, a copy of loop_clock_us with another clock: kernel/loop reads both. peers_api_port had no caller.

--- a/control/control.c
+++ b/control/control.c
@@ -6,7 +6,6 @@
 #include "wire/ctl.h"
 
 #include <string.h>
-#include <time.h>
 
 static void on_link_up(struct link *k)
 {
@@ -56,14 +55,6 @@
 	loop_timer_set(c->loop, &c->fresh_timer, now_us + CTL_FRESH_INTERVAL_US);
 }
 
-static u64 wall_clock_us(void)
-{
-	struct timespec now;
-
-	clock_gettime(CLOCK_REALTIME, &now);
-	return (u64)now.tv_sec * US_PER_S + (u64)now.tv_nsec / 1000;
-}
-
 static void set_identity(struct control *c)
 {
 	const struct control_settings *s = &c->settings->control;
@@ -73,7 +64,7 @@
 	c->self.name = g_strdup_printf("%s:%u", s->address, s->peer_port);
 	c->self.zone = g_strdup(s->zone);
 	c->self.region = g_strdup(s->region);
-	c->self.incarnation = wall_clock_us();
+	c->self.incarnation = loop_wall_clock_us();
 	c->self.api_port = s->api_port;
 	c->directory.incarnation = c->self.incarnation;
 }
--- a/control/control.h
+++ b/control/control.h
@@ -67,7 +67,6 @@
 void peers_start(struct control *c);
 void peers_stop(struct control *c);
 struct link *peers_link(struct control *c, u32 id); /* NULL when not up */
-u16 peers_api_port(struct control *c, u32 id);
 void peers_send_raft(struct control *c, u32 to, const struct raft_msg *m);
 void peers_refresh(struct control *c); /* dials members that are new */
 void peers_second(struct control *c, u64 now_us); /* beats and reports */
--- a/control/peers.c
+++ b/control/peers.c
@@ -157,13 +157,6 @@
 	return p ? p->id : 0;
 }
 
-u16 peers_api_port(struct control *c, u32 id)
-{
-	struct link *k = peers_link(c, id);
-
-	return k ? k->remote.api_port : 0;
-}
-
 void peers_send_raft(struct control *c, u32 to, const struct raft_msg *m)
 {
 	struct link *k = peers_link(c, to);
--- a/kernel/loop.c
+++ b/kernel/loop.c
@@ -32,14 +32,24 @@
 	int nevents;
 };
 
-u64 loop_clock_us(void)
+static u64 read_clock_us(clockid_t clock)
 {
 	struct timespec now;
 
-	clock_gettime(CLOCK_MONOTONIC, &now);
+	clock_gettime(clock, &now);
 	return (u64)now.tv_sec * US_PER_S + (u64)now.tv_nsec / 1000;
 }
 
+u64 loop_clock_us(void)
+{
+	return read_clock_us(CLOCK_MONOTONIC);
+}
+
+u64 loop_wall_clock_us(void)
+{
+	return read_clock_us(CLOCK_REALTIME);
+}
+
 static gint timer_cmp(gconstpointer a, gconstpointer b, gpointer unused)
 {
 	const struct loop_timer *x = a;
--- a/kernel/loop.h
+++ b/kernel/loop.h
@@ -29,6 +29,10 @@
 /* loop_clock_us - monotonic time in microseconds; runs on through a stop of the process. */
 u64 loop_clock_us(void);
 
+/* loop_wall_clock_us - microseconds since 1970; grows over restarts, so it serves as incarnation.
+ */
+u64 loop_wall_clock_us(void);
+
 struct loop *loop_new(const char *name);
 int loop_start(struct loop *l);
 
--- a/node/node.c
+++ b/node/node.c
@@ -5,8 +5,6 @@
 #include "lib/log.h"
 #include "node/config.h"
 
-#include <time.h>
-
 #define SHUTDOWN_POLL_US (20 * US_PER_MS)
 #define SHUTDOWN_QUIET_US (300 * US_PER_MS)
 #define SHUTDOWN_QUIET_MAX_US (2 * US_PER_S)
@@ -57,14 +55,6 @@
 	loop_timer_set(n->loop, &n->probe_timer, now_us + PROBE_TICK_US);
 }
 
-static u64 wall_clock_us(void)
-{
-	struct timespec now;
-
-	clock_gettime(CLOCK_REALTIME, &now);
-	return (u64)now.tv_sec * US_PER_S + (u64)now.tv_nsec / 1000;
-}
-
 static void set_identity(struct node *n)
 {
 	const struct node_settings *s = &n->settings->node;
@@ -74,7 +64,7 @@
 	n->self.name = g_strdup_printf("%s:%u", s->address, s->peer_port);
 	n->self.zone = g_strdup(s->zone);
 	n->self.region = g_strdup(s->region);
-	n->self.incarnation = wall_clock_us();
+	n->self.incarnation = loop_wall_clock_us();
 	n->own.node = g_strdup(n->self.name);
 	n->own.zone = g_strdup(s->zone);
 	n->own.region = g_strdup(s->region);
