--- a/kernel/httpd.c
+++ b/kernel/httpd.c
@@ -252,12 +252,22 @@
 		c->since_us = loop_clock_us();
 }
 
+static bool has_ready(const struct httpd_conn *c)
+{
+	const struct httpd_request *r = g_queue_peek_head((GQueue *)&c->requests);
+
+	return r && r->answer && !c->must_close;
+}
+
+/* A request may be answered as it starts, and an answer may let the next one start. */
 static void after_requests(struct httpd_conn *c)
 {
-	if (c->is_dead)
-		return;
-	write_ready(c);
-	start_waiting(c);
+	do {
+		if (!c->is_dead)
+			write_ready(c);
+		if (!c->is_dead && !c->must_close)
+			start_waiting(c);
+	} while (!c->is_dead && has_ready(c));
 	if (!c->is_dead)
 		flush(c);
 }
