--- a/lib/ctr_list.h
+++ b/lib/ctr_list.h
@@ -44,6 +44,8 @@
 CTR(RETRY_IDEMPOTENT, "retry-idempotent", "retries of idempotent calls after an unknown outcome")
 CTR(RETRY_BUDGET_EMPTY, "retry-budget-empty", "retries not made because the budget is used up")
 CTR(HEDGE, "hedge", "second tries of slow idempotent calls")
+CTR(SPEND_EMPTY, "spend-empty", "further sends not made because the bound of all nodes is reached")
+CTR(HEDGE_SLOW, "hedge-slow", "second tries because the first upstream's VM turned slow")
 CTR(HEDGE_BUDGET_EMPTY, "hedge-budget-empty", "second tries not made because the budget is used up")
 CTR(HEDGE_WON, "hedge-won", "hedges that answered first")
 CTR(FENCE_SENT, "fence-sent", "fences sent to home nodes")
@@ -63,6 +65,7 @@
 CTR(PROBE_ANSWERED, "probe-answered", "probes of others answered")
 CTR(PROBE_UNANSWERED, "probe-unanswered",
     "probes of others not answered because the budget is used up")
+CTR(GAUGE_ASKED, "gauge-asked", "questions to the upstream's health path, for its load")
 CTR(PROBE_BYTES, "probe-bytes", "bytes of load probes and their answers")
 /* Links. */
 CTR(LINK_UP, "link-up", "links brought up")
--- a/lib/settings.c
+++ b/lib/settings.c
@@ -282,6 +282,11 @@
 	l->s->node.retry_budget_slack = number(l, v, 0, UINT32_MAX);
 }
 
+static void set_load_asks(struct loader *l, const char *v)
+{
+	l->s->node.load_asks_per_s = number(l, v, 0, PROBES_LIMIT_PER_S);
+}
+
 static void set_retry_window(struct loader *l, const char *v)
 {
 	l->s->node.retry_budget_window_s = number(l, v, 1, UINT32_MAX);
@@ -495,6 +500,7 @@
 	{ "node", "upstream_ttl_ms", set_upstream_ttl },
 	{ "node", "retry_budget_ratio", set_retry_ratio },
 	{ "node", "retry_budget_slack", set_retry_slack },
+	{ "node", "load_asks_per_s", set_load_asks },
 	{ "node", "retry_budget_window_s", set_retry_window },
 	{ "node", "probe_budget_per_s", set_probes },
 	{ "node", "probe_budget_bytes_per_s", set_probe_bytes },
--- a/lib/settings.h
+++ b/lib/settings.h
@@ -47,6 +47,7 @@
 	u64 retry_budget_percent; /* further sends, of a service's requests in the window */
 	u64 retry_budget_slack; /* further sends of all nodes together beyond that */
 	u64 retry_budget_window_s;
+	u64 load_asks_per_s; /* questions to the upstream's health path, at most; 0 for none */
 };
 
 struct control_settings {
--- a/node/choose.c
+++ b/node/choose.c
@@ -285,6 +285,19 @@
 	}
 }
 
+static u64 least_service_us(const struct choose_service *s)
+{
+	u64 least = UINT64_MAX;
+
+	for (guint i = 0; i < s->subset->len; i++) {
+		const struct choose_target *t = g_ptr_array_index(s->subset, i);
+
+		if (t->load_us && t->load.service_us)
+			least = MIN(least, t->load.service_us);
+	}
+	return least == UINT64_MAX ? 0 : least;
+}
+
 struct choose_target *choose_pick(struct choose *c, const char *service, u32 worth,
 				  GPtrArray *exclude, u64 now_us)
 {
@@ -294,6 +307,7 @@
 	if (!s)
 		return NULL;
 	s->used_us = now_us;
+	s->least_us = least_service_us(s);
 	sample(&ch, s->subset, 0, s->nown_zone);
 	sample(&ch, s->subset, s->nown_zone, s->subset->len);
 	if (!ch.best && s->targets->len > s->subset->len)
--- a/node/entry.c
+++ b/node/entry.c
@@ -137,6 +137,7 @@
 	u64 left = call->deadline_us > now ? call->deadline_us - now : 0;
 	struct retry_failure failure = { .is_not_run = is_not_run,
 					 .is_refused_below = reason == CTR_REFUSED_BELOW };
+	enum retry_verdict verdict;
 
 	if (p->has_left)
 		return RETRY_GIVE_UP;
@@ -146,7 +147,11 @@
 	p->sends++;
 	if (p->sends >= entry_sends_max(call))
 		return RETRY_GIVE_UP;
-	return retry_decide(&n->entry->budget, p->sends, failure, call->is_idempotent, left);
+	verdict = retry_decide(&n->entry->budget, p->sends, failure, call->is_idempotent, left);
+	if (verdict != RETRY_AGAIN || spend_take(&n->entry->spend, call->service))
+		return verdict;
+	ctr_inc(CTR_SPEND_EMPTY);
+	return RETRY_NO_BUDGET;
 }
 
 void entry_again_or_give_up(struct node *n, struct entry_call *call, enum ctr reason,
@@ -288,6 +293,7 @@
 	call->priv = p;
 	call->reason = CTR_CALLS;
 	g_hash_table_add(n->entry->calls, call);
+	spend_requested(&n->entry->spend, call->service);
 	loop_timer_set(n->loop, &p->deadline, call->deadline_us);
 	if (is_shed_here(n, call)) {
 		ctr_inc(CTR_SHED_AT_SOURCE);
@@ -325,6 +331,8 @@
 	retry_budget_init(&n->entry->budget);
 	hedge_init(&n->entry->hedge);
 	shed_init(&n->entry->shed);
+	spend_init(&n->entry->spend, n->settings->node.retry_budget_percent,
+		   n->settings->node.retry_budget_slack);
 	return 0;
 }
 
@@ -334,5 +342,6 @@
 	g_hash_table_unref(n->entry->tries);
 	hedge_clear(&n->entry->hedge);
 	shed_clear(&n->entry->shed);
+	spend_clear(&n->entry->spend);
 	g_clear_pointer(&n->entry, g_free);
 }
--- a/node/entry_try.c
+++ b/node/entry_try.c
@@ -8,6 +8,11 @@
 /* Head and framing of a call, more than the HTTP server takes in. */
 #define CALL_OVERHEAD_BYTES (64 * 1024)
 
+/* From this slowness on, calls that wait there are tried elsewhere too. */
+#define SLOW_PERCENT 250
+/* So many times faster the other upstream must look. */
+#define SLOW_GAIN 2
+
 /* Only whole calls are queued: a link without room counts as one that is not there. */
 static bool has_room(const struct link *k, const struct entry_call *call)
 {
@@ -171,6 +176,10 @@
 		ctr_inc(CTR_HEDGE_BUDGET_EMPTY);
 		return;
 	}
+	if (!spend_take(&n->entry->spend, call->service)) {
+		ctr_inc(CTR_SPEND_EMPTY);
+		return;
+	}
 	ctr_inc(CTR_HEDGE);
 	try_at(n, call, target, now_us);
 }
@@ -184,3 +193,54 @@
 	if (delay)
 		loop_timer_set(n->loop, &call->priv->hedge_timer, loop_clock_us() + delay);
 }
+
+/* Calls that wait at HOME for an answer and may be repeated. */
+static GList *repeatable_at(struct node *n, const char *home)
+{
+	GList *out = NULL;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, n->entry->tries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct call_try *t = value;
+
+		if (t->call->is_idempotent && t->state == TRY_SENT && !strcmp(t->home, home))
+			out = g_list_prepend(out, t->call);
+	}
+	return out;
+}
+
+/* The VM that runs the call is slow now: another one may answer first. */
+static void hedge_slow(struct node *n, struct entry_call *call, u64 now_us)
+{
+	struct entry_private *p = call->priv;
+	struct choose_target *at = choose_find(&n->choose, p->current->home);
+	struct choose_target *other;
+
+	if (p->hedge || p->has_left || p->sends + 1 >= entry_sends_max(call))
+		return;
+	other = choose_pick(&n->choose, call->service, call->worth, p->tried, now_us);
+	if (!other || !at || choose_score(other, call->worth, now_us) * SLOW_GAIN >
+				     choose_score(at, call->worth, now_us))
+		return;
+	if (!spend_take(&n->entry->spend, call->service)) {
+		ctr_inc(CTR_SPEND_EMPTY);
+		return;
+	}
+	ctr_inc(CTR_HEDGE_SLOW);
+	try_at(n, call, other, now_us);
+}
+
+void entry_slowness(struct node *n, const char *home)
+{
+	struct choose_target *t = choose_find(&n->choose, home);
+	g_autoptr(GList) calls = NULL;
+	u64 now = loop_clock_us();
+
+	if (!t || t->load.slowness_percent < SLOW_PERCENT)
+		return;
+	calls = repeatable_at(n, home);
+	for (GList *l = calls; l; l = l->next)
+		hedge_slow(n, l->data, now);
+}
--- a/node/home.c
+++ b/node/home.c
@@ -4,6 +4,7 @@
 #include "lib/err.h"
 #include "lib/log.h"
 #include "node/config.h"
+#include "node/gauge.h"
 #include "node/upstream.h"
 
 #include <string.h>
@@ -24,6 +25,7 @@
 	struct call_table table;
 	GHashTable *jobs; /* call id -> struct job, queued or running */
 	struct upstream *upstream;
+	struct gauge *gauge;
 	u64 revision; /* of the ranks in admit */
 	char *ranks_of; /* the service whose ranks are in admit */
 	struct loop_timer leave_timer; /* when the next request leaves the queue unrun */
@@ -40,6 +42,19 @@
 {
 	admit_load(&n->home->admit, load, loop_clock_us());
 	load->is_draining = n->own.state != DIR_UP;
+	load->slowness_percent = gauge_slowness_percent(n->home->gauge);
+}
+
+void home_push_load(struct node *n)
+{
+	struct choose_target *self = choose_find(&n->choose, n->self.name);
+	struct peer_load load;
+
+	home_load(n, &load);
+	if (self)
+		choose_load(self, &load, loop_clock_us());
+	entry_slowness(n, n->self.name);
+	mesh_push_load(n);
 }
 
 u32 home_in_progress(struct node *n)
@@ -185,6 +200,8 @@
 	struct node *n = j->node;
 	enum ctr unrun = call->err ? CTR_COUNT : unrun_answer(n, call->reply);
 
+	if (!call->err)
+		gauge_answer(n->home->gauge, call->reply);
 	admit_done(&n->home->admit, &j->req, is_served(j), loop_clock_us());
 	if (unrun == CTR_OTHER_INSTANCE)
 		lose_upstream(n, unrun);
@@ -319,6 +336,7 @@
 	}
 	j = job_new(n, origin, call, deadline_us);
 	g_hash_table_insert(h->jobs, &j->id, j);
+	gauge_used(h->gauge);
 	err = admit_job(n, j, call, loop_clock_us());
 	peer_call_clear(call);
 	if (err)
@@ -430,6 +448,7 @@
 void home_upstream_changed(struct node *n)
 {
 	upstream_forget(n->home->upstream);
+	gauge_reset(n->home->gauge);
 }
 
 void home_second(struct node *n, u64 now_us)
@@ -452,6 +471,7 @@
 	call_table_init(&h->table);
 	h->jobs = g_hash_table_new(call_id_hash, call_id_equal);
 	h->upstream = upstream_new(n->loop, n->dialect);
+	h->gauge = gauge_new(n);
 	h->leave_timer = (struct loop_timer){ .fire = on_leave, .arg = n };
 	return 0;
 }
@@ -460,6 +480,7 @@
 {
 	struct home *h = n->home;
 
+	gauge_free(h->gauge);
 	upstream_free(h->upstream);
 	loop_timer_cancel(n->loop, &h->leave_timer);
 	admit_clear(&h->admit);
--- a/node/mesh.c
+++ b/node/mesh.c
@@ -172,6 +172,7 @@
 		return ERR_INVAL;
 	if (t)
 		choose_load(t, &load, loop_clock_us());
+	entry_slowness(m->node, m->link->remote.name);
 	return 0;
 }
 
--- a/node/node.c
+++ b/node/node.c
@@ -4,6 +4,7 @@
 #include "lib/err.h"
 #include "lib/log.h"
 #include "node/config.h"
+#include "node/entry_impl.h"
 
 #define SHUTDOWN_POLL_US (20 * US_PER_MS)
 /* Longer than callers take to notice that a node is not ready. */
@@ -32,6 +33,7 @@
 		mesh_goaway(n);
 	}
 	home_second(n, now_us);
+	spend_nodes(&n->entry->spend, g_hash_table_size(n->choose.targets));
 	ctr_add(CTR_PROBE_ALLOWED, n->settings->node.probe_budget_per_s);
 	ctr_add(CTR_PROBE_BYTES_ALLOWED, n->settings->node.probe_budget_bytes_per_s);
 	loop_timer_set(n->loop, &n->second_timer, now_us + US_PER_S);
--- a/node/node.h
+++ b/node/node.h
@@ -24,6 +24,7 @@
 #include "node/retry.h"
 #include "node/shed.h"
 
+struct gauge;
 struct home;
 struct watch;
 struct mesh;
@@ -109,6 +110,8 @@
 void entry_refuse(struct node *n, struct call_id id, enum ctr reason, bool is_not_run,
 		  const struct peer_load *load);
 void entry_fenced(struct node *n, struct call_id id, enum fence_state state);
+/* entry_slowness - the VM of HOME's upstream became slower or faster. */
+void entry_slowness(struct node *n, const char *home);
 void entry_link_up(struct node *n, const char *peer, u64 incarnation);
 void entry_link_down(struct node *n, const char *peer);
 
@@ -140,6 +143,9 @@
 void home_link_down(struct node *n, struct link *origin);
 void home_configure(struct node *n); /* slots, ranks or state changed */
 
+/* home_push_load - the load changed: tell the own choice and the nodes that call here. */
+void home_push_load(struct node *n);
+
 /* home_upstream_changed - another upstream, or another start of it, has the address. */
 void home_upstream_changed(struct node *n);
 void home_second(struct node *n, u64 now_us);
--- a/node/score.c
+++ b/node/score.c
@@ -21,6 +21,8 @@
 #define RAMP_FIRST_PERCENT 10
 /* Own latency counts when it is so many times what the load says. */
 #define LATENCY_DOUBT 2
+/* A silence this many times the expected time speaks against what was told. */
+#define SILENT_DOUBT 4
 #define EJECT_IN_ROW 5
 #define EJECT_PERMILLE 500
 #define EJECT_ANSWERS 8
@@ -36,11 +38,26 @@
 	return age < span_us ? value * (span_us - age) / span_us : 0;
 }
 
+/* Its upstream tells how slow its VM is now, which is newer than any time measured before. */
+static bool tells_slowness(const struct choose_target *t)
+{
+	return t->load_us && t->load.slowness_percent && t->service && t->service->least_us;
+}
+
+static u64 told_service_us(const struct choose_target *t, u64 silent_us)
+{
+	u64 told = t->service->least_us * t->load.slowness_percent / 100;
+
+	return silent_us > SILENT_DOUBT * told ? silent_us : told;
+}
+
 static u64 service_us(const struct choose_target *t, u64 now_us)
 {
 	u64 told = t->load_us ? t->load.service_us : SERVICE_FIRST_GUESS_US;
 	u64 silent = t->in_flight && now_us > t->silent_since_us ? now_us - t->silent_since_us : 0;
 
+	if (tells_slowness(t))
+		return told_service_us(t, silent);
 	/* A straggler gives no answer long before a report says that it is slow. */
 	return MAX(told, silent);
 }
@@ -99,7 +116,7 @@
 	u64 latency = aged(t->latency_us, t->latency_at_us, LATENCY_AGE_US, now_us);
 	u64 failed = aged(t->failed_permille, t->failed_at_us, FAILED_AGE_US, now_us);
 
-	if (latency > LATENCY_DOUBT * score)
+	if (latency > LATENCY_DOUBT * score && !tells_slowness(t))
 		score = latency;
 	if (t->load_us && worth < t->load.lowest_worth)
 		score += aged(REFUSED_COST_US, t->load_us, LOAD_AGE_US, now_us);
--- a/wire/peer.c
+++ b/wire/peer.c
@@ -41,6 +41,7 @@
 	frame_put_u64(f, l->limit);
 	frame_put_u64(f, l->lowest_worth);
 	frame_put_u64(f, l->service_us);
+	frame_put_u64(f, l->slowness_percent);
 	frame_put_bool(f, l->is_draining);
 	frame_put_u64(f, l->nwaits);
 	for (u32 i = 0; i < l->nwaits; i++) {
@@ -56,6 +57,7 @@
 	l->limit = (u32)frame_get_u64(in);
 	l->lowest_worth = (u32)frame_get_u64(in);
 	l->service_us = frame_get_u64(in);
+	l->slowness_percent = (u32)frame_get_u64(in);
 	l->is_draining = frame_get_bool(in);
 	l->nwaits = frame_get_count(in, PEER_WAITS_MAX);
 	for (u32 i = 0; i < l->nwaits; i++) {
--- a/wire/peer.h
+++ b/wire/peer.h
@@ -55,6 +55,7 @@
 	u32 limit; /* calls that may run at once now */
 	u32 lowest_worth; /* calls below are refused now */
 	u64 service_us; /* typical time of one call at the upstream */
+	u32 slowness_percent; /* of the upstream's VM now; 100 as usual, 0 not told */
 	bool is_draining;
 	u32 nwaits;
 	struct peer_wait waits[PEER_WAITS_MAX];
