--- a/control/raft.h
+++ b/control/raft.h
@@ -31,8 +31,8 @@
 
 #define RAFT_MEMBERS_MAX 32
 #define RAFT_HEARTBEAT_US (150 * US_PER_MS)
-#define RAFT_ELECTION_MIN_US (1000 * US_PER_MS)
-#define RAFT_ELECTION_MAX_US (2000 * US_PER_MS)
+#define RAFT_ELECTION_MIN_US (600 * US_PER_MS)
+#define RAFT_ELECTION_MAX_US (1200 * US_PER_MS)
 #define RAFT_BATCH_ENTRIES 64
 #define RAFT_BATCH_BYTES (256 * 1024)
 /* Entries sent to one member and not yet answered. */
--- a/node/watch.c
+++ b/node/watch.c
@@ -19,9 +19,9 @@
 
 #define TICK_US (100 * US_PER_MS)
 /* A control process that is not fresh for this time is left for another one. */
-#define NOT_FRESH_MAX_US (2 * US_PER_S)
+#define NOT_FRESH_MAX_US (700 * US_PER_MS)
 /* A trial ends without a verdict after this time. */
-#define TRIAL_MAX_US (1500 * US_PER_MS)
+#define TRIAL_MAX_US (500 * US_PER_MS)
 #define RETRY_US (500 * US_PER_MS)
 /* How often a farther one looks for a nearer one. */
 #define NEARER_RETRY_US (15 * US_PER_S)
--- a/wire/ctl.h
+++ b/wire/ctl.h
@@ -13,9 +13,13 @@
 #include "kernel/link.h"
 
 #define CTL_RENEW_INTERVAL_US (1 * US_PER_S)
-#define CTL_FRESH_INTERVAL_US (500 * US_PER_MS)
-/* A control process is fresh while its leader was heard within this time. */
-#define CTL_LEASE_US (2 * US_PER_S)
+#define CTL_FRESH_INTERVAL_US (250 * US_PER_MS)
+/*
+ * A control process is fresh while its leader was heard within this time: some
+ * heartbeats, and short enough that a node which follows a process that was cut
+ * off finds another one before a change must be in force.
+ */
+#define CTL_LEASE_US (600 * US_PER_MS)
 #define CTL_ITEMS_PER_FRAME 256
 /* Changes of the directory within this time are sent together. */
 #define CTL_SPREAD_DELAY_US (50 * US_PER_MS)
