--- a/cmd/serve.c
+++ b/cmd/serve.c
@@ -110,8 +110,7 @@
 		return CMD_USAGE;
 	}
 	if (s.node.dialect && !find_dialect(s.node.dialect)) {
-		fprintf(stderr, "%s: no such dialect: \"%s\"\n", file->filename[0],
-			s.node.dialect);
+		fprintf(stderr, "%s: no such dialect: \"%s\"\n", file->filename[0], s.node.dialect);
 		return CMD_USAGE;
 	}
 	if (log_open(s.log_file, s.log_level, s.log_format)) {
--- a/control/control.h
+++ b/control/control.h
@@ -6,9 +6,9 @@
  *
  * SOURCE control/control.c (service), control/raft_host.c (storage and
  * messages for raft), control/op.c (operations), control/members.c
- * (membership changes by operators), control/join.c (by themselves), control/nodes.c (links from nodes), control/peers.c
- * (links between control processes), control/spread.c (directory and reports
- * on them), control/api.c (HTTP)
+ * (membership changes by operators), control/join.c (by themselves), control/nodes.c (links from
+ * nodes), control/peers.c (links between control processes), control/spread.c (directory and
+ * reports on them), control/api.c (HTTP)
  */
 #ifndef CONTROL_H
 #define CONTROL_H
--- a/control/join.c
+++ b/control/join.c
@@ -169,8 +169,7 @@
 	return false;
 }
 
-void join_each(struct control *c,
-	       void (*fn)(struct control *c, u32 id, const struct endpoint *at))
+void join_each(struct control *c, void (*fn)(struct control *c, u32 id, const struct endpoint *at))
 {
 	if (!is_on(c) || !needs_group(c, loop_clock_us()))
 		return;
@@ -270,8 +269,7 @@
 
 	if (next.n == RAFT_MEMBERS_MAX)
 		return false;
-	next.m[next.n++] =
-		(struct raft_member){ .id = r->id, .replica = r->replica, .at = r->at };
+	next.m[next.n++] = (struct raft_member){ .id = r->id, .replica = r->replica, .at = r->at };
 	return propose(c, &next, r->id, "new learner", now_us);
 }
 
@@ -365,8 +363,7 @@
 	silent = find_silent_voter(c, now_us);
 	if (silent)
 		return remove_member(c, silent, now_us);
-	return voters < VOTERS_MAX && is_of_first_start(c->join, m->id) &&
-	       give_vote(c, m, now_us);
+	return voters < VOTERS_MAX && is_of_first_start(c->join, m->id) && give_vote(c, m, now_us);
 }
 
 static bool place_learners(struct control *c, u64 now_us)
@@ -413,7 +410,7 @@
 	struct join *j = g_new0(struct join, 1);
 
 	c->join = j;
-	
+
 	j->requests = g_array_new(FALSE, TRUE, sizeof(struct request));
 	j->known = g_array_new(FALSE, TRUE, sizeof(struct member_setting));
 	j->timer = (struct loop_timer){ .fire = on_timer, .arg = c };
--- a/control/join.h
+++ b/control/join.h
@@ -39,7 +39,6 @@
 bool join_wants(struct control *c, u32 id);
 
 /* join_each - call FN for each process that join_wants. */
-void join_each(struct control *c,
-	       void (*fn)(struct control *c, u32 id, const struct endpoint *at));
+void join_each(struct control *c, void (*fn)(struct control *c, u32 id, const struct endpoint *at));
 
 #endif
--- a/control/store.h
+++ b/control/store.h
@@ -36,7 +36,8 @@
 };
 
 struct store_result {
-	/* 200, 201, 404, 409, 412 (a set on another one), 422 (change id used for another change) */
+	/* 200, 201, 404, 409, 412 (a set on another one), 422 (change id used for another change)
+	 */
 	u16 status;
 	u64 version; /* of the resource; after 409 the current one, 0 when there is none */
 	u64 revision;
--- a/kernel/httpd.c
+++ b/kernel/httpd.c
@@ -289,10 +289,21 @@
 	leave(c, was_busy);
 }
 
+/* R may be gone by now. */
+static bool is_waiting(const struct httpd_conn *c, const struct httpd_request *r)
+{
+	return g_queue_find((GQueue *)&c->requests, r) && !r->answer;
+}
+
 static void start(struct httpd_conn *c, struct httpd_request *r)
 {
+	bool has_left = r->has_left;
+
 	r->is_started = true;
 	c->h->ops->request(r, c->h->arg);
+	/* It waited for its turn while its caller left. */
+	if (has_left && is_waiting(c, r) && c->h->ops->left)
+		c->h->ops->left(r, HTTPD_SENT_ALL, c->h->arg);
 }
 
 /* Starts what may start now: the first, and those behind it that may overlap. */
@@ -381,28 +392,13 @@
 		struct httpd_request *r = l->data;
 
 		next = l->next;
-		if (r->is_started && !r->answer)
+		if (!r->is_started)
+			r->has_left = true;
+		else if (!r->answer)
 			c->h->ops->left(r, how, c->h->arg);
 	}
 }
 
-/* What was read whole but not started is not wanted any more. */
-static void drop_unstarted(struct httpd_conn *c)
-{
-	GList *next;
-
-	for (GList *l = c->requests.head; l; l = next) {
-		struct httpd_request *r = l->data;
-
-		next = l->next;
-		if (r->is_started)
-			continue;
-		g_queue_unlink(&c->requests, l);
-		c->h->requests--;
-		request_free(r);
-	}
-}
-
 static void on_eof(struct httpd_conn *c)
 {
 	if (c->is_eof)
@@ -412,7 +408,10 @@
 		conn_close(c);
 		return;
 	}
-	drop_unstarted(c);
+	if (!http_read_is_idle(&c->read) && !c->requests.length) {
+		refuse(c, 400, CTR_BAD_REQUEST); /* the request ended early */
+		return;
+	}
 	tell_left(c, HTTPD_SENT_ALL);
 }
 
--- a/kernel/httpd.h
+++ b/kernel/httpd.h
@@ -33,6 +33,7 @@
 	u64 began_us; /* when the request was whole */
 	void *arg; /* the owner's */
 	bool is_started;
+	bool has_left; /* the caller left before it was started */
 	struct http_msg *answer;
 	GList link; /* in the connection's order */
 };
@@ -46,7 +47,8 @@
 	bool (*may_overlap)(const struct httpd_request *r, void *arg);
 	/* left - the caller of R closed its side, or broke the connection. May be NULL. */
 	void (*left)(struct httpd_request *r, enum httpd_left how, void *arg);
-	/* refuse - the answer to what the server refuses by itself; fills in headers. May be NULL. */
+	/* refuse - the answer to what the server refuses by itself; fills in headers. May be NULL.
+	 */
 	void (*refuse)(struct http_msg *answer, void *arg);
 };
 
--- a/lib/http_read.c
+++ b/lib/http_read.c
@@ -104,6 +104,12 @@
 	return lengths > 1;
 }
 
+/* Whatever length their heads tell. */
+static bool is_bodiless(u16 status)
+{
+	return status == 204 || status == 304;
+}
+
 static int on_head(http_parser *p)
 {
 	struct http_read *r = of(p);
@@ -123,7 +129,7 @@
 		return fail(r, ERR_TOOBIG);
 	if (r->ops->head && r->ops->head(r))
 		return fail(r, ERR_CANCELLED);
-	return r->has_no_body ? 1 : 0;
+	return r->has_no_body || (r->is_answer && is_bodiless(r->msg->status)) ? 1 : 0;
 }
 
 static int on_body(http_parser *p, const char *at, size_t len)
--- a/lib/http_read.h
+++ b/lib/http_read.h
@@ -46,7 +46,8 @@
 	int err;
 };
 
-void http_read_init(struct http_read *r, bool is_answer, const struct http_read_ops *ops, void *arg);
+void http_read_init(struct http_read *r, bool is_answer, const struct http_read_ops *ops,
+		    void *arg);
 void http_read_clear(struct http_read *r);
 
 /*
--- a/lib/set.c
+++ b/lib/set.c
@@ -49,8 +49,9 @@
 	double n = value && json_is_number(value) ? json_number_value(value) : (double)absent;
 
 	if ((value && !json_is_number(value)) || n < (double)min || n > (double)max) {
-		g_autofree char *text = g_strdup_printf("missing, or not a number from %lld to %lld",
-							(long long)min, (long long)max);
+		g_autofree char *text =
+			g_strdup_printf("missing, or not a number from %lld to %lld",
+					(long long)min, (long long)max);
 
 		complain(found, at, key, text);
 		return 0;
@@ -92,18 +93,23 @@
 	g_free(s);
 }
 
+static struct set_part *part_new(struct set_route *r)
+{
+	g_array_set_size(r->parts, r->parts->len + 1);
+	return &g_array_index(r->parts, struct set_part, r->parts->len - 1);
+}
+
 static void add_part(struct set_route *r, json_t *obj, struct at at, struct findings *found)
 {
 	json_t *weight = json_object_get(obj, "weight");
-	struct set_part part = { 0 };
+	struct set_part *part = part_new(r);
 	double w = json_number_value(weight);
 
 	if (!json_is_number(weight) || w < 0 || w > WEIGHT_MAX)
 		complain(found, at, "split", "a weight is missing or not a number from 0 on");
 	else
-		part.weight = (u64)(w * WEIGHT_SCALE);
-	part.service = get_text(obj, at, "service", found);
-	g_array_append_val(r->parts, part);
+		part->weight = (u64)(w * WEIGHT_SCALE);
+	part->service = get_text(obj, at, "service", found);
 }
 
 static void read_split(struct set_route *r, json_t *split, struct at at, struct findings *found)
@@ -117,13 +123,15 @@
 		return;
 	}
 	json_array_foreach(split, i, one)
+	{
 		add_part(r, one, at, found);
+	}
 }
 
 static void read_parts(struct set_route *r, json_t *obj, struct at at, struct findings *found)
 {
 	json_t *split = json_object_get(obj, "split");
-	struct set_part whole = { .weight = WEIGHT_SCALE };
+	struct set_part *whole;
 	u64 sum = 0;
 
 	r->parts = g_array_new(FALSE, TRUE, sizeof(struct set_part));
@@ -131,8 +139,9 @@
 	if (split) {
 		read_split(r, split, at, found);
 	} else {
-		whole.service = get_text(obj, at, "service", found);
-		g_array_append_val(r->parts, whole);
+		whole = part_new(r);
+		whole->service = get_text(obj, at, "service", found);
+		whole->weight = WEIGHT_SCALE;
 	}
 	for (guint i = 0; i < r->parts->len; i++)
 		sum += g_array_index(r->parts, struct set_part, i).weight;
@@ -190,7 +199,9 @@
 		return;
 	}
 	json_array_foreach(list, i, one)
+	{
 		g_ptr_array_add(s->routes, read_route(one, i, found));
+	}
 }
 
 static void read_services(struct set *s, json_t *list, struct findings *found)
@@ -202,7 +213,8 @@
 		find_add(found, "$.services", "missing, or not a list of services");
 		return;
 	}
-	json_array_foreach(list, i, one) {
+	json_array_foreach(list, i, one)
+	{
 		struct set_service *service = g_new0(struct set_service, 1);
 		struct at at = { "services", i };
 
@@ -223,10 +235,8 @@
 		return;
 	s->limits.head_bytes = (u32)get_number(obj, at, "head_bytes", 0, INT32_MAX, 0, found);
 	s->limits.body_bytes = get_number(obj, at, "body_bytes", 0, INT64_MAX / 2, 0, found);
-	s->limits.head_timeout_ms =
-		get_number(obj, at, "head_timeout_ms", 0, INT32_MAX, 0, found);
-	s->limits.idle_timeout_ms =
-		get_number(obj, at, "idle_timeout_ms", 0, INT32_MAX, 0, found);
+	s->limits.head_timeout_ms = get_number(obj, at, "head_timeout_ms", 0, INT32_MAX, 0, found);
+	s->limits.idle_timeout_ms = get_number(obj, at, "idle_timeout_ms", 0, INT32_MAX, 0, found);
 }
 
 static void check_services(const struct set *s, struct findings *found)
@@ -254,8 +264,7 @@
 
 static void check_places(const struct set *s, struct findings *found)
 {
-	g_autoptr(GHashTable) places =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	g_autoptr(GHashTable) places = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 
 	for (guint i = 0; i < s->routes->len; i++) {
 		const struct set_route *r = g_ptr_array_index(s->routes, i);
@@ -279,8 +288,8 @@
 	if (!json_is_object(obj)) {
 		find_add(found, "$", "not a JSON object: %s", error.text);
 	} else {
-		s->version = get_number(obj, (struct at){ 0 }, "version", 1, INT64_MAX / 2, -1,
-					found);
+		s->version =
+			get_number(obj, (struct at){ 0 }, "version", 1, INT64_MAX / 2, -1, found);
 		read_routes(s, json_object_get(obj, "routes"), found);
 		read_services(s, json_object_get(obj, "services"), found);
 		read_limits(s, json_object_get(obj, "limits"), found);
--- a/lib/settings.c
+++ b/lib/settings.c
@@ -304,6 +304,7 @@
 {
 	g_auto(GStrv) parts = g_strsplit(v, ",", -1);
 
+	l->s->node.learns_control = true;
 	for (char **p = parts; *p; p++) {
 		struct endpoint e;
 
@@ -602,33 +603,39 @@
 		find_add(l->found, at, "section [%s] needs the key %s", section, name);
 }
 
-/* One of two keys is enough. */
-static void need_either(struct loader *l, const char *section, const char *name, const char *other)
+/* A key that a section needs, or another one that can stand in for it. */
+struct needed {
+	const char *name;
+	const char *other; /* NULL for none */
+};
+
+static void need_all(struct loader *l, const char *section, const struct needed *list, size_t n)
 {
-	g_autofree char *full = g_strdup_printf("%s.%s", section, other);
+	for (size_t i = 0; i < n; i++) {
+		g_autofree char *other =
+			g_strdup_printf("%s.%s", section, list[i].other ? list[i].other : "");
 
-	if (!g_hash_table_contains(l->seen, full))
-		need(l, section, name);
+		if (!g_hash_table_contains(l->seen, other))
+			need(l, section, list[i].name);
+	}
 }
 
 static void check_needs(struct loader *l)
 {
-	static const char *const node[] = { "address", "zone", "peer_port", "local_port" };
-	static const char *const control[] = { "address", "zone", "data", "peer_port" };
+	static const struct needed node[] = {
+		{ "address", NULL },   { "zone", NULL },       { "caller_port", "caller_listen" },
+		{ "peer_port", NULL }, { "local_port", NULL }, { "control", "seeds" }
+	};
+	static const struct needed control[] = {
+		{ "id", "seeds" }, { "address", NULL },		 { "zone", NULL },
+		{ "data", NULL },  { "api_port", "api_listen" }, { "peer_port", NULL }
+	};
 
 	need(l, "cluster", "name");
-	for (size_t i = 0; l->s->node.is_on && i < G_N_ELEMENTS(node); i++)
-		need(l, "node", node[i]);
-	for (size_t i = 0; l->s->control.is_on && i < G_N_ELEMENTS(control); i++)
-		need(l, "control", control[i]);
-	if (l->s->node.is_on) {
-		need_either(l, "node", "caller_port", "caller_listen");
-		need_either(l, "node", "control", "seeds");
-	}
-	if (l->s->control.is_on) {
-		need_either(l, "control", "api_port", "api_listen");
-		need_either(l, "control", "id", "seeds");
-	}
+	if (l->s->node.is_on)
+		need_all(l, "node", node, G_N_ELEMENTS(node));
+	if (l->s->control.is_on)
+		need_all(l, "control", control, G_N_ELEMENTS(control));
 	if (!l->s->node.is_on && !l->s->control.is_on) {
 		g_autofree char *at = place(l, 1);
 
--- a/lib/settings.h
+++ b/lib/settings.h
@@ -39,6 +39,7 @@
 	char *service; /* of the upstream beside this node; may be NULL */
 	char *dialect; /* how callers and upstreams speak; NULL for the own one */
 	GArray *control; /* of struct endpoint */
+	bool learns_control; /* the list is of seeds: the group tells of the others */
 	u64 probe_budget_per_s;
 	u64 probe_budget_bytes_per_s;
 	u64 max_body_bytes;
--- a/node/caller.c
+++ b/node/caller.c
@@ -186,8 +186,8 @@
 		refuse_early(n, c, CTR_DEADLINE, 504);
 		return;
 	}
-	n->dialect->stamp(request->msg, n->settings->node.service ? n->settings->node.service :
-								    n->own.service);
+	n->dialect->stamp(request->msg,
+			  n->settings->node.service ? n->settings->node.service : n->own.service);
 	entry_submit(n, &c->call);
 }
 
@@ -210,10 +210,12 @@
 static void on_left(struct httpd_request *request, enum httpd_left how, void *arg)
 {
 	struct caller *c = request->arg;
+	struct node *n = arg;
+	bool is_final = how == HTTPD_BROKEN || n->dialect->is_close_final;
 
-	(void)how;
-	if (c)
-		entry_left(arg, &c->call);
+	/* What may not be repeated is wanted by a caller that may still read the answer. */
+	if (c && (is_final || c->call.is_idempotent))
+		entry_left(n, &c->call);
 }
 
 static void on_refuse(struct http_msg *answer, void *arg)
@@ -253,8 +255,8 @@
 		const struct set_limits *l = &config->set->set->limits;
 
 		limits.head_bytes = or_default(l->head_bytes, limits.head_bytes);
-		limits.body_bytes = or_default(MIN(l->body_bytes, limits.body_bytes),
-					       limits.body_bytes);
+		limits.body_bytes =
+			or_default(MIN(l->body_bytes, limits.body_bytes), limits.body_bytes);
 		limits.head_timeout_us =
 			or_default(l->head_timeout_ms * US_PER_MS, limits.head_timeout_us);
 		limits.idle_timeout_us =
--- a/node/choose.h
+++ b/node/choose.h
@@ -59,7 +59,8 @@
 	GPtrArray *targets; /* of struct choose_target: all that are up */
 	GPtrArray *subset; /* those that this node uses, the own zone first */
 	u32 nown_zone; /* of the subset */
-	u64 least_us; /* the shortest time of a call that one in use tells, at usual speed; 0 unknown */
+	u64 least_us; /* the shortest time of a call that one in use tells, at usual speed; 0
+			 unknown */
 	bool is_stale; /* the subset must be made again */
 	u64 used_us; /* last call */
 };
--- a/node/config.c
+++ b/node/config.c
@@ -115,7 +115,8 @@
 	s->routes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, route_free);
 	s->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, service_unref);
 	for (guint i = 0; i < set->services->len; i++)
-		add_set_service(s, ((struct set_service *)g_ptr_array_index(set->services, i))->name);
+		add_set_service(s,
+				((struct set_service *)g_ptr_array_index(set->services, i))->name);
 	for (guint i = 0; i < set->routes->len; i++)
 		add_route(s, g_ptr_array_index(set->routes, i));
 	return s;
--- a/node/dialect.c
+++ b/node/dialect.c
@@ -53,7 +53,8 @@
 
 static void own_put(GString *head, const struct dialect_send *send)
 {
-	g_string_append_printf(head, TIMEOUT_HEADER ": %llu\r\n", (unsigned long long)send->left_ms);
+	g_string_append_printf(head, TIMEOUT_HEADER ": %llu\r\n",
+			       (unsigned long long)send->left_ms);
 }
 
 static bool own_is_answer_to(const struct http_msg *answer, const struct http_msg *request)
--- a/node/dialect.h
+++ b/node/dialect.h
@@ -38,6 +38,8 @@
 
 struct dialect {
 	const char *name;
+	/* A caller that closes its side waits for no answer, rather than having sent all. */
+	bool is_close_final;
 
 	/* timeout_ms - the time that the caller gives; false when it tells none that is valid. */
 	bool (*timeout_ms)(const struct http_msg *request, u64 *ms);
--- a/node/entry.c
+++ b/node/entry.c
@@ -6,7 +6,6 @@
 
 #include <string.h>
 
-
 void entry_try_end(struct node *n, struct call_try *t)
 {
 	struct entry_private *p = t->call->priv;
--- a/node/entry_try.c
+++ b/node/entry_try.c
@@ -221,8 +221,9 @@
 	if (p->hedge || p->has_left || p->sends + 1 >= entry_sends_max(call))
 		return;
 	other = choose_pick(&n->choose, call->service, call->worth, p->tried, now_us);
-	if (!other || !at || choose_score(other, call->worth, now_us) * SLOW_GAIN >
-				     choose_score(at, call->worth, now_us))
+	if (!other || !at ||
+	    choose_score(other, call->worth, now_us) * SLOW_GAIN >
+		    choose_score(at, call->worth, now_us))
 		return;
 	if (!spend_take(&n->entry->spend, call->service)) {
 		ctr_inc(CTR_SPEND_EMPTY);
--- a/node/local.c
+++ b/node/local.c
@@ -47,10 +47,10 @@
 
 static void set_details(struct node *n, const struct announcement *a)
 {
-	bool is_same_start = n->upstream_born == (u64)a->born &&
-			     !g_strcmp0(n->upstream_instance ? n->upstream_instance : "",
-					a->instance) &&
-			     is_same_endpoint(&n->upstream_at, &a->at);
+	bool is_same_start =
+		n->upstream_born == (u64)a->born &&
+		!g_strcmp0(n->upstream_instance ? n->upstream_instance : "", a->instance) &&
+		is_same_endpoint(&n->upstream_at, &a->at);
 	bool is_same = is_same_start && !strcmp(n->own.service, a->service) &&
 		       n->own.slots == a->slots && n->own.connections == a->connections;
 
@@ -376,7 +376,8 @@
 
 static const struct httpd_ops ops = { .request = on_request, .may_overlap = may_overlap };
 
-static int listen_at(struct node *n, const char *host, u16 port, const char *key, struct httpd **out)
+static int listen_at(struct node *n, const char *host, u16 port, const char *key,
+		     struct httpd **out)
 {
 	if (!port)
 		return 0;
--- a/node/upstream.c
+++ b/node/upstream.c
@@ -159,8 +159,7 @@
 			break; /* what is wrong shows when reading */
 		c->out_off += (guint)n;
 	}
-	loop_fd_change(c->u->loop, &c->fd,
-		       c->out_off < c->out->len ? EPOLLIN | EPOLLOUT : EPOLLIN);
+	loop_fd_change(c->u->loop, &c->fd, c->out_off < c->out->len ? EPOLLIN | EPOLLOUT : EPOLLIN);
 	if (c->out_off == c->out->len) {
 		g_byte_array_set_size(c->out, 0);
 		c->out_off = 0;
--- a/node/watch.c
+++ b/node/watch.c
@@ -41,7 +41,8 @@
 	bool is_told; /* named by the last membership */
 	enum distance distance;
 	u64 order; /* among candidates of the same distance */
-	u64 retry_us;
+	u64 retry_us; /* not tried before, as it was not fresh or did not answer */
+	u64 nearer_us; /* not tried before as a nearer one than the main link's */
 };
 
 struct side {
@@ -229,6 +230,15 @@
 		  w->main.fresh_us ? "yes" : "no", NULL);
 }
 
+/* What is not worth a move from a fresh process is worth one as soon as that is not fresh. */
+static void put_off(struct candidate *to, bool has_fresh, u64 now_us)
+{
+	if (has_fresh)
+		to->nearer_us = now_us + NEARER_RETRY_US;
+	else
+		to->retry_us = now_us + RETRY_US;
+}
+
 static void judge_trial(struct watch *w, bool is_fresh, u64 now_us)
 {
 	struct candidate *to = w->trial.to;
@@ -241,7 +251,7 @@
 		promote(w, now_us);
 		return;
 	}
-	to->retry_us = now_us + (has_fresh ? NEARER_RETRY_US : RETRY_US);
+	put_off(to, has_fresh, now_us);
 	drop(&w->trial);
 }
 
@@ -301,6 +311,7 @@
 static int take_members(struct watch *w, struct frame_in *in)
 {
 	u32 n = frame_get_count(in, CANDIDATES_MAX);
+	bool learns = w->node->settings->node.learns_control;
 
 	for (guint i = 0; i < w->candidates->len; i++)
 		((struct candidate *)g_ptr_array_index(w->candidates, i))->is_told = false;
@@ -310,7 +321,7 @@
 		struct candidate *c;
 
 		g_strlcpy(at.host, host, sizeof(at.host));
-		c = in->err ? NULL : add_candidate(w, &at);
+		c = in->err || !learns ? NULL : add_candidate(w, &at);
 		if (c)
 			c->is_told = true;
 	}
@@ -376,7 +387,7 @@
 	for (guint i = 0; i < w->candidates->len; i++) {
 		struct candidate *c = g_ptr_array_index(w->candidates, i);
 
-		if (c == w->main.to || c->retry_us > now_us)
+		if (c == w->main.to || (has_fresh ? c->nearer_us : c->retry_us) > now_us)
 			continue;
 		if (has_fresh && c->distance != UNKNOWN_DISTANCE &&
 		    c->distance >= w->main.to->distance)
@@ -397,7 +408,9 @@
 	to = pick(w, has_fresh, now_us);
 	if (!to)
 		return;
-	to->retry_us = now_us + (has_fresh ? NEARER_RETRY_US : RETRY_US);
+	put_off(to, has_fresh, now_us);
+	log_event(LOG_DEBUG, "control trial", "control", to->at.host, "distance",
+		  log_u64(to->distance), "has_fresh", has_fresh ? "yes" : "no", NULL);
 	w->trial.to = to;
 	w->trial.start_us = now_us;
 	w->trial.fresh_us = 0;
@@ -423,6 +436,8 @@
 	if (!is_up(&w->main) || !w->main.fresh_us || is_main_fresh(w, now_us))
 		return;
 	ctr_inc(CTR_CONTROL_NOT_FRESH);
+	log_event(LOG_WARN, "control not fresh", "control", w->main.link->remote.name, "age_us",
+		  log_u64(now_us - w->main.fresh_us), "revision", log_u64(config_revision()), NULL);
 	w->main.fresh_us = 0;
 }
 
@@ -446,8 +461,7 @@
 	const GArray *list = w->node->settings->node.control;
 
 	for (guint i = 0; i < list->len; i++) {
-		struct candidate *c =
-			add_candidate(w, &g_array_index(list, struct endpoint, i));
+		struct candidate *c = add_candidate(w, &g_array_index(list, struct endpoint, i));
 
 		if (c)
 			c->is_seed = true;
--- a/test/ctr_test.c
+++ b/test/ctr_test.c
@@ -36,13 +36,13 @@
 	g_autofree char *page = NULL;
 	u32 missing = 0;
 
-	g_assert_true(g_file_get_contents("docs/OPERATING.md", &page, NULL, NULL));
+	g_assert_true(g_file_get_contents("docs/OPERATIONS.md", &page, NULL, NULL));
 	for (int c = 0; c < CTR_COUNT; c++) {
 		g_autofree char *quoted = g_strdup_printf("`%s`", ctr_name((enum ctr)c));
 
 		if (strstr(page, quoted))
 			continue;
-		g_test_message("docs/OPERATING.md does not mention %s", quoted);
+		g_test_message("docs/OPERATIONS.md does not mention %s", quoted);
 		missing++;
 	}
 	g_assert_cmpuint(missing, ==, 0);
--- a/test/fakes/fake_node.c
+++ b/test/fakes/fake_node.c
@@ -4,7 +4,6 @@
 #include "test/fakes/httpc.h"
 #include "test/fakes/raw_server.h"
 
-#include <civetweb.h>
 #include <string.h>
 #include <unistd.h>
 
@@ -48,8 +47,8 @@
 	s->node.zone = g_strdup("z");
 	s->node.region = g_strdup("r");
 	s->node.caller_port = free_port();
-	s->node.caller_listen = (struct endpoint){ .host = "127.0.0.1",
-						   .port = s->node.caller_port };
+	s->node.caller_listen =
+		(struct endpoint){ .host = "127.0.0.1", .port = s->node.caller_port };
 	s->node.peer_port = free_port();
 	s->node.local_port = free_port();
 	s->node.control = g_array_new(FALSE, TRUE, sizeof(struct endpoint));
@@ -59,17 +58,26 @@
 	s->control.members = g_array_new(FALSE, TRUE, sizeof(struct member_setting));
 }
 
-void fake_node_start(struct fake_node *f)
+void fake_node_prepare(struct fake_node *f)
 {
 	memset(f, 0, sizeof(*f));
-	mg_init_library(0);
 	log_open(NULL, LOG_ERROR, LOG_TEXT);
 	fill_settings(&f->settings);
+}
+
+void fake_node_run(struct fake_node *f)
+{
 	f->node = node_new(&f->settings);
 	g_assert_cmpint(f->node->service.ops->start(&f->node->service, NULL), ==, 0);
 	loop_call(f->node->loop, configure, NULL);
 }
 
+void fake_node_start(struct fake_node *f)
+{
+	fake_node_prepare(f);
+	fake_node_run(f);
+}
+
 void fake_node_stop(struct fake_node *f)
 {
 	f->node->service.ops->stop(&f->node->service);
--- a/test/fakes/fake_node.h
+++ b/test/fakes/fake_node.h
@@ -19,6 +19,10 @@
 
 /* fake_node_start - with the service sightings: ranks checklist (POST) and page (idempotent). */
 void fake_node_start(struct fake_node *f);
+
+/* fake_node_prepare, fake_node_run - the same in two steps, to change the settings between. */
+void fake_node_prepare(struct fake_node *f);
+void fake_node_run(struct fake_node *f);
 void fake_node_stop(struct fake_node *f);
 
 /* fake_node_directory - tell it the state of the node NAME, which serves sightings. */
--- a/test/upstream_test.c
+++ b/test/upstream_test.c
@@ -4,7 +4,6 @@
 #include "node/upstream.h"
 #include "test/fakes/raw_server.h"
 
-#include <civetweb.h>
 #include <glib.h>
 #include <string.h>
 
@@ -16,9 +15,13 @@
 
 struct fixture {
 	struct raw_server server;
+	struct loop *loop;
 	struct upstream *u;
 	struct http_msg *request;
 	struct upstream_call call;
+	struct endpoint at;
+	bool must_cancel; /* as soon as the call has begun */
+	GAsyncQueue *done;
 	struct http_msg *reply;
 };
 
@@ -26,7 +29,10 @@
 {
 	memset(f, 0, sizeof(*f));
 	raw_start(&f->server, serve, arg);
-	f->u = upstream_new();
+	f->loop = loop_new("upstream-test");
+	f->u = upstream_new(f->loop, &dialect_own);
+	f->done = g_async_queue_new();
+	g_assert_cmpint(loop_start(f->loop), ==, 0);
 	f->request = http_new();
 	f->request->method = g_strdup(method);
 	f->request->target = g_strdup("/species/hoopoe");
@@ -34,13 +40,41 @@
 		g_byte_array_append(f->request->body, (const guint8 *)"one hoopoe", 10);
 }
 
-static int run(struct fixture *f)
+static void on_done(struct upstream_call *call)
+{
+	struct fixture *f = call->arg;
+
+	g_async_queue_push(f->done, call);
+}
+
+static void begin(void *arg)
+{
+	struct fixture *f = arg;
+
+	upstream_run(f->u, &f->at, &f->call);
+	if (f->must_cancel)
+		upstream_end(&f->call, ERR_CANCELLED);
+}
+
+/* Carries out one call on the loop and waits for its end. */
+static int run_until(struct fixture *f, u16 port, u64 deadline_us)
 {
 	http_free(g_steal_pointer(&f->reply));
+	f->at = (struct endpoint){ .host = "127.0.0.1", .port = port };
 	f->call = (struct upstream_call){ .request = f->request,
-					  .deadline_us = loop_clock_us() + LONG_US,
-					  .max_body_bytes = BODY_MAX_BYTES };
-	return upstream_run(f->u, f->server.port, &f->call, &f->reply);
+					  .deadline_us = deadline_us,
+					  .max_body_bytes = BODY_MAX_BYTES,
+					  .done = on_done,
+					  .arg = f };
+	loop_call(f->loop, begin, f);
+	g_async_queue_pop(f->done);
+	f->reply = f->call.reply;
+	return f->call.err;
+}
+
+static int run(struct fixture *f)
+{
+	return run_until(f, f->server.port, loop_clock_us() + LONG_US);
 }
 
 static void check_run(struct fixture *f, int expected)
@@ -52,7 +86,10 @@
 
 static void teardown(struct fixture *f)
 {
+	loop_stop(f->loop);
 	upstream_free(f->u);
+	loop_free(f->loop);
+	g_async_queue_unref(f->done);
 	raw_stop(&f->server);
 	http_free(f->request);
 	http_free(f->reply);
@@ -246,13 +283,12 @@
 	struct fixture f;
 	u16 closed;
 	int fd = raw_listen(&closed);
+	int err;
 
 	setup(&f, "POST", serve_many, NULL);
 	close(fd);
-	f.call = (struct upstream_call){ .request = f.request,
-					 .deadline_us = loop_clock_us() + LONG_US,
-					 .max_body_bytes = BODY_MAX_BYTES };
-	g_assert_cmpint(upstream_run(f.u, closed, &f.call, &f.reply), ==, ERR_REFUSED);
+	err = run_until(&f, closed, loop_clock_us() + LONG_US);
+	g_assert_cmpint(err, ==, ERR_REFUSED);
 	g_assert_false(f.call.is_written);
 	teardown(&f);
 }
@@ -261,48 +297,33 @@
 static void test_not_written(void)
 {
 	struct fixture f;
+	int err;
 
 	setup(&f, "POST", serve_many, NULL);
-	f.call = (struct upstream_call){ .request = f.request,
-					 .deadline_us = loop_clock_us(),
-					 .max_body_bytes = BODY_MAX_BYTES };
-	g_assert_cmpint(upstream_run(f.u, f.server.port, &f.call, &f.reply), ==, ERR_TIMEOUT);
+	err = run_until(&f, f.server.port, loop_clock_us());
+	g_assert_cmpint(err, ==, ERR_TIMEOUT);
 	g_assert_false(f.call.is_written);
-	f.call.deadline_us += LONG_US;
-	f.call.is_cancelled = true;
-	g_assert_cmpint(upstream_run(f.u, f.server.port, &f.call, &f.reply), ==, ERR_CANCELLED);
+	f.must_cancel = true;
+	check_run(&f, ERR_CANCELLED);
 	g_assert_false(f.call.is_written);
 	g_assert_cmpint(g_atomic_int_get(&f.server.requests), ==, 0);
 	teardown(&f);
 }
 
-struct interrupter {
+struct stall {
 	struct fixture *f;
-	GThread *thread;
-	gint is_done;
-	gint must_cancel;
+	const char *text;
+	bool must_cancel;
+	bool saw_close;
 };
 
-/* As the home node's tick does: again and again, since a signal may come before the wait. */
-static gpointer interrupt_main(gpointer arg)
+static void cancel(void *arg)
 {
-	struct interrupter *i = arg;
+	struct fixture *f = arg;
 
-	while (!g_atomic_int_get(&i->is_done)) {
-		if (g_atomic_int_get(&i->must_cancel))
-			__atomic_store_n(&i->f->call.is_cancelled, true, __ATOMIC_RELEASE);
-		upstream_interrupt(i->f->u);
-		g_usleep(US_PER_MS);
-	}
-	return NULL;
+	upstream_end(&f->call, ERR_CANCELLED);
 }
 
-struct stall {
-	const char *text;
-	struct interrupter *i;
-	bool saw_close;
-};
-
 /* Reads the request, writes TEXT, and then only waits for the client to go away. */
 static void serve_stall(struct raw_server *s, int fd, u32 nth)
 {
@@ -311,7 +332,8 @@
 	(void)nth;
 	raw_read_request(s, fd);
 	raw_write(fd, stall->text);
-	g_atomic_int_set(&stall->i->must_cancel, 1);
+	if (stall->must_cancel)
+		loop_post(stall->f->loop, cancel, stall->f);
 	stall->saw_close = raw_wait_closed(fd);
 }
 
@@ -319,18 +341,12 @@
 static void check_stall(const char *text, u64 timeout_us, int expected)
 {
 	struct fixture f;
-	struct interrupter i = { .f = &f };
-	struct interrupter never = { 0 };
-	struct stall stall = { .text = text, .i = expected == ERR_CANCELLED ? &i : &never };
+	struct stall stall = { .f = &f, .text = text, .must_cancel = expected == ERR_CANCELLED };
+	int err;
 
 	setup(&f, "GET", serve_stall, &stall);
-	f.call = (struct upstream_call){ .request = f.request,
-					 .deadline_us = loop_clock_us() + timeout_us,
-					 .max_body_bytes = BODY_MAX_BYTES };
-	i.thread = g_thread_new("interrupter", interrupt_main, &i);
-	g_assert_cmpint(upstream_run(f.u, f.server.port, &f.call, &f.reply), ==, expected);
-	g_atomic_int_set(&i.is_done, 1);
-	g_thread_join(i.thread);
+	err = run_until(&f, f.server.port, loop_clock_us() + timeout_us);
+	g_assert_cmpint(err, ==, expected);
 	g_assert_null(f.reply);
 	teardown(&f);
 	g_assert_true(stall.saw_close);
@@ -358,7 +374,6 @@
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
-	mg_init_library(0);
 	g_test_add_func("/upstream/whole", test_whole);
 	g_test_add_func("/upstream/short-content-length", test_short_content_length);
 	g_test_add_func("/upstream/unfinished-chunks", test_unfinished_chunks);
--- /dev/null
+++ b/test/watch_test.c
@@ -0,0 +1,140 @@
+/* A node's link to control: which process it follows, against processes that the test plays. */
+#include "test/fakes/fake_node.h"
+#include "test/fakes/raw_server.h"
+#include "wire/ctl.h"
+
+#include <glib.h>
+#include <stdio.h>
+#include <unistd.h>
+
+#define FRESH_INTERVAL_US (50 * US_PER_MS)
+#define WAIT_MS 20000
+/* Within the time in which a configuration must be in force. */
+#define MOVE_MAX_US (2 * US_PER_S)
+
+/* A control process that says whether it is fresh, and counts the nodes that watch it. */
+struct fake_control {
+	struct loop *loop;
+	struct link_id self;
+	struct link_listener *listener;
+	struct link *link;
+	struct loop_timer timer;
+	u16 port;
+	gint is_fresh;
+	gint watches;
+	u64 watched_us;
+};
+
+static struct fake_control controls[2];
+
+static void on_timer(void *arg, u64 now_us)
+{
+	struct fake_control *c = arg;
+	FRAME_AUTO(f, CTL_FRESH);
+
+	frame_put_bool(&f, g_atomic_int_get(&c->is_fresh));
+	frame_put_u64(&f, 1);
+	if (c->link)
+		link_send(c->link, &f);
+	loop_timer_set(c->loop, &c->timer, now_us + FRESH_INTERVAL_US);
+}
+
+static void on_up(struct link *k)
+{
+	((struct fake_control *)k->arg)->link = k;
+}
+
+static int on_frame(struct link *k, u32 type, struct frame_in *in)
+{
+	struct fake_control *c = k->arg;
+
+	(void)in;
+	if (type == CTL_WATCH) {
+		c->watched_us = loop_clock_us();
+		g_atomic_int_inc(&c->watches);
+	}
+	return 0;
+}
+
+static void on_down(struct link *k, int err)
+{
+	struct fake_control *c = k->arg;
+
+	(void)err;
+	if (c->link == k)
+		c->link = NULL;
+}
+
+static const struct link_ops ops = { .up = on_up, .frame = on_frame, .down = on_down };
+
+static void start_control(struct fake_control *c)
+{
+	int fd = raw_listen(&c->port);
+
+	close(fd);
+	c->loop = loop_new("fake-control");
+	c->self = (struct link_id){ .cluster = (char *)"breizh",
+				    .role = LINK_CONTROL,
+				    .name = g_strdup_printf("127.0.0.1:%u", c->port),
+				    .zone = (char *)"elsewhere",
+				    .region = (char *)"r",
+				    .incarnation = 1 };
+	c->is_fresh = 1;
+	c->listener = link_listen(c->loop, &c->self, "127.0.0.1", c->port, &ops, c);
+	g_assert_nonnull(c->listener);
+	c->timer = (struct loop_timer){ .fire = on_timer, .arg = c };
+	loop_timer_set(c->loop, &c->timer, loop_clock_us());
+	g_assert_cmpint(loop_start(c->loop), ==, 0);
+}
+
+static void wait_watches(struct fake_control *c, gint least)
+{
+	for (u32 i = 0; i < WAIT_MS && g_atomic_int_get(&c->watches) < least; i++)
+		g_usleep(US_PER_MS);
+	g_assert_cmpint(g_atomic_int_get(&c->watches), >=, least);
+}
+
+/*
+ * The pattern: a process that was looked at as a nearer one, and was not nearer, is
+ * asked again at once when the process that is followed stops being fresh.
+ */
+static void test_moves_to_one_seen_before(void)
+{
+	struct fake_node node;
+	struct fake_control *from;
+	struct fake_control *to;
+	u64 began_us;
+
+	start_control(&controls[0]);
+	start_control(&controls[1]);
+	fake_node_prepare(&node);
+	g_array_set_size(node.settings.node.control, 0);
+	for (guint i = 0; i < G_N_ELEMENTS(controls); i++) {
+		struct endpoint at = { .host = "127.0.0.1", .port = controls[i].port };
+
+		g_array_append_val(node.settings.node.control, at);
+	}
+	fake_node_run(&node);
+	for (u32 i = 0; i < WAIT_MS && !controls[0].watches && !controls[1].watches; i++)
+		g_usleep(US_PER_MS);
+	from = controls[0].watches ? &controls[0] : &controls[1];
+	to = from == &controls[0] ? &controls[1] : &controls[0];
+	/* Time to look at the other one. */
+	g_usleep(US_PER_S);
+	g_assert_cmpint(g_atomic_int_get(&to->watches), ==, 0);
+	began_us = loop_clock_us();
+	g_atomic_int_set(&from->is_fresh, 0);
+	wait_watches(to, 1);
+	g_assert_cmpuint(to->watched_us - began_us, <, MOVE_MAX_US);
+}
+
+int main(int argc, char **argv)
+{
+	int ret;
+
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/watch/moves-to-one-seen-before", test_moves_to_one_seen_before);
+	ret = g_test_run();
+	fflush(stdout);
+	_exit(ret); /* the node still runs */
+}
