--- a/kernel/httpd.c
+++ b/kernel/httpd.c
@@ -572,6 +572,30 @@
 	h->closes_soon = true;
 }
 
+static void close_port(struct httpd *h)
+{
+	if (h->fd.fd < 0)
+		return;
+	loop_fd_remove(h->loop, &h->fd);
+	close(h->fd.fd);
+	h->fd.fd = -1;
+}
+
+void httpd_stop_accepting(struct httpd *h)
+{
+	GList *next;
+
+	h->closes_soon = true;
+	close_port(h);
+	for (GList *l = h->conns.head; l; l = next) {
+		struct httpd_conn *c = l->data;
+
+		next = l->next;
+		if (is_idle(c) && http_read_is_idle(&c->read) && !c->is_busy)
+			conn_close(c);
+	}
+}
+
 u32 httpd_connections(const struct httpd *h)
 {
 	return h->conns.length;
@@ -587,7 +611,6 @@
 	while (h->conns.length)
 		conn_close(h->conns.head->data);
 	loop_timer_cancel(h->loop, &h->sweep);
-	loop_fd_remove(h->loop, &h->fd);
-	close(h->fd.fd);
+	close_port(h);
 	g_free(h);
 }
--- a/kernel/httpd.h
+++ b/kernel/httpd.h
@@ -65,6 +65,12 @@
 /* httpd_close_soon - from now on each answer with nothing behind it ends its connection. */
 void httpd_close_soon(struct httpd *h);
 
+/*
+ * httpd_stop_accepting - take no further request: the port and the connections
+ * without a request in progress are closed, the others after their answer.
+ */
+void httpd_stop_accepting(struct httpd *h);
+
 /* httpd_connections - open connections; httpd_requests - requests without a sent answer. */
 u32 httpd_connections(const struct httpd *h);
 u32 httpd_requests(const struct httpd *h);
--- a/node/node.c
+++ b/node/node.c
@@ -10,7 +10,9 @@
 /* Longer than callers take to notice that a node is not ready. */
 #define SHUTDOWN_QUIET_US (1 * US_PER_S)
 /* At the end of the grace, for what is written last. */
-#define SHUTDOWN_END_US (500 * US_PER_MS)
+#define SHUTDOWN_END_US (250 * US_PER_MS)
+/* The part of the grace in which requests are still read. */
+#define SHUTDOWN_READ_PERCENT 65
 #define PROBE_TICK_US (50 * US_PER_MS)
 
 void node_announce(struct node *n)
@@ -180,9 +182,17 @@
 	httpd_close_soon(n->caller_http);
 }
 
+static void stop_accepting(void *arg)
+{
+	struct node *n = arg;
+
+	httpd_stop_accepting(n->caller_http);
+}
+
 /*
- * In three parts of the grace: callers are served as before, then each answer
- * tells them to leave, then what is still in progress is given up.
+ * The parts of the grace: callers are served as before; then each answer tells
+ * them to leave; then no more is read, so that what was read has time to end;
+ * at last, what is still in progress is given up.
  */
 static void finish_calls(struct node *n)
 {
@@ -193,16 +203,15 @@
 
 	wait_until_quiet(now + grace_us / 2);
 	loop_call(n->loop, close_soon, n);
+	wait_until_quiet(now + grace_us * SHUTDOWN_READ_PERCENT / 100);
+	loop_call(n->loop, stop_accepting, n);
 	left = wait_for_calls(n, end_us);
-	if (left) {
-		log_event(LOG_WARN, "shutdown grace is over with calls in progress", "calls",
-			  log_u64(left), NULL);
-		loop_call(n->loop, abandon_calls, n);
-		end_us = loop_clock_us() + SHUTDOWN_POLL_US;
-	} else {
-		wait_until_quiet(MIN(end_us, loop_clock_us() + SHUTDOWN_QUIET_US));
-	}
-	wait_for_calls(n, end_us);
+	if (!left)
+		return;
+	log_event(LOG_WARN, "shutdown grace is over with calls in progress", "calls", log_u64(left),
+		  NULL);
+	loop_call(n->loop, abandon_calls, n);
+	wait_for_calls(n, loop_clock_us() + SHUTDOWN_POLL_US);
 }
 
 static void leave_directory(void *arg)
