--- a/lib/log.c
+++ b/lib/log.c
@@ -190,9 +190,9 @@
 
 const char *log_u64(u64 v)
 {
-	static __thread char ring[4][24];
+	static __thread char ring[16][24];
 	static __thread unsigned int next;
-	char *out = ring[next++ % 4];
+	char *out = ring[next++ % 16];
 
 	snprintf(out, sizeof(ring[0]), "%llu", (unsigned long long)v);
 	return out;
--- a/node/admit.c
+++ b/node/admit.c
@@ -11,6 +11,7 @@
 #define USED_WINDOW_US (100 * (i64)US_PER_MS)
 #define CREDIT_WINDOW_US (100 * (i64)US_PER_MS)
 #define AHEAD_SERVICES 3
+#define USUAL_PERCENT 100
 #define WAIT_MAX_US (60 * US_PER_S)
 #define WHOLE_PPM 1000000
 #define PPM_PER_PERCENT 10000
@@ -21,6 +22,7 @@
 	for (u32 i = 0; i < ADMIT_RANKS_MAX; i++)
 		g_queue_init(&a->queues[i].waiting);
 	g_queue_init(&a->evicted);
+	a->slowness_percent = USUAL_PERCENT;
 	a->served = SERVICE_GUESS_CALLS;
 	a->slot_time_us = (double)SERVICE_GUESS_CALLS * SERVICE_FIRST_GUESS_US;
 }
@@ -33,16 +35,34 @@
 	g_queue_init(&a->evicted);
 }
 
+static void set_limit(struct admit *a)
+{
+	a->limit = MIN(a->limiter.now, a->knee.now);
+}
+
 void admit_set_slots(struct admit *a, u32 slots)
 {
 	limit_set_slots(&a->limiter, slots);
+	knee_set_slots(&a->knee, slots);
 	a->slots = slots;
-	a->limit = a->limiter.now;
+	set_limit(a);
+}
+
+/* What was learned of the ranks' times holds while they have the same meaning. */
+static bool is_same_ranks(const struct admit *a, const struct admit_rank *ranks, u32 n)
+{
+	if (a->nranks != n)
+		return false;
+	for (u32 i = 0; i < n; i++)
+		if (a->ranks[i].worth != ranks[i].worth)
+			return false;
+	return true;
 }
 
 /* Floors of more than the whole are scaled down, so that each can be kept. */
 void admit_set_ranks(struct admit *a, const struct admit_rank *ranks, u32 n)
 {
+	bool is_same = is_same_ranks(a, ranks, n);
 	u32 sum = 0;
 
 	a->nranks = MIN(n, (u32)ADMIT_RANKS_MAX);
@@ -52,19 +72,28 @@
 		sum += a->ranks[i].floor_percent;
 	for (u32 i = 0; i < a->nranks && sum > 100; i++)
 		a->ranks[i].floor_percent = a->ranks[i].floor_percent * 100 / sum;
+	if (is_same)
+		return;
 	limit_forget(&a->limiter);
+	knee_forget(&a->knee);
+	set_limit(a);
 }
 
-u64 admit_service_us(const struct admit *a)
+static u64 usual_service_us(const struct admit *a)
 {
 	return (u64)(a->slot_time_us / a->served);
 }
 
+u64 admit_service_us(const struct admit *a)
+{
+	return usual_service_us(a) * a->slowness_percent / USUAL_PERCENT;
+}
+
 static u64 service_us(const struct admit *a, u32 rank)
 {
-	u64 own = a->queues[rank].service_us;
+	u64 own = a->queues[rank].work_us;
 
-	return own ? own : admit_service_us(a);
+	return own ? own * a->slowness_percent / USUAL_PERCENT : admit_service_us(a);
 }
 
 static i64 floor_us(const struct admit *a, u32 rank, i64 span_us)
@@ -116,11 +145,15 @@
 static void advance(struct admit *a, u64 now_us)
 {
 	i64 span_us = now_us > a->now_us ? (i64)(now_us - a->now_us) : 0;
+	double work_us;
 
 	if (!span_us)
 		return;
 	a->now_us = now_us;
-	a->slot_time_us += (double)a->running * (double)span_us;
+	work_us = (double)span_us * USUAL_PERCENT / a->slowness_percent;
+	a->work_us += work_us;
+	a->busy_us += (double)a->running * (double)span_us;
+	a->slot_time_us += (double)a->running * work_us;
 	if (!a->running)
 		forget_service(a, span_us);
 	/* Longer spans change nothing more and could overflow. */
@@ -129,6 +162,12 @@
 		advance_rank(a, i, span_us);
 }
 
+void admit_set_slowness(struct admit *a, u32 percent, u64 now_us)
+{
+	advance(a, now_us);
+	a->slowness_percent = percent ? percent : USUAL_PERCENT;
+}
+
 /*
  * The part of the slot time that RANK can count on: what the worthier ranks
  * leave, less the floors of lower ranks that wait, but at least its own floor.
@@ -338,6 +377,8 @@
 	q->running++;
 	a->running++;
 	r->running_at_start = a->running;
+	r->work_at_start_us = a->work_us;
+	r->busy_at_start_us = a->busy_us;
 }
 
 struct admit_req *admit_next(struct admit *a, u64 now_us)
@@ -416,22 +457,27 @@
 	struct admit_queue *q = &a->queues[r->rank];
 
 	u32 running = MAX(r->running_at_start, a->running);
+	u64 work;
+	u32 level;
 
 	advance(a, now_us);
+	work = (u64)(a->work_us - r->work_at_start_us);
+	level = took ? (u32)((a->busy_us - r->busy_at_start_us) / (double)took + 0.5) : 0;
 	a->running--;
 	q->running--;
 	if (r->charged_us)
 		q->credit_us += (i64)r->charged_us - (i64)took;
 	r->state = ADMIT_LEFT;
 	if (!is_served) {
-		a->slot_time_us = MAX(a->slot_time_us - (double)took, 0);
+		a->slot_time_us = MAX(a->slot_time_us - (double)work, 0);
 		return;
 	}
 	a->served = a->served * (SERVED_SMOOTHING - 1) / SERVED_SMOOTHING + 1;
 	a->slot_time_us = a->slot_time_us * (SERVED_SMOOTHING - 1) / SERVED_SMOOTHING;
-	q->service_us = smooth(q->service_us, MAX(took, 1));
-	limit_sample(&a->limiter, r->rank, took, running, now_us);
-	a->limit = a->limiter.now;
+	q->work_us = smooth(q->work_us, MAX(work, 1));
+	limit_sample(&a->limiter, r->rank, work, running, now_us);
+	knee_sample(&a->knee, r->rank, work, level, now_us);
+	set_limit(a);
 }
 
 void admit_cancel(struct admit *a, struct admit_req *r)
@@ -458,6 +504,12 @@
 	return lowest == UINT32_MAX ? most + 1 : lowest;
 }
 
+void admit_adopt_knee(struct admit *a, u32 limit)
+{
+	knee_adopt(&a->knee, limit);
+	set_limit(a);
+}
+
 /* The worthiest ranks, each once. */
 static void add_wait(struct peer_load *load, u32 worth, u64 wait_us)
 {
@@ -480,7 +532,8 @@
 	load->running = a->running;
 	load->queued = a->queued;
 	load->limit = a->limit;
-	load->service_us = admit_service_us(a);
+	load->knee = a->knee.is_found ? a->knee.now : 0;
+	load->service_us = usual_service_us(a);
 	for (u32 i = 0; i < a->nranks; i++)
 		add_wait(load, a->ranks[i].worth, MIN(expected_wait_us(a, i), WAIT_MAX_US));
 }
--- a/node/admit.h
+++ b/node/admit.h
@@ -9,13 +9,14 @@
  * waits, and pays for the slot time of its calls.
  *
  * UNITS microseconds
- * SOURCE node/admit.c, node/limit.c
+ * SOURCE node/admit.c, node/limit.c, node/knee.c
  */
 #ifndef ADMIT_H
 #define ADMIT_H
 
 #include "lib/ctr.h"
 #include "lib/types.h"
+#include "node/knee.h"
 #include "node/limit.h"
 #include "wire/peer.h"
 
@@ -43,6 +44,8 @@
 	/* private */
 	enum ctr reason; /* why admit_expired returned it */
 	u64 charged_us;
+	double work_at_start_us; /* of struct admit, as the next one */
+	double busy_at_start_us;
 	u32 running_at_start;
 	GList link;
 };
@@ -53,13 +56,17 @@
 	size_t bytes;
 	u64 first_leave_us; /* no request leaves unrun before this */
 	u32 running;
-	u64 service_us; /* smoothed time of one call; 0 while unknown */
+	u64 work_us; /* smoothed time of one call at the VM's usual speed; 0 while unknown */
 	i64 credit_us; /* slot time below (over, when negative) the floor */
 	i64 used_ppm; /* smoothed share of the slot time */
 };
 
 struct admit {
 	struct limit limiter;
+	struct knee knee;
+	u32 slowness_percent; /* of the VM now, as told */
+	double work_us; /* what a call that ran all the time would have done, at usual speed */
+	double busy_us; /* the sum of the times of all calls */
 	u32 slots;
 	u32 limit;
 	u32 nranks;
@@ -69,7 +76,8 @@
 	size_t queued_bytes;
 	u32 queued;
 	u32 running;
-	double slot_time_us; /* of lately, by the calls that were served and that run */
+	double slot_time_us; /* of lately, by the calls that were served and that run; usual speed
+			      */
 	double served; /* calls of lately */
 	u64 now_us;
 };
@@ -80,6 +88,12 @@
 /* admit_set_slots - from the upstream's announcement. */
 void admit_set_slots(struct admit *a, u32 slots);
 
+/*
+ * admit_set_slowness - how slow the upstream's VM is from now on, in percent: times
+ * are kept as work at its usual speed, and told as times of now.
+ */
+void admit_set_slowness(struct admit *a, u32 percent, u64 now_us);
+
 /* admit_set_ranks - from the configuration; queued requests keep their index. */
 void admit_set_ranks(struct admit *a, const struct admit_rank *ranks, u32 n);
 
@@ -124,6 +138,10 @@
  */
 u32 admit_lowest_worth(struct admit *a, u64 now_us);
 
+/* admit_adopt_knee - the knee that other upstreams of the service show, while none is known here.
+ */
+void admit_adopt_knee(struct admit *a, u32 limit);
+
 /* admit_load - what entry nodes are told; is_draining is left to the owner. */
 void admit_load(struct admit *a, struct peer_load *load, u64 now_us);
 
--- a/node/choose.c
+++ b/node/choose.c
@@ -365,3 +365,28 @@
 	}
 	return oldest;
 }
+
+static gint by_number(gconstpointer a, gconstpointer b)
+{
+	u32 x = *(const u32 *)a;
+	u32 y = *(const u32 *)b;
+
+	return x < y ? -1 : x > y;
+}
+
+u32 choose_knee(struct choose *c, const char *service, u32 slots)
+{
+	struct choose_service *s = choose_find_service(c, service);
+	g_autoptr(GArray) told = g_array_new(FALSE, FALSE, sizeof(u32));
+
+	for (guint i = 0; s && i < s->targets->len; i++) {
+		const struct choose_target *t = g_ptr_array_index(s->targets, i);
+
+		if (t->load_us && t->load.knee && t->entry.slots == slots)
+			g_array_append_val(told, t->load.knee);
+	}
+	if (!told->len)
+		return 0;
+	g_array_sort(told, by_number);
+	return g_array_index(told, u32, told->len / 2);
+}
--- a/node/choose.h
+++ b/node/choose.h
@@ -111,6 +111,9 @@
  */
 struct choose_target *choose_to_probe(struct choose *c, u64 now_us);
 
+/* choose_knee - the median knee that upstreams of SERVICE with SLOTS tell; 0 when none does. */
+u32 choose_knee(struct choose *c, const char *service, u32 slots);
+
 /* choose_sent, choose_ended - own calls, so that the score follows at once. */
 void choose_sent(struct choose_target *t, u64 now_us);
 void choose_ended(struct choose_target *t, enum choose_result result, u64 took_us, u64 now_us);
--- a/node/config.c
+++ b/node/config.c
@@ -157,6 +157,21 @@
 	}
 }
 
+static void log_set(const struct config *c)
+{
+	const struct set *set = c->set ? c->set->set : NULL;
+
+	log_event(LOG_INFO, "set in force", "version", log_u64(set ? set->version : 0), "revision",
+		  log_u64(c->revision), "routes", log_u64(set ? set->routes->len : 0), NULL);
+	for (guint i = 0; set && log_is_on(LOG_DEBUG) && i < set->routes->len; i++) {
+		const struct set_route *r = g_ptr_array_index(set->routes, i);
+
+		log_event(LOG_DEBUG, "route", "name", r->name, "priority", log_u64(r->priority),
+			  "timeout_ms", log_u64(r->timeout_ms), "target_ms", log_u64(r->target_ms),
+			  "attempts", log_u64(r->attempts), NULL);
+	}
+}
+
 static void apply_set(struct config *c, const struct config_change *change)
 {
 	FIND_AUTO(found);
@@ -172,6 +187,7 @@
 	}
 	set_unref(c->set);
 	c->set = set ? set_new(set) : NULL;
+	log_set(c);
 }
 
 static void apply_change(struct config *c, const struct config_change *change)
--- a/node/home.c
+++ b/node/home.c
@@ -47,12 +47,14 @@
 
 void home_push_load(struct node *n)
 {
+	u64 now = loop_clock_us();
 	struct choose_target *self = choose_find(&n->choose, n->self.name);
 	struct peer_load load;
 
+	admit_set_slowness(&n->home->admit, gauge_slowness_percent(n->home->gauge), now);
 	home_load(n, &load);
 	if (self)
-		choose_load(self, &load, loop_clock_us());
+		choose_load(self, &load, now);
 	entry_slowness(n, n->self.name);
 	mesh_push_load(n);
 }
@@ -194,15 +196,44 @@
 	return n->dialect->is_not_run(reply) ? CTR_UPSTREAM_SHED : CTR_COUNT;
 }
 
+/* One line a call that ended at the upstream, with what it met there. */
+static void log_run(const struct node *n, const struct job *j)
+{
+	const struct admit_req *r = &j->req;
+	const char *request = n->dialect->id(j->msg);
+	u64 now = loop_clock_us();
+
+	if (!log_is_on(LOG_DEBUG))
+		return;
+	log_event(LOG_DEBUG, "run", "request", request ? request : "", "rank", log_u64(r->rank),
+		  "waited_us", log_u64(r->started_us - r->queued_us), "took_us",
+		  log_u64(now - r->started_us), "running", log_u64(r->running_at_start), "slowness",
+		  log_u64(gauge_slowness_percent(n->home->gauge)), "error",
+		  j->upstream.err ? err_text(j->upstream.err) : "", NULL);
+}
+
+static void end_in_admission(struct node *n, struct job *j)
+{
+	struct admit *a = &n->home->admit;
+	u32 before = a->limit;
+
+	admit_done(a, &j->req, is_served(j), loop_clock_us());
+	if (a->limit != before)
+		log_event(LOG_INFO, "limit", "service", n->own.service, "from", log_u64(before),
+			  "to", log_u64(a->limit), "knee", log_u64(a->knee.now), "slots",
+			  log_u64(a->slots), NULL);
+}
+
 static void finish_job(struct upstream_call *call)
 {
 	struct job *j = call->arg;
 	struct node *n = j->node;
 	enum ctr unrun = call->err ? CTR_COUNT : unrun_answer(n, call->reply);
 
+	log_run(n, j);
 	if (!call->err)
 		gauge_answer(n->home->gauge, call->reply);
-	admit_done(&n->home->admit, &j->req, is_served(j), loop_clock_us());
+	end_in_admission(n, j);
 	if (unrun == CTR_OTHER_INSTANCE)
 		lose_upstream(n, unrun);
 	else if (call->err == ERR_REFUSED)
@@ -454,6 +485,7 @@
 void home_second(struct node *n, u64 now_us)
 {
 	call_expire(&n->home->table, now_us);
+	admit_adopt_knee(&n->home->admit, choose_knee(&n->choose, n->own.service, n->own.slots));
 }
 
 static void on_leave(void *arg, u64 now_us)
--- /dev/null
+++ b/node/knee.h
@@ -0,0 +1,51 @@
+/*
+ * knee - the number of calls at which an upstream does most
+ *
+ * Some upstreams take longer for each call when they are nearly full, so that
+ * more calls at once get less done. Calls are sorted by how many ran beside
+ * them. The knee is the number that best divides them into usual and longer
+ * ones, when the longer ones take so long that less is done above it. What is
+ * known of the numbers above it is forgotten with time, and they are tried
+ * again, as the upstream may change.
+ *
+ * UNITS microseconds of work: time at the VM's usual speed
+ * SOURCE node/knee.c
+ */
+#ifndef KNEE_H
+#define KNEE_H
+
+#include "lib/types.h"
+
+#define KNEE_LEVELS_MAX 128
+#define KNEE_RANKS_MAX 32
+
+/* Calls beside which, on average, so many ran, itself included. */
+struct knee_level {
+	double samples;
+	double stretch_sum; /* of the logarithms of their times, in usual ones */
+};
+
+struct knee {
+	u32 slots;
+	u32 now; /* calls that run at once */
+	bool is_found; /* by samples of its own */
+	u32 adopted; /* what others found; 0 for nothing */
+	u32 fresh; /* samples since the last look */
+	u64 forgot_us;
+	double usual[KNEE_RANKS_MAX]; /* logarithm of the work of a call; 0 while unknown */
+	struct knee_level levels[KNEE_LEVELS_MAX + 1];
+};
+
+/* knee_set_slots - forgets all when the number changes. */
+void knee_set_slots(struct knee *k, u32 slots);
+
+/* knee_sample - a call of RANK did WORK_US while on average LEVEL calls ran. */
+void knee_sample(struct knee *k, u32 rank, u64 work_us, u32 level, u64 now_us);
+
+/* knee_adopt - the limit that others of the service found, while none is found here. */
+void knee_adopt(struct knee *k, u32 limit);
+
+/* knee_forget - the meaning of the ranks changed. */
+void knee_forget(struct knee *k);
+
+#endif
--- a/wire/peer.c
+++ b/wire/peer.c
@@ -39,6 +39,7 @@
 	frame_put_u64(f, l->running);
 	frame_put_u64(f, l->queued);
 	frame_put_u64(f, l->limit);
+	frame_put_u64(f, l->knee);
 	frame_put_u64(f, l->lowest_worth);
 	frame_put_u64(f, l->service_us);
 	frame_put_u64(f, l->slowness_percent);
@@ -55,6 +56,7 @@
 	l->running = (u32)frame_get_u64(in);
 	l->queued = (u32)frame_get_u64(in);
 	l->limit = (u32)frame_get_u64(in);
+	l->knee = (u32)frame_get_u64(in);
 	l->lowest_worth = (u32)frame_get_u64(in);
 	l->service_us = frame_get_u64(in);
 	l->slowness_percent = (u32)frame_get_u64(in);
--- a/wire/peer.h
+++ b/wire/peer.h
@@ -53,6 +53,7 @@
 	u32 running;
 	u32 queued;
 	u32 limit; /* calls that may run at once now */
+	u32 knee; /* the limit that the upstream's own times showed; 0 for none */
 	u32 lowest_worth; /* calls below are refused now */
 	u64 service_us; /* typical time of one call at the upstream */
 	u32 slowness_percent; /* of the upstream's VM now; 100 as usual, 0 not told */
