--- a/node/admit.c
+++ b/node/admit.c
@@ -457,26 +457,24 @@
 	struct admit_queue *q = &a->queues[r->rank];
 
 	u32 running = MAX(r->running_at_start, a->running);
-	u64 work;
-	u32 level;
 
 	advance(a, now_us);
-	work = (u64)(a->work_us - r->work_at_start_us);
-	level = took ? (u32)((a->busy_us - r->busy_at_start_us) / (double)took + 0.5) : 0;
+	r->work_us = (u64)(a->work_us - r->work_at_start_us);
+	r->level = took ? (u32)((a->busy_us - r->busy_at_start_us) / (double)took + 0.5) : 0;
 	a->running--;
 	q->running--;
 	if (r->charged_us)
 		q->credit_us += (i64)r->charged_us - (i64)took;
 	r->state = ADMIT_LEFT;
 	if (!is_served) {
-		a->slot_time_us = MAX(a->slot_time_us - (double)work, 0);
+		a->slot_time_us = MAX(a->slot_time_us - (double)r->work_us, 0);
 		return;
 	}
 	a->served = a->served * (SERVED_SMOOTHING - 1) / SERVED_SMOOTHING + 1;
 	a->slot_time_us = a->slot_time_us * (SERVED_SMOOTHING - 1) / SERVED_SMOOTHING;
-	q->work_us = smooth(q->work_us, MAX(work, 1));
-	limit_sample(&a->limiter, r->rank, work, running, now_us);
-	knee_sample(&a->knee, r->rank, work, level, now_us);
+	q->work_us = smooth(q->work_us, MAX(r->work_us, 1));
+	limit_sample(&a->limiter, r->rank, r->work_us, running, now_us);
+	knee_sample(&a->knee, r->rank, r->work_us, r->level, now_us);
 	set_limit(a);
 }
 
--- a/node/admit.h
+++ b/node/admit.h
@@ -47,6 +47,9 @@
 	double work_at_start_us; /* of struct admit, as the next one */
 	double busy_at_start_us;
 	u32 running_at_start;
+	/* set by admit_done */
+	u64 work_us; /* what the call did, as time at the VM's usual speed */
+	u32 level; /* calls that ran beside it on average, itself included */
 	GList link;
 };
 
--- a/node/call_table.c
+++ b/node/call_table.c
@@ -11,15 +11,18 @@
 	g_free(r);
 }
 
-static gint incarnation_cmp(gconstpointer a, gconstpointer b, gpointer unused)
+/* By the time of the entry node's start, so that the oldest is the first. */
+static gint start_cmp(gconstpointer a, gconstpointer b, gpointer unused)
 {
-	const u64 *x = a;
-	const u64 *y = b;
+	const struct call_id *x = a;
+	const struct call_id *y = b;
 
 	(void)unused;
-	if (*x == *y)
+	if (x->incarnation != y->incarnation)
+		return x->incarnation < y->incarnation ? -1 : 1;
+	if (x->origin == y->origin)
 		return 0;
-	return *x < *y ? -1 : 1;
+	return x->origin < y->origin ? -1 : 1;
 }
 
 void call_table_init(struct call_table *t)
@@ -28,7 +31,7 @@
 	t->ended = g_queue_new();
 	t->replied = g_queue_new();
 	t->reply_bytes = 0;
-	t->floors = g_tree_new_full(incarnation_cmp, NULL, NULL, g_free);
+	t->floors = g_tree_new_full(start_cmp, NULL, NULL, g_free);
 	t->old_incarnation = 0;
 }
 
@@ -42,7 +45,7 @@
 
 static bool may_be_forgotten(struct call_table *t, struct call_id id)
 {
-	const struct call_floor *f = g_tree_lookup(t->floors, &id.incarnation);
+	const struct call_floor *f = g_tree_lookup(t->floors, &id);
 
 	return f ? id.seq <= f->seq : id.incarnation <= t->old_incarnation;
 }
@@ -55,19 +58,19 @@
 	if (g_tree_nnodes(t->floors) <= CALL_INCARNATIONS_MAX)
 		return;
 	f = g_tree_node_value(g_tree_node_first(t->floors));
-	t->old_incarnation = MAX(t->old_incarnation, f->incarnation);
-	g_tree_remove(t->floors, &f->incarnation);
+	t->old_incarnation = MAX(t->old_incarnation, f->entry.incarnation);
+	g_tree_remove(t->floors, &f->entry);
 }
 
 static void raise_floor(struct call_table *t, struct call_id id)
 {
-	struct call_floor *f = g_tree_lookup(t->floors, &id.incarnation);
+	struct call_floor *f = g_tree_lookup(t->floors, &id);
 
 	if (!f) {
 		f = g_new0(struct call_floor, 1);
-		f->incarnation = id.incarnation;
+		f->entry = id;
 		f->seq = id.incarnation <= t->old_incarnation ? UINT64_MAX : id.seq;
-		g_tree_insert(t->floors, &f->incarnation, f);
+		g_tree_insert(t->floors, &f->entry, f);
 		bound_floors(t);
 		/* cppcheck-suppress memleak ; the tree owns it */
 		return;
--- a/node/call_table.h
+++ b/node/call_table.h
@@ -36,7 +36,7 @@
 
 /* What was forgotten of one entry incarnation. */
 struct call_floor {
-	u64 incarnation;
+	struct call_id entry; /* of which the sequence does not count */
 	u64 seq; /* the highest forgotten sequence */
 };
 
@@ -45,7 +45,7 @@
 	GQueue *ended; /* of struct call_record, oldest first */
 	GQueue *replied; /* those of ended that hold a reply */
 	size_t reply_bytes;
-	GTree *floors; /* incarnation -> struct call_floor */
+	GTree *floors; /* struct call_id of an entry's start -> struct call_floor */
 	u64 old_incarnation; /* floors up to this incarnation were dropped */
 };
 
--- a/node/choose.c
+++ b/node/choose.c
@@ -11,6 +11,8 @@
 /* Entries that come so soon after the start are of upstreams that were there before. */
 #define FIRST_US (5 * US_PER_S)
 #define RAMP_US (5 * US_PER_S)
+/* One in so many upstreams must show a knee before it is taken for that of the service. */
+#define TOLD_PART 3
 #define PROBE_AGE_US (100 * US_PER_MS)
 /* An older word that a rank is refused counts no more. */
 #define REFUSED_AGE_US (250 * US_PER_MS)
@@ -378,14 +380,18 @@
 {
 	struct choose_service *s = choose_find_service(c, service);
 	g_autoptr(GArray) told = g_array_new(FALSE, FALSE, sizeof(u32));
+	u32 n = 0;
 
 	for (guint i = 0; s && i < s->targets->len; i++) {
 		const struct choose_target *t = g_ptr_array_index(s->targets, i);
 
-		if (t->load_us && t->load.knee && t->entry.slots == slots)
+		if (t->entry.slots != slots)
+			continue;
+		n++;
+		if (t->load_us && t->load.knee)
 			g_array_append_val(told, t->load.knee);
 	}
-	if (!told->len)
+	if (told->len * TOLD_PART < n || !told->len)
 		return 0;
 	g_array_sort(told, by_number);
 	return g_array_index(told, u32, told->len / 2);
--- a/node/choose.h
+++ b/node/choose.h
@@ -111,7 +111,7 @@
  */
 struct choose_target *choose_to_probe(struct choose *c, u64 now_us);
 
-/* choose_knee - the median knee that upstreams of SERVICE with SLOTS tell; 0 when none does. */
+/* choose_knee - the median knee that upstreams of SERVICE with SLOTS tell; 0 when few do. */
 u32 choose_knee(struct choose *c, const char *service, u32 slots);
 
 /* choose_sent, choose_ended - own calls, so that the score follows at once. */
--- a/node/entry.c
+++ b/node/entry.c
@@ -5,6 +5,7 @@
 #include "node/config.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 void entry_try_end(struct node *n, struct call_try *t)
 {
@@ -180,7 +181,7 @@
 {
 	struct call_try *t = NULL;
 
-	if (id.incarnation == n->self.incarnation)
+	if (id.incarnation == n->self.incarnation && id.origin == n->entry->origin)
 		t = g_hash_table_lookup(n->entry->tries, &id.seq);
 	if (!t)
 		ctr_inc(CTR_LATE_REPLY);
@@ -325,6 +326,7 @@
 int entry_start(struct node *n)
 {
 	n->entry = g_new0(struct entry, 1);
+	n->entry->origin = XXH64(n->self.name, strlen(n->self.name), 0);
 	n->entry->tries = g_hash_table_new(g_int64_hash, g_int64_equal);
 	n->entry->calls = g_hash_table_new(NULL, NULL);
 	retry_budget_init(&n->entry->budget);
--- a/node/entry_impl.h
+++ b/node/entry_impl.h
@@ -39,6 +39,7 @@
 	GHashTable *tries; /* sequence -> struct call_try */
 	GHashTable *calls; /* set of struct entry_call */
 	u64 seq;
+	u64 origin; /* of the ids of this node's calls */
 	struct retry_budget budget;
 	struct hedge hedge;
 	struct shed shed;
--- a/node/entry_try.c
+++ b/node/entry_try.c
@@ -1,6 +1,7 @@
 /* Tries of a call at home nodes, and second tries of slow calls. */
 #include "node/entry_impl.h"
 
+#include "lib/log.h"
 #include "node/config.h"
 
 #include <string.h>
@@ -86,7 +87,9 @@
 {
 	struct call_try *t = g_new0(struct call_try, 1);
 
-	t->id = (struct call_id){ .incarnation = n->self.incarnation, .seq = ++n->entry->seq };
+	t->id = (struct call_id){ .incarnation = n->self.incarnation,
+				  .seq = ++n->entry->seq,
+				  .origin = n->entry->origin };
 	t->call = call;
 	t->home = g_strdup(target->entry.node);
 	t->sent_us = now_us;
@@ -123,6 +126,22 @@
 		entry_attempt(n, call);
 }
 
+/* One line a choice: what it rests on, and how old that is. */
+static void log_choice(const struct node *n, const struct entry_call *call,
+		       const struct choose_target *t, u64 now_us)
+{
+	const char *request = n->dialect->id(call->msg);
+
+	if (!log_is_on(LOG_DEBUG))
+		return;
+	log_event(LOG_DEBUG, "try", "request", request ? request : "", "service", call->service,
+		  "home", t->entry.node, "score_us", log_u64(choose_score(t, call->worth, now_us)),
+		  "load_age_us", log_u64(t->load_us ? now_us - t->load_us : 0), "slowness",
+		  log_u64(t->load.slowness_percent), "running", log_u64(t->load.running), "queued",
+		  log_u64(t->load.queued), "in_flight", log_u64(t->in_flight), "tries",
+		  log_u64(call->priv->tries), "sends", log_u64(call->priv->sends), NULL);
+}
+
 static void try_at(struct node *n, struct entry_call *call, struct choose_target *target,
 		   u64 now_us)
 {
@@ -130,6 +149,7 @@
 	const char *home = target->entry.node;
 	struct link *k;
 
+	log_choice(n, call, target, now_us);
 	p->tries++;
 	g_ptr_array_add(p->tried, g_strdup(home));
 	if (!strcmp(home, n->self.name)) {
--- a/node/home.c
+++ b/node/home.c
@@ -207,9 +207,9 @@
 		return;
 	log_event(LOG_DEBUG, "run", "request", request ? request : "", "rank", log_u64(r->rank),
 		  "waited_us", log_u64(r->started_us - r->queued_us), "took_us",
-		  log_u64(now - r->started_us), "running", log_u64(r->running_at_start), "slowness",
-		  log_u64(gauge_slowness_percent(n->home->gauge)), "error",
-		  j->upstream.err ? err_text(j->upstream.err) : "", NULL);
+		  log_u64(now - r->started_us), "work_us", log_u64(r->work_us), "level",
+		  log_u64(r->level), "slowness", log_u64(gauge_slowness_percent(n->home->gauge)),
+		  "error", j->upstream.err ? err_text(j->upstream.err) : "", NULL);
 }
 
 static void end_in_admission(struct node *n, struct job *j)
@@ -230,10 +230,10 @@
 	struct node *n = j->node;
 	enum ctr unrun = call->err ? CTR_COUNT : unrun_answer(n, call->reply);
 
-	log_run(n, j);
 	if (!call->err)
 		gauge_answer(n->home->gauge, call->reply);
 	end_in_admission(n, j);
+	log_run(n, j);
 	if (unrun == CTR_OTHER_INSTANCE)
 		lose_upstream(n, unrun);
 	else if (call->err == ERR_REFUSED)
--- a/node/knee.h
+++ b/node/knee.h
@@ -8,6 +8,10 @@
  * known of the numbers above it is forgotten with time, and they are tried
  * again, as the upstream may change.
  *
+ * Compared are the shorter calls of each side, at their first quartile: a knee
+ * makes all calls longer, while what the upstream itself waits for, as calls of
+ * its own, makes some of them longer.
+ *
  * UNITS microseconds of work: time at the VM's usual speed
  * SOURCE node/knee.c
  */
@@ -19,20 +23,24 @@
 #define KNEE_LEVELS_MAX 128
 #define KNEE_RANKS_MAX 32
 
-/* Calls beside which, on average, so many ran, itself included. */
+#define KNEE_LEVEL_SAMPLES 48
+
+/* The last calls beside which, on average, so many ran, itself included. */
 struct knee_level {
-	double samples;
-	double stretch_sum; /* of the logarithms of their times, in usual ones */
+	u32 samples;
+	u32 next; /* the place of the next sample */
+	float work[KNEE_LEVEL_SAMPLES]; /* logarithm of what the call did */
+	u8 rank[KNEE_LEVEL_SAMPLES];
 };
 
 struct knee {
 	u32 slots;
+	u32 nranks; /* ranks that were seen */
 	u32 now; /* calls that run at once */
 	bool is_found; /* by samples of its own */
 	u32 adopted; /* what others found; 0 for nothing */
 	u32 fresh; /* samples since the last look */
 	u64 forgot_us;
-	double usual[KNEE_RANKS_MAX]; /* logarithm of the work of a call; 0 while unknown */
 	struct knee_level levels[KNEE_LEVELS_MAX + 1];
 };
 
--- a/node/mesh.c
+++ b/node/mesh.c
@@ -228,6 +228,7 @@
 {
 	struct mesh_peer *m = k->arg;
 
+	log_event(LOG_INFO, "link up", "peer", m->name, "rtt_us", log_u64(k->rtt_us), NULL);
 	entry_link_up(m->node, m->name, k->remote.incarnation);
 }
 
@@ -235,7 +236,8 @@
 {
 	struct mesh_peer *m = k->arg;
 
-	(void)err;
+	log_event(LOG_WARN, "link down", "peer", m->name, "was_up", k->is_up ? "yes" : "no",
+		  "error", err_text(err), NULL);
 	m->link = NULL;
 	g_hash_table_remove_all(m->partials);
 	entry_link_down(m->node, m->name);
--- a/test/call_table_test.c
+++ b/test/call_table_test.c
@@ -147,8 +147,8 @@
 		g_assert_cmpuint(t.reply_bytes, <=, CALL_REPLIES_MAX_BYTES);
 	}
 	g_assert_cmpuint(g_hash_table_size(t.records), ==, CALL_ENDED_MAX);
-	g_assert_cmpint(call_fence(&t, (struct call_id){ 1, 5 }, 0, &reply), ==, FENCE_UNKNOWN);
-	g_assert_cmpint(call_fence(&t, (struct call_id){ 1, 3 * CALL_ENDED_MAX }, 0, &reply), ==,
+	g_assert_cmpint(call_fence(&t, (struct call_id){ 1, 5, 0 }, 0, &reply), ==, FENCE_UNKNOWN);
+	g_assert_cmpint(call_fence(&t, (struct call_id){ 1, 3 * CALL_ENDED_MAX, 0 }, 0, &reply), ==,
 			FENCE_DONE);
 	call_table_clear(&t);
 }
@@ -169,9 +169,33 @@
 		call_expire(&t, now_us);
 	}
 	g_assert_cmpint(g_tree_nnodes(t.floors), ==, CALL_INCARNATIONS_MAX);
-	g_assert_cmpint(call_fence(&t, (struct call_id){ 2, 3 }, now_us, &reply), ==,
+	g_assert_cmpint(call_fence(&t, (struct call_id){ 2, 3, 0 }, now_us, &reply), ==,
 			FENCE_UNKNOWN);
-	g_assert_cmpint(call_begin(&t, (struct call_id){ 2, 9 }), ==, ERR_NOTFOUND);
+	g_assert_cmpint(call_begin(&t, (struct call_id){ 2, 9, 0 }), ==, ERR_NOTFOUND);
+	call_table_clear(&t);
+}
+
+/*
+ * The pattern: nodes that start at the same moment, as after a loss of power. The
+ * calls of one are not taken for those of the other.
+ */
+static void test_nodes_of_the_same_start(void)
+{
+	const struct call_id one = { .incarnation = 7, .seq = 1, .origin = 1 };
+	const struct call_id other = { .incarnation = 7, .seq = 1, .origin = 2 };
+	const struct http_msg *reply;
+	struct call_table t;
+
+	call_table_init(&t);
+	g_assert_cmpint(call_begin(&t, one), ==, 0);
+	g_assert_cmpint(call_begin(&t, other), ==, 0);
+	call_done(&t, one, http_new(), 0);
+	g_assert_cmpint(call_fence(&t, one, 0, &reply), ==, FENCE_DONE);
+	g_assert_cmpint(call_fence(&t, other, 0, &reply), ==, FENCE_RUNNING);
+	/* What was forgotten of one says nothing of the other. */
+	call_expire(&t, CALL_KEEP_US + 1);
+	g_assert_cmpint(call_begin(&t, one), ==, ERR_NOTFOUND);
+	g_assert_cmpint(call_begin(&t, (struct call_id){ 7, 0, 3 }), ==, 0);
 	call_table_clear(&t);
 }
 
@@ -183,5 +207,6 @@
 			test_forgotten_is_not_called_not_run);
 	g_test_add_func("/call-table/bounded", test_bounded);
 	g_test_add_func("/call-table/incarnations-are-bounded", test_incarnations_are_bounded);
+	g_test_add_func("/call-table/nodes-of-the-same-start", test_nodes_of_the_same_start);
 	return g_test_run();
 }
--- a/test/entry_test.c
+++ b/test/entry_test.c
@@ -129,8 +129,10 @@
 			take_event(PEER_EVENT_UP);
 		calls[i] = fake_peer_next(&home, PEER_CALL);
 	}
-	fake_peer_reply(&home, (struct call_id){ 1, 1 }, "nobody's");
-	fake_peer_reply(&home, (struct call_id){ calls[0]->id.incarnation, 1 << 20 }, "nobody's");
+	fake_peer_reply(&home, (struct call_id){ 1, 1, 1 }, "nobody's");
+	fake_peer_reply(&home,
+			(struct call_id){ calls[0]->id.incarnation, 1 << 20, calls[0]->id.origin },
+			"nobody's");
 	for (u32 i = CALLERS; i > 0; i--) {
 		const struct peer_event *e = calls[i - 1];
 		g_autofree char *body = g_strndup((char *)e->body->data, e->body->len);
--- a/test/fuzz_test.c
+++ b/test/fuzz_test.c
@@ -183,7 +183,7 @@
 
 static void sample_body(struct frame_out *f)
 {
-	peer_id_put(f, (struct call_id){ 5, 6 });
+	peer_id_put(f, (struct call_id){ 5, 6, 7 });
 	frame_put_bin(f, "hoopoe", 6);
 }
 
--- a/wire/peer.c
+++ b/wire/peer.c
@@ -8,7 +8,7 @@
 {
 	const struct call_id *id = p;
 
-	return (guint)(id->incarnation * 31 + id->seq);
+	return (guint)((id->origin ^ id->incarnation) * 31 + id->seq);
 }
 
 gboolean call_id_equal(gconstpointer a, gconstpointer b)
@@ -16,13 +16,14 @@
 	const struct call_id *x = a;
 	const struct call_id *y = b;
 
-	return x->incarnation == y->incarnation && x->seq == y->seq;
+	return x->incarnation == y->incarnation && x->seq == y->seq && x->origin == y->origin;
 }
 
 void peer_id_put(struct frame_out *f, struct call_id id)
 {
 	frame_put_u64(f, id.incarnation);
 	frame_put_u64(f, id.seq);
+	frame_put_u64(f, id.origin);
 }
 
 struct call_id peer_id_get(struct frame_in *in)
@@ -31,6 +32,7 @@
 
 	id.incarnation = frame_get_u64(in);
 	id.seq = frame_get_u64(in);
+	id.origin = frame_get_u64(in);
 	return id;
 }
 
--- a/wire/peer.h
+++ b/wire/peer.h
@@ -1,7 +1,7 @@
 /*
  * peer - the messages between nodes
  *
- * A call is named by (incarnation of the entry node, sequence). BODY frames
+ * A call is named by (entry node, its incarnation, sequence). BODY frames
  * follow CALL and REPLY until body_len bytes have come. Times are on the
  * sender's clock.
  *
@@ -34,6 +34,7 @@
 struct call_id {
 	u64 incarnation;
 	u64 seq;
+	u64 origin; /* hash of the entry node's name: two nodes may start at the same moment */
 };
 
 /* Ranks beyond these are not told; the worthiest are told first. */
