--- a/node/admit.c
+++ b/node/admit.c
@@ -12,6 +12,10 @@
 #define CREDIT_WINDOW_US (100 * (i64)US_PER_MS)
 #define AHEAD_SERVICES 3
 #define USUAL_PERCENT 100
+/* Mean deviations above the mean under which about nine calls in ten stay. */
+#define LONG_DEVIATIONS 2
+/* A call may wait at least this part of its target, however long calls take. */
+#define WAIT_PART 8
 #define WAIT_MAX_US (60 * US_PER_S)
 #define WHOLE_PPM 1000000
 #define PPM_PER_PERCENT 10000
@@ -285,10 +289,20 @@
 	return true;
 }
 
+/* A time that most calls of the rank keep, where the upstream's own slowness is known. */
+static u64 long_service_us(const struct admit *a, u32 rank)
+{
+	u64 more = a->queues[rank].deviation_us * LONG_DEVIATIONS;
+
+	if (!a->tells_slowness)
+		return service_us(a, rank);
+	return service_us(a, rank) + more * a->slowness_percent / USUAL_PERCENT;
+}
+
 /* What is served should still meet its target: the call's own time is set aside. */
 static u64 wait_within_us(const struct admit *a, u32 rank, u64 target_us)
 {
-	return target_us - MIN(service_us(a, rank), target_us / 2);
+	return target_us - MIN(long_service_us(a, rank), target_us - target_us / WAIT_PART);
 }
 
 static u64 wait_max_us(const struct admit *a, u32 rank)
@@ -452,6 +466,11 @@
 	return old ? (old * (SERVICE_SMOOTHING - 1) + sample) / SERVICE_SMOOTHING : sample;
 }
 
+static u64 distance(u64 a, u64 b)
+{
+	return a > b ? a - b : b - a;
+}
+
 void admit_done(struct admit *a, struct admit_req *r, bool is_served, u64 now_us)
 {
 	u64 took = now_us > r->started_us ? now_us - r->started_us : 0;
@@ -473,6 +492,8 @@
 	}
 	a->served = a->served * (SERVED_SMOOTHING - 1) / SERVED_SMOOTHING + 1;
 	a->slot_time_us = a->slot_time_us * (SERVED_SMOOTHING - 1) / SERVED_SMOOTHING;
+	if (q->work_us)
+		q->deviation_us = smooth(q->deviation_us, distance(q->work_us, r->work_us));
 	q->work_us = smooth(q->work_us, MAX(r->work_us, 1));
 	limit_sample(&a->limiter, r->rank, r->work_us, running, now_us);
 	knee_sample(&a->knee, r->rank, r->work_us, r->level, now_us);
