Calls that come too late for their target go behind all others

Cause: callers who were refused ask again with less time left; what can't be in time any more took the place of calls that could. Their age shows in the time that they tell.

--- a/node/admit.c
+++ b/node/admit.c
@@ -321,6 +321,14 @@
 	return MIN(r->deadline_us, r->queued_us + request_wait_max_us(a, r));
 }
 
+bool admit_is_late(const struct admit *a, const struct admit_req *r)
+{
+	u64 whole = a->ranks[r->rank].target_us;
+
+	/* A target that is too short for the service as such makes no call late. */
+	return r->target_us < service_us(a, r->rank) && r->target_us < whole;
+}
+
 int admit_offer(struct admit *a, struct admit_req *r, u64 now_us)
 {
 	u64 left = r->deadline_us > now_us ? r->deadline_us - now_us : 0;
--- a/node/admit.h
+++ b/node/admit.h
@@ -102,6 +102,9 @@
 /* admit_set_ranks - from the configuration; queued requests keep their index. */
 void admit_set_ranks(struct admit *a, const struct admit_rank *ranks, u32 n);
 
+/* admit_is_late - the call's target passes before most calls of its rank end, without any wait. */
+bool admit_is_late(const struct admit *a, const struct admit_req *r);
+
 /*
  * admit_offer - a new request. Returns 0 when it is queued (admit_next tells
  * when it runs), or the counter of the refusal, negated. Requests of lower
--- a/node/caller.c
+++ b/node/caller.c
@@ -18,16 +18,26 @@
 	u64 start_us;
 };
 
+/* What is left of the target when the caller asks not for the first time. */
+static u64 target_left_us(struct config_route *r, u64 left_ms)
+{
+	u64 target_ms = r->route->target_ms;
+
+	return MAX(target_ms - MIN(age_ms(&r->age, left_ms), target_ms), 1) * US_PER_MS;
+}
+
 static void take_route(struct node *n, struct config_route *r, struct entry_call *call)
 {
+	u64 now = loop_clock_us();
+	u64 left_us = call->deadline_us > now ? call->deadline_us - now : 0;
+
 	call->service = g_strdup(config_route_part(r, &n->choose.rng));
 	call->rank = set_rank_name(r->route->priority);
 	call->is_idempotent = r->route->is_idempotent;
 	call->worth = set_worth(r->route->priority);
-	call->target_us = r->route->target_ms * US_PER_MS;
+	call->target_us = target_left_us(r, left_us / US_PER_MS);
 	call->attempts = r->route->attempts;
-	call->deadline_us =
-		MIN(call->deadline_us, loop_clock_us() + r->route->timeout_ms * US_PER_MS);
+	call->deadline_us = MIN(call->deadline_us, now + r->route->timeout_ms * US_PER_MS);
 }
 
 static enum ctr take_rank(const struct config *config, const char *host, struct entry_call *call)
--- a/node/config.h
+++ b/node/config.h
@@ -12,6 +12,7 @@
 #include "lib/res.h"
 #include "lib/rng.h"
 #include "lib/set.h"
+#include "node/age.h"
 
 struct config_service {
 	struct res_service *res;
@@ -24,6 +25,7 @@
 	const struct set_route *route;
 	i64 *credit;
 	bool has_begun;
+	struct age age; /* of its callers' requests */
 };
 
 /* The set in force; kept from revision to revision while it does not change. */
--- a/node/home.c
+++ b/node/home.c
@@ -9,6 +9,9 @@
 
 #include <string.h>
 
+/* A call of the late rank waits no longer than this, or than its deadline. */
+#define LATE_TARGET_US (1 * US_PER_S)
+
 struct job {
 	struct admit_req req; /* first, so that admission's pointers lead back */
 	struct node *node;
@@ -28,6 +31,7 @@
 	struct gauge *gauge;
 	u64 revision; /* of the ranks in admit */
 	char *ranks_of; /* the service whose ranks are in admit */
+	u32 late_rank; /* of calls that can't meet their targets any more */
 	struct loop_timer leave_timer; /* when the next request leaves the queue unrun */
 };
 
@@ -349,6 +353,11 @@
 		return -CTR_EXPIRED_UNRUN;
 	home_configure(n);
 	j->req.rank = (u32)rank;
+	if (j->req.target_us && admit_is_late(&n->home->admit, &j->req)) {
+		ctr_inc(CTR_LATE_CALL);
+		j->req.rank = n->home->late_rank;
+		j->req.target_us = 0;
+	}
 	j->upstream.is_idempotent = j->is_idempotent;
 	return admit_offer(&n->home->admit, &j->req, now_us);
 }
@@ -461,7 +470,10 @@
 		count++;
 	}
 	config_read_unlock();
-	admit_set_ranks(&h->admit, ranks, count);
+	/* What comes too late for its target goes behind all else. */
+	h->late_rank = MIN(count, ADMIT_RANKS_MAX - 1);
+	ranks[h->late_rank] = (struct admit_rank){ .target_us = LATE_TARGET_US };
+	admit_set_ranks(&h->admit, ranks, h->late_rank + 1);
 	g_free(h->ranks_of);
 	h->ranks_of = g_strdup(n->own.service);
 }
