--- a/node/score.c
+++ b/node/score.c
@@ -23,6 +23,8 @@
 #define LATENCY_DOUBT 2
 /* A silence this many times the expected time speaks against what was told. */
 #define SILENT_DOUBT 4
+/* The part of a call's time by which another zone must be faster. */
+#define PLACE_PART 5
 #define EJECT_IN_ROW 5
 #define EJECT_PERMILLE 500
 #define EJECT_ANSWERS 8
@@ -109,10 +111,20 @@
 	return wait + (busy > limit ? (busy - limit) * service / limit : 0);
 }
 
+/*
+ * Bytes between zones cost more than the time they take, so a call leaves its
+ * zone only where that clearly shortens it.
+ */
+static u64 place_cost_us(const struct choose_target *t, u64 service)
+{
+	return t->is_own_zone || !tells_slowness(t) ? 0 : service / PLACE_PART;
+}
+
 u64 choose_score(const struct choose_target *t, u32 worth, u64 now_us)
 {
 	u64 rtt = t->rtt_us ? t->rtt_us : t->far_us;
-	u64 score = rtt + wait_us(t, worth, now_us) + service_us(t, now_us);
+	u64 service = service_us(t, now_us);
+	u64 score = rtt + wait_us(t, worth, now_us) + service + place_cost_us(t, service);
 	u64 latency = aged(t->latency_us, t->latency_at_us, LATENCY_AGE_US, now_us);
 	u64 failed = aged(t->failed_permille, t->failed_at_us, FAILED_AGE_US, now_us);
 
