--- a/node/admit.c
+++ b/node/admit.c
@@ -225,6 +225,11 @@
 	return MIN(wait, wait_by_floor_us(a, rank));
 }
 
+u64 admit_wait_us(const struct admit *a, u32 rank)
+{
+	return expected_wait_us(a, rank);
+}
+
 static void leave_queue(struct admit *a, struct admit_req *r)
 {
 	struct admit_queue *q = &a->queues[r->rank];
--- a/node/admit.h
+++ b/node/admit.h
@@ -112,6 +112,9 @@
  */
 int admit_offer(struct admit *a, struct admit_req *r, u64 now_us);
 
+/* admit_wait_us - the expected wait of a new request of RANK. */
+u64 admit_wait_us(const struct admit *a, u32 rank);
+
 /*
  * admit_service_us - time of one call now, by Little's law: slot time over calls served.
  * It follows a change of speed at once, though calls from before end late.
--- a/node/home.c
+++ b/node/home.c
@@ -92,9 +92,27 @@
 	job_free(j);
 }
 
+/* One line a refusal, with what it rests on. */
+static void log_refusal(const struct node *n, const struct job *j, enum ctr reason)
+{
+	const struct admit *a = &n->home->admit;
+	const char *request = n->dialect->id(j->msg);
+	u64 now = loop_clock_us();
+
+	if (!log_is_on(LOG_DEBUG))
+		return;
+	log_event(LOG_DEBUG, "refuse", "request", request ? request : "", "reason",
+		  ctr_name(reason), "rank", log_u64(j->req.rank), "wait_us",
+		  log_u64(admit_wait_us(a, j->req.rank)), "target_us", log_u64(j->req.target_us),
+		  "left_us", log_u64(j->req.deadline_us > now ? j->req.deadline_us - now : 0),
+		  "running", log_u64(a->running), "queued", log_u64(a->queued), "limit",
+		  log_u64(a->limit), "slowness", log_u64(a->slowness_percent), NULL);
+}
+
 /* The tombstone comes before the word not-run. */
 static void refuse_not_run(struct node *n, struct job *j, enum ctr reason)
 {
+	log_refusal(n, j, reason);
 	ctr_inc(reason);
 	call_refused(&n->home->table, j->id, loop_clock_us());
 	send_refusal(n, j->origin, j->is_local, j->id, reason, true);
