--- a/cmd/cmd.h
+++ b/cmd/cmd.h
@@ -25,6 +25,7 @@
 int cmd_delete(int argc, char **argv);
 int cmd_watch(int argc, char **argv);
 int cmd_status(int argc, char **argv);
+int cmd_explain(int argc, char **argv);
 int cmd_member(int argc, char **argv);
 
 /*
--- a/cmd/main.c
+++ b/cmd/main.c
@@ -32,6 +32,7 @@
 	{ "watch", cmd_watch, "print changes as they are accepted" },
 	{ "status", cmd_status, "print members, nodes, upstreams and revisions" },
 	{ "member", cmd_member, "list, replace or remove control members" },
+	{ "explain", cmd_explain, "print the log lines of one request in order" },
 	{ "version", cmd_version, "print the version" },
 };
 
--- a/lib/log.c
+++ b/lib/log.c
@@ -3,15 +3,33 @@
 #include "lib/ctr.h"
 #include "lib/err.h"
 
+#include <errno.h>
 #include <glib.h>
+#include <limits.h>
 #include <jansson.h>
+#include <poll.h>
 #include <pthread.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <time.h>
+#include <unistd.h>
+#include <xxhash.h>
 
+/* A line up to this length is written to a pipe as a whole, or not at all. */
+#define LINE_MAX_BYTES PIPE_BUF
+#define CATEGORIES_MAX 256
+
+/* What one kind of event may still write. */
+struct category {
+	char *message;
+	double tokens;
+	u64 filled_us;
+	u64 dropped;
+};
+
+static GHashTable *categories; /* message -> struct category */
 static pthread_mutex_t log_lock = PTHREAD_MUTEX_INITIALIZER;
 static FILE *log_file;
 static char *log_path;
@@ -23,14 +41,14 @@
 /* Called with log_lock held. */
 static void use_file(FILE *file)
 {
-	if (log_file && log_file != stderr)
+	if (log_file && log_file != stderr && log_file != stdout)
 		fclose(log_file);
 	log_file = file;
 }
 
 int log_open(const char *path, enum log_level level, enum log_format format)
 {
-	FILE *file = path ? fopen(path, "ae") : stderr;
+	FILE *file = path ? fopen(path, "ae") : stdout;
 
 	if (!file)
 		return ERR_IO;
@@ -155,37 +173,140 @@
 	return g_string_free(line, FALSE);
 }
 
-static void write_line(const char *line)
+/* True when a line can be written to FD without waiting for whoever reads it. */
+static bool has_room(int fd)
 {
-	bool is_lost;
+	struct pollfd p = { .fd = fd, .events = POLLOUT };
+
+	return poll(&p, 1, 0) == 1 && (p.revents & POLLOUT);
+}
+
+/* Called with log_lock held. */
+static void write_line(char *line)
+{
+	size_t len = strlen(line);
+	int fd;
 
-	pthread_mutex_lock(&log_lock);
 	if (!log_file)
 		log_file = stderr;
-	is_lost = fprintf(log_file, "%s\n", line) < 0;
-	is_lost |= fflush(log_file) != 0;
-	clearerr(log_file);
-	pthread_mutex_unlock(&log_lock);
-	if (is_lost)
+	fd = fileno(log_file);
+	len = MIN(len, (size_t)LINE_MAX_BYTES - 1);
+	line[len] = '\n';
+	if (!has_room(fd) || write(fd, line, len + 1) != (ssize_t)(len + 1))
 		ctr_inc(CTR_LOG_LOST);
 }
 
+static void category_free(gpointer p)
+{
+	struct category *c = p;
+
+	g_free(c->message);
+	g_free(c);
+}
+
+static u64 clock_us(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_BOOTTIME, &now);
+	return (u64)now.tv_sec * US_PER_S + (u64)now.tv_nsec / 1000;
+}
+
+static struct category *find_category(const char *message)
+{
+	struct category *c;
+
+	if (!categories)
+		categories = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, category_free);
+	c = g_hash_table_lookup(categories, message);
+	if (c)
+		return c;
+	if (g_hash_table_size(categories) >= CATEGORIES_MAX)
+		g_hash_table_remove_all(categories);
+	c = g_new0(struct category, 1);
+	c->message = g_strdup(message);
+	c->tokens = LOG_RATE_PER_S;
+	c->filled_us = clock_us();
+	g_hash_table_insert(categories, c->message, c);
+	return c;
+}
+
+/* Takes one line of the rate. *DROPPED is how many were left out since the last one. */
+static bool take_rate(const char *message, u64 *dropped)
+{
+	struct category *c = find_category(message);
+	u64 now = clock_us();
+
+	c->tokens += (double)(now - c->filled_us) * LOG_RATE_PER_S / (double)US_PER_S;
+	c->tokens = MIN(c->tokens, LOG_RATE_PER_S);
+	c->filled_us = now;
+	*dropped = c->dropped;
+	if (c->tokens < 1) {
+		c->dropped++;
+		return false;
+	}
+	c->tokens -= 1;
+	c->dropped = 0;
+	return true;
+}
+
+bool log_wants(const char *request, bool is_important)
+{
+	if (log_max >= LOG_DEBUG)
+		return true;
+	if (log_max < LOG_INFO)
+		return false;
+	return is_important ||
+	       (request && XXH64(request, strlen(request), 0) % LOG_SAMPLE_PART == 0);
+}
+
+static char *render(const char *time, enum log_level level, const char *message, va_list ap)
+{
+	return log_fmt == LOG_JSON ? render_json(time, level, message, ap) :
+				     render_text(time, level, message, ap);
+}
+
+static char *render_one(const char *time, enum log_level level, const char *message, ...)
+{
+	va_list ap;
+	char *line;
+
+	va_start(ap, message);
+	line = render(time, level, message, ap);
+	va_end(ap);
+	return line;
+}
+
+static void write_dropped(const char *time, const char *message, u64 dropped)
+{
+	g_autofree char *line = render_one(time, LOG_WARN, "log lines left out", "kind", message,
+					   "count", log_u64(dropped), NULL);
+
+	write_line(line);
+}
+
 void log_event(enum log_level level, const char *message, ...)
 {
 	g_autofree char *line = NULL;
 	char time[64];
+	u64 dropped = 0;
 	va_list ap;
 
 	if (!log_is_on(level))
 		return;
+	pthread_mutex_lock(&log_lock);
+	if (log_max < LOG_DEBUG && !take_rate(message, &dropped)) {
+		pthread_mutex_unlock(&log_lock);
+		return;
+	}
 	format_time(time, sizeof(time));
 	va_start(ap, message);
-	if (log_fmt == LOG_JSON)
-		line = render_json(time, level, message, ap);
-	else
-		line = render_text(time, level, message, ap);
+	line = render(time, level, message, ap);
 	va_end(ap);
+	if (log_max < LOG_DEBUG && dropped)
+		write_dropped(time, message, dropped);
 	write_line(line);
+	pthread_mutex_unlock(&log_lock);
 }
 
 const char *log_u64(u64 v)
--- a/lib/log.h
+++ b/lib/log.h
@@ -7,8 +7,13 @@
  * or control characters is quoted and escaped, so that no input can begin a line
  * or a key of its own. Bytes that are not UTF-8 are replaced.
  *
- * An event about a call has the key "call"; calls are told at level debug only.
- * A line that can't be written is counted by log-lost and dropped.
+ * An event about a request has the key "request". Below level debug those of all
+ * requests that failed or may not be repeated are told, and those of a sample of the
+ * others, the same requests at all processes.
+ *
+ * Writing never blocks: a line for which there is no room is counted by log-lost and
+ * dropped. Each kind of event, by its message, has a rate of its own, so that a flood
+ * of one does not hide another; what was left out is counted in a line of its own.
  *
  * SOURCE lib/log.c
  */
@@ -20,9 +25,14 @@
 enum log_level { LOG_ERROR, LOG_WARN, LOG_INFO, LOG_DEBUG };
 enum log_format { LOG_TEXT, LOG_JSON };
 
+/* Lines a second of one kind of event. */
+#define LOG_RATE_PER_S 200
+/* One in so many requests is told though nothing is wrong with it. */
+#define LOG_SAMPLE_PART 64
+
 /*
- * log_open - write to PATH, or to standard error when PATH is NULL.
- * Returns 0 or ERR_IO.
+ * log_open - write to PATH, or to standard output when PATH is NULL; before that,
+ * to standard error. Returns 0 or ERR_IO.
  */
 int log_open(const char *path, enum log_level level, enum log_format format);
 
@@ -36,6 +46,12 @@
 /* log_is_on - true when events of LEVEL are written; saves making their values. */
 bool log_is_on(enum log_level level);
 
+/*
+ * log_wants - whether the steps of REQUEST (may be NULL) are told. IS_IMPORTANT is
+ * for requests that fail or may not be repeated.
+ */
+bool log_wants(const char *request, bool is_important);
+
 void log_event(enum log_level level, const char *message, ...) __attribute__((sentinel));
 
 /* log_u64 - V as text in a per-thread ring of buffers, for use as a value. */
--- a/node/caller.c
+++ b/node/caller.c
@@ -113,19 +113,22 @@
 	return m;
 }
 
-/* One line a call, for looking into a single call; never at level info. */
+/* One line a call: how it ended, and why. */
 static void log_call(const struct node *n, const struct entry_call *call, u64 time_us)
 {
+	const char *request = n->dialect->id(call->msg);
 	g_autofree char *id = NULL;
-	const char *caller_id = n->dialect->id(call->msg);
 
-	if (!log_is_on(LOG_DEBUG))
+	if (!log_wants(request, !call->answer || !call->is_idempotent || call->status >= 500))
 		return;
 	id = g_strdup_printf("%llx-%llu", (unsigned long long)call->last_id.incarnation,
 			     (unsigned long long)call->last_id.seq);
-	log_event(LOG_DEBUG, "call", "call", id, "request", caller_id ? caller_id : "", "service",
-		  call->service, "rank", call->rank, "status", log_u64(call->status), "reason",
-		  call->answer ? "" : ctr_name(call->reason), "time_us", log_u64(time_us), NULL);
+	log_event(call->answer ? LOG_INFO : LOG_WARN, call->answer ? "answer" : "refusal",
+		  "request", request ? request : id, "call", id, "service", call->service, "rank",
+		  call->rank, "status", log_u64(call->status), "reason",
+		  call->answer ? "" : ctr_name(call->reason), "time_us", log_u64(time_us),
+		  "target_us", log_u64(call->target_us), "revision", log_u64(config_revision()),
+		  NULL);
 }
 
 static void caller_free(struct caller *c)
@@ -164,7 +167,11 @@
 {
 	struct dialect_refusal refusal = { .status = status, .is_not_run = true, .reason = reason };
 
+	const char *request = n->dialect->id(c->call.msg);
+
 	ctr_inc(reason);
+	log_event(LOG_WARN, "refusal", "request", request ? request : "", "status", log_u64(status),
+		  "reason", ctr_name(reason), "revision", log_u64(config_revision()), NULL);
 	httpd_answer(c->request, make_refusal(n, &refusal));
 	caller_free(c);
 }
--- a/node/entry_try.c
+++ b/node/entry_try.c
@@ -132,11 +132,12 @@
 {
 	const char *request = n->dialect->id(call->msg);
 
-	if (!log_is_on(LOG_DEBUG))
+	if (!log_wants(request, call->priv->tries || !call->is_idempotent))
 		return;
-	log_event(LOG_DEBUG, "try", "request", request ? request : "", "service", call->service,
-		  "home", t->entry.node, "score_us", log_u64(choose_score(t, call->worth, now_us)),
-		  "load_age_us", log_u64(t->load_us ? now_us - t->load_us : 0), "slowness",
+	log_event(LOG_INFO, "try", "request", request ? request : "", "service", call->service,
+		  "rank", call->rank, "home", t->entry.node, "score_us",
+		  log_u64(choose_score(t, call->worth, now_us)), "load_age_us",
+		  log_u64(t->load_us ? now_us - t->load_us : 0), "slowness",
 		  log_u64(t->load.slowness_percent), "running", log_u64(t->load.running), "queued",
 		  log_u64(t->load.queued), "in_flight", log_u64(t->in_flight), "tries",
 		  log_u64(call->priv->tries), "sends", log_u64(call->priv->sends), NULL);
--- a/node/home.c
+++ b/node/home.c
@@ -99,14 +99,14 @@
 	const char *request = n->dialect->id(j->msg);
 	u64 now = loop_clock_us();
 
-	if (!log_is_on(LOG_DEBUG))
+	if (!log_wants(request, true))
 		return;
-	log_event(LOG_DEBUG, "refuse", "request", request ? request : "", "reason",
-		  ctr_name(reason), "rank", log_u64(j->req.rank), "wait_us",
-		  log_u64(admit_wait_us(a, j->req.rank)), "target_us", log_u64(j->req.target_us),
-		  "left_us", log_u64(j->req.deadline_us > now ? j->req.deadline_us - now : 0),
-		  "running", log_u64(a->running), "queued", log_u64(a->queued), "limit",
-		  log_u64(a->limit), "slowness", log_u64(a->slowness_percent), NULL);
+	log_event(LOG_INFO, "refuse", "request", request ? request : "", "reason", ctr_name(reason),
+		  "rank", log_u64(j->req.rank), "wait_us", log_u64(admit_wait_us(a, j->req.rank)),
+		  "target_us", log_u64(j->req.target_us), "left_us",
+		  log_u64(j->req.deadline_us > now ? j->req.deadline_us - now : 0), "running",
+		  log_u64(a->running), "queued", log_u64(a->queued), "limit", log_u64(a->limit),
+		  "slowness", log_u64(a->slowness_percent), NULL);
 }
 
 /* The tombstone comes before the word not-run. */
@@ -225,9 +225,9 @@
 	const char *request = n->dialect->id(j->msg);
 	u64 now = loop_clock_us();
 
-	if (!log_is_on(LOG_DEBUG))
+	if (!log_wants(request, j->upstream.err || !j->is_idempotent))
 		return;
-	log_event(LOG_DEBUG, "run", "request", request ? request : "", "rank", log_u64(r->rank),
+	log_event(LOG_INFO, "run", "request", request ? request : "", "rank", log_u64(r->rank),
 		  "waited_us", log_u64(r->started_us - r->queued_us), "took_us",
 		  log_u64(now - r->started_us), "work_us", log_u64(r->work_us), "level",
 		  log_u64(r->level), "slowness", log_u64(gauge_slowness_percent(n->home->gauge)),
--- /dev/null
+++ b/test/dialect_test.c
@@ -0,0 +1,154 @@
+/* The platform's dialect, and further sends within the bound of all nodes. */
+#include "node/spend.h"
+#include "platform/dialect.h"
+
+#include <glib.h>
+#include <string.h>
+
+static struct http_msg *answer(u16 status, const char *name, const char *value)
+{
+	struct http_msg *m = http_new();
+
+	m->status = status;
+	if (name)
+		http_add_header(m, name, value);
+	return m;
+}
+
+static void check_not_run(u16 status, const char *name, bool expected)
+{
+	struct http_msg *m = answer(status, name, "1");
+
+	g_assert_true(platform_dialect.is_not_run(m) == expected);
+	http_free(m);
+}
+
+/* Only the target's own word says that a request was not run. */
+static void test_not_run(void)
+{
+	check_not_run(503, "Lavenderlead-Not-Executed", true);
+	check_not_run(429, "lavenderlead-not-executed", true);
+	check_not_run(400, "Lavenderlead-Not-Executed", true);
+	check_not_run(503, NULL, false);
+	check_not_run(500, NULL, false);
+	check_not_run(504, "Retry-After", false);
+	check_not_run(200, "Lavenderlead-Not-Executed", false);
+}
+
+static void test_answer_belongs(void)
+{
+	struct http_msg *request = answer(0, "Lavenderlead-Attempt-Id", "one");
+	struct http_msg *own = answer(200, "Lavenderlead-Attempt-Id", "one");
+	struct http_msg *other = answer(200, "Lavenderlead-Attempt-Id", "two");
+	struct http_msg *nameless = answer(200, NULL, NULL);
+	struct http_msg *shed = answer(503, NULL, NULL);
+
+	g_assert_true(platform_dialect.is_answer_to(own, request));
+	g_assert_false(platform_dialect.is_answer_to(other, request));
+	g_assert_false(platform_dialect.is_answer_to(nameless, request));
+	g_assert_true(platform_dialect.is_answer_to(shed, request));
+	http_free(request);
+	http_free(own);
+	http_free(other);
+	http_free(nameless);
+	http_free(shed);
+}
+
+/* What a caller says of its own origin and of the target's instance is not passed on. */
+static void test_set_anew(void)
+{
+	struct http_msg *m = answer(0, "lavenderlead-caller-service", "forged");
+	g_autoptr(GString) head = g_string_new(NULL);
+	struct dialect_send send = { .left_ms = 12, .instance = "i-1" };
+
+	platform_dialect.stamp(m, "sightings");
+	g_assert_cmpuint(m->headers->len, ==, 1);
+	g_assert_cmpstr(http_header(m, "Lavenderlead-Caller-Service"), ==, "sightings");
+	g_assert_true(platform_dialect.is_set_anew("lavenderlead-expected-instance"));
+	g_assert_true(platform_dialect.is_set_anew("Lavenderlead-Deadline-Remaining"));
+	g_assert_false(platform_dialect.is_set_anew("Lavenderlead-Attempt-Id"));
+	platform_dialect.put(head, &send);
+	g_assert_cmpstr(head->str, ==,
+			"Lavenderlead-Deadline-Remaining: 12\r\n"
+			"Lavenderlead-Expected-Instance: i-1\r\n");
+	http_free(m);
+}
+
+static bool read_load(const char *text, struct dialect_load *load)
+{
+	struct http_msg *m = answer(200, "Lavenderlead-Instance-Load", text);
+	bool ret = platform_dialect.load(m, load);
+
+	http_free(m);
+	return ret;
+}
+
+static void test_load(void)
+{
+	struct dialect_load load = { 0 };
+
+	g_assert_true(read_load("3,1,12,700", &load));
+	g_assert_cmpuint(load.running, ==, 3);
+	g_assert_cmpuint(load.waiting, ==, 1);
+	g_assert_cmpuint(load.slots, ==, 12);
+	g_assert_cmpuint(load.slowness_percent, ==, 700);
+	g_assert_true(read_load("3,0,8", &load));
+	g_assert_cmpuint(load.slowness_percent, ==, 0);
+	g_assert_false(read_load("three", &load));
+	g_assert_false(read_load("", &load));
+}
+
+static void test_timeout(void)
+{
+	static const char *const bad[] = { "", "-1", "soon", "1s" };
+	u64 ms = 77;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+		struct http_msg *m = answer(0, "Lavenderlead-Deadline-Remaining", bad[i]);
+
+		g_assert_false(platform_dialect.timeout_ms(m, &ms));
+		g_assert_cmpuint(ms, ==, 77);
+		http_free(m);
+	}
+}
+
+/*
+ * Eleven nodes that all want to send each request again, in bursts and with runs whose
+ * calls are repeats too: the sum stays within the bound.
+ */
+static void test_spend(void)
+{
+	struct spend nodes[11];
+	u64 requests = 0;
+	u64 sent = 0;
+
+	for (u32 i = 0; i < G_N_ELEMENTS(nodes); i++) {
+		spend_init(&nodes[i], 20, 58);
+		spend_nodes(&nodes[i], G_N_ELEMENTS(nodes));
+	}
+	for (u32 round = 0; round < 1000; round++) {
+		struct spend *s = &nodes[round % G_N_ELEMENTS(nodes)];
+
+		spend_requested(s, "sightings");
+		requests++;
+		for (u32 k = 0; k < 3; k++)
+			sent += spend_take(s, "sightings");
+	}
+	g_assert_cmpuint(sent, >, 0);
+	/* Each of these may make a call that is a repeat as well. */
+	g_assert_cmpuint(2 * sent, <=, requests * 20 / 100 + 58);
+	for (u32 i = 0; i < G_N_ELEMENTS(nodes); i++)
+		spend_clear(&nodes[i]);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/dialect/not-run", test_not_run);
+	g_test_add_func("/dialect/answer-belongs", test_answer_belongs);
+	g_test_add_func("/dialect/set-anew", test_set_anew);
+	g_test_add_func("/dialect/load", test_load);
+	g_test_add_func("/dialect/timeout", test_timeout);
+	g_test_add_func("/spend/all-nodes-together", test_spend);
+	return g_test_run();
+}
--- /dev/null
+++ b/test/httpd_test.c
@@ -0,0 +1,250 @@
+/* The HTTP server on the event loop, against raw sockets. */
+#include "kernel/httpd.h"
+#include "test/fakes/raw_server.h"
+
+#include <glib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define LATE_US (60 * US_PER_MS)
+
+/* Answers "/now" at once and "/late" after a time; GET may overlap. */
+struct fixture {
+	struct loop *loop;
+	struct httpd *h;
+	u16 port;
+	gint started;
+	gint left;
+	struct httpd_limits limits;
+};
+
+struct late {
+	struct fixture *f;
+	struct httpd_request *r;
+	struct loop_timer timer;
+};
+
+static void answer(struct httpd_request *r)
+{
+	g_autofree char *body = g_strdup_printf("<%s>", r->msg->target);
+
+	httpd_answer(r, http_answer(200, body));
+}
+
+static void on_late(void *arg, u64 now_us)
+{
+	struct late *l = arg;
+
+	(void)now_us;
+	answer(l->r);
+	g_free(l);
+}
+
+static void on_request(struct httpd_request *r, void *arg)
+{
+	struct fixture *f = arg;
+	struct late *l;
+
+	g_atomic_int_inc(&f->started);
+	if (!strncmp(r->msg->target, "/now", 4)) {
+		answer(r);
+		return;
+	}
+	l = g_new0(struct late, 1);
+	l->f = f;
+	l->r = r;
+	l->timer = (struct loop_timer){ .fire = on_late, .arg = l };
+	loop_timer_set(f->loop, &l->timer, loop_clock_us() + LATE_US);
+}
+
+static bool may_overlap(const struct httpd_request *r, void *arg)
+{
+	(void)arg;
+	return !strcmp(r->msg->method, "GET");
+}
+
+static void on_left(struct httpd_request *r, enum httpd_left how, void *arg)
+{
+	struct fixture *f = arg;
+
+	(void)r;
+	(void)how;
+	g_atomic_int_inc(&f->left);
+}
+
+static const struct httpd_ops ops = { .request = on_request,
+				      .may_overlap = may_overlap,
+				      .left = on_left };
+
+static void start(struct fixture *f)
+{
+	int fd;
+
+	memset(f, 0, sizeof(*f));
+	fd = raw_listen(&f->port);
+	close(fd);
+	f->loop = loop_new("httpd-test");
+	f->h = httpd_listen(f->loop, "127.0.0.1", f->port, &ops, f);
+	g_assert_nonnull(f->h);
+	f->limits = (struct httpd_limits){ .head_bytes = 1000,
+					   .body_bytes = 100,
+					   .head_timeout_us = 300 * US_PER_MS,
+					   .idle_timeout_us = 60 * US_PER_S };
+	httpd_set_limits(f->h, &f->limits);
+	g_assert_cmpint(loop_start(f->loop), ==, 0);
+}
+
+static void free_server(void *arg)
+{
+	httpd_free(((struct fixture *)arg)->h);
+}
+
+static void stop(struct fixture *f)
+{
+	/* What is late has its answer by then. */
+	g_usleep(2 * LATE_US);
+	loop_call(f->loop, free_server, f);
+	loop_stop(f->loop);
+	loop_free(f->loop);
+}
+
+/* All that comes until the server closes. */
+static char *read_all(int fd)
+{
+	GString *out = g_string_new(NULL);
+	char buf[4096];
+	ssize_t n;
+
+	while ((n = recv(fd, buf, sizeof(buf), 0)) > 0)
+		g_string_append_len(out, buf, n);
+	close(fd);
+	return g_string_free(out, FALSE);
+}
+
+static char *talk(struct fixture *f, const char *text)
+{
+	int fd = raw_connect(f->port);
+
+	raw_write(fd, text);
+	return read_all(fd);
+}
+
+static void expect_status(const char *text, const char *status)
+{
+	struct fixture f;
+	g_autofree char *got = NULL;
+
+	start(&f);
+	got = talk(&f, text);
+	if (!g_str_has_prefix(got, status))
+		g_error("for %.60s: %s", text, got);
+	g_assert_cmpint(f.started, ==, 0);
+	stop(&f);
+}
+
+#define GET(path) "GET " path " HTTP/1.1\r\nHost: h\r\n\r\n"
+#define LAST(path) "GET " path " HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+#define POST(path) "POST " path " HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi"
+
+/* Requests behind one another start at once and are answered in their order. */
+static void test_order(void)
+{
+	struct fixture f;
+	g_autofree char *got = NULL;
+	u64 began = loop_clock_us();
+
+	start(&f);
+	got = talk(&f, GET("/late/1") GET("/now/2") GET("/late/3") LAST("/now/4"));
+	g_assert_true(strstr(got, "</late/1>") < strstr(got, "</now/2>"));
+	g_assert_true(strstr(got, "</now/2>") < strstr(got, "</late/3>"));
+	g_assert_true(strstr(got, "</late/3>") < strstr(got, "</now/4>"));
+	g_assert_cmpuint(loop_clock_us() - began, <, 2 * LATE_US);
+	stop(&f);
+}
+
+/* What may not be repeated waits until it is the first: it would be sent again after a close. */
+static void test_no_overlap(void)
+{
+	struct fixture f;
+	int fd;
+
+	start(&f);
+	fd = raw_connect(f.port);
+	raw_write(fd, GET("/late/1") POST("/late/2") POST("/late/3"));
+	g_usleep(LATE_US / 2);
+	g_assert_cmpint(g_atomic_int_get(&f.started), ==, 1);
+	g_usleep(LATE_US);
+	g_assert_cmpint(g_atomic_int_get(&f.started), ==, 2);
+	close(fd);
+	stop(&f);
+	g_assert_cmpint(f.left, >=, 1);
+}
+
+static void test_limits(void)
+{
+	g_autofree char *long_value = g_strnfill(2000, 'x');
+	g_autofree char *long_head =
+		g_strdup_printf("GET / HTTP/1.1\r\nHost: h\r\nX: %s\r\n\r\n", long_value);
+	g_autofree char *long_chunk =
+		g_strdup_printf("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
+				"chunked\r\n\r\n7d0\r\n%s\r\n0\r\n\r\n",
+				long_value);
+
+	expect_status(long_head, "HTTP/1.1 431 ");
+	expect_status("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 101\r\n\r\n", "HTTP/1.1 413 ");
+	expect_status(long_chunk, "HTTP/1.1 413 ");
+	expect_status("GET / HTTP/1.1\r\nHost: h\r\nX: slow", "HTTP/1.1 408 ");
+}
+
+/* Two lengths, or a length and chunks: another reader might see another request in it. */
+static void test_ambiguous(void)
+{
+	expect_status("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+		      "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		      "HTTP/1.1 400 ");
+	expect_status("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\n"
+		      "four",
+		      "HTTP/1.1 400 ");
+	expect_status("what is this\r\n\r\n", "HTTP/1.1 400 ");
+}
+
+static void stop_accepting(void *arg)
+{
+	httpd_stop_accepting(((struct fixture *)arg)->h);
+}
+
+/* The pattern: a stop while one request runs and another connection is idle. */
+static void test_stop_accepting(void)
+{
+	struct fixture f;
+	g_autofree char *got = NULL;
+	int idle;
+	int busy;
+
+	start(&f);
+	idle = raw_connect(f.port);
+	raw_write(idle, GET("/now"));
+	busy = raw_connect(f.port);
+	raw_write(busy, GET("/late"));
+	g_usleep(LATE_US / 2);
+	loop_call(f.loop, stop_accepting, &f);
+	g_assert_cmpint(raw_connect(f.port), ==, -1);
+	g_assert_true(raw_wait_closed(idle));
+	close(idle);
+	got = read_all(busy);
+	g_assert_nonnull(strstr(got, "</late>"));
+	g_assert_nonnull(strstr(got, "Connection: close"));
+	stop(&f);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/httpd/order", test_order);
+	g_test_add_func("/httpd/no-overlap", test_no_overlap);
+	g_test_add_func("/httpd/limits", test_limits);
+	g_test_add_func("/httpd/ambiguous", test_ambiguous);
+	g_test_add_func("/httpd/stop-accepting", test_stop_accepting);
+	return g_test_run();
+}
--- a/test/log_test.c
+++ b/test/log_test.c
@@ -164,6 +164,77 @@
 
 #define ADD(path, test) g_test_add(path, struct fixture, NULL, set_up, test, tear_down)
 
+/* Lines of FILE that hold TEXT. */
+static u32 count_lines(const char *path, const char *text)
+{
+	g_autofree char *all = read_file(path);
+	g_auto(GStrv) lines = g_strsplit(all, "\n", -1);
+	u32 n = 0;
+
+	for (char **l = lines; *l; l++)
+		n += strstr(*l, text) != NULL;
+	return n;
+}
+
+/* The pattern: a flood of one kind of event must not hide a rare one. */
+static void test_flood_beside_a_rare_event(struct fixture *f, gconstpointer unused)
+{
+	(void)unused;
+	g_assert_cmpint(log_open(f->path, LOG_INFO, LOG_JSON), ==, 0);
+	for (u32 i = 0; i < 50 * LOG_RATE_PER_S; i++) {
+		log_event(LOG_WARN, "flood", "n", log_u64(i), NULL);
+		if (i % LOG_RATE_PER_S == 0)
+			log_event(LOG_INFO, "rare", "n", log_u64(i), NULL);
+	}
+	g_assert_cmpuint(count_lines(f->path, "\"event\":\"rare\""), ==, 50);
+	g_assert_cmpuint(count_lines(f->path, "\"event\":\"flood\""), <, 10 * LOG_RATE_PER_S);
+	g_usleep(50000);
+	log_event(LOG_WARN, "flood", NULL);
+	g_assert_cmpuint(count_lines(f->path, "\"kind\":\"flood\""), >=, 1);
+}
+
+/* Nobody reads standard output: lines are dropped and counted, and nothing waits. */
+static void test_full_pipe(struct fixture *f, gconstpointer unused)
+{
+	int saved = dup(STDOUT_FILENO);
+	u64 lost = ctr_get(CTR_LOG_LOST);
+	int ends[2];
+
+	(void)f;
+	(void)unused;
+	fflush(stdout);
+	g_assert_cmpint(pipe(ends), ==, 0);
+	dup2(ends[1], STDOUT_FILENO);
+	log_open(NULL, LOG_DEBUG, LOG_TEXT);
+	for (u32 i = 0; i < 20000; i++)
+		log_event(LOG_ERROR, "nobody reads this", "n", log_u64(i), NULL);
+	dup2(saved, STDOUT_FILENO);
+	close(saved);
+	close(ends[0]);
+	close(ends[1]);
+	g_assert_cmpuint(ctr_get(CTR_LOG_LOST) - lost, >, 0);
+}
+
+/* The same requests are told at all processes, and all that fail. */
+static void test_sample(struct fixture *f, gconstpointer unused)
+{
+	u32 told = 0;
+
+	(void)unused;
+	g_assert_cmpint(log_open(f->path, LOG_INFO, LOG_JSON), ==, 0);
+	for (u32 i = 0; i < 64 * LOG_SAMPLE_PART; i++) {
+		g_autofree char *id = g_strdup_printf("%08x", i);
+
+		told += log_wants(id, false);
+		g_assert_true(log_wants(id, false) == log_wants(id, false));
+		g_assert_true(log_wants(id, true));
+	}
+	g_assert_cmpuint(told, >, 32);
+	g_assert_cmpuint(told, <, 128);
+	log_open(f->path, LOG_ERROR, LOG_JSON);
+	g_assert_false(log_wants("1", true));
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -174,5 +245,8 @@
 	ADD("/log/reopen-keeps-the-old-file", test_reopen_keeps_the_old_file);
 	ADD("/log/full-disk-is-counted", test_full_disk_is_counted);
 	ADD("/log/unwritable-path", test_unwritable_path);
+	ADD("/log/flood-beside-a-rare-event", test_flood_beside_a_rare_event);
+	ADD("/log/full-pipe", test_full_pipe);
+	ADD("/log/sample", test_sample);
 	return g_test_run();
 }
