--- a/lib/log.c
+++ b/lib/log.c
@@ -231,15 +231,21 @@
 	return c;
 }
 
-/* Takes one line of the rate. *DROPPED is how many were left out since the last one. */
-static bool take_rate(const char *message, u64 *dropped)
+static void refill(struct category *c)
 {
-	struct category *c = find_category(message);
 	u64 now = clock_us();
 
 	c->tokens += (double)(now - c->filled_us) * LOG_RATE_PER_S / (double)US_PER_S;
 	c->tokens = MIN(c->tokens, LOG_RATE_PER_S);
 	c->filled_us = now;
+}
+
+/* Takes one line of the rate. *DROPPED is how many were left out since the last one. */
+static bool take_rate(const char *message, u64 *dropped)
+{
+	struct category *c = find_category(message);
+
+	refill(c);
 	*dropped = c->dropped;
 	if (c->tokens < 1) {
 		c->dropped++;
@@ -250,14 +256,31 @@
 	return true;
 }
 
-bool log_wants(const char *request, bool is_important)
+/* Without a line left, what would have been one is counted. */
+static bool has_rate(const char *kind)
+{
+	struct category *c;
+	bool ret;
+
+	pthread_mutex_lock(&log_lock);
+	c = find_category(kind);
+	refill(c);
+	ret = c->tokens >= 1;
+	c->dropped += !ret;
+	pthread_mutex_unlock(&log_lock);
+	return ret;
+}
+
+bool log_wants(const char *kind, const char *request, bool is_important)
 {
 	if (log_max >= LOG_DEBUG)
 		return true;
 	if (log_max < LOG_INFO)
 		return false;
-	return is_important ||
-	       (request && XXH64(request, strlen(request), 0) % LOG_SAMPLE_PART == 0);
+	if (!is_important &&
+	    (!request || XXH64(request, strlen(request), 0) % LOG_SAMPLE_PART != 0))
+		return false;
+	return has_rate(kind);
 }
 
 static char *render(const char *time, enum log_level level, const char *message, va_list ap)
--- a/lib/log.h
+++ b/lib/log.h
@@ -25,8 +25,8 @@
 enum log_level { LOG_ERROR, LOG_WARN, LOG_INFO, LOG_DEBUG };
 enum log_format { LOG_TEXT, LOG_JSON };
 
-/* Lines a second of one kind of event. */
-#define LOG_RATE_PER_S 200
+/* Lines a second of one kind of event: each costs a node about as much as a small frame. */
+#define LOG_RATE_PER_S 20
 /* One in so many requests is told though nothing is wrong with it. */
 #define LOG_SAMPLE_PART 64
 
@@ -47,10 +47,11 @@
 bool log_is_on(enum log_level level);
 
 /*
- * log_wants - whether the steps of REQUEST (may be NULL) are told. IS_IMPORTANT is
- * for requests that fail or may not be repeated.
+ * log_wants - whether an event of KIND about REQUEST (may be NULL) is told; asked
+ * before its values are made. IS_IMPORTANT is for requests that fail or may not be
+ * repeated. What the rate of KIND leaves out is counted.
  */
-bool log_wants(const char *request, bool is_important);
+bool log_wants(const char *kind, const char *request, bool is_important);
 
 void log_event(enum log_level level, const char *message, ...) __attribute__((sentinel));
 
--- a/node/caller.c
+++ b/node/caller.c
@@ -118,8 +118,10 @@
 {
 	const char *request = n->dialect->id(call->msg);
 	g_autofree char *id = NULL;
+	bool is_bad = !call->answer || call->status >= 500;
 
-	if (!log_wants(request, !call->answer || !call->is_idempotent || call->status >= 500))
+	if (!log_wants(call->answer ? "answer" : "refusal", request,
+		       is_bad || !call->is_idempotent))
 		return;
 	id = g_strdup_printf("%llx-%llu", (unsigned long long)call->last_id.incarnation,
 			     (unsigned long long)call->last_id.seq);
@@ -170,8 +172,10 @@
 	const char *request = n->dialect->id(c->call.msg);
 
 	ctr_inc(reason);
-	log_event(LOG_WARN, "refusal", "request", request ? request : "", "status", log_u64(status),
-		  "reason", ctr_name(reason), "revision", log_u64(config_revision()), NULL);
+	if (log_wants("refusal", request, true))
+		log_event(LOG_WARN, "refusal", "request", request ? request : "", "status",
+			  log_u64(status), "reason", ctr_name(reason), "revision",
+			  log_u64(config_revision()), NULL);
 	httpd_answer(c->request, make_refusal(n, &refusal));
 	caller_free(c);
 }
--- a/node/home.c
+++ b/node/home.c
@@ -99,7 +99,7 @@
 	const char *request = n->dialect->id(j->msg);
 	u64 now = loop_clock_us();
 
-	if (!log_wants(request, true))
+	if (!log_wants("refuse", request, !j->is_idempotent))
 		return;
 	log_event(LOG_INFO, "refuse", "request", request ? request : "", "reason", ctr_name(reason),
 		  "rank", log_u64(j->req.rank), "wait_us", log_u64(admit_wait_us(a, j->req.rank)),
@@ -225,7 +225,7 @@
 	const char *request = n->dialect->id(j->msg);
 	u64 now = loop_clock_us();
 
-	if (!log_wants(request, j->upstream.err || !j->is_idempotent))
+	if (!log_wants("run", request, j->upstream.err || !j->is_idempotent))
 		return;
 	log_event(LOG_INFO, "run", "request", request ? request : "", "rank", log_u64(r->rank),
 		  "waited_us", log_u64(r->started_us - r->queued_us), "took_us",
