--- a/test/admit_test.c
+++ b/test/admit_test.c
@@ -493,6 +493,64 @@
 	admit_clear(&a);
 }
 
+/*
+ * The pattern: a flood of calls whose times vary. Where the upstream tells the slowness of
+ * its VM, a call is let in only when nine in ten of its kind would still be in time.
+ */
+static void test_wait_leaves_time_for_long_calls(void)
+{
+	const struct admit_rank rank = { .worth = 10, .target_us = 250 * US_PER_MS };
+	u64 waits[2] = { 0 };
+
+	for (u32 varies = 0; varies < 2; varies++) {
+		struct admit_req calls[200] = { 0 };
+		struct admit_req waiting[64] = { 0 };
+		struct admit a;
+		u64 now = 0;
+
+		admit_init(&a);
+		admit_set_slots(&a, 1);
+		admit_set_ranks(&a, &rank, 1);
+		admit_set_slowness(&a, 100, now);
+		for (u32 i = 0; i < G_N_ELEMENTS(calls); i++) {
+			i64 more = varies ? (i % 2 ? 40 : -40) : 0;
+
+			calls[i].deadline_us = UINT64_MAX;
+			g_assert_cmpint(admit_offer(&a, &calls[i], now), ==, 0);
+			g_assert_true(admit_next(&a, now) == &calls[i]);
+			now += (u64)(100 + more) * US_PER_MS;
+			admit_done(&a, &calls[i], true, now);
+		}
+		for (u32 i = 0; i < G_N_ELEMENTS(waiting); i++) {
+			waiting[i].deadline_us = UINT64_MAX;
+			if (admit_offer(&a, &waiting[i], now))
+				break;
+			/* The first one runs. */
+			waits[varies] += !admit_next(&a, now);
+		}
+		admit_clear(&a);
+	}
+	/* Of calls of an even 100 ms one can wait, of the others none. */
+	g_assert_cmpuint(waits[0], ==, 1);
+	g_assert_cmpuint(waits[1], ==, 0);
+}
+
+/* A caller's further attempt whose target has passed is told from a first one. */
+static void test_late_call(void)
+{
+	const struct admit_rank rank = { .worth = 10, .target_us = 250 * US_PER_MS };
+	struct admit_req first = { .target_us = 250 * US_PER_MS };
+	struct admit_req again = { .target_us = 5 * US_PER_MS };
+	struct admit a;
+
+	admit_init(&a);
+	admit_set_slots(&a, 4);
+	admit_set_ranks(&a, &rank, 1);
+	g_assert_false(admit_is_late(&a, &first));
+	g_assert_true(admit_is_late(&a, &again));
+	admit_clear(&a);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -509,5 +567,8 @@
 	g_test_add_func("/admit/new-mix", test_a_new_mix_keeps_the_limit);
 	g_test_add_func("/admit/trickle", test_lowest_worth_leaves_a_trickle);
 	g_test_add_func("/admit/errors-not-fast", test_errors_do_not_look_fast);
+	g_test_add_func("/admit/wait-leaves-time-for-long-calls",
+			test_wait_leaves_time_for_long_calls);
+	g_test_add_func("/admit/late-call", test_late_call);
 	return g_test_run();
 }
--- a/test/entry_test.c
+++ b/test/entry_test.c
@@ -424,6 +424,41 @@
 	stop();
 }
 
+static void block(void *arg)
+{
+	(void)arg;
+	g_usleep(3 * US_PER_S);
+}
+
+/*
+ * The pattern: a VM goes dark without a word. Long before its link is given up, a call
+ * that waits there and may be repeated is tried elsewhere, and new ones go there at once.
+ */
+static void test_dark_home(void)
+{
+	struct fake_peer other;
+	struct caller first, second;
+	u64 began;
+
+	start();
+	caller_start_call(&first, "GET", NULL, 0);
+	take_event(PEER_EVENT_UP);
+	take_call(NULL);
+	fake_peer_start(&other, true);
+	fake_node_directory(&node, other.name, other.self.incarnation, DIR_UP);
+	loop_post(home.loop, block, NULL);
+	began = loop_clock_us();
+	peer_event_free(fake_peer_next(&other, PEER_EVENT_UP));
+	fake_peer_reply(&other, peer_event_take_id(fake_peer_next(&other, PEER_CALL)), "first");
+	caller_end(&first, 200, NULL, "first");
+	caller_start_call(&second, "GET", NULL, 0);
+	fake_peer_reply(&other, peer_event_take_id(fake_peer_next(&other, PEER_CALL)), "second");
+	caller_end(&second, 200, NULL, "second");
+	g_assert_cmpuint(loop_clock_us() - began, <, 2 * US_PER_S);
+	fake_peer_stop(&other);
+	stop();
+}
+
 int main(int argc, char **argv)
 {
 	int ret;
@@ -442,6 +477,7 @@
 	g_test_add_func("/entry/short-request-body", test_short_request_body);
 	g_test_add_func("/entry/caller-leaves", test_caller_leaves);
 	g_test_add_func("/entry/half-closed-post", test_half_closed_post);
+	g_test_add_func("/entry/dark-home", test_dark_home);
 	ret = g_test_run();
 	fflush(stdout);
 	_exit(ret); /* nodes still run */
--- a/test/fakes/fake_peer.c
+++ b/test/fakes/fake_peer.c
@@ -19,6 +19,14 @@
 	g_free(e);
 }
 
+struct call_id peer_event_take_id(struct peer_event *e)
+{
+	struct call_id id = e->id;
+
+	peer_event_free(e);
+	return id;
+}
+
 static struct peer_event *event_new(u32 type, struct call_id id)
 {
 	struct peer_event *e = g_new0(struct peer_event, 1);
--- a/test/fakes/fake_peer.h
+++ b/test/fakes/fake_peer.h
@@ -53,6 +53,9 @@
 struct peer_event *fake_peer_next(struct fake_peer *p, u32 type);
 void peer_event_free(struct peer_event *e);
 
+/* peer_event_take_id - the event's call id; frees the event. */
+struct call_id peer_event_take_id(struct peer_event *e);
+
 void fake_peer_call(struct fake_peer *p, struct call_id id, const char *method, const char *body,
 		    u64 deadline_us);
 void fake_peer_reply(struct fake_peer *p, struct call_id id, const char *body);
