Homes tell the time of a call by rank, and entries see which upstreams are slower

Cause: an upstream that takes several times as long without its VM being slow (srv_slow, a slower machine) was judged by the fastest one's time.

--- a/node/admit.c
+++ b/node/admit.c
@@ -12,6 +12,8 @@
 #define CREDIT_WINDOW_US (100 * (i64)US_PER_MS)
 #define AHEAD_SERVICES 3
 #define USUAL_PERCENT 100
+/* The time of a call is told so long after the last one ended. */
+#define WORK_AGE_US (2 * US_PER_S)
 /* Mean deviations above the mean under which about nine calls in ten stay. */
 #define LONG_DEVIATIONS 2
 /* A call may wait at least this part of its target, however long calls take. */
@@ -507,6 +509,7 @@
 	a->slot_time_us = a->slot_time_us * (SERVED_SMOOTHING - 1) / SERVED_SMOOTHING;
 	if (q->work_us)
 		q->deviation_us = smooth(q->deviation_us, distance(q->work_us, r->work_us));
+	q->work_at_us = now_us;
 	q->work_us = smooth(q->work_us, MAX(r->work_us, 1));
 	limit_sample(&a->limiter, r->rank, r->work_us, running, now_us);
 	knee_sample(&a->knee, r->rank, r->work_us, r->level, now_us);
@@ -543,9 +546,18 @@
 	set_limit(a);
 }
 
+/* An upstream that was slow must not be avoided for what it did long ago. */
+static u64 recent_work_us(const struct admit *a, u32 rank, u64 now_us)
+{
+	const struct admit_queue *q = &a->queues[rank];
+
+	return now_us - q->work_at_us < WORK_AGE_US ? q->work_us : 0;
+}
+
 /* The worthiest ranks, each once. */
-static void add_wait(struct peer_load *load, u32 worth, u64 wait_us)
+static void add_wait(struct peer_load *load, const struct peer_wait *wait)
 {
+	u32 worth = wait->worth;
 	u32 at = load->nwaits;
 
 	while (at && load->waits[at - 1].worth < worth)
@@ -555,7 +567,7 @@
 	load->nwaits = MIN(load->nwaits + 1, (u32)PEER_WAITS_MAX);
 	memmove(&load->waits[at + 1], &load->waits[at],
 		(load->nwaits - at - 1) * sizeof(load->waits[0]));
-	load->waits[at] = (struct peer_wait){ .worth = worth, .wait_us = wait_us };
+	load->waits[at] = *wait;
 }
 
 void admit_load(struct admit *a, struct peer_load *load, u64 now_us)
@@ -567,6 +579,11 @@
 	load->limit = a->limit;
 	load->knee = a->tells_slowness && a->knee.is_found ? a->knee.now : 0;
 	load->service_us = usual_service_us(a);
-	for (u32 i = 0; i < a->nranks; i++)
-		add_wait(load, a->ranks[i].worth, MIN(expected_wait_us(a, i), WAIT_MAX_US));
+	for (u32 i = 0; i < a->nranks; i++) {
+		struct peer_wait wait = { .worth = a->ranks[i].worth,
+					  .wait_us = MIN(expected_wait_us(a, i), WAIT_MAX_US),
+					  .work_us = recent_work_us(a, i, now_us) };
+
+		add_wait(load, &wait);
+	}
 }
--- a/node/choose.c
+++ b/node/choose.c
@@ -287,17 +287,32 @@
 	}
 }
 
+static u64 least_work_us(const struct choose_service *s, u32 worth)
+{
+	u64 least = 0;
+
+	for (guint i = 0; i < s->subset->len; i++) {
+		u64 work = choose_told_work_us(g_ptr_array_index(s->subset, i), worth);
+
+		if (work && (!least || work < least))
+			least = work;
+	}
+	return least;
+}
+
+/* Before any told the time of the rank: of all its calls together. */
 static u64 least_service_us(const struct choose_service *s)
 {
-	u64 least = UINT64_MAX;
+	u64 least = 0;
 
 	for (guint i = 0; i < s->subset->len; i++) {
 		const struct choose_target *t = g_ptr_array_index(s->subset, i);
+		u64 service = t->load_us ? t->load.service_us : 0;
 
-		if (t->load_us && t->load.service_us)
-			least = MIN(least, t->load.service_us);
+		if (service && (!least || service < least))
+			least = service;
 	}
-	return least == UINT64_MAX ? 0 : least;
+	return least;
 }
 
 struct choose_target *choose_pick(struct choose *c, const char *service, u32 worth,
@@ -309,7 +324,9 @@
 	if (!s)
 		return NULL;
 	s->used_us = now_us;
-	s->least_us = least_service_us(s);
+	s->least_us = least_work_us(s, worth);
+	if (!s->least_us)
+		s->least_us = least_service_us(s);
 	sample(&ch, s->subset, 0, s->nown_zone);
 	sample(&ch, s->subset, s->nown_zone, s->subset->len);
 	if (!ch.best && s->targets->len > s->subset->len)
--- a/node/choose.h
+++ b/node/choose.h
@@ -59,8 +59,11 @@
 	GPtrArray *targets; /* of struct choose_target: all that are up */
 	GPtrArray *subset; /* those that this node uses, the own zone first */
 	u32 nown_zone; /* of the subset */
-	u64 least_us; /* the shortest time of a call that one in use tells, at usual speed; 0
-			 unknown */
+	/*
+	 * Of the rank that was chosen for last: the shortest time of a call that one in use
+	 * tells, at its VM's usual speed; 0 while unknown.
+	 */
+	u64 least_us;
 	bool is_stale; /* the subset must be made again */
 	u64 used_us; /* last call */
 };
@@ -125,6 +128,9 @@
 /* choose_score - the expected time of a call of WORTH, penalties included. */
 u64 choose_score(const struct choose_target *t, u32 worth, u64 now_us);
 
+/* choose_told_work_us - the time of a call of WORTH at T's usual speed, as told; 0 unknown. */
+u64 choose_told_work_us(const struct choose_target *t, u32 worth);
+
 /* choose_is_usable - not draining, unreachable or ejected. */
 bool choose_is_usable(const struct choose_target *t, u64 now_us);
 
--- a/node/score.c
+++ b/node/score.c
@@ -21,6 +21,8 @@
 #define RAMP_FIRST_PERCENT 10
 /* Own latency counts when it is so many times what the load says. */
 #define LATENCY_DOUBT 2
+/* By so much longer calls must take at an upstream before it counts as a slower one. */
+#define SLOWER_PERCENT 130
 /* A silence this many times the expected time speaks against what was told. */
 #define SILENT_DOUBT 4
 /* The part of a call's time by which another zone must be faster. */
@@ -46,20 +48,32 @@
 	return t->load_us && t->load.slowness_percent && t->service && t->service->least_us;
 }
 
-static u64 told_service_us(const struct choose_target *t, u64 silent_us)
+u64 choose_told_work_us(const struct choose_target *t, u32 worth)
 {
-	u64 told = t->service->least_us * t->load.slowness_percent / 100;
+	for (u32 i = 0; t->load_us && i < t->load.nwaits; i++)
+		if (t->load.waits[i].worth == worth)
+			return t->load.waits[i].work_us;
+	return 0;
+}
+
+/* Small differences between upstreams are those of the calls that they happened to get. */
+static u64 told_service_us(const struct choose_target *t, u32 worth, u64 silent_us)
+{
+	u64 least = t->service->least_us;
+	u64 work = choose_told_work_us(t, worth);
+	u64 usual = work * 100 > least * SLOWER_PERCENT ? work : least;
+	u64 told = usual * t->load.slowness_percent / 100;
 
 	return silent_us > SILENT_DOUBT * told ? silent_us : told;
 }
 
-static u64 service_us(const struct choose_target *t, u64 now_us)
+static u64 service_us(const struct choose_target *t, u32 worth, u64 now_us)
 {
 	u64 told = t->load_us ? t->load.service_us : SERVICE_FIRST_GUESS_US;
 	u64 silent = t->in_flight && now_us > t->silent_since_us ? now_us - t->silent_since_us : 0;
 
 	if (tells_slowness(t))
-		return told_service_us(t, silent);
+		return told_service_us(t, worth, silent);
 	/* A straggler gives no answer long before a report says that it is slow. */
 	return MAX(told, silent);
 }
@@ -101,7 +115,7 @@
 {
 	u64 limit = limit_now(t, now_us);
 	u64 busy = work(t, now_us);
-	u64 service = service_us(t, now_us);
+	u64 service = service_us(t, worth, now_us);
 	u64 part = MIN(busy, limit);
 	u64 wait = service * part * part / (limit * limit) / 4;
 
@@ -123,7 +137,7 @@
 u64 choose_score(const struct choose_target *t, u32 worth, u64 now_us)
 {
 	u64 rtt = t->rtt_us ? t->rtt_us : t->far_us;
-	u64 service = service_us(t, now_us);
+	u64 service = service_us(t, worth, now_us);
 	u64 score = rtt + wait_us(t, worth, now_us) + service + place_cost_us(t, service);
 	u64 latency = aged(t->latency_us, t->latency_at_us, LATENCY_AGE_US, now_us);
 	u64 failed = aged(t->failed_permille, t->failed_at_us, FAILED_AGE_US, now_us);
--- a/wire/peer.c
+++ b/wire/peer.c
@@ -50,6 +50,7 @@
 	for (u32 i = 0; i < l->nwaits; i++) {
 		frame_put_u64(f, l->waits[i].worth);
 		frame_put_u64(f, l->waits[i].wait_us);
+		frame_put_u64(f, l->waits[i].work_us);
 	}
 }
 
@@ -67,6 +68,7 @@
 	for (u32 i = 0; i < l->nwaits; i++) {
 		l->waits[i].worth = (u32)frame_get_u64(in);
 		l->waits[i].wait_us = frame_get_u64(in);
+		l->waits[i].work_us = frame_get_u64(in);
 	}
 }
 
--- a/wire/peer.h
+++ b/wire/peer.h
@@ -43,6 +43,7 @@
 struct peer_wait {
 	u32 worth;
 	u64 wait_us; /* expected time in the queue of a new call */
+	u64 work_us; /* time of a call at the VM's usual speed; 0 while not known lately */
 };
 
 /* call_id_hash, call_id_equal - for hash tables with call ids as keys. */
