--- a/node/score.c
+++ b/node/score.c
@@ -26,7 +26,7 @@
 /* A silence this many times the expected time speaks against what was told. */
 #define SILENT_DOUBT 4
 /* The part of a call's time by which another zone must be faster. */
-#define PLACE_PART 5
+#define PLACE_PART 3
 #define EJECT_IN_ROW 5
 #define EJECT_PERMILLE 500
 #define EJECT_ANSWERS 8
