--- a/node/entry.c
+++ b/node/entry.c
@@ -177,6 +177,27 @@
 	}
 }
 
+GArray *entry_tries_at(struct node *n, const char *home)
+{
+	GArray *out = g_array_new(FALSE, FALSE, sizeof(u64));
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, n->entry->tries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct call_try *t = value;
+
+		if (!strcmp(t->home, home))
+			g_array_append_val(out, t->id.seq);
+	}
+	return out;
+}
+
+struct call_try *entry_try_of(struct node *n, u64 seq)
+{
+	return g_hash_table_lookup(n->entry->tries, &seq);
+}
+
 struct call_try *entry_find_try(struct node *n, struct call_id id)
 {
 	struct call_try *t = NULL;
@@ -260,11 +281,14 @@
 
 void entry_abandon_all(struct node *n)
 {
-	g_autoptr(GList) list = g_hash_table_get_values(n->entry->calls);
+	GHashTableIter iter;
+	gpointer call;
 
-	for (GList *l = list; l; l = l->next) {
+	/* The end of one call may end others, so the table is looked at anew each time. */
+	while (g_hash_table_iter_init(&iter, n->entry->calls),
+	       g_hash_table_iter_next(&iter, &call, NULL)) {
 		ctr_inc(CTR_DRAINING);
-		abandon(n, l->data, CTR_DRAINING, CHOOSE_CANCELLED);
+		abandon(n, call, CTR_DRAINING, CHOOSE_CANCELLED);
 	}
 }
 
--- a/node/entry_fence.c
+++ b/node/entry_fence.c
@@ -53,19 +53,6 @@
 	}
 }
 
-static GList *tries_at(struct node *n, const char *home)
-{
-	GList *out = NULL;
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, n->entry->tries);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		if (!strcmp(((struct call_try *)value)->home, home))
-			out = g_list_prepend(out, value);
-	return out;
-}
-
 /* The last load came from before the upstream was up again. */
 static void end_draining(struct node *n, const struct dir_entry *e)
 {
@@ -77,13 +64,13 @@
 
 void entry_directory(struct node *n, const struct dir_entry *e)
 {
-	g_autoptr(GList) list = tries_at(n, e->node);
+	g_autoptr(GArray) list = entry_tries_at(n, e->node);
 
 	end_draining(n, e);
-	for (GList *l = list; l; l = l->next) {
-		struct call_try *t = l->data;
+	for (guint i = 0; i < list->len; i++) {
+		struct call_try *t = entry_try_of(n, g_array_index(list, u64, i));
 
-		if (t->state != TRY_FENCING || e->incarnation < t->home_incarnation)
+		if (!t || t->state != TRY_FENCING || e->incarnation < t->home_incarnation)
 			continue;
 		if (e->state == DIR_GONE || e->incarnation > t->home_incarnation)
 			lost(n, t);
@@ -92,11 +79,13 @@
 
 void entry_link_down(struct node *n, const char *peer)
 {
-	g_autoptr(GList) list = tries_at(n, peer);
+	g_autoptr(GArray) list = entry_tries_at(n, peer);
 
-	for (GList *l = list; l; l = l->next) {
-		struct call_try *t = l->data;
+	for (guint i = 0; i < list->len; i++) {
+		struct call_try *t = entry_try_of(n, g_array_index(list, u64, i));
 
+		if (!t)
+			continue;
 		/* An idempotent call need not wait for the truth. */
 		if (t->state == TRY_CONNECTING)
 			never_sent(n, t);
@@ -106,21 +95,23 @@
 			t->state = TRY_FENCING;
 	}
 	/* Fences go out when the link is up again. */
-	if (g_list_length(list))
+	if (list->len)
 		mesh_link(n, peer);
 }
 
 void entry_link_up(struct node *n, const char *peer, u64 incarnation)
 {
-	g_autoptr(GList) list = tries_at(n, peer);
+	g_autoptr(GArray) list = entry_tries_at(n, peer);
 	struct choose_target *target = choose_find(&n->choose, peer);
 
 	if (target)
 		target->unreachable_until_us = 0;
-	for (GList *l = list; l; l = l->next) {
-		struct call_try *t = l->data;
+	for (guint i = 0; i < list->len; i++) {
+		struct call_try *t = entry_try_of(n, g_array_index(list, u64, i));
 		FRAME_AUTO(f, PEER_FENCE);
 
+		if (!t)
+			continue;
 		if (t->state == TRY_CONNECTING)
 			entry_send_to_peer(n, t, mesh_link(n, peer));
 		if (t->state != TRY_FENCING)
--- a/node/entry_impl.h
+++ b/node/entry_impl.h
@@ -61,6 +61,15 @@
 /* entry_find_try - the try that waits under ID; a late one is counted and gives NULL. */
 struct call_try *entry_find_try(struct node *n, struct call_id id);
 
+/*
+ * entry_tries_at - the sequences of the tries at HOME, to be freed as an array. What
+ * ends one of them may end others, so each is looked up when its turn comes.
+ */
+GArray *entry_tries_at(struct node *n, const char *home);
+
+/* entry_try_of - the try with this sequence, or NULL when it has ended. */
+struct call_try *entry_try_of(struct node *n, u64 seq);
+
 /* entry_note_end - tell the choice how the try ended; entry_try_end - forget and free it. */
 void entry_note_end(struct node *n, const struct call_try *t, enum choose_result result);
 void entry_try_end(struct node *n, struct call_try *t);
--- a/node/entry_try.c
+++ b/node/entry_try.c
@@ -215,21 +215,12 @@
 		loop_timer_set(n->loop, &call->priv->hedge_timer, loop_clock_us() + delay);
 }
 
-/* Calls that wait at HOME for an answer and may be repeated. */
-static GList *repeatable_at(struct node *n, const char *home)
+/* The call of a try that waits for an answer and may be repeated, or NULL. */
+static struct entry_call *repeatable(struct node *n, u64 seq)
 {
-	GList *out = NULL;
-	GHashTableIter iter;
-	gpointer value;
+	const struct call_try *t = entry_try_of(n, seq);
 
-	g_hash_table_iter_init(&iter, n->entry->tries);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct call_try *t = value;
-
-		if (t->call->is_idempotent && t->state == TRY_SENT && !strcmp(t->home, home))
-			out = g_list_prepend(out, t->call);
-	}
-	return out;
+	return t && t->call->is_idempotent && t->state == TRY_SENT ? t->call : NULL;
 }
 
 /* A second try of CALL at OTHER, beside the one that goes on. */
@@ -270,25 +261,30 @@
 void entry_slowness(struct node *n, const char *home)
 {
 	struct choose_target *t = choose_find(&n->choose, home);
-	g_autoptr(GList) calls = NULL;
+	g_autoptr(GArray) list = NULL;
 	u64 now = loop_clock_us();
 
 	if (!t || t->load.slowness_percent < SLOW_PERCENT)
 		return;
-	calls = repeatable_at(n, home);
-	for (GList *l = calls; l; l = l->next)
-		hedge_slow(n, l->data, now);
+	list = entry_tries_at(n, home);
+	for (guint i = 0; i < list->len; i++) {
+		struct entry_call *call = repeatable(n, g_array_index(list, u64, i));
+
+		if (call)
+			hedge_slow(n, call, now);
+	}
 }
 
 void entry_silence(struct node *n, const char *home)
 {
-	g_autoptr(GList) calls = repeatable_at(n, home);
+	g_autoptr(GArray) list = entry_tries_at(n, home);
 	u64 now = loop_clock_us();
 
-	for (GList *l = calls; l; l = l->next) {
-		struct choose_target *other = pick_other(n, l->data, now);
+	for (guint i = 0; i < list->len; i++) {
+		struct entry_call *call = repeatable(n, g_array_index(list, u64, i));
+		struct choose_target *other = call ? pick_other(n, call, now) : NULL;
 
 		if (other)
-			hedge_at(n, l->data, other, now);
+			hedge_at(n, call, other, now);
 	}
 }
--- a/node/home.c
+++ b/node/home.c
@@ -429,12 +429,34 @@
 		cancel_job(n, j);
 }
 
+/* The ids of all calls here: what ends one may end others, so each is looked up again. */
+static GArray *all_ids(const struct node *n)
+{
+	GArray *out = g_array_new(FALSE, FALSE, sizeof(struct call_id));
+	GHashTableIter iter;
+	gpointer key;
+
+	g_hash_table_iter_init(&iter, n->home->jobs);
+	while (g_hash_table_iter_next(&iter, &key, NULL))
+		g_array_append_val(out, *(const struct call_id *)key);
+	return out;
+}
+
+static struct job *job_at(const struct node *n, const GArray *ids, guint i)
+{
+	return g_hash_table_lookup(n->home->jobs, &g_array_index(ids, struct call_id, i));
+}
+
 void home_cancel_all(struct node *n)
 {
-	g_autoptr(GList) list = g_hash_table_get_values(n->home->jobs);
+	g_autoptr(GArray) ids = all_ids(n);
+
+	for (guint i = 0; i < ids->len; i++) {
+		struct job *j = job_at(n, ids, i);
 
-	for (GList *l = list; l; l = l->next)
-		cancel_job(n, l->data);
+		if (j)
+			cancel_job(n, j);
+	}
 }
 
 void home_fence(struct node *n, struct link *origin, struct call_id id)
@@ -455,12 +477,12 @@
 
 void home_link_down(struct node *n, struct link *origin)
 {
-	g_autoptr(GList) list = g_hash_table_get_values(n->home->jobs);
+	g_autoptr(GArray) ids = all_ids(n);
 
-	for (GList *l = list; l; l = l->next) {
-		struct job *j = l->data;
+	for (guint i = 0; i < ids->len; i++) {
+		struct job *j = job_at(n, ids, i);
 
-		if (j->origin != origin || j->is_local)
+		if (!j || j->origin != origin || j->is_local)
 			continue;
 		j->origin = NULL;
 		/* The entry has tried an idempotent call elsewhere, and fences the others. */
--- a/test/entry_test.c
+++ b/test/entry_test.c
@@ -14,6 +14,7 @@
 #define CALLERS 32
 #define HTTP_WAIT_MS 20000
 #define BODY_BYTES 4194304
+#define RESET_REQUESTS 24
 
 struct caller {
 	struct fake_node *node;
@@ -459,6 +460,44 @@
 	stop();
 }
 
+static void block_shortly(void *arg)
+{
+	(void)arg;
+	g_usleep(200 * US_PER_MS);
+}
+
+/*
+ * The pattern: many connections are reset at once. Requests of one connection wait at a
+ * home whose link breaks; the refusal of the first finds the connection reset, which ends
+ * the others too.
+ */
+static void test_reset_beside_a_broken_link(void)
+{
+	const char *text = "GET / HTTP/1.1\r\nHost: sightings.example\r\n\r\n";
+	struct caller after;
+	int fd;
+
+	start();
+	fd = raw_connect(node.settings.node.caller_port);
+	for (u32 i = 0; i < RESET_REQUESTS; i++)
+		send_all(fd, text, strlen(text));
+	take_event(PEER_EVENT_UP);
+	for (u32 i = 0; i < RESET_REQUESTS; i++)
+		take_call(NULL);
+	/* Both are there when the node looks again, the broken link first. */
+	loop_post(node.node->loop, block_shortly, NULL);
+	g_usleep(50 * US_PER_MS);
+	fake_peer_unlisten(&home);
+	fake_peer_break(&home);
+	g_usleep(10 * US_PER_MS);
+	raw_reset(fd);
+	close(fd);
+	caller_start_call(&after, "GET", NULL, 300);
+	g_thread_join(after.thread);
+	g_assert_cmpint(after.err, ==, 0);
+	stop();
+}
+
 int main(int argc, char **argv)
 {
 	int ret;
@@ -478,6 +517,7 @@
 	g_test_add_func("/entry/caller-leaves", test_caller_leaves);
 	g_test_add_func("/entry/half-closed-post", test_half_closed_post);
 	g_test_add_func("/entry/dark-home", test_dark_home);
+	g_test_add_func("/entry/reset-beside-a-broken-link", test_reset_beside_a_broken_link);
 	ret = g_test_run();
 	fflush(stdout);
 	_exit(ret); /* nodes still run */
