Refused callers are told when to come back, where waiting helps them

Cause: callers refused during a repair (no configuration yet, home gone) asked again at once, three times in 0.3 s, and gave up; late callers of an overload used the places of those who could still be in time. A repair is told with 150 to 300 ms, a late call of an overload with a sixth to a third of the time that is left; nothing else is told.

--- a/node/caller.c
+++ b/node/caller.c
@@ -4,11 +4,14 @@
 #include "lib/err.h"
 #include "lib/hist.h"
 #include "lib/log.h"
+#include "node/comeback.h"
 #include "node/config.h"
 
 #include <string.h>
 
 #define DEFAULT_TIMEOUT_MS 30000
+/* A call is late when the time since it came, times this, is more than its target. */
+#define LATE_PART 2
 
 /* One request of a caller, from its arrival to its answer. */
 struct caller {
@@ -16,6 +19,7 @@
 	struct httpd_request *request; /* NULL when the caller has left */
 	struct entry_call call;
 	u64 start_us;
+	u64 caller_deadline_us; /* when the caller gives up */
 };
 
 /* What is left of the target when the caller asks not for the first time. */
@@ -104,11 +108,20 @@
 }
 
 /* An answer made by the system; the reason was counted where it arose. */
-static struct http_msg *make_refusal(struct node *n, const struct dialect_refusal *refusal)
+static struct http_msg *make_refusal(struct node *n, struct caller *c,
+				     struct dialect_refusal *refusal)
 {
+	u64 now = loop_clock_us();
+	struct comeback back = {
+		.reason = refusal->reason,
+		.left_us = c->caller_deadline_us - MIN(c->caller_deadline_us, now),
+		.is_late = c->call.target_us < (now - c->start_us) * LATE_PART,
+	};
 	g_autofree char *body = g_strdup_printf("{\"error\":\"%s\"}\n", describe(refusal));
 	struct http_msg *m = http_answer(refusal->status, body);
 
+	if (refusal->is_not_run)
+		refusal->retry_after_ms = comeback_us(&back, &n->choose.rng) / US_PER_MS;
 	n->dialect->refuse(m, refusal);
 	return m;
 }
@@ -155,7 +168,7 @@
 		hist_record(call->service, call->rank, time_us);
 		httpd_answer(c->request, g_steal_pointer(&call->answer));
 	} else {
-		httpd_answer(c->request, make_refusal(n, &refusal));
+		httpd_answer(c->request, make_refusal(n, c, &refusal));
 	}
 	caller_free(c);
 }
@@ -176,7 +189,7 @@
 		log_event(LOG_WARN, "refusal", "request", request ? request : "", "status",
 			  log_u64(status), "reason", ctr_name(reason), "revision",
 			  log_u64(config_revision()), NULL);
-	httpd_answer(c->request, make_refusal(n, &refusal));
+	httpd_answer(c->request, make_refusal(n, c, &refusal));
 	caller_free(c);
 }
 
@@ -198,6 +211,7 @@
 	n->dialect->timeout_ms(request->msg, &ms);
 	/* The time runs from when the request was whole, also while it waited for its turn. */
 	c->call.deadline_us = request->began_us + ms * US_PER_MS;
+	c->caller_deadline_us = c->call.deadline_us;
 	reason = route(n, &c->call);
 	if (reason != CTR_CALLS) {
 		refuse_early(n, c, reason, status_of(reason));
--- a/node/probe.h
+++ b/node/probe.h
@@ -16,7 +16,7 @@
 
 /* At most: a PROBE frame, a LOAD frame. */
 #define PROBE_FRAME_BYTES 8
-#define PROBE_LOAD_BYTES 200
+#define PROBE_LOAD_BYTES 320
 
 struct probe_budget {
 	struct budget count;
