A field named level replaced the line's severity in JSON logs

Cause: run lines carried a field level, and an object takes the last of two same names. Change: such a field gets another name (test /log/json-same-names fails without it); the run line says beside; a wait that can't be told is no number any more.

--- a/lib/log.c
+++ b/lib/log.c
@@ -100,11 +100,14 @@
 	return g_utf8_make_valid(value ? value : "", -1);
 }
 
+/* A field that has the name of an earlier one gets another name, so that both are kept. */
 static void add_json(json_t *line, const char *key, const char *value)
 {
 	g_autofree char *text = clean(value);
+	g_autofree char *other =
+		json_object_get(line, key) ? g_strdup_printf("field_%s", key) : NULL;
 
-	json_object_set_new(line, key, json_string(text));
+	json_object_set_new(line, other ? other : key, json_string(text));
 }
 
 static char *render_json(const char *time, enum log_level level, const char *message, va_list ap)
--- a/node/home.c
+++ b/node/home.c
@@ -98,12 +98,14 @@
 	const struct admit *a = &n->home->admit;
 	const char *request = n->dialect->id(j->msg);
 	u64 now = loop_clock_us();
+	u64 wait_us = admit_wait_us(a, j->req.rank);
 
 	if (!log_wants("refuse", request, !j->is_idempotent))
 		return;
 	log_event(LOG_INFO, "refuse", "request", request ? request : "", "reason", ctr_name(reason),
-		  "rank", log_u64(j->req.rank), "wait_us", log_u64(admit_wait_us(a, j->req.rank)),
-		  "target_us", log_u64(j->req.target_us), "left_us",
+		  "rank", log_u64(j->req.rank), "wait_us",
+		  wait_us == UINT64_MAX ? "not known" : log_u64(wait_us), "target_us",
+		  log_u64(j->req.target_us), "left_us",
 		  log_u64(j->req.deadline_us > now ? j->req.deadline_us - now : 0), "running",
 		  log_u64(a->running), "queued", log_u64(a->queued), "limit", log_u64(a->limit),
 		  "slowness", log_u64(a->slowness_percent), NULL);
@@ -229,7 +231,7 @@
 		return;
 	log_event(LOG_INFO, "run", "request", request ? request : "", "rank", log_u64(r->rank),
 		  "waited_us", log_u64(r->started_us - r->queued_us), "took_us",
-		  log_u64(now - r->started_us), "work_us", log_u64(r->work_us), "level",
+		  log_u64(now - r->started_us), "work_us", log_u64(r->work_us), "beside",
 		  log_u64(r->level), "slowness", log_u64(gauge_slowness_percent(n->home->gauge)),
 		  "error", j->upstream.err ? err_text(j->upstream.err) : "", NULL);
 }
--- a/test/log_test.c
+++ b/test/log_test.c
@@ -105,6 +105,23 @@
 }
 
 /* A rotated file is left at once, not at the next event. */
+/* A field of an event takes the place of none of the line's own. */
+static void test_json_same_names(struct fixture *f, gconstpointer unused)
+{
+	g_autofree char *got = NULL;
+	json_t *line;
+
+	(void)unused;
+	log_open(f->path, LOG_INFO, LOG_JSON);
+	log_event(LOG_WARN, "run", "level", "12", "event", "other", NULL);
+	got = read_file(f->path);
+	line = json_loads(got, 0, NULL);
+	g_assert_cmpstr(json_string_value(json_object_get(line, "level")), ==, "warn");
+	g_assert_cmpstr(json_string_value(json_object_get(line, "event")), ==, "run");
+	g_assert_cmpstr(json_string_value(json_object_get(line, "field_level")), ==, "12");
+	json_decref(line);
+}
+
 static void test_reopen_when_idle(struct fixture *f, gconstpointer unused)
 {
 	g_autofree char *old = NULL;
@@ -241,6 +258,7 @@
 	ADD("/log/levels", test_levels);
 	ADD("/log/text-cannot-be-forged", test_text_cannot_be_forged);
 	ADD("/log/json-cannot-be-forged", test_json_cannot_be_forged);
+	ADD("/log/json-same-names", test_json_same_names);
 	ADD("/log/reopen-when-idle", test_reopen_when_idle);
 	ADD("/log/reopen-keeps-the-old-file", test_reopen_keeps_the_old_file);
 	ADD("/log/full-disk-is-counted", test_full_disk_is_counted);
