The replicated log is folded by bytes too; one reader of bodies for both kinds of change

Cause: a set is one entry; 4,096 entries of a set of 500 KB are 2 GB in memory and on the disk. The twin of the body's reader in api_set.c is gone.

--- a/control/api.c
+++ b/control/api.c
@@ -191,13 +191,9 @@
 	return ret;
 }
 
-static int put_service(struct control *c, struct mg_connection *conn, const char *name)
+int api_read_body(struct mg_connection *conn, GByteArray *body, u32 most_bytes)
 {
-	FIND_AUTO(found);
-	__attribute__((cleanup(store_change_clear))) struct store_change change = { 0 };
-	g_autoptr(GByteArray) body = g_byte_array_new();
-	struct res_service *s;
-	int err = http_read_body(conn, body, RES_JSON_MAX_BYTES);
+	int err = http_read_body(conn, body, most_bytes);
 
 	if (err == ERR_TOOBIG)
 		return http_send_error(conn, 413, "not-run", ctr_name(CTR_BODY_TOO_LARGE),
@@ -205,6 +201,19 @@
 	if (err)
 		return http_send_error(conn, 400, "not-run", ctr_name(CTR_BAD_REQUEST),
 				       "the request body ended early");
+	return 0;
+}
+
+static int put_service(struct control *c, struct mg_connection *conn, const char *name)
+{
+	FIND_AUTO(found);
+	__attribute__((cleanup(store_change_clear))) struct store_change change = { 0 };
+	g_autoptr(GByteArray) body = g_byte_array_new();
+	struct res_service *s;
+	int status = api_read_body(conn, body, RES_JSON_MAX_BYTES);
+
+	if (status)
+		return status;
 	change.op = STORE_PUT;
 	change.name = g_strdup(name);
 	read_change_headers(conn, &change, &found);
--- a/control/api.h
+++ b/control/api.h
@@ -31,6 +31,8 @@
 /* api_run - carry out W's operation and wait for its outcome. */
 void api_run(struct api_waiter *w);
 int api_send_outcome(struct mg_connection *conn, const struct op *o);
+/* api_read_body - 0, or the status of the error that was sent. */
+int api_read_body(struct mg_connection *conn, GByteArray *body, u32 most_bytes);
 int api_send_findings(struct mg_connection *conn, const struct findings *found);
 
 /* api_parse_version - digits, bare or in quotes as an entity tag. */
--- a/control/api_set.c
+++ b/control/api_set.c
@@ -84,14 +84,10 @@
 	__attribute__((cleanup(store_change_clear))) struct store_change change = { 0 };
 	g_autoptr(GByteArray) body = g_byte_array_new();
 	struct set *set;
-	int err = http_read_body(conn, body, SET_JSON_MAX_BYTES);
-
-	if (err == ERR_TOOBIG)
-		return http_send_error(conn, 413, "not-run", ctr_name(CTR_BODY_TOO_LARGE),
-				       "the set is too large");
-	if (err)
-		return http_send_error(conn, 400, "not-run", ctr_name(CTR_BAD_REQUEST),
-				       "the request body ended early");
+	int status = api_read_body(conn, body, SET_JSON_MAX_BYTES);
+
+	if (status)
+		return status;
 	change.op = STORE_SET;
 	change.name = g_strdup(SET_NAME);
 	read_base(conn, &change, &found);
--- a/control/control.h
+++ b/control/control.h
@@ -34,6 +34,7 @@
 
 	struct wal wal;
 	struct raft raft;
+	u64 log_bytes; /* appended since the last snapshot */
 	struct store store;
 	struct directory directory;
 
--- a/control/raft.h
+++ b/control/raft.h
@@ -41,6 +41,8 @@
 #define RAFT_SNAPSHOT_MAX_BYTES (512 * 1024 * 1024)
 /* Entries before the snapshot that stay in memory for members that are a little behind. */
 #define RAFT_KEEP_ENTRIES 1024
+/* And no more bytes of them: a member that is further behind gets the snapshot. */
+#define RAFT_KEEP_BYTES (8 * 1024 * 1024)
 /* A part of a snapshot without an answer is sent again after this time. */
 #define RAFT_RESEND_US (4 * RAFT_HEARTBEAT_US)
 /* A leader transfer that takes longer is given up. */
@@ -231,6 +233,9 @@
 /* raft_transfer - hand leadership to member TO when it holds the log, within RAFT_TRANSFER_US. */
 int raft_transfer(struct raft *r, u32 to, u64 now_us);
 
+/* raft_log_bytes - of the entries after index AFTER that are still there. */
+u64 raft_log_bytes(const struct raft *r, u64 after);
+
 /* raft_compact - snapshot the applied state and drop the entries before it. */
 void raft_compact(struct raft *r);
 
--- a/control/raft_host.c
+++ b/control/raft_host.c
@@ -13,6 +13,8 @@
 
 /* The log in memory is compacted when it holds more entries than this. */
 #define COMPACT_ENTRIES 4096
+/* Or when the entries since the last snapshot hold more bytes: a few of the largest sets. */
+#define COMPACT_BYTES (8 << 20)
 
 /* What could not be synced may be lost, and a retry can report success wrongly. */
 static void require(int err, const char *what)
@@ -36,11 +38,18 @@
 	require(wal_save_state(&c->wal, term, vote), "save state");
 }
 
+static u64 entry_bytes(const struct raft_entry *e)
+{
+	return e->data ? g_bytes_get_size(e->data) : 0;
+}
+
 static void host_append(struct raft *r, GPtrArray *entries)
 {
 	struct control *c = r->arg;
 
 	require(wal_append(&c->wal, entries), "append");
+	for (guint i = 0; i < entries->len; i++)
+		c->log_bytes += entry_bytes(g_ptr_array_index(entries, i));
 }
 
 static void host_save_snapshot(struct raft *r, u64 index, u64 term,
@@ -138,8 +147,10 @@
 /* Called after every step, so that followers compact too: their timer seldom fires. */
 void raft_host_arm(struct control *c)
 {
-	if (c->raft.log->len > COMPACT_ENTRIES)
+	if (c->raft.log->len > COMPACT_ENTRIES || c->log_bytes > COMPACT_BYTES) {
 		raft_compact(&c->raft);
+		c->log_bytes = raft_log_bytes(&c->raft, c->raft.snap_index);
+	}
 	loop_timer_set(c->loop, &c->raft_timer, raft_next_due_us(&c->raft));
 }
 
@@ -165,6 +176,7 @@
 			  loop_clock_us());
 		c->raft.copies_min = s->losses + 1;
 		err = wal_load(&c->wal, &c->raft, &why);
+		c->log_bytes = raft_log_bytes(&c->raft, c->raft.snap_index);
 		if (!err && c->raft.role == RAFT_FORMING)
 			found_group(c);
 	}
--- a/control/raft_log.c
+++ b/control/raft_log.c
@@ -108,6 +108,35 @@
 	raft_find_members(r);
 }
 
+u64 raft_log_bytes(const struct raft *r, u64 after)
+{
+	u64 bytes = 0;
+
+	for (u64 i = MAX(after, r->base_index) + 1; i <= raft_last_index(r); i++) {
+		GBytes *data = raft_entry_at(r, i)->data;
+
+		bytes += data ? g_bytes_get_size(data) : 0;
+	}
+	return bytes;
+}
+
+/* After this entry stand those that are kept for followers which are a little behind. */
+static u64 keep_after(const struct raft *r, u64 index)
+{
+	u64 first = index > r->keep_entries ? index - r->keep_entries : 0;
+	u64 kept = 0;
+	u64 base = index;
+
+	for (; base > MAX(first, r->base_index); base--) {
+		GBytes *data = raft_entry_at(r, base)->data;
+
+		kept += data ? g_bytes_get_size(data) : 0;
+		if (kept > RAFT_KEEP_BYTES)
+			break;
+	}
+	return base;
+}
+
 void raft_compact(struct raft *r)
 {
 	g_autoptr(GBytes) state = NULL;
@@ -121,7 +150,7 @@
 	state = r->ops->snapshot(r);
 	r->ops->save_snapshot(r, index, term, &r->committed_members, state);
 	adopt_snapshot(r, index, term, &r->committed_members, state);
-	base = index > r->keep_entries ? index - r->keep_entries : 0;
+	base = keep_after(r, index);
 	if (base <= r->base_index)
 		return;
 	term = raft_term_at(r, base);
--- a/test/raft_host_test.c
+++ b/test/raft_host_test.c
@@ -63,6 +63,35 @@
 	one_member_free(c, &s);
 }
 
+#define LARGE_BYTES (1 << 20)
+#define LARGE_ENTRIES 64
+/* What may stay: the entries since the last snapshot, and those kept for members behind. */
+#define LOG_BYTES_MAX (24u << 20)
+
+/* The pattern: a large set that changes often. */
+static void test_large_entries_are_folded(void)
+{
+	struct settings s = { 0 };
+	struct control *c = one_member(&s);
+	g_autofree char *text = g_strnfill(LARGE_BYTES, 'x');
+	u64 index;
+
+	for (u32 i = 0; i < 3; i++)
+		tick(c);
+	for (u32 i = 0; i < LARGE_ENTRIES; i++) {
+		GBytes *data = g_bytes_new(text, LARGE_BYTES);
+
+		g_assert_cmpint(raft_propose(&c->raft, RAFT_NOOP, data, 0, &index), ==, 0);
+		g_bytes_unref(data);
+		tick(c);
+		raft_host_arm(c);
+	}
+	g_assert_cmpuint(c->raft.commit, ==, index);
+	g_assert_cmpuint(raft_log_bytes(&c->raft, 0), <=, LOG_BYTES_MAX);
+	g_assert_cmpuint(raft_log_bytes(&c->raft, 0), >=, LARGE_BYTES);
+	one_member_free(c, &s);
+}
+
 static void fail_a_write(void)
 {
 	struct settings s = { 0 };
@@ -96,6 +125,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/raft-host/forms-and-leads-alone", test_forms_and_leads_alone);
+	g_test_add_func("/raft-host/large-entries-are-folded", test_large_entries_are_folded);
 	g_test_add_func("/raft-host/failing-write-ends-the-process",
 			test_failing_write_ends_the_process);
 	return g_test_run();
