One copy of what the platform's change wrote twice

Read over the whole change; behaviour stays as it is. - control: reads and changes of services and sets are answered by the same functions (api_run_change, api_send, api_read); items, entries' sizes and requests to join are put and counted in one place. - wire/endpoint: host and port of a frame, before in four places; endpoint_is_same and member_id_of in lib/settings, before in five and two; lists of settings are split once. - node: node_set_state for the state that is announced and told, before in four places; second tries of a call in one path; the key of a route in lib/set, made once a request and cut, where each segment of the path made one. - The expected wait is computed for a refusal only when its line is written. - kernel, lib: one clock reader, the server's limits stated once, dead checks are gone (a doubled one in frame_get_str, one in the gauge), the two 408 branches are one. - tests: wait_for and fail of the control group's two scripts in test/wait_lib.sh.

--- a/control/api.c
+++ b/control/api.c
@@ -72,7 +72,7 @@
 }
 
 /* Runs W's operation and waits for its outcome. */
-void api_run(struct api_waiter *w)
+static void run(struct api_waiter *w)
 {
 	pthread_mutex_init(&w->lock, NULL);
 	pthread_cond_init(&w->cond, NULL);
@@ -87,7 +87,7 @@
 	pthread_mutex_destroy(&w->lock);
 }
 
-int api_send_outcome(struct mg_connection *conn, const struct op *o)
+static int send_outcome(struct mg_connection *conn, const struct op *o)
 {
 	if (o->outcome == OP_UNKNOWN)
 		return http_send_error(conn, 503, "unknown", ctr_name(CTR_CHANGE_UNKNOWN),
@@ -97,6 +97,45 @@
 			       "no leader with a quorum; nothing was changed");
 }
 
+static void waiter_clear(struct api_waiter *w)
+{
+	g_free(w->body);
+	op_free(w->op);
+}
+
+void api_run_change(struct api_waiter *w, const struct store_change *change)
+{
+	w->op = op_new(OP_CHANGE);
+	w->op->command = store_change_pack(change);
+	run(w);
+}
+
+int api_send(struct mg_connection *conn, struct api_waiter *w, u16 status)
+{
+	const char *outcome = status >= 300 ? "not-run" : NULL;
+	int ret;
+
+	if (w->op->outcome == OP_DONE)
+		ret = http_send(conn, status, "application/json", outcome, NULL, w->body);
+	else
+		ret = send_outcome(conn, w->op);
+	waiter_clear(w);
+	return ret;
+}
+
+int api_read(struct mg_connection *conn, struct api_waiter *w, const char *missing)
+{
+	int ret;
+
+	w->op = op_new(OP_READ);
+	run(w);
+	if (w->op->outcome != OP_DONE || w->body)
+		return api_send(conn, w, 200);
+	ret = http_send_error(conn, 404, NULL, NULL, missing);
+	waiter_clear(w);
+	return ret;
+}
+
 int api_send_findings(struct mg_connection *conn, const struct findings *found)
 {
 	json_t *list = json_array();
@@ -146,7 +185,6 @@
 			       (unsigned long long)id[1]);
 }
 
-/* Digits, bare or in quotes as an entity tag. */
 bool api_parse_version(const char *text, u64 *out)
 {
 	size_t len = strlen(text);
@@ -176,19 +214,9 @@
 		      const struct store_change *change)
 {
 	struct api_waiter w = { .control = c, .render = render_change, .own_json = change->json };
-	int ret;
 
-	w.op = op_new(OP_CHANGE);
-	w.op->command = store_change_pack(change);
-	api_run(&w);
-	if (w.op->outcome == OP_DONE)
-		ret = http_send(conn, w.op->result.status, "application/json",
-				w.op->result.status >= 300 ? "not-run" : NULL, NULL, w.body);
-	else
-		ret = api_send_outcome(conn, w.op);
-	g_free(w.body);
-	op_free(w.op);
-	return ret;
+	api_run_change(&w, change);
+	return api_send(conn, &w, w.op->result.status);
 }
 
 int api_read_body(struct mg_connection *conn, GByteArray *body, u32 most_bytes)
@@ -277,19 +305,8 @@
 		    char *(*render)(struct control *c, struct api_waiter *w))
 {
 	struct api_waiter w = { .control = c, .render = render, .name = name };
-	int ret;
 
-	w.op = op_new(OP_READ);
-	api_run(&w);
-	if (w.op->outcome != OP_DONE)
-		ret = api_send_outcome(conn, w.op);
-	else if (!w.body)
-		ret = http_send_error(conn, 404, NULL, NULL, "no such service");
-	else
-		ret = http_send(conn, 200, "application/json", NULL, NULL, w.body);
-	g_free(w.body);
-	op_free(w.op);
-	return ret;
+	return api_read(conn, &w, "no such service");
 }
 
 static int on_services(struct mg_connection *conn, void *arg)
@@ -455,11 +472,11 @@
 	else
 		return http_send_error(conn, 405, NULL, NULL, "use POST .../replace or DELETE");
 	w.op->member = id;
-	api_run(&w);
+	run(&w);
 	if (w.op->outcome == OP_DONE)
 		ret = http_send_error(conn, w.op->result.status, NULL, NULL, w.op->text);
 	else
-		ret = api_send_outcome(conn, w.op);
+		ret = send_outcome(conn, w.op);
 	op_free(w.op);
 	return ret;
 }
--- a/control/api.h
+++ b/control/api.h
@@ -28,9 +28,14 @@
 	const char *own_json; /* the service that a PUT brought */
 };
 
-/* api_run - carry out W's operation and wait for its outcome. */
-void api_run(struct api_waiter *w);
-int api_send_outcome(struct mg_connection *conn, const struct op *o);
+/* api_run_change - carry out CHANGE and wait; api_send answers then. */
+void api_run_change(struct api_waiter *w, const struct store_change *change);
+
+/* api_send - answer with STATUS when the operation is done, else why not; ends W. Returns it. */
+int api_send(struct mg_connection *conn, struct api_waiter *w, u16 status);
+
+/* api_read - read and answer with what W renders, or 404 with MISSING; ends W. */
+int api_read(struct mg_connection *conn, struct api_waiter *w, const char *missing);
 /* api_read_body - 0, or the status of the error that was sent. */
 int api_read_body(struct mg_connection *conn, GByteArray *body, u32 most_bytes);
 int api_send_findings(struct mg_connection *conn, const struct findings *found);
--- a/control/api_set.c
+++ b/control/api_set.c
@@ -60,22 +60,10 @@
 		      const struct store_change *change)
 {
 	struct api_waiter w = { .control = c, .render = render_change };
-	u16 status;
-	int ret;
 
-	w.op = op_new(OP_CHANGE);
-	w.op->command = store_change_pack(change);
-	api_run(&w);
+	api_run_change(&w, change);
 	log_change(change, &w);
-	status = w.op->result.status == 201 ? 200 : w.op->result.status;
-	if (w.op->outcome == OP_DONE)
-		ret = http_send(conn, status, "application/json", status >= 300 ? "not-run" : NULL,
-				NULL, w.body);
-	else
-		ret = api_send_outcome(conn, w.op);
-	g_free(w.body);
-	op_free(w.op);
-	return ret;
+	return api_send(conn, &w, w.op->result.status == 201 ? 200 : w.op->result.status);
 }
 
 static int put_set(struct control *c, struct mg_connection *conn)
@@ -118,19 +106,8 @@
 static int get_set(struct control *c, struct mg_connection *conn)
 {
 	struct api_waiter w = { .control = c, .render = render_set };
-	int ret;
-
-	w.op = op_new(OP_READ);
-	api_run(&w);
-	if (w.op->outcome != OP_DONE)
-		ret = api_send_outcome(conn, w.op);
-	else if (!w.body)
-		ret = http_send_error(conn, 404, NULL, NULL, "no set was declared");
-	else
-		ret = http_send(conn, 200, "application/json", NULL, NULL, w.body);
-	g_free(w.body);
-	op_free(w.op);
-	return ret;
+
+	return api_read(conn, &w, "no set was declared");
 }
 
 int api_on_set(struct mg_connection *conn, void *control)
--- a/control/join.c
+++ b/control/join.c
@@ -5,8 +5,8 @@
 #include "lib/err.h"
 #include "lib/log.h"
 #include "wire/ctl.h"
+#include "wire/endpoint.h"
 
-#include <arpa/inet.h>
 #include <string.h>
 
 #define TICK_US (200 * US_PER_MS)
@@ -18,7 +18,6 @@
 #define SILENT_US (1500 * US_PER_MS)
 /* Voters beyond these make each change slower and bear no more losses than are asked for. */
 #define VOTERS_MAX 9
-#define HOST_MAX_BYTES 63
 
 /* A process that asks for membership. */
 struct request {
@@ -90,17 +89,27 @@
 	return !has_leader(c, now_us);
 }
 
+static void send_request(struct link *k, const struct request *r)
+{
+	FRAME_AUTO(f, CTL_JOIN);
+
+	frame_put_u64(&f, r->id);
+	frame_put_u64(&f, r->replica);
+	endpoint_put(&f, &r->at);
+	frame_put_bool(&f, r->is_first);
+	link_send(k, &f);
+}
+
 static void ask(struct control *c, struct control_peer *p)
 {
 	const struct control_settings *s = &c->settings->control;
-	FRAME_AUTO(f, CTL_JOIN);
+	struct request r = { .id = c->raft.id,
+			     .replica = c->raft.replica,
+			     .at.port = s->peer_port,
+			     .is_first = s->is_found };
 
-	frame_put_u64(&f, c->raft.id);
-	frame_put_u64(&f, c->raft.replica);
-	frame_put_str(&f, s->address);
-	frame_put_u64(&f, s->peer_port);
-	frame_put_bool(&f, s->is_found);
-	link_send(p->link, &f);
+	g_strlcpy(r.at.host, s->address, sizeof(r.at.host));
+	send_request(p->link, &r);
 }
 
 /* Addresses */
@@ -126,32 +135,23 @@
 	FRAME_AUTO(f, CTL_MEMBERS);
 
 	frame_put_u64(&f, c->raft.members.n);
-	for (u32 i = 0; i < c->raft.members.n; i++) {
-		frame_put_str(&f, c->raft.members.m[i].at.host);
-		frame_put_u64(&f, c->raft.members.m[i].at.port);
-	}
+	for (u32 i = 0; i < c->raft.members.n; i++)
+		endpoint_put(&f, &c->raft.members.m[i].at);
 	link_send(k, &f);
 }
 
-static u32 id_of(const char *host)
-{
-	struct in_addr in = { 0 };
-
-	inet_pton(AF_INET, host, &in);
-	return ntohl(in.s_addr);
-}
-
 int join_take_members(struct control *c, struct frame_in *in)
 {
 	u32 n = frame_get_count(in, RAFT_MEMBERS_MAX);
 
 	for (u32 i = 0; i < n && !in->err; i++) {
-		g_autofree char *host = frame_get_str(in, HOST_MAX_BYTES);
-		struct endpoint at = { .port = (u16)frame_get_u64(in) };
+		struct endpoint at;
+		u32 id;
 
-		g_strlcpy(at.host, host, sizeof(at.host));
-		if (!in->err && is_on(c) && id_of(host))
-			know(c->join, id_of(host), &at);
+		endpoint_get(in, &at);
+		id = member_id_of(at.host);
+		if (!in->err && is_on(c) && id)
+			know(c->join, id, &at);
 	}
 	if (frame_done(in))
 		return ERR_INVAL;
@@ -185,13 +185,9 @@
 
 static int get_request(struct frame_in *in, struct request *r)
 {
-	g_autofree char *host = NULL;
-
 	r->id = (u32)frame_get_u64(in);
 	r->replica = frame_get_u64(in);
-	host = frame_get_str(in, HOST_MAX_BYTES);
-	g_strlcpy(r->at.host, host, sizeof(r->at.host));
-	r->at.port = (u16)frame_get_u64(in);
+	endpoint_get(in, &r->at);
 	r->is_first = frame_get_bool(in);
 	r->heard_us = loop_clock_us();
 	return frame_done(in) || !r->id || !r->replica ? ERR_INVAL : 0;
@@ -214,16 +210,9 @@
 static void pass_on(struct control *c, const struct request *r)
 {
 	struct link *k = c->raft.leader ? peers_link(c, c->raft.leader) : NULL;
-	FRAME_AUTO(f, CTL_JOIN);
 
-	if (!k || c->raft.leader == r->id)
-		return;
-	frame_put_u64(&f, r->id);
-	frame_put_u64(&f, r->replica);
-	frame_put_str(&f, r->at.host);
-	frame_put_u64(&f, r->at.port);
-	frame_put_bool(&f, r->is_first);
-	link_send(k, &f);
+	if (k && c->raft.leader != r->id)
+		send_request(k, r);
 }
 
 int join_take(struct control *c, struct link *k, struct frame_in *in)
--- a/control/nodes.c
+++ b/control/nodes.c
@@ -190,15 +190,6 @@
 	}
 }
 
-static void put_item(struct frame_out *f, const struct store_item *item)
-{
-	frame_put_str(f, item->name);
-	frame_put_u64(f, item->version);
-	frame_put_u64(f, item->revision);
-	frame_put_bool(f, item->json != NULL);
-	frame_put_str(f, item->json);
-}
-
 /* How many items from FROM on fit into one frame; at least one. */
 static guint fitting(GPtrArray *items, guint from)
 {
@@ -231,7 +222,7 @@
 		frame_put_bool(&f, from + count == items->len);
 		frame_put_u64(&f, count);
 		for (guint i = from; i < from + count; i++)
-			put_item(&f, g_ptr_array_index(items, i));
+			store_item_put(&f, g_ptr_array_index(items, i));
 		/* The revision stays as it is, so that nothing is missed. */
 		if (link_send(n->link, &f))
 			return;
--- a/control/peers.c
+++ b/control/peers.c
@@ -94,7 +94,7 @@
 	struct raft_member *m = raft_member_find(&c->raft.members, p->id);
 
 	(void)key;
-	if (m && m->at.port == p->at.port && !strcmp(m->at.host, p->at.host))
+	if (m && endpoint_is_same(&m->at, &p->at))
 		return FALSE;
 	if (join_wants(c, p->id))
 		return FALSE;
--- a/control/raft.h
+++ b/control/raft.h
@@ -246,6 +246,7 @@
 u64 raft_term_at(const struct raft *r, u64 index); /* 0 when not in the log */
 const struct raft_entry *raft_entry_at(const struct raft *r, u64 index);
 
+u64 raft_entry_bytes(const struct raft_entry *e);
 struct raft_entry *raft_entry_new(u64 index, u64 term, enum raft_kind kind, GBytes *data);
 void raft_entry_free(struct raft_entry *e);
 
--- a/control/raft_host.c
+++ b/control/raft_host.c
@@ -38,18 +38,13 @@
 	require(wal_save_state(&c->wal, term, vote), "save state");
 }
 
-static u64 entry_bytes(const struct raft_entry *e)
-{
-	return e->data ? g_bytes_get_size(e->data) : 0;
-}
-
 static void host_append(struct raft *r, GPtrArray *entries)
 {
 	struct control *c = r->arg;
 
 	require(wal_append(&c->wal, entries), "append");
 	for (guint i = 0; i < entries->len; i++)
-		c->log_bytes += entry_bytes(g_ptr_array_index(entries, i));
+		c->log_bytes += raft_entry_bytes(g_ptr_array_index(entries, i));
 }
 
 static void host_save_snapshot(struct raft *r, u64 index, u64 term,
--- a/control/raft_log.c
+++ b/control/raft_log.c
@@ -108,15 +108,17 @@
 	raft_find_members(r);
 }
 
+u64 raft_entry_bytes(const struct raft_entry *e)
+{
+	return e->data ? g_bytes_get_size(e->data) : 0;
+}
+
 u64 raft_log_bytes(const struct raft *r, u64 after)
 {
 	u64 bytes = 0;
 
-	for (u64 i = MAX(after, r->base_index) + 1; i <= raft_last_index(r); i++) {
-		GBytes *data = raft_entry_at(r, i)->data;
-
-		bytes += data ? g_bytes_get_size(data) : 0;
-	}
+	for (u64 i = MAX(after, r->base_index) + 1; i <= raft_last_index(r); i++)
+		bytes += raft_entry_bytes(raft_entry_at(r, i));
 	return bytes;
 }
 
@@ -128,9 +130,7 @@
 	u64 base = index;
 
 	for (; base > MAX(first, r->base_index); base--) {
-		GBytes *data = raft_entry_at(r, base)->data;
-
-		kept += data ? g_bytes_get_size(data) : 0;
+		kept += raft_entry_bytes(raft_entry_at(r, base));
 		if (kept > RAFT_KEEP_BYTES)
 			break;
 	}
--- a/control/raft_msg.c
+++ b/control/raft_msg.c
@@ -2,6 +2,7 @@
 #include "control/raft.h"
 
 #include "lib/err.h"
+#include "wire/endpoint.h"
 
 #include <string.h>
 
@@ -12,8 +13,7 @@
 		frame_put_u64(f, m->m[i].id);
 		frame_put_u64(f, m->m[i].replica);
 		frame_put_bool(f, m->m[i].is_voter);
-		frame_put_str(f, m->m[i].at.host);
-		frame_put_u64(f, m->m[i].at.port);
+		endpoint_put(f, &m->m[i].at);
 	}
 }
 
@@ -22,14 +22,10 @@
 	memset(m, 0, sizeof(*m));
 	m->n = frame_get_count(in, RAFT_MEMBERS_MAX);
 	for (u32 i = 0; i < m->n; i++) {
-		g_autofree char *host = NULL;
-
 		m->m[i].id = (u32)frame_get_u64(in);
 		m->m[i].replica = frame_get_u64(in);
 		m->m[i].is_voter = frame_get_bool(in);
-		host = frame_get_str(in, sizeof(m->m[i].at.host) - 1);
-		g_strlcpy(m->m[i].at.host, host, sizeof(m->m[i].at.host));
-		m->m[i].at.port = (u16)frame_get_u64(in);
+		endpoint_get(in, &m->m[i].at);
 	}
 }
 
--- a/control/store.c
+++ b/control/store.c
@@ -145,7 +145,8 @@
 	}
 }
 
-static void put(struct store *s, const struct store_change *c, struct store_result *out)
+static struct store_item *put(struct store *s, const struct store_change *c,
+			      struct store_result *out)
 {
 	struct store_item *item = g_hash_table_lookup(s->items, c->name);
 
@@ -163,11 +164,7 @@
 	item->version++;
 	item->revision = ++s->revision;
 	out->version = item->version;
-}
-
-static struct store_item *store_item_of(struct store *s, const char *name)
-{
-	return g_hash_table_lookup(s->items, name);
+	return item;
 }
 
 static void drop(struct store *s, const struct store_change *c, struct store_result *out)
@@ -197,8 +194,7 @@
 		out->version = item->version;
 		return;
 	}
-	put(s, c, out);
-	store_item_of(s, c->name)->version = c->version;
+	put(s, c, out)->version = c->version;
 	out->version = c->version;
 }
 
@@ -266,6 +262,15 @@
 		remember(s, c.change_id, hash, out);
 }
 
+void store_item_put(struct frame_out *f, const struct store_item *item)
+{
+	frame_put_str(f, item->name);
+	frame_put_u64(f, item->version);
+	frame_put_u64(f, item->revision);
+	frame_put_bool(f, item->json != NULL);
+	frame_put_str(f, item->json);
+}
+
 static void put_items(struct frame_out *f, const struct store *s)
 {
 	g_autoptr(GPtrArray) items = g_ptr_array_new();
@@ -277,15 +282,8 @@
 		g_ptr_array_add(items, value);
 	g_ptr_array_sort(items, by_revision);
 	frame_put_u64(f, items->len);
-	for (guint i = 0; i < items->len; i++) {
-		const struct store_item *item = g_ptr_array_index(items, i);
-
-		frame_put_str(f, item->name);
-		frame_put_u64(f, item->version);
-		frame_put_u64(f, item->revision);
-		frame_put_bool(f, item->json != NULL);
-		frame_put_str(f, item->json);
-	}
+	for (guint i = 0; i < items->len; i++)
+		store_item_put(f, g_ptr_array_index(items, i));
 }
 
 static void put_memos(struct frame_out *f, const struct store *s)
--- a/control/store.h
+++ b/control/store.h
@@ -10,6 +10,7 @@
 #ifndef STORE_H
 #define STORE_H
 
+#include "lib/frame.h"
 #include "lib/types.h"
 
 #include <glib.h>
@@ -81,6 +82,9 @@
  */
 GPtrArray *store_since(const struct store *s, u64 revision, bool *is_snapshot);
 
+/* store_item_put - append ITEM to a frame, as the log's snapshot and the nodes get it. */
+void store_item_put(struct frame_out *f, const struct store_item *item);
+
 GBytes *store_snapshot(const struct store *s);
 int store_restore(struct store *s, GBytes *data);
 
--- a/kernel/httpd.c
+++ b/kernel/httpd.c
@@ -22,10 +22,13 @@
 #define SWEEP_US (500 * US_PER_MS)
 /* After an error the caller gets this time to read the answer. */
 #define LINGER_US (1 * US_PER_S)
-#define DEFAULT_HEAD_BYTES 16384
-#define DEFAULT_BODY_BYTES (8 * 1024 * 1024)
-#define DEFAULT_HEAD_TIMEOUT_US (10 * US_PER_S)
-#define DEFAULT_IDLE_TIMEOUT_US (60 * US_PER_S)
+
+const struct httpd_limits httpd_default_limits = {
+	.head_bytes = HTTP_TEXT_MAX,
+	.body_bytes = 8 * 1024 * 1024,
+	.head_timeout_us = 10 * US_PER_S,
+	.idle_timeout_us = 60 * US_PER_S,
+};
 
 struct httpd {
 	struct loop *loop;
@@ -56,7 +59,12 @@
 	bool is_dead;
 };
 
-static void conn_close(struct httpd_conn *c);
+static void request_free(struct httpd_request *r)
+{
+	http_free(r->msg);
+	http_free(r->answer);
+	g_free(r);
+}
 
 /* Requests go on without a connection until their owner answers. */
 static void drop_requests(struct httpd_conn *c)
@@ -69,9 +77,7 @@
 		r->conn = NULL;
 		if (r->answer || !r->is_started) {
 			c->h->requests--;
-			http_free(r->answer);
-			http_free(r->msg);
-			g_free(r);
+			request_free(r);
 		} else if (c->h->ops->left) {
 			c->h->ops->left(r, HTTPD_BROKEN, c->h->arg);
 		}
@@ -225,13 +231,6 @@
 	return value && !g_ascii_strcasecmp(value, "close");
 }
 
-static void request_free(struct httpd_request *r)
-{
-	http_free(r->msg);
-	http_free(r->answer);
-	g_free(r);
-}
-
 static void start_waiting(struct httpd_conn *c);
 
 /* Writes the answers that are ready, in order. */
@@ -483,6 +482,14 @@
 	}
 }
 
+/* From the first byte of a request to the end of its head, or of its body. */
+static u64 reading_max_us(const struct httpd_conn *c)
+{
+	const struct httpd_limits *l = &c->h->limits;
+
+	return l->head_timeout_us + (c->read.is_in_body ? l->idle_timeout_us : 0);
+}
+
 static void sweep_conn(struct httpd_conn *c, u64 now_us)
 {
 	u64 age = now_us > c->since_us ? now_us - c->since_us : 0;
@@ -494,10 +501,7 @@
 	} else if (http_read_is_idle(&c->read)) {
 		if (age > c->h->limits.idle_timeout_us)
 			conn_close(c);
-	} else if (!c->read.is_in_body && age > c->h->limits.head_timeout_us) {
-		refuse(c, 408, CTR_BAD_REQUEST);
-		flush(c);
-	} else if (age > c->h->limits.head_timeout_us + c->h->limits.idle_timeout_us) {
+	} else if (age > reading_max_us(c)) {
 		refuse(c, 408, CTR_BAD_REQUEST);
 		flush(c);
 	}
@@ -547,10 +551,7 @@
 	h->loop = l;
 	h->ops = ops;
 	h->arg = arg;
-	h->limits = (struct httpd_limits){ .head_bytes = DEFAULT_HEAD_BYTES,
-					   .body_bytes = DEFAULT_BODY_BYTES,
-					   .head_timeout_us = DEFAULT_HEAD_TIMEOUT_US,
-					   .idle_timeout_us = DEFAULT_IDLE_TIMEOUT_US };
+	h->limits = httpd_default_limits;
 	g_queue_init(&h->conns);
 	h->fd = (struct loop_fd){ .ready = on_accept, .arg = h, .fd = fd };
 	h->sweep = (struct loop_timer){ .fire = on_sweep, .arg = h };
--- a/kernel/httpd.h
+++ b/kernel/httpd.h
@@ -27,6 +27,9 @@
 	u64 idle_timeout_us; /* without a request in progress */
 };
 
+/* What a server has until it is set. */
+extern const struct httpd_limits httpd_default_limits;
+
 struct httpd_request {
 	struct httpd_conn *conn; /* NULL when the connection is gone */
 	struct http_msg *msg;
--- a/kernel/loop.c
+++ b/kernel/loop.c
@@ -1,5 +1,6 @@
 #include "kernel/loop.h"
 
+#include "lib/clock.h"
 #include "lib/err.h"
 
 #include <errno.h>
@@ -7,7 +8,6 @@
 #include <pthread.h>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
-#include <time.h>
 #include <unistd.h>
 
 #define LOOP_EVENTS_MAX 64
@@ -32,22 +32,14 @@
 	int nevents;
 };
 
-static u64 read_clock_us(clockid_t clock)
-{
-	struct timespec now;
-
-	clock_gettime(clock, &now);
-	return (u64)now.tv_sec * US_PER_S + (u64)now.tv_nsec / 1000;
-}
-
 u64 loop_clock_us(void)
 {
-	return read_clock_us(CLOCK_BOOTTIME);
+	return clock_us(CLOCK_BOOTTIME);
 }
 
 u64 loop_wall_clock_us(void)
 {
-	return read_clock_us(CLOCK_REALTIME);
+	return clock_us(CLOCK_REALTIME);
 }
 
 static gint timer_cmp(gconstpointer a, gconstpointer b, gpointer unused)
--- a/lib/frame.c
+++ b/lib/frame.c
@@ -141,15 +141,14 @@
 
 	if (!next_of(in, MSGPACK_OBJECT_STR, &o))
 		return g_strdup("");
-	/* msgpack points nowhere when the text is empty. */
+	/* The codec gives no pointer for an empty string. */
 	if (!o.via.str.size)
 		return g_strdup("");
 	if (o.via.str.size > max_len || memchr(o.via.str.ptr, 0, o.via.str.size)) {
 		in->err = ERR_INVAL;
 		return g_strdup("");
 	}
-	/* The codec gives no pointer for an empty string. */
-	return o.via.str.size ? g_strndup(o.via.str.ptr, o.via.str.size) : g_strdup("");
+	return g_strndup(o.via.str.ptr, o.via.str.size);
 }
 
 const void *frame_get_bin(struct frame_in *in, size_t *len)
--- a/lib/http_read.c
+++ b/lib/http_read.c
@@ -77,11 +77,8 @@
 		return 0;
 	/* An empty value must still end its header when the next name comes. */
 	g_string_append_len(r->value, at, (gssize)len);
-	if (!len && !r->value->len) {
-		int err = end_header(r);
-
-		return err;
-	}
+	if (!len && !r->value->len)
+		return end_header(r);
 	return count_head(r, len);
 }
 
--- a/lib/log.c
+++ b/lib/log.c
@@ -1,5 +1,6 @@
 #include "lib/log.h"
 
+#include "lib/clock.h"
 #include "lib/ctr.h"
 #include "lib/err.h"
 
@@ -13,7 +14,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
 #include <unistd.h>
 #include <xxhash.h>
 
@@ -207,14 +207,6 @@
 	g_free(c);
 }
 
-static u64 clock_us(void)
-{
-	struct timespec now;
-
-	clock_gettime(CLOCK_BOOTTIME, &now);
-	return (u64)now.tv_sec * US_PER_S + (u64)now.tv_nsec / 1000;
-}
-
 static struct category *find_category(const char *message)
 {
 	struct category *c;
@@ -229,14 +221,14 @@
 	c = g_new0(struct category, 1);
 	c->message = g_strdup(message);
 	c->tokens = LOG_RATE_PER_S;
-	c->filled_us = clock_us();
+	c->filled_us = clock_us(CLOCK_BOOTTIME);
 	g_hash_table_insert(categories, c->message, c);
 	return c;
 }
 
 static void refill(struct category *c)
 {
-	u64 now = clock_us();
+	u64 now = clock_us(CLOCK_BOOTTIME);
 
 	c->tokens += (double)(now - c->filled_us) * LOG_RATE_PER_S / (double)US_PER_S;
 	c->tokens = MIN(c->tokens, LOG_RATE_PER_S);
--- a/lib/set.c
+++ b/lib/set.c
@@ -262,15 +262,21 @@
 	}
 }
 
+char *set_route_key(const char *host, const char *prefix)
+{
+	g_autofree char *lower = g_ascii_strdown(host, -1);
+
+	return g_strconcat(lower, "\n", prefix, NULL);
+}
+
 static void check_places(const struct set *s, struct findings *found)
 {
 	g_autoptr(GHashTable) places = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 
 	for (guint i = 0; i < s->routes->len; i++) {
 		const struct set_route *r = g_ptr_array_index(s->routes, i);
-		g_autofree char *host = g_ascii_strdown(r->host, -1);
 
-		if (!g_hash_table_add(places, g_strconcat(host, "\n", r->prefix, NULL)))
+		if (!g_hash_table_add(places, set_route_key(r->host, r->prefix)))
 			complain(found, (struct at){ "routes", i }, "prefix",
 				 "another route has this host and prefix");
 	}
--- a/lib/set.h
+++ b/lib/set.h
@@ -68,6 +68,9 @@
 
 u32 set_worth(u32 priority);
 
+/* set_route_key - host and prefix of a route as one text, PREFIX last; to be freed. */
+char *set_route_key(const char *host, const char *prefix);
+
 /* set_rank_name - the rank that routes of PRIORITY have at their services; to be freed. */
 char *set_rank_name(u32 priority);
 
--- a/lib/settings.c
+++ b/lib/settings.c
@@ -127,6 +127,30 @@
 	return 0;
 }
 
+bool endpoint_is_same(const struct endpoint *a, const struct endpoint *b)
+{
+	return a->port == b->port && !strcmp(a->host, b->host);
+}
+
+u32 member_id_of(const char *host)
+{
+	struct in_addr in = { 0 };
+
+	inet_pton(AF_INET, host, &in);
+	return ntohl(in.s_addr);
+}
+
+/* Calls ADD for each part of a list; empty parts are passed over. */
+static void each_part(struct loader *l, const char *v,
+		      void (*add)(struct loader *l, const char *part))
+{
+	g_auto(GStrv) parts = g_strsplit(v, ",", -1);
+
+	for (char **p = parts; *p; p++)
+		if (*g_strstrip(*p))
+			add(l, *p);
+}
+
 static void set_cluster(struct loader *l, const char *v)
 {
 	l->s->cluster = name(l, v);
@@ -157,16 +181,20 @@
 	l->s->node.peer_port = port(l, v);
 }
 
-static void set_node_peer_listen(struct loader *l, const char *v)
+static void endpoint(struct loader *l, const char *v, struct endpoint *out)
 {
-	if (endpoint_parse(&l->s->node.peer_listen, v))
+	if (endpoint_parse(out, v))
 		complain(l, "not an ADDRESS:PORT", v);
 }
 
+static void set_node_peer_listen(struct loader *l, const char *v)
+{
+	endpoint(l, v, &l->s->node.peer_listen);
+}
+
 static void set_control_peer_listen(struct loader *l, const char *v)
 {
-	if (endpoint_parse(&l->s->control.peer_listen, v))
-		complain(l, "not an ADDRESS:PORT", v);
+	endpoint(l, v, &l->s->control.peer_listen);
 }
 
 static void set_local_port(struct loader *l, const char *v)
@@ -176,12 +204,9 @@
 
 static bool has_endpoint(const GArray *list, const struct endpoint *e)
 {
-	for (guint i = 0; i < list->len; i++) {
-		const struct endpoint *one = &g_array_index(list, struct endpoint, i);
-
-		if (one->port == e->port && !strcmp(one->host, e->host))
+	for (guint i = 0; i < list->len; i++)
+		if (endpoint_is_same(&g_array_index(list, struct endpoint, i), e))
 			return true;
-	}
 	return false;
 }
 
@@ -202,11 +227,7 @@
 
 static void set_node_control(struct loader *l, const char *v)
 {
-	g_auto(GStrv) parts = g_strsplit(v, ",", -1);
-
-	for (char **p = parts; *p; p++)
-		if (*g_strstrip(*p))
-			add_endpoint(l, *p);
+	each_part(l, v, add_endpoint);
 }
 
 static void set_probes(struct loader *l, const char *v)
@@ -229,12 +250,6 @@
 	l->s->node.shutdown_grace_s = number(l, v, 0, GRACE_LIMIT_S);
 }
 
-static void endpoint(struct loader *l, const char *v, struct endpoint *out)
-{
-	if (endpoint_parse(out, v))
-		complain(l, "not an ADDRESS:PORT", v);
-}
-
 static void set_caller_listen(struct loader *l, const char *v)
 {
 	endpoint(l, v, &l->s->node.caller_listen);
@@ -300,50 +315,39 @@
 	return !endpoint_parse(out, with_port);
 }
 
-static void set_node_seeds(struct loader *l, const char *v)
+static void add_node_seed(struct loader *l, const char *value)
 {
-	g_auto(GStrv) parts = g_strsplit(v, ",", -1);
+	struct endpoint e;
 
-	l->s->node.learns_control = true;
-	for (char **p = parts; *p; p++) {
-		struct endpoint e;
-
-		if (!*g_strstrip(*p))
-			continue;
-		if (!parse_seed(*p, &e)) {
-			complain(l, "not an ADDRESS or ADDRESS:PORT", *p);
-			continue;
-		}
-		e.port = 0; /* filled in when peer_port is known */
-		g_array_append_val(l->s->node.control, e);
+	if (!parse_seed(value, &e)) {
+		complain(l, "not an ADDRESS or ADDRESS:PORT", value);
+		return;
 	}
+	e.port = 0; /* filled in when peer_port is known */
+	g_array_append_val(l->s->node.control, e);
 }
 
-/* The address of a VM is its member's id: it is unique without agreement. */
-static u32 id_of_host(const char *host)
+static void set_node_seeds(struct loader *l, const char *v)
 {
-	struct in_addr in = { 0 };
+	l->s->node.learns_control = true;
+	each_part(l, v, add_node_seed);
+}
 
-	inet_pton(AF_INET, host, &in);
-	return ntohl(in.s_addr);
+static void add_control_seed(struct loader *l, const char *value)
+{
+	struct member_setting m = { 0 };
+
+	if (!parse_seed(value, &m.at))
+		complain(l, "not an ADDRESS or ADDRESS:PORT", value);
+	m.id = member_id_of(m.at.host);
+	if (l->s->control.members->len < MEMBERS_MAX)
+		g_array_append_val(l->s->control.members, m);
 }
 
 static void set_control_seeds(struct loader *l, const char *v)
 {
-	g_auto(GStrv) parts = g_strsplit(v, ",", -1);
-
 	l->s->control.forms_itself = true;
-	for (char **p = parts; *p; p++) {
-		struct member_setting m = { 0 };
-
-		if (!*g_strstrip(*p))
-			continue;
-		if (!parse_seed(*p, &m.at))
-			complain(l, "not an ADDRESS or ADDRESS:PORT", *p);
-		m.id = id_of_host(m.at.host);
-		if (l->s->control.members->len < MEMBERS_MAX)
-			g_array_append_val(l->s->control.members, m);
-	}
+	each_part(l, v, add_control_seed);
 }
 
 static void set_found(struct loader *l, const char *v)
@@ -420,7 +424,7 @@
 
 		if (one->id == m->id)
 			return "a member with this id came before";
-		if (one->at.port == m->at.port && !strcmp(one->at.host, m->at.host))
+		if (endpoint_is_same(&one->at, &m->at))
 			return "a member with this address came before";
 	}
 	return NULL;
@@ -447,11 +451,7 @@
 
 static void set_members(struct loader *l, const char *v)
 {
-	g_auto(GStrv) parts = g_strsplit(v, ",", -1);
-
-	for (char **p = parts; *p; p++)
-		if (*g_strstrip(*p))
-			add_member(l, *p);
+	each_part(l, v, add_member);
 }
 
 static int pick(struct loader *l, const char *v, const char *const *names, int n)
@@ -738,7 +738,7 @@
 	for (guint i = 0; i < c->members->len; i++)
 		g_array_index(c->members, struct member_setting, i).at.port = c->peer_port;
 	if (!c->id && c->address)
-		c->id = id_of_host(c->address);
+		c->id = member_id_of(c->address);
 }
 
 static void fill_absent(struct settings *s)
--- a/lib/settings.h
+++ b/lib/settings.h
@@ -86,5 +86,10 @@
 
 /* endpoint_parse - "HOST:PORT" with a numeric host. Returns 0 or ERR_INVAL. */
 int endpoint_parse(struct endpoint *e, const char *text);
+bool endpoint_is_same(const struct endpoint *a, const struct endpoint *b);
+
+/* member_id_of - the id of the member at HOST: its address, unique without agreement; 0 when bad.
+ */
+u32 member_id_of(const char *host);
 
 #endif
--- a/node/admit.c
+++ b/node/admit.c
@@ -212,7 +212,7 @@
 	return floor ? work * 100 / floor : UINT64_MAX;
 }
 
-static u64 expected_wait_us(const struct admit *a, u32 rank)
+u64 admit_wait_us(const struct admit *a, u32 rank)
 {
 	u64 ahead = work_ahead_us(a, rank);
 	i64 share = share_ppm(a, rank);
@@ -227,11 +227,6 @@
 	return MIN(wait, wait_by_floor_us(a, rank));
 }
 
-u64 admit_wait_us(const struct admit *a, u32 rank)
-{
-	return expected_wait_us(a, rank);
-}
-
 static void leave_queue(struct admit *a, struct admit_req *r)
 {
 	struct admit_queue *q = &a->queues[r->rank];
@@ -342,7 +337,7 @@
 	struct admit_queue *q = &a->queues[r->rank];
 
 	advance(a, now_us);
-	if (expected_wait_us(a, r->rank) > MIN(left, request_wait_max_us(a, r)))
+	if (admit_wait_us(a, r->rank) > MIN(left, request_wait_max_us(a, r)))
 		return -CTR_QUEUE_WAIT;
 	if (r->bytes > ADMIT_QUEUE_MAX_BYTES || !evict_for(a, r))
 		return -CTR_QUEUE_MEMORY;
@@ -490,7 +485,6 @@
 {
 	u64 took = now_us > r->started_us ? now_us - r->started_us : 0;
 	struct admit_queue *q = &a->queues[r->rank];
-
 	u32 running = MAX(r->running_at_start, a->running);
 
 	advance(a, now_us);
@@ -532,7 +526,7 @@
 	for (u32 i = 0; i < a->nranks; i++) {
 		least = MIN(least, a->ranks[i].worth);
 		most = MAX(most, a->ranks[i].worth);
-		if (expected_wait_us(a, i) <= wait_max_us(a, i))
+		if (admit_wait_us(a, i) <= wait_max_us(a, i))
 			lowest = MIN(lowest, a->ranks[i].worth);
 	}
 	if (!a->nranks || lowest == least)
@@ -581,7 +575,7 @@
 	load->service_us = usual_service_us(a);
 	for (u32 i = 0; i < a->nranks; i++) {
 		struct peer_wait wait = { .worth = a->ranks[i].worth,
-					  .wait_us = MIN(expected_wait_us(a, i), WAIT_MAX_US),
+					  .wait_us = MIN(admit_wait_us(a, i), WAIT_MAX_US),
 					  .work_us = recent_work_us(a, i, now_us) };
 
 		add_wait(load, &wait);
--- a/node/caller.c
+++ b/node/caller.c
@@ -278,12 +278,10 @@
 
 void caller_configure(struct node *n)
 {
-	struct httpd_limits limits = { .head_bytes = HTTP_TEXT_MAX,
-				       .body_bytes = n->settings->node.max_body_bytes,
-				       .head_timeout_us = 10 * US_PER_S,
-				       .idle_timeout_us = 60 * US_PER_S };
+	struct httpd_limits limits = httpd_default_limits;
 	const struct config *config;
 
+	limits.body_bytes = n->settings->node.max_body_bytes;
 	config_read_lock();
 	config = config_current();
 	if (config && config->set) {
--- a/node/choose.c
+++ b/node/choose.c
@@ -10,7 +10,6 @@
 #define WORLD_US (50 * US_PER_MS)
 /* Entries that come so soon after the start are of upstreams that were there before. */
 #define FIRST_US (5 * US_PER_S)
-#define RAMP_US (5 * US_PER_S)
 /* One in so many upstreams must show a knee before it is taken for that of the service. */
 #define TOLD_PART 3
 #define PROBE_AGE_US (100 * US_PER_MS)
@@ -125,7 +124,7 @@
 	t->ejected_until_us = 0;
 	t->ejections = 0;
 	t->unreachable_until_us = 0;
-	t->warm_us = now_us < c->started_us + FIRST_US ? 0 : now_us + RAMP_US;
+	t->warm_us = now_us < c->started_us + FIRST_US ? 0 : now_us + CHOOSE_RAMP_US;
 }
 
 static struct choose_target *target_of(struct choose *c, const struct dir_entry *e)
--- a/node/choose.h
+++ b/node/choose.h
@@ -24,6 +24,8 @@
 
 /* Upstreams of a service that one node uses. */
 #define CHOOSE_SUBSET_MAX 12
+/* In this time a cold upstream comes to its whole share. */
+#define CHOOSE_RAMP_US (5 * US_PER_S)
 /* At most one of so many upstreams of a service is ejected. */
 #define CHOOSE_EJECT_PART 3
 
--- a/node/config.c
+++ b/node/config.c
@@ -73,13 +73,6 @@
 	g_free(s);
 }
 
-static char *route_key(const char *host, const char *prefix)
-{
-	g_autofree char *lower = g_ascii_strdown(host, -1);
-
-	return g_strconcat(lower, "\n", prefix, NULL);
-}
-
 static void add_set_service(struct config_set *s, const char *name)
 {
 	struct config_service *service = g_new0(struct config_service, 1);
@@ -96,7 +89,7 @@
 
 	r->route = route;
 	r->credit = g_new0(i64, route->parts->len);
-	g_hash_table_insert(s->routes, route_key(route->host, route->prefix), r);
+	g_hash_table_insert(s->routes, set_route_key(route->host, route->prefix), r);
 	for (guint i = 0; i < route->parts->len; i++) {
 		const char *name = g_array_index(route->parts, struct set_part, i).service;
 		struct config_service *service = g_hash_table_lookup(s->services, name);
@@ -285,19 +278,20 @@
 struct config_route *config_find_route(const struct config *c, const char *host, const char *target)
 {
 	g_autofree char *name = g_strndup(host, strcspn(host, ":"));
-	g_autofree char *path = g_strndup(target, strcspn(target, "?#"));
-	size_t len = strlen(path);
+	size_t len = strcspn(target, "?#");
+	g_autofree char *path = g_strndup(target, len);
+	g_autofree char *key = set_route_key(name, path);
+	/* The end of the key, which is cut shorter and shorter. */
+	char *prefix = key + strlen(key) - len;
 
 	if (!c->set)
 		return NULL;
 	while (len) {
-		g_autofree char *key = NULL;
 		struct config_route *r;
 
-		while (len && path[len - 1] != '/')
+		while (len && prefix[len - 1] != '/')
 			len--;
-		path[len] = 0;
-		key = route_key(name, path);
+		prefix[len] = 0;
 		r = g_hash_table_lookup(c->set->routes, key);
 		if (r || !len)
 			return r;
--- a/node/entry_try.c
+++ b/node/entry_try.c
@@ -179,30 +179,42 @@
 		no_target(n, call);
 }
 
+/* Another upstream for a second try, or NULL; the current try counts as sent. */
+static struct choose_target *pick_other(struct node *n, struct entry_call *call, u64 now_us)
+{
+	struct entry_private *p = call->priv;
+
+	if (!p->current || p->hedge || p->has_left || p->sends + 1 >= entry_sends_max(call))
+		return NULL;
+	return choose_pick(&n->choose, call->service, call->worth, p->tried, now_us);
+}
+
+/* A second try of CALL at OTHER, beside the one that goes on; WHY counts it. */
+static void hedge_at(struct node *n, struct entry_call *call, struct choose_target *other,
+		     enum ctr why, u64 now_us)
+{
+	if (!spend_take(&n->entry->spend, call->service)) {
+		ctr_inc(CTR_SPEND_EMPTY);
+		return;
+	}
+	ctr_inc(why);
+	try_at(n, call, other, now_us);
+}
+
 /* A slow call is tried a second time elsewhere; the first answer counts. */
 void entry_on_hedge(void *arg, u64 now_us)
 {
 	struct entry_call *call = arg;
-	struct entry_private *p = call->priv;
-	struct node *n = p->node;
-	struct choose_target *target;
+	struct node *n = call->priv->node;
+	struct choose_target *other = pick_other(n, call, now_us);
 
-	/* The current try counts as sent. */
-	if (!p->current || p->hedge || p->sends + 1 >= entry_sends_max(call))
-		return;
-	target = choose_pick(&n->choose, call->service, call->worth, p->tried, now_us);
-	if (!target)
+	if (!other)
 		return;
 	if (!hedge_take(&n->entry->hedge)) {
 		ctr_inc(CTR_HEDGE_BUDGET_EMPTY);
 		return;
 	}
-	if (!spend_take(&n->entry->spend, call->service)) {
-		ctr_inc(CTR_SPEND_EMPTY);
-		return;
-	}
-	ctr_inc(CTR_HEDGE);
-	try_at(n, call, target, now_us);
+	hedge_at(n, call, other, CTR_HEDGE, now_us);
 }
 
 void entry_start_hedge_timer(struct node *n, struct entry_call *call)
@@ -223,28 +235,6 @@
 	return t && t->call->is_idempotent && t->state == TRY_SENT ? t->call : NULL;
 }
 
-/* A second try of CALL at OTHER, beside the one that goes on. */
-static void hedge_at(struct node *n, struct entry_call *call, struct choose_target *other,
-		     u64 now_us)
-{
-	if (!spend_take(&n->entry->spend, call->service)) {
-		ctr_inc(CTR_SPEND_EMPTY);
-		return;
-	}
-	ctr_inc(CTR_HEDGE_SLOW);
-	try_at(n, call, other, now_us);
-}
-
-/* Another upstream for a second try, or NULL when none may be made. */
-static struct choose_target *pick_other(struct node *n, struct entry_call *call, u64 now_us)
-{
-	struct entry_private *p = call->priv;
-
-	if (p->hedge || p->has_left || p->sends + 1 >= entry_sends_max(call))
-		return NULL;
-	return choose_pick(&n->choose, call->service, call->worth, p->tried, now_us);
-}
-
 /* The VM that runs the call is slow now: another one may answer first. */
 static void hedge_slow(struct node *n, struct entry_call *call, u64 now_us)
 {
@@ -255,7 +245,7 @@
 		return;
 	if (choose_score(other, call->worth, now_us) * SLOW_GAIN <=
 	    choose_score(at, call->worth, now_us))
-		hedge_at(n, call, other, now_us);
+		hedge_at(n, call, other, CTR_HEDGE_SLOW, now_us);
 }
 
 void entry_slowness(struct node *n, const char *home)
@@ -285,6 +275,6 @@
 		struct choose_target *other = call ? pick_other(n, call, now) : NULL;
 
 		if (other)
-			hedge_at(n, call, other, now);
+			hedge_at(n, call, other, CTR_HEDGE_SLOW, now);
 	}
 }
--- a/node/gauge.c
+++ b/node/gauge.c
@@ -113,11 +113,6 @@
 	upstream_run(g->upstream, &g->node->upstream_at, &g->call);
 }
 
-static bool is_wanted(const struct gauge *g, u64 now_us)
-{
-	return g->node->own.state == DIR_UP && now_us - g->used_us < USED_US && !g->is_asking;
-}
-
 static void on_timer(void *arg, u64 now_us)
 {
 	struct gauge *g = arg;
@@ -129,7 +124,7 @@
 		loop_timer_set(g->node->loop, &g->timer, due_us);
 		return;
 	}
-	if (is_wanted(g, now_us))
+	if (g->node->own.state == DIR_UP && !g->is_asking)
 		ask(g, now_us);
 	loop_timer_set(g->node->loop, &g->timer, now_us + g->interval_us);
 }
--- a/node/home.c
+++ b/node/home.c
@@ -98,10 +98,11 @@
 	const struct admit *a = &n->home->admit;
 	const char *request = n->dialect->id(j->msg);
 	u64 now = loop_clock_us();
-	u64 wait_us = admit_wait_us(a, j->req.rank);
+	u64 wait_us;
 
 	if (!log_wants("refuse", request, !j->is_idempotent))
 		return;
+	wait_us = admit_wait_us(a, j->req.rank);
 	log_event(LOG_INFO, "refuse", "request", request ? request : "", "reason", ctr_name(reason),
 		  "rank", log_u64(j->req.rank), "wait_us",
 		  wait_us == UINT64_MAX ? "not known" : log_u64(wait_us), "target_us",
@@ -204,10 +205,8 @@
 		return;
 	log_event(LOG_WARN, "upstream lost", "service", n->own.service, "reason", ctr_name(why),
 		  NULL);
-	n->own.state = DIR_NO_UPSTREAM;
 	upstream_forget(n->home->upstream);
-	node_announce(n);
-	mesh_goaway(n);
+	node_set_state(n, DIR_NO_UPSTREAM);
 }
 
 /* The reason for which the answer says that the request was not run, or CTR_COUNT. */
--- a/node/local.c
+++ b/node/local.c
@@ -35,14 +35,7 @@
 	log_event(LOG_INFO, "upstream state", "service", n->own.service, "instance",
 		  n->upstream_instance ? n->upstream_instance : "", "from",
 		  dir_state_name(n->own.state), "to", dir_state_name(state), NULL);
-	n->own.state = state;
-	node_announce(n);
-	mesh_goaway(n);
-}
-
-static bool is_same_endpoint(const struct endpoint *a, const struct endpoint *b)
-{
-	return a->port == b->port && !strcmp(a->host, b->host);
+	node_set_state(n, state);
 }
 
 static void set_details(struct node *n, const struct announcement *a)
@@ -50,7 +43,7 @@
 	bool is_same_start =
 		n->upstream_born == (u64)a->born &&
 		!g_strcmp0(n->upstream_instance ? n->upstream_instance : "", a->instance) &&
-		is_same_endpoint(&n->upstream_at, &a->at);
+		endpoint_is_same(&n->upstream_at, &a->at);
 	bool is_same = is_same_start && !strcmp(n->own.service, a->service) &&
 		       n->own.slots == a->slots && n->own.connections == a->connections;
 
--- a/node/node.c
+++ b/node/node.c
@@ -22,6 +22,13 @@
 	watch_register(n);
 }
 
+void node_set_state(struct node *n, enum dir_state state)
+{
+	n->own.state = state;
+	node_announce(n);
+	mesh_goaway(n);
+}
+
 /* An upstream that is silent for its time to live has left. */
 static void on_second(void *arg, u64 now_us)
 {
@@ -30,9 +37,7 @@
 
 	if (has_upstream && now_us - n->upstream_seen_us > n->upstream_ttl_us) {
 		log_event(LOG_WARN, "upstream is silent, leaving", "service", n->own.service, NULL);
-		n->own.state = DIR_NO_UPSTREAM;
-		node_announce(n);
-		mesh_goaway(n);
+		node_set_state(n, DIR_NO_UPSTREAM);
 	}
 	home_second(n, now_us);
 	spend_nodes(&n->entry->spend, g_hash_table_size(n->choose.targets));
@@ -119,9 +124,7 @@
 	struct node *n = arg;
 
 	__atomic_store_n(&n->is_stopping, true, __ATOMIC_RELEASE);
-	n->own.state = DIR_DRAINING;
-	node_announce(n);
-	mesh_goaway(n);
+	node_set_state(n, DIR_DRAINING);
 }
 
 struct progress {
--- a/node/node.h
+++ b/node/node.h
@@ -69,6 +69,9 @@
 /* node_announce - the own entry changed: tell control and the own choice. */
 void node_announce(struct node *n);
 
+/* node_set_state - of the own upstream; all are told. */
+void node_set_state(struct node *n, enum dir_state state);
+
 /* entry: calls of callers */
 
 struct entry_call {
--- a/node/score.c
+++ b/node/score.c
@@ -17,7 +17,6 @@
 /* Cost of a try that fails, over the time it takes. */
 #define FAILED_COST_US (1 * US_PER_S)
 #define REFUSED_COST_US (1 * US_PER_S)
-#define RAMP_US (5 * US_PER_S)
 #define RAMP_FIRST_PERCENT 10
 /* Own latency counts when it is so many times what the load says. */
 #define LATENCY_DOUBT 2
@@ -85,8 +84,8 @@
 	u64 left = t->warm_us > now_us ? t->warm_us - now_us : 0;
 
 	limit = MAX(limit, 1) * 100;
-	left = MIN(left, RAMP_US);
-	limit -= limit * (100 - RAMP_FIRST_PERCENT) / 100 * left / RAMP_US;
+	left = MIN(left, CHOOSE_RAMP_US);
+	limit -= limit * (100 - RAMP_FIRST_PERCENT) / 100 * left / CHOOSE_RAMP_US;
 	return MAX(limit, 100);
 }
 
@@ -180,7 +179,7 @@
 	t->failed_in_row = 0;
 	t->answers = 0;
 	t->latency_us = 0;
-	t->warm_us = t->ejected_until_us + RAMP_US;
+	t->warm_us = t->ejected_until_us + CHOOSE_RAMP_US;
 	ctr_inc(CTR_EJECTED);
 }
 
--- a/node/upstream.c
+++ b/node/upstream.c
@@ -337,8 +337,7 @@
 		struct upstream_conn *c = l->data;
 
 		next = l->next;
-		if (c->at.port != at->port || strcmp(c->at.host, at->host) ||
-		    now - c->since_us > c->idle_max_us) {
+		if (!endpoint_is_same(&c->at, at) || now - c->since_us > c->idle_max_us) {
 			conn_close(c);
 			continue;
 		}
--- a/node/watch.c
+++ b/node/watch.c
@@ -13,6 +13,7 @@
 #include "lib/log.h"
 #include "node/config.h"
 #include "wire/ctl.h"
+#include "wire/endpoint.h"
 
 #include <string.h>
 #include <xxhash.h>
@@ -33,7 +34,6 @@
 
 /* Control processes that the group told of, beside the seeds. */
 #define CANDIDATES_MAX 64
-#define HOST_MAX_BYTES 63
 
 struct candidate {
 	struct endpoint at;
@@ -276,7 +276,7 @@
 	for (guint i = 0; i < w->candidates->len; i++) {
 		struct candidate *c = g_ptr_array_index(w->candidates, i);
 
-		if (c->at.port == at->port && !strcmp(c->at.host, at->host))
+		if (endpoint_is_same(&c->at, at))
 			return c;
 	}
 	return NULL;
@@ -316,11 +316,10 @@
 	for (guint i = 0; i < w->candidates->len; i++)
 		((struct candidate *)g_ptr_array_index(w->candidates, i))->is_told = false;
 	for (u32 i = 0; i < n && !in->err; i++) {
-		g_autofree char *host = frame_get_str(in, HOST_MAX_BYTES);
-		struct endpoint at = { .port = (u16)frame_get_u64(in) };
+		struct endpoint at;
 		struct candidate *c;
 
-		g_strlcpy(at.host, host, sizeof(at.host));
+		endpoint_get(in, &at);
 		c = in->err || !learns ? NULL : add_candidate(w, &at);
 		if (c)
 			c->is_told = true;
--- a/test/control_test.sh
+++ b/test/control_test.sh
@@ -8,7 +8,7 @@
 bin=$PWD/lavenderlead
 dir=$(mktemp -d)
 declare -A pid
-failures=0
+. test/wait_lib.sh
 
 api() { echo "127.0.0.1:$((BASE + 10 * $1))"; }
 peer_port() { echo $((BASE + 10 * $1 + 1)); }
@@ -16,23 +16,6 @@
 caller_port() { echo $((BASE + 100 + 10 * $1)); }
 node_name() { echo "127.0.0.1:$((BASE + 101 + 10 * $1))"; }
 
-fail() {
-	echo "FAILED $*"
-	failures=$((failures + 1))
-}
-
-# wait_for WHAT COMMAND... - until the command succeeds, at most 30 s
-wait_for() {
-	local what=$1
-	shift
-	for _ in $(seq ${TRIES:-300}); do
-		"$@" >/dev/null 2>&1 && return 0
-		sleep 0.1
-	done
-	fail "no $what after 30 s"
-	return 1
-}
-
 start_process() {
 	local name=$1
 	"$bin" serve -c "$dir/$name.ini" >>"$dir/$name.log" 2>&1 &
--- a/test/join_test.sh
+++ b/test/join_test.sh
@@ -8,24 +8,7 @@
 bin=$PWD/lavenderlead
 dir=$(mktemp -d)
 declare -A pid
-failures=0
-
-fail() {
-	echo "FAILED $*"
-	failures=$((failures + 1))
-}
-
-# wait_for WHAT COMMAND... - until the command succeeds, at most 30 s
-wait_for() {
-	local what=$1
-	shift
-	for _ in $(seq 300); do
-		"$@" >/dev/null 2>&1 && return 0
-		sleep 0.1
-	done
-	fail "no $what after 30 s"
-	return 1
-}
+. test/wait_lib.sh
 
 # control I FOUND SEEDS - start the process at 127.0.0.I
 control() {
