A control process waits for room on a full disk instead of ending

A write without room has changed nothing that others were told of, and can be made again; a failed sync can't. control/patient.c wraps the folder: append and replace wait for room, the caller's thread stands still, as with a disk that stalls. A part of a record that was written is cut back. SIGTERM ends the wait and the process.

--- a/control/disk.c
+++ b/control/disk.c
@@ -29,6 +29,11 @@
 	g_clear_pointer(&f->file_name, g_free);
 }
 
+static bool is_full(int number)
+{
+	return number == ENOSPC || number == EDQUOT;
+}
+
 static int open_file(struct folder *f, const char *name)
 {
 	if (f->file_name && g_str_equal(f->file_name, name))
@@ -36,7 +41,7 @@
 	close_file(f);
 	f->file_fd = openat(f->dir_fd, name, O_RDWR | O_APPEND | O_CREAT | O_CLOEXEC, 0600);
 	if (f->file_fd < 0)
-		return ERR_IO;
+		return is_full(errno) ? ERR_FULL : ERR_IO;
 	f->is_dir_dirty = true;
 	f->file_name = g_strdup(name);
 	return 0;
@@ -51,6 +56,8 @@
 
 		if (n < 0 && errno == EINTR)
 			continue;
+		if (n < 0 && is_full(errno))
+			return ERR_FULL;
 		if (n <= 0)
 			return ERR_IO;
 		at += n;
@@ -78,12 +85,30 @@
 	return n < 0 ? ERR_IO : 0;
 }
 
+/* The part of a record that was written must not stay before the next try of it. */
+static int cut_back(int fd, off_t len)
+{
+	struct stat now;
+
+	if (fstat(fd, &now))
+		return ERR_IO;
+	if (now.st_size != len && ftruncate(fd, len))
+		return ERR_IO;
+	return ERR_FULL;
+}
+
 static int folder_append(struct disk *d, const char *name, const void *p, size_t len)
 {
 	struct folder *f = (struct folder *)d;
+	struct stat before;
 	int err = open_file(f, name);
 
-	return err ? err : write_all(f->file_fd, p, len);
+	if (err)
+		return err;
+	if (fstat(f->file_fd, &before))
+		return ERR_IO;
+	err = write_all(f->file_fd, p, len);
+	return err == ERR_FULL ? cut_back(f->file_fd, before.st_size) : err;
 }
 
 static int folder_truncate(struct disk *d, const char *name, u64 len)
@@ -124,7 +149,7 @@
 	int err;
 
 	if (fd < 0)
-		return ERR_IO;
+		return is_full(errno) ? ERR_FULL : ERR_IO;
 	err = write_all(fd, p, len);
 	if (!err && fsync(fd))
 		err = ERR_IO;
--- a/control/disk.h
+++ b/control/disk.h
@@ -3,7 +3,10 @@
  *
  * A small interface, so that tests can fail each operation in turn.
  *
- * ERRORS ERR_NOTFOUND, ERR_IO
+ * append and replace give ERR_FULL when the disk has no room; the file is then as
+ * before, and the operation may be tried again.
+ *
+ * ERRORS ERR_NOTFOUND, ERR_FULL, ERR_IO
  * SOURCE control/disk.c
  */
 #ifndef DISK_H
--- a/control/raft_host.c
+++ b/control/raft_host.c
@@ -3,10 +3,12 @@
 
 #include "control/join.h"
 #include "control/op.h"
+#include "control/patient.h"
 #include "lib/ctr.h"
 #include "lib/err.h"
 #include "lib/log.h"
 
+#include <signal.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/random.h>
@@ -159,11 +161,35 @@
 	nodes_push(c);
 }
 
+/* While the process starts, nothing takes the signal to end yet, so it is pending. */
+static bool is_ending(void *arg)
+{
+	struct control *c = arg;
+	sigset_t pending;
+
+	if (__atomic_load_n(&c->is_stopping, __ATOMIC_ACQUIRE))
+		return true;
+	return !sigpending(&pending) &&
+	       (sigismember(&pending, SIGTERM) == 1 || sigismember(&pending, SIGINT) == 1);
+}
+
+static void pause_thread(void *arg, u64 span_us)
+{
+	(void)arg;
+	g_usleep(span_us);
+}
+
+static const struct patient_ops host_patience = {
+	.is_ending = is_ending,
+	.pause = pause_thread,
+};
+
 int raft_host_open(struct control *c)
 {
 	const struct control_settings *s = &c->settings->control;
 	g_autofree char *why = NULL;
-	struct disk *disk = disk_open(s->data, &why);
+	struct disk *folder = disk_open(s->data, &why);
+	struct disk *disk = folder ? patient_new(folder, &host_patience, c) : NULL;
 	int err = disk ? wal_open(&c->wal, disk, random_id(), &why) : ERR_IO;
 
 	if (!err) {
--- a/lib/err.c
+++ b/lib/err.c
@@ -31,6 +31,8 @@
 		return "connection refused";
 	case ERR_SHORT:
 		return "body ended early";
+	case ERR_FULL:
+		return "no room on the disk";
 	}
 	return "unknown error";
 }
--- a/lib/err.h
+++ b/lib/err.h
@@ -23,6 +23,7 @@
 	ERR_CANCELLED = -11, /* the caller gave up */
 	ERR_REFUSED = -12, /* connection refused */
 	ERR_SHORT = -13, /* the body ended before its announced length */
+	ERR_FULL = -14, /* the disk has no room; nothing was written */
 };
 
 /* err_text - a short description of ERR; never NULL. */
--- a/test/disk_test.c
+++ b/test/disk_test.c
@@ -5,6 +5,7 @@
 
 #include <glib/gstdio.h>
 #include <string.h>
+#include <unistd.h>
 
 struct fixture {
 	char *path;
@@ -101,6 +102,23 @@
 	g_assert_nonnull(why);
 }
 
+/* /dev/full takes no byte; a folder whose log is a link to it has a disk that is full. */
+static void test_full(struct fixture *f, gconstpointer unused)
+{
+	g_autofree char *log = g_build_filename(f->path, "log", NULL);
+	g_autofree char *temp = g_build_filename(f->path, "state.new", NULL);
+	struct disk *d = f->disk;
+
+	(void)unused;
+	g_assert_cmpint(symlink("/dev/full", log), ==, 0);
+	g_assert_cmpint(symlink("/dev/full", temp), ==, 0);
+	g_assert_cmpint(d->ops->append(d, "log", "one", 3), ==, ERR_FULL);
+	g_assert_cmpint(d->ops->replace(d, "state", "one", 3), ==, ERR_FULL);
+	g_assert_cmpint(g_unlink(temp), ==, 0);
+	g_assert_cmpint(d->ops->replace(d, "state", "one", 3), ==, 0);
+	assert_holds(d, "state", "one");
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -109,5 +127,6 @@
 		   test_one_process_at_a_time, tear_down);
 	g_test_add("/disk/not-a-folder", struct fixture, NULL, set_up, test_not_a_folder,
 		   tear_down);
+	g_test_add("/disk/full", struct fixture, NULL, set_up, test_full, tear_down);
 	return g_test_run();
 }
--- a/test/fakes/fake_disk.c
+++ b/test/fakes/fake_disk.c
@@ -37,6 +37,14 @@
 	return true;
 }
 
+static bool is_full(struct fake_disk *d)
+{
+	if (!d->full_tries)
+		return false;
+	d->full_tries--;
+	return true;
+}
+
 static int fake_read(struct disk *disk, const char *name, GByteArray *out)
 {
 	struct fake_file *f = fake_disk_file((struct fake_disk *)disk, name);
@@ -52,8 +60,11 @@
 	struct fake_disk *d = (struct fake_disk *)disk;
 	struct fake_file *f;
 	bool is_done;
-	bool is_failed = fails(d, &is_done);
+	bool is_failed;
 
+	if (is_full(d))
+		return ERR_FULL;
+	is_failed = fails(d, &is_done);
 	if (is_failed && !is_done && d->ops == d->fail_at && d->failure == FAKE_FAIL_PART)
 		len /= 2;
 	else if (!is_done)
@@ -95,8 +106,11 @@
 {
 	struct fake_disk *d = (struct fake_disk *)disk;
 	bool is_done;
-	bool is_failed = fails(d, &is_done);
+	bool is_failed;
 
+	if (is_full(d))
+		return ERR_FULL;
+	is_failed = fails(d, &is_done);
 	if (is_done)
 		fake_disk_put(d, name, p, len);
 	return is_failed ? ERR_IO : 0;
--- a/test/fakes/fake_disk.h
+++ b/test/fakes/fake_disk.h
@@ -5,6 +5,7 @@
  * random part survives, sometimes followed by zeros (length written before
  * data). A replace is atomic. Each write, sync, truncate and replace counts
  * as one operation; operation number fail_at fails, and all later ones too.
+ * While full_tries is not 0, an append or replace finds no room and counts it down.
  */
 #ifndef FAKE_DISK_H
 #define FAKE_DISK_H
@@ -25,6 +26,7 @@
 	u64 ops;
 	u64 fail_at; /* 0: never */
 	enum fake_failure failure;
+	u32 full_tries;
 };
 
 struct fake_file {
--- a/test/programs/operator.c
+++ b/test/programs/operator.c
@@ -26,6 +26,7 @@
 #define RESENDS 6
 #define ANSWER_TIMEOUT_MS 8000
 #define RESEND_PAUSE_US 200000
+#define SLOW_MS 2000
 #define MARKS_PER_OPERATOR 100000
 
 struct operator
@@ -56,6 +57,17 @@
 	return version;
 }
 
+/* One line a try of a change that took long, so that a slow run can be explained. */
+static void note_try(const char *headers, u16 port, gint64 start_us, int err, int status)
+{
+	gint64 took_ms = (g_get_monotonic_time() - start_us) / 1000;
+
+	if (took_ms < SLOW_MS)
+		return;
+	fprintf(stderr, "slow try at %u: %" G_GINT64_FORMAT " ms, %s, status %d, %s", port, took_ms,
+		err ? err_text(err) : "answered", status, headers);
+}
+
 /* Sends the change until an answer decides it. Returns the outcome's name. */
 static const char *change(struct operator* o, const char *name, const char *headers,
 			  const char *body, u64 *version)
@@ -65,11 +77,13 @@
 
 	for (u32 i = 0; i < RESENDS; i++) {
 		u16 port = o->ports[rng_below(&o->rng, o->nports)];
+		gint64 start_us = g_get_monotonic_time();
 		struct httpc_reply r;
 		int err = httpc_call("127.0.0.1", port, "PUT", path, headers, body,
 				     ANSWER_TIMEOUT_MS, &r);
 		int status = r.status;
 
+		note_try(headers, port, start_us, err, status);
 		*version = err ? 0 : version_in(r.body);
 		if (err == ERR_TIMEOUT || (!err && r.outcome && !strcmp(r.outcome, "unknown")))
 			may_stand = true;
