The leader tells the commit index at once

Cause: a follower answers a change that it handed on, and gives nodes a new configuration, once it knows that the change is final, and a follower that lacks no entry heard of that with the next heartbeat only, up to 150 ms later. Ruled out: a lost answer, a change that waits for a leader.

--- a/control/raft_replicate.c
+++ b/control/raft_replicate.c
@@ -50,19 +50,6 @@
 	raft_become_follower(r, r->term, 0, now_us);
 }
 
-static void advance_commit(struct raft *r, u64 now_us)
-{
-	u64 index = quorum_index(r);
-
-	/* Only an entry of the own term proves that the log before it is final. */
-	if (index <= r->commit || raft_term_at(r, index) != r->term)
-		return;
-	r->commit = index;
-	raft_apply_committed(r);
-	if (r->role == RAFT_LEADER && !raft_is_voter(r) && r->members_index <= r->commit)
-		retire(r, now_us);
-}
-
 /* The state is sent in parts; the next part goes out when the last one is answered. */
 static void send_install(struct raft *r, u32 pos, u64 now_us)
 {
@@ -134,6 +121,36 @@
 	return p->next > p->match + RAFT_INFLIGHT_ENTRIES;
 }
 
+/*
+ * Members that lack no entry would hear of it with the next heartbeat only, and what they
+ * answer or serve waits for it.
+ */
+static void tell_commit(struct raft *r)
+{
+	for (u32 i = 0; i < r->members.n; i++) {
+		const struct raft_progress *p = &r->progress[i];
+
+		if (r->members.m[i].id == r->id || p->is_probing || needs_snapshot(r, i))
+			continue;
+		if (p->next > raft_last_index(r))
+			send_after(r, i, p->next - 1, true);
+	}
+}
+
+static void advance_commit(struct raft *r, u64 now_us)
+{
+	u64 index = quorum_index(r);
+
+	/* Only an entry of the own term proves that the log before it is final. */
+	if (index <= r->commit || raft_term_at(r, index) != r->term)
+		return;
+	r->commit = index;
+	raft_apply_committed(r);
+	tell_commit(r);
+	if (r->role == RAFT_LEADER && !raft_is_voter(r) && r->members_index <= r->commit)
+		retire(r, now_us);
+}
+
 /* Sends what the member lacks. Entries sent count as received until an answer says otherwise. */
 static void send_lacking(struct raft *r, u32 pos, u64 now_us)
 {
--- a/test/raft_step_test.c
+++ b/test/raft_step_test.c
@@ -311,6 +311,31 @@
 	owner_free(o);
 }
 
+/* A follower answers a change that it handed on once it knows that the change is final. */
+static void test_commit_is_told_at_once(void)
+{
+	struct owner *o = owner_new(3, 1, 3);
+	u32 before;
+
+	elect(o);
+	raft_tick(&o->r, NOW_US);
+	reply(o, 2, 3, true);
+	reply(o, 3, 3, true);
+	before = o->nsent;
+	reply(o, 2, 4, true);
+	g_assert_cmpuint(o->r.commit, ==, 4);
+	g_assert_cmpuint(o->nsent, ==, before + 2);
+	for (u32 i = before; i < o->nsent; i++) {
+		g_assert_cmpuint(o->sent[i].m.commit, ==, 4);
+		g_assert_cmpuint(o->sent[i].entries, ==, 0);
+	}
+	/* The answers to that bring nothing new, so nothing more is sent. */
+	reply(o, 2, 4, true);
+	reply(o, 3, 4, true);
+	g_assert_cmpuint(o->nsent, ==, before + 2);
+	owner_free(o);
+}
+
 static void test_leader_writes_before_it_follows(void)
 {
 	struct owner *o = owner_new(3, 1, 3);
@@ -567,6 +592,7 @@
 			test_old_term_is_not_committed_alone);
 	g_test_add_func("/raft-step/own-entry-counts-when-written",
 			test_own_entry_counts_when_written);
+	g_test_add_func("/raft-step/commit-is-told-at-once", test_commit_is_told_at_once);
 	g_test_add_func("/raft-step/leader-writes-before-it-follows",
 			test_leader_writes_before_it_follows);
 	g_test_add_func("/raft-step/read-needs-a-round-after-it", test_read_needs_a_round_after_it);
