A group without a leader asks for pre-votes at once after a start

Nobody had heard a leader, so nobody had to wait. A pre-vote writes nothing and is refused by all who hear a leader, so it may come soon: 75 to 225 ms after the start, and as long between two rounds of pre-votes. A vote, which is written, keeps its time.

Test: raft_step_test /raft-step/start-without-leader.

--- a/control/raft.c
+++ b/control/raft.c
@@ -20,7 +20,8 @@
 	r->keep_entries = RAFT_KEEP_ENTRIES;
 	r->log = g_ptr_array_new_with_free_func((GDestroyNotify)raft_entry_free);
 	r->reads = g_array_new(FALSE, TRUE, sizeof(struct raft_read));
-	raft_reset_election(r, now_us);
+	/* A leader that lives is heard before most others grant a pre-vote. */
+	raft_reset_prevote(r, now_us);
 }
 
 void raft_clear(struct raft *r)
--- a/control/raft.h
+++ b/control/raft.h
@@ -33,6 +33,9 @@
 #define RAFT_HEARTBEAT_US (150 * US_PER_MS)
 #define RAFT_ELECTION_MIN_US (600 * US_PER_MS)
 #define RAFT_ELECTION_MAX_US (1200 * US_PER_MS)
+/* After its start, and between two rounds of pre-votes: those write nothing and harm no leader. */
+#define RAFT_PREVOTE_MIN_US (75 * US_PER_MS)
+#define RAFT_PREVOTE_MAX_US (225 * US_PER_MS)
 #define RAFT_BATCH_ENTRIES 64
 #define RAFT_BATCH_BYTES (256 * 1024)
 /* Entries sent to one member and not yet answered. */
--- a/control/raft_elect.c
+++ b/control/raft_elect.c
@@ -3,11 +3,19 @@
 
 #include "lib/ctr.h"
 
+static u64 between_us(struct raft *r, u64 min_us, u64 max_us)
+{
+	return min_us + rng_below(&r->rng, (u32)(max_us - min_us));
+}
+
 void raft_reset_election(struct raft *r, u64 now_us)
 {
-	u32 spread = RAFT_ELECTION_MAX_US - RAFT_ELECTION_MIN_US;
+	r->election_due_us = now_us + between_us(r, RAFT_ELECTION_MIN_US, RAFT_ELECTION_MAX_US);
+}
 
-	r->election_due_us = now_us + RAFT_ELECTION_MIN_US + rng_below(&r->rng, spread);
+void raft_reset_prevote(struct raft *r, u64 now_us)
+{
+	r->election_due_us = now_us + between_us(r, RAFT_PREVOTE_MIN_US, RAFT_PREVOTE_MAX_US);
 }
 
 static void save_state(struct raft *r)
@@ -78,6 +86,7 @@
 void raft_become_precandidate(struct raft *r, u64 now_us)
 {
 	start_campaign(r, RAFT_PRECANDIDATE, now_us);
+	raft_reset_prevote(r, now_us);
 	if (r->nvotes >= raft_quorum(r))
 		become_candidate(r, false, now_us);
 	else
--- a/control/raft_impl.h
+++ b/control/raft_impl.h
@@ -34,6 +34,7 @@
 
 /* Elections */
 void raft_reset_election(struct raft *r, u64 now_us);
+void raft_reset_prevote(struct raft *r, u64 now_us);
 void raft_become_follower(struct raft *r, u64 term, u32 leader, u64 now_us);
 void raft_become_precandidate(struct raft *r, u64 now_us);
 void raft_on_prevote(struct raft *r, const struct raft_msg *m, u64 now_us);
--- a/test/raft_step_test.c
+++ b/test/raft_step_test.c
@@ -557,6 +557,31 @@
 	owner_free(o);
 }
 
+/*
+ * All replicas lost power at once: nobody has heard a leader, so the first pre-vote comes soon,
+ * and again soon while the others are not yet back. A vote, which is written, has its time.
+ */
+static void test_start_without_leader(void)
+{
+	struct owner *o = owner_new(3, 1, 3);
+	u64 now = NOW_US + RAFT_PREVOTE_MAX_US;
+
+	raft_tick(&o->r, now);
+	g_assert_cmpint(o->r.role, ==, RAFT_PRECANDIDATE);
+	g_assert_cmpint(last_sent(o)->m.type, ==, RAFT_PREVOTE);
+	o->nsent = 0;
+	now += RAFT_PREVOTE_MAX_US;
+	raft_tick(&o->r, now);
+	g_assert_cmpuint(o->nsent, ==, 2);
+	g_assert_cmpint(last_sent(o)->m.type, ==, RAFT_PREVOTE);
+	step(o,
+	     (struct raft_msg){ .type = RAFT_PREVOTE_REPLY, .from = 2, .term = 2, .is_ok = true },
+	     now);
+	g_assert_cmpint(o->r.role, ==, RAFT_CANDIDATE);
+	g_assert_cmpuint(raft_next_due_us(&o->r), >=, now + RAFT_ELECTION_MIN_US);
+	owner_free(o);
+}
+
 static void test_entries_in_flight_are_bounded(void)
 {
 	struct owner *o = owner_new(3, 1, 3);
@@ -611,6 +636,7 @@
 	g_test_add_func("/raft-step/unsound-messages", test_unsound_messages);
 	g_test_add_func("/raft-step/answer-beyond-the-log", test_answer_beyond_the_log_is_ignored);
 	g_test_add_func("/raft-step/late-tick-calls-no-election", test_late_tick_calls_no_election);
+	g_test_add_func("/raft-step/start-without-leader", test_start_without_leader);
 	g_test_add_func("/raft-step/entries-in-flight-are-bounded",
 			test_entries_in_flight_are_bounded);
 	return g_test_run();
