A refused call is not tried again at a VM that is slow now

Further tries now pass over a VM at which a call takes longer than its target, where another takes less than half of that. Where all are slow they are tried.

Test: choose_test /choose/slow-vm-is-no-second-try (neighbour noise in an overload).

--- a/node/choose.c
+++ b/node/choose.c
@@ -15,6 +15,8 @@
 #define PROBE_AGE_US (100 * US_PER_MS)
 /* An older word that a rank is refused counts no more. */
 #define REFUSED_AGE_US (250 * US_PER_MS)
+/* A VM counts as too slow only where a call takes so many times its time at the fastest. */
+#define TOO_SLOW_TIMES 2
 /* Services without a call for this time are not probed. */
 #define SERVICE_IDLE_US (10 * US_PER_S)
 
@@ -249,8 +251,8 @@
 
 struct choice {
 	struct choose *choose;
-	GPtrArray *exclude;
-	u32 worth;
+	const struct choose_call *call;
+	u64 too_slow_us; /* upstreams that tell a longer time are passed over */
 	u64 now_us;
 	struct choose_target *best;
 	u64 best_score;
@@ -258,7 +260,7 @@
 
 static void consider(struct choice *ch, struct choose_target *t)
 {
-	u64 score = choose_score(t, ch->worth, ch->now_us);
+	u64 score = choose_score(t, ch->call->worth, ch->now_us);
 
 	if (ch->best && score >= ch->best_score)
 		return;
@@ -275,7 +277,9 @@
 	for (u32 i = from; i < to && n < CHOOSE_SUBSET_MAX; i++) {
 		struct choose_target *t = g_ptr_array_index(list, i);
 
-		if (choose_is_usable(t, ch->now_us) && !is_excluded(t, ch->exclude))
+		if (!choose_is_usable(t, ch->now_us) || is_excluded(t, ch->call->exclude))
+			continue;
+		if (choose_told_now_us(t, ch->call->worth) <= ch->too_slow_us)
 			usable[n++] = t;
 	}
 	for (u32 i = 0; i < SAMPLES && n; i++) {
@@ -314,18 +318,34 @@
 	return least;
 }
 
-struct choose_target *choose_pick(struct choose *c, const char *service, u32 worth,
-				  GPtrArray *exclude, u64 now_us)
+/* Where all VMs are slow, the fastest of them are what there is to be had. */
+static u64 too_slow_us(const struct choose_service *s, const struct choose_call *call)
 {
-	struct choose_service *s = ready_service(c, service);
-	struct choice ch = { .choose = c, .exclude = exclude, .worth = worth, .now_us = now_us };
+	u64 least = UINT64_MAX / TOO_SLOW_TIMES;
+
+	if (!call->most_us)
+		return UINT64_MAX;
+	for (guint i = 0; i < s->subset->len; i++) {
+		u64 told = choose_told_now_us(g_ptr_array_index(s->subset, i), call->worth);
+
+		if (told)
+			least = MIN(least, told);
+	}
+	return MAX(call->most_us, TOO_SLOW_TIMES * least);
+}
+
+struct choose_target *choose_pick(struct choose *c, const struct choose_call *call, u64 now_us)
+{
+	struct choose_service *s = ready_service(c, call->service);
+	struct choice ch = { .choose = c, .call = call, .now_us = now_us };
 
 	if (!s)
 		return NULL;
 	s->used_us = now_us;
-	s->least_us = least_work_us(s, worth);
+	s->least_us = least_work_us(s, call->worth);
 	if (!s->least_us)
 		s->least_us = least_service_us(s);
+	ch.too_slow_us = too_slow_us(s, call);
 	sample(&ch, s->subset, 0, s->nown_zone);
 	sample(&ch, s->subset, s->nown_zone, s->subset->len);
 	if (!ch.best && s->targets->len > s->subset->len)
--- a/node/choose.h
+++ b/node/choose.h
@@ -95,12 +95,20 @@
 /* choose_set - take an entry of the directory; a gone entry is dropped. */
 void choose_set(struct choose *c, const struct dir_entry *e, u64 now_us);
 
-/*
- * choose_pick - an upstream of SERVICE for a call of WORTH that is not in
- * EXCLUDE (of node names; may be NULL), or NULL.
- */
-struct choose_target *choose_pick(struct choose *c, const char *service, u32 worth,
-				  GPtrArray *exclude, u64 now_us);
+/* What is looked for. */
+struct choose_call {
+	const char *service;
+	u32 worth;
+	GPtrArray *exclude; /* of node names that are not chosen; may be NULL */
+	/*
+	 * An upstream whose VM is so slow now that a call takes longer is not chosen, where another
+	 * VM is clearly faster; 0 for any.
+	 */
+	u64 most_us;
+};
+
+/* choose_pick - an upstream for CALL, or NULL. */
+struct choose_target *choose_pick(struct choose *c, const struct choose_call *call, u64 now_us);
 struct choose_target *choose_find(struct choose *c, const char *node);
 struct choose_service *choose_find_service(struct choose *c, const char *service);
 
@@ -130,6 +138,9 @@
 /* choose_score - the expected time of a call of WORTH, penalties included. */
 u64 choose_score(const struct choose_target *t, u32 worth, u64 now_us);
 
+/* choose_told_now_us - the time of a call of WORTH at T as its VM is now; 0 where none is told. */
+u64 choose_told_now_us(const struct choose_target *t, u32 worth);
+
 /* choose_told_work_us - the time of a call of WORTH at T's usual speed, as told; 0 unknown. */
 u64 choose_told_work_us(const struct choose_target *t, u32 worth);
 
--- a/node/entry_try.c
+++ b/node/entry_try.c
@@ -170,8 +170,11 @@
 {
 	struct entry_private *p = call->priv;
 	u64 now = loop_clock_us();
-	struct choose_target *target =
-		choose_pick(&n->choose, call->service, call->worth, p->tried, now);
+	struct choose_call wanted = { .service = call->service,
+				      .worth = call->worth,
+				      .exclude = p->tried,
+				      .most_us = p->tries ? MAX(call->target_us, 1) : 0 };
+	struct choose_target *target = choose_pick(&n->choose, &wanted, now);
 
 	if (target)
 		try_at(n, call, target, now);
@@ -183,10 +186,14 @@
 static struct choose_target *pick_other(struct node *n, struct entry_call *call, u64 now_us)
 {
 	struct entry_private *p = call->priv;
+	struct choose_call wanted;
 
 	if (!p->current || p->hedge || p->has_left || p->sends + 1 >= entry_sends_max(call))
 		return NULL;
-	return choose_pick(&n->choose, call->service, call->worth, p->tried, now_us);
+	wanted = (struct choose_call){ .service = call->service,
+				       .worth = call->worth,
+				       .exclude = p->tried };
+	return choose_pick(&n->choose, &wanted, now_us);
 }
 
 /* A second try of CALL at OTHER, beside the one that goes on; WHY counts it. */
--- a/node/score.c
+++ b/node/score.c
@@ -77,6 +77,11 @@
 	return MAX(told, silent);
 }
 
+u64 choose_told_now_us(const struct choose_target *t, u32 worth)
+{
+	return tells_slowness(t) ? told_service_us(t, worth, 0) : 0;
+}
+
 /* Calls that run at once; a cold upstream takes its share only after a time. */
 static u64 limit_now(const struct choose_target *t, u64 now_us)
 {
--- a/test/budget_test.c
+++ b/test/budget_test.c
@@ -11,6 +11,13 @@
 	u64 tokens;
 };
 
+static void use(struct choose *c, const char *service, u64 now_us)
+{
+	struct choose_call call = { .service = service, .worth = 1 };
+
+	choose_pick(c, &call, now_us);
+}
+
 /* Differential: the largest sum in any second, by looking at each as the first of its second. */
 static u64 most_in_a_second(const GArray *log)
 {
@@ -115,7 +122,7 @@
 	g_snprintf(name, sizeof(name), "10.0.%u.%u:1", i / 256, i % 256);
 	g_snprintf(service, sizeof(service), "service-%u", i % 40);
 	choose_set(c, &e, US_PER_S);
-	choose_pick(c, service, 1, NULL, US_PER_S);
+	use(c, service, US_PER_S);
 }
 
 struct probing {
@@ -157,7 +164,7 @@
 
 	for (u32 i = 0; i < 40; i++) {
 		g_snprintf(service, sizeof(service), "service-%u", i);
-		choose_pick(&p->choose, service, 1, NULL, now_us);
+		use(&p->choose, service, now_us);
 	}
 }
 
--- a/test/choose_test.c
+++ b/test/choose_test.c
@@ -50,12 +50,19 @@
 	return (struct peer_load){ .limit = 12, .service_us = service_us };
 }
 
+static struct choose_target *pick(struct choose *c, const char *service, u32 worth, u64 now_us)
+{
+	struct choose_call call = { .service = service, .worth = worth };
+
+	return choose_pick(c, &call, now_us);
+}
+
 static u32 count_picks(struct choose *c, const struct choose_target *t, u32 n, u64 now_us)
 {
 	u32 count = 0;
 
 	for (u32 i = 0; i < n; i++)
-		count += choose_pick(c, "bulletin", 10, NULL, now_us) == t;
+		count += pick(c, "bulletin", 10, now_us) == t;
 	return count;
 }
 
@@ -68,7 +75,7 @@
 	for (u32 i = 10; i < 510; i++)
 		announce(&c, "bulletin", i);
 	for (u32 i = 0; i < 5000; i++)
-		g_hash_table_add(used, choose_pick(&c, "bulletin", 10, NULL, LATER_US));
+		g_hash_table_add(used, pick(&c, "bulletin", 10, LATER_US));
 	g_assert_cmpuint(g_hash_table_size(used), <=, CHOOSE_SUBSET_MAX);
 	g_assert_cmpuint(g_hash_table_size(used), >, CHOOSE_SUBSET_MAX / 3);
 	choose_clear(&c);
@@ -85,7 +92,7 @@
 	setup(&c);
 	for (u32 i = 10; i < 510; i++)
 		announce(&c, "bulletin", i);
-	choose_pick(&c, "bulletin", 10, NULL, LATER_US);
+	pick(&c, "bulletin", 10, LATER_US);
 	s = choose_find_service(&c, "bulletin");
 	for (guint i = 0; i < s->subset->len; i++)
 		g_hash_table_add(before, g_ptr_array_index(s->subset, i));
@@ -94,7 +101,7 @@
 	for (u32 i = 10; i < 510; i++)
 		if (target(&c, i) == g_ptr_array_index(s->subset, 3))
 			announce_state(&c, "bulletin", i, 2, DIR_GONE, LATER_US);
-	choose_pick(&c, "bulletin", 10, NULL, LATER_US);
+	pick(&c, "bulletin", 10, LATER_US);
 	for (guint i = 0; i < s->subset->len; i++)
 		same += g_hash_table_contains(before, g_ptr_array_index(s->subset, i));
 	g_assert_cmpuint(s->subset->len, ==, CHOOSE_SUBSET_MAX);
@@ -118,7 +125,7 @@
 		struct choose_target *t;
 
 		g_snprintf(name, sizeof(name), "service-%u", i % 1400);
-		t = choose_pick(&c, name, 10, NULL, LATER_US);
+		t = pick(&c, name, 10, LATER_US);
 		g_assert_cmpstr(t->entry.service, ==, name);
 		g_assert_cmpuint(t->service->targets->len, ==, 15);
 	}
@@ -139,11 +146,11 @@
 	for (u32 i = 12; i < 18; i++)
 		announce(&c, "bulletin", i);
 	for (u32 i = 0; i < 200; i++)
-		g_assert_true(choose_pick(&c, "bulletin", 10, NULL, LATER_US)->is_own_zone);
+		g_assert_true(pick(&c, "bulletin", 10, LATER_US)->is_own_zone);
 	choose_load(target(&c, 12), &busy, LATER_US);
 	choose_load(target(&c, 15), &busy, LATER_US);
 	for (u32 i = 0; i < 200; i++)
-		g_assert_false(choose_pick(&c, "bulletin", 10, NULL, LATER_US)->is_own_zone);
+		g_assert_false(pick(&c, "bulletin", 10, LATER_US)->is_own_zone);
 	choose_clear(&c);
 }
 
@@ -155,7 +162,7 @@
 	for (u32 i = 12; i < 17; i++)
 		announce(&c, "bulletin", i);
 	for (u32 i = 0; i < 60; i++)
-		choose_sent(choose_pick(&c, "bulletin", 10, NULL, LATER_US), LATER_US);
+		choose_sent(pick(&c, "bulletin", 10, LATER_US), LATER_US);
 	for (u32 i = 12; i < 17; i++)
 		g_assert_cmpuint(target(&c, i)->in_flight, >=, 6);
 	choose_clear(&c);
@@ -204,11 +211,11 @@
 	announce(&c, "bulletin", 12);
 	announce_state(&c, "bulletin", 15, 1, DIR_UP, LATER_US);
 	for (u32 i = 0; i < 12; i++)
-		choose_sent(choose_pick(&c, "bulletin", 10, NULL, LATER_US), LATER_US);
+		choose_sent(pick(&c, "bulletin", 10, LATER_US), LATER_US);
 	g_assert_cmpuint(target(&c, 15)->in_flight, >, 0);
 	g_assert_cmpuint(target(&c, 15)->in_flight, <=, 3);
 	for (u32 i = 0; i < 12; i++)
-		choose_sent(choose_pick(&c, "bulletin", 10, NULL, LATER_US + 60 * US_PER_S),
+		choose_sent(pick(&c, "bulletin", 10, LATER_US + 60 * US_PER_S),
 			    LATER_US + 60 * US_PER_S);
 	g_assert_cmpuint(target(&c, 15)->in_flight, >=, 10);
 	choose_clear(&c);
@@ -242,7 +249,7 @@
 			announce(&c, "bulletin", i);
 		fail_all(&c, 12, 12 + n, LATER_US);
 		g_assert_cmpuint(count_ejected(&c, 12, 12 + n, LATER_US), ==, n / 3);
-		g_assert_nonnull(choose_pick(&c, "bulletin", 10, NULL, LATER_US));
+		g_assert_nonnull(pick(&c, "bulletin", 10, LATER_US));
 		/* Ejections end by themselves. */
 		g_assert_cmpuint(count_ejected(&c, 12, 12 + n, LATER_US + 60 * US_PER_S), ==, 0);
 		choose_clear(&c);
@@ -256,7 +263,7 @@
 	setup(&c);
 	for (u32 i = 12; i < 17; i++)
 		announce(&c, "bulletin", i);
-	choose_pick(&c, "bulletin", 10, NULL, LATER_US);
+	pick(&c, "bulletin", 10, LATER_US);
 	for (u32 k = 0; k < 20; k++)
 		for (u32 i = 12; i < 17; i++) {
 			u64 took = i == 14 ? 200 * US_PER_MS : 10 * US_PER_MS;
@@ -301,17 +308,53 @@
 	setup(&c);
 	announce(&c, "bulletin", 12);
 	choose_load(target(&c, 12), &load, LATER_US);
-	g_assert_null(choose_pick(&c, "bulletin", 10, NULL, LATER_US));
+	g_assert_null(pick(&c, "bulletin", 10, LATER_US));
 	/* The link told of the drain, the directory of the return. */
 	announce_state(&c, "bulletin", 12, 2, DIR_UP, LATER_US);
-	g_assert_nonnull(choose_pick(&c, "bulletin", 10, NULL, LATER_US));
+	g_assert_nonnull(pick(&c, "bulletin", 10, LATER_US));
 	announce_state(&c, "bulletin", 12, 3, DIR_DRAINING, LATER_US);
-	g_assert_null(choose_pick(&c, "bulletin", 10, NULL, LATER_US));
+	g_assert_null(pick(&c, "bulletin", 10, LATER_US));
 	announce_state(&c, "bulletin", 12, 4, DIR_UP, LATER_US);
-	g_assert_nonnull(choose_pick(&c, "bulletin", 10, NULL, LATER_US));
+	g_assert_nonnull(pick(&c, "bulletin", 10, LATER_US));
 	/* An older entry that comes late changes nothing. */
 	announce_state(&c, "bulletin", 12, 3, DIR_DRAINING, LATER_US);
-	g_assert_nonnull(choose_pick(&c, "bulletin", 10, NULL, LATER_US));
+	g_assert_nonnull(pick(&c, "bulletin", 10, LATER_US));
+	choose_clear(&c);
+}
+
+/*
+ * Neighbour noise in an overload: the VMs at their usual speed refuse a call, and the one that
+ * is left is seven times slower now. There the call would come too late and hold a slot that
+ * is wanted when the VM has its speed back. Where all are as slow, it is tried.
+ */
+static void test_slow_vm_is_no_second_try(void)
+{
+	struct choose c;
+	struct peer_load usual = idle_load(90 * US_PER_MS);
+	struct peer_load slow = idle_load(90 * US_PER_MS);
+	struct choose_call again = { .service = "bulletin", .worth = 10 };
+	g_autoptr(GPtrArray) tried = g_ptr_array_new();
+
+	usual.slowness_percent = 100;
+	slow.slowness_percent = 700;
+	setup(&c);
+	announce(&c, "bulletin", 12);
+	announce(&c, "bulletin", 15);
+	choose_load(target(&c, 12), &usual, LATER_US);
+	choose_load(target(&c, 15), &slow, LATER_US);
+	g_ptr_array_add(tried, target(&c, 12)->entry.node);
+	again.exclude = tried;
+	g_assert_true(choose_pick(&c, &again, LATER_US) == target(&c, 15));
+	again.most_us = 250 * US_PER_MS;
+	g_assert_null(choose_pick(&c, &again, LATER_US));
+	/* In time there, though seven times slower. */
+	again.most_us = 700 * US_PER_MS;
+	g_assert_true(choose_pick(&c, &again, LATER_US) == target(&c, 15));
+	/* Slow everywhere: that is what there is to be had. */
+	usual.slowness_percent = 700;
+	choose_load(target(&c, 12), &usual, LATER_US);
+	again.most_us = 250 * US_PER_MS;
+	g_assert_true(choose_pick(&c, &again, LATER_US) == target(&c, 15));
 	choose_clear(&c);
 }
 
@@ -326,8 +369,8 @@
 	announce(&c, "bulletin", 15);
 	choose_load(target(&c, 12), &refuses, LATER_US);
 	choose_load(target(&c, 15), &takes, LATER_US);
-	g_assert_true(choose_pick(&c, "bulletin", 10, NULL, LATER_US) == target(&c, 15));
-	g_assert_true(choose_pick(&c, "bulletin", 50, NULL, LATER_US) == target(&c, 12));
+	g_assert_true(pick(&c, "bulletin", 10, LATER_US) == target(&c, 15));
+	g_assert_true(pick(&c, "bulletin", 50, LATER_US) == target(&c, 12));
 	g_assert_cmpuint(choose_lowest_worth(&c, "bulletin", LATER_US), ==, 0);
 	choose_load(target(&c, 15), &refuses, LATER_US);
 	g_assert_cmpuint(choose_lowest_worth(&c, "bulletin", LATER_US), ==, 50);
@@ -542,6 +585,7 @@
 	g_test_add_func("/choose/slow-outlier", test_slow_outlier_is_ejected);
 	g_test_add_func("/choose/hurried-callers", test_hurried_callers_eject_nobody);
 	g_test_add_func("/choose/draining", test_draining_gets_nothing_and_may_come_back);
+	g_test_add_func("/choose/slow-vm-is-no-second-try", test_slow_vm_is_no_second_try);
 	g_test_add_func("/choose/refused-rank", test_refused_rank_goes_elsewhere);
 	g_test_add_func("/choose/straggler", test_straggler);
 	g_test_add_func("/choose/recovered", test_recovered_straggler_gets_its_share);
--- a/test/fakes/fleet_entry.c
+++ b/test/fakes/fleet_entry.c
@@ -16,6 +16,7 @@
 static int pick(struct fleet *f, struct call *c)
 {
 	struct entry *e = &f->entries[c->entry];
+	struct choose_call wanted;
 	struct choose_target *t;
 
 	switch (f->plan->policy) {
@@ -26,8 +27,10 @@
 	case FLEET_POLLED:
 		return (int)pick_polled(f, e);
 	default:
-		t = choose_pick(&e->choose, SERVICE, f->plan->ranks[c->rank].worth, c->tried,
-				f->now_us);
+		wanted = (struct choose_call){ .service = SERVICE,
+					       .worth = f->plan->ranks[c->rank].worth,
+					       .exclude = c->tried };
+		t = choose_pick(&e->choose, &wanted, f->now_us);
 		return t ? atoi(t->entry.node) : -1;
 	}
 }
