Ranks of a set keep a fifth of the slot time each, all together two fifths

All floors of a service together are bounded, so that the worthiest still goes first where there are many ranks.

Test: set_test /set/floors.

--- a/lib/set.c
+++ b/lib/set.c
@@ -14,7 +14,9 @@
 #define WEIGHT_SCALE 1000
 #define WEIGHT_MAX 1e9
 /* What a rank of a set keeps under any flood of worthier ones. */
-#define FLOOR_PERCENT 5
+#define FLOOR_PERCENT 20
+/* All ranks of a service together keep no more than this, so that the worthiest comes first. */
+#define FLOORS_PERCENT 40
 
 /* Where a value stands, for findings. */
 struct at {
@@ -330,6 +332,15 @@
 	return NULL;
 }
 
+static void share_floors(struct res_service *s)
+{
+	for (guint i = 0; i < s->ranks->len; i++) {
+		struct res_rank *r = g_ptr_array_index(s->ranks, i);
+
+		r->floor_percent = MIN(FLOOR_PERCENT, FLOORS_PERCENT / s->ranks->len);
+	}
+}
+
 void set_add_rank(struct res_service *s, const struct set_route *route)
 {
 	u32 worth = set_worth(route->priority);
@@ -345,6 +356,6 @@
 	r->repeat = RES_REPEAT_NEVER; /* each request tells */
 	r->target_ms = (u32)route->target_ms;
 	r->worth = worth;
-	r->floor_percent = FLOOR_PERCENT;
 	g_ptr_array_add(s->ranks, r);
+	share_floors(s);
 }
--- a/test/set_test.c
+++ b/test/set_test.c
@@ -46,6 +46,29 @@
 	set_free(s);
 }
 
+/* In a long overload a less urgent rank keeps a part, and the urgent one more than that. */
+static void test_floors(void)
+{
+	struct res_service *service = res_new();
+	struct set_route route = { .target_ms = 250 };
+	const struct res_rank *r;
+	u32 sum = 0;
+
+	for (route.priority = 0; route.priority < 2; route.priority++)
+		set_add_rank(service, &route);
+	r = g_ptr_array_index(service->ranks, 1);
+	g_assert_cmpuint(r->floor_percent, ==, 20);
+	for (; route.priority < 8; route.priority++)
+		set_add_rank(service, &route);
+	for (guint i = 0; i < service->ranks->len; i++) {
+		r = g_ptr_array_index(service->ranks, i);
+		sum += r->floor_percent;
+		g_assert_cmpuint(r->floor_percent, >, 0);
+	}
+	g_assert_cmpuint(sum, <=, 40);
+	res_free(service);
+}
+
 static void test_problems(void)
 {
 	expect("{\"version\":", "$\n");
@@ -168,6 +191,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/set/whole", test_whole);
+	g_test_add_func("/set/floors", test_floors);
 	g_test_add_func("/set/problems", test_problems);
 	g_test_add_func("/set/bounds", test_bounds);
 	g_test_add_func("/set/longest-prefix", test_longest_prefix);
