Further tries only where the call may be served in time

Cause: a refused call went on to up to three more homes, also when these had said within the last milliseconds that they refuse its rank, and, with all targets cold, to VMs where it would come too late in any case: round trips and bytes between zones for nothing, and slots held by calls that come too late. One try is always made.

--- a/node/choose.c
+++ b/node/choose.c
@@ -15,8 +15,10 @@
 #define PROBE_AGE_US (100 * US_PER_MS)
 /* An older word that a rank is refused counts no more. */
 #define REFUSED_AGE_US (250 * US_PER_MS)
-/* A VM counts as too slow only where a call takes so many times its time at the fastest. */
+/* Where calls take no more than so many times the shortest time, a VM is not too slow. */
 #define TOO_SLOW_TIMES 2
+/* For a further try a home's word that it refuses a rank holds so long. */
+#define REFUSED_NEWS_US (50 * US_PER_MS)
 /* Services without a call for this time are not probed. */
 #define SERVICE_IDLE_US (10 * US_PER_S)
 
@@ -268,6 +270,25 @@
 	ch->best_score = score;
 }
 
+/* A call whose target has passed may take as long as it does at a VM near its usual speed. */
+static u64 too_slow_us(const struct choose_service *s, const struct choose_call *call)
+{
+	return MAX(call->most_us, TOO_SLOW_TIMES * s->least_us);
+}
+
+/* A further try costs a round trip and bytes, so it is made only where it may be served in time. */
+static bool is_worth_a_try(const struct choice *ch, const struct choose_target *t)
+{
+	const struct choose_call *call = ch->call;
+	bool is_news = t->load_us && ch->now_us - t->load_us < REFUSED_NEWS_US;
+
+	if (!call->most_us)
+		return true;
+	if (is_news && call->worth < t->load.lowest_worth)
+		return false;
+	return choose_told_now_us(t, call->worth) <= ch->too_slow_us;
+}
+
 /* Considers SAMPLES of those in LIST between FROM and TO that can be used. */
 static void sample(struct choice *ch, GPtrArray *list, u32 from, u32 to)
 {
@@ -279,7 +300,7 @@
 
 		if (!choose_is_usable(t, ch->now_us) || is_excluded(t, ch->call->exclude))
 			continue;
-		if (choose_told_now_us(t, ch->call->worth) <= ch->too_slow_us)
+		if (is_worth_a_try(ch, t))
 			usable[n++] = t;
 	}
 	for (u32 i = 0; i < SAMPLES && n; i++) {
@@ -318,22 +339,6 @@
 	return least;
 }
 
-/* Where all VMs are slow, the fastest of them are what there is to be had. */
-static u64 too_slow_us(const struct choose_service *s, const struct choose_call *call)
-{
-	u64 least = UINT64_MAX / TOO_SLOW_TIMES;
-
-	if (!call->most_us)
-		return UINT64_MAX;
-	for (guint i = 0; i < s->subset->len; i++) {
-		u64 told = choose_told_now_us(g_ptr_array_index(s->subset, i), call->worth);
-
-		if (told)
-			least = MIN(least, told);
-	}
-	return MAX(call->most_us, TOO_SLOW_TIMES * least);
-}
-
 struct choose_target *choose_pick(struct choose *c, const struct choose_call *call, u64 now_us)
 {
 	struct choose_service *s = ready_service(c, call->service);
--- a/node/choose.h
+++ b/node/choose.h
@@ -101,8 +101,8 @@
 	u32 worth;
 	GPtrArray *exclude; /* of node names that are not chosen; may be NULL */
 	/*
-	 * An upstream whose VM is so slow now that a call takes longer is not chosen, where another
-	 * VM is clearly faster; 0 for any.
+	 * Of a further try: the target that is left. Upstreams are passed over where the call would
+	 * come too late, or that just told that they refuse its rank. 0 for a first try.
 	 */
 	u64 most_us;
 };
