--- a/node/score.c
+++ b/node/score.c
@@ -24,8 +24,8 @@
 #define SLOWER_PERCENT 130
 /* A silence this many times the expected time speaks against what was told. */
 #define SILENT_DOUBT 4
-/* The part of a call's time by which another zone must be faster. */
-#define PLACE_PART 3
+/* By so much of its time must a call be faster in another zone. */
+#define PLACE_PERCENT 100
 #define EJECT_IN_ROW 5
 #define EJECT_PERMILLE 500
 #define EJECT_ANSWERS 8
@@ -135,7 +135,7 @@
  */
 static u64 place_cost_us(const struct choose_target *t, u64 service)
 {
-	return t->is_own_zone || !tells_slowness(t) ? 0 : service / PLACE_PART;
+	return t->is_own_zone || !tells_slowness(t) ? 0 : service * PLACE_PERCENT / 100;
 }
 
 u64 choose_score(const struct choose_target *t, u32 worth, u64 now_us)
