Control processes find each other at once after a start of all

Cause: after a loss of power of all, a group of VMs comes up within some tenths of a second. A control process that is dialled by another one now dials that one anew while its own dial has no connection; and a dial waits 0.25 to 1 s, drawn each time, so that nodes too find a VM that has just started.

A follower counts as fresh only with an entry of its leader's term final, as the leader does: the lines for changes of the leader and of freshness, which were missing and come with this, showed followers fresh at commit 1 where the leader had 39 and was not. Nodes confirm their first set with a quorum, so nothing old was given out.

Tests: link_test /link/connect-without-answer (bounds), raft_step_test /raft-step/fresh-with-the-leaders-term.

--- a/control/control.c
+++ b/control/control.c
@@ -12,6 +12,8 @@
 {
 	if (k->remote.role == LINK_NODE)
 		nodes_up(k->arg, k);
+	else
+		peers_heard(k->arg, k);
 }
 
 static int on_link_frame(struct link *k, u32 type, struct frame_in *in)
--- a/control/control.h
+++ b/control/control.h
@@ -35,6 +35,8 @@
 	struct wal wal;
 	struct raft raft;
 	u64 log_bytes; /* appended since the last snapshot */
+	u32 logged_leader; /* as the log was told; 0 for none */
+	bool was_fresh;
 	struct store store;
 	struct directory directory;
 
@@ -69,6 +71,7 @@
 void peers_start(struct control *c);
 void peers_stop(struct control *c);
 struct link *peers_link(struct control *c, u32 id); /* NULL when not up */
+void peers_heard(struct control *c, const struct link *k); /* another control process dialled */
 void peers_send_raft(struct control *c, u32 to, const struct raft_msg *m);
 void peers_refresh(struct control *c); /* dials members that are new */
 void peers_second(struct control *c, u64 now_us); /* beats and reports */
--- a/control/peers.c
+++ b/control/peers.c
@@ -67,6 +67,19 @@
 		loop_timer_set(p->c->loop, &p->redial, loop_clock_us() + REDIAL_US);
 }
 
+/* A dial may have begun before the other VM was up, and would wait for a lost packet. */
+void peers_heard(struct control *c, const struct link *k)
+{
+	struct control_peer *p = g_hash_table_lookup(c->peers, k->remote.name);
+
+	if (!p || (p->link && !link_is_connecting(p->link)))
+		return;
+	if (p->link)
+		link_close(p->link);
+	loop_timer_cancel(c->loop, &p->redial);
+	dial(p);
+}
+
 static void want_peer(struct control *c, u32 id, const struct endpoint *at)
 {
 	g_autofree char *key = g_strdup_printf("%s:%u", at->host, at->port);
--- a/control/raft.c
+++ b/control/raft.c
@@ -175,9 +175,11 @@
 {
 	if (r->role == RAFT_FORMING)
 		return false;
+	/* Before an entry of its own is final, a leader may not know all that is. */
+	if (raft_term_at(r, r->commit) != r->term)
+		return false;
 	if (r->role == RAFT_LEADER)
-		return raft_term_at(r, r->commit) == r->term &&
-		       raft_heard_voters(r, lease_us, now_us) >= raft_quorum(r);
+		return raft_heard_voters(r, lease_us, now_us) >= raft_quorum(r);
 	return r->leader && now_us - r->leader_heard_us < lease_us &&
 	       r->applied >= r->leader_commit;
 }
--- a/control/raft_host.c
+++ b/control/raft_host.c
@@ -7,6 +7,7 @@
 #include "lib/ctr.h"
 #include "lib/err.h"
 #include "lib/log.h"
+#include "wire/ctl.h"
 
 #include <signal.h>
 #include <stdlib.h>
@@ -141,6 +142,20 @@
 	raft_found(&c->raft, &founding);
 }
 
+/* One line when this process believes in another leader, or may give out configurations or not. */
+static void log_beliefs(struct control *c)
+{
+	bool is_fresh = raft_is_fresh(&c->raft, CTL_LEASE_US, loop_clock_us());
+
+	if (c->raft.leader == c->logged_leader && is_fresh == c->was_fresh)
+		return;
+	c->logged_leader = c->raft.leader;
+	c->was_fresh = is_fresh;
+	log_event(LOG_INFO, "leader", "leader", log_u64(c->raft.leader), "self",
+		  log_u64(c->raft.id), "term", log_u64(c->raft.term), "commit",
+		  log_u64(c->raft.commit), "fresh", is_fresh ? "yes" : "no", NULL);
+}
+
 /* Called after every step, so that followers compact too: their timer seldom fires. */
 void raft_host_arm(struct control *c)
 {
@@ -148,6 +163,7 @@
 		raft_compact(&c->raft);
 		c->log_bytes = raft_log_bytes(&c->raft, c->raft.snap_index);
 	}
+	log_beliefs(c);
 	loop_timer_set(c->loop, &c->raft_timer, raft_next_due_us(&c->raft));
 }
 
--- a/kernel/link.c
+++ b/kernel/link.c
@@ -36,6 +36,7 @@
 	int failure; /* closes the link at the next tick */
 	u64 heard_us;
 	u64 began_us;
+	u64 connect_us; /* how long to wait for the connection */
 	u64 best_rtt_us;
 	u64 best_rtt_at_us;
 	u64 offset_rtt_us; /* round trip of the sample that gave the clock offset */
@@ -381,13 +382,20 @@
 
 	if (p->failure)
 		return p->failure;
-	if (p->is_connecting && now_us - p->began_us >= LINK_CONNECT_US)
+	if (p->is_connecting && now_us - p->began_us >= p->connect_us)
 		return ERR_TIMEOUT;
 	if (!k->is_up && now_us - p->began_us > LINK_SILENT_US)
 		return ERR_TIMEOUT;
 	return now_us - p->heard_us > LINK_SILENT_US ? ERR_TIMEOUT : 0;
 }
 
+static u64 next_tick_us(const struct link_private *p, u64 now_us)
+{
+	u64 next_us = now_us + LINK_PING_INTERVAL_US;
+
+	return p->is_connecting ? MIN(next_us, p->began_us + p->connect_us) : next_us;
+}
+
 static void on_tick(void *arg, u64 now_us)
 {
 	struct link *k = arg;
@@ -407,7 +415,12 @@
 	}
 	if (k->is_up)
 		send_ping(k);
-	loop_timer_set(p->loop, &p->tick, now_us + LINK_PING_INTERVAL_US);
+	loop_timer_set(p->loop, &p->tick, next_tick_us(p, now_us));
+}
+
+bool link_is_connecting(const struct link *k)
+{
+	return k->priv->is_connecting;
 }
 
 void link_ask(struct link *k)
@@ -468,6 +481,8 @@
 	}
 	k = link_new(l, self, fd, ops, arg);
 	k->priv->is_connecting = true;
+	k->priv->connect_us = (u64)g_random_int_range(LINK_CONNECT_MIN_US, LINK_CONNECT_MAX_US);
+	loop_timer_set(l, &k->priv->tick, next_tick_us(k->priv, k->priv->began_us));
 	k->priv->wants_write = true;
 	if (!loop_fd_add(l, &k->priv->fd, EPOLLIN | EPOLLOUT))
 		return k;
--- a/kernel/link.h
+++ b/kernel/link.h
@@ -22,7 +22,12 @@
 
 #define LINK_PING_INTERVAL_US (500 * US_PER_MS)
 #define LINK_SILENT_US (2 * US_PER_S)
-#define LINK_CONNECT_US (1 * US_PER_S)
+/*
+ * A dial waits for its connection between the two, drawn each time: a short wait finds a VM soon
+ * that was not up when it began, a long one gets through a crowded network.
+ */
+#define LINK_CONNECT_MIN_US (250 * US_PER_MS)
+#define LINK_CONNECT_MAX_US (1 * US_PER_S)
 #define LINK_SEND_QUEUE_MAX_BYTES (64 * 1024 * 1024)
 
 /* Frame types below LINK_TYPE_FIRST belong to this module. */
@@ -60,6 +65,9 @@
 	struct link_private *priv;
 };
 
+/* link_is_connecting - no connection yet. */
+bool link_is_connecting(const struct link *k);
+
 /* link_dial - connect to HOST:PORT in the background. */
 struct link *link_dial(struct loop *l, const struct link_id *self, const char *host, u16 port,
 		       const struct link_ops *ops, void *arg);
--- a/test/link_test.c
+++ b/test/link_test.c
@@ -367,6 +367,8 @@
 {
 	struct end e;
 	int fillers[8];
+	gint64 took_us;
+	gint64 began;
 	u16 port;
 	int fd = raw_listen(&port);
 
@@ -375,8 +377,13 @@
 		fillers[i] = raw_connect_soon(port);
 	start(&e);
 	e.port = port;
+	began = g_get_monotonic_time();
 	loop_call(e.loop, do_dial, &e);
+	g_assert_true(link_is_connecting(e.link));
 	wait_for(&e.downs, 1);
+	took_us = g_get_monotonic_time() - began;
+	g_assert_cmpint(took_us, >=, LINK_CONNECT_MIN_US);
+	g_assert_cmpint(took_us, <, LINK_CONNECT_MAX_US + LINK_PING_INTERVAL_US);
 	g_assert_cmpint(e.err, ==, ERR_TIMEOUT);
 	g_assert_cmpint(e.ups, ==, 0);
 	stop(&e);
--- a/test/raft_step_test.c
+++ b/test/raft_step_test.c
@@ -557,6 +557,32 @@
 	owner_free(o);
 }
 
+/* A new leader's followers give out nothing before an entry of its term is final: more may be. */
+static void test_fresh_with_the_leaders_term(void)
+{
+	struct owner *o = owner_new(3, 1, 3);
+	struct raft_entry *noop = raft_entry_new(4, 2, RAFT_NOOP, NULL);
+	g_autoptr(GPtrArray) entries = g_ptr_array_new();
+	struct raft_msg append = { .type = RAFT_APPEND,
+				   .from = 2,
+				   .term = 2,
+				   .index = 3,
+				   .log_term = 1,
+				   .commit = 1,
+				   .entries = entries };
+
+	g_ptr_array_add(entries, noop);
+	step(o, append, NOW_US);
+	g_assert_cmpuint(o->r.leader, ==, 2);
+	g_assert_false(raft_is_fresh(&o->r, US_PER_S, NOW_US));
+	append.commit = 4;
+	step(o, append, NOW_US);
+	g_assert_cmpuint(o->r.commit, ==, 4);
+	g_assert_true(raft_is_fresh(&o->r, US_PER_S, NOW_US));
+	raft_entry_free(noop);
+	owner_free(o);
+}
+
 /*
  * All replicas lost power at once: nobody has heard a leader, so the first pre-vote comes soon,
  * and again soon while the others are not yet back. A vote, which is written, has its time.
@@ -636,6 +662,7 @@
 	g_test_add_func("/raft-step/unsound-messages", test_unsound_messages);
 	g_test_add_func("/raft-step/answer-beyond-the-log", test_answer_beyond_the_log_is_ignored);
 	g_test_add_func("/raft-step/late-tick-calls-no-election", test_late_tick_calls_no_election);
+	g_test_add_func("/raft-step/fresh-with-the-leaders-term", test_fresh_with_the_leaders_term);
 	g_test_add_func("/raft-step/start-without-leader", test_start_without_leader);
 	g_test_add_func("/raft-step/entries-in-flight-are-bounded",
 			test_entries_in_flight_are_bounded);
