An entry links all homes of a service at its first call, and they tell their load at once

Probes are bounded at 20 a second and can't carry that; a word with the new link costs one frame.

Tests: entry_test /entry/first-call-links-all, home_test /home/load-for-a-new-link, both failed before.

--- a/node/choose.c
+++ b/node/choose.c
@@ -230,6 +230,7 @@
 	s->nown_zone = s->subset->len;
 	take_ranked(s, list, false, CHOOSE_SUBSET_MAX);
 	s->is_stale = false;
+	s->is_linked = false;
 }
 
 static struct choose_service *ready_service(struct choose *c, const char *name)
--- a/node/choose.h
+++ b/node/choose.h
@@ -67,6 +67,7 @@
 	 */
 	u64 least_us;
 	bool is_stale; /* the subset must be made again */
+	bool is_linked; /* links to all of the subset were asked for */
 	u64 used_us; /* last call */
 };
 
--- a/node/entry_try.c
+++ b/node/entry_try.c
@@ -166,6 +166,22 @@
 		entry_skip_unreachable(n, call, home);
 }
 
+/* Their homes tell their load as soon as they are linked, so that the next choices know it. */
+static void link_subset(struct node *n, const char *service)
+{
+	struct choose_service *s = choose_find_service(&n->choose, service);
+
+	if (!s || s->is_linked)
+		return;
+	s->is_linked = true;
+	for (guint i = 0; i < s->subset->len; i++) {
+		const struct choose_target *t = g_ptr_array_index(s->subset, i);
+
+		if (strcmp(t->entry.node, n->self.name))
+			mesh_link(n, t->entry.node);
+	}
+}
+
 void entry_attempt(struct node *n, struct entry_call *call)
 {
 	struct entry_private *p = call->priv;
@@ -176,6 +192,7 @@
 				      .most_us = p->tries ? MAX(call->target_us, 1) : 0 };
 	struct choose_target *target = choose_pick(&n->choose, &wanted, now);
 
+	link_subset(n, call->service);
 	if (target)
 		try_at(n, call, target, now);
 	else
--- a/node/mesh.c
+++ b/node/mesh.c
@@ -382,6 +382,7 @@
 	m->link = k;
 	k->arg = m;
 	g_ptr_array_add(n->mesh->accepted, m);
+	home_link_up(n, k);
 }
 
 static void on_accepted_down(struct link *k, int err)
--- a/test/entry_test.c
+++ b/test/entry_test.c
@@ -170,6 +170,26 @@
 	take_id(PEER_FENCE, *id);
 }
 
+/*
+ * The first call for a service links all homes of its subset, so that the next choices know
+ * their loads: after a start, or when upstreams join, an entry would choose blindly.
+ */
+static void test_first_call_links_all(void)
+{
+	struct fake_peer other;
+	struct caller c;
+
+	start();
+	fake_peer_start(&other, true);
+	fake_node_directory(&node, other.name, other.self.incarnation, DIR_UP);
+	caller_start_call(&c, "POST", "one hoopoe", 1000);
+	take_event(PEER_EVENT_UP);
+	peer_event_free(fake_peer_next(&other, PEER_EVENT_UP));
+	caller_end(&c, 504, "unknown", NULL);
+	fake_peer_stop(&other);
+	stop();
+}
+
 /* A call whose link broke is asked for by id, and never sent a second time. */
 static void test_fence_not_run(void)
 {
@@ -516,6 +536,7 @@
 	g_test_add_func("/entry/short-request-body", test_short_request_body);
 	g_test_add_func("/entry/caller-leaves", test_caller_leaves);
 	g_test_add_func("/entry/half-closed-post", test_half_closed_post);
+	g_test_add_func("/entry/first-call-links-all", test_first_call_links_all);
 	g_test_add_func("/entry/dark-home", test_dark_home);
 	g_test_add_func("/entry/reset-beside-a-broken-link", test_reset_beside_a_broken_link);
 	ret = g_test_run();
--- a/test/fakes/fake_peer.c
+++ b/test/fakes/fake_peer.c
@@ -149,8 +149,11 @@
 		e->state = type == PEER_FENCED ? (enum fence_state)frame_get_u64(in) : 0;
 		push(p, e);
 		return frame_done(in);
+	case PEER_LOAD:
+		g_atomic_int_inc(&p->loads);
+		return 0;
 	default:
-		return 0; /* probes, loads: not of interest */
+		return 0; /* probes: not of interest */
 	}
 }
 
--- a/test/fakes/fake_peer.h
+++ b/test/fakes/fake_peer.h
@@ -22,6 +22,7 @@
 	struct link_listener *listener;
 	struct link *link; /* the newest one; NULL when none is up */
 	GAsyncQueue *events; /* of struct peer_event */
+	gint loads; /* LOAD messages that came */
 	struct peer_event *part; /* a call or reply whose body is still coming */
 };
 
--- a/test/home_test.c
+++ b/test/home_test.c
@@ -131,6 +131,15 @@
 	wait_runs(0);
 }
 
+/* An entry that has just dialled is about to choose, and is told the load before it asks. */
+static void test_load_for_a_new_link(void)
+{
+	start(4);
+	for (u32 i = 0; i < WAIT_MS && !g_atomic_int_get(&entry.loads); i++)
+		g_usleep(US_PER_MS);
+	g_assert_cmpint(g_atomic_int_get(&entry.loads), ==, 1);
+}
+
 /* The reply is kept for an entry whose link broke, and the id does not run again. */
 static void test_fence_done(void)
 {
@@ -312,6 +321,7 @@
 	int ret;
 
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/home/load-for-a-new-link", test_load_for_a_new_link);
 	g_test_add_func("/home/expired", test_expired);
 	g_test_add_func("/home/fence-done", test_fence_done);
 	g_test_add_func("/home/fence-running", test_fence_running);
