make soak: random faults in series that overlap, with separate processes

Not yet: a relay between the processes, disks that fail or fill, clocks that jump, the check while it runs.

--- a/Makefile
+++ b/Makefile
@@ -77,6 +77,11 @@
 	$(MAKE) -s lavenderlead tests
 	tools/fault $(RUN)
 
+# Random faults: SEEDS="1 2" LENGTH_S=20.
+soak:
+	$(MAKE) -s lavenderlead tests
+	tools/soak
+
 # Bounded: under two minutes.
 bench:
 	$(MAKE) -s lavenderlead tests
@@ -86,6 +91,6 @@
 clean:
 	rm -rf $(OUT) build-sanitize lavenderlead
 
-.PHONY: all install-deps tests format lint sanitize check demo fault bench clean
+.PHONY: all install-deps tests format lint sanitize check demo fault soak bench clean
 .SECONDARY:
 -include $(shell find $(OUT) -name '*.d' 2>/dev/null)
