Settings accept fractions and absent bounds; the reader of settings in four files

Cause: a process ended with exit 2 at every start where the platform fills in a bound with a fraction (a grace of 6.5 s) or none at all (a deployment without the contract of retries): 'not a whole number'.

--- a/lib/settings.h
+++ b/lib/settings.h
@@ -4,7 +4,7 @@
  * settings_load reports every problem of the file in one run.
  *
  * UNITS as in the names of the fields
- * SOURCE lib/settings.c
+ * SOURCE lib/settings.c, lib/settings_impl.h names the other files
  */
 #ifndef SETTINGS_H
 #define SETTINGS_H
@@ -43,11 +43,11 @@
 	u64 probe_budget_per_s;
 	u64 probe_budget_bytes_per_s;
 	u64 max_body_bytes;
-	u64 shutdown_grace_s;
+	u64 shutdown_grace_ms;
 	u64 upstream_ttl_ms; /* 0: the default */
 	u64 retry_budget_percent; /* further sends, of a service's requests in the window */
 	u64 retry_budget_slack; /* further sends of all nodes together beyond that */
-	u64 retry_budget_window_s;
+	u64 retry_budget_window_ms;
 	u64 load_asks_per_s; /* questions to the upstream's health path, at most; 0 for none */
 };
 
--- /dev/null
+++ b/lib/settings_impl.h
@@ -0,0 +1,62 @@
+/*
+ * settings_impl - what the parts of the settings' reader share
+ *
+ * SOURCE lib/settings.c (file and defaults), lib/settings_value.c (single values),
+ * lib/settings_keys.c (the keys), lib/settings_check.c (what must fit together)
+ */
+#ifndef SETTINGS_IMPL_H
+#define SETTINGS_IMPL_H
+
+#include "lib/settings.h"
+
+#include <glib.h>
+
+#define SETTINGS_MEMBERS_MAX 32
+
+/* State of one load. */
+struct loader {
+	struct settings *s;
+	struct findings *found;
+	const char *path;
+	int line;
+	GHashTable *seen; /* "section" and "section.key" -> line */
+};
+
+/* settings_place - FILE:LINE, to be freed. */
+char *settings_place(const struct loader *l, int line);
+
+/* settings_complain - a finding at the line that is read now. */
+void settings_complain(struct loader *l, const char *text, const char *value);
+
+/* Single values; each reports what is wrong. Strings are to be freed. */
+u64 settings_number(struct loader *l, const char *value, u64 min, u64 max);
+u16 settings_port(struct loader *l, const char *value);
+char *settings_text(struct loader *l, const char *value);
+char *settings_name(struct loader *l, const char *value);
+char *settings_address(struct loader *l, const char *value);
+void settings_endpoint(struct loader *l, const char *v, struct endpoint *out);
+
+/* settings_decimal - a number from MIN to MAX, which may have a fraction, times SCALE. */
+u64 settings_decimal(struct loader *l, const char *value, u64 min, u64 max, u64 scale);
+
+/* settings_pick - the place of V in NAMES. */
+int settings_pick(struct loader *l, const char *v, const char *const *names, int n);
+
+/* settings_each_part - calls ADD for each part of a list; empty parts are passed over. */
+void settings_each_part(struct loader *l, const char *v,
+			void (*add)(struct loader *l, const char *part));
+
+/* settings_parse_number - a whole number from MIN to MAX, without a report. */
+bool settings_parse_number(const char *text, u64 min, u64 max, u64 *out);
+
+bool settings_has_section(const char *section);
+
+bool settings_has_key(const char *section, const char *name);
+
+/* settings_set - takes the value of a key that there is. */
+void settings_set(struct loader *l, const char *section, const char *name, const char *value);
+
+/* settings_check - what must be there, and what must fit together. */
+void settings_check(struct loader *l);
+
+#endif
--- /dev/null
+++ b/lib/settings_keys.c
@@ -0,0 +1,300 @@
+/* The keys of the settings: a table, and setters of those that are more than one value. */
+#include "lib/settings_impl.h"
+
+#include "lib/err.h"
+
+#include <stddef.h>
+#include <string.h>
+
+#define CONTROL_LIST_MAX 64
+#define MAX_BODY_LIMIT_BYTES (1024 * 1024 * 1024ULL)
+#define PER_S_LIMIT 1000000
+#define GRACE_LIMIT_S (24 * 3600)
+
+enum kind {
+	KIND_TEXT, /* char * */
+	KIND_NAME, /* char *, a name that travels */
+	KIND_ADDRESS, /* char * */
+	KIND_PORT, /* u16 */
+	KIND_ENDPOINT, /* struct endpoint */
+	KIND_NUMBER, /* u64 */
+	KIND_NUMBER32, /* u32 */
+	KIND_DECIMAL, /* u64; a fraction is kept as far as the scale allows */
+	KIND_OWN, /* by a setter */
+};
+
+struct key {
+	const char *section;
+	const char *name;
+	enum kind kind;
+	size_t offset; /* in struct settings */
+	u64 min;
+	u64 max;
+	u64 scale; /* of a decimal: the field is the value times this */
+	void (*set)(struct loader *l, const char *value);
+};
+
+static bool has_endpoint(const GArray *list, const struct endpoint *e)
+{
+	for (guint i = 0; i < list->len; i++)
+		if (endpoint_is_same(&g_array_index(list, struct endpoint, i), e))
+			return true;
+	return false;
+}
+
+static void add_endpoint(struct loader *l, const char *value)
+{
+	GArray *list = l->s->node.control;
+	struct endpoint e = { 0 };
+
+	if (endpoint_parse(&e, value))
+		settings_complain(l, "not an ADDRESS:PORT", value);
+	else if (has_endpoint(list, &e))
+		settings_complain(l, "given twice", value);
+	else if (list->len == CONTROL_LIST_MAX)
+		settings_complain(
+			l, "more than " G_STRINGIFY(CONTROL_LIST_MAX) " control processes", value);
+	else
+		g_array_append_val(list, e);
+}
+
+static void set_node_control(struct loader *l, const char *v)
+{
+	settings_each_part(l, v, add_endpoint);
+}
+
+/* Of a seed only the host counts: control processes use one peer_port on all VMs. */
+static bool parse_seed(const char *v, struct endpoint *out)
+{
+	g_autofree char *with_port = strchr(v, ':') ? g_strdup(v) : g_strconcat(v, ":1", NULL);
+
+	return !endpoint_parse(out, with_port);
+}
+
+static void add_node_seed(struct loader *l, const char *value)
+{
+	struct endpoint e;
+
+	if (!parse_seed(value, &e)) {
+		settings_complain(l, "not an ADDRESS or ADDRESS:PORT", value);
+		return;
+	}
+	e.port = 0; /* filled in when peer_port is known */
+	g_array_append_val(l->s->node.control, e);
+}
+
+static void set_node_seeds(struct loader *l, const char *v)
+{
+	l->s->node.learns_control = true;
+	settings_each_part(l, v, add_node_seed);
+}
+
+static void add_control_seed(struct loader *l, const char *value)
+{
+	struct member_setting m = { 0 };
+
+	if (!parse_seed(value, &m.at))
+		settings_complain(l, "not an ADDRESS or ADDRESS:PORT", value);
+	m.id = member_id_of(m.at.host);
+	if (l->s->control.members->len < SETTINGS_MEMBERS_MAX)
+		g_array_append_val(l->s->control.members, m);
+}
+
+static void set_control_seeds(struct loader *l, const char *v)
+{
+	l->s->control.forms_itself = true;
+	settings_each_part(l, v, add_control_seed);
+}
+
+static void set_found(struct loader *l, const char *v)
+{
+	l->s->control.is_found = !strcmp(v, "true");
+	if (strcmp(v, "true") && strcmp(v, "false"))
+		settings_complain(l, "neither true nor false", v);
+}
+
+static int parse_member(struct member_setting *m, const char *value)
+{
+	g_autofree char *copy = g_strdup(value);
+	char *at = strchr(copy, '@');
+	u64 id;
+
+	if (!at)
+		return ERR_INVAL;
+	*at = 0;
+	if (!settings_parse_number(copy, 1, UINT32_MAX, &id))
+		return ERR_INVAL;
+	m->id = (u32)id;
+	return endpoint_parse(&m->at, at + 1);
+}
+
+static const char *member_clash(const GArray *list, const struct member_setting *m)
+{
+	for (guint i = 0; i < list->len; i++) {
+		const struct member_setting *one = &g_array_index(list, struct member_setting, i);
+
+		if (one->id == m->id)
+			return "a member with this id came before";
+		if (endpoint_is_same(&one->at, &m->at))
+			return "a member with this address came before";
+	}
+	return NULL;
+}
+
+static void add_member(struct loader *l, const char *value)
+{
+	GArray *list = l->s->control.members;
+	struct member_setting m = { 0 };
+	const char *clash;
+
+	if (parse_member(&m, value)) {
+		settings_complain(l, "not an ID@ADDRESS:PORT", value);
+		return;
+	}
+	clash = member_clash(list, &m);
+	if (clash)
+		settings_complain(l, clash, value);
+	else if (list->len == SETTINGS_MEMBERS_MAX)
+		settings_complain(l, "more than " G_STRINGIFY(SETTINGS_MEMBERS_MAX) " members",
+				  value);
+	else
+		g_array_append_val(list, m);
+}
+
+static void set_members(struct loader *l, const char *v)
+{
+	settings_each_part(l, v, add_member);
+}
+
+static void set_level(struct loader *l, const char *v)
+{
+	static const char *const names[] = { "error", "warn", "info", "debug" };
+
+	l->s->log_level = (enum log_level)settings_pick(l, v, names, G_N_ELEMENTS(names));
+}
+
+static void set_format(struct loader *l, const char *v)
+{
+	static const char *const names[] = { "text", "json" };
+
+	l->s->log_format = (enum log_format)settings_pick(l, v, names, G_N_ELEMENTS(names));
+}
+
+#define AT(field) offsetof(struct settings, field)
+#define PLAIN(section, name, kind, field)                                                          \
+	{                                                                                          \
+		section, name, kind, AT(field), 0, 0, 0, NULL                                      \
+	}
+#define NUMBER(section, name, kind, field, min, max)                                               \
+	{                                                                                          \
+		section, name, kind, AT(field), min, max, 0, NULL                                  \
+	}
+#define DECIMAL(section, name, field, max, scale)                                                  \
+	{                                                                                          \
+		section, name, KIND_DECIMAL, AT(field), 0, max, scale, NULL                        \
+	}
+#define OWN(section, name, set)                                                                    \
+	{                                                                                          \
+		section, name, KIND_OWN, 0, 0, 0, 0, set                                           \
+	}
+
+static const struct key keys[] = {
+	PLAIN("cluster", "name", KIND_NAME, cluster),
+	PLAIN("node", "address", KIND_ADDRESS, node.address),
+	PLAIN("node", "zone", KIND_NAME, node.zone),
+	PLAIN("node", "region", KIND_NAME, node.region),
+	PLAIN("node", "caller_port", KIND_PORT, node.caller_port),
+	PLAIN("node", "peer_port", KIND_PORT, node.peer_port),
+	PLAIN("node", "peer_listen", KIND_ENDPOINT, node.peer_listen),
+	PLAIN("node", "local_port", KIND_PORT, node.local_port),
+	OWN("node", "control", set_node_control),
+	OWN("node", "seeds", set_node_seeds),
+	PLAIN("node", "caller_listen", KIND_ENDPOINT, node.caller_listen),
+	PLAIN("node", "register_listen", KIND_ENDPOINT, node.register_listen),
+	PLAIN("node", "ready_listen", KIND_ENDPOINT, node.ready_listen),
+	PLAIN("node", "service", KIND_TEXT, node.service),
+	PLAIN("node", "dialect", KIND_TEXT, node.dialect),
+	NUMBER("node", "upstream_ttl_ms", KIND_NUMBER, node.upstream_ttl_ms, 1, UINT32_MAX),
+	DECIMAL("node", "retry_budget_ratio", node.retry_budget_percent, 1, 100),
+	DECIMAL("node", "retry_budget_slack", node.retry_budget_slack, UINT32_MAX, 1),
+	DECIMAL("node", "load_asks_per_s", node.load_asks_per_s, PER_S_LIMIT, 1),
+	DECIMAL("node", "retry_budget_window_s", node.retry_budget_window_ms, UINT32_MAX, 1000),
+	NUMBER("node", "probe_budget_per_s", KIND_NUMBER, node.probe_budget_per_s, 0, PER_S_LIMIT),
+	NUMBER("node", "probe_budget_bytes_per_s", KIND_NUMBER, node.probe_budget_bytes_per_s, 0,
+	       UINT32_MAX),
+	NUMBER("node", "max_body_bytes", KIND_NUMBER, node.max_body_bytes, 1, MAX_BODY_LIMIT_BYTES),
+	DECIMAL("node", "shutdown_grace_s", node.shutdown_grace_ms, GRACE_LIMIT_S, 1000),
+	NUMBER("control", "id", KIND_NUMBER32, control.id, 1, UINT32_MAX),
+	PLAIN("control", "address", KIND_ADDRESS, control.address),
+	PLAIN("control", "zone", KIND_NAME, control.zone),
+	PLAIN("control", "region", KIND_NAME, control.region),
+	PLAIN("control", "data", KIND_TEXT, control.data),
+	PLAIN("control", "api_port", KIND_PORT, control.api_port),
+	PLAIN("control", "peer_port", KIND_PORT, control.peer_port),
+	PLAIN("control", "peer_listen", KIND_ENDPOINT, control.peer_listen),
+	OWN("control", "members", set_members),
+	OWN("control", "seeds", set_control_seeds),
+	OWN("control", "found", set_found),
+	NUMBER("control", "losses", KIND_NUMBER32, control.losses, 0, SETTINGS_MEMBERS_MAX / 2 - 1),
+	PLAIN("control", "api_listen", KIND_ENDPOINT, control.api_listen),
+	OWN("log", "level", set_level),
+	OWN("log", "format", set_format),
+	PLAIN("log", "file", KIND_TEXT, log_file),
+};
+
+bool settings_has_section(const char *section)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(keys); i++)
+		if (!strcmp(keys[i].section, section))
+			return true;
+	return false;
+}
+
+static const struct key *find_key(const char *section, const char *name)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(keys); i++)
+		if (!strcmp(keys[i].section, section) && !strcmp(keys[i].name, name))
+			return &keys[i];
+	return NULL;
+}
+
+bool settings_has_key(const char *section, const char *name)
+{
+	return find_key(section, name);
+}
+
+void settings_set(struct loader *l, const char *section, const char *name, const char *value)
+{
+	const struct key *k = find_key(section, name);
+	void *field = (char *)l->s + k->offset;
+
+	switch (k->kind) {
+	case KIND_TEXT:
+		*(char **)field = settings_text(l, value);
+		break;
+	case KIND_NAME:
+		*(char **)field = settings_name(l, value);
+		break;
+	case KIND_ADDRESS:
+		*(char **)field = settings_address(l, value);
+		break;
+	case KIND_PORT:
+		*(u16 *)field = settings_port(l, value);
+		break;
+	case KIND_ENDPOINT:
+		settings_endpoint(l, value, field);
+		break;
+	case KIND_NUMBER:
+		*(u64 *)field = settings_number(l, value, k->min, k->max);
+		break;
+	case KIND_NUMBER32:
+		*(u32 *)field = (u32)settings_number(l, value, k->min, k->max);
+		break;
+	case KIND_DECIMAL:
+		*(u64 *)field = settings_decimal(l, value, k->min, k->max, k->scale);
+		break;
+	case KIND_OWN:
+		k->set(l, value);
+		break;
+	}
+}
--- a/node/node.c
+++ b/node/node.c
@@ -200,7 +200,7 @@
  */
 static void finish_calls(struct node *n)
 {
-	u64 grace_us = n->settings->node.shutdown_grace_s * US_PER_S;
+	u64 grace_us = n->settings->node.shutdown_grace_ms * US_PER_MS;
 	u64 now = loop_clock_us();
 	u64 end_us = now + grace_us - MIN(grace_us / 10, SHUTDOWN_END_US);
 	u32 left;
