--- a/control/patient.c
+++ b/control/patient.c
@@ -31,30 +31,34 @@
 			  log_u64(tries * PATIENT_PAUSE_US / US_PER_MS), NULL);
 }
 
-static int patient_append(struct disk *d, const char *name, const void *data, size_t len)
+/* Both operations that need room have this form. */
+typedef int (*write_op)(struct disk *d, const char *name, const void *data, size_t len);
+
+static int write_patiently(struct patient *p, write_op write, const char *name, const void *data,
+			   size_t len)
 {
-	struct patient *p = (struct patient *)d;
 	u32 tries = 0;
 	int err;
 
-	while ((err = p->inner->ops->append(p->inner, name, data, len)) == ERR_FULL)
+	while ((err = write(p->inner, name, data, len)) == ERR_FULL)
 		if (!wait_for_room(p, name, tries++))
 			return err;
 	note_end(name, tries);
 	return err;
 }
 
+static int patient_append(struct disk *d, const char *name, const void *data, size_t len)
+{
+	struct patient *p = (struct patient *)d;
+
+	return write_patiently(p, p->inner->ops->append, name, data, len);
+}
+
 static int patient_replace(struct disk *d, const char *name, const void *data, size_t len)
 {
 	struct patient *p = (struct patient *)d;
-	u32 tries = 0;
-	int err;
 
-	while ((err = p->inner->ops->replace(p->inner, name, data, len)) == ERR_FULL)
-		if (!wait_for_room(p, name, tries++))
-			return err;
-	note_end(name, tries);
-	return err;
+	return write_patiently(p, p->inner->ops->replace, name, data, len);
 }
 
 static int patient_read(struct disk *d, const char *name, GByteArray *out)
