--- a/control/nodes.c
+++ b/control/nodes.c
@@ -4,11 +4,14 @@
 #include "control/join.h"
 #include "control/op.h"
 #include "lib/ctr.h"
+#include "lib/delta.h"
 #include "lib/err.h"
 #include "lib/log.h"
+#include "lib/set.h"
 #include "wire/ctl.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 /* Items of one CTL_CONFIG frame stay under the frame limit. */
 #define CONFIG_FRAME_BYTES (256 * 1024)
@@ -207,12 +210,46 @@
 	return n;
 }
 
+static void note_set(struct control *c)
+{
+	const struct store_item *set = store_find(&c->store, SET_NAME);
+
+	if (set)
+		recent_note(&c->recent, c->store.revision, set->json);
+}
+
+/* Sends the difference of the set, where that is all that is new. Returns false otherwise. */
+static bool push_delta(struct control *c, struct node_link *n, const GPtrArray *items)
+{
+	const struct store_item *set = items->len == 1 ? g_ptr_array_index(items, 0) : NULL;
+	const GArray *ops;
+	FRAME_AUTO(f, CTL_SET_DELTA);
+
+	if (!set || strcmp(set->name, SET_NAME) || !set->json)
+		return false;
+	ops = recent_difference(&c->recent, n->sent_revision, c->store.revision);
+	if (!ops)
+		return false;
+	frame_put_u64(&f, c->store.revision);
+	frame_put_u64(&f, n->sent_revision);
+	frame_put_u64(&f, set->version);
+	frame_put_u64(&f, XXH64(set->json, strlen(set->json), 0));
+	delta_put(&f, ops);
+	/* The revision stays as it is, so that nothing is missed. */
+	if (!link_send(n->link, &f))
+		n->sent_revision = c->store.revision;
+	return true;
+}
+
 static void push_config(struct control *c, struct node_link *n)
 {
 	bool is_snapshot;
 	g_autoptr(GPtrArray) items = store_since(&c->store, n->sent_revision, &is_snapshot);
 	guint from = 0;
 
+	note_set(c);
+	if (!is_snapshot && push_delta(c, n, items))
+		return;
 	do {
 		guint count = fitting(items, from);
 		FRAME_AUTO(f, CTL_CONFIG);
--- a/node/config.c
+++ b/node/config.c
@@ -70,6 +70,7 @@
 	g_hash_table_unref(s->routes);
 	g_hash_table_unref(s->services);
 	set_free(s->set);
+	g_free(s->text);
 	g_free(s);
 }
 
@@ -99,12 +100,13 @@
 }
 
 /* Takes SET. */
-static struct config_set *set_new(struct set *set)
+static struct config_set *set_new(struct set *set, const char *text)
 {
 	struct config_set *s = g_new0(struct config_set, 1);
 
 	s->refs = 1;
 	s->set = set;
+	s->text = g_strdup(text);
 	s->routes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, route_free);
 	s->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, service_unref);
 	for (guint i = 0; i < set->services->len; i++)
@@ -179,7 +181,7 @@
 		return;
 	}
 	set_unref(c->set);
-	c->set = set ? set_new(set) : NULL;
+	c->set = set ? set_new(set, change->json) : NULL;
 	log_set(c);
 }
 
@@ -244,6 +246,11 @@
 		config_free(old);
 }
 
+const char *config_set_text(void)
+{
+	return current && current->set ? current->set->text : NULL;
+}
+
 int config_apply(u64 revision, bool is_snapshot, GPtrArray *changes)
 {
 	struct config *next;
--- a/node/config.h
+++ b/node/config.h
@@ -32,6 +32,7 @@
 struct config_set {
 	gint refs;
 	struct set *set;
+	char *text; /* as it was declared */
 	GHashTable *routes; /* "host\nprefix" -> struct config_route */
 	GHashTable *services; /* name -> struct config_service */
 };
@@ -50,6 +51,9 @@
 	char *json;
 };
 
+/* config_set_text - the set in force as it was declared, or NULL. Loop's thread only. */
+const char *config_set_text(void);
+
 /*
  * config_apply - publish REVISION: CHANGES on top of the current snapshot, or
  * instead of it when IS_SNAPSHOT. Loop's thread only. Returns 0, or
--- a/node/watch.c
+++ b/node/watch.c
@@ -9,8 +9,10 @@
  */
 #include "node/node.h"
 
+#include "lib/delta.h"
 #include "lib/err.h"
 #include "lib/log.h"
+#include "lib/set.h"
 #include "node/config.h"
 #include "wire/ctl.h"
 #include "wire/endpoint.h"
@@ -144,6 +146,56 @@
 	return 0;
 }
 
+static void ask_for_config(struct watch *w, u64 have)
+{
+	FRAME_AUTO(f, CTL_WATCH);
+
+	frame_put_u64(&f, have);
+	link_send(w->main.link, &f);
+}
+
+static struct config_change *set_change(u64 version, char *text)
+{
+	struct config_change *change = g_new0(struct config_change, 1);
+
+	change->name = g_strdup(SET_NAME);
+	change->version = version;
+	change->json = text;
+	return change;
+}
+
+/* The set as a difference to the one in force; where it does not fit, the whole is asked for. */
+static int take_set_delta(struct watch *w, struct frame_in *in)
+{
+	u64 revision = frame_get_u64(in);
+	u64 base = frame_get_u64(in);
+	u64 version = frame_get_u64(in);
+	u64 checksum = frame_get_u64(in);
+	g_autoptr(GArray) ops = delta_get(in);
+	const char *old_text = config_set_text();
+	char *text;
+
+	if (frame_done(in))
+		return ERR_INVAL;
+	if (revision <= config_revision())
+		return 0;
+	text = old_text && base == config_revision() ? delta_apply(old_text, ops) : NULL;
+	if (!text || XXH64(text, strlen(text), 0) != checksum) {
+		log_event(LOG_WARN, "the difference of sets does not fit, asking for the whole",
+			  "revision", log_u64(revision), "base", log_u64(base), "have",
+			  log_u64(config_revision()), NULL);
+		g_free(text);
+		ask_for_config(w, 0);
+		return 0;
+	}
+	g_ptr_array_add(w->changes, set_change(version, text));
+	config_apply(revision, false, w->changes);
+	g_ptr_array_set_size(w->changes, 0);
+	caller_configure(w->node);
+	send_renew(w);
+	return 0;
+}
+
 static int take_directory(struct watch *w, struct frame_in *in)
 {
 	u32 n;
@@ -210,7 +262,6 @@
 static void promote(struct watch *w, u64 now_us)
 {
 	struct link *k = w->trial.link;
-	FRAME_AUTO(f, CTL_WATCH);
 
 	if (w->was_linked)
 		ctr_inc(CTR_CONTROL_MOVED);
@@ -224,8 +275,7 @@
 	/* A new version, so that this control process takes the entry over. */
 	w->node->own.version++;
 	watch_register(w->node);
-	frame_put_u64(&f, config_revision());
-	link_send(k, &f);
+	ask_for_config(w, config_revision());
 	log_event(LOG_INFO, "control link up", "control", k->remote.name, "fresh",
 		  w->main.fresh_us ? "yes" : "no", NULL);
 }
@@ -335,6 +385,8 @@
 	switch (type) {
 	case CTL_CONFIG:
 		return take_config(s->w, in);
+	case CTL_SET_DELTA:
+		return take_set_delta(s->w, in);
 	case CTL_DIR:
 		return take_directory(s->w, in);
 	case CTL_FRESH:
--- /dev/null
+++ b/test/delta_test.c
@@ -0,0 +1,107 @@
+/* Differences between sets of declarations: small for small changes, exact, and safe to read. */
+#include "lib/delta.h"
+#include "lib/rng.h"
+
+#include <string.h>
+
+#define ROUTES 2000
+
+/* A set of ROUTES routes as operators send it; route CHANGED has another time-out. */
+static char *make_set(u32 version, u32 routes, u32 changed)
+{
+	GString *out = g_string_new(NULL);
+
+	g_string_printf(out, "{\"version\":%u,\"routes\":[", version);
+	for (u32 i = 0; i < routes; i++)
+		g_string_append_printf(out,
+				       "%s{\"name\":\"r%u\",\"host\":\"h.example\",\"prefix\":"
+				       "\"/p%u/\",\"timeout_ms\":%u}",
+				       i ? "," : "", i, i, i == changed ? 500 : 1000);
+	g_string_append(out, "],\"services\":[{\"name\":\"a\"}]}");
+	return g_string_free(out, FALSE);
+}
+
+static void assert_round(const char *from, const char *to, size_t most_bytes)
+{
+	g_autoptr(GArray) ops = delta_make(from, to);
+	g_autoptr(GArray) got = NULL;
+	g_autofree char *text = NULL;
+	struct frame_in in;
+	size_t len;
+	FRAME_AUTO(f, 1);
+
+	delta_put(&f, ops);
+	len = frame_end(&f);
+	g_assert_cmpuint(len, <=, most_bytes);
+	frame_read(&in, f.buf.data + FRAME_HEADER_BYTES, len - FRAME_HEADER_BYTES);
+	g_assert_cmpuint(frame_get_u64(&in), ==, 1);
+	got = delta_get(&in);
+	g_assert_cmpint(frame_done(&in), ==, 0);
+	text = delta_apply(from, got);
+	g_assert_cmpstr(text, ==, to);
+}
+
+/* The pattern: one route in thousands changes, again and again, on narrow links. */
+static void test_small_change(void)
+{
+	g_autofree char *from = make_set(7, ROUTES, ROUTES);
+	g_autofree char *to = make_set(9, ROUTES, ROUTES / 2);
+	g_autofree char *longer = make_set(12, ROUTES + 1, ROUTES);
+
+	assert_round(from, to, 512);
+	assert_round(from, longer, 512);
+	assert_round(longer, from, 512);
+}
+
+static void test_any_texts(void)
+{
+	static const char *const texts[] = {
+		"", "}", "no brace", "{}{}{}", "{a}{b}{a}", "{b}{a}x"
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++)
+		for (size_t k = 0; k < G_N_ELEMENTS(texts); k++)
+			assert_round(texts[i], texts[k], 256);
+}
+
+static void test_random_texts(void)
+{
+	struct rng rng = { .state = 5 };
+
+	for (u32 round = 0; round < 2000; round++) {
+		char texts[2][64];
+
+		for (u32 t = 0; t < 2; t++) {
+			u32 len = rng_below(&rng, sizeof(texts[t]) - 1);
+
+			for (u32 i = 0; i < len; i++)
+				texts[t][i] = "ab}"[rng_below(&rng, 3)];
+			texts[t][len] = 0;
+		}
+		assert_round(texts[0], texts[1], 2048);
+	}
+}
+
+static void test_unsound(void)
+{
+	struct delta_op op = { .from = 2, .len = 3 };
+	g_autoptr(GArray) ops = g_array_new(FALSE, FALSE, sizeof(op));
+
+	g_array_append_val(ops, op);
+	g_assert_null(delta_apply("four", ops));
+	g_array_index(ops, struct delta_op, 0).from = UINT64_MAX;
+	g_assert_null(delta_apply("four", ops));
+	g_array_index(ops, struct delta_op, 0).from = 1;
+	g_array_index(ops, struct delta_op, 0).len = UINT64_MAX;
+	g_assert_null(delta_apply("four", ops));
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/delta/small-change", test_small_change);
+	g_test_add_func("/delta/any-texts", test_any_texts);
+	g_test_add_func("/delta/random-texts", test_random_texts);
+	g_test_add_func("/delta/unsound", test_unsound);
+	return g_test_run();
+}
--- a/test/watch_test.c
+++ b/test/watch_test.c
@@ -1,11 +1,16 @@
 /* A node's link to control: which process it follows, against processes that the test plays. */
+#include "lib/delta.h"
+#include "lib/set.h"
+#include "node/config.h"
 #include "test/fakes/fake_node.h"
 #include "test/fakes/raw_server.h"
 #include "wire/ctl.h"
 
 #include <glib.h>
 #include <stdio.h>
+#include <string.h>
 #include <unistd.h>
+#include <xxhash.h>
 
 #define FRESH_INTERVAL_US (50 * US_PER_MS)
 #define WAIT_MS 20000
@@ -128,12 +133,111 @@
 	g_assert_cmpuint(to->watched_us - began_us, <, MOVE_MAX_US);
 }
 
+#define SET(version, name)                                                                         \
+	"{\"version\":" version ",\"routes\":[{\"name\":\"" name                                   \
+	"\",\"host\":\"h.example\",\"prefix\":\"/\",\"repeat\":\"always\",\"timeout_ms\":1000,"    \
+	"\"target_ms\":250,\"attempts\":2,\"service\":\"a\"}],\"services\":[{\"name\":\"a\"}],"    \
+	"\"limits\":{}}"
+
+/* What the control process sends next, on its loop's thread. */
+struct to_send {
+	u64 revision;
+	u64 base;
+	const char *old_set;
+	const char *new_set;
+	const char *claimed; /* the text that the checksum is of */
+};
+
+static void send_set(void *arg)
+{
+	const struct to_send *s = arg;
+	FRAME_AUTO(f, CTL_CONFIG);
+
+	frame_put_u64(&f, s->revision);
+	frame_put_bool(&f, true);
+	frame_put_bool(&f, true);
+	frame_put_u64(&f, 1);
+	frame_put_str(&f, SET_NAME);
+	frame_put_u64(&f, s->revision);
+	frame_put_u64(&f, s->revision);
+	frame_put_bool(&f, true);
+	frame_put_str(&f, s->new_set);
+	link_send(controls[0].link, &f);
+}
+
+static void send_delta(void *arg)
+{
+	const struct to_send *s = arg;
+	g_autoptr(GArray) ops = delta_make(s->old_set, s->new_set);
+	FRAME_AUTO(f, CTL_SET_DELTA);
+
+	frame_put_u64(&f, s->revision);
+	frame_put_u64(&f, s->base);
+	frame_put_u64(&f, s->revision);
+	frame_put_u64(&f, XXH64(s->claimed, strlen(s->claimed), 0));
+	delta_put(&f, ops);
+	link_send(controls[0].link, &f);
+}
+
+static void wait_revision(u64 revision)
+{
+	for (u32 i = 0; i < WAIT_MS && config_revision() != revision; i++)
+		g_usleep(US_PER_MS);
+	g_assert_cmpuint(config_revision(), ==, revision);
+}
+
+/* A difference comes into force; one that does not fit changes nothing, and the whole is asked for.
+ */
+static void test_set_delta(void)
+{
+	struct fake_node node;
+	struct to_send first = { .revision = 5, .new_set = SET("1", "one") };
+	struct to_send next = { .revision = 6,
+				.base = 5,
+				.old_set = SET("1", "one"),
+				.new_set = SET("2", "two"),
+				.claimed = SET("2", "two") };
+	struct endpoint at = { .host = "127.0.0.1" };
+
+	start_control(&controls[0]);
+	fake_node_prepare(&node);
+	g_array_set_size(node.settings.node.control, 0);
+	at.port = controls[0].port;
+	g_array_append_val(node.settings.node.control, at);
+	fake_node_run(&node);
+	wait_watches(&controls[0], 1);
+	loop_call(controls[0].loop, send_set, &first);
+	wait_revision(5);
+	loop_call(controls[0].loop, send_delta, &next);
+	wait_revision(6);
+	/* Built on another revision than the node has, then damaged. */
+	next.revision = 8;
+	next.base = 7;
+	loop_call(controls[0].loop, send_delta, &next);
+	wait_watches(&controls[0], 2);
+	next.base = 6;
+	next.old_set = SET("2", "two");
+	next.new_set = SET("3", "three");
+	next.claimed = "another text";
+	loop_call(controls[0].loop, send_delta, &next);
+	wait_watches(&controls[0], 3);
+	g_assert_cmpuint(config_revision(), ==, 6);
+	/* An older one that comes late is passed over. */
+	next.revision = 4;
+	loop_call(controls[0].loop, send_delta, &next);
+	first.revision = 9;
+	loop_call(controls[0].loop, send_set, &first);
+	wait_revision(9);
+	g_assert_cmpint(g_atomic_int_get(&controls[0].watches), ==, 3);
+}
+
 int main(int argc, char **argv)
 {
 	int ret;
 
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/watch/moves-to-one-seen-before", test_moves_to_one_seen_before);
+	g_test_add_func("/watch/set-delta", test_set_delta);
 	ret = g_test_run();
 	fflush(stdout);
 	_exit(ret); /* the node still runs */
--- a/wire/ctl.h
+++ b/wire/ctl.h
@@ -3,7 +3,7 @@
  *
  * node to control:    CTL_REGISTER entry; CTL_RENEW applied revision;
  *                     CTL_WATCH configuration revision
- * control to node:    CTL_CONFIG, CTL_DIR, CTL_FRESH, CTL_MEMBERS
+ * control to node:    CTL_CONFIG, CTL_SET_DELTA, CTL_DIR, CTL_FRESH, CTL_MEMBERS
  * control to control: CTL_RAFT, CTL_COPY, CTL_BEAT, CTL_FORWARD, CTL_FORWARDED, CTL_JOIN,
  *                     CTL_MEMBERS
  */
@@ -32,6 +32,7 @@
 	CTL_WATCH, /* revision the node has */
 	CTL_CONFIG, /* revision, is_snapshot, is_last, count, {name, version, revision, is_live,
 		       json} */
+	CTL_SET_DELTA, /* revision, revision it builds on, version, checksum of the text, delta */
 	CTL_DIR, /* is_snapshot, is_last, count, {entry} */
 	CTL_FRESH, /* is_fresh, revision */
 	CTL_RAFT, /* a raft message */
