A rank leaves free the slots that worthier ones used of lately

A rank now starts only where the slots remain that all worthier ranks used of lately, and one more, less those that they hold; at most half of the slots, and not while its own use is near its floor and credit is left.

Tests: admit_test /admit/short-among-long (failed before: all 12 slots taken).

--- a/node/admit.c
+++ b/node/admit.c
@@ -18,6 +18,12 @@
 #define LONG_DEVIATIONS 2
 /* A call may wait at least this part of its target, however long calls take. */
 #define WAIT_PART 8
+/* No rank keeps more than this part of the slots free for worthier ones. */
+#define KEPT_FREE_PERCENT 50
+/* The smoothed use may lie so much over the true one, and the floor is to hold. */
+#define OWED_MARGIN_PERCENT 10
+/* A rank that used less of the slot time lately wants no slot kept. */
+#define USED_LEAST_PPM 5000
 #define WAIT_MAX_US (60 * US_PER_S)
 #define WHOLE_PPM 1000000
 #define PPM_PER_PERCENT 10000
@@ -212,13 +218,54 @@
 	return floor ? work * 100 / floor : UINT64_MAX;
 }
 
+/*
+ * Slots that the ranks of at least WORTH are short of: what they used of lately, and one more,
+ * less those in which their calls run now.
+ */
+static u32 missing_slots(const struct admit *a, u32 worth)
+{
+	i64 used_ppm = 0;
+	u32 running = 0;
+	u32 wanted;
+
+	for (u32 i = 0; i < a->nranks; i++) {
+		if (a->ranks[i].worth < worth)
+			continue;
+		used_ppm += a->queues[i].used_ppm;
+		running += a->queues[i].running;
+	}
+	if (used_ppm < USED_LEAST_PPM)
+		return 0;
+	wanted = (u32)(used_ppm * a->limit / WHOLE_PPM) + 1;
+	return wanted > running ? wanted - running : 0;
+}
+
+/*
+ * Slots that RANK leaves free for worthier ones: a long call of its own would hold them while
+ * urgent short ones wait.
+ */
+static u32 kept_free(const struct admit *a, u32 rank)
+{
+	u32 kept = 0;
+
+	for (u32 i = 0; i < a->nranks; i++)
+		if (a->ranks[i].worth > a->ranks[rank].worth)
+			kept = MAX(kept, missing_slots(a, a->ranks[i].worth));
+	return MIN(kept, a->limit * KEPT_FREE_PERCENT / 100);
+}
+
+static bool has_slot(const struct admit *a, u32 rank)
+{
+	return a->running + kept_free(a, rank) < a->limit;
+}
+
 u64 admit_wait_us(const struct admit *a, u32 rank)
 {
 	u64 ahead = work_ahead_us(a, rank);
 	i64 share = share_ppm(a, rank);
 	u64 wait = UINT64_MAX;
 
-	if (a->running < a->limit && !ahead)
+	if (has_slot(a, rank) && !ahead)
 		return 0;
 	if (!a->limit)
 		return UINT64_MAX;
@@ -368,6 +415,17 @@
 	return a->ranks[rank].floor_percent && a->queues[rank].credit_us > -ahead_us(a, rank);
 }
 
+/* Its floor was not kept lately, so slots are not kept free from it. */
+static bool is_owed(const struct admit *a, u32 rank)
+{
+	const struct admit_queue *q = &a->queues[rank];
+	i64 floor = a->ranks[rank].floor_percent;
+
+	if (!floor || q->credit_us <= 0)
+		return false;
+	return q->used_ppm < (floor + OWED_MARGIN_PERCENT) * PPM_PER_PERCENT;
+}
+
 /* The worthiest rank that waits, or of those below their floor when ONLY_BELOW_FLOOR; or -1. */
 static int worthiest(const struct admit *a, bool only_below_floor)
 {
@@ -378,6 +436,8 @@
 			continue;
 		if (only_below_floor && !is_below_floor(a, i))
 			continue;
+		if (!has_slot(a, i) && !is_owed(a, i))
+			continue;
 		if (best < 0 || goes_before(a, i, (u32)best))
 			best = (int)i;
 	}
