--- a/lib/delta.c
+++ b/lib/delta.c
@@ -109,13 +109,14 @@
 	for (guint i = 0; i < ops->len; i++) {
 		const struct delta_op *op = &g_array_index(ops, struct delta_op, i);
 
-		if (!op->len) {
-			g_string_append_len(out, op->text, (gssize)op->text_len);
-			continue;
-		}
-		if (op->from > old_len || op->len > old_len - op->from)
+		if (op->len && (op->from > old_len || op->len > old_len - op->from))
+			return NULL;
+		if (out->len + op->len + op->text_len > DELTA_TEXT_MAX_BYTES)
 			return NULL;
-		g_string_append_len(out, old_text + op->from, (gssize)op->len);
+		if (op->len)
+			g_string_append_len(out, old_text + op->from, (gssize)op->len);
+		else
+			g_string_append_len(out, op->text, (gssize)op->text_len);
 	}
 	return g_strdup(out->str);
 }
--- a/lib/delta.h
+++ b/lib/delta.h
@@ -16,6 +16,8 @@
 #include <glib.h>
 
 #define DELTA_OPS_MAX (64 * 1024)
+/* A longer text is not made: the runs of a frame may name the old text again and again. */
+#define DELTA_TEXT_MAX_BYTES FRAME_MAX_BYTES
 
 /* One run of the new text. */
 struct delta_op {
--- a/node/admit.c
+++ b/node/admit.c
@@ -265,7 +265,7 @@
 	i64 share = share_ppm(a, rank);
 	u64 wait = UINT64_MAX;
 
-	if (has_slot(a, rank) && !ahead)
+	if (a->running < a->limit && !ahead)
 		return 0;
 	if (!a->limit)
 		return UINT64_MAX;
@@ -461,7 +461,8 @@
 	q->credit_us -= (i64)r->charged_us;
 	q->running++;
 	a->running++;
-	r->running_at_start = a->running;
+	/* With what is kept free the limit is used up, and may be found too low. */
+	r->running_at_start = MIN(a->running + kept_free(a, r->rank), a->limit);
 	r->work_at_start_us = a->work_us;
 	r->busy_at_start_us = a->busy_us;
 }
--- a/node/admit.h
+++ b/node/admit.h
@@ -6,7 +6,8 @@
  *
  * A free slot goes to the worthiest rank that waits, but first to a rank below
  * its floor: each rank earns floor_percent of the slot time as credit while it
- * waits, and pays for the slot time of its calls.
+ * waits, and pays for the slot time of its calls. A rank leaves free the slots that worthier
+ * ranks used of lately, so that their short calls do not wait for its long ones.
  *
  * UNITS microseconds
  * SOURCE node/admit.c, node/limit.c, node/knee.c
--- a/node/choose.h
+++ b/node/choose.h
@@ -9,6 +9,8 @@
  * zone and elsewhere, and takes the one with the lowest score: the time a call
  * is expected to take.
  *
+ * Further tries of a call that was refused are made only where it may be served in time.
+ *
  * UNITS microseconds
  * SOURCE node/choose.c (directory, choice), node/score.c (one upstream)
  */
--- a/test/cmd_test.sh
+++ b/test/cmd_test.sh
@@ -69,8 +69,8 @@
 example lavenderlead-settings.5 >"$dir/man.ini"
 example lavenderlead-resources.5 >"$dir/man.json"
 run 0 "" $L check -c "$dir/man.ini" -f "$dir/man.json"
-sed -n 's/^\t{ "[a-z]*", "\([a-z_]*\)", .*/\1/p' lib/settings.c >"$dir/keys"
-[ "$(wc -l <"$dir/keys")" -ge 23 ] || fail "keys found: $(wc -l <"$dir/keys")"
+sed -n 's/^\t[A-Z]*("[a-z]*", "\([a-z_]*\)",.*/\1/p' lib/settings_keys.c >"$dir/keys"
+[ "$(wc -l <"$dir/keys")" -ge 40 ] || fail "keys found: $(wc -l <"$dir/keys")"
 while read -r key; do
 	grep -qE "^\.BR? .*\b$key\b" man/lavenderlead-settings.5 || fail "no $key in the manual"
 done <"$dir/keys"
--- a/test/delta_test.c
+++ b/test/delta_test.c
@@ -85,6 +85,7 @@
 static void test_unsound(void)
 {
 	struct delta_op op = { .from = 2, .len = 3 };
+	g_autofree char *long_text = NULL;
 	g_autoptr(GArray) ops = g_array_new(FALSE, FALSE, sizeof(op));
 
 	g_array_append_val(ops, op);
@@ -94,6 +95,13 @@
 	g_array_index(ops, struct delta_op, 0).from = 1;
 	g_array_index(ops, struct delta_op, 0).len = UINT64_MAX;
 	g_assert_null(delta_apply("four", ops));
+	/* Runs that name the same long text thousands of times. */
+	g_array_set_size(ops, 0);
+	op = (struct delta_op){ .from = 0, .len = 64 * 1024 };
+	for (u32 i = 0; i < DELTA_OPS_MAX; i++)
+		g_array_append_val(ops, op);
+	long_text = g_strnfill(64 * 1024, 'x');
+	g_assert_null(delta_apply(long_text, ops));
 }
 
 int main(int argc, char **argv)
