--- a/test/admit_test.c
+++ b/test/admit_test.c
@@ -416,13 +416,15 @@
 	u32 running = 0;
 
 	setup(&a, breizh, 2);
-	g_assert_true(runs_at_once(&a, &urgent, TOP, now));
+	runs_at_once(&a, &urgent, TOP, now);
+	g_assert_cmpint(urgent.state, ==, ADMIT_RUNNING);
 	now += 200 * US_PER_MS;
 	admit_done(&a, &urgent, true, now);
 	for (u32 i = 0; i < SLOTS; i++)
 		running += runs_at_once(&a, &low[i], LOW, now);
 	g_assert_cmpuint(running, <, SLOTS);
-	g_assert_true(runs_at_once(&a, &next, TOP, now));
+	runs_at_once(&a, &next, TOP, now);
+	g_assert_cmpint(next.state, ==, ADMIT_RUNNING);
 	now += 20 * US_PER_MS;
 	admit_done(&a, &next, true, now);
 	/* No more look-ups: a second later nothing is kept free. */
--- a/test/delta_test.c
+++ b/test/delta_test.c
@@ -12,11 +12,14 @@
 	GString *out = g_string_new(NULL);
 
 	g_string_printf(out, "{\"version\":%u,\"routes\":[", version);
-	for (u32 i = 0; i < routes; i++)
+	for (u32 i = 0; i < routes; i++) {
+		u32 timeout_ms = i == changed ? 500 : 1000;
+
 		g_string_append_printf(out,
 				       "%s{\"name\":\"r%u\",\"host\":\"h.example\",\"prefix\":"
 				       "\"/p%u/\",\"timeout_ms\":%u}",
-				       i ? "," : "", i, i, i == changed ? 500 : 1000);
+				       i ? "," : "", i, i, timeout_ms);
+	}
 	g_string_append(out, "],\"services\":[{\"name\":\"a\"}]}");
 	return g_string_free(out, FALSE);
 }
