One end for both ways a set comes, one sender of loads, one checksum a set

Read-through of the change, behaviour unchanged: - node/watch.c: whole sets and differences come into force by one function. - control/recent.c keeps the checksum of a set with it; it was made anew for each node, over hundreds of kilobytes. - node/mesh.c: one sender of a load frame for probes, pushes and new links; the home only wakes its gauge. - control/raft_replicate.c: one answer to whether a member keeps up, for new entries and the commit index. - control/raft_elect.c: a round of pre-votes sets its time once, not twice.

--- a/control/nodes.c
+++ b/control/nodes.c
@@ -11,7 +11,6 @@
 #include "wire/ctl.h"
 
 #include <string.h>
-#include <xxhash.h>
 
 /* Items of one CTL_CONFIG frame stay under the frame limit. */
 #define CONFIG_FRAME_BYTES (256 * 1024)
@@ -223,17 +222,18 @@
 {
 	const struct store_item *set = items->len == 1 ? g_ptr_array_index(items, 0) : NULL;
 	const GArray *ops;
+	u64 checksum;
 	FRAME_AUTO(f, CTL_SET_DELTA);
 
 	if (!set || strcmp(set->name, SET_NAME) || !set->json)
 		return false;
-	ops = recent_difference(&c->recent, n->sent_revision, c->store.revision);
+	ops = recent_difference(&c->recent, n->sent_revision, c->store.revision, &checksum);
 	if (!ops)
 		return false;
 	frame_put_u64(&f, c->store.revision);
 	frame_put_u64(&f, n->sent_revision);
 	frame_put_u64(&f, set->version);
-	frame_put_u64(&f, XXH64(set->json, strlen(set->json), 0));
+	frame_put_u64(&f, checksum);
 	delta_put(&f, ops);
 	/* The revision stays as it is, so that nothing is missed. */
 	if (!link_send(n->link, &f))
--- a/control/raft_elect.c
+++ b/control/raft_elect.c
@@ -61,19 +61,19 @@
 	raft_propose(r, RAFT_NOOP, NULL, now_us, &index);
 }
 
-static void start_campaign(struct raft *r, enum raft_role role, u64 now_us)
+static void start_campaign(struct raft *r, enum raft_role role)
 {
 	r->role = role;
 	r->leader = 0;
 	r->nvotes = 1;
 	r->votes[0] = r->id;
-	raft_reset_election(r, now_us);
 }
 
 static void become_candidate(struct raft *r, bool is_transfer, u64 now_us)
 {
 	ctr_inc(CTR_ELECTION);
-	start_campaign(r, RAFT_CANDIDATE, now_us);
+	start_campaign(r, RAFT_CANDIDATE);
+	raft_reset_election(r, now_us);
 	r->term++;
 	r->vote = r->id;
 	save_state(r);
@@ -85,7 +85,7 @@
 
 void raft_become_precandidate(struct raft *r, u64 now_us)
 {
-	start_campaign(r, RAFT_PRECANDIDATE, now_us);
+	start_campaign(r, RAFT_PRECANDIDATE);
 	raft_reset_prevote(r, now_us);
 	if (r->nvotes >= raft_quorum(r))
 		become_candidate(r, false, now_us);
--- a/control/raft_replicate.c
+++ b/control/raft_replicate.c
@@ -121,6 +121,13 @@
 	return p->next > p->match + RAFT_INFLIGHT_ENTRIES;
 }
 
+/* Entries that it gets next follow those that it was sent before. */
+static bool keeps_up(const struct raft *r, u32 pos)
+{
+	return r->members.m[pos].id != r->id && !r->progress[pos].is_probing &&
+	       !needs_snapshot(r, pos);
+}
+
 /*
  * Members that lack no entry would hear of it with the next heartbeat only, and what they
  * answer or serve waits for it.
@@ -130,9 +137,7 @@
 	for (u32 i = 0; i < r->members.n; i++) {
 		const struct raft_progress *p = &r->progress[i];
 
-		if (r->members.m[i].id == r->id || p->is_probing || needs_snapshot(r, i))
-			continue;
-		if (p->next > raft_last_index(r))
+		if (keeps_up(r, i) && p->next > raft_last_index(r))
 			send_after(r, i, p->next - 1, true);
 	}
 }
@@ -189,11 +194,9 @@
 static void send_new(struct raft *r, u64 now_us)
 {
 	for (u32 i = 0; i < r->members.n; i++) {
-		struct raft_progress *p = &r->progress[i];
+		const struct raft_progress *p = &r->progress[i];
 
-		if (r->members.m[i].id == r->id || p->is_probing || needs_snapshot(r, i))
-			continue;
-		if (p->next <= raft_last_index(r) && !is_window_full(p))
+		if (keeps_up(r, i) && p->next <= raft_last_index(r) && !is_window_full(p))
 			send_lacking(r, i, now_us);
 	}
 }
--- a/control/recent.c
+++ b/control/recent.c
@@ -3,6 +3,7 @@
 #include "lib/delta.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 /* Longer sets are not kept, to bound the memory. */
 #define SET_MAX_BYTES (4 * 1024 * 1024)
@@ -41,10 +42,11 @@
 	g_free(place->json);
 	place->revision = revision;
 	place->json = g_strdup(json);
+	place->checksum = XXH64(json, strlen(json), 0);
 	r->next = (r->next + 1) % RECENT_SETS;
 }
 
-const GArray *recent_difference(struct recent *r, u64 from, u64 to)
+const GArray *recent_difference(struct recent *r, u64 from, u64 to, u64 *checksum)
 {
 	const struct recent_set *old_set = find(r, from);
 	const struct recent_set *new_set = find(r, to);
@@ -57,6 +59,7 @@
 		r->from = from;
 		r->to = to;
 	}
+	*checksum = new_set->checksum;
 	if (r->difference->len > DELTA_OPS_MAX)
 		return NULL;
 	return delta_bytes(r->difference) < strlen(new_set->json) / 2 ? r->difference : NULL;
--- a/control/recent.h
+++ b/control/recent.h
@@ -18,6 +18,7 @@
 struct recent_set {
 	u64 revision; /* of the configuration; 0 for an empty place */
 	char *json;
+	u64 checksum; /* of the text */
 };
 
 struct recent {
@@ -35,8 +36,9 @@
 
 /*
  * recent_difference - from the set at one revision to that at another, or NULL where one is
- * not known any more, or the difference is no shorter than half of the whole.
+ * not known any more, or the difference is no shorter than half of the whole. *CHECKSUM is
+ * that of the text at TO.
  */
-const GArray *recent_difference(struct recent *r, u64 from, u64 to);
+const GArray *recent_difference(struct recent *r, u64 from, u64 to, u64 *checksum);
 
 #endif
--- a/node/home.c
+++ b/node/home.c
@@ -476,16 +476,9 @@
 		send_reply(n, origin, id, reply);
 }
 
-/* Who dials is about to choose, and knows nothing of this upstream yet. */
-void home_link_up(struct node *n, struct link *origin)
+void home_awaits_calls(struct node *n)
 {
-	struct peer_load load;
-	FRAME_AUTO(f, PEER_LOAD);
-
 	gauge_used(n->home->gauge);
-	home_load(n, &load);
-	peer_load_put(&f, &load);
-	link_send(origin, &f);
 }
 
 void home_link_down(struct node *n, struct link *origin)
--- a/node/mesh.c
+++ b/node/mesh.c
@@ -176,18 +176,24 @@
 	return 0;
 }
 
+static void send_load(struct link *k, enum peer_type type, const struct peer_load *load)
+{
+	FRAME_AUTO(f, type);
+
+	peer_load_put(&f, load);
+	link_send(k, &f);
+}
+
 static int answer_probe(struct mesh_peer *m, struct frame_in *in)
 {
 	struct peer_load load;
-	FRAME_AUTO(f, PEER_LOAD);
 
 	if (frame_done(in))
 		return ERR_INVAL;
 	if (!probe_answer(&m->node->probe, loop_clock_us()))
 		return 0;
 	home_load(m->node, &load);
-	peer_load_put(&f, &load);
-	link_send(m->link, &f);
+	send_load(m->link, PEER_LOAD, &load);
 	return 0;
 }
 
@@ -372,9 +378,11 @@
 	}
 }
 
+/* Who dials is about to choose, and knows nothing of the upstream here yet. */
 static void on_accepted_up(struct link *k)
 {
 	struct node *n = k->arg;
+	struct peer_load load;
 	struct mesh_peer *m;
 
 	drop_older(n, k->remote.name);
@@ -382,7 +390,9 @@
 	m->link = k;
 	k->arg = m;
 	g_ptr_array_add(n->mesh->accepted, m);
-	home_link_up(n, k);
+	home_awaits_calls(n);
+	home_load(n, &load);
+	send_load(k, PEER_LOAD, &load);
 }
 
 static void on_accepted_down(struct link *k, int err)
@@ -413,10 +423,8 @@
 	home_load(n, &load);
 	for (guint i = 0; i < n->mesh->accepted->len; i++) {
 		struct mesh_peer *m = g_ptr_array_index(n->mesh->accepted, i);
-		FRAME_AUTO(f, type);
 
-		peer_load_put(&f, &load);
-		link_send(m->link, &f);
+		send_load(m->link, type, &load);
 	}
 }
 
--- a/node/node.h
+++ b/node/node.h
@@ -146,7 +146,7 @@
 void home_left(struct node *n, struct call_id id);
 void home_cancel_all(struct node *n);
 void home_fence(struct node *n, struct link *origin, struct call_id id);
-void home_link_up(struct node *n, struct link *origin); /* an entry node has dialled */
+void home_awaits_calls(struct node *n); /* so that the load is asked for before they come */
 void home_link_down(struct node *n, struct link *origin);
 void home_configure(struct node *n); /* slots, ranks or state changed */
 
--- a/node/watch.c
+++ b/node/watch.c
@@ -126,6 +126,15 @@
 	return change;
 }
 
+/* Brings the changes that were collected into force. */
+static void apply_changes(struct watch *w, u64 revision, bool is_snapshot)
+{
+	config_apply(revision, is_snapshot, w->changes);
+	g_ptr_array_set_size(w->changes, 0);
+	caller_configure(w->node);
+	send_renew(w);
+}
+
 static int take_config(struct watch *w, struct frame_in *in)
 {
 	u64 revision = frame_get_u64(in);
@@ -137,12 +146,8 @@
 		g_ptr_array_add(w->changes, get_change(in));
 	if (frame_done(in))
 		return ERR_INVAL;
-	if (!is_last)
-		return 0;
-	config_apply(revision, is_snapshot, w->changes);
-	g_ptr_array_set_size(w->changes, 0);
-	caller_configure(w->node);
-	send_renew(w);
+	if (is_last)
+		apply_changes(w, revision, is_snapshot);
 	return 0;
 }
 
@@ -189,10 +194,7 @@
 		return 0;
 	}
 	g_ptr_array_add(w->changes, set_change(version, text));
-	config_apply(revision, false, w->changes);
-	g_ptr_array_set_size(w->changes, 0);
-	caller_configure(w->node);
-	send_renew(w);
+	apply_changes(w, revision, false);
 	return 0;
 }
 
