retry_budget_window_s is again at least 1

The table of keys took every number with a fraction from 0 on; the window's bound was 1 before. Each such key names its least value now. Test: settings_test /settings/fractions, failed before.

--- a/lib/settings_keys.c
+++ b/lib/settings_keys.c
@@ -189,9 +189,9 @@
 	{                                                                                          \
 		section, name, kind, AT(field), min, max, 0, NULL                                  \
 	}
-#define DECIMAL(section, name, field, max, scale)                                                  \
+#define DECIMAL(section, name, field, min, max, scale)                                             \
 	{                                                                                          \
-		section, name, KIND_DECIMAL, AT(field), 0, max, scale, NULL                        \
+		section, name, KIND_DECIMAL, AT(field), min, max, scale, NULL                      \
 	}
 #define OWN(section, name, set)                                                                    \
 	{                                                                                          \
@@ -215,15 +215,15 @@
 	PLAIN("node", "service", KIND_TEXT, node.service),
 	PLAIN("node", "dialect", KIND_TEXT, node.dialect),
 	NUMBER("node", "upstream_ttl_ms", KIND_NUMBER, node.upstream_ttl_ms, 1, UINT32_MAX),
-	DECIMAL("node", "retry_budget_ratio", node.retry_budget_percent, 1, 100),
-	DECIMAL("node", "retry_budget_slack", node.retry_budget_slack, UINT32_MAX, 1),
-	DECIMAL("node", "load_asks_per_s", node.load_asks_per_s, PER_S_LIMIT, 1),
-	DECIMAL("node", "retry_budget_window_s", node.retry_budget_window_ms, UINT32_MAX, 1000),
+	DECIMAL("node", "retry_budget_ratio", node.retry_budget_percent, 0, 1, 100),
+	DECIMAL("node", "retry_budget_slack", node.retry_budget_slack, 0, UINT32_MAX, 1),
+	DECIMAL("node", "load_asks_per_s", node.load_asks_per_s, 0, PER_S_LIMIT, 1),
+	DECIMAL("node", "retry_budget_window_s", node.retry_budget_window_ms, 1, UINT32_MAX, 1000),
 	NUMBER("node", "probe_budget_per_s", KIND_NUMBER, node.probe_budget_per_s, 0, PER_S_LIMIT),
 	NUMBER("node", "probe_budget_bytes_per_s", KIND_NUMBER, node.probe_budget_bytes_per_s, 0,
 	       UINT32_MAX),
 	NUMBER("node", "max_body_bytes", KIND_NUMBER, node.max_body_bytes, 1, MAX_BODY_LIMIT_BYTES),
-	DECIMAL("node", "shutdown_grace_s", node.shutdown_grace_ms, GRACE_LIMIT_S, 1000),
+	DECIMAL("node", "shutdown_grace_s", node.shutdown_grace_ms, 0, GRACE_LIMIT_S, 1000),
 	NUMBER("control", "id", KIND_NUMBER32, control.id, 1, UINT32_MAX),
 	PLAIN("control", "address", KIND_ADDRESS, control.address),
 	PLAIN("control", "zone", KIND_NAME, control.zone),
--- a/test/settings_test.c
+++ b/test/settings_test.c
@@ -246,10 +246,12 @@
 			    "retry_budget_window_s=2.5\nload_asks_per_s=60.5\n",
 	       "");
 	expect(CLUSTER NODE "control=127.0.0.1:9081\nshutdown_grace_s=six\n"
-			    "retry_budget_ratio=1.5\nretry_budget_slack=\n",
+			    "retry_budget_ratio=1.5\nretry_budget_slack=\n"
+			    "retry_budget_window_s=0\n",
 	       "10: not a number from 0 to 86400: \"six\"\n"
 	       "11: not a number from 0 to 1: \"1.5\"\n"
-	       "12: not a number from 0 to 4294967295: \"\"\n");
+	       "12: not a number from 0 to 4294967295: \"\"\n"
+	       "13: not a number from 1 to 4294967295: \"0\"\n");
 	load_bytes(&s,
 		   CLUSTER NODE "control=127.0.0.1:9081\nshutdown_grace_s=6.5\n"
 				"retry_budget_ratio=0.25\n",
