--- a/test/entry_test.c
+++ b/test/entry_test.c
@@ -309,7 +309,10 @@
 	stop();
 }
 
-/* A home whose address answers no SYN: the call ends unsent, and says so. */
+/*
+ * A home whose address answers no SYN: the call ends unsent, and says so. Its deadline comes
+ * before any dial is given up, after which the call would be refused sooner.
+ */
 static void test_deadline_unsent(void)
 {
 	struct caller c;
@@ -324,7 +327,7 @@
 	start();
 	fake_node_directory(&node, home.name, home.self.incarnation, DIR_GONE);
 	fake_node_directory(&node, name, 1, DIR_UP);
-	caller_start_call(&c, "POST", "one hoopoe", 300);
+	caller_start_call(&c, "POST", "one hoopoe", LINK_CONNECT_MIN_US / US_PER_MS / 2);
 	caller_end(&c, 504, "not-run", NULL);
 	for (size_t i = 0; i < G_N_ELEMENTS(fillers); i++)
 		close(fillers[i]);
