Idle links ping rarely, and loads are told to the nodes that call

Change: an end asks only where it heard nothing for the interval, the interval doubles to 8 s on an idle link, and a link ends when a PING stays unanswered. A home tells changes of its load to nodes that called within 3 s, and the others at their next call.

--- a/kernel/link.c
+++ b/kernel/link.c
@@ -35,6 +35,10 @@
 	bool has_hello;
 	int failure; /* closes the link at the next tick */
 	u64 heard_us;
+	u64 asked_us; /* the first PING since then; 0 for none */
+	u64 ping_us; /* interval of PINGs now */
+	u64 ponged_us; /* the last PONG */
+	u64 used_us; /* the owner's last frame, sent or received */
 	u64 began_us;
 	u64 connect_us; /* how long to wait for the connection */
 	u64 best_rtt_us;
@@ -101,7 +105,7 @@
 	k->ops->down(k, err);
 }
 
-static void flush(struct link *k);
+static int send_frame(struct link *k, struct frame_out *frame);
 
 static void send_hello(struct link *k)
 {
@@ -115,7 +119,7 @@
 	frame_put_str(&f, self->region);
 	frame_put_u64(&f, self->incarnation);
 	frame_put_u64(&f, self->api_port);
-	link_send(k, &f);
+	send_frame(k, &f);
 }
 
 static int take_hello(struct link *k, struct frame_in *in)
@@ -141,10 +145,13 @@
 
 static void send_ping(struct link *k)
 {
+	u64 now = loop_clock_us();
 	FRAME_AUTO(f, LINK_PING);
 
-	frame_put_u64(&f, loop_clock_us());
-	link_send(k, &f);
+	frame_put_u64(&f, now);
+	if (!k->priv->asked_us)
+		k->priv->asked_us = now;
+	send_frame(k, &f);
 }
 
 static int answer_ping(struct link *k, struct frame_in *in)
@@ -154,7 +161,7 @@
 
 	frame_put_u64(&f, sent);
 	frame_put_u64(&f, loop_clock_us());
-	link_send(k, &f);
+	send_frame(k, &f);
 	return frame_done(in);
 }
 
@@ -183,6 +190,7 @@
 	if (frame_done(in) || sent > now)
 		return ERR_INVAL;
 	rtt = now - sent;
+	p->ponged_us = now;
 	k->rtt_us = k->rtt_us ? (k->rtt_us * 7 + rtt) / 8 : rtt;
 	if (now - p->best_rtt_at_us > LINK_OFFSET_AGE_US)
 		p->best_rtt_us = 0;
@@ -207,6 +215,18 @@
 	return local_us > 0 ? (u64)local_us : 0;
 }
 
+/* PINGs are frequent again on a link that was idle. */
+static void note_use(struct link *k)
+{
+	struct link_private *p = k->priv;
+
+	p->used_us = loop_clock_us();
+	if (p->ping_us == LINK_PING_INTERVAL_US)
+		return;
+	p->ping_us = LINK_PING_INTERVAL_US;
+	loop_timer_set(p->loop, &p->tick, p->used_us + p->ping_us);
+}
+
 static int dispatch(struct link *k, const void *payload, size_t len)
 {
 	struct frame_in in;
@@ -226,6 +246,7 @@
 		return take_pong(k, &in);
 	if (!k->is_up)
 		return ERR_INVAL;
+	note_use(k);
 	return k->ops->frame(k, type, &in);
 }
 
@@ -267,6 +288,7 @@
 	if (n < 0)
 		return errno == EAGAIN || errno == EINTR ? 0 : ERR_CLOSED;
 	p->heard_us = loop_clock_us();
+	p->asked_us = 0;
 	return take_frames(k);
 }
 
@@ -313,7 +335,7 @@
 	return k->priv->out->len - k->priv->out_off;
 }
 
-int link_send(struct link *k, struct frame_out *frame)
+static int send_frame(struct link *k, struct frame_out *frame)
 {
 	struct link_private *p = k->priv;
 	size_t len = frame_end(frame);
@@ -337,6 +359,13 @@
 	return 0;
 }
 
+int link_send(struct link *k, struct frame_out *frame)
+{
+	if (!k->priv->is_dead)
+		note_use(k);
+	return send_frame(k, frame);
+}
+
 static void greet(struct link *k)
 {
 	send_hello(k);
@@ -375,6 +404,12 @@
 		flush(k);
 }
 
+static bool is_unanswered(const struct link_private *p, u64 now_us)
+{
+	return p->asked_us && now_us > p->asked_us + LINK_ANSWER_US &&
+	       now_us > p->heard_us + LINK_SILENT_US;
+}
+
 /* 0, or why the link ends at this time. */
 static int check_time(const struct link *k, u64 now_us)
 {
@@ -386,16 +421,30 @@
 		return ERR_TIMEOUT;
 	if (!k->is_up && now_us - p->began_us > LINK_SILENT_US)
 		return ERR_TIMEOUT;
-	return now_us - p->heard_us > LINK_SILENT_US ? ERR_TIMEOUT : 0;
+	return is_unanswered(p, now_us) ? ERR_TIMEOUT : 0;
 }
 
 static u64 next_tick_us(const struct link_private *p, u64 now_us)
 {
-	u64 next_us = now_us + LINK_PING_INTERVAL_US;
+	/* What was asked is looked for soon. */
+	u64 next_us = now_us + (p->asked_us ? LINK_PING_INTERVAL_US : p->ping_us);
 
 	return p->is_connecting ? MIN(next_us, p->began_us + p->connect_us) : next_us;
 }
 
+/* What was heard since the last PING was due stands for a PONG, but for the clock offset. */
+static bool is_ping_due(const struct link_private *p, u64 now_us)
+{
+	return !p->asked_us &&
+	       (now_us >= p->heard_us + p->ping_us || now_us >= p->ponged_us + LINK_PING_MAX_US);
+}
+
+static void follow_use(struct link_private *p, u64 now_us)
+{
+	if (now_us >= p->used_us + p->ping_us)
+		p->ping_us = MIN(p->ping_us * 2, LINK_PING_MAX_US);
+}
+
 static void on_tick(void *arg, u64 now_us)
 {
 	struct link *k = arg;
@@ -403,7 +452,7 @@
 	int err = 0;
 
 	/* Data that waits in the socket was heard, though this process was stopped. */
-	if (now_us - p->heard_us > LINK_SILENT_US && !p->is_connecting)
+	if (is_unanswered(p, now_us) && !p->is_connecting)
 		err = read_some(k);
 	if (p->is_dead)
 		return;
@@ -413,8 +462,9 @@
 		fail(k, err);
 		return;
 	}
-	if (k->is_up)
+	if (k->is_up && is_ping_due(p, now_us))
 		send_ping(k);
+	follow_use(p, now_us);
 	loop_timer_set(p->loop, &p->tick, next_tick_us(p, now_us));
 }
 
@@ -451,6 +501,8 @@
 	p->in = g_byte_array_new();
 	p->out = g_byte_array_new();
 	p->heard_us = now;
+	p->used_us = now;
+	p->ping_us = LINK_PING_INTERVAL_US;
 	p->began_us = now;
 	p->fd = (struct loop_fd){ .ready = on_ready, .arg = k, .fd = fd };
 	p->tick = (struct loop_timer){ .fire = on_tick, .arg = k };
--- a/kernel/link.h
+++ b/kernel/link.h
@@ -1,10 +1,12 @@
 /*
  * link - a framed TCP connection between two processes of the system
  *
- * Both ends send HELLO first, then PING at a fixed interval. A link on which
- * nothing was heard for LINK_SILENT_US is closed, so a silent cut is noticed.
- * PONGs give the offset of the remote clock, which makes deadlines
- * comparable on both ends.
+ * Both ends send HELLO first. An end that heard nothing for an interval sends a
+ * PING, and closes the link when that is not answered for LINK_ANSWER_US and nothing
+ * was heard for LINK_SILENT_US, so a silent cut is noticed. The interval is LINK_PING_INTERVAL_US
+ * while the owners send frames, and doubles up to LINK_PING_MAX_US on a link
+ * that is idle. PONGs give the offset of the remote clock, which makes
+ * deadlines comparable on both ends.
  *
  * All functions are called on the loop's thread. A link is freed by this
  * module after down() has returned; the owner drops its pointer there.
@@ -21,6 +23,8 @@
 #include "lib/frame.h"
 
 #define LINK_PING_INTERVAL_US (500 * US_PER_MS)
+#define LINK_PING_MAX_US (8 * US_PER_S)
+#define LINK_ANSWER_US (1500 * US_PER_MS)
 #define LINK_SILENT_US (2 * US_PER_S)
 /*
  * A dial waits for its connection between the two, drawn each time: a short wait finds a VM soon
@@ -86,7 +90,7 @@
  */
 int link_send(struct link *k, struct frame_out *frame);
 
-/* link_ask - a PING now, beside those at the fixed interval. */
+/* link_ask - a PING now, beside those of the interval. */
 void link_ask(struct link *k);
 
 /* link_silence_us - since when nothing was heard from the other end. */
--- a/node/mesh.c
+++ b/node/mesh.c
@@ -9,6 +9,8 @@
 
 /* Bodies that may be incomplete on one link at the same time. */
 #define PARTIALS_MAX 4
+/* A node that sent no call for this time is not told of changes of the load. */
+#define TELL_US (3 * US_PER_S)
 
 /* A call or a reply whose body is still coming. */
 struct partial {
@@ -25,6 +27,8 @@
 	struct link *link;
 	struct loop_timer redial;
 	GHashTable *partials; /* call id -> struct partial */
+	u64 called_us; /* of an accepted link: the last call, or the start */
+	bool is_behind; /* of an accepted link: the load has changed since it was told */
 };
 
 struct mesh {
@@ -47,6 +51,15 @@
 	return g_hash_table_new_full(call_id_hash, call_id_equal, NULL, partial_free);
 }
 
+static void tell_load(struct mesh_peer *m, enum peer_type type, const struct peer_load *load)
+{
+	FRAME_AUTO(f, type);
+
+	peer_load_put(&f, load);
+	link_send(m->link, &f);
+	m->is_behind = false;
+}
+
 /* Hands a whole call or reply on. */
 static void complete(struct mesh_peer *m, struct partial *p)
 {
@@ -74,6 +87,18 @@
 	return 0;
 }
 
+/* Who calls after a pause knows the load of before it, and may want another upstream now. */
+static void note_call(struct mesh_peer *m)
+{
+	struct peer_load load;
+
+	m->called_us = loop_clock_us();
+	if (!m->is_behind)
+		return;
+	home_load(m->node, &load);
+	tell_load(m, PEER_LOAD, &load);
+}
+
 static int take_call(struct mesh_peer *m, struct frame_in *in)
 {
 	struct partial *p = g_new0(struct partial, 1);
@@ -85,6 +110,7 @@
 	p->id = p->call.id;
 	p->body_len = p->call.body_len;
 	p->deadline_us = link_to_local_us(m->link, p->call.deadline_us);
+	note_call(m);
 	return add_partial(m, p);
 }
 
@@ -176,14 +202,6 @@
 	return 0;
 }
 
-static void send_load(struct link *k, enum peer_type type, const struct peer_load *load)
-{
-	FRAME_AUTO(f, type);
-
-	peer_load_put(&f, load);
-	link_send(k, &f);
-}
-
 static int answer_probe(struct mesh_peer *m, struct frame_in *in)
 {
 	struct peer_load load;
@@ -193,7 +211,7 @@
 	if (!probe_answer(&m->node->probe, loop_clock_us()))
 		return 0;
 	home_load(m->node, &load);
-	send_load(m->link, PEER_LOAD, &load);
+	tell_load(m, PEER_LOAD, &load);
 	return 0;
 }
 
@@ -332,7 +350,8 @@
 
 	if (!m->link || !m->link->is_up || !t || !t->in_flight)
 		return;
-	silence = link_silence_us(m->link, now_us);
+	/* An idle link is silent; the silence counts from when an answer was awaited. */
+	silence = MIN(link_silence_us(m->link, now_us), now_us - MIN(t->silent_since_us, now_us));
 	if (silence < ASK_US)
 		return;
 	if (silence < SILENT_US) {
@@ -391,8 +410,9 @@
 	k->arg = m;
 	g_ptr_array_add(n->mesh->accepted, m);
 	home_awaits_calls(n);
+	m->called_us = loop_clock_us();
 	home_load(n, &load);
-	send_load(k, PEER_LOAD, &load);
+	tell_load(m, PEER_LOAD, &load);
 }
 
 static void on_accepted_down(struct link *k, int err)
@@ -416,26 +436,29 @@
 	.down = on_accepted_down,
 };
 
-static void tell_load(struct node *n, enum peer_type type)
+void mesh_goaway(struct node *n)
 {
 	struct peer_load load;
 
 	home_load(n, &load);
-	for (guint i = 0; i < n->mesh->accepted->len; i++) {
-		struct mesh_peer *m = g_ptr_array_index(n->mesh->accepted, i);
-
-		send_load(m->link, type, &load);
-	}
-}
-
-void mesh_goaway(struct node *n)
-{
-	tell_load(n, PEER_GOAWAY);
+	for (guint i = 0; i < n->mesh->accepted->len; i++)
+		tell_load(g_ptr_array_index(n->mesh->accepted, i), PEER_GOAWAY, &load);
 }
 
 void mesh_push_load(struct node *n)
 {
-	tell_load(n, PEER_LOAD);
+	u64 now = loop_clock_us();
+	struct peer_load load;
+
+	home_load(n, &load);
+	for (guint i = 0; i < n->mesh->accepted->len; i++) {
+		struct mesh_peer *m = g_ptr_array_index(n->mesh->accepted, i);
+
+		if (now - m->called_us > TELL_US)
+			m->is_behind = true;
+		else
+			tell_load(m, PEER_LOAD, &load);
+	}
 }
 
 size_t mesh_queued_bytes(struct node *n)
--- a/test/link_test.c
+++ b/test/link_test.c
@@ -7,6 +7,7 @@
 
 #include <arpa/inet.h>
 #include <glib.h>
+#include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -342,6 +343,65 @@
 	check_refused(CTR_LINK_SILENT, send_only_hello);
 }
 
+/* Answers PINGs until END_US; returns how many came. */
+static u32 raw_answer_pings(int fd, u64 end_us)
+{
+	u32 pings = 0;
+
+	while (loop_clock_us() < end_us) {
+		struct pollfd p = { .fd = fd, .events = POLLIN };
+		u64 sent_us;
+
+		if (poll(&p, 1, 20) <= 0 || raw_frame(fd, &sent_us) != LINK_PING)
+			continue;
+		raw_pong(fd, sent_us);
+		pings++;
+	}
+	return pings;
+}
+
+/* Thousands of links are mostly idle: each PING on them is paid for by bytes of calls. */
+static void test_idle_pings_grow_rare(void)
+{
+	struct end e;
+	u64 start_us;
+	int fd;
+
+	start_listener(&e);
+	fd = raw_connect(e.port);
+	raw_come_up(fd, 0);
+	wait_for(&e.ups, 1);
+	start_us = loop_clock_us();
+	/* Due after 0.5, 1, 2 and 4 s, each later by up to one interval. */
+	g_assert_cmpuint(raw_answer_pings(fd, start_us + 5 * US_PER_S), <=, 4);
+	raw_text(fd);
+	wait_for(&e.frames, 1);
+	/* In use again: at the first interval, then idle once more. */
+	g_assert_cmpuint(raw_answer_pings(fd, loop_clock_us() + 1200 * US_PER_MS), >=, 1);
+	close(fd);
+	stop(&e);
+}
+
+/* An end that goes silent on an idle link is noticed at the next PING. */
+static void test_silence_when_idle(void)
+{
+	struct end e;
+	u64 silent_us;
+	int fd;
+
+	start_listener(&e);
+	fd = raw_connect(e.port);
+	raw_come_up(fd, 0);
+	wait_for(&e.ups, 1);
+	raw_answer_pings(fd, loop_clock_us() + 1800 * US_PER_MS);
+	silent_us = loop_clock_us();
+	wait_for(&e.downs, 1);
+	g_assert_cmpint(e.err, ==, ERR_TIMEOUT);
+	g_assert_cmpuint(loop_clock_us() - silent_us, <, LINK_PING_MAX_US);
+	close(fd);
+	stop(&e);
+}
+
 /* An end that goes silent later, as a stopped process does. */
 static void test_silence_when_up(void)
 {
@@ -500,6 +560,8 @@
 	g_test_add_func("/link/bad-frames", test_bad_frames);
 	g_test_add_func("/link/silence", test_silence);
 	g_test_add_func("/link/silence-when-up", test_silence_when_up);
+	g_test_add_func("/link/idle-pings", test_idle_pings_grow_rare);
+	g_test_add_func("/link/silence-when-idle", test_silence_when_idle);
 	g_test_add_func("/link/close-in-handler", test_close_in_handler);
 	g_test_add_func("/link/connect-without-answer", test_connect_without_answer);
 	g_test_add_func("/link/connect-refused", test_connect_refused);
