--- a/node/gauge.c
+++ b/node/gauge.c
@@ -8,7 +8,7 @@
 
 #include <string.h>
 
-/* An upstream without calls for this time is not asked. */
+/* An upstream is not asked when it had no call for this time. */
 #define USED_US (1 * US_PER_S)
 /* An answer that takes longer says nothing any more. */
 #define ASK_TIMEOUT_US (200 * US_PER_MS)
@@ -118,6 +118,8 @@
 	struct gauge *g = arg;
 	u64 due_us = MAX(g->told_us, g->call.deadline_us - ASK_TIMEOUT_US) + g->interval_us;
 
+	if (home_in_progress(g->node))
+		g->used_us = now_us;
 	if (now_us - g->used_us >= USED_US)
 		return; /* set again by the next call */
 	if (now_us < due_us) {
