Fast VMs are sampled by themselves

Cause: of two samples drawn at random both are slow VMs now and then, though others are free and fast.

--- a/node/choose.c
+++ b/node/choose.c
@@ -4,6 +4,8 @@
 #include <xxhash.h>
 
 #define SAMPLES 2 /* in the own zone, and as many elsewhere */
+/* Of the slow VMs, beside the samples of the fast ones: all of these may be full. */
+#define SLOW_SAMPLES 1
 #define OWN_ZONE_MAX (CHOOSE_SUBSET_MAX / 2)
 #define ZONE_US (200ULL)
 #define REGION_US (2 * US_PER_MS)
@@ -290,26 +292,42 @@
 	return choose_told_now_us(t, call->worth) <= ch->too_slow_us;
 }
 
-/* Considers SAMPLES of those in LIST between FROM and TO that can be used. */
+struct pool {
+	struct choose_target *targets[CHOOSE_SUBSET_MAX];
+	u32 n;
+};
+
+/* Considers COUNT of POOL, each at most once. */
+static void consider_some(struct choice *ch, struct pool *pool, u32 count)
+{
+	for (u32 i = 0; i < count && pool->n; i++) {
+		u32 at = rng_below(&ch->choose->rng, pool->n);
+
+		consider(ch, pool->targets[at]);
+		pool->targets[at] = pool->targets[--pool->n];
+	}
+}
+
+/*
+ * Considers SAMPLES of those in LIST between FROM and TO that can be used. The fast VMs are
+ * sampled by themselves: while there is one, samples of slow ones alone must not hide it.
+ */
 static void sample(struct choice *ch, GPtrArray *list, u32 from, u32 to)
 {
-	struct choose_target *usable[CHOOSE_SUBSET_MAX];
-	u32 n = 0;
+	struct pool fast = { 0 };
+	struct pool slow = { 0 };
 
-	for (u32 i = from; i < to && n < CHOOSE_SUBSET_MAX; i++) {
+	for (u32 i = from; i < to && fast.n + slow.n < CHOOSE_SUBSET_MAX; i++) {
 		struct choose_target *t = g_ptr_array_index(list, i);
+		struct pool *pool = choose_is_slow(t) ? &slow : &fast;
 
 		if (!choose_is_usable(t, ch->now_us) || is_excluded(t, ch->call->exclude))
 			continue;
 		if (is_worth_a_try(ch, t))
-			usable[n++] = t;
-	}
-	for (u32 i = 0; i < SAMPLES && n; i++) {
-		u32 at = rng_below(&ch->choose->rng, n);
-
-		consider(ch, usable[at]);
-		usable[at] = usable[--n];
+			pool->targets[pool->n++] = t;
 	}
+	consider_some(ch, &slow, fast.n ? SLOW_SAMPLES : SAMPLES);
+	consider_some(ch, &fast, SAMPLES);
 }
 
 static u64 least_work_us(const struct choose_service *s, u32 worth)
--- a/node/choose.h
+++ b/node/choose.h
@@ -147,6 +147,9 @@
 /* choose_told_work_us - the time of a call of WORTH at T's usual speed, as told; 0 unknown. */
 u64 choose_told_work_us(const struct choose_target *t, u32 worth);
 
+/* choose_is_slow - its VM told that it is far below its usual speed now. */
+bool choose_is_slow(const struct choose_target *t);
+
 /* choose_is_usable - not draining, unreachable or ejected. */
 bool choose_is_usable(const struct choose_target *t, u64 now_us);
 
--- a/node/score.c
+++ b/node/score.c
@@ -24,6 +24,7 @@
 #define SLOWER_PERCENT 130
 /* A silence this many times the expected time speaks against what was told. */
 #define SILENT_DOUBT 4
+#define SLOW_VM_PERCENT 200
 /* By so much of its time must a call be faster in another zone. */
 #define PLACE_PERCENT 100
 #define EJECT_IN_ROW 5
@@ -153,6 +154,11 @@
 	return score + failed * FAILED_COST_US / 1000;
 }
 
+bool choose_is_slow(const struct choose_target *t)
+{
+	return t->load_us && t->load.slowness_percent >= SLOW_VM_PERCENT;
+}
+
 bool choose_is_usable(const struct choose_target *t, u64 now_us)
 {
 	return t->service && !t->load.is_draining && t->unreachable_until_us <= now_us &&
--- a/test/choose_test.c
+++ b/test/choose_test.c
@@ -359,6 +359,24 @@
 	choose_clear(&c);
 }
 
+/* Neighbour noise: of twelve upstreams one has its usual speed now, and it has free slots. */
+static void test_fast_vm_is_found(void)
+{
+	struct choose c;
+	struct peer_load usual = idle_load(90 * US_PER_MS);
+	struct peer_load slow = idle_load(90 * US_PER_MS);
+
+	usual.slowness_percent = 100;
+	slow.slowness_percent = 700;
+	setup(&c);
+	for (u32 i = 12; i < 12 + CHOOSE_SUBSET_MAX; i++) {
+		announce(&c, "bulletin", i);
+		choose_load(target(&c, i), i == 15 ? &usual : &slow, LATER_US);
+	}
+	g_assert_cmpuint(count_picks(&c, target(&c, 15), 100, LATER_US), ==, 100);
+	choose_clear(&c);
+}
+
 /* All refuse the rank: the first home is asked, and after its word the others are not. */
 static void test_refused_rank_is_no_second_try(void)
 {
@@ -612,6 +630,7 @@
 	g_test_add_func("/choose/hurried-callers", test_hurried_callers_eject_nobody);
 	g_test_add_func("/choose/draining", test_draining_gets_nothing_and_may_come_back);
 	g_test_add_func("/choose/slow-vm-is-no-second-try", test_slow_vm_is_no_second_try);
+	g_test_add_func("/choose/fast-vm-is-found", test_fast_vm_is_found);
 	g_test_add_func("/choose/refused-rank-is-no-second-try",
 			test_refused_rank_is_no_second_try);
 	g_test_add_func("/choose/refused-rank", test_refused_rank_goes_elsewhere);
