No call starts while the VM of its upstream is slow, where waiting or another upstream is sooner

Cause: a call keeps the speed that its VM has when it starts.

Work is counted at the speed of the start. A second try for a slow VM is made only for calls that just started there.

--- a/node/admit.c
+++ b/node/admit.c
@@ -101,11 +101,38 @@
 	return usual_service_us(a) * a->slowness_percent / USUAL_PERCENT;
 }
 
-static u64 service_us(const struct admit *a, u32 rank)
+/* Time of a call of RANK at the VM's usual speed. */
+static u64 usual_us(const struct admit *a, u32 rank)
 {
 	u64 own = a->queues[rank].work_us;
 
-	return own ? own * a->slowness_percent / USUAL_PERCENT : admit_service_us(a);
+	return own ? own : usual_service_us(a);
+}
+
+/* A call of RANK that starts now ends later than one that waits for the usual speed. */
+static bool is_held(const struct admit *a, u32 rank)
+{
+	u64 slow_us = usual_us(a, rank) * a->slowness_percent / USUAL_PERCENT;
+
+	if (a->slowness_percent < SPELL_SLOW_PERCENT)
+		return false;
+	return slow_us > usual_us(a, rank) + spell_left_us(&a->spell, a->now_us);
+}
+
+static u64 hold_us(const struct admit *a, u32 rank)
+{
+	return is_held(a, rank) ? spell_left_us(&a->spell, a->now_us) : 0;
+}
+
+/* The speed at which the next call of RANK starts. */
+static u32 slowness_at_start(const struct admit *a, u32 rank)
+{
+	return is_held(a, rank) ? USUAL_PERCENT : a->slowness_percent;
+}
+
+static u64 service_us(const struct admit *a, u32 rank)
+{
+	return usual_us(a, rank) * slowness_at_start(a, rank) / USUAL_PERCENT;
 }
 
 static i64 floor_us(const struct admit *a, u32 rank, i64 span_us)
@@ -157,15 +184,12 @@
 static void advance(struct admit *a, u64 now_us)
 {
 	i64 span_us = now_us > a->now_us ? (i64)(now_us - a->now_us) : 0;
-	double work_us;
 
 	if (!span_us)
 		return;
 	a->now_us = now_us;
-	work_us = (double)span_us * USUAL_PERCENT / a->slowness_percent;
-	a->work_us += work_us;
 	a->busy_us += (double)a->running * (double)span_us;
-	a->slot_time_us += (double)a->running * work_us;
+	a->slot_time_us += a->speed * (double)span_us;
 	if (!a->running)
 		forget_service(a, span_us);
 	/* Longer spans change nothing more and could overflow. */
@@ -179,6 +203,10 @@
 	advance(a, now_us);
 	a->slowness_percent = percent ? percent : USUAL_PERCENT;
 	a->tells_slowness |= percent > 0;
+	spell_note(&a->spell, a->slowness_percent, now_us);
+	/* How long the calls in the queues may stay depends on it. */
+	for (u32 i = 0; i < ADMIT_RANKS_MAX; i++)
+		a->queues[i].first_leave_us = 0;
 }
 
 /*
@@ -259,6 +287,12 @@
 	return a->running + kept_free(a, rank) < a->limit;
 }
 
+/* Time of a call of any rank at the speed at which the next one of RANK starts. */
+static u64 next_service_us(const struct admit *a, u32 rank)
+{
+	return usual_service_us(a) * slowness_at_start(a, rank) / USUAL_PERCENT;
+}
+
 u64 admit_wait_us(const struct admit *a, u32 rank)
 {
 	u64 ahead = work_ahead_us(a, rank);
@@ -266,12 +300,12 @@
 	u64 wait = UINT64_MAX;
 
 	if (a->running < a->limit && !ahead)
-		return 0;
+		return hold_us(a, rank);
 	if (!a->limit)
 		return UINT64_MAX;
 	if (share > 0)
-		wait = (ahead + admit_service_us(a)) * WHOLE_PPM / ((u64)share * a->limit);
-	return MIN(wait, wait_by_floor_us(a, rank));
+		wait = (ahead + next_service_us(a, rank)) * WHOLE_PPM / ((u64)share * a->limit);
+	return MAX(hold_us(a, rank), MIN(wait, wait_by_floor_us(a, rank)));
 }
 
 static void leave_queue(struct admit *a, struct admit_req *r)
@@ -345,7 +379,7 @@
 
 	if (!a->tells_slowness)
 		return service_us(a, rank);
-	return service_us(a, rank) + more * a->slowness_percent / USUAL_PERCENT;
+	return service_us(a, rank) + more * slowness_at_start(a, rank) / USUAL_PERCENT;
 }
 
 /* What is served should still meet its target: the call's own time is set aside. */
@@ -365,9 +399,14 @@
 			      r->target_us ? r->target_us : a->ranks[r->rank].target_us);
 }
 
+/* A call that another upstream may take in time leaves as soon as it would be held too long. */
 static u64 leave_us(const struct admit *a, const struct admit_req *r)
 {
-	return MIN(r->deadline_us, r->queued_us + request_wait_max_us(a, r));
+	u64 last_us = MIN(r->deadline_us, r->queued_us + request_wait_max_us(a, r));
+
+	if (r->may_move && a->now_us + hold_us(a, r->rank) > last_us)
+		return a->now_us;
+	return last_us;
 }
 
 bool admit_is_late(const struct admit *a, const struct admit_req *r)
@@ -384,6 +423,9 @@
 	struct admit_queue *q = &a->queues[r->rank];
 
 	advance(a, now_us);
+	/* Late is better than never where no other upstream can take it. */
+	if (!r->may_move && is_held(a, r->rank))
+		r->target_us = MAX(left, 1);
 	if (admit_wait_us(a, r->rank) > MIN(left, request_wait_max_us(a, r)))
 		return -CTR_QUEUE_WAIT;
 	if (r->bytes > ADMIT_QUEUE_MAX_BYTES || !evict_for(a, r))
@@ -436,7 +478,7 @@
 			continue;
 		if (only_below_floor && !is_below_floor(a, i))
 			continue;
-		if (!has_slot(a, i) && !is_owed(a, i))
+		if (is_held(a, i) || (!has_slot(a, i) && !is_owed(a, i)))
 			continue;
 		if (best < 0 || goes_before(a, i, (u32)best))
 			best = (int)i;
@@ -450,6 +492,11 @@
 	return a->queued > a->queues[rank].waiting.length;
 }
 
+static double speed_of(const struct admit_req *r)
+{
+	return (double)USUAL_PERCENT / r->slowness_percent;
+}
+
 static void start(struct admit *a, struct admit_req *r, u64 now_us)
 {
 	struct admit_queue *q = &a->queues[r->rank];
@@ -463,7 +510,8 @@
 	a->running++;
 	/* With what is kept free the limit is used up, and may be found too low. */
 	r->running_at_start = MIN(a->running + kept_free(a, r->rank), a->limit);
-	r->work_at_start_us = a->work_us;
+	r->slowness_percent = a->slowness_percent;
+	a->speed += speed_of(r);
 	r->busy_at_start_us = a->busy_us;
 }
 
@@ -549,7 +597,9 @@
 	u32 running = MAX(r->running_at_start, a->running);
 
 	advance(a, now_us);
-	r->work_us = (u64)(a->work_us - r->work_at_start_us);
+	/* Sums of fractions drift. */
+	a->speed = a->running > 1 ? MAX(a->speed - speed_of(r), 0) : 0;
+	r->work_us = took * USUAL_PERCENT / r->slowness_percent;
 	r->level = took ? (u32)((a->busy_us - r->busy_at_start_us) / (double)took + 0.5) : 0;
 	a->running--;
 	q->running--;
--- a/node/admit.h
+++ b/node/admit.h
@@ -9,6 +9,9 @@
  * waits, and pays for the slot time of its calls. A rank leaves free the slots that worthier
  * ranks used of lately, so that their short calls do not wait for its long ones.
  *
+ * A call keeps the speed that the VM of the upstream has when it starts. So while the VM is
+ * slow, calls that would end sooner by waiting for its usual speed are held.
+ *
  * UNITS microseconds
  * SOURCE node/admit.c, node/limit.c, node/knee.c
  */
@@ -19,6 +22,7 @@
 #include "lib/types.h"
 #include "node/knee.h"
 #include "node/limit.h"
+#include "node/spell.h"
 #include "wire/peer.h"
 
 #include <glib.h>
@@ -38,6 +42,7 @@
 	u32 rank;
 	u64 deadline_us;
 	u64 target_us; /* of this request, where it differs from its rank's; 0 for the rank's */
+	bool may_move; /* another upstream may take it: it is not held past its target here */
 	size_t bytes;
 	enum admit_state state;
 	u64 queued_us;
@@ -45,9 +50,9 @@
 	/* private */
 	enum ctr reason; /* why admit_expired returned it */
 	u64 charged_us;
-	double work_at_start_us; /* of struct admit, as the next one */
-	double busy_at_start_us;
+	double busy_at_start_us; /* of struct admit */
 	u32 running_at_start;
+	u32 slowness_percent; /* of the VM when the call started */
 	/* set by admit_done */
 	u64 work_us; /* what the call did, as time at the VM's usual speed */
 	u32 level; /* calls that ran beside it on average, itself included */
@@ -70,10 +75,11 @@
 struct admit {
 	struct limit limiter;
 	struct knee knee;
+	struct spell spell;
 	u32 slowness_percent; /* of the VM now, as told */
 	bool tells_slowness; /* so that a slow VM is not taken for a full one */
-	double work_us; /* what a call that ran all the time would have done, at usual speed */
 	double busy_us; /* the sum of the times of all calls */
+	double speed; /* the sum of the speeds of the calls that run, usual ones being 1 */
 	u32 slots;
 	u32 limit;
 	u32 nranks;
--- a/node/choose.c
+++ b/node/choose.c
@@ -377,6 +377,22 @@
 	return ch.best;
 }
 
+bool choose_has_other(struct choose *c, const struct choose_call *call,
+		      const struct choose_target *t, u64 now_us)
+{
+	const struct choose_service *s = choose_find_service(c, call->service);
+
+	for (guint i = 0; s && i < s->subset->len; i++) {
+		const struct choose_target *o = g_ptr_array_index(s->subset, i);
+
+		if (o == t || choose_is_slow(o) || call->worth < o->load.lowest_worth)
+			continue;
+		if (choose_is_usable(o, now_us) && !is_excluded(o, call->exclude))
+			return true;
+	}
+	return false;
+}
+
 u32 choose_lowest_worth(struct choose *c, const char *service, u64 now_us)
 {
 	struct choose_service *s = ready_service(c, service);
--- a/node/choose.h
+++ b/node/choose.h
@@ -112,6 +112,10 @@
 
 /* choose_pick - an upstream for CALL, or NULL. */
 struct choose_target *choose_pick(struct choose *c, const struct choose_call *call, u64 now_us);
+
+/* choose_has_other - beside T another upstream in use may take CALL without delay. */
+bool choose_has_other(struct choose *c, const struct choose_call *call,
+		      const struct choose_target *t, u64 now_us);
 struct choose_target *choose_find(struct choose *c, const char *node);
 struct choose_service *choose_find_service(struct choose *c, const char *service);
 
--- a/node/entry.c
+++ b/node/entry.c
@@ -114,9 +114,6 @@
 	abandon(n, call, CTR_DEADLINE, CHOOSE_TIMED_OUT);
 }
 
-/* Tries that homes refuse without the upstream; each costs its caller a round trip. */
-#define HOME_TRIES_MAX 4
-
 /* What an upstream itself refused has cost it a request, though it did not run. */
 static bool has_reached_upstream(enum ctr reason, bool is_not_run)
 {
@@ -143,7 +140,7 @@
 		return RETRY_GIVE_UP;
 	/* No upstream has seen it, so this adds no load there and takes nothing from the budget. */
 	if (!has_reached_upstream(reason, is_not_run))
-		return p->tries < HOME_TRIES_MAX && left ? RETRY_AGAIN : RETRY_GIVE_UP;
+		return p->tries < ENTRY_HOME_TRIES_MAX && left ? RETRY_AGAIN : RETRY_GIVE_UP;
 	p->sends++;
 	if (p->sends >= entry_sends_max(call))
 		return RETRY_GIVE_UP;
--- a/node/entry_impl.h
+++ b/node/entry_impl.h
@@ -32,6 +32,7 @@
 	u32 tries;
 	u32 sends; /* tries that reached an upstream, or may have */
 	bool may_have_run;
+	bool may_move; /* the present try: another upstream may take the call if it is refused */
 	bool has_left; /* nobody waits for the answer */
 };
 
@@ -51,6 +52,9 @@
 void entry_send_to_peer(struct node *n, struct call_try *t, struct link *k);
 void entry_skip_unreachable(struct node *n, struct entry_call *call, const char *home);
 
+/* Tries that homes refuse without the upstream; each costs its caller a round trip. */
+#define ENTRY_HOME_TRIES_MAX 4
+
 /* entry_sends_max - upstreams that the call may be sent to. */
 u32 entry_sends_max(const struct entry_call *call);
 
--- a/node/entry_try.c
+++ b/node/entry_try.c
@@ -9,10 +9,12 @@
 /* Head and framing of a call, more than the HTTP server takes in. */
 #define CALL_OVERHEAD_BYTES (64 * 1024)
 
-/* From this slowness on, calls that wait there are tried elsewhere too. */
+/* From this slowness on, calls that just started there are tried elsewhere too. */
 #define SLOW_PERCENT 250
 /* So many times faster the other upstream must look. */
 #define SLOW_GAIN 2
+/* The slowness is heard of this long after it began, and a call keeps the speed it started with. */
+#define SLOW_START_US (50 * US_PER_MS)
 
 /* Only whole calls are queued: a link without room counts as one that is not there. */
 static bool has_room(const struct link *k, const struct entry_call *call)
@@ -40,6 +42,7 @@
 				 .worth = call->worth,
 				 .target_us = call->target_us,
 				 .is_idempotent = call->is_idempotent,
+				 .may_move = call->priv->may_move,
 				 .body_len = call->msg->body->len,
 				 .msg = call->msg };
 	FRAME_AUTO(f, PEER_CALL);
@@ -76,6 +79,7 @@
 				  .worth = t->call->worth,
 				  .target_us = t->call->target_us,
 				  .is_idempotent = t->call->is_idempotent,
+				  .may_move = t->call->priv->may_move,
 				  .msg = copy_request(t->call->msg) };
 
 	t->state = TRY_SENT;
@@ -193,6 +197,8 @@
 	struct choose_target *target = choose_pick(&n->choose, &wanted, now);
 
 	link_subset(n, call->service);
+	p->may_move = target && p->tries + 1 < ENTRY_HOME_TRIES_MAX &&
+		      choose_has_other(&n->choose, &wanted, target, now);
 	if (target)
 		try_at(n, call, target, now);
 	else
@@ -284,7 +290,7 @@
 	for (guint i = 0; i < list->len; i++) {
 		struct entry_call *call = repeatable(n, g_array_index(list, u64, i));
 
-		if (call)
+		if (call && now - call->priv->current->sent_us <= SLOW_START_US)
 			hedge_slow(n, call, now);
 	}
 }
--- a/node/home.c
+++ b/node/home.c
@@ -49,6 +49,8 @@
 	load->slowness_percent = gauge_slowness_percent(n->home->gauge);
 }
 
+static void start_next(struct node *n);
+
 void home_push_load(struct node *n)
 {
 	u64 now = loop_clock_us();
@@ -61,6 +63,7 @@
 		choose_load(self, &load, now);
 	entry_slowness(n, n->self.name);
 	mesh_push_load(n);
+	start_next(n);
 }
 
 u32 home_in_progress(struct node *n)
@@ -172,8 +175,6 @@
 	}
 }
 
-static void start_next(struct node *n);
-
 /* Only a call from another node that may not be repeated is asked for later by a fence. */
 static void deliver(struct node *n, struct job *j)
 {
@@ -231,8 +232,8 @@
 	log_event(LOG_INFO, "run", "request", request ? request : "", "rank", log_u64(r->rank),
 		  "waited_us", log_u64(r->started_us - r->queued_us), "took_us",
 		  log_u64(now - r->started_us), "work_us", log_u64(r->work_us), "beside",
-		  log_u64(r->level), "slowness", log_u64(gauge_slowness_percent(n->home->gauge)),
-		  "error", j->upstream.err ? err_text(j->upstream.err) : "", NULL);
+		  log_u64(r->level), "slowness", log_u64(r->slowness_percent), "error",
+		  j->upstream.err ? err_text(j->upstream.err) : "", NULL);
 }
 
 static void end_in_admission(struct node *n, struct job *j)
@@ -352,6 +353,7 @@
 	j->req.deadline_us = deadline_us;
 	j->req.bytes = j->msg->body->len + sizeof(*j);
 	j->req.target_us = call->target_us;
+	j->req.may_move = call->may_move;
 	j->upstream.request = j->msg;
 	j->upstream.deadline_us = deadline_us;
 	j->upstream.max_body_bytes = n->settings->node.max_body_bytes;
--- a/test/admit_test.c
+++ b/test/admit_test.c
@@ -594,6 +594,100 @@
 	g_assert_cmpuint(waits[1], ==, 0);
 }
 
+#define CALL_US (100 * US_PER_MS)
+#define SLOW_PERCENT 700
+
+/* An upstream whose calls take CALL_US, and whose VM was slow for 400 ms now and then. */
+static u64 noisy_setup(struct admit *a, const struct admit_rank *rank)
+{
+	u64 now = US_PER_S;
+
+	admit_init(a);
+	admit_set_slots(a, 4);
+	admit_set_ranks(a, rank, 1);
+	for (u32 i = 0; i < 4; i++) {
+		struct admit_req r = { .deadline_us = UINT64_MAX };
+
+		admit_set_slowness(a, 100, now);
+		g_assert_cmpint(admit_offer(a, &r, now), ==, 0);
+		g_assert_true(admit_next(a, now) == &r);
+		now += CALL_US;
+		admit_done(a, &r, true, now);
+		admit_set_slowness(a, SLOW_PERCENT, now);
+		now += 400 * US_PER_MS;
+		admit_set_slowness(a, 100, now);
+	}
+	return now;
+}
+
+/*
+ * The pattern: neighbour noise. A call that starts while the VM is slow takes seven times as
+ * long and holds its slot for all of that, though the VM has its usual speed back soon.
+ */
+static void test_slow_vm_starts_no_call(void)
+{
+	const struct admit_rank rank = { .worth = 10, .target_us = US_PER_S };
+	struct admit_req r = { .deadline_us = UINT64_MAX };
+	struct admit a;
+	u64 now = noisy_setup(&a, &rank);
+
+	admit_set_slowness(&a, SLOW_PERCENT, now);
+	g_assert_cmpint(admit_offer(&a, &r, now), ==, 0);
+	g_assert_null(admit_next(&a, now));
+	g_assert_cmpuint(admit_wait_us(&a, 0), >=, 300 * US_PER_MS);
+	now += 400 * US_PER_MS;
+	admit_set_slowness(&a, 100, now);
+	g_assert_true(admit_next(&a, now) == &r);
+	/* Slow again while it runs: the call keeps its speed, and what it did is known. */
+	admit_set_slowness(&a, SLOW_PERCENT, now + CALL_US / 2);
+	admit_done(&a, &r, true, now + CALL_US);
+	g_assert_cmpuint(r.work_us, ==, CALL_US);
+	admit_clear(&a);
+}
+
+/* A slowness that lasts is borne: waiting for its end would take longer than a slow call. */
+static void test_lasting_slowness_is_borne(void)
+{
+	const struct admit_rank rank = { .worth = 10, .target_us = 60 * US_PER_S };
+	struct admit_req r = { .deadline_us = UINT64_MAX };
+	struct admit a;
+	u64 now = noisy_setup(&a, &rank);
+
+	admit_set_slowness(&a, SLOW_PERCENT, now);
+	g_assert_cmpint(admit_offer(&a, &r, now), ==, 0);
+	g_assert_null(admit_next(&a, now));
+	now += SLOW_PERCENT / 100 * CALL_US;
+	g_assert_true(admit_next(&a, now) == &r);
+	now += SLOW_PERCENT / 100 * CALL_US;
+	admit_done(&a, &r, true, now);
+	g_assert_cmpuint(r.work_us, ==, CALL_US);
+	admit_clear(&a);
+}
+
+/* A call that would come too late here is refused while another upstream may take it. */
+static void test_held_call_moves(void)
+{
+	const struct admit_rank rank = { .worth = 10, .target_us = 250 * US_PER_MS };
+	struct admit_req moves = { .deadline_us = UINT64_MAX, .may_move = true };
+	struct admit_req stays = { .deadline_us = UINT64_MAX };
+	struct admit_req waits = { .deadline_us = UINT64_MAX, .may_move = true };
+	struct admit a;
+	u64 now = noisy_setup(&a, &rank);
+
+	/* One that waits for a slot as the VM turns slow leaves, too. */
+	admit_set_slots(&a, 0);
+	a.limit = 1;
+	a.running = 1;
+	g_assert_cmpint(admit_offer(&a, &waits, now), ==, 0);
+	admit_set_slowness(&a, SLOW_PERCENT, now);
+	g_assert_true(admit_expired(&a, now) == &waits);
+	g_assert_cmpint(waits.reason, ==, CTR_QUEUE_WAIT);
+	g_assert_cmpint(admit_offer(&a, &moves, now), ==, -CTR_QUEUE_WAIT);
+	g_assert_cmpint(admit_offer(&a, &stays, now), ==, 0);
+	g_assert_null(admit_expired(&a, now + 300 * US_PER_MS));
+	admit_clear(&a);
+}
+
 /* A caller's further attempt whose target has passed is told from a first one. */
 static void test_late_call(void)
 {
@@ -629,6 +723,9 @@
 	g_test_add_func("/admit/errors-not-fast", test_errors_do_not_look_fast);
 	g_test_add_func("/admit/wait-leaves-time-for-long-calls",
 			test_wait_leaves_time_for_long_calls);
+	g_test_add_func("/admit/slow-vm-starts-no-call", test_slow_vm_starts_no_call);
+	g_test_add_func("/admit/lasting-slowness", test_lasting_slowness_is_borne);
+	g_test_add_func("/admit/held-call-moves", test_held_call_moves);
 	g_test_add_func("/admit/late-call", test_late_call);
 	return g_test_run();
 }
--- a/wire/peer.h
+++ b/wire/peer.h
@@ -74,6 +74,7 @@
 	u32 worth;
 	u64 target_us; /* 0: as the rank says */
 	bool is_idempotent;
+	bool may_move; /* the entry node knows another upstream that may take it in time */
 	u64 body_len;
 	struct http_msg *msg;
 };
