--- a/node/score.c
+++ b/node/score.c
@@ -2,6 +2,7 @@
 #include "node/choose.h"
 
 #include "lib/ctr.h"
+#include "node/spell.h"
 
 #include <string.h>
 
@@ -24,7 +25,6 @@
 #define SLOWER_PERCENT 130
 /* A silence this many times the expected time speaks against what was told. */
 #define SILENT_DOUBT 4
-#define SLOW_VM_PERCENT 200
 /* By so much of its time must a call be faster in another zone. */
 #define PLACE_PERCENT 100
 #define EJECT_IN_ROW 5
@@ -156,7 +156,7 @@
 
 bool choose_is_slow(const struct choose_target *t)
 {
-	return t->load_us && t->load.slowness_percent >= SLOW_VM_PERCENT;
+	return t->load_us && t->load.slowness_percent >= SPELL_SLOW_PERCENT;
 }
 
 bool choose_is_usable(const struct choose_target *t, u64 now_us)
--- a/node/spell.h
+++ b/node/spell.h
@@ -13,7 +13,7 @@
 #include "lib/types.h"
 
 /* From this slowness on a VM counts as slow. */
-#define SPELL_SLOW_PERCENT 200
+#define SPELL_SLOW_PERCENT 300
 /* Spells that are remembered. */
 #define SPELL_LENGTHS 16
 
