Questions for the upstream's speed follow its calls

Change: node/pace.c asks twice for each call at the rate of late, within the bound of the settings, and at least every 100 ms while the upstream is in use.

--- a/node/gauge.c
+++ b/node/gauge.c
@@ -4,6 +4,7 @@
 #include "lib/log.h"
 #include "node/config.h"
 #include "node/node.h"
+#include "node/pace.h"
 #include "node/upstream.h"
 
 #include <string.h>
@@ -25,9 +26,9 @@
 	struct http_msg *request;
 	bool is_asking;
 	struct loop_timer timer;
-	u64 interval_us; /* 0: the upstream is not asked */
+	struct pace pace;
 	u64 told_us;
-	u64 used_us;
+	u64 used_us; /* the last call, or the last time that one was in progress */
 	u32 slowness_percent;
 	u32 pushed_percent; /* as the other nodes know it */
 };
@@ -116,7 +117,7 @@
 static void on_timer(void *arg, u64 now_us)
 {
 	struct gauge *g = arg;
-	u64 due_us = MAX(g->told_us, g->call.deadline_us - ASK_TIMEOUT_US) + g->interval_us;
+	u64 due_us = MAX(g->told_us, g->call.deadline_us - ASK_TIMEOUT_US) + pace_interval_us(&g->pace);
 
 	if (home_in_progress(g->node))
 		g->used_us = now_us;
@@ -128,14 +129,15 @@
 	}
 	if (g->node->own.state == DIR_UP && !g->is_asking)
 		ask(g, now_us);
-	loop_timer_set(g->node->loop, &g->timer, now_us + g->interval_us);
+	loop_timer_set(g->node->loop, &g->timer, now_us + pace_interval_us(&g->pace));
 }
 
 void gauge_used(struct gauge *g)
 {
 	g->used_us = loop_clock_us();
-	if (g->interval_us && !g->timer.is_set)
-		loop_timer_set(g->node->loop, &g->timer, g->used_us + g->interval_us);
+	pace_call(&g->pace, g->used_us);
+	if (g->pace.least_us && !g->timer.is_set)
+		loop_timer_set(g->node->loop, &g->timer, g->used_us + g->pace.least_us);
 }
 
 void gauge_reset(struct gauge *g)
@@ -153,7 +155,7 @@
 
 	g->node = n;
 	g->upstream = upstream_new(n->loop, n->dialect);
-	g->interval_us = per_s ? US_PER_S / per_s : 0;
+	g->pace.least_us = per_s ? US_PER_S / per_s : 0;
 	g->timer = (struct loop_timer){ .fire = on_timer, .arg = g };
 	g->call.deadline_us = ASK_TIMEOUT_US;
 	g->pushed_percent = GAUGE_USUAL_PERCENT;
--- /dev/null
+++ b/node/pace.c
@@ -0,0 +1,22 @@
+#include "node/pace.h"
+
+#include <glib.h>
+
+#define SMOOTHING 8
+/* A pause tells no rate. */
+#define GAP_MAX_US (1 * US_PER_S)
+
+void pace_call(struct pace *p, u64 now_us)
+{
+	u64 gap_us = MIN(now_us - p->called_us, GAP_MAX_US);
+
+	p->gap_us = (p->gap_us * (SMOOTHING - 1) + gap_us) / SMOOTHING;
+	p->called_us = now_us;
+}
+
+u64 pace_interval_us(const struct pace *p)
+{
+	u64 wanted_us = MIN(p->gap_us / PACE_ASKS_PER_CALL, PACE_MAX_US);
+
+	return MAX(wanted_us, p->least_us);
+}
