Idle links hold no memory

Change: bytes are read on the stack, only a part of a frame is kept, and a send buffer that grew is given back.

--- a/kernel/link.c
+++ b/kernel/link.c
@@ -13,7 +13,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define LINK_READ_BYTES (64 * 1024)
+#define LINK_READ_BYTES (16 * 1024)
+/* A send buffer that held more is given back when it is empty. */
+#define LINK_KEEP_BYTES 4096
 #define LINK_BACKLOG 512
 #define LINK_ID_TEXT_MAX 128
 /* Samples slower than this multiple of the best round trip do not move the clock offset. */
@@ -250,46 +252,64 @@
 	return k->ops->frame(k, type, &in);
 }
 
-/* Takes whole frames out of the read buffer. */
-static int take_frames(struct link *k)
+/* Takes the whole frames at DATA; *TAKEN tells how many bytes that were. */
+static int take_frames(struct link *k, const u8 *data, size_t bytes, size_t *taken)
 {
-	struct link_private *p = k->priv;
 	size_t off = 0;
 	int err = 0;
 
-	while (!err && !p->is_dead && p->in->len - off >= FRAME_HEADER_BYTES) {
+	while (!err && !k->priv->is_dead && bytes - off >= FRAME_HEADER_BYTES) {
 		u32 len;
 
-		memcpy(&len, p->in->data + off, sizeof(len));
+		memcpy(&len, data + off, sizeof(len));
 		len = ntohl(len);
 		if (len > FRAME_MAX_BYTES)
 			return ERR_TOOBIG;
-		if (p->in->len - off - FRAME_HEADER_BYTES < len)
+		if (bytes - off - FRAME_HEADER_BYTES < len)
 			break;
-		err = dispatch(k, p->in->data + off + FRAME_HEADER_BYTES, len);
+		err = dispatch(k, data + off + FRAME_HEADER_BYTES, len);
 		off += FRAME_HEADER_BYTES + len;
 	}
-	if (off)
-		g_byte_array_remove_range(p->in, 0, (guint)off);
+	*taken = off;
+	return err;
+}
+
+/* Only a part of a frame is kept, so that idle links hold no memory. */
+static int take_bytes(struct link *k, const u8 *data, size_t bytes)
+{
+	struct link_private *p = k->priv;
+	size_t taken = 0;
+	int err;
+
+	if (!p->in->len) {
+		err = take_frames(k, data, bytes, &taken);
+		g_byte_array_append(p->in, data + taken, (guint)(bytes - taken));
+		return err;
+	}
+	g_byte_array_append(p->in, data, (guint)bytes);
+	err = take_frames(k, p->in->data, p->in->len, &taken);
+	if (taken < p->in->len) {
+		g_byte_array_remove_range(p->in, 0, (guint)taken);
+		return err;
+	}
+	g_byte_array_unref(p->in);
+	p->in = g_byte_array_new();
 	return err;
 }
 
 static int read_some(struct link *k)
 {
 	struct link_private *p = k->priv;
-	guint old = p->in->len;
-	ssize_t n;
+	u8 buf[LINK_READ_BYTES];
+	ssize_t n = recv(p->fd.fd, buf, sizeof(buf), 0);
 
-	g_byte_array_set_size(p->in, old + LINK_READ_BYTES);
-	n = recv(p->fd.fd, p->in->data + old, LINK_READ_BYTES, 0);
-	g_byte_array_set_size(p->in, old + (n > 0 ? (guint)n : 0));
 	if (n == 0)
 		return ERR_CLOSED;
 	if (n < 0)
 		return errno == EAGAIN || errno == EINTR ? 0 : ERR_CLOSED;
 	p->heard_us = loop_clock_us();
 	p->asked_us = 0;
-	return take_frames(k);
+	return take_bytes(k, buf, (size_t)n);
 }
 
 static void set_write(struct link *k, bool wants)
@@ -302,6 +322,17 @@
 	loop_fd_change(p->loop, &p->fd, wants ? EPOLLIN | EPOLLOUT : EPOLLIN);
 }
 
+static void empty_out(struct link_private *p)
+{
+	p->out_off = 0;
+	if (p->out->len <= LINK_KEEP_BYTES) {
+		g_byte_array_set_size(p->out, 0);
+		return;
+	}
+	g_byte_array_unref(p->out);
+	p->out = g_byte_array_new();
+}
+
 static void flush(struct link *k)
 {
 	struct link_private *p = k->priv;
@@ -314,10 +345,8 @@
 			break; /* EPOLLOUT or the read side tells what happened */
 		p->out_off += (size_t)n;
 	}
-	if (p->out_off == p->out->len) {
-		g_byte_array_set_size(p->out, 0);
-		p->out_off = 0;
-	}
+	if (p->out_off == p->out->len)
+		empty_out(p);
 	set_write(k, p->out->len > 0);
 }
 
