--- a/node/admit.c
+++ b/node/admit.c
@@ -14,8 +14,8 @@
 #define USUAL_PERCENT 100
 /* The time of a call is told so long after the last one ended. */
 #define WORK_AGE_US (2 * US_PER_S)
-/* Mean deviations above the mean under which about nine calls in ten stay. */
-#define LONG_DEVIATIONS 2
+/* Targets leave room for some times what a call takes. */
+#define LIKELY_PART 4
 /* A call may wait at least this part of its target, however long calls take. */
 #define WAIT_PART 8
 /* No rank keeps more than this part of the slots free for worthier ones. */
@@ -101,22 +101,42 @@
 	return usual_service_us(a) * a->slowness_percent / USUAL_PERCENT;
 }
 
+/*
+ * What calls of RANK took of late at the VM's usual speed; 0 while unknown. Without a word about
+ * the speed the last calls must show it soon.
+ */
+static u64 own_us(const struct admit *a, u32 rank)
+{
+	const struct admit_queue *q = &a->queues[rank];
+
+	return a->tells_slowness ? q->work.median_us : q->smooth_us;
+}
+
 /* Time of a call of RANK at the VM's usual speed. */
 static u64 usual_us(const struct admit *a, u32 rank)
 {
-	u64 own = a->queues[rank].work_us;
+	u64 own = own_us(a, rank);
 
 	return own ? own : usual_service_us(a);
 }
 
+/* The same, by the rank's target before any call has ended. */
+static u64 likely_us(const struct admit *a, u32 rank)
+{
+	u64 own = own_us(a, rank);
+
+	return own ? own : a->ranks[rank].target_us / LIKELY_PART;
+}
+
 /* A call of RANK that starts now ends later than one that waits for the usual speed. */
 static bool is_held(const struct admit *a, u32 rank)
 {
-	u64 slow_us = usual_us(a, rank) * a->slowness_percent / USUAL_PERCENT;
+	u64 usual = likely_us(a, rank);
+	u64 slow = usual * a->slowness_percent / USUAL_PERCENT;
 
 	if (a->slowness_percent < SPELL_SLOW_PERCENT)
 		return false;
-	return slow_us > usual_us(a, rank) + spell_left_us(&a->spell, a->now_us);
+	return slow > usual + spell_left_us(&a->spell, a->now_us);
 }
 
 static u64 hold_us(const struct admit *a, u32 rank)
@@ -375,11 +395,11 @@
 /* A time that most calls of the rank keep, where the upstream's own slowness is known. */
 static u64 long_service_us(const struct admit *a, u32 rank)
 {
-	u64 more = a->queues[rank].deviation_us * LONG_DEVIATIONS;
+	u64 long_us = MAX(a->queues[rank].work.long_us, usual_us(a, rank));
 
 	if (!a->tells_slowness)
 		return service_us(a, rank);
-	return service_us(a, rank) + more * slowness_at_start(a, rank) / USUAL_PERCENT;
+	return long_us * slowness_at_start(a, rank) / USUAL_PERCENT;
 }
 
 /* What is served should still meet its target: the call's own time is set aside. */
@@ -585,11 +605,6 @@
 	return old ? (old * (SERVICE_SMOOTHING - 1) + sample) / SERVICE_SMOOTHING : sample;
 }
 
-static u64 distance(u64 a, u64 b)
-{
-	return a > b ? a - b : b - a;
-}
-
 void admit_done(struct admit *a, struct admit_req *r, bool is_served, u64 now_us)
 {
 	u64 took = now_us > r->started_us ? now_us - r->started_us : 0;
@@ -612,10 +627,9 @@
 	}
 	a->served = a->served * (SERVED_SMOOTHING - 1) / SERVED_SMOOTHING + 1;
 	a->slot_time_us = a->slot_time_us * (SERVED_SMOOTHING - 1) / SERVED_SMOOTHING;
-	if (q->work_us)
-		q->deviation_us = smooth(q->deviation_us, distance(q->work_us, r->work_us));
 	q->work_at_us = now_us;
-	q->work_us = smooth(q->work_us, MAX(r->work_us, 1));
+	times_add(&q->work, r->work_us);
+	q->smooth_us = smooth(q->smooth_us, MAX(r->work_us, 1));
 	limit_sample(&a->limiter, r->rank, r->work_us, running, now_us);
 	knee_sample(&a->knee, r->rank, r->work_us, r->level, now_us);
 	set_limit(a);
@@ -656,7 +670,7 @@
 {
 	const struct admit_queue *q = &a->queues[rank];
 
-	return now_us - q->work_at_us < WORK_AGE_US ? q->work_us : 0;
+	return now_us - q->work_at_us < WORK_AGE_US ? own_us(a, rank) : 0;
 }
 
 /* The worthiest ranks, each once. */
--- a/node/admit.h
+++ b/node/admit.h
@@ -23,6 +23,7 @@
 #include "node/knee.h"
 #include "node/limit.h"
 #include "node/spell.h"
+#include "node/times.h"
 #include "wire/peer.h"
 
 #include <glib.h>
@@ -65,9 +66,9 @@
 	size_t bytes;
 	u64 first_leave_us; /* no request leaves unrun before this */
 	u32 running;
-	u64 work_us; /* smoothed time of one call at the VM's usual speed; 0 while unknown */
+	struct times work; /* of the last calls, at the VM's usual speed */
+	u64 smooth_us; /* the same smoothed; 0 while unknown */
 	u64 work_at_us; /* the last call that ended */
-	u64 deviation_us; /* smoothed distance of a call's time from that */
 	i64 credit_us; /* slot time below (over, when negative) the floor */
 	i64 used_ppm; /* smoothed share of the slot time */
 };
--- a/node/choose.c
+++ b/node/choose.c
@@ -1,5 +1,6 @@
 #include "node/choose.h"
 
+#include <stdlib.h>
 #include <string.h>
 #include <xxhash.h>
 
@@ -17,7 +18,7 @@
 #define PROBE_AGE_US (100 * US_PER_MS)
 /* An older word that a rank is refused counts no more. */
 #define REFUSED_AGE_US (250 * US_PER_MS)
-/* Where calls take no more than so many times the shortest time, a VM is not too slow. */
+/* Where calls take no more than so many times the typical time, a VM is not too slow. */
 #define TOO_SLOW_TIMES 2
 /* For a further try a home's word that it refuses a rank holds so long. */
 #define REFUSED_NEWS_US (50 * US_PER_MS)
@@ -276,7 +277,7 @@
 /* A call whose target has passed may take as long as it does at a VM near its usual speed. */
 static u64 too_slow_us(const struct choose_service *s, const struct choose_call *call)
 {
-	return MAX(call->most_us, TOO_SLOW_TIMES * s->least_us);
+	return MAX(call->most_us, TOO_SLOW_TIMES * s->typical_us);
 }
 
 /* A further try costs a round trip and bytes, so it is made only where it may be served in time. */
@@ -330,32 +331,36 @@
 	consider_some(ch, &fast, SAMPLES);
 }
 
-static u64 least_work_us(const struct choose_service *s, u32 worth)
+static int by_time(const void *a, const void *b)
 {
-	u64 least = 0;
+	u64 x = *(const u64 *)a;
+	u64 y = *(const u64 *)b;
 
-	for (guint i = 0; i < s->subset->len; i++) {
-		u64 work = choose_told_work_us(g_ptr_array_index(s->subset, i), worth);
-
-		if (work && (!least || work < least))
-			least = work;
-	}
-	return least;
+	return x < y ? -1 : x > y;
 }
 
-/* Before any told the time of the rank: of all its calls together. */
-static u64 least_service_us(const struct choose_service *s)
+/* The median time of a call of WORTH that upstreams in use tell; before any told one, of all. */
+static u64 typical_us(const struct choose_service *s, u32 worth)
 {
-	u64 least = 0;
+	u64 told[CHOOSE_SUBSET_MAX];
+	u64 any[CHOOSE_SUBSET_MAX];
+	u32 ntold = 0;
+	u32 nany = 0;
 
 	for (guint i = 0; i < s->subset->len; i++) {
 		const struct choose_target *t = g_ptr_array_index(s->subset, i);
-		u64 service = t->load_us ? t->load.service_us : 0;
+		u64 work = choose_told_work_us(t, worth);
 
-		if (service && (!least || service < least))
-			least = service;
+		if (work)
+			told[ntold++] = work;
+		if (t->load_us && t->load.service_us)
+			any[nany++] = t->load.service_us;
 	}
-	return least;
+	qsort(told, ntold, sizeof(*told), by_time);
+	qsort(any, nany, sizeof(*any), by_time);
+	if (ntold)
+		return told[ntold / 2];
+	return nany ? any[nany / 2] : 0;
 }
 
 struct choose_target *choose_pick(struct choose *c, const struct choose_call *call, u64 now_us)
@@ -366,9 +371,7 @@
 	if (!s)
 		return NULL;
 	s->used_us = now_us;
-	s->least_us = least_work_us(s, call->worth);
-	if (!s->least_us)
-		s->least_us = least_service_us(s);
+	s->typical_us = typical_us(s, call->worth);
 	ch.too_slow_us = too_slow_us(s, call);
 	sample(&ch, s->subset, 0, s->nown_zone);
 	sample(&ch, s->subset, s->nown_zone, s->subset->len);
--- a/node/choose.h
+++ b/node/choose.h
@@ -64,10 +64,10 @@
 	GPtrArray *subset; /* those that this node uses, the own zone first */
 	u32 nown_zone; /* of the subset */
 	/*
-	 * Of the rank that was chosen for last: the shortest time of a call that one in use
-	 * tells, at its VM's usual speed; 0 while unknown.
+	 * Of the rank that was chosen for last: the median time of a call that those in use
+	 * tell, at their VMs' usual speed; 0 while unknown.
 	 */
-	u64 least_us;
+	u64 typical_us;
 	bool is_stale; /* the subset must be made again */
 	bool is_linked; /* links to all of the subset were asked for */
 	u64 used_us; /* last call */
--- a/node/gauge.c
+++ b/node/gauge.c
@@ -117,7 +117,8 @@
 static void on_timer(void *arg, u64 now_us)
 {
 	struct gauge *g = arg;
-	u64 due_us = MAX(g->told_us, g->call.deadline_us - ASK_TIMEOUT_US) + pace_interval_us(&g->pace);
+	u64 due_us =
+		MAX(g->told_us, g->call.deadline_us - ASK_TIMEOUT_US) + pace_interval_us(&g->pace);
 
 	if (home_in_progress(g->node))
 		g->used_us = now_us;
--- a/node/score.c
+++ b/node/score.c
@@ -45,7 +45,7 @@
 /* Its upstream tells how slow its VM is now, which is newer than any time measured before. */
 static bool tells_slowness(const struct choose_target *t)
 {
-	return t->load_us && t->load.slowness_percent && t->service && t->service->least_us;
+	return t->load_us && t->load.slowness_percent && t->service && t->service->typical_us;
 }
 
 u64 choose_told_work_us(const struct choose_target *t, u32 worth)
@@ -59,9 +59,9 @@
 /* Small differences between upstreams are those of the calls that they happened to get. */
 static u64 told_service_us(const struct choose_target *t, u32 worth, u64 silent_us)
 {
-	u64 least = t->service->least_us;
+	u64 typical = t->service->typical_us;
 	u64 work = choose_told_work_us(t, worth);
-	u64 usual = work * 100 > least * SLOWER_PERCENT ? work : least;
+	u64 usual = work * 100 > typical * SLOWER_PERCENT ? work : typical;
 	u64 told = usual * t->load.slowness_percent / 100;
 
 	return silent_us > SILENT_DOUBT * told ? silent_us : told;
--- a/test/admit_test.c
+++ b/test/admit_test.c
@@ -168,7 +168,7 @@
 
 	while ((r = admit_expired(&m->a, m->now_us))) {
 		u64 target = m->ranks[r->rank].target_us;
-		u64 service = m->a.queues[r->rank].work_us;
+		u64 service = m->a.queues[r->rank].smooth_us;
 		u64 wait;
 
 		/* The time of the call itself is set aside from the target. */
