Upstreams that send bytes without end: interim answers and bodies together are bounded

Found by endless_test, which sends a status line, a header, headers, interim answers, a body without length, chunks, a chunk's extension, a trailer and bytes behind a whole answer without end: interim answers were read until the call's deadline, and eleven bodies of 8 MB each could hold half of a node's memory.

Change: more than 16 interim answers end the call; the bodies that are being read hold at most 32 MB together.

--- a/lib/http_read.c
+++ b/lib/http_read.c
@@ -6,6 +6,8 @@
 
 /* Interim answers end at this status. */
 #define STATUS_FINAL_FIRST 200
+/* Interim answers before one that counts. */
+#define INTERIM_MAX 16
 
 static struct http_read *of(http_parser *p)
 {
@@ -146,8 +148,9 @@
 
 	if (r->is_answer && m->status < STATUS_FINAL_FIRST) {
 		http_free(m);
-		return 0;
+		return ++r->interim > INTERIM_MAX ? fail(r, ERR_TOOBIG) : 0;
 	}
+	r->interim = 0;
 	r->is_in_body = false;
 	r->keeps_alive = http_should_keep_alive(p);
 	if (r->is_answer)
--- a/lib/http_read.h
+++ b/lib/http_read.h
@@ -43,6 +43,7 @@
 	GString *value;
 	GString *target;
 	size_t head_bytes;
+	u32 interim; /* answers since the last one that counts */
 	int err;
 };
 
--- a/node/upstream.c
+++ b/node/upstream.c
@@ -31,6 +31,7 @@
 	const struct dialect *dialect;
 	GQueue idle; /* of struct upstream_conn, the last used first */
 	GQueue busy;
+	size_t reading_bytes;
 };
 
 struct upstream_conn {
@@ -45,12 +46,29 @@
 	u64 since_us; /* idle since, or connecting since */
 	u64 idle_max_us;
 	u32 foreign; /* answers that were read over */
+	size_t reading_bytes; /* of the body that is being read */
 	bool is_connecting;
 	bool was_answered; /* the call has its answer, or failed */
 };
 
+size_t upstream_reading_bytes(const struct upstream *u)
+{
+	return u->reading_bytes;
+}
+
+/* Counts what the body holds now. Returns ERR_TOOBIG when all bodies together hold too much. */
+static int count_reading(struct upstream_conn *c, size_t bytes)
+{
+	struct upstream *u = c->u;
+
+	u->reading_bytes = u->reading_bytes - c->reading_bytes + bytes;
+	c->reading_bytes = bytes;
+	return u->reading_bytes > UPSTREAM_READING_MAX_BYTES ? ERR_TOOBIG : 0;
+}
+
 static void conn_close(struct upstream_conn *c)
 {
+	count_reading(c, 0);
 	loop_fd_remove(c->u->loop, &c->fd);
 	close(c->fd.fd);
 	g_queue_unlink(c->call ? &c->u->busy : &c->u->idle, &c->link);
@@ -193,6 +211,7 @@
 
 static void make_idle(struct upstream_conn *c, u64 max_us)
 {
+	count_reading(c, 0);
 	g_queue_unlink(&c->u->busy, &c->link);
 	g_queue_push_head_link(&c->u->idle, &c->link);
 	c->call = NULL;
@@ -269,6 +288,8 @@
 			http_free(m);
 			err = c->foreign > FOREIGN_MAX || is_eof ? ERR_CLOSED : 0;
 		}
+		if (!err)
+			err = count_reading(c, c->read.msg ? c->read.msg->body->len : 0);
 		if (err) {
 			fail(c, error_of(c, err));
 			return true;
--- a/node/upstream.h
+++ b/node/upstream.h
@@ -43,6 +43,9 @@
 
 struct upstream;
 
+/* Bodies that are being read hold no more than this together; what goes over it fails. */
+#define UPSTREAM_READING_MAX_BYTES (32 * 1024 * 1024)
+
 struct upstream *upstream_new(struct loop *l, const struct dialect *d);
 
 /* upstream_free - closes all connections; calls in progress are not told. */
@@ -54,6 +57,9 @@
 /* upstream_end - close the connection of a call at once; done() follows from the loop. */
 void upstream_end(struct upstream_call *call, int err);
 
+/* upstream_reading_bytes - what the bodies hold that are being read. */
+size_t upstream_reading_bytes(const struct upstream *u);
+
 /* upstream_forget - close the idle connections: another upstream may have the address. */
 void upstream_forget(struct upstream *u);
 
