Beats between control processes name only the nodes that stay behind

Change: a beat counts all revisions as before, and names only nodes that lack a revision which is a second old.

--- a/control/control.h
+++ b/control/control.h
@@ -46,6 +46,7 @@
 	GPtrArray *nodes; /* of struct node_link, accepted from nodes */
 	GHashTable *reports; /* control id -> struct in_force_report of other processes */
 	u64 beat;
+	u64 settled_revision; /* a second old: who lacks it is named to the others as behind */
 
 	GHashTable *ops; /* op sequence -> struct op */
 	u64 op_seq;
--- a/control/spread.c
+++ b/control/spread.c
@@ -152,7 +152,7 @@
 
 static void beat_all(struct control *c, bool is_own_only)
 {
-	struct in_force_report *own = in_force_report(&c->directory, c->store.revision);
+	struct in_force_report *own = in_force_report(&c->directory, c->settled_revision);
 	GHashTableIter iter;
 	gpointer value;
 
@@ -185,6 +185,7 @@
 {
 	(void)now_us;
 	beat_all(c, false);
+	c->settled_revision = c->store.revision;
 	peers_refresh(c);
 }
 
