--- a/node/choose.c
+++ b/node/choose.c
@@ -2,12 +2,10 @@
 
 #include <stdlib.h>
 #include <string.h>
-#include <xxhash.h>
 
 #define SAMPLES 2 /* in the own zone, and as many elsewhere */
 /* Of the slow VMs, beside the samples of the fast ones: all of these may be full. */
 #define SLOW_SAMPLES 1
-#define OWN_ZONE_MAX (CHOOSE_SUBSET_MAX / 2)
 #define ZONE_US (200ULL)
 #define REGION_US (2 * US_PER_MS)
 #define WORLD_US (50 * US_PER_MS)
@@ -174,64 +172,23 @@
 
 /* Subset */
 
-struct ranked {
-	struct choose_target *target;
-	u64 weight;
-};
-
-static gint by_weight(gconstpointer a, gconstpointer b)
-{
-	const struct ranked *x = a;
-	const struct ranked *y = b;
-
-	return x->weight > y->weight ? -1 : x->weight < y->weight;
-}
-
-static GArray *rank_targets(const struct choose *c, const struct choose_service *s)
+static void make_subset(const struct choose *c, struct choose_service *s)
 {
-	GArray *list = g_array_sized_new(FALSE, FALSE, sizeof(struct ranked), s->targets->len);
-	u64 seed = XXH64(c->node, strlen(c->node), 0);
+	g_autoptr(GArray) items =
+		g_array_sized_new(FALSE, FALSE, sizeof(struct subset_item), s->targets->len);
 
 	for (guint i = 0; i < s->targets->len; i++) {
 		struct choose_target *t = g_ptr_array_index(s->targets, i);
-		struct ranked r = { t, XXH64(t->entry.node, strlen(t->entry.node), seed) };
-
-		g_array_append_val(list, r);
-	}
-	g_array_sort(list, by_weight);
-	return list;
-}
-
-static void take_ranked(struct choose_service *s, GArray *list, bool is_own_zone, u32 max)
-{
-	for (guint i = 0; i < list->len && s->subset->len < max; i++) {
-		struct choose_target *t = g_array_index(list, struct ranked, i).target;
+		struct subset_item item = { .node = t->entry.node,
+					    .is_own_zone = t->is_own_zone,
+					    .arg = t };
 
-		if (t->is_own_zone == is_own_zone)
-			g_ptr_array_add(s->subset, t);
+		g_array_append_val(items, item);
 	}
-}
-
-static u32 count_own_zone(const struct choose_service *s)
-{
-	u32 n = 0;
-
-	for (guint i = 0; i < s->targets->len; i++)
-		n += ((struct choose_target *)g_ptr_array_index(s->targets, i))->is_own_zone;
-	return n;
-}
-
-/* Places that the other zones leave free go to the own zone too. */
-static void make_subset(const struct choose *c, struct choose_service *s)
-{
-	g_autoptr(GArray) list = rank_targets(c, s);
-	u32 others = s->targets->len - count_own_zone(s);
-	u32 own_max = MAX((u32)OWN_ZONE_MAX, CHOOSE_SUBSET_MAX - MIN(others, CHOOSE_SUBSET_MAX));
-
+	s->nown_zone = subset_pick(c->node, items);
 	g_ptr_array_set_size(s->subset, 0);
-	take_ranked(s, list, true, own_max);
-	s->nown_zone = s->subset->len;
-	take_ranked(s, list, false, CHOOSE_SUBSET_MAX);
+	for (guint i = 0; i < items->len; i++)
+		g_ptr_array_add(s->subset, g_array_index(items, struct subset_item, i).arg);
 	s->is_stale = false;
 	s->is_linked = false;
 }
@@ -294,7 +251,7 @@
 }
 
 struct pool {
-	struct choose_target *targets[CHOOSE_SUBSET_MAX];
+	struct choose_target *targets[SUBSET_MAX];
 	u32 n;
 };
 
@@ -318,7 +275,7 @@
 	struct pool fast = { 0 };
 	struct pool slow = { 0 };
 
-	for (u32 i = from; i < to && fast.n + slow.n < CHOOSE_SUBSET_MAX; i++) {
+	for (u32 i = from; i < to && fast.n + slow.n < SUBSET_MAX; i++) {
 		struct choose_target *t = g_ptr_array_index(list, i);
 		struct pool *pool = choose_is_slow(t) ? &slow : &fast;
 
@@ -342,8 +299,8 @@
 /* The median time of a call of WORTH that upstreams in use tell; before any told one, of all. */
 static u64 typical_us(const struct choose_service *s, u32 worth)
 {
-	u64 told[CHOOSE_SUBSET_MAX];
-	u64 any[CHOOSE_SUBSET_MAX];
+	u64 told[SUBSET_MAX];
+	u64 any[SUBSET_MAX];
 	u32 ntold = 0;
 	u32 nany = 0;
 
--- a/node/choose.h
+++ b/node/choose.h
@@ -21,11 +21,10 @@
 #include "lib/types.h"
 #include "wire/dir_entry.h"
 #include "wire/peer.h"
+#include "wire/subset.h"
 
 #include <glib.h>
 
-/* Upstreams of a service that one node uses. */
-#define CHOOSE_SUBSET_MAX 12
 /* In this time a cold upstream comes to its whole share. */
 #define CHOOSE_RAMP_US (5 * US_PER_S)
 /* At most one of so many upstreams of a service is ejected. */
--- a/node/score.c
+++ b/node/score.c
@@ -205,7 +205,7 @@
 /* The median latency of the other upstreams, or 0 when fewer than two are known. */
 static u64 median_us(const struct choose_target *t, u64 now_us)
 {
-	u64 list[CHOOSE_SUBSET_MAX];
+	u64 list[SUBSET_MAX];
 	u32 n = 0;
 
 	for (guint i = 0; i < t->service->subset->len; i++) {
--- a/test/choose_test.c
+++ b/test/choose_test.c
@@ -76,8 +76,8 @@
 		announce(&c, "bulletin", i);
 	for (u32 i = 0; i < 5000; i++)
 		g_hash_table_add(used, pick(&c, "bulletin", 10, LATER_US));
-	g_assert_cmpuint(g_hash_table_size(used), <=, CHOOSE_SUBSET_MAX);
-	g_assert_cmpuint(g_hash_table_size(used), >, CHOOSE_SUBSET_MAX / 3);
+	g_assert_cmpuint(g_hash_table_size(used), <=, SUBSET_MAX);
+	g_assert_cmpuint(g_hash_table_size(used), >, SUBSET_MAX / 3);
 	choose_clear(&c);
 }
 
@@ -96,7 +96,7 @@
 	s = choose_find_service(&c, "bulletin");
 	for (guint i = 0; i < s->subset->len; i++)
 		g_hash_table_add(before, g_ptr_array_index(s->subset, i));
-	g_assert_cmpuint(g_hash_table_size(before), ==, CHOOSE_SUBSET_MAX);
+	g_assert_cmpuint(g_hash_table_size(before), ==, SUBSET_MAX);
 	((struct choose_target *)g_ptr_array_index(s->subset, 3))->entry.state = DIR_UP;
 	for (u32 i = 10; i < 510; i++)
 		if (target(&c, i) == g_ptr_array_index(s->subset, 3))
@@ -104,8 +104,8 @@
 	pick(&c, "bulletin", 10, LATER_US);
 	for (guint i = 0; i < s->subset->len; i++)
 		same += g_hash_table_contains(before, g_ptr_array_index(s->subset, i));
-	g_assert_cmpuint(s->subset->len, ==, CHOOSE_SUBSET_MAX);
-	g_assert_cmpuint(same, ==, CHOOSE_SUBSET_MAX - 1);
+	g_assert_cmpuint(s->subset->len, ==, SUBSET_MAX);
+	g_assert_cmpuint(same, ==, SUBSET_MAX - 1);
 	choose_clear(&c);
 }
 
@@ -369,7 +369,7 @@
 	usual.slowness_percent = 100;
 	slow.slowness_percent = 700;
 	setup(&c);
-	for (u32 i = 12; i < 12 + CHOOSE_SUBSET_MAX; i++) {
+	for (u32 i = 12; i < 12 + SUBSET_MAX; i++) {
 		announce(&c, "bulletin", i);
 		choose_load(target(&c, i), i == 15 ? &usual : &slow, LATER_US);
 	}
--- /dev/null
+++ b/wire/subset.c
@@ -0,0 +1,45 @@
+#include "wire/subset.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+static struct subset_item *item(GArray *items, guint i)
+{
+	return &g_array_index(items, struct subset_item, i);
+}
+
+/* The own zone first, then by weight. */
+static gint by_place(gconstpointer a, gconstpointer b)
+{
+	const struct subset_item *x = a;
+	const struct subset_item *y = b;
+
+	if (x->is_own_zone != y->is_own_zone)
+		return x->is_own_zone ? -1 : 1;
+	return x->weight > y->weight ? -1 : x->weight < y->weight;
+}
+
+u32 subset_pick(const char *node, GArray *items)
+{
+	u64 seed = XXH64(node, strlen(node), 0);
+	u32 own = 0;
+	u32 others;
+
+	for (guint i = 0; i < items->len; i++) {
+		struct subset_item *one = item(items, i);
+
+		one->weight = XXH64(one->node, strlen(one->node), seed);
+		own += one->is_own_zone;
+	}
+	g_array_sort(items, by_place);
+	others = MIN(items->len - own, (u32)SUBSET_MAX);
+	if (own > MAX((u32)SUBSET_OWN_ZONE, SUBSET_MAX - others)) {
+		u32 kept = MAX((u32)SUBSET_OWN_ZONE, SUBSET_MAX - others);
+
+		g_array_remove_range(items, kept, own - kept);
+		own = kept;
+	}
+	if (items->len > SUBSET_MAX)
+		g_array_set_size(items, SUBSET_MAX);
+	return own;
+}
