--- a/node/admit.c
+++ b/node/admit.c
@@ -128,8 +128,7 @@
 	return own ? own : a->ranks[rank].target_us / LIKELY_PART;
 }
 
-/* A call of RANK that starts now ends later than one that waits for the usual speed. */
-static bool is_held(const struct admit *a, u32 rank)
+bool admit_is_held(const struct admit *a, u32 rank)
 {
 	u64 usual = likely_us(a, rank);
 	u64 slow = usual * a->slowness_percent / USUAL_PERCENT;
@@ -141,13 +140,13 @@
 
 static u64 hold_us(const struct admit *a, u32 rank)
 {
-	return is_held(a, rank) ? spell_left_us(&a->spell, a->now_us) : 0;
+	return admit_is_held(a, rank) ? spell_left_us(&a->spell, a->now_us) : 0;
 }
 
 /* The speed at which the next call of RANK starts. */
 static u32 slowness_at_start(const struct admit *a, u32 rank)
 {
-	return is_held(a, rank) ? USUAL_PERCENT : a->slowness_percent;
+	return admit_is_held(a, rank) ? USUAL_PERCENT : a->slowness_percent;
 }
 
 static u64 service_us(const struct admit *a, u32 rank)
@@ -443,9 +442,6 @@
 	struct admit_queue *q = &a->queues[r->rank];
 
 	advance(a, now_us);
-	/* Late is better than never where no other upstream can take it. */
-	if (!r->may_move && is_held(a, r->rank))
-		r->target_us = MAX(left, 1);
 	if (admit_wait_us(a, r->rank) > MIN(left, request_wait_max_us(a, r)))
 		return -CTR_QUEUE_WAIT;
 	if (r->bytes > ADMIT_QUEUE_MAX_BYTES || !evict_for(a, r))
@@ -498,7 +494,7 @@
 			continue;
 		if (only_below_floor && !is_below_floor(a, i))
 			continue;
-		if (is_held(a, i) || (!has_slot(a, i) && !is_owed(a, i)))
+		if (admit_is_held(a, i) || (!has_slot(a, i) && !is_owed(a, i)))
 			continue;
 		if (best < 0 || goes_before(a, i, (u32)best))
 			best = (int)i;
--- a/node/admit.h
+++ b/node/admit.h
@@ -111,6 +111,12 @@
 /* admit_set_ranks - from the configuration; queued requests keep their index. */
 void admit_set_ranks(struct admit *a, const struct admit_rank *ranks, u32 n);
 
+/*
+ * admit_is_held - the VM is slow now, and a call of RANK that starts now would end later than
+ * one that waits for the usual speed.
+ */
+bool admit_is_held(const struct admit *a, u32 rank);
+
 /* admit_is_late - the call's target passes before most calls of its rank end, without any wait. */
 bool admit_is_late(const struct admit *a, const struct admit_req *r);
 
--- a/node/home.c
+++ b/node/home.c
@@ -360,9 +360,20 @@
 	return j;
 }
 
+/* What can't meet its target any more waits behind all else. */
+static int offer_late(struct node *n, struct job *j, u64 now_us)
+{
+	ctr_inc(CTR_LATE_CALL);
+	j->req.rank = n->home->late_rank;
+	j->req.target_us = 0;
+	return admit_offer(&n->home->admit, &j->req, now_us);
+}
+
 static int admit_job(struct node *n, struct job *j, const struct peer_call *call, u64 now_us)
 {
 	int rank = find_rank(call, j->msg->method, &j->is_idempotent);
+	struct admit *a = &n->home->admit;
+	int err;
 
 	if (n->own.state == DIR_DRAINING || n->is_stopping)
 		return -CTR_DRAINING;
@@ -374,13 +385,14 @@
 		return -CTR_EXPIRED_UNRUN;
 	home_configure(n);
 	j->req.rank = (u32)rank;
-	if (j->req.target_us && admit_is_late(&n->home->admit, &j->req)) {
-		ctr_inc(CTR_LATE_CALL);
-		j->req.rank = n->home->late_rank;
-		j->req.target_us = 0;
-	}
 	j->upstream.is_idempotent = j->is_idempotent;
-	return admit_offer(&n->home->admit, &j->req, now_us);
+	if (j->req.target_us && admit_is_late(a, &j->req))
+		return offer_late(n, j, now_us);
+	err = admit_offer(a, &j->req, now_us);
+	/* Late is better than never where no other upstream can take it. */
+	if (err == -CTR_QUEUE_WAIT && !j->req.may_move && admit_is_held(a, j->req.rank))
+		return offer_late(n, j, now_us);
+	return err;
 }
 
 void home_call(struct node *n, struct link *origin, struct peer_call *call, u64 deadline_us)
