Nodes are told of the services that they call, and of their subsets alone

Change: a node says which services it calls (CTL_WANT: all of a configuration of up to 16, else those called). Its control process picks the node's subset of each (wire/subset.c, the same function as at the node) and tells of these upstreams alone: when one changes, when another one takes its place (control/view.c). An unknown service is answered too, and the first call of a service waits for the answer, 500 ms at most. The number of nodes, by which bounds are shared, is told when it is off by a tenth.

--- a/control/directory.c
+++ b/control/directory.c
@@ -11,12 +11,22 @@
 	g_free(item);
 }
 
+static void service_free(gpointer p)
+{
+	struct directory_service *s = p;
+
+	g_ptr_array_unref(s->up);
+	g_free(s);
+}
+
 void directory_init(struct directory *d, u32 self, u64 incarnation)
 {
 	d->self = self;
 	d->incarnation = incarnation;
 	d->items = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, item_free);
 	d->owners = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	d->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, service_free);
+	d->nodes = 0;
 	g_queue_init(&d->order);
 	d->seq = 0;
 	d->checked_us = 0;
@@ -24,10 +34,28 @@
 
 void directory_clear(struct directory *d)
 {
+	g_hash_table_unref(d->services);
 	g_hash_table_unref(d->items);
 	g_hash_table_unref(d->owners);
 }
 
+const struct directory_service *directory_service(const struct directory *d, const char *name)
+{
+	return g_hash_table_lookup(d->services, name);
+}
+
+static struct directory_service *service_of(struct directory *d, const char *name)
+{
+	struct directory_service *s = g_hash_table_lookup(d->services, name);
+
+	if (s)
+		return s;
+	s = g_new0(struct directory_service, 1);
+	s->up = g_ptr_array_new();
+	g_hash_table_insert(d->services, g_strdup(name), s);
+	return s;
+}
+
 struct directory_item *directory_find(const struct directory *d, const char *node)
 {
 	return g_hash_table_lookup(d->items, node);
@@ -48,6 +76,35 @@
 	return item->owner == d->self && item->owner_incarnation == d->incarnation;
 }
 
+static void leave_service(struct directory *d, struct directory_item *item)
+{
+	if (!item->service)
+		return;
+	g_ptr_array_remove_fast(item->service->up, item);
+	item->service->seq = d->seq;
+	item->service = NULL;
+}
+
+/* Follows what ITEM is now: whether it counts, and which service it is up for. */
+static void place(struct directory *d, struct directory_item *item)
+{
+	bool is_there = directory_state(item) != DIR_GONE;
+	bool is_up = directory_state(item) == DIR_UP;
+	struct directory_service *s = is_up ? service_of(d, item->entry.service) : NULL;
+
+	d->nodes += is_there;
+	d->nodes -= item->is_counted;
+	item->is_counted = is_there;
+	if (s == item->service)
+		return;
+	leave_service(d, item);
+	if (!s)
+		return;
+	item->service = s;
+	s->seq = d->seq;
+	g_ptr_array_add(s->up, item);
+}
+
 /* Moves ITEM to the end of the order of changes. */
 static void changed(struct directory *d, struct directory_item *item, u32 from, u64 now_us)
 {
@@ -56,6 +113,7 @@
 	item->seq = ++d->seq;
 	g_queue_unlink(&d->order, &item->link);
 	g_queue_push_tail_link(&d->order, &item->link);
+	place(d, item);
 }
 
 static struct directory_item *find_or_add(struct directory *d, const char *node)
--- a/control/directory.h
+++ b/control/directory.h
@@ -41,6 +41,14 @@
 	u64 seq; /* local order of changes */
 	u64 applied_revision; /* at the owner: of the node's configuration */
 	GList link; /* in the order of seq */
+	struct directory_service *service; /* while it is up */
+	bool is_counted; /* among the nodes that are there */
+};
+
+/* The upstreams of one service. */
+struct directory_service {
+	GPtrArray *up; /* of struct directory_item */
+	u64 seq; /* of the last one that came or went */
 };
 
 /* Liveness of a control process, counted up by its only writer, itself. */
@@ -56,6 +64,8 @@
 	GHashTable *items; /* node -> struct directory_item */
 	GHashTable *owners; /* control id -> struct directory_owner */
 	GQueue order; /* of struct directory_item, by seq */
+	GHashTable *services; /* name -> struct directory_service */
+	u32 nodes; /* that are not gone */
 	u64 seq;
 	u64 checked_us;
 };
@@ -94,6 +104,9 @@
 
 /* directory_since - items changed after SEQ in order, to be freed as an array. */
 GPtrArray *directory_since(const struct directory *d, u64 seq);
+
+/* directory_service - NULL while no upstream of it was ever up. */
+const struct directory_service *directory_service(const struct directory *d, const char *name);
 struct directory_item *directory_find(const struct directory *d, const char *node);
 const struct directory_owner *directory_owner(const struct directory *d, u32 owner);
 
--- a/control/nodes.c
+++ b/control/nodes.c
@@ -3,6 +3,7 @@
 
 #include "control/join.h"
 #include "control/op.h"
+#include "control/view.h"
 #include "lib/ctr.h"
 #include "lib/delta.h"
 #include "lib/err.h"
@@ -17,13 +18,11 @@
 
 struct node_link {
 	struct link *link;
-	char *node;
 	bool is_watching;
 	bool is_confirmed; /* may get the configuration, see confirm */
 	u32 confirm_round; /* the read that it waits for; 0 while none was started */
 	u64 sent_revision;
-	bool has_directory;
-	u64 dir_seq;
+	struct view view;
 	u64 members_index; /* of the membership that was told; 0 for none */
 };
 
@@ -70,7 +69,7 @@
 	struct node_link *n = g_new0(struct node_link, 1);
 
 	n->link = k;
-	n->node = g_strdup(k->remote.name);
+	view_init(&n->view, k->remote.name, k->remote.zone, k->remote.region);
 	g_ptr_array_add(c->nodes, n);
 	tell_members(c, n);
 	tell_fresh(c, n, loop_clock_us());
@@ -83,7 +82,7 @@
 	if (!n)
 		return;
 	g_ptr_array_remove_fast(c->nodes, n);
-	g_free(n->node);
+	view_clear(&n->view);
 	g_free(n);
 }
 
@@ -174,7 +173,68 @@
 	if (frame_done(in))
 		return ERR_INVAL;
 	nodes_push(c);
-	nodes_push_directory(c);
+	return 0;
+}
+
+static void put_view(struct frame_out *f, const struct view_change *change)
+{
+	struct dir_entry e = change->item->entry;
+
+	e.state = directory_state(change->item);
+	frame_put_bool(f, change->is_dropped);
+	dir_entry_put(f, &e);
+}
+
+/* A queue that is full belongs to a node that is not heard any more, so nothing is sent again. */
+static void push_view(struct control *c, struct node_link *n)
+{
+	g_autoptr(GPtrArray) answered = g_ptr_array_new();
+	g_autoptr(GArray) changes = view_changes(&n->view, &c->directory, answered);
+	guint from = 0;
+
+	if (!changes->len && !answered->len && !view_is_count_stale(&n->view, &c->directory))
+		return;
+	n->view.nodes = c->directory.nodes;
+	do {
+		guint count = MIN(changes->len - from, (guint)CTL_ITEMS_PER_FRAME);
+		bool is_last = from + count == changes->len;
+		FRAME_AUTO(f, CTL_VIEW);
+
+		frame_put_u64(&f, c->directory.nodes);
+		/* A service is answered when all of its upstreams were told. */
+		frame_put_u64(&f, is_last ? answered->len : 0);
+		for (guint i = 0; is_last && i < answered->len; i++)
+			frame_put_str(&f, g_ptr_array_index(answered, i));
+		frame_put_u64(&f, count);
+		for (guint i = from; i < from + count; i++)
+			put_view(&f, &g_array_index(changes, struct view_change, i));
+		link_send(n->link, &f);
+		from += count;
+	} while (from < changes->len);
+}
+
+void nodes_push_directory(struct control *c)
+{
+	for (guint i = 0; i < c->nodes->len; i++) {
+		struct node_link *n = g_ptr_array_index(c->nodes, i);
+
+		if (n->is_watching && view_is_due(&n->view, &c->directory))
+			push_view(c, n);
+	}
+}
+
+static int take_want(struct control *c, struct link *k, struct frame_in *in)
+{
+	g_autoptr(GPtrArray) services = g_ptr_array_new_with_free_func(g_free);
+	u32 count = frame_get_count(in, CTL_WANTED_MAX);
+	struct node_link *n = find(c, k);
+
+	for (u32 i = 0; i < count && !in->err; i++)
+		g_ptr_array_add(services, frame_get_str(in, CTL_NAME_MAX_BYTES));
+	if (frame_done(in))
+		return ERR_INVAL;
+	view_want(&n->view, g_steal_pointer(&services));
+	push_view(c, n);
 	return 0;
 }
 
@@ -187,6 +247,8 @@
 		return take_renew(c, k, in);
 	case CTL_WATCH:
 		return take_watch(c, k, in);
+	case CTL_WANT:
+		return take_want(c, k, in);
 	default:
 		return ERR_INVAL;
 	}
@@ -268,45 +330,6 @@
 	n->sent_revision = c->store.revision;
 }
 
-static void push_directory(struct control *c, struct node_link *n)
-{
-	g_autoptr(GPtrArray) items = directory_since(&c->directory, n->dir_seq);
-	guint from = 0;
-
-	do {
-		guint count = MIN(items->len - from, (guint)CTL_ITEMS_PER_FRAME);
-		FRAME_AUTO(f, CTL_DIR);
-
-		frame_put_u64(&f, c->raft.id);
-		frame_put_bool(&f, !n->has_directory);
-		frame_put_bool(&f, from + count == items->len);
-		frame_put_u64(&f, count);
-		for (guint i = from; i < from + count; i++) {
-			const struct directory_item *item = g_ptr_array_index(items, i);
-			struct dir_entry e = item->entry;
-
-			e.state = directory_state(item);
-			dir_entry_put(&f, &e);
-		}
-		/* A queue that is full belongs to a node that is not heard any more. */
-		if (link_send(n->link, &f))
-			return;
-		from += count;
-	} while (from < items->len);
-	n->dir_seq = c->directory.seq;
-	n->has_directory = true;
-}
-
-void nodes_push_directory(struct control *c)
-{
-	for (guint i = 0; i < c->nodes->len; i++) {
-		struct node_link *n = g_ptr_array_index(c->nodes, i);
-
-		if (n->is_watching && (!n->has_directory || n->dir_seq < c->directory.seq))
-			push_directory(c, n);
-	}
-}
-
 /* A process that is not fresh gives out no configuration, but its directory goes on. */
 void nodes_push(struct control *c)
 {
--- /dev/null
+++ b/control/view.c
@@ -0,0 +1,200 @@
+#include "control/view.h"
+
+#include "wire/subset.h"
+
+#include <string.h>
+
+/* A number of nodes that is off by less than this part is near enough. */
+#define COUNT_PART 10
+
+struct view_service {
+	u64 seq; /* of the service when the subset was picked */
+	bool is_answered;
+};
+
+void view_init(struct view *v, const char *node, const char *zone, const char *region)
+{
+	memset(v, 0, sizeof(*v));
+	v->node = g_strdup(node);
+	v->zone = g_strdup(zone);
+	v->region = g_strdup(region);
+	v->wanted = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	v->told = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+}
+
+void view_clear(struct view *v)
+{
+	g_hash_table_unref(v->wanted);
+	g_hash_table_unref(v->told);
+	g_free(v->node);
+	g_free(v->zone);
+	g_free(v->region);
+}
+
+void view_want(struct view *v, GPtrArray *services)
+{
+	GHashTable *wanted = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+
+	for (guint i = 0; i < services->len; i++) {
+		const char *name = g_ptr_array_index(services, i);
+		const struct view_service *old = g_hash_table_lookup(v->wanted, name);
+		struct view_service *s = g_new0(struct view_service, 1);
+
+		if (old)
+			*s = *old;
+		g_hash_table_insert(wanted, g_strdup(name), s);
+	}
+	g_hash_table_unref(v->wanted);
+	v->wanted = wanted;
+	v->is_asked = true;
+	g_ptr_array_unref(services);
+}
+
+bool view_is_due(const struct view *v, const struct directory *d)
+{
+	return v->is_asked || v->seq < d->seq;
+}
+
+bool view_is_count_stale(const struct view *v, const struct directory *d)
+{
+	u32 more = MAX(v->nodes, d->nodes);
+	u32 less = MIN(v->nodes, d->nodes);
+
+	return (more - less) * COUNT_PART > less;
+}
+
+static void add(GArray *out, const struct directory_item *item, bool is_dropped)
+{
+	struct view_change change = { .item = item, .is_dropped = is_dropped };
+
+	g_array_append_val(out, change);
+}
+
+static void tell(struct view *v, const struct directory_item *item, GArray *out)
+{
+	u64 *seq = g_hash_table_lookup(v->told, item->entry.node);
+
+	if (seq && *seq == item->seq)
+		return;
+	if (!seq) {
+		seq = g_new0(u64, 1);
+		g_hash_table_insert(v->told, g_strdup(item->entry.node), seq);
+	}
+	*seq = item->seq;
+	add(out, item, false);
+}
+
+/* The upstreams of a service that are up, as this node's subset takes them. */
+static GArray *pick(const struct view *v, const struct directory_service *s)
+{
+	GArray *items = g_array_new(FALSE, FALSE, sizeof(struct subset_item));
+
+	for (guint i = 0; s && i < s->up->len; i++) {
+		struct directory_item *item = g_ptr_array_index(s->up, i);
+		const struct dir_entry *e = &item->entry;
+		struct subset_item one = { .node = e->node,
+					   .is_own_zone = !strcmp(e->zone, v->zone) &&
+							  !strcmp(e->region, v->region),
+					   .arg = item };
+
+		g_array_append_val(items, one);
+	}
+	subset_pick(v->node, items);
+	return items;
+}
+
+static bool has(const GArray *items, const struct directory_item *item)
+{
+	for (guint i = 0; i < items->len; i++)
+		if (g_array_index(items, struct subset_item, i).arg == item)
+			return true;
+	return false;
+}
+
+/* Those that were told and are up, and have lost their place. */
+static void drop_others(struct view *v, const struct directory *d, const char *service,
+			const GArray *picked, GArray *out)
+{
+	GHashTableIter iter;
+	gpointer node;
+
+	g_hash_table_iter_init(&iter, v->told);
+	while (g_hash_table_iter_next(&iter, &node, NULL)) {
+		const struct directory_item *item = directory_find(d, node);
+
+		if (!item || directory_state(item) != DIR_UP)
+			continue;
+		if (strcmp(item->entry.service, service) || has(picked, item))
+			continue;
+		add(out, item, true);
+		g_hash_table_iter_remove(&iter);
+	}
+}
+
+static void look_at_service(struct view *v, const struct directory *d, const char *name,
+			    struct view_service *s, GArray *out)
+{
+	const struct directory_service *now = directory_service(d, name);
+	u64 seq = now ? now->seq : 0;
+	g_autoptr(GArray) picked = NULL;
+
+	if (s->seq == seq)
+		return;
+	s->seq = seq;
+	picked = pick(v, now);
+	drop_others(v, d, name, picked, out);
+	for (guint i = 0; i < picked->len; i++)
+		tell(v, g_array_index(picked, struct subset_item, i).arg, out);
+}
+
+/* It is up for a service that the node does not call. */
+static bool is_unwanted(const struct view *v, const struct directory_item *item)
+{
+	return directory_state(item) == DIR_UP &&
+	       !g_hash_table_contains(v->wanted, item->entry.service);
+}
+
+/* What was told before and has changed, also when it is not up any more. */
+static void look_at_told(struct view *v, const struct directory *d, GArray *out)
+{
+	GHashTableIter iter;
+	gpointer node;
+	gpointer seq;
+
+	g_hash_table_iter_init(&iter, v->told);
+	while (g_hash_table_iter_next(&iter, &node, &seq)) {
+		const struct directory_item *item = directory_find(d, node);
+
+		bool is_dropped = item && is_unwanted(v, item);
+
+		if (item && (is_dropped || item->seq != *(u64 *)seq)) {
+			*(u64 *)seq = item->seq;
+			add(out, item, is_dropped);
+		}
+		if (!item || is_dropped || directory_state(item) == DIR_GONE)
+			g_hash_table_iter_remove(&iter);
+	}
+}
+
+GArray *view_changes(struct view *v, const struct directory *d, GPtrArray *answered)
+{
+	GArray *out = g_array_new(FALSE, FALSE, sizeof(struct view_change));
+	GHashTableIter iter;
+	gpointer name;
+	gpointer service;
+
+	/* What left makes room before another one takes its place. */
+	look_at_told(v, d, out);
+	g_hash_table_iter_init(&iter, v->wanted);
+	while (g_hash_table_iter_next(&iter, &name, &service)) {
+		struct view_service *s = service;
+
+		look_at_service(v, d, name, s, out);
+		if (!s->is_answered)
+			g_ptr_array_add(answered, name);
+		s->is_answered = true;
+	}
+	v->seq = d->seq;
+	v->is_asked = false;
+	return out;
+}
--- a/node/choose.c
+++ b/node/choose.c
@@ -170,6 +170,14 @@
 	join_service(c, t);
 }
 
+void choose_drop(struct choose *c, const char *node)
+{
+	struct choose_target *t = choose_find(c, node);
+
+	if (t)
+		leave_service(c, t);
+}
+
 /* Subset */
 
 static void make_subset(const struct choose *c, struct choose_service *s)
--- a/node/choose.h
+++ b/node/choose.h
@@ -97,6 +97,9 @@
 /* choose_set - take an entry of the directory; a gone entry is dropped. */
 void choose_set(struct choose *c, const struct dir_entry *e, u64 now_us);
 
+/* choose_drop - the target is there, but not chosen any more. */
+void choose_drop(struct choose *c, const char *node);
+
 /* What is looked for. */
 struct choose_call {
 	const char *service;
--- a/node/config.c
+++ b/node/config.c
@@ -275,6 +275,31 @@
 	publish(NULL);
 }
 
+static void add_names(GPtrArray *out, GHashTable *services)
+{
+	GHashTableIter iter;
+	gpointer name;
+
+	g_hash_table_iter_init(&iter, services);
+	while (g_hash_table_iter_next(&iter, &name, NULL))
+		g_ptr_array_add(out, g_strdup(name));
+}
+
+GPtrArray *config_service_names(void)
+{
+	GPtrArray *out = g_ptr_array_new_with_free_func(g_free);
+	const struct config *c;
+
+	config_read_lock();
+	c = config_current();
+	if (c)
+		add_names(out, c->by_name);
+	if (c && c->set)
+		add_names(out, c->set->services);
+	config_read_unlock();
+	return out;
+}
+
 const struct config_service *config_find(const struct config *c, const char *name)
 {
 	const struct config_service *s = g_hash_table_lookup(c->by_name, name);
--- a/node/config.h
+++ b/node/config.h
@@ -69,6 +69,9 @@
 /* config_current - the snapshot, or NULL before the first one. */
 const struct config *config_current(void);
 
+/* config_service_names - of all services, to be freed as an array; the names are copies. */
+GPtrArray *config_service_names(void);
+
 /* config_find_host - by declared host, else by the first label of HOST; port is ignored. */
 const struct config_service *config_find_host(const struct config *c, const char *host);
 const struct config_service *config_find(const struct config *c, const char *name);
--- a/node/entry.c
+++ b/node/entry.c
@@ -26,6 +26,7 @@
 
 	loop_timer_cancel(n->loop, &p->deadline);
 	loop_timer_cancel(n->loop, &p->hedge_timer);
+	loop_timer_cancel(n->loop, &p->wait_timer);
 	g_hash_table_remove(n->entry->calls, call);
 	g_ptr_array_unref(p->tried);
 	g_clear_pointer(&call->priv, g_free);
--- a/node/entry_impl.h
+++ b/node/entry_impl.h
@@ -26,6 +26,7 @@
 	struct node *node;
 	struct loop_timer deadline;
 	struct loop_timer hedge_timer;
+	struct loop_timer wait_timer; /* set while the call waits for the service to be known */
 	GPtrArray *tried; /* of char: home nodes that refused or failed */
 	struct call_try *current;
 	struct call_try *hedge; /* second try of a slow call, beside the current one */
--- a/node/entry_try.c
+++ b/node/entry_try.c
@@ -9,6 +9,9 @@
 /* Head and framing of a call, more than the HTTP server takes in. */
 #define CALL_OVERHEAD_BYTES (64 * 1024)
 
+/* A control process answers what a service's upstreams are within this time. */
+#define SERVICE_WAIT_US (500 * US_PER_MS)
+
 /* From this slowness on, calls that just started there are tried elsewhere too. */
 #define SLOW_PERCENT 250
 /* So many times faster the other upstream must look. */
@@ -107,6 +110,47 @@
 	return t;
 }
 
+static void on_wait_end(void *arg, u64 now_us)
+{
+	struct entry_call *call = arg;
+
+	(void)now_us;
+	ctr_inc(CTR_NO_UPSTREAM);
+	entry_give_up(call->priv->node, call, CTR_NO_UPSTREAM, true);
+}
+
+/* The first call of a service waits until its upstreams were told. */
+static bool waits_for_service(struct node *n, struct entry_call *call, bool is_asked)
+{
+	struct entry_private *p = call->priv;
+
+	if (p->tries || p->wait_timer.is_set || !is_asked)
+		return false;
+	p->wait_timer = (struct loop_timer){ .fire = on_wait_end, .arg = call };
+	loop_timer_set(n->loop, &p->wait_timer, loop_clock_us() + SERVICE_WAIT_US);
+	return true;
+}
+
+static bool is_waiting_for(const struct entry_call *call, const char *service)
+{
+	return call->priv->wait_timer.is_set && !strcmp(call->service, service);
+}
+
+void entry_service_known(struct node *n, const char *service)
+{
+	g_autoptr(GList) calls = g_hash_table_get_keys(n->entry->calls);
+
+	for (GList *l = calls; l; l = l->next) {
+		struct entry_call *call = l->data;
+
+		/* What ends one call may end others. */
+		if (!g_hash_table_contains(n->entry->calls, call) || !is_waiting_for(call, service))
+			continue;
+		loop_timer_cancel(n->loop, &call->priv->wait_timer);
+		entry_attempt(n, call);
+	}
+}
+
 static void no_target(struct node *n, struct entry_call *call)
 {
 	enum ctr reason = call->reason == CTR_CALLS ? CTR_NO_UPSTREAM : call->reason;
@@ -194,6 +238,9 @@
 				      .worth = call->worth,
 				      .exclude = p->tried,
 				      .most_us = p->tries ? MAX(call->target_us, 1) : 0 };
+	/* Also where an upstream is known: it may be the one beside this node, and there are
+	 * others. */
+	bool is_asked = watch_awaits(n, call->service);
 	struct choose_target *target = choose_pick(&n->choose, &wanted, now);
 
 	link_subset(n, call->service);
@@ -201,7 +248,7 @@
 		      choose_has_other(&n->choose, &wanted, target, now);
 	if (target)
 		try_at(n, call, target, now);
-	else
+	else if (!waits_for_service(n, call, is_asked))
 		no_target(n, call);
 }
 
--- a/node/node.c
+++ b/node/node.c
@@ -40,7 +40,7 @@
 		node_set_state(n, DIR_NO_UPSTREAM);
 	}
 	home_second(n, now_us);
-	spend_nodes(&n->entry->spend, g_hash_table_size(n->choose.targets));
+	spend_nodes(&n->entry->spend, watch_nodes(n));
 	ctr_add(CTR_PROBE_ALLOWED, n->settings->node.probe_budget_per_s);
 	ctr_add(CTR_PROBE_BYTES_ALLOWED, n->settings->node.probe_budget_bytes_per_s);
 	loop_timer_set(n->loop, &n->second_timer, now_us + US_PER_S);
--- a/node/node.h
+++ b/node/node.h
@@ -121,6 +121,9 @@
 void entry_link_up(struct node *n, const char *peer, u64 incarnation);
 void entry_link_down(struct node *n, const char *peer);
 
+/* entry_service_known - a control process told the upstreams of SERVICE, if there are any. */
+void entry_service_known(struct node *n, const char *service);
+
 /* entry_directory - what the directory says of a home; a gone or restarted one answers no fence. */
 void entry_directory(struct node *n, const struct dir_entry *e);
 
@@ -189,6 +192,15 @@
 void watch_stop(struct node *n);
 void watch_register(struct node *n);
 
+/*
+ * watch_awaits - the upstreams of SERVICE are not known yet, and a control process was asked:
+ * entry_service_known follows.
+ */
+bool watch_awaits(struct node *n, const char *service);
+
+/* watch_nodes - nodes of the whole system, as told last; 0 before. */
+u32 watch_nodes(const struct node *n);
+
 /* watch_is_fresh - a control process that knows the newest configuration is linked. */
 bool watch_is_fresh(const struct node *n);
 
--- a/node/watch.c
+++ b/node/watch.c
@@ -31,6 +31,9 @@
 /* By then a control process has heard of all that is alive. */
 #define SWEEP_US (10 * US_PER_S)
 #define CONFIG_TEXT_MAX_BYTES SET_JSON_MAX_BYTES
+/* Of a configuration with no more services all are wanted; of a larger one those that are called.
+ */
+#define WANT_ALL_MAX 16
 
 enum distance { SAME_ZONE, SAME_REGION, UNKNOWN_DISTANCE, OTHER_REGION };
 
@@ -63,7 +66,9 @@
 	struct loop_timer timer;
 	u64 renew_due_us;
 	u64 sweep_due_us; /* 0 when done */
-	GHashTable *told; /* nodes in the directory of the main control process */
+	GHashTable *told; /* nodes that the main control process told of */
+	GHashTable *wanted; /* service -> whether the main control process has answered */
+	u32 nodes; /* in the directory */
 	GPtrArray *changes; /* of struct config_change, until the last frame */
 	bool was_linked;
 };
@@ -126,12 +131,85 @@
 	return change;
 }
 
+/* Which services the node calls; the answer tells their upstreams, as far as it uses them. */
+
+static void send_want(struct watch *w)
+{
+	GHashTableIter iter;
+	gpointer name;
+	FRAME_AUTO(f, CTL_WANT);
+
+	if (!is_up(&w->main))
+		return;
+	frame_put_u64(&f, g_hash_table_size(w->wanted));
+	g_hash_table_iter_init(&iter, w->wanted);
+	while (g_hash_table_iter_next(&iter, &name, NULL))
+		frame_put_str(&f, name);
+	link_send(w->main.link, &f);
+}
+
+static bool add_wanted(struct watch *w, const char *service)
+{
+	if (g_hash_table_contains(w->wanted, service) ||
+	    g_hash_table_size(w->wanted) >= CTL_WANTED_MAX)
+		return false;
+	g_hash_table_insert(w->wanted, g_strdup(service), GINT_TO_POINTER(false));
+	return true;
+}
+
+/* All of a small configuration, before the first call comes. */
+static void want_configured(struct watch *w)
+{
+	g_autoptr(GPtrArray) names = config_service_names();
+	bool is_new = false;
+
+	for (guint i = 0; names->len <= WANT_ALL_MAX && i < names->len; i++)
+		is_new |= add_wanted(w, g_ptr_array_index(names, i));
+	if (is_new)
+		send_want(w);
+}
+
+static void want_answered(struct watch *w, const char *service)
+{
+	if (g_hash_table_contains(w->wanted, service))
+		g_hash_table_insert(w->wanted, g_strdup(service), GINT_TO_POINTER(true));
+}
+
+/* Another control process is asked anew. */
+static void want_again(struct watch *w)
+{
+	GHashTableIter iter;
+
+	g_hash_table_iter_init(&iter, w->wanted);
+	while (g_hash_table_iter_next(&iter, NULL, NULL))
+		g_hash_table_iter_replace(&iter, GINT_TO_POINTER(false));
+	send_want(w);
+}
+
+bool watch_awaits(struct node *n, const char *service)
+{
+	struct watch *w = n->watch;
+
+	if (!is_up(&w->main))
+		return false;
+	if (add_wanted(w, service))
+		send_want(w);
+	return g_hash_table_contains(w->wanted, service) &&
+	       !g_hash_table_lookup(w->wanted, service);
+}
+
+u32 watch_nodes(const struct node *n)
+{
+	return n->watch->nodes;
+}
+
 /* Brings the changes that were collected into force. */
 static void apply_changes(struct watch *w, u64 revision, bool is_snapshot)
 {
 	config_apply(revision, is_snapshot, w->changes);
 	g_ptr_array_set_size(w->changes, 0);
 	caller_configure(w->node);
+	want_configured(w);
 	send_renew(w);
 }
 
@@ -198,29 +276,60 @@
 	return 0;
 }
 
-static int take_directory(struct watch *w, struct frame_in *in)
+/* An entry of the view: it is used, or has lost its place to another one. */
+static void take_entry(struct watch *w, const struct dir_entry *e, bool is_dropped)
+{
+	struct choose *c = &w->node->choose;
+
+	if (w->sweep_due_us)
+		g_hash_table_add(w->told, g_strdup(e->node));
+	/* The node itself knows its own entry best. */
+	if (!strcmp(e->node, w->node->self.name))
+		return;
+	choose_set(c, e, loop_clock_us());
+	if (is_dropped)
+		choose_drop(c, e->node);
+	entry_directory(w->node, e);
+}
+
+static void take_answered(struct watch *w, struct frame_in *in, GPtrArray *answered)
+{
+	u32 n = frame_get_count(in, CTL_WANTED_MAX);
+
+	for (u32 i = 0; i < n && !in->err; i++) {
+		char *name = frame_get_str(in, CTL_NAME_MAX_BYTES);
+
+		if (in->err)
+			return;
+		g_ptr_array_add(answered, name);
+		want_answered(w, name);
+	}
+}
+
+static int take_view(struct watch *w, struct frame_in *in)
 {
+	g_autoptr(GPtrArray) answered = g_ptr_array_new_with_free_func(g_free);
+	u32 nodes = (u32)frame_get_u64(in);
 	u32 n;
 
-	frame_get_u64(in);
-	frame_get_bool(in);
-	frame_get_bool(in);
+	take_answered(w, in, answered);
 	n = frame_get_count(in, CTL_ITEMS_PER_FRAME);
 	for (u32 i = 0; i < n && !in->err; i++) {
 		__attribute__((cleanup(dir_entry_clear))) struct dir_entry e = { 0 };
+		bool is_dropped = frame_get_bool(in);
 
 		dir_entry_get(in, &e);
-		if (in->err)
-			break;
-		if (w->sweep_due_us)
-			g_hash_table_add(w->told, g_strdup(e.node));
-		/* The node itself knows its own entry best. */
-		if (!strcmp(e.node, w->node->self.name))
-			continue;
-		choose_set(&w->node->choose, &e, loop_clock_us());
-		entry_directory(w->node, &e);
+		if (!in->err)
+			take_entry(w, &e, is_dropped);
 	}
-	return frame_done(in);
+	if (frame_done(in))
+		return ERR_INVAL;
+	/* A control process that has just started doesn't know all nodes yet. */
+	if (nodes > w->nodes || !w->sweep_due_us)
+		w->nodes = nodes;
+	for (guint i = 0; i < answered->len; i++)
+		entry_service_known(w->node, g_ptr_array_index(answered, i));
+	return 0;
 }
 
 /* What left while no control process was there is not in the new one's directory. */
@@ -278,6 +387,7 @@
 	w->node->own.version++;
 	watch_register(w->node);
 	ask_for_config(w, config_revision());
+	want_again(w);
 	log_event(LOG_INFO, "control link up", "control", k->remote.name, "fresh",
 		  w->main.fresh_us ? "yes" : "no", NULL);
 }
@@ -389,8 +499,8 @@
 		return take_config(s->w, in);
 	case CTL_SET_DELTA:
 		return take_set_delta(s->w, in);
-	case CTL_DIR:
-		return take_directory(s->w, in);
+	case CTL_VIEW:
+		return take_view(s->w, in);
 	case CTL_FRESH:
 		return take_fresh(s, in);
 	case CTL_MEMBERS:
@@ -536,6 +646,7 @@
 	w->trial.w = w;
 	w->changes = g_ptr_array_new_with_free_func(config_change_free);
 	w->told = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	w->wanted = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	w->candidates = g_ptr_array_new_with_free_func(g_free);
 	add_candidates(w);
 	w->timer = (struct loop_timer){ .fire = on_timer, .arg = w };
@@ -552,6 +663,7 @@
 	drop(&w->trial);
 	g_ptr_array_unref(w->candidates);
 	g_hash_table_unref(w->told);
+	g_hash_table_unref(w->wanted);
 	g_ptr_array_unref(w->changes);
 	g_clear_pointer(&n->watch, g_free);
 }
--- a/test/control_test.sh
+++ b/test/control_test.sh
@@ -394,6 +394,8 @@
 	answer=$(http GET "$keep" /v1/services/sightings)
 	[ "${answer%% *}" = 503 ] || fail "a read without a quorum: $answer"
 	for i in 1 2 3 4; do wait_for "node $i at control $keep" node_uses $i "$keep"; done
+	# A node is told of the services that it calls.
+	call_runs 2 || fail "node 2 does not serve without a quorum"
 	end TERM upstream1
 	end KILL node1
 	wait_for "dead node to leave at node 2" sees 2 1 gone
--- a/test/watch_test.c
+++ b/test/watch_test.c
@@ -3,6 +3,7 @@
 #include "lib/set.h"
 #include "node/config.h"
 #include "test/fakes/fake_node.h"
+#include "test/fakes/httpc.h"
 #include "test/fakes/raw_server.h"
 #include "wire/ctl.h"
 
@@ -28,6 +29,8 @@
 	gint is_fresh;
 	gint watches;
 	u64 watched_us;
+	gint answers; /* whether it answers what a node wants */
+	gint wants; /* services that were wanted */
 };
 
 static struct fake_control controls[2];
@@ -49,11 +52,31 @@
 	((struct fake_control *)k->arg)->link = k;
 }
 
+/* Answers that no upstream serves what is wanted. */
+static void take_want(struct fake_control *c, struct link *k, struct frame_in *in)
+{
+	u32 n = frame_get_count(in, CTL_WANTED_MAX);
+	FRAME_AUTO(f, CTL_VIEW);
+
+	frame_put_u64(&f, 1);
+	frame_put_u64(&f, n);
+	for (u32 i = 0; i < n; i++) {
+		g_autofree char *name = frame_get_str(in, CTL_NAME_MAX_BYTES);
+
+		frame_put_str(&f, name);
+	}
+	frame_put_u64(&f, 0);
+	g_atomic_int_add(&c->wants, (gint)n);
+	if (g_atomic_int_get(&c->answers))
+		link_send(k, &f);
+}
+
 static int on_frame(struct link *k, u32 type, struct frame_in *in)
 {
 	struct fake_control *c = k->arg;
 
-	(void)in;
+	if (type == CTL_WANT)
+		take_want(c, k, in);
 	if (type == CTL_WATCH) {
 		c->watched_us = loop_clock_us();
 		g_atomic_int_inc(&c->watches);
@@ -85,6 +108,7 @@
 				    .region = (char *)"r",
 				    .incarnation = 1 };
 	c->is_fresh = 1;
+	c->answers = 1;
 	c->listener = link_listen(c->loop, &c->self, "127.0.0.1", c->port, &ops, c);
 	g_assert_nonnull(c->listener);
 	c->timer = (struct loop_timer){ .fire = on_timer, .arg = c };
@@ -92,6 +116,20 @@
 	g_assert_cmpint(loop_start(c->loop), ==, 0);
 }
 
+static void do_drop_link(void *arg)
+{
+	struct fake_control *c = arg;
+
+	if (c->link)
+		link_close(c->link);
+	c->link = NULL;
+}
+
+static void drop_link(struct fake_control *c)
+{
+	loop_call(c->loop, do_drop_link, c);
+}
+
 static void wait_watches(struct fake_control *c, gint least)
 {
 	for (u32 i = 0; i < WAIT_MS && g_atomic_int_get(&c->watches) < least; i++)
@@ -231,6 +269,49 @@
 	g_assert_cmpint(g_atomic_int_get(&controls[0].watches), ==, 3);
 }
 
+/* How long a call of the service takes that the configuration has. */
+static u64 call_us(const struct fake_node *node, const char *reason)
+{
+	u64 began_us = loop_clock_us();
+	struct httpc_reply reply;
+
+	g_assert_cmpint(httpc_call("127.0.0.1", node->settings.node.caller_port, "GET", "/",
+				   "Host: sightings.example\r\n", NULL, 5000, &reply),
+			==, 0);
+	g_assert_cmpint(reply.status, ==, 503);
+	g_assert_cmpstr(reply.reason, ==, reason);
+	httpc_reply_clear(&reply);
+	return loop_clock_us() - began_us;
+}
+
+/*
+ * The first call of a service waits for its upstreams: until they are told, also that there are
+ * none, and not for ever.
+ */
+static void test_first_call_of_a_service(void)
+{
+	struct fake_node node;
+	struct endpoint at = { .host = "127.0.0.1" };
+
+	start_control(&controls[0]);
+	g_atomic_int_set(&controls[0].answers, 0);
+	fake_node_prepare(&node);
+	g_array_set_size(node.settings.node.control, 0);
+	at.port = controls[0].port;
+	g_array_append_val(node.settings.node.control, at);
+	fake_node_run(&node);
+	wait_watches(&controls[0], 1);
+	g_assert_cmpint(g_atomic_int_get(&controls[0].wants), ==, 0);
+	g_assert_cmpuint(call_us(&node, "no-upstream"), >=, 400 * US_PER_MS);
+	g_assert_cmpint(g_atomic_int_get(&controls[0].wants), ==, 1);
+	/* Asked for by another one, it is answered at once. */
+	g_atomic_int_set(&controls[0].answers, 1);
+	drop_link(&controls[0]);
+	wait_watches(&controls[0], 2);
+	g_assert_cmpuint(call_us(&node, "no-upstream"), <, 400 * US_PER_MS);
+	g_assert_cmpuint(call_us(&node, "no-upstream"), <, 400 * US_PER_MS);
+}
+
 int main(int argc, char **argv)
 {
 	int ret;
@@ -238,6 +319,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/watch/moves-to-one-seen-before", test_moves_to_one_seen_before);
 	g_test_add_func("/watch/set-delta", test_set_delta);
+	g_test_add_func("/watch/first-call-of-a-service", test_first_call_of_a_service);
 	ret = g_test_run();
 	fflush(stdout);
 	_exit(ret); /* the node still runs */
--- a/wire/ctl.h
+++ b/wire/ctl.h
@@ -2,8 +2,8 @@
  * ctl - frame types between nodes and control processes, and between control processes
  *
  * node to control:    CTL_REGISTER entry; CTL_RENEW applied revision;
- *                     CTL_WATCH configuration revision
- * control to node:    CTL_CONFIG, CTL_SET_DELTA, CTL_DIR, CTL_FRESH, CTL_MEMBERS
+ *                     CTL_WATCH configuration revision; CTL_WANT services
+ * control to node:    CTL_CONFIG, CTL_SET_DELTA, CTL_VIEW, CTL_FRESH, CTL_MEMBERS
  * control to control: CTL_RAFT, CTL_COPY, CTL_BEAT, CTL_FORWARD, CTL_FORWARDED, CTL_JOIN,
  *                     CTL_MEMBERS
  */
@@ -21,6 +21,9 @@
  */
 #define CTL_LEASE_US (600 * US_PER_MS)
 #define CTL_ITEMS_PER_FRAME 256
+/* Services that one node may want. */
+#define CTL_WANTED_MAX 4096
+#define CTL_NAME_MAX_BYTES 256
 /* Changes of the directory within this time are sent together. */
 #define CTL_SPREAD_DELAY_US (50 * US_PER_MS)
 /* Changed applied revisions are reported after this time, else once a second. */
@@ -33,7 +36,9 @@
 	CTL_CONFIG, /* revision, is_snapshot, is_last, count, {name, version, revision, is_live,
 		       json} */
 	CTL_SET_DELTA, /* revision, revision it builds on, version, checksum of the text, delta */
-	CTL_DIR, /* is_snapshot, is_last, count, {entry} */
+	CTL_WANT, /* count, {service}: all that the node calls */
+	CTL_VIEW, /* nodes in the directory, count, {answered service}, count, {is_dropped, entry}
+		   */
 	CTL_FRESH, /* is_fresh, revision */
 	CTL_RAFT, /* a raft message */
 	CTL_BEAT, /* count, {control id, incarnation, beat, report} */
