--- a/test/subset_test.c
+++ b/test/subset_test.c
@@ -20,29 +20,27 @@
 	return items;
 }
 
-static u32 picked(u32 n, u32 zones, u32 *own)
+/* Of N upstreams, every ZONES-th in the own zone, so many are picked, OWN of them there. */
+static void check_places(u32 n, u32 zones, u32 picked, u32 own)
 {
 	g_autoptr(GArray) items = make(n, zones);
+	u32 found = subset_pick("10.9.9.9:8081", items);
 
-	*own = subset_pick("10.9.9.9:8081", items);
-	return items->len;
+	g_assert_cmpuint(items->len, ==, picked);
+	g_assert_cmpuint(found, ==, own);
+	for (guint i = 0; i < items->len; i++)
+		g_assert_true(g_array_index(items, struct subset_item, i).is_own_zone == (i < own));
 }
 
 static void test_places(void)
 {
-	u32 own;
-
-	g_assert_cmpuint(picked(500, 5, &own), ==, SUBSET_MAX);
-	g_assert_cmpuint(own, ==, SUBSET_OWN_ZONE);
+	check_places(500, 5, SUBSET_MAX, SUBSET_OWN_ZONE);
 	/* Few elsewhere: the own zone has the rest. */
-	g_assert_cmpuint(picked(40, 1, &own), ==, SUBSET_MAX);
-	g_assert_cmpuint(own, ==, SUBSET_MAX);
+	check_places(40, 1, SUBSET_MAX, SUBSET_MAX);
 	/* Few in the own zone: the others have the rest. */
-	g_assert_cmpuint(picked(40, 40, &own), ==, SUBSET_MAX);
-	g_assert_cmpuint(own, ==, 1);
-	g_assert_cmpuint(picked(5, 2, &own), ==, 5);
-	g_assert_cmpuint(own, ==, 3);
-	g_assert_cmpuint(picked(0, 1, &own), ==, 0);
+	check_places(40, 40, SUBSET_MAX, 1);
+	check_places(5, 2, 5, 3);
+	check_places(0, 1, 0, 0);
 }
 
 /* One upstream that leaves changes one place of the subsets that had it, and no other. */
