--- a/node/choose.c
+++ b/node/choose.c
@@ -304,28 +304,33 @@
 	return x < y ? -1 : x > y;
 }
 
+/* 0 of no values. */
+static u64 median(u64 *values, u32 n)
+{
+	if (!n)
+		return 0;
+	qsort(values, n, sizeof(*values), by_time);
+	return values[n / 2];
+}
+
 /* The median time of a call of WORTH that upstreams in use tell; before any told one, of all. */
 static u64 typical_us(const struct choose_service *s, u32 worth)
 {
-	u64 told[SUBSET_MAX];
-	u64 any[SUBSET_MAX];
-	u32 ntold = 0;
-	u32 nany = 0;
+	u64 of_rank[SUBSET_MAX] = { 0 };
+	u64 of_all[SUBSET_MAX] = { 0 };
+	u32 nrank = 0;
+	u32 nall = 0;
 
 	for (guint i = 0; i < s->subset->len; i++) {
 		const struct choose_target *t = g_ptr_array_index(s->subset, i);
 		u64 work = choose_told_work_us(t, worth);
 
 		if (work)
-			told[ntold++] = work;
+			of_rank[nrank++] = work;
 		if (t->load_us && t->load.service_us)
-			any[nany++] = t->load.service_us;
+			of_all[nall++] = t->load.service_us;
 	}
-	qsort(told, ntold, sizeof(*told), by_time);
-	qsort(any, nany, sizeof(*any), by_time);
-	if (ntold)
-		return told[ntold / 2];
-	return nany ? any[nany / 2] : 0;
+	return nrank ? median(of_rank, nrank) : median(of_all, nall);
 }
 
 struct choose_target *choose_pick(struct choose *c, const struct choose_call *call, u64 now_us)
