fuzz/settings: the file is written before it is cut

Traced: the test cut its file to nothing in each of 6,000 rounds, and the file system writes such a file to the disk when a reader closes it next, so that the test waited for a busy disk 6,000 times.

--- a/test/fuzz_test.c
+++ b/test/fuzz_test.c
@@ -381,8 +381,9 @@
 
 		if (i)
 			mutate(b, &rng);
-		g_assert_cmpint(ftruncate(fd, 0), ==, 0);
+		/* A file that was cut to nothing is written to the disk at the next close. */
 		g_assert_cmpint(pwrite(fd, b->data, b->len, 0), ==, (int)b->len);
+		g_assert_cmpint(ftruncate(fd, b->len), ==, 0);
 		if (!settings_load(&s, temp, &found)) {
 			check_settings(&s);
 			taken++;
