SIGHUP reads the settings file again

A file is taken whole or not at all: one that is not valid, or that changes a key which takes a start, changes nothing and each finding is logged with its place; no call is lost by it, and GET /v1/settings on local_port tells the values in force (lib/settings_show.c, cmd/reload.c). Before, SIGHUP opened the log file again and nothing else.

Tests: reload_test.sh (two nodes with the same change, bad files, a fixed key, 120 reloads under 1,500 calls), /settings/shown, /settings/changed.

--- a/cmd/serve.c
+++ b/cmd/serve.c
@@ -1,4 +1,5 @@
 #include "cmd/cmd.h"
+#include "cmd/reload.h"
 
 #include "control/control.h"
 #include "lib/err.h"
@@ -40,7 +41,17 @@
 	signal(SIGXFSZ, SIG_IGN);
 }
 
-static void wait_for_end(const sigset_t *set)
+static void open_log_again(void)
+{
+	if (log_reopen())
+		log_event(LOG_WARN, "cannot open the log file again, the old one stays", NULL);
+	else
+		log_event(LOG_INFO, "log file opened again", NULL);
+}
+
+/* Returns the settings in force at the end. */
+static struct settings *wait_for_end(const sigset_t *set, struct krn *k, struct settings *s,
+				     const char *path)
 {
 	int sig = 0;
 
@@ -48,12 +59,10 @@
 		sigwait(set, &sig);
 		if (sig != SIGHUP)
 			continue;
-		if (log_reopen())
-			log_event(LOG_WARN, "cannot open the log file again, the old one stays",
-				  NULL);
-		else
-			log_event(LOG_INFO, "log file opened again", NULL);
+		open_log_again();
+		s = reload_settings(k, s, path);
 	}
+	return s;
 }
 
 static const struct dialect *find_dialect(const char *name)
@@ -66,7 +75,8 @@
 	return NULL;
 }
 
-static int run(const struct settings *s, const sigset_t *set)
+/* Takes S. */
+static int run(struct settings *s, const char *path, const sigset_t *set)
 {
 	struct control *control = s->control.is_on ? control_new(s) : NULL;
 	struct node *node = s->node.is_on ? node_new(s) : NULL;
@@ -83,15 +93,36 @@
 	err = krn_start(&k);
 	if (!err) {
 		log_event(LOG_INFO, "serving", "cluster", s->cluster, NULL);
-		wait_for_end(set);
+		s = wait_for_end(set, &k, s, path);
 		log_event(LOG_INFO, "stopping", NULL);
 		krn_stop(&k);
 		log_event(LOG_INFO, "stopped", NULL);
 	}
 	krn_clear(&k);
+	reload_settings_free(s);
 	return err ? CMD_REFUSED : CMD_DONE;
 }
 
+/* Opens the log, too. Returns the code of the command, or -1 to go on. */
+static int prepare(struct settings *s, const char *path)
+{
+	FIND_AUTO(found);
+
+	if (settings_load(s, path, &found)) {
+		find_print(&found, stderr);
+		return CMD_USAGE;
+	}
+	if (s->node.dialect && !find_dialect(s->node.dialect)) {
+		fprintf(stderr, "%s: no such dialect: \"%s\"\n", path, s->node.dialect);
+		return CMD_USAGE;
+	}
+	if (log_open(s->log_file, s->log_level, s->log_format)) {
+		fprintf(stderr, "cannot write the log file %s\n", s->log_file);
+		return CMD_REFUSED;
+	}
+	return -1;
+}
+
 int cmd_serve(int argc, char **argv)
 {
 	struct arg_lit *help = arg_lit0(NULL, "help", "print this text");
@@ -99,26 +130,19 @@
 	struct arg_end *end = arg_end(8);
 	void *table[] = { help, file, end };
 	int code = cmd_parse(argc, argv, table, "Run the roles of a settings file.");
-	struct settings s;
+	struct settings *s;
 	sigset_t set;
-	FIND_AUTO(found);
 
 	if (code >= 0)
 		return code;
-	if (settings_load(&s, file->filename[0], &found)) {
-		find_print(&found, stderr);
-		return CMD_USAGE;
-	}
-	if (s.node.dialect && !find_dialect(s.node.dialect)) {
-		fprintf(stderr, "%s: no such dialect: \"%s\"\n", file->filename[0], s.node.dialect);
-		return CMD_USAGE;
-	}
-	if (log_open(s.log_file, s.log_level, s.log_format)) {
-		fprintf(stderr, "cannot write the log file %s\n", s.log_file);
-		return CMD_REFUSED;
+	s = g_new0(struct settings, 1);
+	code = prepare(s, file->filename[0]);
+	if (code >= 0) {
+		reload_settings_free(s);
+		return code;
 	}
 	block_signals(&set);
 	set_thread_stack();
 	mg_init_library(0);
-	return run(&s, &set);
+	return run(s, file->filename[0], &set);
 }
--- a/control/api.c
+++ b/control/api.c
@@ -418,11 +418,11 @@
 	struct status_request *req = arg;
 	struct control *c = req->control;
 	bool is_fresh = raft_is_fresh(&c->raft, 2 * US_PER_S, loop_clock_us());
-	json_t *obj = json_pack("{s:s, s:i, s:s, s:I, s:b, s:I, s:I, s:I}", "cluster", c->cluster,
-				"id", (int)c->raft.id, "role", role_name(c->raft.role), "term",
-				(json_int_t)c->raft.term, "fresh", is_fresh, "revision",
-				(json_int_t)c->store.revision, "commit", (json_int_t)c->raft.commit,
-				"applied", (json_int_t)c->raft.applied);
+	json_t *obj = json_pack("{s:s, s:i, s:s, s:I, s:b, s:I, s:I, s:I}", "cluster",
+				c->self.cluster, "id", (int)c->raft.id, "role",
+				role_name(c->raft.role), "term", (json_int_t)c->raft.term, "fresh",
+				is_fresh, "revision", (json_int_t)c->store.revision, "commit",
+				(json_int_t)c->raft.commit, "applied", (json_int_t)c->raft.applied);
 
 	if (c->raft.leader)
 		json_object_set_new(obj, "leader", json_pack("{s:i}", "id", (int)c->raft.leader));
--- a/control/control.c
+++ b/control/control.c
@@ -151,10 +151,31 @@
 	loop_free(c->loop);
 }
 
+struct reload {
+	struct control *control;
+	const struct settings *settings;
+};
+
+static void reload_on_loop(void *arg)
+{
+	const struct reload *r = arg;
+
+	r->control->settings = r->settings;
+}
+
+static void control_reload(struct krn_service *s, const struct settings *settings)
+{
+	struct control *c = (struct control *)s;
+	struct reload r = { .control = c, .settings = settings };
+
+	loop_call(c->loop, reload_on_loop, &r);
+}
+
 static const struct krn_ops control_ops = {
 	.name = "control",
 	.start = control_start,
 	.stop = control_stop,
+	.reload = control_reload,
 };
 
 struct control *control_new(const struct settings *s)
@@ -163,7 +184,6 @@
 
 	c->service.ops = &control_ops;
 	c->settings = s;
-	c->cluster = s->cluster;
 	c->nodes = g_ptr_array_new();
 	c->ops = g_hash_table_new(g_int64_hash, g_int64_equal);
 	store_init(&c->store);
--- a/control/control.h
+++ b/control/control.h
@@ -28,7 +28,6 @@
 struct control {
 	struct krn_service service;
 	const struct settings *settings;
-	const char *cluster;
 	struct loop *loop;
 	struct link_id self;
 	struct link_listener *listener;
--- a/kernel/krn.c
+++ b/kernel/krn.c
@@ -75,6 +75,16 @@
 	return 0;
 }
 
+void krn_reload(struct krn *k, const struct settings *settings)
+{
+	for (guint i = 0; i < k->started->len; i++) {
+		struct krn_service *s = g_ptr_array_index(k->started, i);
+
+		if (s->ops->reload)
+			s->ops->reload(s, settings);
+	}
+}
+
 void krn_stop(struct krn *k)
 {
 	while (k->started->len) {
--- a/kernel/krn.h
+++ b/kernel/krn.h
@@ -13,12 +13,18 @@
 
 struct krn;
 struct krn_service;
+struct settings;
 
 struct krn_ops {
 	const char *name;
 	const char *const *needs; /* names of services, ended by NULL; may be NULL */
 	int (*start)(struct krn_service *s, struct krn *k);
 	void (*stop)(struct krn_service *s); /* finishes the work in progress first */
+	/*
+	 * Takes other settings; what they may change is up to the caller. The old ones are in use
+	 * until it returns. May be NULL.
+	 */
+	void (*reload)(struct krn_service *s, const struct settings *settings);
 };
 
 struct krn_service {
@@ -45,6 +51,9 @@
  */
 int krn_start(struct krn *k);
 
+/* krn_reload - hand other settings to the started services. */
+void krn_reload(struct krn *k, const struct settings *settings);
+
 /* krn_stop - stop the started services in the reverse order. */
 void krn_stop(struct krn *k);
 
--- a/lib/log.c
+++ b/lib/log.c
@@ -77,6 +77,11 @@
 	return has_path && !file ? ERR_IO : 0;
 }
 
+void log_set_level(enum log_level level)
+{
+	log_max = level;
+}
+
 bool log_is_on(enum log_level level)
 {
 	return level <= log_max;
--- a/lib/log.h
+++ b/lib/log.h
@@ -43,6 +43,9 @@
  */
 int log_reopen(void);
 
+/* log_set_level - from now on. */
+void log_set_level(enum log_level level);
+
 /* log_is_on - true when events of LEVEL are written; saves making their values. */
 bool log_is_on(enum log_level level);
 
--- a/lib/settings_impl.h
+++ b/lib/settings_impl.h
@@ -2,7 +2,8 @@
  * settings_impl - what the parts of the settings' reader share
  *
  * SOURCE lib/settings.c (file and defaults), lib/settings_value.c (single values),
- * lib/settings_keys.c (the keys), lib/settings_check.c (what must fit together)
+ * lib/settings_keys.c (the keys), lib/settings_check.c (what must fit together),
+ * lib/settings_show.c (back to text)
  */
 #ifndef SETTINGS_IMPL_H
 #define SETTINGS_IMPL_H
@@ -56,6 +57,14 @@
 /* settings_set - takes the value of a key that there is. */
 void settings_set(struct loader *l, const char *section, const char *name, const char *value);
 
+/*
+ * settings_each - calls FN with each key of the roles that are on, and its value as in a
+ * file, which FN takes.
+ */
+void settings_each(const struct settings *s,
+		   void (*fn)(void *arg, const char *section, const char *name, char *value),
+		   void *arg);
+
 /* settings_check - what must be there, and what must fit together. */
 void settings_check(struct loader *l);
 
--- a/lib/settings_keys.c
+++ b/lib/settings_keys.c
@@ -32,6 +32,7 @@
 	u64 max;
 	u64 scale; /* of a decimal: the field is the value times this */
 	void (*set)(struct loader *l, const char *value);
+	char *(*show)(const struct settings *s);
 };
 
 static bool has_endpoint(const GArray *list, const struct endpoint *e)
@@ -166,36 +167,108 @@
 	settings_each_part(l, v, add_member);
 }
 
+static const char *const level_names[] = { "error", "warn", "info", "debug" };
+static const char *const format_names[] = { "text", "json" };
+
 static void set_level(struct loader *l, const char *v)
 {
-	static const char *const names[] = { "error", "warn", "info", "debug" };
-
-	l->s->log_level = (enum log_level)settings_pick(l, v, names, G_N_ELEMENTS(names));
+	l->s->log_level =
+		(enum log_level)settings_pick(l, v, level_names, G_N_ELEMENTS(level_names));
 }
 
 static void set_format(struct loader *l, const char *v)
 {
-	static const char *const names[] = { "text", "json" };
+	l->s->log_format =
+		(enum log_format)settings_pick(l, v, format_names, G_N_ELEMENTS(format_names));
+}
+
+/* Back to text */
+
+static char *show_endpoint(const struct endpoint *e)
+{
+	return e->port ? g_strdup_printf("%s:%u", e->host, e->port) : g_strdup("");
+}
+
+static char *show_endpoints(const GArray *list)
+{
+	GString *out = g_string_new(NULL);
+
+	for (guint i = 0; i < list->len; i++) {
+		g_autofree char *one = show_endpoint(&g_array_index(list, struct endpoint, i));
+
+		g_string_append_printf(out, "%s%s", out->len ? "," : "", one);
+	}
+	return g_string_free(out, FALSE);
+}
+
+static char *show_node_control(const struct settings *s)
+{
+	return s->node.learns_control ? g_strdup("") : show_endpoints(s->node.control);
+}
+
+static char *show_node_seeds(const struct settings *s)
+{
+	return s->node.learns_control ? show_endpoints(s->node.control) : g_strdup("");
+}
+
+static char *show_member_list(const GArray *list, bool has_ids)
+{
+	GString *out = g_string_new(NULL);
+
+	for (guint i = 0; i < list->len; i++) {
+		const struct member_setting *m = &g_array_index(list, struct member_setting, i);
+		g_autofree char *at = show_endpoint(&m->at);
+
+		if (out->len)
+			g_string_append_c(out, ',');
+		if (has_ids)
+			g_string_append_printf(out, "%u@", m->id);
+		g_string_append(out, at);
+	}
+	return g_string_free(out, FALSE);
+}
+
+static char *show_members(const struct settings *s)
+{
+	return s->control.forms_itself ? g_strdup("") : show_member_list(s->control.members, true);
+}
+
+static char *show_control_seeds(const struct settings *s)
+{
+	return s->control.forms_itself ? show_member_list(s->control.members, false) : g_strdup("");
+}
+
+static char *show_found(const struct settings *s)
+{
+	return g_strdup(s->control.is_found ? "true" : "false");
+}
 
-	l->s->log_format = (enum log_format)settings_pick(l, v, names, G_N_ELEMENTS(names));
+static char *show_level(const struct settings *s)
+{
+	return g_strdup(level_names[s->log_level]);
+}
+
+static char *show_format(const struct settings *s)
+{
+	return g_strdup(format_names[s->log_format]);
 }
 
 #define AT(field) offsetof(struct settings, field)
 #define PLAIN(section, name, kind, field)                                                          \
 	{                                                                                          \
-		section, name, kind, AT(field), 0, 0, 0, NULL                                      \
+		section, name, kind, AT(field), 0, 0, 0, NULL, NULL                                \
 	}
 #define NUMBER(section, name, kind, field, min, max)                                               \
 	{                                                                                          \
-		section, name, kind, AT(field), min, max, 0, NULL                                  \
+		section, name, kind, AT(field), min, max, 0, NULL, NULL                            \
 	}
 #define DECIMAL(section, name, field, min, max, scale)                                             \
 	{                                                                                          \
-		section, name, KIND_DECIMAL, AT(field), min, max, scale, NULL                      \
+		section, name, KIND_DECIMAL, AT(field), min, max, scale, NULL, NULL                \
 	}
-#define OWN(section, name, set)                                                                    \
+#define OWN(section, name, set, show)                                                              \
 	{                                                                                          \
-		section, name, KIND_OWN, 0, 0, 0, 0, set                                           \
+		section, name, KIND_OWN, 0, 0, 0, 0, set, show                                     \
 	}
 
 static const struct key keys[] = {
@@ -207,8 +280,8 @@
 	PLAIN("node", "peer_port", KIND_PORT, node.peer_port),
 	PLAIN("node", "peer_listen", KIND_ENDPOINT, node.peer_listen),
 	PLAIN("node", "local_port", KIND_PORT, node.local_port),
-	OWN("node", "control", set_node_control),
-	OWN("node", "seeds", set_node_seeds),
+	OWN("node", "control", set_node_control, show_node_control),
+	OWN("node", "seeds", set_node_seeds, show_node_seeds),
 	PLAIN("node", "caller_listen", KIND_ENDPOINT, node.caller_listen),
 	PLAIN("node", "register_listen", KIND_ENDPOINT, node.register_listen),
 	PLAIN("node", "ready_listen", KIND_ENDPOINT, node.ready_listen),
@@ -232,13 +305,13 @@
 	PLAIN("control", "api_port", KIND_PORT, control.api_port),
 	PLAIN("control", "peer_port", KIND_PORT, control.peer_port),
 	PLAIN("control", "peer_listen", KIND_ENDPOINT, control.peer_listen),
-	OWN("control", "members", set_members),
-	OWN("control", "seeds", set_control_seeds),
-	OWN("control", "found", set_found),
+	OWN("control", "members", set_members, show_members),
+	OWN("control", "seeds", set_control_seeds, show_control_seeds),
+	OWN("control", "found", set_found, show_found),
 	NUMBER("control", "losses", KIND_NUMBER32, control.losses, 0, SETTINGS_MEMBERS_MAX / 2 - 1),
 	PLAIN("control", "api_listen", KIND_ENDPOINT, control.api_listen),
-	OWN("log", "level", set_level),
-	OWN("log", "format", set_format),
+	OWN("log", "level", set_level, show_level),
+	OWN("log", "format", set_format, show_format),
 	PLAIN("log", "file", KIND_TEXT, log_file),
 };
 
@@ -298,3 +371,53 @@
 		break;
 	}
 }
+
+/* Without the zeros that a fraction does not need. */
+static char *show_decimal(u64 value, u64 scale)
+{
+	char text[64];
+
+	g_ascii_formatd(text, sizeof(text), "%.10g", (double)value / (double)scale);
+	return g_strdup(text);
+}
+
+static char *show(const struct settings *s, const struct key *k)
+{
+	const void *field = (const char *)s + k->offset;
+
+	switch (k->kind) {
+	case KIND_TEXT:
+	case KIND_NAME:
+	case KIND_ADDRESS:
+		return g_strdup(*(char *const *)field ? *(char *const *)field : "");
+	case KIND_PORT:
+		return g_strdup_printf("%u", *(const u16 *)field);
+	case KIND_ENDPOINT:
+		return show_endpoint(field);
+	case KIND_NUMBER:
+		return g_strdup_printf("%llu", (unsigned long long)*(const u64 *)field);
+	case KIND_NUMBER32:
+		return g_strdup_printf("%u", *(const u32 *)field);
+	case KIND_DECIMAL:
+		return show_decimal(*(const u64 *)field, k->scale);
+	case KIND_OWN:
+		break;
+	}
+	return k->show(s);
+}
+
+static bool is_on(const struct settings *s, const char *section)
+{
+	if (!strcmp(section, "node"))
+		return s->node.is_on;
+	return strcmp(section, "control") || s->control.is_on;
+}
+
+void settings_each(const struct settings *s,
+		   void (*fn)(void *arg, const char *section, const char *name, char *value),
+		   void *arg)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(keys); i++)
+		if (is_on(s, keys[i].section))
+			fn(arg, keys[i].section, keys[i].name, show(s, &keys[i]));
+}
--- a/node/gauge.c
+++ b/node/gauge.c
@@ -122,7 +122,7 @@
 
 	if (home_in_progress(g->node))
 		g->used_us = now_us;
-	if (now_us - g->used_us >= USED_US)
+	if (now_us - g->used_us >= USED_US || !g->pace.least_us)
 		return; /* set again by the next call */
 	if (now_us < due_us) {
 		loop_timer_set(g->node->loop, &g->timer, due_us);
@@ -149,14 +149,20 @@
 	g->pushed_percent = GAUGE_USUAL_PERCENT;
 }
 
+void gauge_settings(struct gauge *g)
+{
+	u64 per_s = g->node->settings->node.load_asks_per_s;
+
+	g->pace.least_us = per_s ? US_PER_S / per_s : 0;
+}
+
 struct gauge *gauge_new(struct node *n)
 {
 	struct gauge *g = g_new0(struct gauge, 1);
-	u64 per_s = n->settings->node.load_asks_per_s;
 
 	g->node = n;
+	gauge_settings(g);
 	g->upstream = upstream_new(n->loop, n->dialect);
-	g->pace.least_us = per_s ? US_PER_S / per_s : 0;
 	g->timer = (struct loop_timer){ .fire = on_timer, .arg = g };
 	g->call.deadline_us = ASK_TIMEOUT_US;
 	g->pushed_percent = GAUGE_USUAL_PERCENT;
--- a/node/gauge.h
+++ b/node/gauge.h
@@ -21,6 +21,9 @@
 struct gauge *gauge_new(struct node *n);
 void gauge_free(struct gauge *g);
 
+/* gauge_settings - take the bound of the settings in force. */
+void gauge_settings(struct gauge *g);
+
 /* gauge_answer - take what an answer of the upstream tells. */
 void gauge_answer(struct gauge *g, const struct http_msg *answer);
 
--- a/node/home.c
+++ b/node/home.c
@@ -548,6 +548,11 @@
 		set_ranks(n);
 }
 
+void home_settings(struct node *n)
+{
+	gauge_settings(n->home->gauge);
+}
+
 void home_upstream_changed(struct node *n)
 {
 	upstream_forget(n->home->upstream);
--- a/node/local.c
+++ b/node/local.c
@@ -5,6 +5,7 @@
 #include "lib/hist.h"
 #include "lib/log.h"
 #include "lib/res.h"
+#include "lib/settings_show.h"
 #include "node/config.h"
 
 #include <jansson.h>
@@ -306,6 +307,26 @@
 	return http_answer(200, body);
 }
 
+/* The values in force, by the keys of the file. */
+static struct http_msg *on_settings(const struct node *n)
+{
+	g_autoptr(GPtrArray) lines = settings_lines(n->settings);
+	g_autofree char *body = NULL;
+	json_t *obj = json_object();
+	char *text;
+
+	for (guint i = 0; i < lines->len; i++) {
+		const struct settings_line *l = g_ptr_array_index(lines, i);
+
+		json_object_set_new(obj, l->key, json_string(l->value));
+	}
+	text = json_dumps(obj, JSON_COMPACT);
+	body = g_strconcat(text, "\n", NULL);
+	free(text);
+	json_decref(obj);
+	return http_answer(200, body);
+}
+
 static struct http_msg *on_metrics(void)
 {
 	g_autoptr(GString) out = g_string_new(NULL);
@@ -349,6 +370,8 @@
 		return on_ready(n);
 	if (!strcmp(path, "/v1/status"))
 		return on_status(n);
+	if (!strcmp(path, "/v1/settings"))
+		return on_settings(n);
 	if (!strcmp(path, "/v1/metrics"))
 		return on_metrics();
 	return answer_error(404, "no such resource");
--- a/node/node.c
+++ b/node/node.c
@@ -66,6 +66,13 @@
 	loop_timer_set(n->loop, &n->probe_timer, now_us + PROBE_TICK_US);
 }
 
+static void set_upstream_ttl(struct node *n)
+{
+	n->upstream_ttl_us = n->settings->node.upstream_ttl_ms * US_PER_MS;
+	if (!n->upstream_ttl_us)
+		n->upstream_ttl_us = NODE_UPSTREAM_TTL_US;
+}
+
 static void set_identity(struct node *n)
 {
 	const struct node_settings *s = &n->settings->node;
@@ -82,9 +89,7 @@
 	n->own.incarnation = n->self.incarnation;
 	n->own.state = DIR_NO_UPSTREAM;
 	n->own.service = g_strdup("");
-	n->upstream_ttl_us = s->upstream_ttl_ms * US_PER_MS;
-	if (!n->upstream_ttl_us)
-		n->upstream_ttl_us = NODE_UPSTREAM_TTL_US;
+	set_upstream_ttl(n);
 }
 
 static int node_start(struct krn_service *s, struct krn *k)
@@ -255,7 +260,40 @@
 	config_reset();
 }
 
-static const struct krn_ops node_ops = { .name = "node", .start = node_start, .stop = node_stop };
+struct reload {
+	struct node *node;
+	const struct settings *settings;
+};
+
+static void reload_on_loop(void *arg)
+{
+	const struct reload *r = arg;
+	struct node *n = r->node;
+	const struct node_settings *s = &r->settings->node;
+
+	n->settings = r->settings;
+	set_upstream_ttl(n);
+	probe_init(&n->probe, s->probe_budget_per_s, s->probe_budget_bytes_per_s, loop_clock_us());
+	spend_set(&n->entry->spend, s->retry_budget_percent, s->retry_budget_slack);
+	home_settings(n);
+	watch_settings(n);
+	caller_configure(n);
+}
+
+static void node_reload(struct krn_service *s, const struct settings *settings)
+{
+	struct node *n = (struct node *)s;
+	struct reload r = { .node = n, .settings = settings };
+
+	loop_call(n->loop, reload_on_loop, &r);
+}
+
+static const struct krn_ops node_ops = {
+	.name = "node",
+	.start = node_start,
+	.stop = node_stop,
+	.reload = node_reload,
+};
 
 struct node *node_new(const struct settings *s)
 {
--- a/node/node.h
+++ b/node/node.h
@@ -153,6 +153,9 @@
 void home_link_down(struct node *n, struct link *origin);
 void home_configure(struct node *n); /* slots, ranks or state changed */
 
+/* home_settings - other settings are in force. */
+void home_settings(struct node *n);
+
 /* home_push_load - the load changed: tell the own choice and the nodes that call here. */
 void home_push_load(struct node *n);
 
@@ -192,6 +195,9 @@
 void watch_stop(struct node *n);
 void watch_register(struct node *n);
 
+/* watch_settings - control processes that the settings name now are tried too. */
+void watch_settings(struct node *n);
+
 /*
  * watch_awaits - the upstreams of SERVICE are not known yet, and a control process was asked:
  * entry_service_known follows.
--- a/node/spend.c
+++ b/node/spend.c
@@ -12,9 +12,14 @@
 void spend_init(struct spend *s, u64 percent, u64 slack)
 {
 	s->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	s->nodes = 1;
+	spend_set(s, percent, slack);
+}
+
+void spend_set(struct spend *s, u64 percent, u64 slack)
+{
 	s->percent = percent;
 	s->slack = slack;
-	s->nodes = 1;
 }
 
 void spend_clear(struct spend *s)
--- a/node/spend.h
+++ b/node/spend.h
@@ -25,6 +25,9 @@
 void spend_init(struct spend *s, u64 percent, u64 slack);
 void spend_clear(struct spend *s);
 
+/* spend_set - another bound from now on. */
+void spend_set(struct spend *s, u64 percent, u64 slack);
+
 /* spend_nodes - the slack is divided among so many nodes. */
 void spend_nodes(struct spend *s, u32 nodes);
 
--- a/node/watch.c
+++ b/node/watch.c
@@ -631,6 +631,15 @@
 	}
 }
 
+void watch_settings(struct node *n)
+{
+	struct watch *w = n->watch;
+
+	for (guint i = 0; i < w->candidates->len; i++)
+		((struct candidate *)g_ptr_array_index(w->candidates, i))->is_seed = false;
+	add_candidates(w);
+}
+
 bool watch_is_fresh(const struct node *n)
 {
 	return is_main_fresh(n->watch, loop_clock_us());
--- /dev/null
+++ b/test/reload_test.sh
@@ -0,0 +1,104 @@
+#!/bin/bash
+# reload_test.sh - a settings file that is read again while the process serves
+# The same file means the same at each node, a bad one changes nothing, and no call is lost.
+set -u
+cd "$(dirname "$0")/.." || exit 1
+. test/mesh.sh
+failed=0
+
+fail() {
+	echo "FAILED: $*"
+	failed=1
+}
+
+ended() { ! kill -0 "${pid[$1]}" 2>/dev/null; }
+
+# value NODE KEY - the value in force
+value() {
+	curl -s "http://127.0.0.1:$(local_port "$1")/v1/settings" |
+		sed 's/.*"'"$2"'":"\([^"]*\)".*/\1/'
+}
+is_value() { [ "$(value "$1" "$2")" = "$3" ]; }
+# logged NAME TEXT
+logged() { grep -q "$2" "$dir/$1.out"; }
+
+set_key() { # NODE KEY VALUE - in its file
+	sed -i "/^$2=/d" "$dir/node$1.ini"
+	echo "$2=$3" >>"$dir/node$1.ini"
+}
+
+mesh_begin "${BASE:-25000}" 3
+for i in 1 2 3; do start_control $i; done
+for j in 1 2 3; do
+	set_key $j shutdown_grace_s 6
+	start_node $j
+done
+for j in 1 2 3; do start_upstream $j sightings; done
+wait_for "a leader" has_leader || exit 1
+wait_for "3 upstreams" has_upstreams 3 || exit 1
+./lavenderlead apply -f examples/breizh/services --control "$control" >"$dir/apply.out" 2>&1 ||
+	exit 1
+ports=$(caller_port 1),$(caller_port 2),$(caller_port 3)
+
+# Changed values are in force at once; those that are used at a start are for the next one.
+for j in 1 2; do
+	set_key $j retry_budget_ratio 0.3
+	set_key $j shutdown_grace_s 7.5
+	signal HUP node$j
+done
+for j in 1 2; do
+	wait_for "new values at node $j" is_value $j node.shutdown_grace_s 7.5 ||
+		fail "node $j keeps the old grace"
+	is_value $j node.retry_budget_ratio 0.3 || fail "node $j keeps the old ratio"
+done
+is_value 3 node.shutdown_grace_s 6 || fail "node 3 took what it was not told to read"
+logged node1 "setting changed key=node.retry_budget_ratio value=0.3 from=now" ||
+	fail "the change is not logged"
+
+# A file that is not valid changes nothing; each finding is logged with its place.
+cp "$dir/node1.ini" "$dir/good.ini"
+set_key 1 retry_budget_ratio 7
+echo "nonsense=1" >>"$dir/node1.ini"
+signal HUP node1
+wait_for "the findings" logged node1 "settings not taken: not valid place=.*node1.ini:[0-9]" ||
+	fail "the findings are not logged"
+wait_for "the second finding" logged node1 "text=.*nonsense" || fail "one finding hides another"
+is_value 1 node.retry_budget_ratio 0.3 || fail "a bad file changed a value"
+
+# What takes a start is refused, with all that stands beside it.
+cp "$dir/good.ini" "$dir/node1.ini"
+set_key 1 retry_budget_ratio 0.4
+set_key 1 peer_port 9
+signal HUP node1
+wait_for "the refusal" logged node1 "settings not taken: a key takes a start to change key=node.peer_port" ||
+	fail "the refusal is not logged"
+is_value 1 node.retry_budget_ratio 0.3 || fail "a file was taken in part"
+
+# A file that is away or empty for a moment, as when it is written anew.
+: >"$dir/node1.ini"
+signal HUP node1
+rm "$dir/node1.ini"
+signal HUP node1
+sleep 0.5
+is_value 1 node.retry_budget_ratio 0.3 || fail "an empty file changed a value"
+cp "$dir/good.ini" "$dir/node1.ini"
+
+# Reloads under load lose no call.
+run load $programs/caller -H sightings.breizh.example -i load -p "$ports" -n 1500 -c 12 -w 10 -d 10
+for n in $(seq 40); do
+	for j in 1 2 3; do
+		set_key $j retry_budget_slack "$n"
+		signal HUP node$j
+	done
+	for i in 1 2 3; do signal HUP control$i; done
+	sleep 0.05
+done
+wait_for "the callers" ended load || fail "the callers did not end"
+unset "pid[load]"
+grep -v ' 200 answer - own$' "$dir/load.out" | head -3 | grep . && fail "calls lost by a reload"
+for j in 1 2 3; do
+	wait_for "the last value at node $j" is_value $j node.retry_budget_slack 40 ||
+		fail "node $j has another value than its file"
+done
+echo "reload_test: $failed failures"
+exit $failed
--- a/test/settings_test.c
+++ b/test/settings_test.c
@@ -1,5 +1,6 @@
 #include "lib/err.h"
 #include "lib/settings.h"
+#include "lib/settings_show.h"
 
 #include <glib/gstdio.h>
 #include <string.h>
@@ -278,6 +279,74 @@
 	       "5: other processes reach this one here, give its own address: \"0.0.0.0\"\n");
 }
 
+static const char *value_of(const GPtrArray *lines, const char *key)
+{
+	for (guint i = 0; i < lines->len; i++) {
+		const struct settings_line *l = g_ptr_array_index(lines, i);
+
+		if (!strcmp(l->key, key))
+			return l->value;
+	}
+	return NULL;
+}
+
+/* The values in force read as the file that they came from. */
+static void test_shown(void)
+{
+	FIND_AUTO(found);
+	g_autoptr(GPtrArray) lines = NULL;
+	struct settings s;
+
+	load_bytes(&s,
+		   CLUSTER NODE "control=10.0.0.1:1,10.0.0.2:2\nretry_budget_ratio=0.25\n"
+				"shutdown_grace_s=1.5\n[log]\nlevel=warn\n",
+		   -1, &found);
+	g_assert_cmpuint(find_count(&found), ==, 0);
+	lines = settings_lines(&s);
+	g_assert_cmpstr(value_of(lines, "node.zone"), ==, "breizh-rennes");
+	g_assert_cmpstr(value_of(lines, "node.peer_port"), ==, "8081");
+	g_assert_cmpstr(value_of(lines, "node.caller_listen"), ==, "127.0.0.1:8080");
+	g_assert_cmpstr(value_of(lines, "node.control"), ==, "10.0.0.1:1,10.0.0.2:2");
+	g_assert_cmpstr(value_of(lines, "node.seeds"), ==, "");
+	g_assert_cmpstr(value_of(lines, "node.retry_budget_ratio"), ==, "0.25");
+	g_assert_cmpstr(value_of(lines, "node.shutdown_grace_s"), ==, "1.5");
+	g_assert_cmpstr(value_of(lines, "log.level"), ==, "warn");
+	/* Of a role that is off nothing is shown. */
+	g_assert_null(value_of(lines, "control.id"));
+	settings_clear(&s);
+}
+
+static void test_changed(void)
+{
+	FIND_AUTO(found);
+	g_autoptr(GPtrArray) lines = NULL;
+	struct settings now;
+	struct settings next;
+	const struct settings_line *line;
+
+	load_bytes(&now, CLUSTER NODE "control=10.0.0.1:1\n", -1, &found);
+	load_bytes(&next, CLUSTER NODE "control=10.0.0.1:1\nmax_body_bytes=7\n[log]\nformat=json\n",
+		   -1, &found);
+	g_assert_cmpuint(find_count(&found), ==, 0);
+	lines = settings_changed(&now, &next);
+	g_assert_cmpuint(lines->len, ==, 2);
+	line = g_ptr_array_index(lines, 0);
+	g_assert_cmpstr(line->key, ==, "node.max_body_bytes");
+	g_assert_cmpint(line->when, ==, SETTINGS_NOW);
+	line = g_ptr_array_index(lines, 1);
+	g_assert_cmpstr(line->key, ==, "log.format");
+	g_assert_cmpint(line->when, ==, SETTINGS_NEXT_START);
+	settings_clear(&next);
+	g_ptr_array_unref(lines);
+	load_bytes(&next, CLUSTER CONTROL "members=1@127.0.0.1:9081\n", -1, &found);
+	/* Another role is no reload. */
+	lines = settings_changed(&now, &next);
+	line = g_ptr_array_index(lines, 0);
+	g_assert_cmpint(line->when, ==, SETTINGS_FIXED);
+	settings_clear(&now);
+	settings_clear(&next);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -295,5 +364,7 @@
 	g_test_add_func("/settings/limits", test_limits);
 	g_test_add_func("/settings/fractions", test_fractions);
 	g_test_add_func("/settings/names", test_names);
+	g_test_add_func("/settings/shown", test_shown);
+	g_test_add_func("/settings/changed", test_changed);
 	return g_test_run();
 }
