node: log and count what an upstream says of itself (rate limit, leaving); decisions unchanged

Nothing showed whether a node had seen Server-Limit or Server-Leaving, when, in which kind of answer, or how many calls it sent meanwhile. An answer without a limit ends it only if its request was sent after the limit was named, as answers of several connections may cross.

--- a/lib/ctr_list.h
+++ b/lib/ctr_list.h
@@ -38,6 +38,8 @@
 CTR(FOREIGN_ANSWER, "foreign-answer", "bytes of the upstream that answer no request of theirs")
 CTR(OTHER_INSTANCE, "other-instance", "the upstream's address belongs to another one now")
 CTR(UPSTREAM_CONNECT, "upstream-connect", "new connections to the upstream")
+CTR(RATE_LIMIT_NAMED, "rate-limit-named", "answers of the upstream that name its rate limit")
+CTR(NOTICE_BAD, "notice-bad", "answers of the upstream whose rate limit can't be read")
 CTR(ANNOUNCE_STALE, "announce-stale", "announcements ignored because a newer one was taken")
 CTR(ANNOUNCE_BAD, "announce-bad", "announcements refused because they can't be read")
 /* Retries, hedges and fences. */
--- a/node/dialect.c
+++ b/node/dialect.c
@@ -1,5 +1,7 @@
 #include "node/dialect.h"
 
+#include "lib/err.h"
+
 #include <stdlib.h>
 #include <string.h>
 
@@ -7,6 +9,11 @@
 #define TIMEOUT_HEADER "Lavenderlead-Timeout-Ms"
 #define OUTCOME_HEADER "Lavenderlead-Outcome"
 #define REASON_HEADER "Lavenderlead-Reason"
+#define RATE_LIMIT_HEADER "Lavenderlead-Rate-Limit"
+#define DRAINING_HEADER "Lavenderlead-Draining"
+
+#define RATE_MAX_PER_S 1000000
+#define MILLI 1000
 
 bool dialect_parse_ms(const char *text, u64 max, u64 *ms)
 {
@@ -22,6 +29,37 @@
 	return true;
 }
 
+static bool is_decimal(const char *text)
+{
+	const char *point = strchr(text, '.');
+	size_t digits = strspn(text, "0123456789");
+
+	if (point)
+		digits += strspn(point + 1, "0123456789") + 1;
+	return g_ascii_isdigit(*text) && digits == strlen(text);
+}
+
+int dialect_parse_rate(const char *text, u64 *milli_per_s)
+{
+	if (!is_decimal(text))
+		return ERR_INVAL;
+	*milli_per_s = (u64)(MIN(g_ascii_strtod(text, NULL), RATE_MAX_PER_S) * MILLI);
+	return 0;
+}
+
+int dialect_read_notice(const struct http_msg *answer, const char *rate_limit_header,
+			const char *leaving_header, struct dialect_notice *notice)
+{
+	const char *rate = http_header(answer, rate_limit_header);
+	const char *leaving = http_header(answer, leaving_header);
+
+	*notice = (struct dialect_notice){ .is_leaving = leaving && !strcmp(leaving, "1") };
+	if (!rate)
+		return 0;
+	notice->has_rate_limit = !dialect_parse_rate(rate, &notice->rate_limit_milli_per_s);
+	return notice->has_rate_limit ? 0 : ERR_INVAL;
+}
+
 static bool native_timeout_ms(const struct http_msg *request, u64 *ms)
 {
 	return dialect_parse_ms(http_header(request, TIMEOUT_HEADER), TIMEOUT_MAX_MS, ms);
@@ -90,6 +128,11 @@
 	return false;
 }
 
+static int native_notice(const struct http_msg *answer, struct dialect_notice *notice)
+{
+	return dialect_read_notice(answer, RATE_LIMIT_HEADER, DRAINING_HEADER, notice);
+}
+
 const struct dialect dialect_native = {
 	.name = "own",
 	.timeout_ms = native_timeout_ms,
@@ -103,4 +146,5 @@
 	.is_refused_below = native_is_refused_below,
 	.is_other_instance = native_is_other_instance,
 	.load = native_load,
+	.notice = native_notice,
 };
--- a/node/home.c
+++ b/node/home.c
@@ -1,11 +1,10 @@
 /* Calls for the upstream beside this node: admission, execution and replies. */
-#include "node/node.h"
+#include "node/home_impl.h"
 
 #include "lib/err.h"
 #include "lib/log.h"
 #include "node/config.h"
 #include "node/slowness_monitor.h"
-#include "node/upstream.h"
 
 #include <string.h>
 
@@ -23,18 +22,6 @@
 	struct upstream_call upstream;
 };
 
-struct home {
-	struct admit admit;
-	struct call_table table;
-	GHashTable *jobs; /* call id -> struct job, queued or running */
-	struct upstream *upstream;
-	struct slowness_monitor *slowness_monitor;
-	u64 revision; /* configuration revision of the ranks in admit */
-	char *ranks_service; /* the service whose ranks are in admit */
-	u32 late_rank; /* for calls that can no longer meet their targets */
-	struct loop_timer expiry_timer; /* when the next queued request expires */
-};
-
 static void job_free(struct job *j)
 {
 	http_free(j->msg);
@@ -255,8 +242,10 @@
 	struct node *n = j->node;
 	enum ctr not_run = call->err ? CTR_COUNT : not_run_answer(n, call->reply);
 
-	if (!call->err)
+	if (!call->err) {
 		slowness_monitor_record_answer(n->home->slowness_monitor, call->reply);
+		home_record_notice(n, call->reply, j->req.started_us, "call");
+	}
 	release_admission(n, j);
 	log_completion(n, j);
 	if (not_run == CTR_OTHER_INSTANCE)
@@ -279,6 +268,7 @@
 	j->upstream.instance = n->upstream_instance;
 	j->upstream.done = on_upstream_done;
 	j->upstream.arg = j;
+	n->home->calls_under_limit += n->home->notice.now.has_rate_limit;
 	upstream_start(n->home->upstream, &n->upstream_endpoint, &j->upstream);
 }
 
@@ -561,6 +551,7 @@
 {
 	upstream_close_idle(n->home->upstream);
 	slowness_monitor_reset(n->home->slowness_monitor);
+	n->home->notice = (struct notice){ 0 };
 }
 
 void home_tick(struct node *n, u64 now_us)
--- /dev/null
+++ b/node/home_impl.h
@@ -0,0 +1,27 @@
+/*
+ * home_impl - private declarations shared by the source files of home
+ *
+ * SOURCE node/home.c (calls), node/home_notice.c (what the upstream says of itself)
+ */
+#ifndef HOME_IMPL_H
+#define HOME_IMPL_H
+
+#include "node/node.h"
+#include "node/notice.h"
+#include "node/upstream.h"
+
+struct home {
+	struct admit admit;
+	struct call_table table;
+	GHashTable *jobs; /* call id -> struct job, queued or running */
+	struct upstream *upstream;
+	struct notice notice; /* what the upstream says of itself */
+	u64 calls_under_limit; /* sent since it named its rate limit */
+	struct slowness_monitor *slowness_monitor;
+	u64 revision; /* configuration revision of the ranks in admit */
+	char *ranks_service; /* the service whose ranks are in admit */
+	u32 late_rank; /* for calls that can no longer meet their targets */
+	struct loop_timer expiry_timer; /* when the next queued request expires */
+};
+
+#endif
--- /dev/null
+++ b/node/home_notice.c
@@ -0,0 +1,50 @@
+/* What the upstream beside this node says of itself in its answers. */
+#include "node/home_impl.h"
+
+#include "lib/log.h"
+
+#define MILLI 1000
+#define RATE_TEXT_BYTES 32
+
+static const char *rate_text(const struct dialect_notice *d, char text[RATE_TEXT_BYTES])
+{
+	if (!d->has_rate_limit)
+		return "none";
+	g_snprintf(text, RATE_TEXT_BYTES, "%.3f", (double)d->rate_limit_milli_per_s / MILLI);
+	return text;
+}
+
+static void log_change(const struct node *n, const struct dialect_notice *before,
+		       const char *source)
+{
+	const struct home *h = n->home;
+	char old_rate[RATE_TEXT_BYTES];
+	char rate[RATE_TEXT_BYTES];
+
+	log_event(LOG_INFO, "upstream notice", "service", n->dir_entry.service, "instance",
+		  n->upstream_instance ? n->upstream_instance : "", "source", source, "limit_per_s",
+		  rate_text(&h->notice.now, rate), "before", rate_text(before, old_rate),
+		  "calls_meanwhile", log_u64(h->calls_under_limit), "leaving",
+		  h->notice.now.is_leaving ? "yes" : "no", NULL);
+}
+
+void home_record_notice(struct node *n, const struct http_msg *answer, u64 sent_us,
+			const char *source)
+{
+	struct home *h = n->home;
+	struct dialect_notice before = h->notice.now;
+	struct dialect_notice said;
+
+	if (n->dialect->notice(answer, &said)) {
+		ctr_inc(CTR_NOTICE_BAD);
+		log_event(LOG_WARN, "rate limit of the upstream is invalid", "source", source,
+			  NULL);
+		sent_us = 0; /* such an answer does not end the limit in force */
+	}
+	if (said.has_rate_limit)
+		ctr_inc(CTR_RATE_LIMIT_NAMED);
+	if (!notice_update(&h->notice, &said, sent_us, loop_clock_us()))
+		return;
+	log_change(n, &before, source);
+	h->calls_under_limit = 0;
+}
--- a/node/node.h
+++ b/node/node.h
@@ -4,7 +4,7 @@
  * All state belongs to the loop's thread, which also serves HTTP.
  *
  * SOURCE node/node.c (start and stop), node/entry*.c (callers' calls), node/caller.c
- * (callers' HTTP), node/home.c (admission and execution), node/upstream.c (HTTP to
+ * (callers' HTTP), node/home*.c (admission and execution), node/upstream.c (HTTP to
  * the upstream), node/mesh.c (links to other nodes), node/watch.c (link to
  * control), node/local.c (the upstream's announcements)
  */
@@ -177,6 +177,13 @@
 void home_get_load(struct node *n, struct peer_load *load);
 u32 home_in_progress(struct node *n);
 
+/*
+ * home_record_notice - applies what the upstream says of itself in ANSWER, whose request was sent
+ * at SENT_US. SOURCE names the kind of request in the log.
+ */
+void home_record_notice(struct node *n, const struct http_msg *answer, u64 sent_us,
+			const char *source);
+
 /* mesh: links to other nodes */
 
 int mesh_start(struct node *n);
--- a/node/slowness_monitor.c
+++ b/node/slowness_monitor.c
@@ -27,6 +27,7 @@
 	bool is_polling;
 	struct loop_timer timer;
 	struct pace pace;
+	u64 asked_us; /* when the last poll was sent */
 	u64 reported_us; /* when the last report arrived */
 	u64 used_us; /* when a call last arrived or was seen in progress */
 	u32 slowness_percent; /* in the last report; 0 when there was none */
@@ -69,8 +70,10 @@
 	struct slowness_monitor *m = call->arg;
 
 	m->is_polling = false;
-	if (call->reply)
+	if (call->reply) {
 		slowness_monitor_record_answer(m, call->reply);
+		home_record_notice(m->node, call->reply, m->asked_us, "health");
+	}
 	http_free(g_steal_pointer(&call->reply));
 }
 
@@ -110,6 +113,7 @@
 					  .done = on_poll_done,
 					  .arg = m };
 	m->is_polling = true;
+	m->asked_us = now_us;
 	ctr_inc(CTR_GAUGE_ASKED);
 	upstream_start(m->upstream, &m->node->upstream_endpoint, &m->call);
 }
