--- /dev/null
+++ b/test/home_notice_test.c
@@ -0,0 +1,243 @@
+/* The home node of an upstream that names a rate limit, or says that it is leaving. */
+#include "lib/set.h"
+#include "node/config.h"
+#include "test/fakes/fake_node.h"
+#include "test/fakes/fake_peer.h"
+#include "test/fakes/raw_server.h"
+
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#define SLOTS 8
+#define FLOOD_US (2 * US_PER_S)
+#define FLOOD_GAP_US (5 * US_PER_MS)
+#define FLOOD_TIMEOUT_US (100 * US_PER_MS)
+#define LONG_TIMEOUT_US (20 * US_PER_S)
+#define RESTART_CALLS 30
+#define RESTART_US (1 * US_PER_S)
+#define HEALTH_PATH "/health"
+#define POLLS_PER_S 60
+
+static struct fake_node node;
+static struct fake_peer entry;
+static struct raw_server upstream;
+static const char *notice; /* header lines that the upstream adds to each answer */
+static u64 answer_time_us;
+static gint calls; /* requests other than those for the health path */
+static u64 next_seq;
+
+/* Reads the head of one request without a body. */
+static bool read_head(int fd, GString *head)
+{
+	char c;
+
+	g_string_set_size(head, 0);
+	while (read(fd, &c, 1) == 1) {
+		g_string_append_c(head, c);
+		if (g_str_has_suffix(head->str, "\r\n\r\n"))
+			return true;
+	}
+	return false;
+}
+
+/* Answers one request for each connection. */
+static void *serve_connection(void *arg)
+{
+	int fd = GPOINTER_TO_INT(arg);
+	g_autoptr(GString) head = g_string_new(NULL);
+	g_autofree char *answer = NULL;
+	bool is_health;
+
+	if (read_head(fd, head)) {
+		is_health = strstr(head->str, HEALTH_PATH) != NULL;
+		if (!is_health) {
+			g_atomic_int_inc(&calls);
+			g_usleep(answer_time_us);
+		}
+		answer = g_strdup_printf("HTTP/1.1 200 OK\r\nConnection: close\r\n"
+					 "Content-Length: 5\r\n%s\r\nnoted",
+					 notice);
+		raw_write(fd, answer);
+	}
+	close(fd);
+	return NULL;
+}
+
+static void serve(struct raw_server *s, int fd, u32 nth)
+{
+	(void)s;
+	(void)nth;
+	g_thread_unref(g_thread_new("connection", serve_connection, GINT_TO_POINTER(dup(fd))));
+}
+
+static void announce(void)
+{
+	fake_node_announce_upstream(&node, upstream.port, SLOTS);
+}
+
+/* Starts a node whose upstream adds the header lines NOTICE_LINES to its answers. */
+static void start(const char *notice_lines)
+{
+	notice = notice_lines;
+	fake_node_prepare(&node);
+	node.settings.node.load_asks_per_s = POLLS_PER_S;
+	fake_node_run(&node);
+	raw_server_start(&upstream, serve, NULL);
+	fake_peer_start(&entry, false);
+	fake_peer_dial(&entry, node.settings.node.peer_port);
+	peer_event_free(fake_peer_expect(&entry, PEER_EVENT_UP));
+}
+
+static void call(u64 timeout_us)
+{
+	struct call_id id = { .incarnation = entry.self.incarnation, .seq = ++next_seq };
+
+	fake_peer_call(&entry, id, "GET", "", loop_clock_us() + timeout_us);
+}
+
+static void expect_answer(void)
+{
+	peer_event_free(fake_peer_expect(&entry, PEER_REPLY));
+}
+
+static void expect_refusal(const char *reason)
+{
+	struct peer_event *e = fake_peer_expect(&entry, PEER_REFUSE);
+
+	g_assert_cmpstr(e->reason, ==, reason);
+	g_assert_true(e->is_not_run);
+	peer_event_free(e);
+}
+
+/* Calls for FLOOD_US, many more than the limit; returns how many reached the upstream. */
+static gint flood(void)
+{
+	u64 end_us = loop_clock_us() + FLOOD_US;
+	gint before = g_atomic_int_get(&calls);
+
+	while (loop_clock_us() < end_us) {
+		call(FLOOD_TIMEOUT_US);
+		g_usleep(FLOOD_GAP_US);
+	}
+	return g_atomic_int_get(&calls) - before;
+}
+
+/*
+ * Guards against: an upstream that names a rate limit gets as many calls as before. It may get one
+ * and a half times the limit, and 5 calls.
+ */
+static void test_flood_exceeds_named_rate_limit(void)
+{
+	gint sent;
+
+	start("Lavenderlead-Rate-Limit: 10.0\r\n");
+	announce();
+	call(LONG_TIMEOUT_US);
+	expect_answer();
+	sent = flood();
+	g_assert_cmpint(sent, <=, 15 * (gint)(FLOOD_US / US_PER_S) + 5);
+	/* The limit is also used: nine tenths of it. */
+	g_assert_cmpint(sent, >=, 9 * (gint)(FLOOD_US / US_PER_S));
+}
+
+/* Guards against: calls are sent to an upstream whose answers say that it is leaving. */
+static void test_leaving_upstream_gets_calls(void)
+{
+	start("Lavenderlead-Draining: 1\r\n");
+	announce();
+	call(LONG_TIMEOUT_US);
+	expect_answer();
+	call(LONG_TIMEOUT_US);
+	expect_refusal("draining");
+	g_assert_cmpint(g_atomic_int_get(&calls), ==, 1);
+}
+
+/*
+ * Guards against: an announcement that was sent earlier makes an upstream usable again whose
+ * answers say that it is leaving.
+ */
+static void test_announcement_revives_leaving_upstream(void)
+{
+	start("Lavenderlead-Draining: 1\r\n");
+	announce();
+	call(LONG_TIMEOUT_US);
+	expect_answer();
+	announce();
+	call(LONG_TIMEOUT_US);
+	expect_refusal("draining");
+	g_assert_cmpint(g_atomic_int_get(&calls), ==, 1);
+}
+
+static const char set_json[] =
+	"{\"version\":1,\"services\":[{\"name\":\"sightings\",\"health_path\":\"" HEALTH_PATH "\"},"
+	"{\"name\":\"atlas\"}],\"routes\":[{\"name\":\"r\",\"host\":\"h.example\",\"prefix\":\"/\","
+	"\"repeat\":\"always\",\"timeout_ms\":1000,\"target_ms\":100,\"priority\":0,"
+	"\"service\":\"atlas\",\"attempts\":1}]}";
+
+static void apply_set(void *arg)
+{
+	g_autoptr(GPtrArray) changes = g_ptr_array_new_with_free_func(config_change_free);
+	struct config_change *change = g_new0(struct config_change, 1);
+
+	(void)arg;
+	change->name = g_strdup(SET_NAME);
+	change->version = 1;
+	change->json = g_strdup(set_json);
+	g_ptr_array_add(changes, change);
+	g_assert_cmpint(config_apply(2, false, changes), ==, 0);
+}
+
+/*
+ * Guards against: a home node that has just started sends calls to its upstream before it knows
+ * the upstream's rate limit. The other nodes have known the limit before the start, so it binds
+ * at once.
+ */
+static void test_restarted_home_exceeds_rate_limit(void)
+{
+	start("Lavenderlead-Rate-Limit: 1.0\r\n");
+	loop_call(node.node->loop, apply_set, NULL);
+	answer_time_us = 100 * US_PER_MS;
+	announce();
+	for (u32 i = 0; i < RESTART_CALLS; i++)
+		call(RESTART_US);
+	g_usleep(RESTART_US);
+	g_assert_cmpint(g_atomic_int_get(&calls), >=, 1);
+	g_assert_cmpint(g_atomic_int_get(&calls), <=,
+			3 * (gint)RESTART_US / 2 / (gint)US_PER_S + 5);
+}
+
+/*
+ * Guards against: a home node that has just started sends calls to an upstream that is leaving,
+ * because the node has not heard that yet.
+ */
+static void test_restarted_home_uses_leaving_upstream(void)
+{
+	start("Lavenderlead-Draining: 1\r\n");
+	loop_call(node.node->loop, apply_set, NULL);
+	announce();
+	call(LONG_TIMEOUT_US);
+	expect_refusal("draining");
+	g_assert_cmpint(g_atomic_int_get(&calls), ==, 0);
+}
+
+int main(int argc, char **argv)
+{
+	int ret;
+
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/home-notice/flood-exceeds-named-rate-limit",
+			test_flood_exceeds_named_rate_limit);
+	g_test_add_func("/home-notice/leaving-upstream-gets-calls",
+			test_leaving_upstream_gets_calls);
+	g_test_add_func("/home-notice/announcement-revives-leaving-upstream",
+			test_announcement_revives_leaving_upstream);
+	g_test_add_func("/home-notice/restarted-home-exceeds-rate-limit",
+			test_restarted_home_exceeds_rate_limit);
+	g_test_add_func("/home-notice/restarted-home-uses-leaving-upstream",
+			test_restarted_home_uses_leaving_upstream);
+	ret = g_test_run();
+	fflush(stdout);
+	_exit(ret); /* the threads of nodes are still running */
+}
