admit: hold calls to the rate limit that the upstream names

Cause: admission bounds how many calls run at a time, not how many start in a second. Nothing read the header: an upstream that answers fast has free slots and gets slots / latency.

Why this works: each call to an upstream passes its one home node, so a leaky bucket there bounds the sum over all nodes without any talk between them. It stands beside the slots in admission, so that the order of ranks, floors (now parts of the slot time that calls at this rate take), expected waits, refusals and the load that entry nodes get follow from it.

--- a/node/admit.c
+++ b/node/admit.c
@@ -32,6 +32,7 @@
 #define WAIT_MAX_US (60 * US_PER_S)
 #define PPM 1000000
 #define PPM_PER_PERCENT 10000
+#define MILLI 1000
 
 void admit_init(struct admit *a)
 {
@@ -162,9 +163,22 @@
 	return rank_work_us(a, rank) * slowness_at_start(a, rank) / USUAL_PERCENT;
 }
 
+/*
+ * Returns the slots that can be in use, in thousandths: under a rate limit those that calls at this
+ * rate occupy, by Little's law.
+ */
+static u64 capacity_milli(const struct admit *a)
+{
+	u64 slots = (u64)a->limit * MILLI;
+
+	if (!a->rate.interval_us)
+		return slots;
+	return MIN(slots, MAX(admit_service_us(a) * MILLI / a->rate.interval_us, 1));
+}
+
 static i64 floor_us(const struct admit *a, u32 rank, i64 span_us)
 {
-	return span_us * a->limit * a->ranks[rank].floor_percent / 100;
+	return span_us * (i64)capacity_milli(a) * a->ranks[rank].floor_percent / (100 * MILLI);
 }
 
 /*
@@ -192,7 +206,7 @@
 			   MAX(floor_us(a, rank, CREDIT_WINDOW_US), (i64)service_us(a, rank)) :
 			   0;
 	i64 least = -overdraft_us(a, rank) - floor_us(a, rank, CREDIT_WINDOW_US);
-	i64 share_ppm = a->limit ? (i64)q->running * PPM / a->limit : 0;
+	i64 share_ppm = a->limit ? (i64)q->running * PPM * MILLI / (i64)capacity_milli(a) : 0;
 
 	q->credit_us = CLAMP(q->credit_us + floor_us(a, rank, span_us), least, most);
 	q->used_ppm += (share_ppm - q->used_ppm) * MIN(span_us, USED_WINDOW_US) / USED_WINDOW_US;
@@ -240,6 +254,18 @@
 		a->queues[i].next_expiry_us = 0;
 }
 
+void admit_set_rate_limit(struct admit *a, u64 milli_per_s, u64 now_us)
+{
+	advance(a, now_us);
+	rate_limit_set(&a->rate, milli_per_s, now_us);
+}
+
+void admit_remove_rate_limit(struct admit *a, u64 now_us)
+{
+	advance(a, now_us);
+	rate_limit_remove(&a->rate);
+}
+
 /*
  * Returns the share of the slot time that RANK can rely on: what ranks of higher worth leave, less
  * the floors of lower ranks that wait, but at least its own floor.
@@ -272,9 +298,9 @@
 static u64 floor_wait_us(const struct admit *a, u32 rank)
 {
 	u64 work = (a->queues[rank].waiting.length + 1) * service_us(a, rank);
-	u64 floor = (u64)a->limit * a->ranks[rank].floor_percent;
+	u64 floor = capacity_milli(a) * a->ranks[rank].floor_percent;
 
-	return floor ? work * 100 / floor : UINT64_MAX;
+	return floor ? work * 100 * MILLI / floor : UINT64_MAX;
 }
 
 /*
@@ -295,7 +321,7 @@
 	}
 	if (used_ppm < USED_MIN_PPM)
 		return 0;
-	wanted = (u32)(used_ppm * a->limit / PPM) + 1;
+	wanted = (u32)(used_ppm * (i64)capacity_milli(a) / ((i64)PPM * MILLI)) + 1;
 	return wanted > running ? wanted - running : 0;
 }
 
@@ -318,6 +344,34 @@
 	return a->running + reserved_slots(a, rank) < a->limit;
 }
 
+/*
+ * Returns the calls that the rate limit must allow besides one of RANK: a rank does not take the
+ * last one while ranks of higher worth need more.
+ */
+static u64 reserved_starts(const struct admit *a, u32 rank)
+{
+	return a->rate.interval_us && reserved_slots(a, rank);
+}
+
+/* Returns how long the rate limit delays a start of RANK after AHEAD others. */
+static u64 rate_wait_us(const struct admit *a, u32 rank, u64 ahead)
+{
+	u64 next_us = rate_limit_next_us(&a->rate, ahead + reserved_starts(a, rank));
+
+	return next_us > a->now_us ? next_us - a->now_us : 0;
+}
+
+/* Returns the queued calls that are started before a new one of RANK. */
+static u64 calls_ahead(const struct admit *a, u32 rank)
+{
+	u64 n = 0;
+
+	for (u32 i = 0; i < a->nranks; i++)
+		if (a->ranks[i].worth >= a->ranks[rank].worth)
+			n += a->queues[i].waiting.length;
+	return n;
+}
+
 /* Returns the mean duration of calls of all ranks at the slowness at which RANK's next starts. */
 static u64 mean_service_at_start_us(const struct admit *a, u32 rank)
 {
@@ -327,15 +381,18 @@
 u64 admit_wait_us(const struct admit *a, u32 rank)
 {
 	u64 ahead = work_ahead_us(a, rank);
+	u64 rate_wait = rate_wait_us(a, rank, calls_ahead(a, rank));
 	i64 share = share_ppm(a, rank);
 	u64 wait = UINT64_MAX;
 
-	if (a->running < a->limit && !ahead)
+	if (a->running < a->limit && !ahead && !rate_wait)
 		return deferral_us(a, rank);
 	if (!a->limit)
 		return UINT64_MAX;
 	if (share > 0)
 		wait = (ahead + mean_service_at_start_us(a, rank)) * PPM / ((u64)share * a->limit);
+	if (share > 0)
+		wait = MAX(wait, rate_wait * PPM / (u64)share);
 	return MAX(deferral_us(a, rank), MIN(wait, floor_wait_us(a, rank)));
 }
 
@@ -461,9 +518,13 @@
 {
 	u64 remaining = r->deadline_us > now_us ? r->deadline_us - now_us : 0;
 	struct admit_queue *q = &a->queues[r->rank];
+	u64 wait_max;
 
 	advance(a, now_us);
-	if (admit_wait_us(a, r->rank) > MIN(remaining, request_wait_max_us(a, r)))
+	wait_max = MIN(remaining, request_wait_max_us(a, r));
+	if (rate_wait_us(a, r->rank, calls_ahead(a, r->rank)) > wait_max)
+		return -CTR_RATE_LIMIT;
+	if (admit_wait_us(a, r->rank) > wait_max)
 		return -CTR_QUEUE_WAIT;
 	if (r->bytes > ADMIT_QUEUE_MAX_BYTES || !make_room(a, r))
 		return -CTR_QUEUE_MEMORY;
@@ -505,6 +566,12 @@
 	return q->used_ppm < (floor + FLOOR_MARGIN_PERCENT) * PPM_PER_PERCENT;
 }
 
+/* Returns whether RANK leaves what is reserved for ranks of higher worth. */
+static bool may_start(const struct admit *a, u32 rank)
+{
+	return has_slot(a, rank) && !rate_wait_us(a, rank, 0);
+}
+
 /*
  * Returns the rank of highest worth that has a call to start; -1 for none. ONLY_BELOW_FLOOR limits
  * the choice to ranks below their floor.
@@ -518,7 +585,7 @@
 			continue;
 		if (only_below_floor && !is_below_floor(a, i))
 			continue;
-		if (admit_is_deferred(a, i) || (!has_slot(a, i) && !is_floor_missed(a, i)))
+		if (admit_is_deferred(a, i) || (!may_start(a, i) && !is_floor_missed(a, i)))
 			continue;
 		if (best < 0 || precedes(a, i, (u32)best))
 			best = (int)i;
@@ -556,6 +623,7 @@
 	r->slowness_percent = a->slowness_percent;
 	a->total_speed += call_speed(r);
 	r->running_us_at_start = a->running_us;
+	rate_limit_take(&a->rate, now_us);
 }
 
 struct admit_req *admit_next(struct admit *a, u64 now_us)
@@ -564,7 +632,7 @@
 	int rank;
 
 	advance(a, now_us);
-	if (a->running >= a->limit)
+	if (a->running >= a->limit || rate_limit_next_us(&a->rate, 0) > now_us)
 		return NULL;
 	rank = pick_rank(a, true);
 	if (rank < 0)
@@ -623,6 +691,18 @@
 	return next;
 }
 
+u64 admit_next_start_us(const struct admit *a)
+{
+	u64 next_us = rate_limit_next_us(&a->rate, 0);
+
+	if (!a->queued || a->running >= a->limit || !a->rate.interval_us)
+		return UINT64_MAX;
+	/* After the first time only ranks wait that leave one start to those of higher worth. */
+	if (next_us <= a->now_us)
+		next_us = rate_limit_next_us(&a->rate, 1);
+	return next_us > a->now_us ? next_us : UINT64_MAX;
+}
+
 static u64 smooth(u64 old, u64 sample)
 {
 	return old ? (old * (SERVICE_SMOOTHING - 1) + sample) / SERVICE_SMOOTHING : sample;
@@ -721,7 +801,7 @@
 	load->lowest_worth = admit_lowest_worth(a, now_us);
 	load->running = a->running;
 	load->queued = a->queued;
-	load->limit = a->limit;
+	load->limit = (u32)((capacity_milli(a) + MILLI - 1) / MILLI);
 	load->knee = a->reports_slowness && a->knee.is_found ? a->knee.current_limit : 0;
 	load->service_us = mean_work_us(a);
 	for (u32 i = 0; i < a->nranks; i++) {
--- a/node/admit.h
+++ b/node/admit.h
@@ -9,11 +9,15 @@
  * waits, and is charged for the slot time of its calls. A rank does not use the slots that ranks of
  * higher worth used recently, so that their short calls do not wait for its long ones.
  *
+ * An upstream may name a rate limit. It binds besides the slots: a call that has a slot also waits
+ * until the rate allows one more. Floors and shares are then parts of the slot time that calls at
+ * this rate take.
+ *
  * A call runs to its end at the speed that the upstream's VM has when the call starts. So while the
  * VM is slow, calls that would end sooner by waiting for its usual speed are deferred.
  *
  * UNITS microseconds
- * SOURCE node/admit.c, node/limit.c, node/knee.c
+ * SOURCE node/admit.c, node/limit.c, node/knee.c, node/rate_limit.c
  */
 #ifndef ADMIT_H
 #define ADMIT_H
@@ -23,6 +27,7 @@
 #include "node/knee.h"
 #include "node/limit.h"
 #include "node/quantiles.h"
+#include "node/rate_limit.h"
 #include "node/slow_period.h"
 #include "wire/peer.h"
 
@@ -78,6 +83,7 @@
 	struct limit limiter;
 	struct knee knee;
 	struct slow_period slow_period;
+	struct rate_limit rate; /* the rate limit that the upstream names */
 	u32 slowness_percent; /* of the VM, as last reported */
 	bool reports_slowness; /* distinguishes a slow VM from a saturated one */
 	double running_us; /* total running time of all calls so far */
@@ -109,6 +115,10 @@
  */
 void admit_set_slowness(struct admit *a, u32 percent, u64 now_us);
 
+/* admit_set_rate_limit, admit_remove_rate_limit - the upstream names a rate limit, or none. */
+void admit_set_rate_limit(struct admit *a, u64 milli_per_s, u64 now_us);
+void admit_remove_rate_limit(struct admit *a, u64 now_us);
+
 /* admit_set_ranks - sets the ranks of the configuration; queued requests keep their index. */
 void admit_set_ranks(struct admit *a, const struct admit_rank *ranks, u32 n);
 
@@ -156,6 +166,9 @@
 /* admit_next_expiry_us - returns when to call admit_expired next; UINT64_MAX for never. */
 u64 admit_next_expiry_us(const struct admit *a);
 
+/* admit_next_start_us - returns when the rate limit allows the next start; UINT64_MAX for never. */
+u64 admit_next_start_us(const struct admit *a);
+
 /*
  * admit_done - ends a running request. IS_SERVED is false when the upstream refused it or answered
  * with an error: its duration then says nothing about the service.
--- a/node/home.c
+++ b/node/home.c
@@ -276,18 +276,18 @@
 {
 	struct home *h = n->home;
 	u64 now = loop_clock_us();
-	u64 expiry_us;
+	u64 next_us;
 	struct admit_req *r;
 
 	while ((r = admit_expired(&h->admit, now)))
 		refuse_not_run(n, (struct job *)r, r->reason);
 	while ((r = admit_next(&h->admit, now)))
 		start_job(n, (struct job *)r);
-	expiry_us = admit_next_expiry_us(&h->admit);
-	if (expiry_us == UINT64_MAX)
-		loop_timer_cancel(n->loop, &h->expiry_timer);
+	next_us = MIN(admit_next_expiry_us(&h->admit), admit_next_start_us(&h->admit));
+	if (next_us == UINT64_MAX)
+		loop_timer_cancel(n->loop, &h->queue_timer);
 	else
-		loop_timer_set(n->loop, &h->expiry_timer, expiry_us);
+		loop_timer_set(n->loop, &h->queue_timer, next_us);
 }
 
 /*
@@ -552,6 +552,7 @@
 	upstream_close_idle(n->home->upstream);
 	slowness_monitor_reset(n->home->slowness_monitor);
 	n->home->notice = (struct notice){ 0 };
+	admit_remove_rate_limit(&n->home->admit, loop_clock_us());
 }
 
 void home_tick(struct node *n, u64 now_us)
@@ -561,7 +562,7 @@
 			 choose_median_knee(&n->choose, n->dir_entry.service, n->dir_entry.slots));
 }
 
-static void on_expiry(void *arg, u64 now_us)
+static void on_queue_timer(void *arg, u64 now_us)
 {
 	(void)now_us;
 	run_queue(arg);
@@ -577,7 +578,7 @@
 	h->jobs = g_hash_table_new(call_id_hash, call_id_equal);
 	h->upstream = upstream_new(n->loop, n->dialect);
 	h->slowness_monitor = slowness_monitor_new(n);
-	h->expiry_timer = (struct loop_timer){ .fire = on_expiry, .arg = n };
+	h->queue_timer = (struct loop_timer){ .fire = on_queue_timer, .arg = n };
 	return 0;
 }
 
@@ -587,7 +588,7 @@
 
 	slowness_monitor_free(h->slowness_monitor);
 	upstream_free(h->upstream);
-	loop_timer_cancel(n->loop, &h->expiry_timer);
+	loop_timer_cancel(n->loop, &h->queue_timer);
 	admit_clear(&h->admit);
 	call_table_clear(&h->table);
 	g_hash_table_unref(h->jobs);
--- a/node/home_impl.h
+++ b/node/home_impl.h
@@ -21,7 +21,7 @@
 	u64 revision; /* configuration revision of the ranks in admit */
 	char *ranks_service; /* the service whose ranks are in admit */
 	u32 late_rank; /* for calls that can no longer meet their targets */
-	struct loop_timer expiry_timer; /* when the next queued request expires */
+	struct loop_timer queue_timer; /* when the next queued request expires or may start */
 };
 
 #endif
--- a/node/home_notice.c
+++ b/node/home_notice.c
@@ -28,6 +28,16 @@
 		  h->notice.now.is_leaving ? "yes" : "no", NULL);
 }
 
+static void apply_rate_limit(struct home *h)
+{
+	u64 now = loop_clock_us();
+
+	if (h->notice.now.has_rate_limit)
+		admit_set_rate_limit(&h->admit, h->notice.now.rate_limit_milli_per_s, now);
+	else
+		admit_remove_rate_limit(&h->admit, now);
+}
+
 void home_record_notice(struct node *n, const struct http_msg *answer, u64 sent_us,
 			const char *source)
 {
@@ -47,4 +57,6 @@
 		return;
 	log_change(n, &before, source);
 	h->calls_under_limit = 0;
+	apply_rate_limit(h);
+	home_push_load(n);
 }
--- a/node/retry_after.c
+++ b/node/retry_after.c
@@ -25,6 +25,7 @@
 	case CTR_WRONG_HOME:
 		return add_jitter(MIN(REPAIR_US, max_us), rng);
 	case CTR_QUEUE_WAIT:
+	case CTR_RATE_LIMIT:
 	case CTR_QUEUE_MEMORY:
 	case CTR_EVICTED:
 	case CTR_SHED_AT_SOURCE:
--- a/test/admit_test.c
+++ b/test/admit_test.c
@@ -1,17 +1,13 @@
 /* Admission: slots, order, floors, adaptive limit, bounded queues, floods, slow VMs. */
 #include "lib/rng.h"
 #include "node/admit.h"
+#include "test/fakes/scenario.h"
 
 #include <string.h>
 
-#define SLOTS 12
-#define TOP 0
-#define LOW 1
-
-static const struct admit_rank two_ranks[] = {
-	{ .worth = 100, .target_us = 250 * US_PER_MS, .floor_percent = 10 },
-	{ .worth = 1, .target_us = 1000 * US_PER_MS, .floor_percent = 20 },
-};
+#define SLOTS SCENARIO_SLOTS
+#define TOP SCENARIO_TOP
+#define LOW SCENARIO_LOW
 
 static void setup(struct admit *a, const struct admit_rank *ranks, u32 n)
 {
@@ -35,7 +31,7 @@
 	struct admit a;
 	struct admit_req r[SLOTS + 1] = { 0 };
 
-	setup(&a, two_ranks, 2);
+	setup(&a, scenario_ranks, 2);
 	for (u32 i = 0; i < SLOTS + 1; i++) {
 		r[i].deadline_us = US_PER_S;
 		g_assert_cmpint(admit_offer(&a, &r[i], 1), ==, 0);
@@ -56,7 +52,7 @@
 	struct admit_req cancelled = { .deadline_us = US_PER_S };
 	struct admit_req over_target = { .deadline_us = 100 * US_PER_S };
 
-	setup(&a, two_ranks, 2);
+	setup(&a, scenario_ranks, 2);
 	for (u32 i = 0; i < SLOTS; i++) {
 		busy[i].deadline_us = US_PER_S;
 		admit_offer(&a, &busy[i], 1);
@@ -86,7 +82,7 @@
 	struct admit_req short_deadline = { .rank = TOP, .deadline_us = 5 * US_PER_MS };
 	u32 taken = 0;
 
-	setup(&a, two_ranks, 2);
+	setup(&a, scenario_ranks, 2);
 	for (u32 i = 0; i < 100; i++) {
 		r[i].deadline_us = 30 * US_PER_S;
 		taken += !admit_offer(&a, &r[i], 1);
@@ -106,7 +102,7 @@
 	struct admit_req top = { .rank = TOP, .deadline_us = US_PER_S, .bytes = 3 << 20 };
 	struct admit_req huge = { .rank = TOP, .deadline_us = US_PER_S, .bytes = 15 << 20 };
 
-	setup(&a, two_ranks, 2);
+	setup(&a, scenario_ranks, 2);
 	for (u32 i = 0; i < SLOTS; i++) {
 		busy[i].deadline_us = US_PER_S;
 		admit_offer(&a, &busy[i], 1);
@@ -261,117 +257,11 @@
 	}
 }
 
-/* Scenarios: an upstream simulated with a virtual clock, in steps of 100 us. */
-
-#define STEP_US 100
-
-struct scenario {
-	struct admit a;
-	struct rng rng;
-	u64 now_us;
-	GPtrArray *running;
-	u64 per_s[2]; /* arrivals by rank */
-	u64 service_us[2];
-	u32 parallel; /* calls slow each other down when more than this run; 0 for never */
-	u64 slot_time_us[2];
-	u32 arrived[2];
-	u32 done[2];
-	u32 in_target[2];
-	size_t most_bytes;
-};
-
-static void scenario_init(struct scenario *s, u64 top_per_s, u64 low_per_s)
-{
-	memset(s, 0, sizeof(*s));
-	setup(&s->a, two_ranks, 2);
-	s->rng.state = 4;
-	s->now_us = US_PER_S;
-	s->running = g_ptr_array_new_with_free_func(g_free);
-	s->per_s[TOP] = top_per_s;
-	s->per_s[LOW] = low_per_s;
-	s->service_us[TOP] = 10 * US_PER_MS;
-	s->service_us[LOW] = 20 * US_PER_MS;
-}
-
-static void scenario_clear(struct scenario *s)
-{
-	for (u32 i = 0; i < ADMIT_RANKS_MAX; i++)
-		while (s->a.queues[i].waiting.length) {
-			struct admit_req *r = s->a.queues[i].waiting.head->data;
-
-			admit_cancel(&s->a, r);
-			g_free(r);
-		}
-	g_ptr_array_unref(s->running);
-	admit_clear(&s->a);
-}
-
-static void arrive(struct scenario *s, u32 rank)
-{
-	struct admit_req *r;
-
-	if (rng_below(&s->rng, US_PER_S / STEP_US) >= s->per_s[rank])
-		return;
-	r = request(rank, s->now_us + 30 * US_PER_S, 64 * 1024);
-	s->arrived[rank]++;
-	if (admit_offer(&s->a, r, s->now_us))
-		g_free(r);
-}
-
-static bool has_ended(struct scenario *s, const struct admit_req *r)
-{
-	u64 service = s->service_us[r->rank];
-
-	if (s->parallel && s->running->len > s->parallel)
-		service = service * s->running->len * s->running->len / (s->parallel * s->parallel);
-	return rng_below(&s->rng, (u32)(service / STEP_US)) == 0;
-}
-
-static void end_calls(struct scenario *s)
-{
-	for (guint i = s->running->len; i > 0; i--) {
-		struct admit_req *r = g_ptr_array_index(s->running, i - 1);
-
-		s->slot_time_us[r->rank] += STEP_US;
-		if (!has_ended(s, r))
-			continue;
-		admit_done(&s->a, r, true, s->now_us);
-		s->done[r->rank]++;
-		s->in_target[r->rank] += s->now_us - r->queued_us <= two_ranks[r->rank].target_us;
-		g_ptr_array_remove_index_fast(s->running, i - 1);
-	}
-}
-
-static void run(struct scenario *s, u64 for_us)
-{
-	u64 end = s->now_us + for_us;
-	struct admit_req *r;
-
-	for (; s->now_us < end; s->now_us += STEP_US) {
-		end_calls(s);
-		arrive(s, TOP);
-		arrive(s, LOW);
-		while ((r = admit_expired(&s->a, s->now_us)))
-			g_free(r);
-		while ((r = admit_next(&s->a, s->now_us)))
-			g_ptr_array_add(s->running, r);
-		s->most_bytes = MAX(s->most_bytes, s->a.queued_bytes);
-	}
-}
-
-static void reset_counts(struct scenario *s)
-{
-	memset(s->slot_time_us, 0, sizeof(s->slot_time_us));
-	memset(s->arrived, 0, sizeof(s->arrived));
-	memset(s->done, 0, sizeof(s->done));
-	memset(s->in_target, 0, sizeof(s->in_target));
-}
-
 static void assert_floor(const struct scenario *s, u32 rank)
 {
 	u64 all = s->slot_time_us[TOP] + s->slot_time_us[LOW];
 
-	g_assert_cmpuint(s->slot_time_us[rank] * 100, >=, all * two_ranks[rank].floor_percent);
+	g_assert_cmpuint(s->slot_time_us[rank] * 100, >=, all * scenario_ranks[rank].floor_percent);
 }
 
 static void assert_target(const struct scenario *s, u32 rank)
@@ -384,7 +274,7 @@
 	struct scenario s;
 
 	scenario_init(&s, 400, 5000);
-	run(&s, 20 * US_PER_S);
+	scenario_run(&s, 20 * US_PER_S);
 	assert_target(&s, TOP);
 	assert_floor(&s, LOW);
 	g_assert_cmpuint(s.most_bytes, <=, ADMIT_QUEUE_MAX_BYTES);
@@ -415,7 +305,7 @@
 	u64 now = US_PER_S;
 	u32 running = 0;
 
-	setup(&a, two_ranks, 2);
+	setup(&a, scenario_ranks, 2);
 	runs_at_once(&a, &urgent, TOP, now);
 	g_assert_cmpint(urgent.state, ==, ADMIT_RUNNING);
 	now += 200 * US_PER_MS;
@@ -441,7 +331,7 @@
 	struct scenario s;
 
 	scenario_init(&s, 5000, 300);
-	run(&s, 20 * US_PER_S);
+	scenario_run(&s, 20 * US_PER_S);
 	assert_floor(&s, LOW);
 	assert_floor(&s, TOP);
 	g_assert_cmpuint(s.slot_time_us[TOP], >, s.slot_time_us[LOW]);
@@ -454,7 +344,7 @@
 	struct scenario s;
 
 	scenario_init(&s, 5000, 5000);
-	run(&s, 20 * US_PER_S);
+	scenario_run(&s, 20 * US_PER_S);
 	assert_floor(&s, LOW);
 	assert_floor(&s, TOP);
 	g_assert_cmpuint(s.slot_time_us[TOP], >, 2 * s.slot_time_us[LOW]);
@@ -468,10 +358,10 @@
 	struct scenario s;
 
 	scenario_init(&s, 400, 0);
-	run(&s, 20 * US_PER_S);
-	reset_counts(&s);
+	scenario_run(&s, 20 * US_PER_S);
+	scenario_reset_counts(&s);
 	s.per_s[LOW] = 5000;
-	run(&s, 2 * US_PER_S);
+	scenario_run(&s, 2 * US_PER_S);
 	assert_target(&s, TOP);
 	scenario_clear(&s);
 }
@@ -483,13 +373,13 @@
 	u32 under_load;
 
 	scenario_init(&s, 100, 0);
-	run(&s, 20 * US_PER_S);
+	scenario_run(&s, 20 * US_PER_S);
 	g_assert_cmpuint(s.a.limit, ==, SLOTS);
 	s.parallel = 4;
 	s.per_s[TOP] = 2000;
-	run(&s, 5 * US_PER_S);
-	reset_counts(&s);
-	run(&s, 10 * US_PER_S);
+	scenario_run(&s, 5 * US_PER_S);
+	scenario_reset_counts(&s);
+	scenario_run(&s, 10 * US_PER_S);
 	under_load = s.a.limit;
 	g_assert_cmpuint(under_load, <, 9);
 	g_assert_cmpuint(under_load, >=, SLOTS / 4);
@@ -497,7 +387,7 @@
 	g_assert_cmpuint(s.done[TOP], >, 2 * 10 * 133);
 	s.parallel = 0;
 	s.per_s[TOP] = 600;
-	run(&s, 20 * US_PER_S);
+	scenario_run(&s, 20 * US_PER_S);
 	g_assert_cmpuint(s.a.limit, ==, SLOTS);
 	scenario_clear(&s);
 }
@@ -509,9 +399,9 @@
 
 	scenario_init(&s, 200, 20);
 	s.service_us[LOW] = 100 * US_PER_MS;
-	run(&s, 20 * US_PER_S);
+	scenario_run(&s, 20 * US_PER_S);
 	s.per_s[LOW] = 500;
-	run(&s, 20 * US_PER_S);
+	scenario_run(&s, 20 * US_PER_S);
 	g_assert_cmpuint(s.a.limit, >=, SLOTS - 2);
 	scenario_clear(&s);
 }
@@ -524,10 +414,10 @@
 	scenario_init(&s, 5000, 0);
 	g_assert_cmpuint(admit_lowest_worth(&s.a, s.now_us), ==, 0);
 	for (u32 i = 0; i < 2000; i++) {
-		run(&s, 10 * US_PER_MS);
+		scenario_run(&s, 10 * US_PER_MS);
 		/* Entry nodes send low calls only while the reported load admits them. */
 		s.per_s[LOW] =
-			admit_lowest_worth(&s.a, s.now_us) <= two_ranks[LOW].worth ? 1000 : 0;
+			admit_lowest_worth(&s.a, s.now_us) <= scenario_ranks[LOW].worth ? 1000 : 0;
 		admitted += s.per_s[LOW] > 0;
 	}
 	g_assert_cmpuint(admitted, >, 0);
@@ -540,7 +430,7 @@
 	struct admit a;
 	u64 now = 1;
 
-	setup(&a, two_ranks, 2);
+	setup(&a, scenario_ranks, 2);
 	for (u32 i = 0; i < 1000; i++) {
 		struct admit_req r = { .deadline_us = 100 * US_PER_S };
 
