home: drain an upstream whose answers say that it is leaving

Cause: the same as for the rate limit, a statement of the upstream in its answers that is passed on to the caller and not read. The only source of a drain was the announcement.

Why this works: the home is the one node that sends to the upstream. It starts the drain with the answer itself, before it passes the answer on, refuses what is queued (not run, so other upstreams take it), and an announcement of the same start does not lift it.

The own dialect has no such header: its upstreams announce a drain.

--- a/node/dialect.c
+++ b/node/dialect.c
@@ -10,7 +10,6 @@
 #define OUTCOME_HEADER "Lavenderlead-Outcome"
 #define REASON_HEADER "Lavenderlead-Reason"
 #define RATE_LIMIT_HEADER "Lavenderlead-Rate-Limit"
-#define DRAINING_HEADER "Lavenderlead-Draining"
 
 #define RATE_MAX_PER_S 1000000
 #define MILLI 1000
@@ -51,7 +50,7 @@
 			const char *leaving_header, struct dialect_notice *notice)
 {
 	const char *rate = http_header(answer, rate_limit_header);
-	const char *leaving = http_header(answer, leaving_header);
+	const char *leaving = leaving_header ? http_header(answer, leaving_header) : NULL;
 
 	*notice = (struct dialect_notice){ .is_leaving = leaving && !strcmp(leaving, "1") };
 	if (!rate)
@@ -128,9 +127,10 @@
 	return false;
 }
 
+/* An upstream announces that it is draining, so its answers need not say so. */
 static int native_notice(const struct http_msg *answer, struct dialect_notice *notice)
 {
-	return dialect_read_notice(answer, RATE_LIMIT_HEADER, DRAINING_HEADER, notice);
+	return dialect_read_notice(answer, RATE_LIMIT_HEADER, NULL, notice);
 }
 
 const struct dialect dialect_native = {
--- a/node/dialect.h
+++ b/node/dialect.h
@@ -98,7 +98,10 @@
  */
 int dialect_parse_rate(const char *text, u64 *milli_per_s);
 
-/* dialect_read_notice - the notice of an answer that has it in these headers. */
+/*
+ * dialect_read_notice - reads the notice of an answer that has it in these headers;
+ * LEAVING_HEADER may be NULL.
+ */
 int dialect_read_notice(const struct http_msg *answer, const char *rate_limit_header,
 			const char *leaving_header, struct dialect_notice *notice);
 
--- a/node/home.c
+++ b/node/home.c
@@ -468,6 +468,20 @@
 	}
 }
 
+void home_refuse_queued(struct node *n, enum ctr reason)
+{
+	g_autoptr(GArray) ids = list_job_ids(n);
+
+	for (guint i = 0; i < ids->len; i++) {
+		struct job *j = find_job(n, ids, i);
+
+		if (!j || j->req.state != ADMIT_QUEUED)
+			continue;
+		admit_cancel(&n->home->admit, &j->req);
+		refuse_not_run(n, j, reason);
+	}
+}
+
 void home_fence(struct node *n, struct link *origin, struct call_id id)
 {
 	const struct http_msg *reply;
--- a/node/home_impl.h
+++ b/node/home_impl.h
@@ -24,4 +24,7 @@
 	struct loop_timer queue_timer; /* when the next queued request expires or may start */
 };
 
+/* home_refuse_queued - refuses all queued calls for REASON; they have not run. */
+void home_refuse_queued(struct node *n, enum ctr reason);
+
 #endif
--- a/node/home_notice.c
+++ b/node/home_notice.c
@@ -38,6 +38,14 @@
 		admit_remove_rate_limit(&h->admit, now);
 }
 
+/* Calls in the queue have not run, and another upstream can take them. */
+static void start_leaving(struct node *n)
+{
+	if (n->dir_entry.state == DIR_UP)
+		node_set_state(n, DIR_DRAINING);
+	home_refuse_queued(n, CTR_DRAINING);
+}
+
 void home_record_notice(struct node *n, const struct http_msg *answer, u64 sent_us,
 			const char *source)
 {
@@ -58,5 +66,12 @@
 	log_change(n, &before, source);
 	h->calls_under_limit = 0;
 	apply_rate_limit(h);
+	if (h->notice.now.is_leaving && !before.is_leaving)
+		start_leaving(n);
 	home_push_load(n);
 }
+
+bool home_is_upstream_leaving(const struct node *n)
+{
+	return n->home->notice.now.is_leaving;
+}
--- a/node/local.c
+++ b/node/local.c
@@ -73,6 +73,14 @@
 	return (u64)a->sequence <= n->upstream_sequence;
 }
 
+/* An upstream that says in its answers that it is leaving may have sent "up" before that. */
+static enum dir_state announced_state(const struct node *n, const struct announcement *a)
+{
+	bool is_leaving = a->is_draining || home_is_upstream_leaving(n);
+
+	return is_leaving || n->is_stopping ? DIR_DRAINING : DIR_UP;
+}
+
 /* Applies an announcement and returns the HTTP status of the answer. */
 static u16 apply(struct node *n, const struct announcement *a)
 {
@@ -88,7 +96,7 @@
 		n->upstream_start_time = (u64)a->born;
 		n->upstream_sequence = (u64)a->sequence;
 	}
-	set_state(n, a->is_draining || n->is_stopping ? DIR_DRAINING : DIR_UP);
+	set_state(n, announced_state(n, a));
 	return 200;
 }
 
--- a/test/fakes/fake_node.c
+++ b/test/fakes/fake_node.c
@@ -68,6 +68,8 @@
 void fake_node_run(struct fake_node *f)
 {
 	f->node = node_new(&f->settings);
+	if (f->dialect)
+		f->node->dialect = f->dialect;
 	g_assert_cmpint(f->node->module.ops->start(&f->node->module, NULL), ==, 0);
 	loop_call(f->node->loop, configure, NULL);
 }
--- a/test/fakes/fake_node.h
+++ b/test/fakes/fake_node.h
@@ -13,6 +13,7 @@
 struct fake_node {
 	struct settings settings;
 	struct node *node;
+	const struct dialect *dialect; /* NULL for the product's own */
 };
 
 #define FAKE_NODE_BODY_MAX_BYTES 65536
