home: ask a new upstream for its notice before its first call

What upstreams saw (in our own tests): a home that had just started sent 30 calls in the first second to an upstream that names one a second, and calls to an upstream that is leaving. The other nodes, where the calls begin, have known both since before the restart, so both rules bind at once.

Cause: the notice is known only from answers, and up to all slots fill before the first one arrives. The same happens where a node keeps running and its upstream is replaced.

Why this works: the health path carries the same headers as any answer and is answered at once, so the first call waits for one exchange over loopback (at most the 200 ms of a poll). An answer to a request that was sent before the upstream was replaced says nothing of the new one and is not applied, as it could drain the new one for good.

--- a/node/home.c
+++ b/node/home.c
@@ -36,8 +36,6 @@
 	load->slowness_percent = slowness_monitor_percent(n->home->slowness_monitor);
 }
 
-static void run_queue(struct node *n);
-
 void home_push_load(struct node *n)
 {
 	u64 now = loop_clock_us();
@@ -51,7 +49,7 @@
 		choose_set_load(self, &load, now);
 	entry_slowness_changed(n, n->self.name);
 	mesh_push_load(n);
-	run_queue(n);
+	home_run_queue(n);
 }
 
 u32 home_in_progress(struct node *n)
@@ -260,7 +258,7 @@
 		refuse_not_run(n, j, not_run_reason(call->err));
 	else
 		report_unknown_outcome(n, j, unknown_outcome_reason(call->err));
-	run_queue(n);
+	home_run_queue(n);
 }
 
 static void start_job(struct node *n, struct job *j)
@@ -272,7 +270,7 @@
 	upstream_start(n->home->upstream, &n->upstream_endpoint, &j->upstream);
 }
 
-static void run_queue(struct node *n)
+void home_run_queue(struct node *n)
 {
 	struct home *h = n->home;
 	u64 now = loop_clock_us();
@@ -281,7 +279,7 @@
 
 	while ((r = admit_expired(&h->admit, now)))
 		refuse_not_run(n, (struct job *)r, r->reason);
-	while ((r = admit_next(&h->admit, now)))
+	while (!home_is_asking_first(n) && (r = admit_next(&h->admit, now)))
 		start_job(n, (struct job *)r);
 	next_us = MIN(admit_next_expiry_us(&h->admit), admit_next_start_us(&h->admit));
 	if (next_us == UINT64_MAX)
@@ -409,7 +407,7 @@
 	if (err)
 		refuse_not_run(n, j, (enum ctr) - err);
 	else
-		run_queue(n);
+		home_run_queue(n);
 }
 
 static void cancel_job(struct node *n, struct job *j)
@@ -566,6 +564,8 @@
 	upstream_close_idle(n->home->upstream);
 	slowness_monitor_reset(n->home->slowness_monitor);
 	n->home->notice = (struct notice){ 0 };
+	n->home->was_asked = false;
+	n->home->upstream_since_us = loop_clock_us();
 	admit_remove_rate_limit(&n->home->admit, loop_clock_us());
 }
 
@@ -579,7 +579,7 @@
 static void on_queue_timer(void *arg, u64 now_us)
 {
 	(void)now_us;
-	run_queue(arg);
+	home_run_queue(arg);
 }
 
 int home_start(struct node *n)
--- a/node/home_notice.c
+++ b/node/home_notice.c
@@ -2,6 +2,7 @@
 #include "node/home_impl.h"
 
 #include "lib/log.h"
+#include "node/slowness_monitor.h"
 
 #define MILLI 1000
 #define RATE_TEXT_BYTES 32
@@ -53,6 +54,8 @@
 	struct dialect_notice before = h->notice.now;
 	struct dialect_notice said;
 
+	if (sent_us < h->upstream_since_us)
+		return; /* the answer is from an earlier upstream */
 	if (n->dialect->notice(answer, &said)) {
 		ctr_inc(CTR_NOTICE_BAD);
 		log_event(LOG_WARN, "rate limit of the upstream is invalid", "source", source,
@@ -71,6 +74,26 @@
 	home_push_load(n);
 }
 
+bool home_is_asking_first(struct node *n)
+{
+	struct home *h = n->home;
+
+	if (h->was_asked || !h->admit.queued)
+		return false;
+	h->was_asked = !slowness_monitor_ask(h->slowness_monitor);
+	return !h->was_asked;
+}
+
+void home_upstream_asked(struct node *n, u64 sent_us)
+{
+	struct home *h = n->home;
+
+	if (h->was_asked)
+		return;
+	h->was_asked = sent_us >= h->upstream_since_us;
+	home_run_queue(n);
+}
+
 bool home_is_upstream_leaving(const struct node *n)
 {
 	return n->home->notice.now.is_leaving;
--- a/node/slowness_monitor.c
+++ b/node/slowness_monitor.c
@@ -75,6 +75,7 @@
 		home_record_notice(m->node, call->reply, m->asked_us, "health");
 	}
 	http_free(g_steal_pointer(&call->reply));
+	home_upstream_asked(m->node, m->asked_us);
 }
 
 /* Returns the health path that the configuration sets for the service, or NULL. */
@@ -95,12 +96,13 @@
 	return path;
 }
 
-static void poll_health(struct slowness_monitor *m, u64 now_us)
+/* Returns whether there is a health path to poll. */
+static bool poll_health(struct slowness_monitor *m, u64 now_us)
 {
 	char *path = health_path(m->node);
 
 	if (!path)
-		return;
+		return false;
 	http_free(m->request);
 	m->request = http_new();
 	m->request->method = g_strdup("GET");
@@ -116,6 +118,14 @@
 	m->asked_us = now_us;
 	ctr_inc(CTR_GAUGE_ASKED);
 	upstream_start(m->upstream, &m->node->upstream_endpoint, &m->call);
+	return true;
+}
+
+bool slowness_monitor_ask(struct slowness_monitor *m)
+{
+	if (!m->pace.interval_min_us)
+		return false;
+	return m->is_polling || poll_health(m, loop_clock_us());
 }
 
 static void on_timer(void *arg, u64 now_us)
--- a/node/slowness_monitor.h
+++ b/node/slowness_monitor.h
@@ -30,6 +30,13 @@
 /* slowness_monitor_call_started - records a call for the upstream, which keeps polling active. */
 void slowness_monitor_call_started(struct slowness_monitor *m);
 
+/*
+ * slowness_monitor_ask - polls the upstream now, unless a poll is under way. Returns whether
+ * home_upstream_asked() follows, at the latest after a fraction of a second; false when there is
+ * nothing to poll.
+ */
+bool slowness_monitor_ask(struct slowness_monitor *m);
+
 /* slowness_monitor_reset - discards all data because the upstream has been replaced. */
 void slowness_monitor_reset(struct slowness_monitor *m);
 
--- a/test/home_notice_test.c
+++ b/test/home_notice_test.c
@@ -172,6 +172,27 @@
 	g_assert_cmpint(g_atomic_int_get(&calls), ==, 1);
 }
 
+/*
+ * Guards against: a late answer of an upstream that has been replaced makes its node drain the new
+ * one.
+ */
+static void test_answer_of_replaced_upstream_drains_new_one(void)
+{
+	static struct raw_server next;
+
+	start("Server-Leaving: 1\r\n");
+	answer_time_us = 200 * US_PER_MS;
+	announce();
+	call(LONG_TIMEOUT_US);
+	g_usleep(answer_time_us / 2);
+	raw_server_start(&next, serve, NULL);
+	fake_node_announce_upstream(&node, next.port, SLOTS);
+	expect_answer();
+	notice = "";
+	call(LONG_TIMEOUT_US);
+	expect_answer();
+}
+
 static const char set_json[] =
 	"{\"version\":1,\"services\":[{\"name\":\"sightings\",\"health_path\":\"" HEALTH_PATH "\"},"
 	"{\"name\":\"atlas\"}],\"routes\":[{\"name\":\"r\",\"host\":\"h.example\",\"prefix\":\"/\","
@@ -235,6 +256,8 @@
 			test_leaving_upstream_gets_calls);
 	g_test_add_func("/home-notice/announcement-revives-leaving-upstream",
 			test_announcement_revives_leaving_upstream);
+	g_test_add_func("/home-notice/answer-of-replaced-upstream-drains-new-one",
+			test_answer_of_replaced_upstream_drains_new_one);
 	g_test_add_func("/home-notice/restarted-home-exceeds-rate-limit",
 			test_restarted_home_exceeds_rate_limit);
 	g_test_add_func("/home-notice/restarted-home-uses-leaving-upstream",
