slowness_monitor: finish a poll before the next one may start

The poll in hand counted as ended already, so the new one reused its call while the old reply was still to be freed.

Why this works: the poll counts as under way until its reply is freed. home_notice_test first-health-answer-reports-slow-vm crashed each time before, and passes.

--- a/node/slowness_monitor.c
+++ b/node/slowness_monitor.c
@@ -69,12 +69,13 @@
 {
 	struct slowness_monitor *m = call->arg;
 
-	m->is_polling = false;
 	if (call->reply) {
 		slowness_monitor_record_answer(m, call->reply);
 		home_record_notice(m->node, call->reply, m->asked_us, "health");
 	}
 	http_free(g_steal_pointer(&call->reply));
+	/* Only now, as a new poll reuses CALL. */
+	m->is_polling = false;
 	home_upstream_asked(m->node, m->asked_us);
 }
 
--- a/test/home_notice_test.c
+++ b/test/home_notice_test.c
@@ -231,6 +231,19 @@
 			3 * (gint)RESTART_US / 2 / (gint)US_PER_S + 5);
 }
 
+/*
+ * Guards against: the node crashes when the first answer of the health path, for which calls wait,
+ * also reports that the VM is slow.
+ */
+static void test_first_health_answer_reports_slow_vm(void)
+{
+	start("Lavenderlead-Instance-Load: 0,0,8,200\r\n");
+	loop_call(node.node->loop, apply_set, NULL);
+	announce();
+	call(LONG_TIMEOUT_US);
+	expect_answer();
+}
+
 /*
  * Guards against: a home node that has just started sends calls to an upstream that is leaving,
  * because the node has not heard that yet.
@@ -260,6 +273,8 @@
 			test_answer_of_replaced_upstream_drains_new_one);
 	g_test_add_func("/home-notice/restarted-home-exceeds-rate-limit",
 			test_restarted_home_exceeds_rate_limit);
+	g_test_add_func("/home-notice/first-health-answer-reports-slow-vm",
+			test_first_health_answer_reports_slow_vm);
 	g_test_add_func("/home-notice/restarted-home-uses-leaving-upstream",
 			test_restarted_home_uses_leaving_upstream);
 	ret = g_test_run();
