home: one call at a time while a new upstream's notice is missing

What an upstream would see whose health path does not answer: after its home has restarted, all slots fill before the first answer names the limit: 10 calls in the first second where 1 a second is named and 6 are allowed (in our own test).

Cause: a failed poll counted as an answer that names nothing.

Why this works: an unknown notice is a state of its own. Until an answer of a call or of the health path has been read, one call runs at a time, so the first answer comes before the second call. Upstreams without a health path are not held.

home_notice_test restarted-home-with-silent-health-path failed before (10 calls) and passes.

--- a/node/home.c
+++ b/node/home.c
@@ -279,7 +279,7 @@
 
 	while ((r = admit_expired(&h->admit, now)))
 		refuse_not_run(n, (struct job *)r, r->reason);
-	while (!home_is_asking_first(n) && (r = admit_next(&h->admit, now)))
+	while (home_may_start(n) && (r = admit_next(&h->admit, now)))
 		start_job(n, (struct job *)r);
 	next_us = MIN(admit_next_expiry_us(&h->admit), admit_next_start_us(&h->admit));
 	if (next_us == UINT64_MAX)
@@ -564,7 +564,7 @@
 	upstream_close_idle(n->home->upstream);
 	slowness_monitor_reset(n->home->slowness_monitor);
 	n->home->notice = (struct notice){ 0 };
-	n->home->was_asked = false;
+	n->home->notice_source = NOTICE_NONE;
 	n->home->upstream_since_us = loop_clock_us();
 	admit_remove_rate_limit(&n->home->admit, loop_clock_us());
 }
--- a/node/home_impl.h
+++ b/node/home_impl.h
@@ -10,6 +10,15 @@
 #include "node/notice.h"
 #include "node/upstream.h"
 
+/* How this node knows what an upstream says of itself; other nodes may know it already. */
+enum notice_source {
+	NOTICE_NONE, /* the upstream, or this node, has just started */
+	NOTICE_REQUESTED, /* its health path is being polled: calls wait */
+	NOTICE_MISSING, /* the poll failed: calls start one at a time */
+	NOTICE_NOT_NEEDED, /* it has no health path, so the first calls have to show it */
+	NOTICE_READ, /* an answer has been read */
+};
+
 struct home {
 	struct admit admit;
 	struct call_table table;
@@ -17,7 +26,7 @@
 	struct upstream *upstream;
 	struct notice notice; /* what the upstream says of itself */
 	u64 upstream_since_us; /* when the upstream of this start was announced */
-	bool was_asked; /* the upstream was asked for its notice since its or this node's start */
+	enum notice_source notice_source;
 	u64 calls_under_limit; /* sent since it named its rate limit */
 	struct slowness_monitor *slowness_monitor;
 	u64 revision; /* configuration revision of the ranks in admit */
@@ -27,10 +36,10 @@
 };
 
 /*
- * home_is_asking_first - asks an upstream that is new to this node for its notice. Returns whether
- * its calls wait for the answer: other nodes may know of a rate limit or a drain already.
+ * home_may_start - returns whether a queued call may start, as far as the notice is concerned.
+ * Requests the notice of an upstream that is new to this node.
  */
-bool home_is_asking_first(struct node *n);
+bool home_may_start(struct node *n);
 
 /* home_run_queue - refuses expired calls and starts those that may start. */
 void home_run_queue(struct node *n);
--- a/node/home_notice.c
+++ b/node/home_notice.c
@@ -56,6 +56,7 @@
 
 	if (sent_us < h->upstream_since_us)
 		return; /* the answer is from an earlier upstream */
+	h->notice_source = NOTICE_READ;
 	if (n->dialect->notice(answer, &said)) {
 		ctr_inc(CTR_NOTICE_BAD);
 		log_event(LOG_WARN, "rate limit of the upstream is invalid", "source", source,
@@ -74,24 +75,33 @@
 	home_push_load(n);
 }
 
-bool home_is_asking_first(struct node *n)
+static void request_notice(struct node *n)
+{
+	bool is_polling = slowness_monitor_ask(n->home->slowness_monitor);
+
+	n->home->notice_source = is_polling ? NOTICE_REQUESTED : NOTICE_NOT_NEEDED;
+}
+
+bool home_may_start(struct node *n)
 {
 	struct home *h = n->home;
 
-	if (h->was_asked || !h->admit.queued)
-		return false;
-	h->was_asked = !slowness_monitor_ask(h->slowness_monitor);
-	return !h->was_asked;
+	if (h->notice_source == NOTICE_NONE && h->admit.queued)
+		request_notice(n);
+	if (h->notice_source == NOTICE_MISSING)
+		return !h->admit.running;
+	return h->notice_source != NOTICE_REQUESTED;
 }
 
-void home_upstream_asked(struct node *n, u64 sent_us)
+void home_poll_ended(struct node *n, u64 sent_us)
 {
 	struct home *h = n->home;
 
-	if (h->was_asked)
-		return;
-	h->was_asked = sent_us >= h->upstream_since_us;
-	home_run_queue(n);
+	/* A poll of an earlier upstream does not count. */
+	if (h->notice_source == NOTICE_REQUESTED)
+		h->notice_source = sent_us < h->upstream_since_us ? NOTICE_NONE : NOTICE_MISSING;
+	if (h->admit.queued)
+		home_run_queue(n);
 }
 
 bool home_is_upstream_leaving(const struct node *n)
--- a/node/node.h
+++ b/node/node.h
@@ -184,8 +184,8 @@
 void home_record_notice(struct node *n, const struct http_msg *answer, u64 sent_us,
 			const char *source);
 
-/* home_upstream_asked - the upstream's health path, asked at SENT_US, has answered or failed to. */
-void home_upstream_asked(struct node *n, u64 sent_us);
+/* home_poll_ended - the poll of the health path that was sent at SENT_US has ended. */
+void home_poll_ended(struct node *n, u64 sent_us);
 
 /* home_is_upstream_leaving - returns whether the upstream has said so since its start. */
 bool home_is_upstream_leaving(const struct node *n);
--- a/node/slowness_monitor.c
+++ b/node/slowness_monitor.c
@@ -76,7 +76,7 @@
 	http_free(g_steal_pointer(&call->reply));
 	/* Only now, as a new poll reuses CALL. */
 	m->is_polling = false;
-	home_upstream_asked(m->node, m->asked_us);
+	home_poll_ended(m->node, m->asked_us);
 }
 
 /* Returns the health path that the configuration sets for the service, or NULL. */
--- a/node/slowness_monitor.h
+++ b/node/slowness_monitor.h
@@ -32,7 +32,7 @@
 
 /*
  * slowness_monitor_ask - polls the upstream now, unless a poll is under way. Returns whether
- * home_upstream_asked() follows, at the latest after a fraction of a second; false when there is
+ * home_poll_ended() follows, at the latest after a fraction of a second; false when there is
  * nothing to poll.
  */
 bool slowness_monitor_ask(struct slowness_monitor *m);
--- a/test/home_notice_test.c
+++ b/test/home_notice_test.c
@@ -26,6 +26,7 @@
 static struct raw_server upstream;
 static const char *notice; /* header lines that the upstream adds to each answer */
 static u64 answer_time_us;
+static bool is_health_silent; /* the health path answers too late */
 static gint calls; /* requests other than those for the health path */
 static u64 next_seq;
 
@@ -53,6 +54,8 @@
 
 	if (read_head(fd, head)) {
 		is_health = strstr(head->str, HEALTH_PATH) != NULL;
+		if (is_health && is_health_silent)
+			g_usleep(FLOOD_US);
 		if (!is_health) {
 			g_atomic_int_inc(&calls);
 			g_usleep(answer_time_us);
@@ -231,6 +234,16 @@
 			3 * (gint)RESTART_US / 2 / (gint)US_PER_S + 5);
 }
 
+/*
+ * Guards against: the same where the health path does not answer: all slots fill before the first
+ * answer of a call names the limit.
+ */
+static void test_restarted_home_with_silent_health_path(void)
+{
+	is_health_silent = true;
+	test_restarted_home_exceeds_rate_limit();
+}
+
 /*
  * Guards against: the node crashes when the first answer of the health path, for which calls wait,
  * also reports that the VM is slow.
@@ -273,6 +286,8 @@
 			test_answer_of_replaced_upstream_drains_new_one);
 	g_test_add_func("/home-notice/restarted-home-exceeds-rate-limit",
 			test_restarted_home_exceeds_rate_limit);
+	g_test_add_func("/home-notice/restarted-home-with-silent-health-path",
+			test_restarted_home_with_silent_health_path);
 	g_test_add_func("/home-notice/first-health-answer-reports-slow-vm",
 			test_first_health_answer_reports_slow_vm);
 	g_test_add_func("/home-notice/restarted-home-uses-leaving-upstream",
