admit, home: one job a file; behaviour unchanged

Functions moved as they were; shared ones got their module's prefix and a doc comment in admit_impl.h.

--- a/node/admit.h
+++ b/node/admit.h
@@ -17,7 +17,7 @@
  * VM is slow, calls that would end sooner by waiting for its usual speed are deferred.
  *
  * UNITS microseconds
- * SOURCE node/admit.c, node/limit.c, node/knee.c, node/rate_limit.c
+ * SOURCE node/admit*.c, node/limit.c, node/knee.c, node/rate_limit.c
  */
 #ifndef ADMIT_H
 #define ADMIT_H
--- /dev/null
+++ b/node/admit_wait.c
@@ -0,0 +1,159 @@
+/* Expected waits, and when a queued request expires. */
+#include "node/admit_impl.h"
+
+#include <string.h>
+
+/* A call may wait at least 1/WAIT_MIN_DIVISOR of its target, however long calls take. */
+#define WAIT_MIN_DIVISOR 8
+#define WAIT_MAX_US (60 * US_PER_S)
+
+/* Returns the slot time of the queued calls that are served before a new one of RANK. */
+static u64 work_ahead_us(const struct admit *a, u32 rank)
+{
+	u64 work = 0;
+
+	for (u32 i = 0; i < a->nranks; i++)
+		if (a->ranks[i].worth >= a->ranks[rank].worth)
+			work += a->queues[i].waiting.length * admit_rank_service_us(a, i);
+	return work;
+}
+
+static u64 floor_wait_us(const struct admit *a, u32 rank)
+{
+	u64 work = (a->queues[rank].waiting.length + 1) * admit_rank_service_us(a, rank);
+	u64 floor = admit_capacity_milli(a) * a->ranks[rank].floor_percent;
+
+	return floor ? work * 100 * MILLI / floor : UINT64_MAX;
+}
+
+/*
+ * Returns the calls that the rate limit must allow besides one of RANK: a rank does not take the
+ * last one while ranks of higher worth need more.
+ */
+static u64 reserved_starts(const struct admit *a, u32 rank)
+{
+	return a->rate.interval_us && admit_reserved_slots(a, rank);
+}
+
+u64 admit_rate_wait_us(const struct admit *a, u32 rank, u64 ahead)
+{
+	u64 next_us = rate_limit_next_us(&a->rate, ahead + reserved_starts(a, rank));
+
+	return next_us > a->now_us ? next_us - a->now_us : 0;
+}
+
+u64 admit_calls_ahead(const struct admit *a, u32 rank)
+{
+	u64 n = 0;
+
+	for (u32 i = 0; i < a->nranks; i++)
+		if (a->ranks[i].worth >= a->ranks[rank].worth)
+			n += a->queues[i].waiting.length;
+	return n;
+}
+
+u64 admit_wait_us(const struct admit *a, u32 rank)
+{
+	u64 ahead = work_ahead_us(a, rank);
+	u64 rate_wait = admit_rate_wait_us(a, rank, admit_calls_ahead(a, rank));
+	i64 share = admit_share_ppm(a, rank);
+	u64 wait = UINT64_MAX;
+
+	if (a->running < a->limit && !ahead && !rate_wait)
+		return admit_deferral_us(a, rank);
+	if (!a->limit)
+		return UINT64_MAX;
+	if (share > 0)
+		wait = (ahead + admit_mean_service_at_start_us(a, rank)) * PPM /
+		       ((u64)share * a->limit);
+	if (share > 0)
+		wait = MAX(wait, rate_wait * PPM / (u64)share);
+	return MAX(admit_deferral_us(a, rank), MIN(wait, floor_wait_us(a, rank)));
+}
+
+/* Returns the longest wait that leaves a call of RANK time to run within TARGET_US. */
+static u64 target_wait_max_us(const struct admit *a, u32 rank, u64 target_us)
+{
+	return target_us -
+	       MIN(admit_p90_service_us(a, rank), target_us - target_us / WAIT_MIN_DIVISOR);
+}
+
+static u64 wait_max_us(const struct admit *a, u32 rank)
+{
+	return target_wait_max_us(a, rank, a->ranks[rank].target_us);
+}
+
+u64 admit_request_wait_max_us(const struct admit *a, const struct admit_req *r)
+{
+	return target_wait_max_us(a, r->rank,
+				  r->target_us ? r->target_us : a->ranks[r->rank].target_us);
+}
+
+u64 admit_expiry_us(const struct admit *a, const struct admit_req *r)
+{
+	u64 last_us = MIN(r->deadline_us, r->queued_us + admit_request_wait_max_us(a, r));
+
+	if (r->has_alternative && a->now_us + admit_deferral_us(a, r->rank) > last_us)
+		return a->now_us;
+	return last_us;
+}
+
+bool admit_is_late(const struct admit *a, const struct admit_req *r)
+{
+	u64 whole = a->ranks[r->rank].target_us;
+
+	/* A call is not late when the target of its whole rank is too short. */
+	return r->target_us < admit_rank_service_us(a, r->rank) && r->target_us < whole;
+}
+
+u32 admit_lowest_worth(struct admit *a, u64 now_us)
+{
+	u32 lowest = UINT32_MAX;
+	u32 least = UINT32_MAX;
+	u32 most = 0;
+
+	admit_advance(a, now_us);
+	for (u32 i = 0; i < a->nranks; i++) {
+		least = MIN(least, a->ranks[i].worth);
+		most = MAX(most, a->ranks[i].worth);
+		if (admit_wait_us(a, i) <= wait_max_us(a, i))
+			lowest = MIN(lowest, a->ranks[i].worth);
+	}
+	if (!a->nranks || lowest == least)
+		return 0;
+	return lowest == UINT32_MAX ? most + 1 : lowest;
+}
+
+/* Adds WAIT to the list of LOAD, which holds the highest worths, each once, in falling order. */
+static void add_wait(struct peer_load *load, const struct peer_wait *wait)
+{
+	u32 worth = wait->worth;
+	u32 at = load->nwaits;
+
+	while (at && load->waits[at - 1].worth < worth)
+		at--;
+	if ((at && load->waits[at - 1].worth == worth) || at == PEER_WAITS_MAX)
+		return;
+	load->nwaits = MIN(load->nwaits + 1, (u32)PEER_WAITS_MAX);
+	memmove(&load->waits[at + 1], &load->waits[at],
+		(load->nwaits - at - 1) * sizeof(load->waits[0]));
+	load->waits[at] = *wait;
+}
+
+void admit_load(struct admit *a, struct peer_load *load, u64 now_us)
+{
+	memset(load, 0, sizeof(*load));
+	load->lowest_worth = admit_lowest_worth(a, now_us);
+	load->running = a->running;
+	load->queued = a->queued;
+	load->limit = (u32)((admit_capacity_milli(a) + MILLI - 1) / MILLI);
+	load->knee = a->reports_slowness && a->knee.is_found ? a->knee.current_limit : 0;
+	load->service_us = admit_mean_work_us(a);
+	for (u32 i = 0; i < a->nranks; i++) {
+		struct peer_wait wait = { .worth = a->ranks[i].worth,
+					  .wait_us = MIN(admit_wait_us(a, i), WAIT_MAX_US),
+					  .work_us = admit_recent_work_us(a, i, now_us) };
+
+		add_wait(load, &wait);
+	}
+}
--- a/node/home_impl.h
+++ b/node/home_impl.h
@@ -1,7 +1,8 @@
 /*
  * home_impl - private declarations shared by the source files of home
  *
- * SOURCE node/home.c (calls), node/home_notice.c (what the upstream says of itself)
+ * SOURCE node/home.c (calls), node/home_ranks.c (ranks), node/home_notice.c (what the upstream
+ * says of itself)
  */
 #ifndef HOME_IMPL_H
 #define HOME_IMPL_H
@@ -41,6 +42,12 @@
  */
 bool home_may_start(struct node *n);
 
+/*
+ * home_find_rank - returns the index of the call's rank in the configuration in force, or -1 if
+ * there is none. Sets whether the call is idempotent.
+ */
+int home_find_rank(const struct peer_call *call, const char *method, bool *is_idempotent);
+
 /* home_run_queue - refuses expired calls and starts those that may start. */
 void home_run_queue(struct node *n);
 
