test: httpd stop-accepting waits for the request instead of a time

It failed once beside load, 'Connection: close' missing: the server answered after 60 ms, the test stopped accepting after 30 ms, and a delay of the test's thread let the answer go out first (the same with the delay put in by hand). The test now waits until both requests are read, stops accepting, and then has the second one answered.

--- a/test/httpd_test.c
+++ b/test/httpd_test.c
@@ -8,13 +8,18 @@
 #include <unistd.h>
 
 #define LATE_US (60 * US_PER_MS)
+#define WAIT_MS 20000
 
-/* Answers "/now" immediately and "/late" after LATE_US; GET requests may overlap. */
+/*
+ * Answers "/now" immediately, "/late" after LATE_US and "/held" when the test says so; GET requests
+ * may overlap.
+ */
 struct fixture {
 	struct loop *loop;
 	struct httpd *h;
 	u16 port;
 	gint started;
+	struct httpd_request *held;
 	gint disconnects; /* calls of on_caller_closed */
 	struct httpd_limits limits;
 };
@@ -51,6 +56,10 @@
 		answer(r);
 		return;
 	}
+	if (!strcmp(r->msg->target, "/held")) {
+		f->held = r;
+		return;
+	}
 	l = g_new0(struct late, 1);
 	l->f = f;
 	l->r = r;
@@ -217,6 +226,18 @@
 	httpd_stop_accepting(((struct fixture *)arg)->h);
 }
 
+static void answer_held(void *arg)
+{
+	answer(((struct fixture *)arg)->held);
+}
+
+static void wait_started(struct fixture *f, gint n)
+{
+	for (u32 i = 0; i < WAIT_MS && g_atomic_int_get(&f->started) < n; i++)
+		g_usleep(US_PER_MS);
+	g_assert_cmpint(g_atomic_int_get(&f->started), ==, n);
+}
+
 /* The server stops accepting while one request runs and another connection is idle. */
 static void test_stop_accepting(void)
 {
@@ -229,14 +250,15 @@
 	idle = raw_connect(f.port);
 	raw_write(idle, GET("/now"));
 	busy = raw_connect(f.port);
-	raw_write(busy, GET("/late"));
-	g_usleep(LATE_US / 2);
+	raw_write(busy, GET("/held"));
+	wait_started(&f, 2);
 	loop_call(f.loop, stop_accepting, &f);
 	g_assert_cmpint(raw_connect(f.port), ==, -1);
 	g_assert_true(raw_wait_closed(idle));
 	close(idle);
+	loop_call(f.loop, answer_held, &f);
 	got = read_all(busy);
-	g_assert_nonnull(strstr(got, "</late>"));
+	g_assert_nonnull(strstr(got, "</held>"));
 	g_assert_nonnull(strstr(got, "Connection: close"));
 	stop(&f);
 }
