control: configuration frames to nodes are made once, and compressed

Cause: each node was sent about 350 KB of text. A link of 3.4 Mbit/s is full of it for 0.8 s, and calls wait behind. The frames were also built anew for each node.

Why this works: routes differ in their names alone, so zlib's fastest level makes them a quarter or less. Nodes that have the same revision share the frames. A frame that is damaged, longer than it says, over the limit of a frame or compressed twice ends the link.

--- a/Makefile
+++ b/Makefile
@@ -2,12 +2,12 @@
 # make and apt.
 
 PACKAGES = libcivetweb-dev libinih-dev libmsgpack-dev liburcu-dev libargtable2-dev \
-	libglib2.0-dev libjansson-dev libxxhash-dev libhttp-parser-dev pkg-config clang-format cppcheck curl
+	libglib2.0-dev libjansson-dev libxxhash-dev libhttp-parser-dev zlib1g-dev pkg-config clang-format cppcheck curl
 
 CC = gcc
 PKGS = glib-2.0 jansson liburcu-bp
 CFLAGS = -std=gnu11 -D_GNU_SOURCE -O2 -g -Wall -Wextra -Werror -pthread -I.
-LDLIBS = -lcivetweb -linih -lmsgpackc -largtable2 -lxxhash -lhttp_parser -lm -ldl -lrt
+LDLIBS = -lcivetweb -linih -lmsgpackc -largtable2 -lxxhash -lhttp_parser -lz -lm -ldl -lrt
 
 # Evaluated on first use, after install-deps has installed the packages.
 PKG_CFLAGS = $(shell pkg-config --cflags $(PKGS))
--- a/bench/control_bench.c
+++ b/bench/control_bench.c
@@ -10,6 +10,7 @@
  * PONG, and its own CPU time. These are counted for SECONDS, after SETTLE_TIME_S.
  */
 #include "kernel/link.h"
+#include "lib/err.h"
 #include "wire/ctl.h"
 #include "wire/dir_entry.h"
 
@@ -109,6 +110,26 @@
 	fflush(stdout);
 }
 
+static void apply_config(struct bench_node *n, struct frame_in *in)
+{
+	n->revision = frame_get_u64(in);
+	send_renew(n);
+	print_revision();
+}
+
+static int on_compressed(struct bench_node *n, struct frame_in *in)
+{
+	struct frame_in inner;
+	u32 type;
+	g_autoptr(GByteArray) bytes = ctl_inflate(in, &inner, &type);
+
+	if (!bytes)
+		return ERR_INVAL;
+	if (type == CTL_CONFIG)
+		apply_config(n, &inner);
+	return 0;
+}
+
 static int on_frame(struct link *k, u32 type, struct frame_in *in)
 {
 	struct bench_node *n = k->arg;
@@ -117,11 +138,10 @@
 		frames_in++;
 		bytes_in += in->len + FRAME_HEADER_BYTES;
 	}
-	if (type != CTL_CONFIG)
-		return 0;
-	n->revision = frame_get_u64(in);
-	send_renew(n);
-	print_revision();
+	if (type == CTL_COMPRESSED)
+		return on_compressed(n, in);
+	if (type == CTL_CONFIG)
+		apply_config(n, in);
 	return 0;
 }
 
--- /dev/null
+++ b/control/config_frames.h
@@ -0,0 +1,37 @@
+/*
+ * config_frames - the frames that bring nodes from one revision of the configuration to the newest
+ *
+ * Most nodes need the same frames: after a change they have the revision before it, and after a
+ * start none. So the frames are made once for all of them. Long ones are compressed, as the links
+ * of nodes may be narrow, and calls wait behind what is sent over them.
+ *
+ * SOURCE control/config_frames.c
+ */
+#ifndef CONFIG_FRAMES_H
+#define CONFIG_FRAMES_H
+
+#include "control/set_history.h"
+#include "control/store.h"
+
+#define CONFIG_FRAMES_ENTRIES 2
+
+struct config_frames_entry {
+	u64 from;
+	u64 to;
+	GPtrArray *frames; /* of struct frame_out; NULL for an unused entry */
+};
+
+struct config_frames {
+	struct set_history set_history;
+	struct config_frames_entry entries[CONFIG_FRAMES_ENTRIES];
+	u32 next_entry;
+};
+
+/*
+ * config_frames_get - returns the frames from revision FROM, 0 for none, to that of the store. They
+ * are valid until the next call.
+ */
+const GPtrArray *config_frames_get(struct config_frames *c, const struct store *s, u64 from);
+void config_frames_clear(struct config_frames *c);
+
+#endif
--- a/control/control.c
+++ b/control/control.c
@@ -194,7 +194,7 @@
 void control_free(struct control *c)
 {
 	store_clear(&c->store);
-	set_history_clear(&c->set_history);
+	config_frames_clear(&c->config_frames);
 	directory_clear(&c->directory);
 	g_ptr_array_unref(c->nodes);
 	g_hash_table_unref(c->ops);
--- a/control/control.h
+++ b/control/control.h
@@ -13,10 +13,10 @@
 #ifndef CONTROL_H
 #define CONTROL_H
 
+#include "control/config_frames.h"
 #include "control/directory.h"
 #include "control/in_force.h"
 #include "control/raft.h"
-#include "control/set_history.h"
 #include "control/store.h"
 #include "control/wal.h"
 #include "kernel/link.h"
@@ -41,7 +41,7 @@
 	struct directory directory;
 
 	GHashTable *peers; /* "HOST:PORT" -> struct control_peer; outgoing links */
-	struct set_history set_history;
+	struct config_frames config_frames;
 	GPtrArray *nodes; /* of struct node_link; links accepted from nodes */
 	GHashTable *reports; /* control id -> struct in_force_report of another process */
 	u64 heartbeat_seq;
--- a/control/nodes.c
+++ b/control/nodes.c
@@ -5,17 +5,11 @@
 #include "control/op.h"
 #include "control/view.h"
 #include "lib/ctr.h"
-#include "lib/delta.h"
 #include "lib/err.h"
-#include "lib/log.h"
-#include "lib/set.h"
 #include "wire/ctl.h"
 
 #include <string.h>
 
-/* Bounds the items of a CTL_CONFIG frame, to stay below the frame size limit. */
-#define CONFIG_FRAME_BYTES (256 * 1024)
-
 struct node_link {
 	struct link *link;
 	bool is_watching;
@@ -254,82 +248,14 @@
 	}
 }
 
-/* Returns how many items from FROM on fit into one frame; at least one. */
-static guint count_fitting(GPtrArray *items, guint from)
-{
-	size_t bytes = 0;
-	guint n = 0;
-
-	while (from + n < items->len && n < CTL_ITEMS_PER_FRAME) {
-		const struct store_item *item = g_ptr_array_index(items, from + n);
-
-		bytes += strlen(item->name) + (item->json ? strlen(item->json) : 0);
-		if (n && bytes > CONFIG_FRAME_BYTES)
-			break;
-		n++;
-	}
-	return n;
-}
-
-static void record_set(struct control *c)
-{
-	const struct store_item *set = store_find(&c->store, SET_NAME);
-
-	if (set)
-		set_history_add(&c->set_history, c->store.revision, set->json);
-}
-
-/*
- * Sends a delta if only the set has changed and its history has a delta since the revision sent
- * last. Returns false if the changes have to be sent in full.
- */
-static bool push_delta(struct control *c, struct node_link *n, const GPtrArray *items)
-{
-	const struct store_item *set = items->len == 1 ? g_ptr_array_index(items, 0) : NULL;
-	const GArray *ops;
-	u64 checksum;
-	FRAME_AUTO(f, CTL_SET_DELTA);
-
-	if (!set || strcmp(set->name, SET_NAME) || !set->json)
-		return false;
-	ops = set_history_delta(&c->set_history, n->sent_revision, c->store.revision, &checksum);
-	if (!ops)
-		return false;
-	frame_put_u64(&f, c->store.revision);
-	frame_put_u64(&f, n->sent_revision);
-	frame_put_u64(&f, set->version);
-	frame_put_u64(&f, checksum);
-	delta_put(&f, ops);
-	/* On an error, sent_revision stays, so that the changes are sent again. */
-	if (!link_send(n->link, &f))
-		n->sent_revision = c->store.revision;
-	return true;
-}
-
 static void push_config(struct control *c, struct node_link *n)
 {
-	bool is_snapshot;
-	g_autoptr(GPtrArray) items = store_changes_since(&c->store, n->sent_revision, &is_snapshot);
-	guint from = 0;
+	const GPtrArray *frames = config_frames_get(&c->config_frames, &c->store, n->sent_revision);
 
-	record_set(c);
-	if (!is_snapshot && push_delta(c, n, items))
-		return;
-	do {
-		guint count = count_fitting(items, from);
-		FRAME_AUTO(f, CTL_CONFIG);
-
-		frame_put_u64(&f, c->store.revision);
-		frame_put_bool(&f, is_snapshot);
-		frame_put_bool(&f, from + count == items->len);
-		frame_put_u64(&f, count);
-		for (guint i = from; i < from + count; i++)
-			store_item_put(&f, g_ptr_array_index(items, i));
-		/* On an error, sent_revision stays, so that the changes are sent again. */
-		if (link_send(n->link, &f))
+	/* On an error, sent_revision stays, so that the changes are sent again. */
+	for (guint i = 0; i < frames->len; i++)
+		if (link_send(n->link, g_ptr_array_index(frames, i)))
 			return;
-		from += count;
-	} while (from < items->len);
 	n->sent_revision = c->store.revision;
 }
 
--- a/node/watch.c
+++ b/node/watch.c
@@ -498,10 +498,10 @@
 	return frame_done(in);
 }
 
-static int on_frame(struct link *k, u32 type, struct frame_in *in)
-{
-	struct control_link *s = k->arg;
+static int on_compressed(struct control_link *s, struct frame_in *in);
 
+static int on_message(struct control_link *s, u32 type, struct frame_in *in)
+{
 	switch (type) {
 	case CTL_CONFIG:
 		return on_config(s->w, in);
@@ -513,11 +513,27 @@
 		return on_fresh(s, in);
 	case CTL_MEMBERS:
 		return on_members(s->w, in);
+	case CTL_COMPRESSED:
+		return on_compressed(s, in);
 	default:
 		return ERR_INVAL;
 	}
 }
 
+static int on_compressed(struct control_link *s, struct frame_in *in)
+{
+	struct frame_in inner;
+	u32 type;
+	g_autoptr(GByteArray) bytes = ctl_inflate(in, &inner, &type);
+
+	return bytes ? on_message(s, type, &inner) : ERR_INVAL;
+}
+
+static int on_frame(struct link *k, u32 type, struct frame_in *in)
+{
+	return on_message(k->arg, type, in);
+}
+
 static void on_up(struct link *k)
 {
 	struct control_link *s = k->arg;
--- a/test/watch_test.c
+++ b/test/watch_test.c
@@ -186,20 +186,45 @@
 	const char *checksum_text; /* the text that the checksum is computed from */
 };
 
+static void put_set(struct frame_out *f, const struct to_send *s)
+{
+	frame_put_u64(f, s->revision);
+	frame_put_bool(f, true);
+	frame_put_bool(f, true);
+	frame_put_u64(f, 1);
+	frame_put_str(f, SET_NAME);
+	frame_put_u64(f, s->revision);
+	frame_put_u64(f, s->revision);
+	frame_put_bool(f, true);
+	frame_put_str(f, s->new_set);
+}
+
 static void send_set(void *arg)
 {
-	const struct to_send *s = arg;
 	FRAME_AUTO(f, CTL_CONFIG);
 
-	frame_put_u64(&f, s->revision);
-	frame_put_bool(&f, true);
-	frame_put_bool(&f, true);
-	frame_put_u64(&f, 1);
-	frame_put_str(&f, SET_NAME);
-	frame_put_u64(&f, s->revision);
-	frame_put_u64(&f, s->revision);
-	frame_put_bool(&f, true);
-	frame_put_str(&f, s->new_set);
+	put_set(&f, arg);
+	link_send(controls[0].link, &f);
+}
+
+static void send_compressed_set(void *arg)
+{
+	struct frame_out *f = ctl_frame_new(CTL_CONFIG);
+
+	put_set(f, arg);
+	f = ctl_compress(f);
+	link_send(controls[0].link, f);
+	ctl_frame_free(f);
+}
+
+/* A compressed frame whose bytes are damaged. */
+static void send_damaged(void *arg)
+{
+	FRAME_AUTO(f, CTL_COMPRESSED);
+
+	(void)arg;
+	frame_put_u64(&f, 100000);
+	frame_put_bin(&f, "no deflate", 10);
 	link_send(controls[0].link, &f);
 }
 
@@ -224,6 +249,36 @@
 	g_assert_cmpuint(config_revision(), ==, revision);
 }
 
+/* Starts a node whose only control process is the first fake one, and waits for its watch. */
+static void start_node_of_first_control(struct fake_node *node)
+{
+	struct endpoint at = { .host = "127.0.0.1" };
+
+	start_control(&controls[0]);
+	fake_node_prepare(node);
+	g_array_set_size(node->settings.node.control, 0);
+	at.port = controls[0].port;
+	g_array_append_val(node->settings.node.control, at);
+	fake_node_run(node);
+	wait_watches(&controls[0], 1);
+}
+
+/* A compressed set comes into force; a damaged one ends the link and changes nothing. */
+static void test_compressed_set(void)
+{
+	g_autofree char *padding = g_strnfill(4000, ' ');
+	g_autofree char *text = g_strconcat(SET_TEXT("1", "one"), padding, NULL);
+	struct to_send first = { .revision = 5, .new_set = text };
+	struct fake_node node;
+
+	start_node_of_first_control(&node);
+	loop_call(controls[0].loop, send_compressed_set, &first);
+	wait_revision(5);
+	loop_call(controls[0].loop, send_damaged, NULL);
+	wait_watches(&controls[0], 2);
+	g_assert_cmpuint(config_revision(), ==, 5);
+}
+
 /* A delta that does not apply changes nothing and makes the node request the whole set. */
 static void test_set_delta(void)
 {
@@ -234,15 +289,8 @@
 				.old_set = SET_TEXT("1", "one"),
 				.new_set = SET_TEXT("2", "two"),
 				.checksum_text = SET_TEXT("2", "two") };
-	struct endpoint at = { .host = "127.0.0.1" };
 
-	start_control(&controls[0]);
-	fake_node_prepare(&node);
-	g_array_set_size(node.settings.node.control, 0);
-	at.port = controls[0].port;
-	g_array_append_val(node.settings.node.control, at);
-	fake_node_run(&node);
-	wait_watches(&controls[0], 1);
+	start_node_of_first_control(&node);
 	loop_call(controls[0].loop, send_set, &first);
 	wait_revision(5);
 	loop_call(controls[0].loop, send_delta, &next);
@@ -318,6 +366,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/watch/moves-to-process-tried-before", test_moves_to_process_tried_before);
 	g_test_add_func("/watch/set-delta", test_set_delta);
+	g_test_add_func("/watch/compressed-set", test_compressed_set);
 	g_test_add_func("/watch/first-call-of-a-service", test_first_call_of_a_service);
 	ret = g_test_run();
 	fflush(stdout);
--- a/wire/ctl.h
+++ b/wire/ctl.h
@@ -2,15 +2,20 @@
  * ctl - frame types exchanged with and between control processes
  *
  * node to control:    CTL_REGISTER, CTL_RENEW, CTL_WATCH, CTL_SUBSCRIBE
- * control to node:    CTL_CONFIG, CTL_SET_DELTA, CTL_VIEW, CTL_FRESHNESS, CTL_MEMBERS
+ * control to node:    CTL_CONFIG, CTL_SET_DELTA, CTL_VIEW, CTL_FRESHNESS, CTL_MEMBERS,
+ *                     CTL_COMPRESSED
  * control to control: CTL_RAFT, CTL_DIRECTORY, CTL_HEARTBEAT, CTL_FORWARD,
  *                     CTL_FORWARD_RESULT, CTL_JOIN, CTL_MEMBERS
+ *
+ * SOURCE wire/ctl.c (compressed frames)
  */
 #ifndef CTL_H
 #define CTL_H
 
 #include "kernel/link.h"
 
+#include <glib.h>
+
 #define CTL_RENEW_INTERVAL_US (1 * US_PER_S)
 #define CTL_FRESHNESS_INTERVAL_US (250 * US_PER_MS)
 /*
@@ -49,6 +54,24 @@
 	CTL_FORWARD_RESULT, /* request id, outcome, result */
 	CTL_MEMBERS, /* count, {host, port}: the members of the group */
 	CTL_JOIN, /* control id, replica id, host, port, is_first: requests membership */
+	CTL_COMPRESSED, /* length, bytes in deflate form: another frame to a node */
 };
 
+/* ctl_frame_new, ctl_frame_free - a frame on the heap; ctl_frame_free suits GPtrArray. */
+struct frame_out *ctl_frame_new(enum ctl_type type);
+void ctl_frame_free(gpointer frame);
+
+/*
+ * ctl_compress - takes FRAME and returns it as a CTL_COMPRESSED frame, or as it is where that gains
+ * little.
+ */
+struct frame_out *ctl_compress(struct frame_out *frame);
+
+/*
+ * ctl_inflate - reads a CTL_COMPRESSED frame. Sets *TYPE and INNER to the frame inside and returns
+ * its bytes, which INNER points into. Returns NULL when the frame is damaged, longer than it says,
+ * over the limit of a frame, or compressed twice.
+ */
+GByteArray *ctl_inflate(struct frame_in *in, struct frame_in *inner, u32 *type);
+
 #endif
