home: the notice of another upstream at the address is not applied

What callers would see: an upstream that has taken over the address refuses a call (421) and says that it is leaving; the node then drained its own upstream until that one restarted.

Cause: the answer was read before it was looked at who gave it. Found when the change was read again. The slowness of such an answer is skipped too.

home_notice_test other-instance-drains-upstream failed before (refused as draining) and passes. Besides: Retry-After of rate-limit has a check of its own, and MILLI stands once, in lib/types.h.

--- a/lib/types.h
+++ b/lib/types.h
@@ -12,6 +12,9 @@
 typedef uint64_t u64;
 typedef int64_t i64;
 
+/* Thousandths of a unit. */
+#define MILLI 1000
+
 #define US_PER_MS 1000ULL
 #define US_PER_S 1000000ULL
 
--- a/node/admit_impl.h
+++ b/node/admit_impl.h
@@ -14,7 +14,6 @@
 #define SERVICE_INITIAL_US (10 * US_PER_MS)
 #define USUAL_PERCENT 100
 #define PPM 1000000
-#define MILLI 1000
 
 /* admit_mean_work_us - returns the mean work of the recent calls of all ranks. */
 u64 admit_mean_work_us(const struct admit *a);
--- a/node/dialect.c
+++ b/node/dialect.c
@@ -12,7 +12,6 @@
 #define RATE_LIMIT_HEADER "Lavenderlead-Rate-Limit"
 
 #define RATE_MAX_PER_S 1000000
-#define MILLI 1000
 
 bool dialect_parse_ms(const char *text, u64 max, u64 *ms)
 {
--- a/node/dialect.h
+++ b/node/dialect.h
@@ -93,8 +93,8 @@
 bool dialect_parse_ms(const char *text, u64 max, u64 *ms);
 
 /*
- * dialect_parse_rate - parses a decimal number of requests per second, capped at a million, into
- * thousandths, rounded down. Returns 0 or ERR_INVAL.
+ * dialect_parse_rate - parses a decimal number of requests per second into thousandths, rounded
+ * down; a number over a million is taken as a million. Returns 0 or ERR_INVAL.
  */
 int dialect_parse_rate(const char *text, u64 *milli_per_s);
 
--- a/node/home.c
+++ b/node/home.c
@@ -236,7 +236,7 @@
 	struct node *n = j->node;
 	enum ctr not_run = call->err ? CTR_COUNT : not_run_answer(n, call->reply);
 
-	if (!call->err) {
+	if (!call->err && not_run != CTR_OTHER_INSTANCE) {
 		slowness_monitor_record_answer(n->home->slowness_monitor, call->reply);
 		home_record_notice(n, call->reply, j->req.started_us, "call");
 	}
--- a/node/home_notice.c
+++ b/node/home_notice.c
@@ -4,7 +4,6 @@
 #include "lib/log.h"
 #include "node/slowness_monitor.h"
 
-#define MILLI 1000
 #define RATE_TEXT_BYTES 32
 
 static const char *rate_text(const struct dialect_notice *d, char text[RATE_TEXT_BYTES])
--- a/node/rate_limit.c
+++ b/node/rate_limit.c
@@ -2,8 +2,6 @@
 
 #include <glib.h>
 
-#define MILLI 1000
-
 static u64 interval_us(u64 milli_per_s)
 {
 	if (!milli_per_s)
--- a/test/home_notice_test.c
+++ b/test/home_notice_test.c
@@ -25,6 +25,7 @@
 static struct fake_peer entry;
 static struct raw_server upstream;
 static const char *notice; /* header lines that the upstream adds to each answer */
+static const char *status_line = "200 OK";
 static u64 answer_time_us;
 static bool is_health_silent; /* the health path answers too late */
 static gint calls; /* requests other than those for the health path */
@@ -60,9 +61,9 @@
 			g_atomic_int_inc(&calls);
 			g_usleep(answer_time_us);
 		}
-		answer = g_strdup_printf("HTTP/1.1 200 OK\r\nConnection: close\r\n"
+		answer = g_strdup_printf("HTTP/1.1 %s\r\nConnection: close\r\n"
 					 "Content-Length: 5\r\n%s\r\nnoted",
-					 notice);
+					 status_line, notice);
 		raw_write(fd, answer);
 	}
 	close(fd);
@@ -196,6 +197,24 @@
 	expect_answer();
 }
 
+/*
+ * Guards against: another upstream, which has taken over the address and refuses the call, says
+ * that it is leaving, and the node never uses its own upstream again.
+ */
+static void test_other_instance_drains_upstream(void)
+{
+	start("Server-Leaving: 1\r\n");
+	status_line = "421 Misdirected Request";
+	announce();
+	call(LONG_TIMEOUT_US);
+	expect_refusal("other-instance");
+	status_line = "200 OK";
+	notice = "";
+	announce();
+	call(LONG_TIMEOUT_US);
+	expect_answer();
+}
+
 static const char set_json[] =
 	"{\"version\":1,\"services\":[{\"name\":\"sightings\",\"health_path\":\"" HEALTH_PATH "\"},"
 	"{\"name\":\"atlas\"}],\"routes\":[{\"name\":\"r\",\"host\":\"h.example\",\"prefix\":\"/\","
@@ -284,6 +303,8 @@
 			test_announcement_revives_leaving_upstream);
 	g_test_add_func("/home-notice/answer-of-replaced-upstream-drains-new-one",
 			test_answer_of_replaced_upstream_drains_new_one);
+	g_test_add_func("/home-notice/other-instance-drains-upstream",
+			test_other_instance_drains_upstream);
 	g_test_add_func("/home-notice/restarted-home-exceeds-rate-limit",
 			test_restarted_home_exceeds_rate_limit);
 	g_test_add_func("/home-notice/restarted-home-with-silent-health-path",
--- a/test/retry_after_test.c
+++ b/test/retry_after_test.c
@@ -25,10 +25,10 @@
 }
 
 /* A burst exceeds the capacity of the upstreams; some calls can still meet their target. */
-static void test_overload(void)
+static void check_overload(enum ctr reason)
 {
-	struct retry_after early = { .reason = CTR_QUEUE_WAIT, .remaining_us = REMAINING_US };
-	struct retry_after late = { .reason = CTR_QUEUE_WAIT,
+	struct retry_after early = { .reason = reason, .remaining_us = REMAINING_US };
+	struct retry_after late = { .reason = reason,
 				    .remaining_us = REMAINING_US,
 				    .is_late = true };
 	struct rng rng = { 1 };
@@ -42,6 +42,12 @@
 	}
 }
 
+static void test_overload(void)
+{
+	check_overload(CTR_QUEUE_WAIT);
+	check_overload(CTR_RATE_LIMIT);
+}
+
 /* The delay never exceeds the remaining time of the caller. */
 static void test_no_time_left(void)
 {
