home: a drain refuses what is queued

Cause: a drain refused new calls and let the queue go on, and a rank with a target of 4 s may wait that long for a slot.

Why this works: a queued call has not run, so it is refused as not run and its entry node sends it to another upstream at once; running calls end.

home_test queued-call-starts-after-drain and queued-call-starts-after-leave failed before (the call stayed in the queue) and pass.

--- a/node/home_impl.h
+++ b/node/home_impl.h
@@ -51,7 +51,4 @@
 /* home_run_queue - refuses expired calls and starts those that may start. */
 void home_run_queue(struct node *n);
 
-/* home_refuse_queued - refuses all queued calls for REASON; they have not run. */
-void home_refuse_queued(struct node *n, enum ctr reason);
-
 #endif
--- a/node/local.c
+++ b/node/local.c
@@ -37,6 +37,9 @@
 		  n->upstream_instance ? n->upstream_instance : "", "from",
 		  dir_state_name(n->dir_entry.state), "to", dir_state_name(state), NULL);
 	node_set_state(n, state);
+	/* What is queued might start only after the time that a drain allows. */
+	if (state != DIR_UP)
+		home_refuse_queued(n, CTR_DRAINING);
 }
 
 static void set_details(struct node *n, const struct announcement *a)
--- a/node/node.h
+++ b/node/node.h
@@ -153,6 +153,9 @@
 void home_cancel(struct node *n, struct call_id id);
 void home_caller_left(struct node *n, struct call_id id);
 void home_cancel_all(struct node *n);
+
+/* home_refuse_queued - refuses all queued calls for REASON; they have not run. */
+void home_refuse_queued(struct node *n, enum ctr reason);
 void home_fence(struct node *n, struct link *origin, struct call_id id);
 
 /* home_expect_calls - starts polling the upstream's slowness before the first calls arrive. */
--- a/test/home_test.c
+++ b/test/home_test.c
@@ -2,6 +2,7 @@
 #include "lib/err.h"
 #include "test/fakes/fake_node.h"
 #include "test/fakes/fake_peer.h"
+#include "test/fakes/httpc.h"
 #include "test/fakes/raw_server.h"
 
 #include <glib.h>
@@ -226,6 +227,41 @@
 	wait_requests(1);
 }
 
+static void check_queued_call_leaves(const char *method, const char *announcement)
+{
+	struct httpc_reply reply;
+
+	start(1);
+	call(1, "POST", LONG_TIMEOUT_US);
+	wait_requests(1);
+	call(2, "POST", LONG_TIMEOUT_US);
+	wait_until_handled();
+	g_assert_cmpint(httpc_call("127.0.0.1", node.settings.node.local_port, method,
+				   "/v1/upstream", NULL, announcement, 5000, &reply),
+			==, 0);
+	g_assert_cmpint(reply.status, ==, 200);
+	httpc_reply_clear(&reply);
+	expect_refusal(2, "draining", true);
+	permit();
+	expect_reply(1);
+	wait_requests(1);
+}
+
+/*
+ * Guards against: a call that was queued before a drain starts seconds after it. It goes to another
+ * upstream instead, and the running one ends.
+ */
+static void test_queued_call_starts_after_drain(void)
+{
+	check_queued_call_leaves("PUT", "{\"state\":\"draining\"}");
+}
+
+/* The same where the upstream leaves without a drain. */
+static void test_queued_call_starts_after_leave(void)
+{
+	check_queued_call_leaves("DELETE", NULL);
+}
+
 /* At its deadline a queued call leaves the queue without running; a running one frees its slot. */
 static void test_deadlines(void)
 {
@@ -328,6 +364,10 @@
 	g_test_add_func("/home/duplicate", test_duplicate);
 	g_test_add_func("/home/cancel-running", test_cancel_running);
 	g_test_add_func("/home/cancel-queued", test_cancel_queued);
+	g_test_add_func("/home/queued-call-starts-after-drain",
+			test_queued_call_starts_after_drain);
+	g_test_add_func("/home/queued-call-starts-after-leave",
+			test_queued_call_starts_after_leave);
 	g_test_add_func("/home/deadlines", test_deadlines);
 	g_test_add_func("/home/link-down-cancels-idempotent", test_link_down_cancels_idempotent);
 	g_test_add_func("/home/bad-frames", test_bad_frames);
