--- a/wire/ctl.c
+++ b/wire/ctl.c
@@ -1,6 +1,5 @@
 #include "wire/ctl.h"
 
-#include "lib/err.h"
 #include "lib/log.h"
 
 #include <zlib.h>
