--- a/node/admit_wait.c
+++ b/node/admit_wait.c
@@ -63,11 +63,12 @@
 		return admit_deferral_us(a, rank);
 	if (!a->limit)
 		return UINT64_MAX;
-	if (share > 0)
-		wait = (ahead + admit_mean_service_at_start_us(a, rank)) * PPM /
-		       ((u64)share * a->limit);
-	if (share > 0)
+	if (share > 0) {
+		u64 work = ahead + admit_mean_service_at_start_us(a, rank);
+
+		wait = work * PPM / ((u64)share * a->limit);
 		wait = MAX(wait, rate_wait * PPM / (u64)share);
+	}
 	return MAX(admit_deferral_us(a, rank), MIN(wait, floor_wait_us(a, rank)));
 }
 
