--- a/test/watch_test.c
+++ b/test/watch_test.c
@@ -27,6 +27,7 @@
 	struct loop_timer timer;
 	u16 port;
 	gint is_fresh;
+	gint revision; /* that its freshness messages name */
 	gint watches;
 	u64 watched_us;
 	gint sends_views; /* whether it answers CTL_SUBSCRIBE */
@@ -41,7 +42,7 @@
 	FRAME_AUTO(f, CTL_FRESHNESS);
 
 	frame_put_bool(&f, g_atomic_int_get(&c->is_fresh));
-	frame_put_u64(&f, 1);
+	frame_put_u64(&f, (u64)g_atomic_int_get(&c->revision));
 	if (c->link)
 		link_send(c->link, &f);
 	loop_timer_set(c->loop, &c->timer, now_us + FRESH_INTERVAL_US);
@@ -108,6 +109,7 @@
 				    .region = (char *)"r",
 				    .incarnation = 1 };
 	c->is_fresh = 1;
+	c->revision = 1;
 	c->sends_views = 1;
 	c->listener = link_listen(c->loop, &c->self, "127.0.0.1", c->port, &ops, c);
 	g_assert_nonnull(c->listener);
@@ -359,6 +361,114 @@
 	g_assert_cmpuint(measure_call_us(&node, "no-upstream"), <, 400 * US_PER_MS);
 }
 
+/* Waits until a request with HEADERS for a path that is not declared gets STATUS and REASON. */
+static void wait_refusal(const struct fake_node *node, const char *headers, const char *body,
+			 int status, const char *reason)
+{
+	struct httpc_reply reply = { 0 };
+
+	for (u32 i = 0; i < WAIT_MS / 20; i++) {
+		httpc_reply_clear(&reply);
+		g_assert_cmpint(httpc_call("127.0.0.1", node->settings.node.caller_port, "POST",
+					   "/", headers, body, 5000, &reply),
+				==, 0);
+		g_assert_cmpstr(reply.outcome, ==, "not-run");
+		if (reply.status == status)
+			break;
+		g_usleep(20 * US_PER_MS);
+	}
+	g_assert_cmpint(reply.status, ==, status);
+	g_assert_cmpstr(reply.reason, ==, reason);
+	httpc_reply_clear(&reply);
+}
+
+/* Checks that each of some requests gets STATUS, during a second. */
+static void expect_refusals(const struct fake_node *node, const char *headers, const char *body,
+			    int status, const char *reason)
+{
+	for (u32 i = 0; i < 20; i++) {
+		struct httpc_reply reply;
+
+		g_assert_cmpint(httpc_call("127.0.0.1", node->settings.node.caller_port, "POST",
+					   "/", headers, body, 5000, &reply),
+				==, 0);
+		g_assert_cmpint(reply.status, ==, status);
+		g_assert_cmpstr(reply.reason, ==, reason);
+		g_assert_cmpstr(reply.outcome, ==, "not-run");
+		httpc_reply_clear(&reply);
+		g_usleep(50 * US_PER_MS);
+	}
+}
+
+#define UNKNOWN_HOST "Host: other.example\r\n"
+
+/*
+ * Guards against a 404 for a route that the node cannot know yet. A node whose configuration may
+ * not be the newest answers 503, which promises that the request was not run; one that is up to
+ * date answers 404. Declared routes are served all the while.
+ */
+static void test_404_for_a_route_that_is_not_known_yet(void)
+{
+	struct to_send set = { .revision = 5, .new_set = SET_TEXT("1", "one") };
+	struct fake_node node;
+
+	start_node_of_first_control(&node);
+	wait_refusal(&node, UNKNOWN_HOST, NULL, 404, "no-service");
+	loop_call(controls[0].loop, send_set, &set);
+	wait_revision(5);
+	g_atomic_int_set(&controls[0].revision, 5);
+	wait_refusal(&node, UNKNOWN_HOST, NULL, 404, "no-route");
+	/* A higher revision is named, and has not arrived. */
+	g_atomic_int_set(&controls[0].revision, 6);
+	wait_refusal(&node, UNKNOWN_HOST, NULL, 503, "config-not-current");
+	expect_refusals(&node, UNKNOWN_HOST, NULL, 503, "config-not-current");
+	wait_refusal(&node, "Host: h.example\r\n", NULL, 503, "no-upstream");
+	set = (struct to_send){ .revision = 6, .new_set = SET_TEXT("2", "two") };
+	loop_call(controls[0].loop, send_set, &set);
+	wait_refusal(&node, UNKNOWN_HOST, NULL, 404, "no-route");
+	/* No fresh control process is in reach. */
+	g_atomic_int_set(&controls[0].is_fresh, 0);
+	wait_refusal(&node, UNKNOWN_HOST, NULL, 503, "config-not-current");
+	expect_refusals(&node, UNKNOWN_HOST, NULL, 503, "config-not-current");
+	wait_refusal(&node, "Host: h.example\r\n", NULL, 503, "no-upstream");
+	g_atomic_int_set(&controls[0].is_fresh, 1);
+	wait_refusal(&node, UNKNOWN_HOST, NULL, 404, "no-route");
+}
+
+#define LIMITED_SET                                                                                \
+	"{\"version\":1,\"routes\":[],\"services\":[{\"name\":\"a\"}],"                            \
+	"\"limits\":{\"body_bytes\":100,\"head_bytes\":1000}}"
+
+/*
+ * Guards against a 413 or 431 by limits that a newer configuration may have raised. Where a body is
+ * over the limit in the node's own settings, no configuration allows it.
+ */
+static void test_413_by_limits_that_are_not_current(void)
+{
+	g_autofree char *over_set = g_strnfill(101, 'x');
+	g_autofree char *over_settings = g_strnfill(FAKE_NODE_BODY_MAX_BYTES + 1, 'x');
+	g_autofree char *padding = g_strnfill(1000, 'x');
+	g_autofree char *long_head = g_strconcat(UNKNOWN_HOST "X: ", padding, "\r\n", NULL);
+	struct to_send set = { .revision = 5, .new_set = LIMITED_SET };
+	struct fake_node node;
+
+	start_node_of_first_control(&node);
+	loop_call(controls[0].loop, send_set, &set);
+	wait_revision(5);
+	g_atomic_int_set(&controls[0].revision, 5);
+	wait_refusal(&node, UNKNOWN_HOST, over_set, 413, "body-too-large");
+	wait_refusal(&node, long_head, NULL, 431, "bad-request");
+	g_atomic_int_set(&controls[0].revision, 6);
+	wait_refusal(&node, UNKNOWN_HOST, over_set, 503, "config-not-current");
+	wait_refusal(&node, long_head, NULL, 503, "config-not-current");
+	set = (struct to_send){ .revision = 6, .new_set = SET_TEXT("2", "two") };
+	loop_call(controls[0].loop, send_set, &set);
+	wait_revision(6);
+	g_atomic_int_set(&controls[0].is_fresh, 0);
+	wait_refusal(&node, UNKNOWN_HOST, NULL, 503, "config-not-current");
+	wait_refusal(&node, UNKNOWN_HOST, over_settings, 413, "body-too-large");
+}
+
 int main(int argc, char **argv)
 {
 	int ret;
@@ -368,6 +478,10 @@
 	g_test_add_func("/watch/set-delta", test_set_delta);
 	g_test_add_func("/watch/compressed-set", test_compressed_set);
 	g_test_add_func("/watch/first-call-of-a-service", test_first_call_of_a_service);
+	g_test_add_func("/watch/404-for-a-route-that-is-not-known-yet",
+			test_404_for_a_route_that_is_not_known_yet);
+	g_test_add_func("/watch/413-by-limits-that-are-not-current",
+			test_413_by_limits_that_are_not_current);
 	ret = g_test_run();
 	fflush(stdout);
 	_exit(ret); /* the node still runs */
