--- a/test/fakes/fake_group.c
+++ b/test/fakes/fake_group.c
@@ -339,6 +339,7 @@
 		r->chunk_bytes = g->chunk_bytes;
 		r->retained_entries_max = g->retained_entries_max;
 	}
+	r->copies_min = g->copies_min;
 	if (!err)
 		err = wal_load(&f->control.wal, r, &why);
 	f->is_up = true;
--- a/test/fakes/fake_group.h
+++ b/test/fakes/fake_group.h
@@ -43,6 +43,7 @@
 	u32 state_pad_bytes; /* padding that enlarges snapshots */
 	u32 chunk_bytes; /* for replicas started from now on; 0 for the default */
 	u32 retained_entries_max; /* the same; used when chunk_bytes is not 0 */
+	u32 copies_min; /* the same; 0 for the default */
 	u32 starts; /* starts of replicas; makes the replica ids unique */
 
 	GPtrArray *queue; /* of struct fake_message */
