--- a/test/fakes/fake_peer.c
+++ b/test/fakes/fake_peer.c
@@ -255,11 +255,18 @@
 	loop_call(p->loop, do_close_link, p);
 }
 
-struct peer_event *fake_peer_expect(struct fake_peer *p, u32 type)
+struct peer_event *fake_peer_expect_any(struct fake_peer *p)
 {
 	struct peer_event *e = g_async_queue_timeout_pop(p->events, WAIT_MAX_US);
 
 	g_assert_nonnull(e);
+	return e;
+}
+
+struct peer_event *fake_peer_expect(struct fake_peer *p, u32 type)
+{
+	struct peer_event *e = fake_peer_expect_any(p);
+
 	g_assert_cmpuint(e->type, ==, type);
 	return e;
 }
@@ -296,8 +303,8 @@
 		g_byte_array_unref(s.body);
 }
 
-static void put_call(struct frame_out *f, struct call_id id, const char *method, u64 body_len,
-		     u64 deadline_us)
+static void put_call(const struct fake_peer *p, struct frame_out *f, struct call_id id,
+		     const char *method, u64 body_len, u64 deadline_us)
 {
 	struct peer_call call = { .id = id,
 				  .service = (char *)"sightings",
@@ -308,6 +315,8 @@
 
 	call.msg->method = g_strdup(method);
 	call.msg->target = g_strdup("/");
+	if (p->header_name)
+		http_add_header(call.msg, p->header_name, p->header_value);
 	peer_call_put(f, &call);
 	http_free(call.msg);
 }
@@ -317,7 +326,7 @@
 {
 	FRAME_AUTO(f, PEER_CALL);
 
-	put_call(&f, id, method, strlen(body), deadline_us);
+	put_call(p, &f, id, method, strlen(body), deadline_us);
 	send_message(p, &f, id, body);
 }
 
@@ -325,7 +334,7 @@
 {
 	FRAME_AUTO(f, PEER_CALL);
 
-	put_call(&f, id, "POST", body_len, UINT32_MAX);
+	put_call(p, &f, id, "POST", body_len, UINT32_MAX);
 	send_message(p, &f, id, NULL);
 }
 
--- a/test/fakes/fake_peer.h
+++ b/test/fakes/fake_peer.h
@@ -24,6 +24,8 @@
 	GAsyncQueue *events; /* of struct peer_event */
 	gint load_count; /* LOAD messages received */
 	struct peer_event *partial; /* a call or reply whose body is incomplete */
+	const char *header_name; /* added to the request of each call; NULL for none */
+	const char *header_value;
 };
 
 enum { PEER_EVENT_UP = 1, PEER_EVENT_DOWN = 2 };
@@ -50,8 +52,12 @@
 /* fake_peer_close_link - closes the link and drops an incomplete message. */
 void fake_peer_close_link(struct fake_peer *p);
 
-/* fake_peer_expect - returns the next event, which must be of TYPE; waits up to 20 s. */
+/*
+ * fake_peer_expect, fake_peer_expect_any - return the next event, which must be of TYPE if one is
+ * given; wait up to 20 s.
+ */
 struct peer_event *fake_peer_expect(struct fake_peer *p, u32 type);
+struct peer_event *fake_peer_expect_any(struct fake_peer *p);
 void peer_event_free(struct peer_event *e);
 
 /* peer_event_take_id - returns the event's call id and frees the event. */
