--- a/test/fakes/fake_peer.c
+++ b/test/fakes/fake_peer.c
@@ -78,6 +78,7 @@
 		return ERR_INVAL;
 	e = event_new(PEER_CALL, call.id);
 	e->method = g_strdup(call.msg->method);
+	e->deadline_us = call.deadline_us;
 	e->body_len = call.body_len;
 	peer_call_clear(&call);
 	queue_or_wait_for_body(p, e);
--- a/test/fakes/fake_peer.h
+++ b/test/fakes/fake_peer.h
@@ -33,6 +33,7 @@
 	struct call_id id;
 	u16 status;
 	char *method;
+	u64 deadline_us; /* of a call, on the clock of this process, which the node shares */
 	GByteArray *body;
 	u64 body_len;
 	char *reason;
--- a/test/httpd_test.c
+++ b/test/httpd_test.c
@@ -22,6 +22,7 @@
 	struct httpd_request *held;
 	gint disconnects; /* calls of on_caller_closed */
 	struct httpd_limits limits;
+	u32 requests; /* the result of count_requests */
 };
 
 struct late {
@@ -263,6 +264,72 @@
 	stop(&f);
 }
 
+static void count_requests(void *arg)
+{
+	struct fixture *f = arg;
+
+	f->requests = httpd_requests(f->h);
+}
+
+static void wait_requests(struct fixture *f, u32 n)
+{
+	loop_call(f->loop, count_requests, f);
+	for (u32 i = 0; i < WAIT_MS && f->requests != n; i++) {
+		g_usleep(US_PER_MS);
+		loop_call(f->loop, count_requests, f);
+	}
+	g_assert_cmpuint(f->requests, ==, n);
+}
+
+/*
+ * Guards against: a started request whose connection was reset counts for ever, so that a process
+ * that waits for this count before it ends takes its whole grace.
+ */
+static void test_reset_request_still_counted(void)
+{
+	struct fixture f;
+	int fd;
+
+	start(&f);
+	fd = raw_connect(f.port);
+	raw_write(fd, GET("/held"));
+	wait_started(&f, 1);
+	wait_requests(&f, 1);
+	raw_reset_on_close(fd);
+	close(fd);
+	wait_requests(&f, 0);
+	loop_call(f.loop, answer_held, &f);
+	wait_requests(&f, 0);
+	stop(&f);
+}
+
+/*
+ * Guards against: a server that stops accepting still starts requests that arrive behind an
+ * unanswered one, so that a caller who keeps sending is served until the process ends.
+ */
+static void test_started_behind_another_after_stop(void)
+{
+	struct fixture f;
+	g_autofree char *got = NULL;
+	int fd;
+
+	start(&f);
+	fd = raw_connect(f.port);
+	raw_write(fd, GET("/held"));
+	wait_started(&f, 1);
+	loop_call(f.loop, stop_accepting, &f);
+	raw_write(fd, GET("/now/behind"));
+	g_usleep(LATE_US);
+	g_assert_cmpint(g_atomic_int_get(&f.started), ==, 1);
+	loop_call(f.loop, answer_held, &f);
+	got = read_all(fd);
+	g_assert_nonnull(strstr(got, "</held>"));
+	g_assert_nonnull(strstr(got, "Connection: close"));
+	g_assert_null(strstr(got, "</now/behind>"));
+	g_assert_cmpint(g_atomic_int_get(&f.started), ==, 1);
+	stop(&f);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -271,5 +338,8 @@
 	g_test_add_func("/httpd/limits", test_limits);
 	g_test_add_func("/httpd/ambiguous", test_ambiguous);
 	g_test_add_func("/httpd/stop-accepting", test_stop_accepting);
+	g_test_add_func("/httpd/reset-request-still-counted", test_reset_request_still_counted);
+	g_test_add_func("/httpd/started-behind-another-after-stop",
+			test_started_behind_another_after_stop);
 	return g_test_run();
 }
--- /dev/null
+++ b/test/stop_test.c
@@ -0,0 +1,385 @@
+/* A node that stops while its callers keep sending, with home, entry and upstream by the test. */
+#include "lib/err.h"
+#include "test/fakes/fake_node.h"
+#include "test/fakes/fake_peer.h"
+#include "test/fakes/raw_server.h"
+
+#include <glib.h>
+#include <poll.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define GRACE_MS 3000
+#define GRACE_US (GRACE_MS * US_PER_MS)
+#define WAIT_MS 20000
+
+static struct fake_node node;
+static struct fake_peer home;
+static struct fake_peer entry;
+static struct raw_server upstream;
+static GThread *stopper;
+static u64 stop_us; /* when the node was told to stop */
+static u64 ended_us;
+
+static void start_node(void)
+{
+	fake_node_prepare(&node);
+	node.settings.node.shutdown_grace_ms = GRACE_MS;
+	fake_node_run(&node);
+}
+
+static gpointer stop_main(gpointer unused)
+{
+	(void)unused;
+	fake_node_stop(&node);
+	ended_us = loop_clock_us();
+	return NULL;
+}
+
+static void begin_stop(void)
+{
+	stop_us = loop_clock_us();
+	stopper = g_thread_new("stopper", stop_main, NULL);
+}
+
+/* Waits until PERCENT of the grace has passed. */
+static void wait_grace(u32 percent)
+{
+	u64 until_us = stop_us + GRACE_US * percent / 100;
+	u64 now = loop_clock_us();
+
+	if (now < until_us)
+		g_usleep(until_us - now);
+}
+
+static void start_with_home(void)
+{
+	start_node();
+	fake_peer_start(&home, true);
+	fake_node_set_directory_entry(&node, home.name, home.self.incarnation, DIR_UP);
+}
+
+static void end(void)
+{
+	g_thread_join(stopper);
+	g_assert_cmpuint(ended_us - stop_us, <, GRACE_US);
+}
+
+static int connect_caller(void)
+{
+	int fd = raw_connect(node.settings.node.caller_port);
+
+	g_assert_cmpint(fd, >=, 0);
+	return fd;
+}
+
+static void send_request(int fd, const char *method, u32 timeout_ms)
+{
+	g_autofree char *text =
+		g_strdup_printf("%s / HTTP/1.1\r\nHost: sightings.example\r\n"
+				"Lavenderlead-Timeout-Ms: %u\r\nContent-Length: 0\r\n\r\n",
+				method, timeout_ms);
+
+	raw_write(fd, text);
+}
+
+/* Reads one answer, or "" if the connection ends without one. */
+static char *read_answer(int fd)
+{
+	struct timeval timeout = { .tv_sec = WAIT_MS / 1000 };
+	GString *got = g_string_new(NULL);
+	char buf[4096];
+	ssize_t n;
+
+	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
+	while (!strstr(got->str, "\r\n\r\n") && (n = recv(fd, buf, sizeof(buf), 0)) > 0)
+		g_string_append_len(got, buf, n);
+	return g_string_free(got, FALSE);
+}
+
+static void expect_answer(int fd, const char *status_line, const char *header)
+{
+	g_autofree char *got = read_answer(fd);
+
+	if (!g_str_has_prefix(got, status_line) || (header && !strstr(got, header)))
+		g_error("instead of %s with %s: %s", status_line, header ? header : "-", got);
+}
+
+/* The next event at the home node is a call. */
+static struct call_id expect_call(u64 *deadline_us)
+{
+	struct peer_event *e = fake_peer_expect(&home, PEER_CALL);
+
+	if (deadline_us)
+		*deadline_us = e->deadline_us;
+	return peer_event_take_id(e);
+}
+
+static void expect_no_call(void)
+{
+	struct peer_event *e;
+
+	while ((e = g_async_queue_try_pop(home.events))) {
+		g_assert_cmpuint(e->type, !=, PEER_CALL);
+		peer_event_free(e);
+	}
+}
+
+/* Establishes the link and leaves one call at the home node, so that the stop has to wait. */
+static struct call_id hold_call(int fd)
+{
+	send_request(fd, "POST", 60000);
+	peer_event_free(fake_peer_expect(&home, PEER_EVENT_UP));
+	return expect_call(NULL);
+}
+
+/*
+ * Guards against: a request that comes late in the grace on an open connection is passed on,
+ * though it may last longer than the process, and is broken off at the end.
+ */
+static void test_late_request_passed_on_and_cut(void)
+{
+	struct call_id held;
+	int first;
+	int kept;
+
+	start_with_home();
+	first = connect_caller();
+	kept = connect_caller();
+	held = hold_call(first);
+	begin_stop();
+	wait_grace(55);
+	send_request(kept, "POST", 30000);
+	expect_answer(kept, "HTTP/1.1 503 ", "Lavenderlead-Outcome: not-run");
+	expect_no_call();
+	fake_peer_reply(&home, held, "noted");
+	expect_answer(first, "HTTP/1.1 200 ", "Connection: close");
+	end();
+}
+
+/* A request whose time ends well within the grace is served. */
+static void test_late_short_request_is_served(void)
+{
+	struct call_id held;
+	int first;
+	int kept;
+
+	start_with_home();
+	first = connect_caller();
+	kept = connect_caller();
+	held = hold_call(first);
+	begin_stop();
+	wait_grace(55);
+	send_request(kept, "POST", 400);
+	fake_peer_reply(&home, expect_call(NULL), "noted");
+	expect_answer(kept, "HTTP/1.1 200 ", "Connection: close");
+	fake_peer_reply(&home, held, "noted");
+	expect_answer(first, "HTTP/1.1 200 ", NULL);
+	end();
+}
+
+/*
+ * Guards against: a request that was read in part when reading stopped is passed on once it is
+ * complete, moments before the process ends.
+ */
+static void test_half_read_request_passed_on(void)
+{
+	const char *head = "POST / HTTP/1.1\r\nHost: sightings.example\r\n"
+			   "Lavenderlead-Timeout-Ms: 30000\r\nContent-Length: 10\r\n\r\n01234";
+	struct call_id held;
+	int first;
+	int half;
+
+	start_with_home();
+	first = connect_caller();
+	half = connect_caller();
+	held = hold_call(first);
+	raw_write(half, head);
+	begin_stop();
+	wait_grace(75);
+	raw_write(half, "56789");
+	expect_answer(half, "HTTP/1.1 503 ", "Lavenderlead-Outcome: not-run");
+	expect_no_call();
+	fake_peer_reply(&home, held, "noted");
+	expect_answer(first, "HTTP/1.1 200 ", NULL);
+	end();
+}
+
+/*
+ * Guards against: the connection of a request that is still incomplete when the process ends is
+ * closed without a word, although the request has not run.
+ */
+static void test_incomplete_request_closed_without_answer(void)
+{
+	int first;
+	int half;
+
+	start_with_home();
+	first = connect_caller();
+	half = connect_caller();
+	hold_call(first);
+	raw_write(half, "POST / HTTP/1.1\r\nHost: sightings.example\r\nContent-Length: 10\r\n\r\n");
+	begin_stop();
+	expect_answer(half, "HTTP/1.1 503 ", "Connection: close");
+	expect_answer(first, "HTTP/1.1 502 ", "Lavenderlead-Outcome: unknown");
+	end();
+}
+
+/*
+ * Guards against: a call is passed on with a deadline after the end of the process, and its
+ * upstream works on an answer that nobody can pass back.
+ */
+static void test_deadline_after_the_end(void)
+{
+	u64 deadline_us;
+	struct call_id held;
+	struct call_id id;
+	int first;
+	int kept;
+
+	start_with_home();
+	first = connect_caller();
+	kept = connect_caller();
+	held = hold_call(first);
+	begin_stop();
+	wait_grace(15);
+	send_request(kept, "POST", 30000);
+	id = expect_call(&deadline_us);
+	g_assert_cmpuint(deadline_us, <, stop_us + GRACE_US * 9 / 10);
+	g_assert_cmpuint(deadline_us, >, stop_us + GRACE_US * 5 / 6);
+	fake_peer_reply(&home, id, "noted");
+	expect_answer(kept, "HTTP/1.1 200 ", NULL);
+	fake_peer_reply(&home, held, "noted");
+	expect_answer(first, "HTTP/1.1 200 ", NULL);
+	end();
+}
+
+/* Guards against: a call of before the stop is sent again with the deadline that it had. */
+static void test_retry_after_the_end(void)
+{
+	struct fake_peer other;
+	struct peer_event *e;
+	struct call_id held;
+	int first;
+
+	start_with_home();
+	fake_peer_start(&other, true);
+	first = connect_caller();
+	held = hold_call(first);
+	fake_node_set_directory_entry(&node, other.name, other.self.incarnation, DIR_UP);
+	begin_stop();
+	wait_grace(10);
+	fake_peer_refuse(&home, held, CTR_DRAINING, true);
+	peer_event_free(fake_peer_expect(&other, PEER_EVENT_UP));
+	e = fake_peer_expect(&other, PEER_CALL);
+	g_assert_cmpuint(e->deadline_us, <, stop_us + GRACE_US * 9 / 10);
+	fake_peer_reply(&other, peer_event_take_id(e), "noted");
+	expect_answer(first, "HTTP/1.1 200 ", NULL);
+	end();
+	fake_peer_stop(&other);
+}
+
+/* A call without an answer is ended before the process, and its caller is told so. */
+static void test_unanswered_call_is_told(void)
+{
+	int first;
+
+	start_with_home();
+	first = connect_caller();
+	hold_call(first);
+	begin_stop();
+	expect_answer(first, "HTTP/1.1 502 ", "Lavenderlead-Outcome: unknown");
+	g_assert_cmpuint(loop_clock_us() - stop_us, >, GRACE_US * 5 / 6);
+	end();
+}
+
+/* Answers nothing until the home node closes the connection. */
+static void serve_nothing(struct raw_server *s, int fd, u32 nth)
+{
+	(void)nth;
+	if (raw_read_request(s, fd))
+		raw_wait_closed(fd);
+}
+
+static void start_home(u32 slots)
+{
+	start_node();
+	raw_server_start(&upstream, serve_nothing, NULL);
+	fake_node_announce_upstream(&node, upstream.port, slots);
+	fake_peer_start(&entry, false);
+	fake_peer_dial(&entry, node.settings.node.peer_port);
+	peer_event_free(fake_peer_expect(&entry, PEER_EVENT_UP));
+}
+
+static struct call_id id_of(u64 seq)
+{
+	return (struct call_id){ .incarnation = entry.self.incarnation, .seq = seq };
+}
+
+static void expect_refusal(u64 seq, bool is_not_run)
+{
+	struct peer_event *e = fake_peer_expect(&entry, PEER_REFUSE);
+
+	g_assert_cmpuint(e->id.seq, ==, seq);
+	g_assert_true(e->is_not_run == is_not_run);
+	peer_event_free(e);
+}
+
+/*
+ * Guards against: a call stays in the queue of a home node that stops until the process ends, when
+ * its entry node has no time left to send it elsewhere.
+ */
+static void test_queued_call_kept_until_the_end(void)
+{
+	start_home(1);
+	fake_peer_call(&entry, id_of(1), "POST", "one", loop_clock_us() + 60 * US_PER_S);
+	fake_peer_call(&entry, id_of(2), "POST", "two", loop_clock_us() + 60 * US_PER_S);
+	begin_stop();
+	expect_refusal(2, true);
+	g_assert_cmpuint(loop_clock_us() - stop_us, <, GRACE_US / 2);
+	fake_peer_call(&entry, id_of(3), "POST", "three", loop_clock_us() + 60 * US_PER_S);
+	expect_refusal(3, true);
+	expect_refusal(1, false);
+	g_assert_cmpuint(loop_clock_us() - stop_us, >, GRACE_US * 5 / 6);
+	end();
+}
+
+/* A node with no grace at all still tells its callers. */
+static void test_no_grace(void)
+{
+	int fd;
+
+	start_with_home();
+	node.settings.node.shutdown_grace_ms = 0;
+	fd = connect_caller();
+	hold_call(fd);
+	stop_us = loop_clock_us();
+	stopper = g_thread_new("stopper", stop_main, NULL);
+	expect_answer(fd, "HTTP/1.1 502 ", "Lavenderlead-Outcome: unknown");
+	g_thread_join(stopper);
+	g_assert_cmpuint(ended_us - stop_us, <, GRACE_US);
+}
+
+int main(int argc, char **argv)
+{
+	int ret;
+
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/stop/late-request-passed-on-and-cut",
+			test_late_request_passed_on_and_cut);
+	g_test_add_func("/stop/late-short-request-is-served", test_late_short_request_is_served);
+	g_test_add_func("/stop/half-read-request-passed-on", test_half_read_request_passed_on);
+	g_test_add_func("/stop/incomplete-request-closed-without-answer",
+			test_incomplete_request_closed_without_answer);
+	g_test_add_func("/stop/deadline-after-the-end", test_deadline_after_the_end);
+	g_test_add_func("/stop/retry-after-the-end", test_retry_after_the_end);
+	g_test_add_func("/stop/unanswered-call-is-told", test_unanswered_call_is_told);
+	g_test_add_func("/stop/queued-call-kept-until-the-end",
+			test_queued_call_kept_until_the_end);
+	g_test_add_func("/stop/no-grace", test_no_grace);
+	ret = g_test_run();
+	fflush(stdout);
+	_exit(ret); /* threads of the fakes are still running */
+}
