node: the frames of a configuration in a file of their own

node/watch.c held the link to control, what is subscribed, and how a configuration is collected and applied. The latter moves unchanged to node/watch_config.c. One function, watch_config_frame(), handles one frame.

--- a/node/watch.c
+++ b/node/watch.c
@@ -8,12 +8,10 @@
  * When none is fresh, the node keeps the nearest one that answers, so that
  * joins and leaves still propagate within a zone that is cut off.
  */
-#include "node/node.h"
+#include "node/watch_impl.h"
 
-#include "lib/delta.h"
 #include "lib/err.h"
 #include "lib/log.h"
-#include "lib/set.h"
 #include "node/config.h"
 #include "wire/ctl.h"
 #include "wire/endpoint.h"
@@ -31,7 +29,6 @@
 #define NEARER_RETRY_INTERVAL_US (15 * US_PER_S)
 /* By then even a control process that has just started has reported all live nodes. */
 #define REMOVAL_DELAY_US (10 * US_PER_S)
-#define CONFIG_TEXT_MAX_BYTES SET_JSON_MAX_BYTES
 /*
  * Up to this number of configured services a node subscribes to all of them, beyond it only to
  * those that are called.
@@ -53,30 +50,7 @@
 	u64 nearer_retry_at_us; /* the same while it is fresh, to find a nearer one */
 };
 
-struct control_link {
-	struct watch *w;
-	struct link *link;
-	struct candidate *candidate;
-	u64 start_us;
-	u64 last_fresh_us; /* when the control process was last fresh; 0 if never */
-};
-
-struct watch {
-	struct node *node;
-	struct control_link main;
-	struct control_link trial;
-	GPtrArray *candidates; /* of struct candidate */
-	struct loop_timer timer;
-	u64 renew_due_us;
-	u64 removal_due_us; /* when unreported nodes are removed; 0 when done */
-	GHashTable *reported; /* nodes reported by the main control process */
-	GHashTable *subscriptions; /* service -> whether its upstreams were received */
-	u32 node_count; /* in the directory */
-	GPtrArray *changes; /* of struct config_change, collected until the last frame */
-	bool was_linked;
-};
-
-static void send_renew(struct watch *w)
+void watch_send_renew(struct watch *w)
 {
 	FRAME_AUTO(f, CTL_RENEW);
 
@@ -98,7 +72,7 @@
 		return;
 	dir_entry_put(&f, &n->dir_entry);
 	link_send(w->main.link, &f);
-	send_renew(w);
+	watch_send_renew(w);
 }
 
 static void close_link(struct control_link *s)
@@ -119,21 +93,6 @@
 
 /* Messages on the main link */
 
-static struct config_change *get_change(struct frame_in *in)
-{
-	struct config_change *change = g_new0(struct config_change, 1);
-	bool is_live;
-
-	change->name = frame_get_str(in, CONFIG_TEXT_MAX_BYTES);
-	change->version = frame_get_u64(in);
-	frame_get_u64(in); /* the change's revision is not used */
-	is_live = frame_get_bool(in);
-	change->json = frame_get_str(in, CONFIG_TEXT_MAX_BYTES);
-	if (!is_live)
-		g_clear_pointer(&change->json, g_free);
-	return change;
-}
-
 /* Services that the node calls. Control answers with the upstreams that this node may use. */
 
 static void send_subscriptions(struct watch *w)
@@ -161,7 +120,7 @@
 }
 
 /* Subscribes to all services of a small configuration before the first call arrives. */
-static void subscribe_configured_services(struct watch *w)
+void watch_subscribe_configured_services(struct watch *w)
 {
 	g_autoptr(GPtrArray) names = config_service_names();
 	bool is_new = false;
@@ -206,33 +165,7 @@
 	return n->watch->node_count;
 }
 
-/* Applies the changes that were collected. */
-static void apply_changes(struct watch *w, u64 revision, bool is_snapshot)
-{
-	config_apply(revision, is_snapshot, w->changes);
-	g_ptr_array_set_size(w->changes, 0);
-	caller_configure(w->node);
-	subscribe_configured_services(w);
-	send_renew(w);
-}
-
-static int on_config(struct watch *w, struct frame_in *in)
-{
-	u64 revision = frame_get_u64(in);
-	bool is_snapshot = frame_get_bool(in);
-	bool is_last = frame_get_bool(in);
-	u32 n = frame_get_count(in, CTL_ITEMS_PER_FRAME);
-
-	for (u32 i = 0; i < n && !in->err; i++)
-		g_ptr_array_add(w->changes, get_change(in));
-	if (frame_done(in))
-		return ERR_INVAL;
-	if (is_last)
-		apply_changes(w, revision, is_snapshot);
-	return 0;
-}
-
-static void request_config(struct watch *w, u64 have)
+void watch_request_config(struct watch *w, u64 have)
 {
 	FRAME_AUTO(f, CTL_WATCH);
 
@@ -240,45 +173,6 @@
 	link_send(w->main.link, &f);
 }
 
-static struct config_change *set_change(u64 version, char *text)
-{
-	struct config_change *change = g_new0(struct config_change, 1);
-
-	change->name = g_strdup(SET_NAME);
-	change->version = version;
-	change->json = text;
-	return change;
-}
-
-/* Applies a delta to the set in force; requests the whole set when the delta does not apply. */
-static int on_set_delta(struct watch *w, struct frame_in *in)
-{
-	u64 revision = frame_get_u64(in);
-	u64 base = frame_get_u64(in);
-	u64 version = frame_get_u64(in);
-	u64 checksum = frame_get_u64(in);
-	g_autoptr(GArray) ops = delta_get(in);
-	const char *old_text = config_set_text();
-	char *text;
-
-	if (frame_done(in))
-		return ERR_INVAL;
-	if (revision <= config_revision())
-		return 0;
-	text = old_text && base == config_revision() ? delta_apply(old_text, ops) : NULL;
-	if (!text || XXH64(text, strlen(text), 0) != checksum) {
-		log_event(LOG_WARN, "set delta does not apply; requesting the whole set",
-			  "revision", log_u64(revision), "base", log_u64(base), "have",
-			  log_u64(config_revision()), NULL);
-		g_free(text);
-		request_config(w, 0);
-		return 0;
-	}
-	g_ptr_array_add(w->changes, set_change(version, text));
-	apply_changes(w, revision, false);
-	return 0;
-}
-
 /* Applies a view's entry; IS_DROPPED when control replaced it by another one in the view. */
 static void apply_entry(struct watch *w, const struct dir_entry *e, bool is_dropped)
 {
@@ -390,7 +284,7 @@
 	/* A new version makes this control process accept the entry. */
 	w->node->dir_entry.version++;
 	watch_register(w->node);
-	request_config(w, config_revision());
+	watch_request_config(w, config_revision());
 	resend_subscriptions(w);
 	log_event(LOG_INFO, "control link up", "control", k->remote.name, "fresh",
 		  w->main.last_fresh_us ? "yes" : "no", NULL);
@@ -504,9 +398,8 @@
 {
 	switch (type) {
 	case CTL_CONFIG:
-		return on_config(s->w, in);
 	case CTL_SET_DELTA:
-		return on_set_delta(s->w, in);
+		return watch_config_frame(s->w, type, in);
 	case CTL_VIEW:
 		return on_view(s->w, in);
 	case CTL_FRESHNESS:
@@ -637,7 +530,7 @@
 	check_main(w, now_us);
 	check_trial(w, now_us);
 	if (is_up(&w->main) && now_us >= w->renew_due_us) {
-		send_renew(w);
+		watch_send_renew(w);
 		w->renew_due_us = now_us + CTL_RENEW_INTERVAL_US;
 	}
 	if (w->removal_due_us && now_us >= w->removal_due_us && is_main_fresh(w, now_us))
--- /dev/null
+++ b/node/watch_impl.h
@@ -0,0 +1,52 @@
+/*
+ * watch_impl - what the sources of the link to control share
+ *
+ * SOURCE node/watch.c (links), node/watch_config.c (frames of the configuration)
+ */
+#ifndef WATCH_IMPL_H
+#define WATCH_IMPL_H
+
+#include "node/node.h"
+#include "wire/ctl.h"
+
+struct candidate;
+
+struct control_link {
+	struct watch *w;
+	struct link *link;
+	struct candidate *candidate;
+	u64 start_us;
+	u64 last_fresh_us; /* when the control process was last fresh; 0 if never */
+};
+
+struct watch {
+	struct node *node;
+	struct control_link main;
+	struct control_link trial;
+	GPtrArray *candidates; /* of struct candidate */
+	struct loop_timer timer;
+	u64 renew_due_us;
+	u64 removal_due_us; /* when unreported nodes are removed; 0 when done */
+	GHashTable *reported; /* nodes reported by the main control process */
+	GHashTable *subscriptions; /* service -> whether its upstreams were received */
+	u32 node_count; /* in the directory */
+	GPtrArray *changes; /* of struct config_change, collected until the last frame */
+	bool was_linked;
+};
+
+/*
+ * watch_config_frame - handles one frame of a configuration, of TYPE CTL_CONFIG or CTL_SET_DELTA.
+ * An error closes the link.
+ */
+int watch_config_frame(struct watch *w, u32 type, struct frame_in *in);
+
+/* watch_request_config - requests the changes since revision HAVE; 0 requests the whole. */
+void watch_request_config(struct watch *w, u64 have);
+
+/* watch_send_renew - reports the revision in force. */
+void watch_send_renew(struct watch *w);
+
+/* watch_subscribe_configured_services - subscribes to all services of a small configuration. */
+void watch_subscribe_configured_services(struct watch *w);
+
+#endif
