--- a/control/nodes.c
+++ b/control/nodes.c
@@ -6,6 +6,7 @@
 #include "control/view.h"
 #include "lib/ctr.h"
 #include "lib/err.h"
+#include "lib/log.h"
 #include "wire/ctl.h"
 
 #include <string.h>
@@ -16,6 +17,10 @@
 	bool is_confirmed; /* may receive the configuration, see on_confirmed */
 	u32 confirm_round; /* the read that it waits for; 0 if none */
 	u64 sent_revision;
+	/* The configuration sent last, until its node has reported it. */
+	u64 transfer_from;
+	u64 transfer_bytes; /* 0: none */
+	u64 transfer_start_us;
 	struct view view;
 	u64 members_index; /* log index of the membership sent last; 0 for none */
 };
@@ -37,6 +42,7 @@
 
 	frame_put_bool(&f, raft_is_fresh(&c->raft, CTL_LEASE_US, now_us));
 	frame_put_u64(&f, c->store.revision);
+	frame_put_u64(&f, now_us);
 	link_send(n->link, &f);
 }
 
@@ -95,13 +101,25 @@
 	return 0;
 }
 
+static void log_acknowledged(struct node_link *n)
+{
+	log_event(LOG_INFO, "configuration acknowledged", "node", n->link->remote.name, "from",
+		  log_u64(n->transfer_from), "to", log_u64(n->sent_revision), "bytes",
+		  log_u64(n->transfer_bytes), "time_us",
+		  log_u64(loop_clock_us() - n->transfer_start_us), NULL);
+	n->transfer_bytes = 0;
+}
+
 static int receive_renew(struct control *c, struct link *k, struct frame_in *in)
 {
 	u64 applied = frame_get_u64(in);
 	struct directory_item *item = directory_find(&c->directory, k->remote.name);
+	struct node_link *n = find_node(c, k);
 
 	if (frame_done(in))
 		return ERR_INVAL;
+	if (n->transfer_bytes && applied >= n->sent_revision)
+		log_acknowledged(n);
 	/* An unknown or superseded node must register again. */
 	if (directory_renew(&c->directory, k->remote.name, k->remote.incarnation, loop_clock_us()))
 		return ERR_CLOSED;
@@ -252,10 +270,22 @@
 {
 	const GPtrArray *frames = config_frames_get(&c->config_frames, &c->store, n->sent_revision);
 
+	u64 bytes = 0;
+
 	/* On an error, sent_revision stays, so that the changes are sent again. */
-	for (guint i = 0; i < frames->len; i++)
-		if (link_send(n->link, g_ptr_array_index(frames, i)))
+	for (guint i = 0; i < frames->len; i++) {
+		struct frame_out *f = g_ptr_array_index(frames, i);
+
+		if (link_send(n->link, f))
 			return;
+		bytes += f->buf.size;
+	}
+	ctr_add(CTR_CONFIG_SENT_BYTES, bytes);
+	if (!n->transfer_bytes) {
+		n->transfer_from = n->sent_revision;
+		n->transfer_start_us = loop_clock_us();
+	}
+	n->transfer_bytes += bytes;
 	n->sent_revision = c->store.revision;
 }
 
--- a/kernel/link.c
+++ b/kernel/link.c
@@ -36,6 +36,7 @@
 	bool is_dead;
 	bool has_hello;
 	int pending_err; /* closes the link at the next tick */
+	u64 recv_bytes;
 	u64 last_recv_us; /* time of the last received data */
 	u64 ping_sent_us; /* time of the first PING since then; 0 if none was sent */
 	u64 ping_interval_us; /* current interval between PINGs */
@@ -307,6 +308,7 @@
 		return ERR_CLOSED;
 	if (n < 0)
 		return errno == EAGAIN || errno == EINTR ? 0 : ERR_CLOSED;
+	p->recv_bytes += (u64)n;
 	p->last_recv_us = loop_clock_us();
 	p->ping_sent_us = 0;
 	return handle_bytes(k, buf, (size_t)n);
@@ -511,6 +513,11 @@
 		send_ping(k);
 }
 
+u64 link_received_bytes(const struct link *k)
+{
+	return k->priv->recv_bytes;
+}
+
 u64 link_silence_us(const struct link *k, u64 now_us)
 {
 	return now_us > k->priv->last_recv_us ? now_us - k->priv->last_recv_us : 0;
--- a/kernel/link.h
+++ b/kernel/link.h
@@ -103,6 +103,9 @@
 /* link_queued_bytes - returns the bytes queued by link_send that are not yet in the socket. */
 size_t link_queued_bytes(const struct link *k);
 
+/* link_received_bytes - returns the bytes received so far, with those of an incomplete frame. */
+u64 link_received_bytes(const struct link *k);
+
 /*
  * link_to_local_us - converts a time on the remote clock to the local clock. The
  * result is never later than the true time.
--- a/lib/ctr_list.h
+++ b/lib/ctr_list.h
@@ -81,9 +81,13 @@
 /* Configuration received by the node. */
 CTR(CONFIG_APPLIED, "config-applied", "configuration revisions applied")
 CTR(CONFIG_STALE, "config-stale", "configuration messages ignored because their revision is lower")
+CTR(CONFIG_BYTES, "config-bytes", "bytes of configurations received from control")
+CTR(CONFIG_UNFINISHED, "config-unfinished", "configurations dropped before they were complete")
+CTR(WORD_LATE, "word-late", "freshness words that arrived over 0.5 s after they were sent")
 CTR(CONTROL_MOVED, "control-moved", "changes of the control process the node watches")
 CTR(CONTROL_NOT_FRESH, "control-not-fresh", "control processes left because they are not fresh")
 /* The control plane. */
+CTR(CONFIG_SENT_BYTES, "config-sent-bytes", "bytes of configurations sent to nodes")
 CTR(CHANGE_ACCEPTED, "change-accepted", "changes accepted")
 CTR(CHANGE_CONFLICT, "change-conflict", "changes refused because of a version conflict")
 CTR(CHANGE_REPEATED, "change-repeated", "changes answered from the memory of change ids")
--- a/node/watch.c
+++ b/node/watch.c
@@ -24,6 +24,8 @@
 #define NOT_FRESH_MAX_US (700 * US_PER_MS)
 /* A trial is abandoned when the control process has not reported its freshness by then. */
 #define TRIAL_TIMEOUT_US (500 * US_PER_MS)
+/* A word of freshness that took longer to arrive is logged and counted. */
+#define WORD_LATE_US (500 * US_PER_MS)
 #define RETRY_INTERVAL_US (500 * US_PER_MS)
 /* Interval between trials of a nearer control process while the main one is fresh. */
 #define NEARER_RETRY_INTERVAL_US (15 * US_PER_S)
@@ -83,9 +85,32 @@
 	s->candidate = NULL;
 }
 
-static void close_main(struct watch *w)
+static u64 bytes_since_word(const struct control_link *s)
 {
+	return link_received_bytes(s->link) - s->word_at_bytes;
+}
+
+/* Logs why the node leaves its control process, and how much it got since the last word. */
+static void log_left(struct watch *w, const char *reason)
+{
+	const struct control_link *s = &w->main;
+	u64 now = loop_clock_us();
+
+	log_event(LOG_INFO, "control left", "control", s->candidate->at.host, "reason", reason,
+		  "word_age_us", log_u64(s->word_sent_us ? now - s->word_sent_us : 0),
+		  "bytes_since_word", log_u64(bytes_since_word(s)), "unfinished_bytes",
+		  log_u64(w->config_bytes), "requested_age_us", log_u64(now - w->requested_us),
+		  "revision", log_u64(config_revision()), NULL);
+	if (w->config_bytes)
+		ctr_inc(CTR_CONFIG_UNFINISHED);
+}
+
+static void close_main(struct watch *w, const char *reason)
+{
+	if (w->main.candidate)
+		log_left(w, reason);
 	close_link(&w->main);
+	w->config_bytes = 0;
 	g_ptr_array_set_size(w->changes, 0);
 	g_hash_table_remove_all(w->reported);
 	w->removal_due_us = 0;
@@ -171,6 +196,7 @@
 
 	frame_put_u64(&f, have);
 	link_send(w->main.link, &f);
+	w->requested_us = loop_clock_us();
 }
 
 /* Applies a view's entry; IS_DROPPED when control replaced it by another one in the view. */
@@ -275,7 +301,7 @@
 	if (w->was_linked)
 		ctr_inc(CTR_CONTROL_MOVED);
 	w->was_linked = true;
-	close_main(w);
+	close_main(w, w->main.last_fresh_us ? "nearer" : "not fresh");
 	w->main = w->trial;
 	w->trial.link = NULL;
 	w->trial.candidate = NULL;
@@ -318,14 +344,28 @@
 	close_link(&w->trial);
 }
 
+static void record_word(struct control_link *s, u64 sent_us, u64 now_us)
+{
+	if (now_us - sent_us > WORD_LATE_US) {
+		ctr_inc(CTR_WORD_LATE);
+		log_event(LOG_INFO, "word of freshness late", "control", s->candidate->at.host,
+			  "age_us", log_u64(now_us - sent_us), "bytes_before",
+			  log_u64(bytes_since_word(s)), NULL);
+	}
+	s->word_sent_us = sent_us;
+	s->word_at_bytes = link_received_bytes(s->link);
+}
+
 static int on_fresh(struct control_link *s, struct frame_in *in)
 {
 	bool is_fresh = frame_get_bool(in);
 	u64 revision = frame_get_u64(in);
+	u64 sent = link_to_local_us(s->link, frame_get_u64(in));
 	u64 now = loop_clock_us();
 
 	if (frame_done(in))
 		return ERR_INVAL;
+	record_word(s, MIN(sent, now), now);
 	is_fresh = is_fresh && revision >= config_revision();
 	if (s == &s->w->trial)
 		finish_trial(s->w, is_fresh, now);
@@ -392,6 +432,21 @@
 	return frame_done(in);
 }
 
+static int on_config_frame(struct watch *w, u32 type, struct frame_in *in)
+{
+	u64 from = config_revision();
+	int err = watch_config_frame(w, type, in);
+
+	if (config_revision() == from)
+		return err;
+	log_event(LOG_INFO, "configuration received", "control", w->main.link->remote.name, "from",
+		  log_u64(from), "to", log_u64(config_revision()), "kind",
+		  type == CTL_SET_DELTA ? "delta" : "whole", "bytes", log_u64(w->config_bytes),
+		  "requested_age_us", log_u64(loop_clock_us() - w->requested_us), NULL);
+	w->config_bytes = 0;
+	return err;
+}
+
 static int on_compressed(struct control_link *s, struct frame_in *in);
 
 static int on_message(struct control_link *s, u32 type, struct frame_in *in)
@@ -399,7 +454,7 @@
 	switch (type) {
 	case CTL_CONFIG:
 	case CTL_SET_DELTA:
-		return watch_config_frame(s->w, type, in);
+		return on_config_frame(s->w, type, in);
 	case CTL_VIEW:
 		return on_view(s->w, in);
 	case CTL_FRESHNESS:
@@ -424,7 +479,13 @@
 
 static int on_frame(struct link *k, u32 type, struct frame_in *in)
 {
-	return on_message(k->arg, type, in);
+	struct control_link *s = k->arg;
+
+	if (type == CTL_CONFIG || type == CTL_SET_DELTA || type == CTL_COMPRESSED) {
+		s->w->config_bytes += in->len;
+		ctr_add(CTR_CONFIG_BYTES, in->len);
+	}
+	return on_message(s, type, in);
 }
 
 static void on_up(struct link *k)
@@ -440,14 +501,13 @@
 	struct watch *w = s->w;
 
 	s->candidate->retry_at_us = loop_clock_us() + RETRY_INTERVAL_US;
-	s->link = NULL;
 	if (s == &w->trial) {
 		close_link(s);
 		return;
 	}
 	log_event(LOG_WARN, "control link down", "control", k->remote.name ? k->remote.name : "",
 		  "error", err_text(err), NULL);
-	close_main(w);
+	close_main(w, "link down");
 }
 
 static const struct link_ops ops = { .up = on_up, .frame = on_frame, .down = on_down };
@@ -519,7 +579,8 @@
 	ctr_inc(CTR_CONTROL_NOT_FRESH);
 	log_event(LOG_WARN, "control not fresh", "control", w->main.link->remote.name, "age_us",
 		  log_u64(now_us - w->main.last_fresh_us), "revision", log_u64(config_revision()),
-		  NULL);
+		  "word_age_us", log_u64(now_us - w->main.word_sent_us), "bytes_since_word",
+		  log_u64(bytes_since_word(&w->main)), NULL);
 	w->main.last_fresh_us = 0;
 }
 
--- a/node/watch_impl.h
+++ b/node/watch_impl.h
@@ -17,6 +17,8 @@
 	struct candidate *candidate;
 	u64 start_us;
 	u64 last_fresh_us; /* when the control process was last fresh; 0 if never */
+	u64 word_sent_us; /* when its last word of freshness was sent; 0 before the first */
+	u64 word_at_bytes; /* bytes received before that word */
 };
 
 struct watch {
@@ -31,6 +33,8 @@
 	GHashTable *subscriptions; /* service -> whether its upstreams were received */
 	u32 node_count; /* in the directory */
 	GPtrArray *changes; /* of struct config_change, collected until the last frame */
+	u64 requested_us; /* when the configuration was last requested */
+	u64 config_bytes; /* of the configuration that is being received */
 	bool was_linked;
 };
 
--- a/test/watch_test.c
+++ b/test/watch_test.c
@@ -42,6 +42,7 @@
 
 	frame_put_bool(&f, g_atomic_int_get(&c->is_fresh));
 	frame_put_u64(&f, 1);
+	frame_put_u64(&f, now_us);
 	if (c->link)
 		link_send(c->link, &f);
 	loop_timer_set(c->loop, &c->timer, now_us + FRESH_INTERVAL_US);
--- a/wire/ctl.h
+++ b/wire/ctl.h
@@ -46,7 +46,7 @@
 	CTL_SUBSCRIBE, /* count, {service}: all services that the node calls */
 	CTL_VIEW, /* nodes in the directory, count, {service sent completely}, count,
 		     {is_dropped, entry} */
-	CTL_FRESHNESS, /* is_fresh, configuration revision */
+	CTL_FRESHNESS, /* is_fresh, configuration revision, time of sending */
 	CTL_RAFT, /* Raft message */
 	CTL_HEARTBEAT, /* count, {control id, incarnation, heartbeat number, age, report} */
 	CTL_DIRECTORY, /* count, {entry, owner, owner's incarnation, owner_rev, is_withdrawn} */
