test: a large set never reaches a node behind a narrow link (known red)

Two real control processes, a set of 6,000 routes (over 250 KB compressed), a node behind 2 Mbit/s for all its links. Seen on one run: the node hears one word of freshness when the link comes up, then 175 to 197 KB of the set and no word; after 0.75 s it leaves for the other control process, drops what it has and requests the whole set again. It does not end by itself.

--- /dev/null
+++ b/test/config_transfer_test.c
@@ -0,0 +1,204 @@
+/* A configuration on its way from control processes to a node, over a narrow link. */
+#include "control/control.h"
+#include "control/op.h"
+#include "lib/set.h"
+#include "node/config.h"
+#include "test/fakes/fake_node.h"
+#include "test/fakes/paced_relay.h"
+#include "test/fakes/raw_server.h"
+
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+#include <zlib.h>
+
+#define CONTROLS 2
+#define ROUTES 6000
+#define LINK_BYTES_PER_S (2000000 / 8)
+/* For connecting, trying a control process, a read through the leader, and applying the set. */
+#define ALLOWANCE_US (3 * US_PER_S)
+#define WAIT_US (20 * US_PER_S)
+
+/* A real control process, the only member of its group; all of them get the same changes. */
+struct control_process {
+	struct settings settings;
+	struct control *control;
+	u16 relay_port;
+};
+
+static struct control_process controls[CONTROLS];
+static struct paced_link narrow;
+
+static u16 free_port(void)
+{
+	u16 port;
+
+	close(raw_listen(&port));
+	return port;
+}
+
+static void start_control(struct control_process *p)
+{
+	struct settings *s = &p->settings;
+	struct member_setting self = { .id = 1 };
+
+	s->cluster = g_strdup("breizh");
+	s->control.id = 1;
+	s->control.address = g_strdup("127.0.0.1");
+	s->control.zone = g_strdup("elsewhere");
+	s->control.region = g_strdup("r");
+	s->control.data = g_dir_make_tmp("config_transfer_test_XXXXXX", NULL);
+	s->control.api_port = free_port();
+	s->control.api_listen =
+		(struct endpoint){ .host = "127.0.0.1", .port = s->control.api_port };
+	s->control.peer_port = free_port();
+	s->control.members = g_array_new(FALSE, FALSE, sizeof(struct member_setting));
+	self.at = (struct endpoint){ .host = "127.0.0.1", .port = s->control.peer_port };
+	g_array_append_val(s->control.members, self);
+	p->control = control_new(s);
+	g_assert_cmpint(p->control->module.ops->start(&p->control->module, NULL), ==, 0);
+	p->relay_port = paced_relay_start(&narrow, s->control.peer_port);
+}
+
+/* Returns a set that compresses badly, as names and paths of real routes do. */
+static char *set_text(u64 version, u32 routes)
+{
+	GString *text = g_string_new(NULL);
+	g_autoptr(GRand) rand = g_rand_new_with_seed(7);
+
+	g_string_append_printf(text, "{\"version\":%u,\"routes\":[", (u32)version);
+	for (u32 i = 0; i < routes; i++)
+		g_string_append_printf(text,
+				       "%s{\"name\":\"r%u-%08x%08x%08x%08x\",\"host\":\"h%08x."
+				       "example\",\"prefix\":"
+				       "\"/%08x%08x\",\"repeat\":\"always\",\"timeout_ms\":%u,"
+				       "\"target_ms\":250,\"attempts\":2,\"service\":\"a\"}",
+				       i ? "," : "", i, g_rand_int(rand), g_rand_int(rand),
+				       g_rand_int(rand), g_rand_int(rand), g_rand_int(rand),
+				       g_rand_int(rand), g_rand_int(rand),
+				       i < version ? 1001u : 1000u);
+	g_string_append(text, "],\"services\":[{\"name\":\"a\"}],\"limits\":{}}");
+	return g_string_free(text, FALSE);
+}
+
+struct declaration {
+	struct control *control;
+	GBytes *command;
+	gint status; /* 0 until it is accepted */
+};
+
+static void on_declared(struct control *c, struct op *o)
+{
+	struct declaration *d = o->arg;
+
+	(void)c;
+	g_atomic_int_set(&d->status, o->outcome == OP_DONE ? o->result.status : 1);
+	op_free(o);
+}
+
+static void submit(void *arg)
+{
+	struct declaration *d = arg;
+	struct op *o = op_new(OP_CHANGE);
+
+	o->command = g_bytes_ref(d->command);
+	o->done = on_declared;
+	o->arg = d;
+	op_submit(d->control, o);
+}
+
+/* Declares the set of VERSION at all control processes. */
+static void declare(u64 version, const char *text)
+{
+	struct store_change change = { .op = STORE_SET,
+				       .name = (char *)SET_NAME,
+				       .change_id = (char *)"",
+				       .json = (char *)text,
+				       .version = version,
+				       .has_if_match = true,
+				       .if_match = version - 1 };
+	g_autoptr(GBytes) command = store_change_pack(&change);
+
+	for (u32 i = 0; i < CONTROLS; i++) {
+		struct declaration d = { .control = controls[i].control, .command = command };
+		u64 start = loop_clock_us();
+
+		loop_call(d.control->loop, submit, &d);
+		while (!g_atomic_int_get(&d.status) && loop_clock_us() - start < WAIT_US)
+			g_usleep(US_PER_MS);
+		g_assert_cmpint(g_atomic_int_get(&d.status) / 100, ==, 2);
+	}
+}
+
+/* Returns the bytes of a text in deflate form, as fast as control makes it. */
+static u64 compressed_bytes(const char *text)
+{
+	uLongf len = compressBound(strlen(text));
+	g_autofree u8 *out = g_malloc(len);
+
+	g_assert_cmpint(compress2(out, &len, (const u8 *)text, strlen(text), Z_BEST_SPEED), ==,
+			Z_OK);
+	return len;
+}
+
+/* Starts a node without a configuration that reaches all control processes over the narrow link. */
+static void start_node(struct fake_node *node)
+{
+	fake_node_prepare(node);
+	if (g_getenv("TEST_LOG"))
+		log_open(NULL, LOG_DEBUG, LOG_TEXT);
+	g_array_set_size(node->settings.node.control, 0);
+	for (u32 i = 0; i < CONTROLS; i++) {
+		struct endpoint at = { .host = "127.0.0.1", .port = controls[i].relay_port };
+
+		g_array_append_val(node->settings.node.control, at);
+	}
+	config_reset();
+	node->node = node_new(&node->settings);
+	g_assert_cmpint(node->node->module.ops->start(&node->node->module, NULL), ==, 0);
+}
+
+static u64 wait_revision(u64 revision, u64 start_us, u64 limit_us)
+{
+	while (config_revision() < revision && loop_clock_us() - start_us < limit_us)
+		g_usleep(US_PER_MS);
+	return config_revision();
+}
+
+/*
+ * Guards against: a set that takes a node's link longer than a control process may be without a
+ * word of freshness never arrives, as the node goes from one control process to the next.
+ */
+static void test_large_set_on_narrow_link(void)
+{
+	g_autofree char *text = set_text(1, ROUTES);
+	u64 bytes = compressed_bytes(text);
+	struct fake_node node;
+	u64 start;
+
+	/* The link is filled for longer than a node waits for a word. */
+	g_assert_cmpuint(bytes * US_PER_S / LINK_BYTES_PER_S, >, US_PER_S);
+	declare(1, text);
+	start = loop_clock_us();
+	start_node(&node);
+	g_assert_cmpuint(
+		wait_revision(1, start, bytes * US_PER_S / LINK_BYTES_PER_S + ALLOWANCE_US), ==, 1);
+	g_test_message("%u bytes compressed, %u relayed, in force after %u ms", (u32)bytes,
+		       (u32)g_atomic_int_get(&narrow.bytes),
+		       (u32)((loop_clock_us() - start) / US_PER_MS));
+}
+
+int main(int argc, char **argv)
+{
+	int ret;
+
+	g_test_init(&argc, &argv, NULL);
+	log_open(NULL, LOG_ERROR, LOG_TEXT);
+	narrow.bytes_per_s = LINK_BYTES_PER_S;
+	for (u32 i = 0; i < CONTROLS; i++)
+		start_control(&controls[i]);
+	g_test_add_func("/config-transfer/large-set-on-narrow-link", test_large_set_on_narrow_link);
+	ret = g_test_run();
+	fflush(stdout);
+	_exit(ret); /* the processes still run */
+}
--- /dev/null
+++ b/test/fakes/paced_relay.c
@@ -0,0 +1,108 @@
+#include "test/fakes/paced_relay.h"
+
+#include "kernel/loop.h"
+#include "test/fakes/raw_server.h"
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define CHUNK_BYTES 1460
+/* The buffers of a narrow link's sockets: more than the product should rely on. */
+#define BUFFER_BYTES (256 * 1024)
+
+struct relay {
+	struct paced_link *link;
+	u16 target;
+	int fd;
+};
+
+struct flow {
+	struct paced_link *link; /* NULL: not paced */
+	int from;
+	int to;
+	gint *refs; /* of the connection */
+};
+
+/* Waits until the link has taken N further bytes. */
+static void pace(struct paced_link *link, size_t n)
+{
+	u64 now = loop_clock_us();
+	u64 until;
+
+	g_mutex_lock(&link->lock);
+	link->free_at_us = MAX(link->free_at_us, now) + n * US_PER_S / link->bytes_per_s;
+	until = link->free_at_us;
+	g_mutex_unlock(&link->lock);
+	g_atomic_int_add(&link->bytes, (gint)n);
+	if (until > now)
+		g_usleep(until - now);
+}
+
+static bool relay_chunk(const struct flow *f)
+{
+	char chunk[CHUNK_BYTES];
+	ssize_t n = recv(f->from, chunk, sizeof(chunk), 0);
+
+	if (n <= 0)
+		return false;
+	if (f->link)
+		pace(f->link, (size_t)n);
+	return send(f->to, chunk, (size_t)n, MSG_NOSIGNAL) == n;
+}
+
+static gpointer flow_main(gpointer arg)
+{
+	struct flow *f = arg;
+
+	while (relay_chunk(f))
+		;
+	shutdown(f->from, SHUT_RDWR);
+	shutdown(f->to, SHUT_RDWR);
+	if (g_atomic_int_dec_and_test(f->refs)) {
+		close(f->from);
+		close(f->to);
+		g_free(f->refs);
+	}
+	g_free(f);
+	return NULL;
+}
+
+static void start_flow(struct paced_link *link, int from, int to, gint *refs)
+{
+	struct flow *f = g_new0(struct flow, 1);
+
+	*f = (struct flow){ .link = link, .from = from, .to = to, .refs = refs };
+	g_thread_unref(g_thread_new("flow", flow_main, f));
+}
+
+static gpointer accept_main(gpointer arg)
+{
+	struct relay *r = arg;
+	int size = BUFFER_BYTES;
+
+	for (;;) {
+		int from = accept(r->fd, NULL, NULL);
+		int to = raw_connect(r->target);
+		gint *refs = g_new0(gint, 1);
+
+		g_assert_cmpint(from, >=, 0);
+		g_assert_cmpint(to, >=, 0);
+		setsockopt(to, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+		*refs = 2;
+		start_flow(NULL, from, to, refs);
+		start_flow(r->link, to, from, refs);
+	}
+	return NULL;
+}
+
+u16 paced_relay_start(struct paced_link *link, u16 target)
+{
+	struct relay *r = g_new0(struct relay, 1);
+	u16 port;
+
+	r->link = link;
+	r->target = target;
+	r->fd = raw_listen(&port);
+	g_thread_unref(g_thread_new("relay", accept_main, r));
+	return port;
+}
