upstream: an earlier refusal is never taken for that of a later call

Callers saw 503 for calls that an upstream had read and might run, and such calls went to a second upstream. A faulty upstream wrote a refusal again on a kept connection; without an id, or with the id of an attempt that was sent there again, the home node took it for the answer to the call that runs now.

The cause: an error status without an id counted as the answer to whatever request was open on its connection. Now an answer that names no request counts only as the first final answer of its connection. Later ones end the call with an unknown outcome (answer-uncertain, 502), so what may be repeated goes elsewhere. A connection on which the upstream has refused is not used again: a copy meets no later request, whatever id it has, also in the dialect without ids. Polls of the health path take answers in order and ignore refusals.

--- a/lib/ctr_list.h
+++ b/lib/ctr_list.h
@@ -32,6 +32,8 @@
 /* Unknown outcomes: the call may have been executed. */
 CTR(UPSTREAM_BROKEN, "upstream-broken",
     "the upstream closed or broke the connection after the request was written")
+CTR(ANSWER_UNCERTAIN, "answer-uncertain",
+    "the upstream's answer names no request and may belong to an earlier one")
 CTR(UPSTREAM_SHORT, "upstream-short", "the upstream body ended before its announced length")
 CTR(UPSTREAM_TIMEOUT, "upstream-timeout", "the upstream did not answer before the deadline")
 CTR(PEER_LOST, "peer-lost", "the link to the home node broke during the call")
--- a/lib/err.c
+++ b/lib/err.c
@@ -33,6 +33,8 @@
 		return "body ended early";
 	case ERR_NO_SPACE:
 		return "no space left on the disk";
+	case ERR_UNCERTAIN:
+		return "the answer may belong to an earlier request";
 	}
 	return "unknown error";
 }
--- a/lib/err.h
+++ b/lib/err.h
@@ -24,6 +24,7 @@
 	ERR_REFUSED = -12, /* the connection was refused */
 	ERR_TRUNCATED = -13, /* the body ended before its Content-Length */
 	ERR_NO_SPACE = -14, /* the disk is full; nothing was written */
+	ERR_UNCERTAIN = -15, /* the answer may belong to an earlier request */
 };
 
 /* err_text - returns a short description of ERR, never NULL. */
--- a/node/dialect.c
+++ b/node/dialect.c
@@ -100,6 +100,13 @@
 	return true;
 }
 
+static bool native_names_request(const struct http_msg *answer, const struct http_msg *request)
+{
+	(void)answer;
+	(void)request;
+	return true;
+}
+
 static bool native_is_not_run(const struct http_msg *answer)
 {
 	const char *outcome = http_header(answer, OUTCOME_HEADER);
@@ -141,6 +148,7 @@
 	.is_rewritten_header = native_is_rewritten_header,
 	.write_request_headers = native_write_request_headers,
 	.is_answer_to = native_is_answer_to,
+	.names_request = native_names_request,
 	.is_not_run = native_is_not_run,
 	.is_refused_below = native_is_refused_below,
 	.is_other_instance = native_is_other_instance,
--- a/node/dialect.h
+++ b/node/dialect.h
@@ -69,6 +69,11 @@
 	void (*write_request_headers)(GString *head, const struct dialect_request_info *info);
 	/* is_answer_to - returns false when the answer belongs to another request. */
 	bool (*is_answer_to)(const struct http_msg *answer, const struct http_msg *request);
+	/*
+	 * names_request - whether the answer names its request, so that it can't be a copy of an
+	 * answer to an earlier one. True in a dialect whose answers are told apart by their order.
+	 */
+	bool (*names_request)(const struct http_msg *answer, const struct http_msg *request);
 	/* is_not_run - whether the upstream guarantees that the request never runs. */
 	bool (*is_not_run)(const struct http_msg *answer);
 	/*
--- a/node/home.c
+++ b/node/home.c
@@ -133,6 +133,8 @@
 	switch (err) {
 	case ERR_TRUNCATED:
 		return CTR_UPSTREAM_SHORT;
+	case ERR_UNCERTAIN:
+		return CTR_ANSWER_UNCERTAIN;
 	case ERR_TIMEOUT:
 		return CTR_UPSTREAM_TIMEOUT;
 	case ERR_TOOBIG:
--- a/node/slowness_monitor.c
+++ b/node/slowness_monitor.c
@@ -111,6 +111,7 @@
 	http_add_header(m->request, "Host", m->node->dir_entry.service);
 	m->call = (struct upstream_call){ .request = m->request,
 					  .is_idempotent = true,
+					  .is_poll = true,
 					  .deadline_us = now_us + POLL_TIMEOUT_US,
 					  .max_body_bytes = POLL_BODY_MAX_BYTES,
 					  .done = on_poll_done,
--- a/node/upstream.c
+++ b/node/upstream.c
@@ -46,6 +46,7 @@
 	u64 state_since_us; /* when it became idle or began to connect */
 	u64 idle_max_us;
 	u32 foreign_answers; /* answers to other requests that were skipped */
+	u64 answers; /* final answers read so far */
 	size_t buffered_bytes; /* size of the response body being read */
 	bool is_connecting;
 	bool has_answer; /* the parser has delivered a whole answer */
@@ -221,18 +222,29 @@
 	c->foreign_answers = 0;
 }
 
+/* A copy of a refusal must not come where the answer to a later request is expected. */
+static bool is_refusal(const struct upstream_conn *c, const struct http_msg *m)
+{
+	return !c->call->is_poll &&
+	       (c->u->dialect->is_not_run(m) || c->u->dialect->is_other_instance(m));
+}
+
+/*
+ * Bytes after the answer belong to no request. When the answer came before the whole request was
+ * sent, the rest of the request remains unsent.
+ */
+static bool is_reusable(const struct upstream_conn *c, const struct http_msg *m)
+{
+	return c->read.is_keep_alive && c->read.has_length && !c->foreign_answers && !c->out->len &&
+	       !is_refusal(c, m);
+}
+
 static void complete_call(struct upstream_conn *c, struct http_msg *m)
 {
 	struct upstream_call *call = c->call;
-	/*
-	 * Bytes after the answer belong to no request. When the answer came before the whole
-	 * request was sent, the rest of the request remains unsent.
-	 */
-	bool is_reusable =
-		c->read.is_keep_alive && c->read.has_length && !c->foreign_answers && !c->out->len;
 	u64 max_us = idle_max_us(m);
 
-	if (is_reusable && max_us)
+	if (is_reusable(c, m) && max_us)
 		return_to_pool(c, max_us);
 	else
 		conn_close(c);
@@ -255,8 +267,8 @@
 
 static int read_error(const struct upstream_conn *c, int err)
 {
-	if (err == ERR_TOOBIG)
-		return ERR_TOOBIG;
+	if (err == ERR_TOOBIG || err == ERR_UNCERTAIN)
+		return err;
 	return c->read.is_in_body ? ERR_TRUNCATED : ERR_CLOSED;
 }
 
@@ -270,31 +282,59 @@
 	return true;
 }
 
+/* Returns whether M may be a copy of an answer to an earlier request on this connection. */
+static bool is_uncertain_answer(const struct upstream_conn *c, const struct http_msg *m)
+{
+	return c->answers > 1 && !c->call->is_poll &&
+	       !c->u->dialect->names_request(m, c->call->request);
+}
+
+/* Returns 0 if M answers the call, 1 if it is skipped, or an error that ends the call. */
+static int judge_answer(struct upstream_conn *c, const struct http_msg *m, bool is_eof)
+{
+	c->answers++;
+	if (is_foreign_answer(c, m))
+		return c->foreign_answers > FOREIGN_ANSWERS_MAX || is_eof ? ERR_CLOSED : 1;
+	return is_uncertain_answer(c, m) ? ERR_UNCERTAIN : 0;
+}
+
+/*
+ * Takes the answer that was read, with LEN bytes behind it. Returns 0 if it has ended the call, 1
+ * if it was skipped, or an error that ends the call.
+ */
+static int take_answer(struct upstream_conn *c, size_t len, bool is_eof)
+{
+	struct http_msg *m = g_steal_pointer(&c->read.msg);
+	int err = judge_answer(c, m, is_eof);
+
+	c->has_answer = false;
+	if (err) {
+		http_free(m);
+		return err;
+	}
+	if (len)
+		c->foreign_answers++;
+	complete_call(c, m);
+	return 0;
+}
+
 /* Parses the bytes, one message at a time. Returns true when the call has ended. */
 static bool parse_bytes(struct upstream_conn *c, const u8 *data, size_t len, bool is_eof)
 {
 	do {
 		size_t remaining = 0;
 		int err = http_read_feed(&c->read, data, len, &remaining);
-		struct http_msg *m;
 
 		data += len - remaining;
 		len = remaining;
 		if (!err && c->has_answer) {
-			m = g_steal_pointer(&c->read.msg);
-			c->has_answer = false;
-			if (!is_foreign_answer(c, m)) {
-				if (len)
-					c->foreign_answers++;
-				complete_call(c, m);
+			err = take_answer(c, len, is_eof);
+			if (!err)
 				return true;
-			}
-			http_free(m);
-			err = c->foreign_answers > FOREIGN_ANSWERS_MAX || is_eof ? ERR_CLOSED : 0;
 		}
-		if (!err)
+		if (err >= 0)
 			err = account_buffered(c, c->read.msg ? c->read.msg->body->len : 0);
-		if (err) {
+		if (err < 0) {
 			fail(c, read_error(c, err));
 			return true;
 		}
--- a/node/upstream.h
+++ b/node/upstream.h
@@ -5,10 +5,14 @@
  * was written, the outcome is unknown. A request that is not idempotent goes out
  * on a new connection or on one that was used within the last half second.
  *
+ * A faulty upstream may write an earlier answer again. An answer that names no request is taken
+ * only as the first one of its connection, and a connection on which the upstream has refused a
+ * call is not used again.
+ *
  * All functions must be called on the loop's thread.
  *
- * ERRORS ERR_REFUSED, ERR_CLOSED, ERR_TRUNCATED, ERR_TIMEOUT, ERR_TOOBIG, ERR_CANCELLED;
- * the call may have run if and only if is_written is set.
+ * ERRORS ERR_REFUSED, ERR_CLOSED, ERR_TRUNCATED, ERR_TIMEOUT, ERR_TOOBIG, ERR_CANCELLED,
+ * ERR_UNCERTAIN; the call may have run if and only if is_written is set.
  * SOURCE node/upstream.c
  */
 #ifndef UPSTREAM_H
@@ -26,6 +30,8 @@
 	const struct http_msg *request;
 	const char *instance; /* instance id expected at the address; may be NULL */
 	bool is_idempotent;
+	/* Answers that name no request are taken in their order, and refusals have no effect. */
+	bool is_poll;
 	u64 deadline_us;
 	u64 max_body_bytes;
 	/* Called exactly once, from the loop, when the call has ended. */
--- a/test/dialect_test.c
+++ b/test/dialect_test.c
@@ -54,6 +54,27 @@
 	http_free(refusal);
 }
 
+static void check_names_request(const char *request_id, const char *answer_id, bool expected)
+{
+	const char *name = "Lavenderlead-Attempt-Id";
+	struct http_msg *request = make_message(0, request_id ? name : NULL, request_id);
+	struct http_msg *answer = make_message(503, answer_id ? name : NULL, answer_id);
+
+	g_assert_true(platform_dialect.names_request(answer, request) == expected);
+	http_free(request);
+	http_free(answer);
+}
+
+/* Guards against: a copy of an earlier refusal passes for one that names the request. */
+static void test_names_request(void)
+{
+	check_names_request("one", "one", true);
+	check_names_request("one", "two", false);
+	check_names_request("one", NULL, false);
+	check_names_request(NULL, "one", false);
+	check_names_request(NULL, NULL, false);
+}
+
 /* Values that a caller sends for its own service or the target's instance are not forwarded. */
 static void test_rewritten_headers(void)
 {
@@ -146,6 +167,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/dialect/not-run", test_not_run);
 	g_test_add_func("/dialect/is-answer-to", test_is_answer_to);
+	g_test_add_func("/dialect/names-request", test_names_request);
 	g_test_add_func("/dialect/rewritten-headers", test_rewritten_headers);
 	g_test_add_func("/dialect/load", test_load);
 	g_test_add_func("/dialect/timeout", test_timeout);
