--- a/test/upstream_test.c
+++ b/test/upstream_test.c
@@ -6,6 +6,7 @@
 
 #include <glib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #define BODY_MAX_BYTES 65536
 #define LONG_TIMEOUT_US (20 * US_PER_S)
@@ -279,6 +280,91 @@
 	teardown(&f);
 }
 
+struct early {
+	struct fixture *f;
+	const char *text; /* written before the second request; empty for a close */
+	bool must_reset;
+	GAsyncQueue *answered;
+	GAsyncQueue *written;
+	bool has_read_second; /* on the first connection */
+};
+
+/* On the first connection, writes TEXT or closes after the first answer; then answers all. */
+static void serve_early(struct raw_server *s, int fd, u32 nth)
+{
+	const char *answer = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown";
+	struct early *e = s->arg;
+
+	while (raw_read_request(s, fd)) {
+		raw_write(fd, answer);
+		if (nth > 1)
+			continue;
+		g_async_queue_pop(e->answered);
+		raw_write(fd, e->text);
+		if (e->must_reset)
+			raw_reset_on_close(fd);
+		if (*e->text)
+			g_usleep(PAUSE_US);
+		else
+			shutdown(fd, SHUT_WR);
+		g_async_queue_push(e->written, e);
+		if (e->must_reset)
+			return;
+		e->has_read_second = raw_read_request(s, fd);
+		return;
+	}
+}
+
+/* The loop reads nothing between the upstream's write and the start of the next call. */
+static void start_after_write(void *arg)
+{
+	struct early *e = arg;
+
+	g_async_queue_push(e->answered, e);
+	g_async_queue_pop(e->written);
+	g_usleep(PAUSE_US);
+	upstream_start(e->f->u, &e->f->at, &e->f->call);
+}
+
+static void check_early(const char *text, bool must_reset)
+{
+	struct fixture f;
+	struct early e = { .f = &f,
+			   .text = text,
+			   .must_reset = must_reset,
+			   .answered = g_async_queue_new(),
+			   .written = g_async_queue_new() };
+
+	setup(&f, "POST", serve_early, &e);
+	check_run(&f, 0);
+	http_free(g_steal_pointer(&f.reply));
+	f.call.deadline_us = loop_clock_us() + LONG_TIMEOUT_US;
+	loop_call(f.loop, start_after_write, &e);
+	g_async_queue_pop(f.done);
+	f.reply = f.call.reply;
+	g_assert_cmpint(f.call.err, ==, 0);
+	assert_body(&f, "own");
+	teardown(&f);
+	g_assert_false(e.has_read_second);
+	g_async_queue_unref(e.answered);
+	g_async_queue_unref(e.written);
+}
+
+/* Guards against: bytes that came before a request was written are taken for its answer. */
+static void test_answer_before_request(void)
+{
+	check_early("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother", false);
+	check_early("HTTP/1.1 503 No\r\nLavenderlead-Outcome: not-run\r\nContent-Length: 0\r\n\r\n",
+		    false);
+}
+
+/* Guards against: a request that may run once is written where the upstream has closed already. */
+static void test_close_before_request(void)
+{
+	check_early("", false);
+	check_early("", true);
+}
+
 static void test_refused(void)
 {
 	struct fixture f;
@@ -387,6 +473,8 @@
 	g_test_add_func("/upstream/slow-head", test_slow_head);
 	g_test_add_func("/upstream/keep-alive", test_keep_alive);
 	g_test_add_func("/upstream/post-is-sent-once", test_post_is_sent_once);
+	g_test_add_func("/upstream/answer-before-request", test_answer_before_request);
+	g_test_add_func("/upstream/close-before-request", test_close_before_request);
 	g_test_add_func("/upstream/refused", test_refused);
 	g_test_add_func("/upstream/not-written", test_not_written);
 	g_test_add_func("/upstream/cancel", test_cancel);
