upstream: look at a kept connection before a request is written to it

Callers saw the bytes of another answer where answers carry no id, and 502 for POSTs that had met a closed connection. The loop handles the start of a call and the readiness of a socket one after the other; what the upstream had written, or its close, could wait unread while the next request was written behind it.

find_idle() now peeks at the connection (one recv without waiting). Anything unread, a close or an error closes it, and the next one is tried or a new one is dialled. Nothing was written then, so the call has not run.

--- a/node/upstream.c
+++ b/node/upstream.c
@@ -392,7 +392,21 @@
 	       (call->is_idempotent || idle_us <= IDLE_NON_IDEMPOTENT_MAX_US);
 }
 
-/* Takes the most recently used idle connection to AT; closes those that are too old. */
+/*
+ * Returns whether the upstream has written to the idle connection or closed it, and the loop has
+ * not read that yet. Such bytes were not meant for the next request.
+ */
+static bool has_unread(const struct upstream_conn *c)
+{
+	u8 byte;
+	ssize_t n = recv(c->fd.fd, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+
+	if (n > 0)
+		ctr_inc(CTR_FOREIGN_ANSWER);
+	return n >= 0 || errno != EAGAIN;
+}
+
+/* Takes the most recently used idle connection to AT; closes those that can't be used again. */
 static struct upstream_conn *find_idle(struct upstream *u, const struct endpoint *at,
 				       const struct upstream_call *call)
 {
@@ -409,6 +423,10 @@
 		}
 		if (!is_usable(c, call, now))
 			return NULL;
+		if (has_unread(c)) {
+			conn_close(c);
+			continue;
+		}
 		g_queue_unlink(&u->idle, l);
 		return c;
 	}
