httpd: a request whose connection is gone is not counted any more

What was seen: a started request whose connection was reset stayed in the count of requests for ever, as its answer had no connection whose server could be told. A node that stops waits for that count, so after one such request its stop took the whole grace.

The count goes down when the connection ends. What still runs at an upstream without a caller is in the entry's own count of calls, which a stop waits for too.

/httpd/reset-request-still-counted failed before (1 instead of 0) and passes now.

--- a/kernel/httpd.c
+++ b/kernel/httpd.c
@@ -75,8 +75,8 @@
 		struct httpd_request *r = l->data;
 
 		r->conn = NULL;
+		c->h->requests--;
 		if (r->answer || !r->is_started) {
-			c->h->requests--;
 			request_free(r);
 		} else if (c->h->ops->closed) {
 			c->h->ops->closed(r, HTTPD_DISCONNECTED, c->h->arg);
--- a/kernel/httpd.h
+++ b/kernel/httpd.h
@@ -76,7 +76,7 @@
 /* httpd_connections - returns the number of open connections. */
 u32 httpd_connections(const struct httpd *h);
 
-/* httpd_requests - returns the number of requests whose response was not written yet. */
+/* httpd_requests - returns the number of requests on open connections without a response. */
 u32 httpd_requests(const struct httpd *h);
 
 /* httpd_free - closes all connections, also those with requests in progress. */
