node: a configuration that may be old denies no call

Callers do not repeat after a 404.

Cause: the node answered from whatever configuration it had. That a revision has no route says nothing about newer ones, and no decision used what the node knows of its own age (watch_is_fresh had no user). Class: a final answer given on state that is not known to be current.

Now 404 for host, path or rank, and 413 and 431 by the set's limits, need a current configuration: a fresh control process named the newest revision within the last 0.7 s, and neither it nor the call of a peer named one above that in force. Otherwise the answer is 503, not run, with Retry-After and the reason config-not-current, and the line of the refusal names both revisions. A body over the limit in the node's settings stays 413, as does a request without a Host header 404. What the configuration allows is served as before, also while the node is cut off; DESIGN.md says why.

Looked at as well: revision 0 (503 no-config already), a configuration without the upstreams of its services (the call waits for control's list, then 503 no-upstream), an unknown service at the home (503 wrong-home), reads of the control API (confirmed by the leader), 400 (never from the configuration).

--- a/lib/ctr_list.h
+++ b/lib/ctr_list.h
@@ -7,6 +7,8 @@
 CTR(NO_RANK, "no-rank", "no rank of the service matches the request")
 CTR(NO_UPSTREAM, "no-upstream", "the service has no upstream that can take the call")
 CTR(NO_CONFIG, "no-config", "no configuration received yet")
+CTR(CONFIG_NOT_CURRENT, "config-not-current",
+    "not allowed by a configuration that may not be the newest")
 CTR(BODY_TOO_LARGE, "body-too-large", "the request body is over max_body_bytes")
 CTR(BAD_REQUEST, "bad-request", "the request is malformed or its body ended early")
 CTR(DRAINING, "draining", "refused because the node is draining")
--- a/node/caller.c
+++ b/node/caller.c
@@ -64,6 +64,15 @@
 	return CTR_CALLS;
 }
 
+/*
+ * A status from 400 to 499 is final for the caller: no configuration in force allows the call. A
+ * node whose configuration may be old cannot say that, and refuses the call as not run.
+ */
+static enum ctr refusal_by_config(const struct node *n, enum ctr reason)
+{
+	return watch_is_current(n) ? reason : CTR_CONFIG_NOT_CURRENT;
+}
+
 /*
  * Fills in service, rank and idempotence. Returns CTR_CALLS, or the reason why the call must
  * be refused.
@@ -87,6 +96,8 @@
 	else
 		result = apply_rank(config, host, call);
 	config_read_unlock();
+	if (host && (result == CTR_NO_SERVICE || result == CTR_NO_RANK || result == CTR_NO_ROUTE))
+		return refusal_by_config(n, result);
 	return result;
 }
 
@@ -101,6 +112,8 @@
 		return "no route for this host and path";
 	case CTR_NO_CONFIG:
 		return "no configuration received yet";
+	case CTR_CONFIG_NOT_CURRENT:
+		return "not allowed by this node's configuration, which may be old";
 	default:
 		break;
 	}
@@ -110,6 +123,13 @@
 			       "the outcome is not known, the call may have run";
 }
 
+static void put_error(struct http_msg *answer, const struct dialect_refusal *refusal)
+{
+	g_autofree char *body = g_strdup_printf("{\"error\":\"%s\"}\n", describe_refusal(refusal));
+
+	g_byte_array_append(answer->body, (const guint8 *)body, (guint)strlen(body));
+}
+
 /* Builds the answer to a refused call. The reason was counted where it occurred. */
 static struct http_msg *make_refusal(struct node *n, struct caller *c,
 				     struct dialect_refusal *refusal)
@@ -120,9 +140,9 @@
 		.remaining_us = c->caller_deadline_us - MIN(c->caller_deadline_us, now),
 		.is_late = c->call.target_us < (now - c->start_us) * LATE_TARGET_DIVISOR,
 	};
-	g_autofree char *body = g_strdup_printf("{\"error\":\"%s\"}\n", describe_refusal(refusal));
-	struct http_msg *m = http_json_response(refusal->status, body);
+	struct http_msg *m = http_json_response(refusal->status, "");
 
+	put_error(m, refusal);
 	if (refusal->is_not_run)
 		refusal->retry_after_ms = retry_after_us(&params, &n->choose.rng) / US_PER_MS;
 	n->dialect->refuse(m, refusal);
@@ -178,20 +198,24 @@
 
 static u16 routing_status(enum ctr reason)
 {
-	return reason == CTR_NO_CONFIG ? 503 : 404;
+	return reason == CTR_NO_CONFIG || reason == CTR_CONFIG_NOT_CURRENT ? 503 : 404;
+}
+
+static void log_unsubmitted(const struct node *n, const char *request, u16 status, enum ctr reason)
+{
+	if (log_should_write("refusal", request, true))
+		log_event(LOG_WARN, "refusal", "request", request ? request : "", "status",
+			  log_u64(status), "reason", ctr_name(reason), "revision",
+			  log_u64(config_revision()), "newest", log_u64(watch_newest_revision(n)),
+			  NULL);
 }
 
 static void refuse_unsubmitted(struct node *n, struct caller *c, enum ctr reason, u16 status)
 {
 	struct dialect_refusal refusal = { .status = status, .is_not_run = true, .reason = reason };
 
-	const char *request = n->dialect->id(c->call.msg);
-
 	ctr_inc(reason);
-	if (log_should_write("refusal", request, true))
-		log_event(LOG_WARN, "refusal", "request", request ? request : "", "status",
-			  log_u64(status), "reason", ctr_name(reason), "revision",
-			  log_u64(config_revision()), NULL);
+	log_unsubmitted(n, n->dialect->id(c->call.msg), status, reason);
 	httpd_answer(c->request, make_refusal(n, c, &refusal));
 	caller_free(c);
 }
@@ -257,6 +281,38 @@
 		entry_caller_left(n, &c->call);
 }
 
+/* Returns whether a newer configuration may allow what was refused with STATUS for its size. */
+static bool is_limit_of_config(const struct node *n, u16 status)
+{
+	const struct config *config;
+	u64 body_bytes = 0;
+
+	if (status != 413)
+		return status == 431;
+	config_read_lock();
+	config = config_current();
+	if (config && config->set)
+		body_bytes = config->set->set->limits.body_bytes;
+	config_read_unlock();
+	/* Above the limit in the settings, no configuration allows a body. */
+	return body_bytes && body_bytes < n->settings->node.max_body_bytes;
+}
+
+static void refuse_as_not_current(struct node *n, struct http_msg *answer,
+				  struct dialect_refusal *refusal)
+{
+	struct retry_after params = { .reason = CTR_CONFIG_NOT_CURRENT,
+				      .remaining_us = DEFAULT_TIMEOUT_MS * US_PER_MS };
+
+	refusal->status = 503;
+	refusal->reason = CTR_CONFIG_NOT_CURRENT;
+	refusal->retry_after_ms = retry_after_us(&params, &n->choose.rng) / US_PER_MS;
+	ctr_inc(refusal->reason);
+	log_unsubmitted(n, NULL, refusal->status, refusal->reason);
+	g_byte_array_set_size(answer->body, 0);
+	put_error(answer, refusal);
+}
+
 static void on_refuse(struct http_msg *answer, void *arg)
 {
 	struct node *n = arg;
@@ -265,6 +321,9 @@
 					   .reason = answer->status == 413 ? CTR_BODY_TOO_LARGE :
 									     CTR_BAD_REQUEST };
 
+	if (is_limit_of_config(n, answer->status) &&
+	    refusal_by_config(n, refusal.reason) == CTR_CONFIG_NOT_CURRENT)
+		refuse_as_not_current(n, answer, &refusal);
 	n->dialect->refuse(answer, &refusal);
 }
 
--- a/node/mesh.c
+++ b/node/mesh.c
@@ -110,6 +110,7 @@
 	p->id = p->call.id;
 	p->body_len = p->call.body_len;
 	p->deadline_us = link_to_local_us(m->link, p->call.deadline_us);
+	watch_note_revision(m->node, p->call.revision);
 	record_call(m);
 	return add_partial_message(m, p);
 }
--- a/node/node.h
+++ b/node/node.h
@@ -236,8 +236,15 @@
 /* watch_node_count - returns the last reported number of nodes in the system; 0 if unknown. */
 u32 watch_node_count(const struct node *n);
 
-/* watch_is_fresh - returns whether the linked control process has the newest configuration. */
-bool watch_is_fresh(const struct node *n);
+/*
+ * watch_note_revision - notes that another process has, or has heard of, a configuration REVISION
+ * watch_newest_revision - the highest revision that was noted
+ * watch_is_current - returns whether the configuration in force is the newest as far as this node
+ * can know: a fresh control process said so lately, and no higher revision was noted
+ */
+void watch_note_revision(struct node *n, u64 revision);
+u64 watch_newest_revision(const struct node *n);
+bool watch_is_current(const struct node *n);
 
 /* local: the HTTP API that the upstream uses */
 
--- a/node/watch.c
+++ b/node/watch.c
@@ -73,6 +73,7 @@
 	GHashTable *subscriptions; /* service -> whether its upstreams were received */
 	u32 node_count; /* in the directory */
 	GPtrArray *changes; /* of struct config_change, collected until the last frame */
+	u64 newest_revision; /* the highest that was named, by control or by a peer */
 	bool was_linked;
 };
 
@@ -432,6 +433,7 @@
 
 	if (frame_done(in))
 		return ERR_INVAL;
+	watch_note_revision(s->w->node, revision);
 	is_fresh = is_fresh && revision >= config_revision();
 	if (s == &s->w->trial)
 		finish_trial(s->w, is_fresh, now);
@@ -666,9 +668,22 @@
 	add_candidates(w);
 }
 
-bool watch_is_fresh(const struct node *n)
+void watch_note_revision(struct node *n, u64 revision)
 {
-	return is_main_fresh(n->watch, loop_clock_us());
+	if (n->watch)
+		n->watch->newest_revision = MAX(n->watch->newest_revision, revision);
+}
+
+u64 watch_newest_revision(const struct node *n)
+{
+	return n->watch ? n->watch->newest_revision : 0;
+}
+
+bool watch_is_current(const struct node *n)
+{
+	const struct watch *w = n->watch;
+
+	return w && is_main_fresh(w, loop_clock_us()) && config_revision() >= w->newest_revision;
 }
 
 int watch_start(struct node *n)
--- a/test/fakes/fake_peer.c
+++ b/test/fakes/fake_peer.c
@@ -296,13 +296,14 @@
 		g_byte_array_unref(s.body);
 }
 
-static void put_call(struct frame_out *f, struct call_id id, const char *method, u64 body_len,
-		     u64 deadline_us)
+static void put_call(struct frame_out *f, const struct fake_peer *p, struct call_id id,
+		     const char *method, u64 body_len, u64 deadline_us)
 {
 	struct peer_call call = { .id = id,
 				  .service = (char *)"sightings",
 				  .rank = (char *)(strcmp(method, "POST") ? "page" : "checklist"),
 				  .deadline_us = deadline_us,
+				  .revision = p->revision,
 				  .body_len = body_len,
 				  .msg = http_new() };
 
@@ -317,7 +318,7 @@
 {
 	FRAME_AUTO(f, PEER_CALL);
 
-	put_call(&f, id, method, strlen(body), deadline_us);
+	put_call(&f, p, id, method, strlen(body), deadline_us);
 	send_message(p, &f, id, body);
 }
 
@@ -325,7 +326,7 @@
 {
 	FRAME_AUTO(f, PEER_CALL);
 
-	put_call(&f, id, "POST", body_len, UINT32_MAX);
+	put_call(&f, p, id, "POST", body_len, UINT32_MAX);
 	send_message(p, &f, id, NULL);
 }
 
--- a/test/fakes/fake_peer.h
+++ b/test/fakes/fake_peer.h
@@ -19,6 +19,7 @@
 	struct link_id self;
 	char *name;
 	u16 port;
+	u64 revision; /* configuration revision that its calls name */
 	struct link_listener *listener;
 	struct link *link; /* the newest link; NULL when none is up */
 	GAsyncQueue *events; /* of struct peer_event */
--- a/test/watch_test.c
+++ b/test/watch_test.c
@@ -3,6 +3,7 @@
 #include "lib/set.h"
 #include "node/config.h"
 #include "test/fakes/fake_node.h"
+#include "test/fakes/fake_peer.h"
 #include "test/fakes/httpc.h"
 #include "test/fakes/raw_server.h"
 #include "wire/ctl.h"
@@ -435,6 +436,33 @@
 	wait_refusal(&node, UNKNOWN_HOST, NULL, 404, "no-route");
 }
 
+/*
+ * Guards against a 404 by a node whose control process lags: the call of another node names a
+ * configuration that this node has not received.
+ */
+static void test_404_though_a_peer_has_a_newer_configuration(void)
+{
+	struct call_id id = { .incarnation = 1, .seq = 1 };
+	struct fake_peer peer = { 0 };
+	struct fake_node node;
+
+	start_node_of_first_control(&node);
+	wait_refusal(&node, UNKNOWN_HOST, NULL, 404, "no-service");
+	fake_peer_start(&peer, false);
+	fake_peer_dial(&peer, node.settings.node.peer_port);
+	peer_event_free(fake_peer_expect(&peer, PEER_EVENT_UP));
+	peer.revision = 1;
+	fake_peer_call(&peer, id, "GET", "", loop_clock_us() + US_PER_S);
+	peer_event_free(fake_peer_expect(&peer, PEER_REFUSE));
+	expect_refusals(&node, UNKNOWN_HOST, NULL, 404, "no-service");
+	peer.revision = 2;
+	id.seq++;
+	fake_peer_call(&peer, id, "GET", "", loop_clock_us() + US_PER_S);
+	peer_event_free(fake_peer_expect(&peer, PEER_REFUSE));
+	expect_refusals(&node, UNKNOWN_HOST, NULL, 503, "config-not-current");
+	fake_peer_stop(&peer);
+}
+
 #define LIMITED_SET                                                                                \
 	"{\"version\":1,\"routes\":[],\"services\":[{\"name\":\"a\"}],"                            \
 	"\"limits\":{\"body_bytes\":100,\"head_bytes\":1000}}"
@@ -480,6 +508,8 @@
 	g_test_add_func("/watch/first-call-of-a-service", test_first_call_of_a_service);
 	g_test_add_func("/watch/404-for-a-route-that-is-not-known-yet",
 			test_404_for_a_route_that_is_not_known_yet);
+	g_test_add_func("/watch/404-though-a-peer-has-a-newer-configuration",
+			test_404_though_a_peer_has_a_newer_configuration);
 	g_test_add_func("/watch/413-by-limits-that-are-not-current",
 			test_413_by_limits_that_are_not_current);
 	ret = g_test_run();
