--- a/node/watch.c
+++ b/node/watch.c
@@ -365,6 +365,7 @@
 
 	if (frame_done(in))
 		return ERR_INVAL;
+	watch_note_revision(s->w->node, revision);
 	record_word(s, MIN(sent, now), now);
 	is_fresh = is_fresh && revision >= config_revision();
 	if (s == &s->w->trial)
@@ -620,9 +621,22 @@
 	add_candidates(w);
 }
 
-bool watch_is_fresh(const struct node *n)
+void watch_note_revision(struct node *n, u64 revision)
 {
-	return is_main_fresh(n->watch, loop_clock_us());
+	if (n->watch)
+		n->watch->newest_revision = MAX(n->watch->newest_revision, revision);
+}
+
+u64 watch_newest_revision(const struct node *n)
+{
+	return n->watch ? n->watch->newest_revision : 0;
+}
+
+bool watch_is_current(const struct node *n)
+{
+	const struct watch *w = n->watch;
+
+	return w && is_main_fresh(w, loop_clock_us()) && config_revision() >= w->newest_revision;
 }
 
 int watch_start(struct node *n)
--- a/node/watch_impl.h
+++ b/node/watch_impl.h
@@ -33,6 +33,7 @@
 	GHashTable *subscriptions; /* service -> whether its upstreams were received */
 	u32 node_count; /* in the directory */
 	GPtrArray *changes; /* of struct config_change, collected until the last frame */
+	u64 newest_revision; /* the highest that was named, by control or by a peer */
 	u64 requested_us; /* when the configuration was last requested */
 	u64 config_bytes; /* of the configuration that is being received */
 	bool was_linked;
--- a/test/fakes/fake_peer.c
+++ b/test/fakes/fake_peer.c
@@ -311,6 +311,7 @@
 				  .service = (char *)"sightings",
 				  .rank = (char *)(strcmp(method, "POST") ? "page" : "checklist"),
 				  .deadline_us = deadline_us,
+				  .revision = p->revision,
 				  .body_len = body_len,
 				  .msg = http_new() };
 
