control, node: a configuration goes to a node in parts through a window, and resumes

Cause: a whole set was queued at once in front of the words of freshness. A set that takes a node's link longer than 0.7 s kept the words back, the node left, dropped what it had received, and requested the whole set from the next control process, which did the same.

The frames from one revision to another are now one stream, compressed once and shared by all nodes. It goes in parts of 8 KB, with at most 16 KB beyond those that the node has acknowledged, so any other message waits behind 64 ms of a link of 2 Mbit/s. The node inflates parts as they come, keeps its state when it leaves a control process, and names the stream in CTL_WATCH; one that has the same stream goes on from there. A transfer under way is finished when the configuration changes, and the difference follows. Each part has a checksum bound to its stream and place.

CTL_COMPRESSED is gone, and its tests with it: ctl_test's cases (round trip, wrong length, damaged bytes, frames inside that don't belong there, bounded inflation) are in config_receive_test for streams, the size of a whole set in config_stream_test.

--- a/control/config_frames.c
+++ b/control/config_frames.c
@@ -41,7 +41,7 @@
 		frame_put_u64(f, count);
 		for (guint i = from; i < from + count; i++)
 			store_item_put(f, g_ptr_array_index(items, i));
-		g_ptr_array_add(frames, ctl_compress(f));
+		g_ptr_array_add(frames, f);
 		from += count;
 	} while (from < items->len);
 }
@@ -69,7 +69,7 @@
 	frame_put_u64(f, set->version);
 	frame_put_u64(f, checksum);
 	delta_put(f, ops);
-	g_ptr_array_add(frames, ctl_compress(f));
+	g_ptr_array_add(frames, f);
 	return true;
 }
 
--- a/control/config_frames.h
+++ b/control/config_frames.h
@@ -2,8 +2,7 @@
  * config_frames - the frames that bring nodes from one revision of the configuration to the newest
  *
  * Most nodes need the same frames: after a change they have the revision before it, and after a
- * start none. So the frames are made once for all of them. Long ones are compressed, as the links
- * of nodes may be narrow, and calls wait behind what is sent over them.
+ * start none. So the frames are made once for all of them.
  *
  * SOURCE control/config_frames.c
  */
--- a/control/control.c
+++ b/control/control.c
@@ -194,7 +194,7 @@
 void control_free(struct control *c)
 {
 	store_clear(&c->store);
-	config_frames_clear(&c->config_frames);
+	config_streams_clear(&c->config_streams);
 	directory_clear(&c->directory);
 	g_ptr_array_unref(c->nodes);
 	g_hash_table_unref(c->ops);
--- a/control/control.h
+++ b/control/control.h
@@ -13,7 +13,7 @@
 #ifndef CONTROL_H
 #define CONTROL_H
 
-#include "control/config_frames.h"
+#include "control/config_stream.h"
 #include "control/directory.h"
 #include "control/in_force.h"
 #include "control/raft.h"
@@ -41,7 +41,7 @@
 	struct directory directory;
 
 	GHashTable *peers; /* "HOST:PORT" -> struct control_peer; outgoing links */
-	struct config_frames config_frames;
+	struct config_streams config_streams;
 	GPtrArray *nodes; /* of struct node_link; links accepted from nodes */
 	GHashTable *reports; /* control id -> struct in_force_report of another process */
 	u64 heartbeat_seq;
--- a/control/nodes.c
+++ b/control/nodes.c
@@ -1,10 +1,10 @@
 /* Links from nodes: registrations, renewals, and configuration and directory updates. */
 #include "control/control.h"
 
+#include "control/config_transfer.h"
 #include "control/join.h"
 #include "control/op.h"
 #include "control/view.h"
-#include "lib/ctr.h"
 #include "lib/err.h"
 #include "lib/log.h"
 #include "wire/ctl.h"
@@ -16,11 +16,8 @@
 	bool is_watching;
 	bool is_confirmed; /* may receive the configuration, see on_confirmed */
 	u32 confirm_round; /* the read that it waits for; 0 if none */
-	u64 sent_revision;
-	/* The configuration sent last, until its node has reported it. */
-	u64 transfer_from;
-	u64 transfer_bytes; /* 0: none */
-	u64 transfer_start_us;
+	struct config_request request; /* the last one; its revision is what the node has by now */
+	struct config_transfer transfer;
 	struct view view;
 	u64 members_index; /* log index of the membership sent last; 0 for none */
 };
@@ -82,6 +79,7 @@
 	if (!n)
 		return;
 	g_ptr_array_remove_fast(c->nodes, n);
+	config_transfer_clear(&n->transfer);
 	view_clear(&n->view);
 	g_free(n);
 }
@@ -101,25 +99,13 @@
 	return 0;
 }
 
-static void log_acknowledged(struct node_link *n)
-{
-	log_event(LOG_INFO, "configuration acknowledged", "node", n->link->remote.name, "from",
-		  log_u64(n->transfer_from), "to", log_u64(n->sent_revision), "bytes",
-		  log_u64(n->transfer_bytes), "time_us",
-		  log_u64(loop_clock_us() - n->transfer_start_us), NULL);
-	n->transfer_bytes = 0;
-}
-
 static int receive_renew(struct control *c, struct link *k, struct frame_in *in)
 {
 	u64 applied = frame_get_u64(in);
 	struct directory_item *item = directory_find(&c->directory, k->remote.name);
-	struct node_link *n = find_node(c, k);
 
 	if (frame_done(in))
 		return ERR_INVAL;
-	if (n->transfer_bytes && applied >= n->sent_revision)
-		log_acknowledged(n);
 	/* An unknown or superseded node must register again. */
 	if (directory_renew(&c->directory, k->remote.name, k->remote.incarnation, loop_clock_us()))
 		return ERR_CLOSED;
@@ -179,11 +165,11 @@
 {
 	struct node_link *n = find_node(c, k);
 
-	n->sent_revision = frame_get_u64(in);
-	n->is_watching = true;
-	n->is_confirmed = n->sent_revision > 0;
-	if (frame_done(in))
+	if (config_request_get(in, &n->request))
 		return ERR_INVAL;
+	config_transfer_clear(&n->transfer);
+	n->is_watching = true;
+	n->is_confirmed = n->request.revision > 0;
 	nodes_push(c);
 	return 0;
 }
@@ -250,6 +236,71 @@
 	return 0;
 }
 
+/* Returns the rest of the stream that the node has a part of, if this process has the same one. */
+static struct config_stream *resume_stream(struct control *c, struct node_link *n)
+{
+	const struct config_request *r = &n->request;
+	struct config_stream *stream;
+
+	if (!r->received || r->stream.from != r->revision)
+		return NULL;
+	stream = config_streams_find(&c->config_streams, &c->store, &r->stream);
+	if (stream && r->received >= stream->bytes->len)
+		g_clear_pointer(&stream, config_stream_unref);
+	return stream;
+}
+
+static void start_transfer(struct control *c, struct node_link *n)
+{
+	struct config_stream *stream = resume_stream(c, n);
+	u64 offset = stream ? n->request.received : 0;
+
+	n->request.received = 0;
+	if (!stream)
+		stream = config_streams_get(&c->config_streams, &c->store, n->request.revision);
+	if (!stream)
+		return;
+	config_transfer_start(&n->transfer, stream, offset, n->request.number, loop_clock_us());
+	config_transfer_send(&n->transfer, n->link);
+}
+
+/* Starts the next transfer, unless one is under way. */
+static void push_config(struct control *c, struct node_link *n)
+{
+	if (!n->transfer.stream && n->request.revision < c->store.revision)
+		start_transfer(c, n);
+}
+
+static void complete_transfer(struct node_link *n)
+{
+	const struct config_transfer *t = &n->transfer;
+
+	log_event(LOG_INFO, "configuration acknowledged", "node", n->link->remote.name, "from",
+		  log_u64(t->stream->id.from), "to", log_u64(t->stream->id.to), "bytes",
+		  log_u64(t->stream->bytes->len), "start", log_u64(t->start), "time_us",
+		  log_u64(loop_clock_us() - t->start_us), NULL);
+	n->request.revision = t->stream->id.to;
+	config_transfer_clear(&n->transfer);
+}
+
+static int receive_ack(struct control *c, struct link *k, struct frame_in *in)
+{
+	struct node_link *n = find_node(c, k);
+	u64 request = frame_get_u64(in);
+	u64 received = frame_get_u64(in);
+
+	if (frame_done(in) || config_transfer_acknowledge(&n->transfer, request, received))
+		return ERR_INVAL;
+	if (config_transfer_is_complete(&n->transfer)) {
+		complete_transfer(n);
+		if (raft_is_fresh(&c->raft, CTL_LEASE_US, loop_clock_us()))
+			push_config(c, n);
+		return 0;
+	}
+	config_transfer_send(&n->transfer, k);
+	return 0;
+}
+
 int nodes_on_frame(struct control *c, struct link *k, u32 type, struct frame_in *in)
 {
 	switch (type) {
@@ -259,6 +310,8 @@
 		return receive_renew(c, k, in);
 	case CTL_WATCH:
 		return receive_watch(c, k, in);
+	case CTL_CONFIG_ACK:
+		return receive_ack(c, k, in);
 	case CTL_SUBSCRIBE:
 		return receive_subscribe(c, k, in);
 	default:
@@ -266,30 +319,10 @@
 	}
 }
 
-static void push_config(struct control *c, struct node_link *n)
-{
-	const GPtrArray *frames = config_frames_get(&c->config_frames, &c->store, n->sent_revision);
-
-	u64 bytes = 0;
-
-	/* On an error, sent_revision stays, so that the changes are sent again. */
-	for (guint i = 0; i < frames->len; i++) {
-		struct frame_out *f = g_ptr_array_index(frames, i);
-
-		if (link_send(n->link, f))
-			return;
-		bytes += f->buf.size;
-	}
-	ctr_add(CTR_CONFIG_SENT_BYTES, bytes);
-	if (!n->transfer_bytes) {
-		n->transfer_from = n->sent_revision;
-		n->transfer_start_us = loop_clock_us();
-	}
-	n->transfer_bytes += bytes;
-	n->sent_revision = c->store.revision;
-}
-
-/* A process that is not fresh sends no configuration, but continues to send its directory. */
+/*
+ * A process that is not fresh starts no transfer, but goes on with those under way, and continues
+ * to send its directory.
+ */
 void nodes_push(struct control *c)
 {
 	bool is_waiting = false;
@@ -303,7 +336,7 @@
 			continue;
 		if (!n->is_confirmed)
 			is_waiting = true;
-		else if (n->sent_revision < c->store.revision)
+		else
 			push_config(c, n);
 	}
 	if (is_waiting)
--- a/node/watch.c
+++ b/node/watch.c
@@ -90,6 +90,14 @@
 	return link_received_bytes(s->link) - s->word_at_bytes;
 }
 
+static u64 unfinished_bytes(const struct watch *w)
+{
+	struct config_request q = { 0 };
+
+	config_receive_describe(&w->receive, &q);
+	return q.received;
+}
+
 /* Logs why the node leaves its control process, and how much it got since the last word. */
 static void log_left(struct watch *w, const char *reason)
 {
@@ -99,10 +107,8 @@
 	log_event(LOG_INFO, "control left", "control", s->candidate->at.host, "reason", reason,
 		  "word_age_us", log_u64(s->word_sent_us ? now - s->word_sent_us : 0),
 		  "bytes_since_word", log_u64(bytes_since_word(s)), "unfinished_bytes",
-		  log_u64(w->config_bytes), "requested_age_us", log_u64(now - w->requested_us),
+		  log_u64(unfinished_bytes(w)), "requested_age_us", log_u64(now - w->requested_us),
 		  "revision", log_u64(config_revision()), NULL);
-	if (w->config_bytes)
-		ctr_inc(CTR_CONFIG_UNFINISHED);
 }
 
 static void close_main(struct watch *w, const char *reason)
@@ -110,8 +116,6 @@
 	if (w->main.candidate)
 		log_left(w, reason);
 	close_link(&w->main);
-	w->config_bytes = 0;
-	g_ptr_array_set_size(w->changes, 0);
 	g_hash_table_remove_all(w->reported);
 	w->removal_due_us = 0;
 }
@@ -190,15 +194,27 @@
 	return n->watch->node_count;
 }
 
-void watch_request_config(struct watch *w, u64 have)
+/* Requests the rest of the configuration of which the node has a part, or the changes since HAVE.
+ */
+static void send_watch(struct watch *w, u64 have)
 {
+	struct config_request q = { .number = ++w->request, .revision = have };
 	FRAME_AUTO(f, CTL_WATCH);
 
-	frame_put_u64(&f, have);
+	config_receive_describe(&w->receive, &q);
+	if (q.received)
+		q.revision = q.stream.from;
+	config_request_put(&f, &q);
 	link_send(w->main.link, &f);
 	w->requested_us = loop_clock_us();
 }
 
+void watch_request_config(struct watch *w, u64 have)
+{
+	config_receive_drop(&w->receive);
+	send_watch(w, have);
+}
+
 /* Applies a view's entry; IS_DROPPED when control replaced it by another one in the view. */
 static void apply_entry(struct watch *w, const struct dir_entry *e, bool is_dropped)
 {
@@ -310,7 +326,7 @@
 	/* A new version makes this control process accept the entry. */
 	w->node->dir_entry.version++;
 	watch_register(w->node);
-	watch_request_config(w, config_revision());
+	send_watch(w, config_revision());
 	resend_subscriptions(w);
 	log_event(LOG_INFO, "control link up", "control", k->remote.name, "fresh",
 		  w->main.last_fresh_us ? "yes" : "no", NULL);
@@ -365,7 +381,8 @@
 
 	if (frame_done(in))
 		return ERR_INVAL;
-	record_word(s, MIN(sent, now), now);
+	sent = MIN(sent, now);
+	record_word(s, sent, now);
 	is_fresh = is_fresh && revision >= config_revision();
 	if (s == &s->w->trial)
 		finish_trial(s->w, is_fresh, now);
@@ -432,60 +449,106 @@
 	return frame_done(in);
 }
 
-static int on_config_frame(struct watch *w, u32 type, struct frame_in *in)
+static void on_stream_begin(void *arg)
 {
-	u64 from = config_revision();
-	int err = watch_config_frame(w, type, in);
+	watch_config_begin(arg);
+}
 
-	if (config_revision() == from)
-		return err;
+static int on_stream_frame(void *arg, u32 type, struct frame_in *in)
+{
+	if (type != CTL_CONFIG && type != CTL_SET_DELTA)
+		return ERR_INVAL;
+	return watch_config_frame(arg, type, in);
+}
+
+static const struct config_receive_ops receive_ops = { .begin = on_stream_begin,
+						       .frame = on_stream_frame };
+
+static void send_ack(struct watch *w)
+{
+	FRAME_AUTO(f, CTL_CONFIG_ACK);
+
+	frame_put_u64(&f, w->request);
+	frame_put_u64(&f, w->receive.received);
+	link_send(w->main.link, &f);
+}
+
+static void log_received(struct watch *w, const struct config_part *p)
+{
 	log_event(LOG_INFO, "configuration received", "control", w->main.link->remote.name, "from",
-		  log_u64(from), "to", log_u64(config_revision()), "kind",
-		  type == CTL_SET_DELTA ? "delta" : "whole", "bytes", log_u64(w->config_bytes),
-		  "requested_age_us", log_u64(loop_clock_us() - w->requested_us), NULL);
-	w->config_bytes = 0;
-	return err;
+		  log_u64(p->stream.from), "to", log_u64(p->stream.to), "bytes", log_u64(p->total),
+		  "requested_age_us", log_u64(loop_clock_us() - w->requested_us), "revision",
+		  log_u64(config_revision()), NULL);
 }
 
-static int on_compressed(struct control_link *s, struct frame_in *in);
+/* The stream is complete. If it is not in force, the whole configuration is requested. */
+static void finish_stream(struct watch *w, const struct config_part *p)
+{
+	log_received(w, p);
+	if (config_revision() >= p->stream.to)
+		return;
+	log_event(LOG_WARN, "a configuration is not in force; requesting the whole one", "revision",
+		  log_u64(p->stream.to), "have", log_u64(config_revision()), NULL);
+	watch_request_config(w, 0);
+}
+
+/* The stream that begins with P takes the place of one that is not complete. */
+static void log_superseded(struct watch *w, const struct config_part *p)
+{
+	if (p->offset || !unfinished_bytes(w))
+		return;
+	ctr_inc(CTR_CONFIG_UNFINISHED);
+	log_event(LOG_INFO, "unfinished configuration dropped", "to", log_u64(w->receive.stream.to),
+		  "bytes", log_u64(w->receive.received), "of", log_u64(w->receive.total), "next",
+		  log_u64(p->stream.to), NULL);
+}
+
+static int on_config_part(struct control_link *s, struct frame_in *in)
+{
+	struct watch *w = s->w;
+	struct config_part p;
+	int err = config_part_get(in, &p);
+
+	/* Parts for an earlier request may still be on their way. */
+	if (!err && (s != &w->main || p.request != w->request))
+		return 0;
+	if (!err) {
+		ctr_add(CTR_CONFIG_BYTES, p.len);
+		log_superseded(w, &p);
+		err = config_receive_part(&w->receive, &p);
+	}
+	if (err) {
+		log_event(LOG_WARN, "part of a configuration refused", "control",
+			  s->candidate->at.host, "error", err_text(err), NULL);
+		return err;
+	}
+	if (p.request != w->request)
+		return 0;
+	send_ack(w);
+	if (config_receive_is_complete(&w->receive))
+		finish_stream(w, &p);
+	return 0;
+}
 
 static int on_message(struct control_link *s, u32 type, struct frame_in *in)
 {
 	switch (type) {
-	case CTL_CONFIG:
-	case CTL_SET_DELTA:
-		return on_config_frame(s->w, type, in);
+	case CTL_CONFIG_PART:
+		return on_config_part(s, in);
 	case CTL_VIEW:
 		return on_view(s->w, in);
 	case CTL_FRESHNESS:
 		return on_fresh(s, in);
 	case CTL_MEMBERS:
 		return on_members(s->w, in);
-	case CTL_COMPRESSED:
-		return on_compressed(s, in);
 	default:
 		return ERR_INVAL;
 	}
 }
 
-static int on_compressed(struct control_link *s, struct frame_in *in)
-{
-	struct frame_in inner;
-	u32 type;
-	g_autoptr(GByteArray) bytes = ctl_inflate(in, &inner, &type);
-
-	return bytes ? on_message(s, type, &inner) : ERR_INVAL;
-}
-
 static int on_frame(struct link *k, u32 type, struct frame_in *in)
 {
-	struct control_link *s = k->arg;
-
-	if (type == CTL_CONFIG || type == CTL_SET_DELTA || type == CTL_COMPRESSED) {
-		s->w->config_bytes += in->len;
-		ctr_add(CTR_CONFIG_BYTES, in->len);
-	}
-	return on_message(s, type, in);
+	return on_message(k->arg, type, in);
 }
 
 static void on_up(struct link *k)
@@ -634,6 +697,7 @@
 	w->main.w = w;
 	w->trial.w = w;
 	w->changes = g_ptr_array_new_with_free_func(config_change_free);
+	config_receive_init(&w->receive, &receive_ops, w);
 	w->reported = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	w->subscriptions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	w->candidates = g_ptr_array_new_with_free_func(g_free);
@@ -654,5 +718,6 @@
 	g_hash_table_unref(w->reported);
 	g_hash_table_unref(w->subscriptions);
 	g_ptr_array_unref(w->changes);
+	config_receive_clear(&w->receive);
 	g_clear_pointer(&n->watch, g_free);
 }
--- a/node/watch_config.c
+++ b/node/watch_config.c
@@ -92,6 +92,11 @@
 	return 0;
 }
 
+void watch_config_begin(struct watch *w)
+{
+	g_ptr_array_set_size(w->changes, 0);
+}
+
 int watch_config_frame(struct watch *w, u32 type, struct frame_in *in)
 {
 	return type == CTL_CONFIG ? on_config(w, in) : on_set_delta(w, in);
--- a/node/watch_impl.h
+++ b/node/watch_impl.h
@@ -6,6 +6,7 @@
 #ifndef WATCH_IMPL_H
 #define WATCH_IMPL_H
 
+#include "node/config_receive.h"
 #include "node/node.h"
 #include "wire/ctl.h"
 
@@ -34,7 +35,8 @@
 	u32 node_count; /* in the directory */
 	GPtrArray *changes; /* of struct config_change, collected until the last frame */
 	u64 requested_us; /* when the configuration was last requested */
-	u64 config_bytes; /* of the configuration that is being received */
+	u64 request; /* number of the last request for the configuration */
+	struct config_receive receive;
 	bool was_linked;
 };
 
@@ -44,7 +46,13 @@
  */
 int watch_config_frame(struct watch *w, u32 type, struct frame_in *in);
 
-/* watch_request_config - requests the changes since revision HAVE; 0 requests the whole. */
+/* watch_config_begin - drops what was collected of a configuration that is not complete. */
+void watch_config_begin(struct watch *w);
+
+/*
+ * watch_request_config - drops the rest of the configuration that is being received, and requests
+ * the changes since revision HAVE; 0 requests the whole.
+ */
 void watch_request_config(struct watch *w, u64 have);
 
 /* watch_send_renew - reports the revision in force. */
--- a/wire/ctl.h
+++ b/wire/ctl.h
@@ -1,13 +1,13 @@
 /*
  * ctl - frame types exchanged with and between control processes
  *
- * node to control:    CTL_REGISTER, CTL_RENEW, CTL_WATCH, CTL_SUBSCRIBE
- * control to node:    CTL_CONFIG, CTL_SET_DELTA, CTL_VIEW, CTL_FRESHNESS, CTL_MEMBERS,
- *                     CTL_COMPRESSED
+ * node to control:    CTL_REGISTER, CTL_RENEW, CTL_WATCH, CTL_SUBSCRIBE, CTL_CONFIG_ACK
+ * control to node:    CTL_CONFIG_PART, CTL_VIEW, CTL_FRESHNESS, CTL_MEMBERS
+ * inside CTL_CONFIG_PART: CTL_CONFIG, CTL_SET_DELTA
  * control to control: CTL_RAFT, CTL_DIRECTORY, CTL_HEARTBEAT, CTL_FORWARD,
  *                     CTL_FORWARD_RESULT, CTL_JOIN, CTL_MEMBERS
  *
- * SOURCE wire/ctl.c (compressed frames)
+ * SOURCE wire/ctl.c
  */
 #ifndef CTL_H
 #define CTL_H
@@ -39,10 +39,11 @@
 enum ctl_type {
 	CTL_REGISTER = LINK_TYPE_FIRST, /* the node's directory entry */
 	CTL_RENEW, /* applied configuration revision */
-	CTL_WATCH, /* configuration revision that the node has */
+	CTL_WATCH, /* what the node has and wants, see wire/config_part.h */
 	CTL_CONFIG, /* revision, is_snapshot, is_last, count, {name, version, revision, is_live,
-		       json} */
-	CTL_SET_DELTA, /* revision, base revision, version, checksum of the text, delta */
+		       json}; inside a stream */
+	CTL_SET_DELTA, /* revision, base revision, version, checksum of the text, delta; inside a
+			  stream */
 	CTL_SUBSCRIBE, /* count, {service}: all services that the node calls */
 	CTL_VIEW, /* nodes in the directory, count, {service sent completely}, count,
 		     {is_dropped, entry} */
@@ -54,24 +55,12 @@
 	CTL_FORWARD_RESULT, /* request id, outcome, result */
 	CTL_MEMBERS, /* count, {host, port}: the members of the group */
 	CTL_JOIN, /* control id, replica id, host, port, is_first: requests membership */
-	CTL_COMPRESSED, /* length, bytes in deflate form: another frame to a node */
+	CTL_CONFIG_PART, /* part of a configuration stream, see wire/config_part.h */
+	CTL_CONFIG_ACK, /* request number, bytes of the stream that were received */
 };
 
 /* ctl_frame_new, ctl_frame_free - a frame on the heap; ctl_frame_free suits GPtrArray. */
 struct frame_out *ctl_frame_new(enum ctl_type type);
 void ctl_frame_free(gpointer frame);
 
-/*
- * ctl_compress - takes FRAME and returns it as a CTL_COMPRESSED frame, or as it is where that gains
- * little.
- */
-struct frame_out *ctl_compress(struct frame_out *frame);
-
-/*
- * ctl_inflate - reads a CTL_COMPRESSED frame. Sets *TYPE and INNER to the frame inside and returns
- * its bytes, which INNER points into. Returns NULL when the frame is damaged, longer than it says,
- * over the limit of a frame, or compressed twice.
- */
-GByteArray *ctl_inflate(struct frame_in *in, struct frame_in *inner, u32 *type);
-
 #endif
