test: a transfer that breaks, and changes during a transfer

A node whose link breaks three times during a transfer gets the rest from the next control process: relayed bytes stay within 10 % and a window for each link.

--- a/test/config_transfer_test.c
+++ b/test/config_transfer_test.c
@@ -146,7 +146,7 @@
 {
 	fake_node_prepare(node);
 	if (g_getenv("TEST_LOG"))
-		log_open(NULL, LOG_DEBUG, LOG_TEXT);
+		log_open(NULL, LOG_INFO, LOG_TEXT);
 	g_array_set_size(node->settings.node.control, 0);
 	for (u32 i = 0; i < CONTROLS; i++) {
 		struct endpoint at = { .host = "127.0.0.1", .port = controls[i].relay_port };
@@ -188,6 +188,83 @@
 		       (u32)((loop_clock_us() - start) / US_PER_MS));
 }
 
+/* Closes the links from nodes to a control process. */
+static void drop_nodes(void *arg)
+{
+	struct control *c = arg;
+
+	while (c->nodes->len) {
+		struct link **first = g_ptr_array_index(c->nodes, 0);
+		struct link *k = *first;
+
+		nodes_on_link_down(c, k);
+		link_close(k);
+	}
+}
+
+/*
+ * Guards against: a node that loses its control process during a transfer begins again with the
+ * next one. The link breaks three times, each time after a quarter of the set.
+ */
+static void test_begins_again_at_next_process(void)
+{
+	g_autofree char *text = set_text(1, ROUTES);
+	u64 bytes = compressed_bytes(text);
+	struct fake_node node;
+	u64 start;
+
+	declare(1, text);
+	start = loop_clock_us();
+	start_node(&node);
+	for (u32 i = 1; i <= 3; i++) {
+		while ((u64)g_atomic_int_get(&narrow.bytes) < i * bytes / 4 &&
+		       loop_clock_us() - start < WAIT_US)
+			g_usleep(US_PER_MS);
+		g_assert_cmpuint(config_revision(), ==, 0);
+		for (u32 j = 0; j < CONTROLS; j++)
+			loop_call(controls[j].control->loop, drop_nodes, controls[j].control);
+	}
+	g_assert_cmpuint(wait_revision(1, start, WAIT_US), ==, 1);
+	g_test_message("%u bytes compressed, %u relayed, in force after %u ms", (u32)bytes,
+		       (u32)g_atomic_int_get(&narrow.bytes),
+		       (u32)((loop_clock_us() - start) / US_PER_MS));
+	/* At most a window is lost with each link; the rest is for greetings and words. */
+	g_assert_cmpuint((u64)g_atomic_int_get(&narrow.bytes), <,
+			 bytes + 3 * CONFIG_WINDOW_BYTES + bytes / 10);
+}
+
+#define CHANGES 8
+#define CHANGE_INTERVAL_US (500 * US_PER_MS)
+
+/*
+ * Guards against: a node whose transfer takes longer than the time between two changes gets none of
+ * them, or only the first one.
+ */
+static void test_changes_during_transfer(void)
+{
+	g_autofree char *first = set_text(1, ROUTES);
+	u64 transfer_us = compressed_bytes(first) * US_PER_S / LINK_BYTES_PER_S;
+	struct fake_node node;
+	u64 start;
+	u64 last;
+
+	declare(1, first);
+	start = loop_clock_us();
+	start_node(&node);
+	for (u64 version = 2; version <= CHANGES; version++) {
+		g_autofree char *text = set_text(version, ROUTES);
+
+		g_usleep(CHANGE_INTERVAL_US);
+		declare(version, text);
+		if (loop_clock_us() - start > transfer_us + ALLOWANCE_US)
+			g_assert_cmpuint(config_revision(), >, 0);
+	}
+	last = loop_clock_us();
+	g_assert_cmpuint(wait_revision(CHANGES, last, transfer_us + ALLOWANCE_US), ==, CHANGES);
+	g_test_message("the last change in force after %u ms",
+		       (u32)((loop_clock_us() - last) / US_PER_MS));
+}
+
 int main(int argc, char **argv)
 {
 	int ret;
@@ -198,6 +275,9 @@
 	for (u32 i = 0; i < CONTROLS; i++)
 		start_control(&controls[i]);
 	g_test_add_func("/config-transfer/large-set-on-narrow-link", test_large_set_on_narrow_link);
+	g_test_add_func("/config-transfer/begins-again-at-next-process",
+			test_begins_again_at_next_process);
+	g_test_add_func("/config-transfer/changes-during-transfer", test_changes_during_transfer);
 	ret = g_test_run();
 	fflush(stdout);
 	_exit(ret); /* the processes still run */
