--- a/test/watch_test.c
+++ b/test/watch_test.c
@@ -29,6 +29,7 @@
 	struct loop_timer timer;
 	u16 port;
 	gint is_fresh;
+	gint word_age_ms; /* of its words of freshness when they are sent */
 	gint watches;
 	u64 request; /* number of the last one */
 	u64 watched_us;
@@ -45,7 +46,7 @@
 
 	frame_put_bool(&f, g_atomic_int_get(&c->is_fresh));
 	frame_put_u64(&f, 1);
-	frame_put_u64(&f, now_us);
+	frame_put_u64(&f, now_us - (u64)g_atomic_int_get(&c->word_age_ms) * US_PER_MS);
 	if (c->link)
 		link_send(c->link, &f);
 	loop_timer_set(c->loop, &c->timer, now_us + FRESH_INTERVAL_US);
@@ -180,6 +181,40 @@
 	g_assert_cmpuint(to->watched_us - began_us, <, MOVE_MAX_US);
 }
 
+/*
+ * Guards against: a word of freshness that waited on its way counts as new, so the node stays with
+ * a control process that was fresh a while ago.
+ */
+static void test_late_word_taken_for_new(void)
+{
+	struct fake_node node;
+	struct fake_control *from;
+	struct fake_control *to;
+	u64 began_us;
+
+	start_control(&controls[0]);
+	start_control(&controls[1]);
+	fake_node_prepare(&node);
+	g_array_set_size(node.settings.node.control, 0);
+	for (guint i = 0; i < G_N_ELEMENTS(controls); i++) {
+		struct endpoint at = { .host = "127.0.0.1", .port = controls[i].port };
+
+		g_array_append_val(node.settings.node.control, at);
+	}
+	fake_node_run(&node);
+	for (u32 i = 0; i < WAIT_MS && !controls[0].watches && !controls[1].watches; i++)
+		g_usleep(US_PER_MS);
+	from = controls[0].watches ? &controls[0] : &controls[1];
+	to = from == &controls[0] ? &controls[1] : &controls[0];
+	began_us = loop_clock_us();
+	g_atomic_int_set(&from->word_age_ms, 2000);
+	wait_watches(to, 1);
+	g_assert_cmpuint(to->watched_us - began_us, <, MOVE_MAX_US);
+	/* Nor does it go back to one whose words are old. */
+	g_usleep(2 * US_PER_S);
+	g_assert_cmpint(g_atomic_int_get(&from->watches), ==, 1);
+}
+
 #define SET_TEXT(version, name)                                                                    \
 	"{\"version\":" version ",\"routes\":[{\"name\":\"" name                                   \
 	"\",\"host\":\"h.example\",\"prefix\":\"/\",\"repeat\":\"always\",\"timeout_ms\":1000,"    \
@@ -399,6 +434,7 @@
 
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/watch/moves-to-process-tried-before", test_moves_to_process_tried_before);
+	g_test_add_func("/watch/late-word-taken-for-new", test_late_word_taken_for_new);
 	g_test_add_func("/watch/set-delta", test_set_delta);
 	g_test_add_func("/watch/compressed-set", test_compressed_set);
 	g_test_add_func("/watch/first-call-of-a-service", test_first_call_of_a_service);
