watch: a control process is fresh from when its word was sent

What callers saw: a node that got a word late counted it as new, so it could stay with a control process 0.7 s longer than the word had been on its way; behind bulk that was over a second. Cause: the time of arrival was used. The word has the time of sending, converted with the offset of the link's clocks, never later than the true time. A word older than 0.7 s does not make a control process fresh, on a trial neither. When words come late the node sends a PING, since the offset may rest on a slow one.

--- a/node/watch.c
+++ b/node/watch.c
@@ -344,14 +344,15 @@
 		candidate->retry_at_us = now_us + RETRY_INTERVAL_US;
 }
 
-static void finish_trial(struct watch *w, bool is_fresh, u64 now_us)
+/* The control process was fresh at FRESH_US; 0 if it is not. */
+static void finish_trial(struct watch *w, u64 fresh_us, u64 now_us)
 {
 	struct candidate *candidate = w->trial.candidate;
 	bool has_fresh = is_main_fresh(w, now_us);
 	bool is_nearer = !w->main.candidate || candidate->distance < w->main.candidate->distance;
+	bool is_fresh = fresh_us && now_us - fresh_us <= NOT_FRESH_MAX_US;
 
-	if (is_fresh)
-		w->trial.last_fresh_us = now_us;
+	w->trial.last_fresh_us = is_fresh ? fresh_us : 0;
 	if (is_fresh ? !has_fresh || is_nearer : !has_fresh && is_nearer) {
 		promote(w, now_us);
 		return;
@@ -367,6 +368,8 @@
 		log_event(LOG_INFO, "word of freshness late", "control", s->candidate->at.host,
 			  "age_us", log_u64(now_us - sent_us), "bytes_before",
 			  log_u64(bytes_since_word(s)), NULL);
+		/* The offset of the clocks may come from a PING that was slow. */
+		link_ping(s->link);
 	}
 	s->word_sent_us = sent_us;
 	s->word_at_bytes = link_received_bytes(s->link);
@@ -385,9 +388,9 @@
 	record_word(s, sent, now);
 	is_fresh = is_fresh && revision >= config_revision();
 	if (s == &s->w->trial)
-		finish_trial(s->w, is_fresh, now);
+		finish_trial(s->w, is_fresh ? sent : 0, now);
 	else if (is_fresh)
-		s->last_fresh_us = now;
+		s->last_fresh_us = MAX(s->last_fresh_us, sent);
 	return 0;
 }
 
