--- a/test/link_test.c
+++ b/test/link_test.c
@@ -3,6 +3,7 @@
 #include "lib/ctr.h"
 #include "lib/err.h"
 #include "lib/log.h"
+#include "test/fakes/paced_relay.h"
 #include "test/fakes/raw_server.h"
 
 #include <arpa/inet.h>
@@ -35,6 +36,7 @@
 	gint frames;
 	gint downs;
 	gint err;
+	u64 silence_us; /* the longest that was measured */
 	i64 local_us; /* remote_us converted to the local clock */
 	u64 remote_us;
 };
@@ -552,6 +554,57 @@
 	check_deadline(200 * US_PER_MS);
 }
 
+#define BULK_BYTES (1000 * 1000)
+#define NARROW_BYTES_PER_S (2000000 / 8)
+/* Nodes take a peer for silent after 450 ms. */
+#define BULK_SILENCE_MAX_US (400 * US_PER_MS)
+
+static void do_send_bulk(void *arg)
+{
+	struct end *e = arg;
+	g_autofree char *bytes = g_malloc0(BULK_BYTES);
+	FRAME_AUTO(f, TYPE_TEXT);
+
+	frame_put_bin(&f, bytes, BULK_BYTES);
+	g_assert_cmpint(link_send(e->link, &f), ==, 0);
+}
+
+static void do_measure_silence(void *arg)
+{
+	struct end *e = arg;
+
+	if (e->link)
+		e->silence_us = MAX(e->silence_us, link_silence_us(e->link, loop_clock_us()));
+}
+
+/*
+ * Guards against: an end that sends a long frame over a narrow link takes the other one, which
+ * receives it, for silent, and closes the link.
+ */
+static void test_bulk_taken_for_silence(void)
+{
+	static struct paced_link narrow = { .bytes_per_s = NARROW_BYTES_PER_S };
+	struct end a;
+	struct end b;
+
+	start_listener(&a);
+	start(&b);
+	b.port = paced_relay_start(&narrow, a.port);
+	loop_call(b.loop, do_dial, &b);
+	wait_for(&a.ups, 1);
+	wait_for(&b.ups, 1);
+	loop_call(a.loop, do_send_bulk, &a);
+	while (!g_atomic_int_get(&b.frames) && !g_atomic_int_get(&a.downs)) {
+		g_usleep(20 * US_PER_MS);
+		loop_call(a.loop, do_measure_silence, &a);
+	}
+	g_assert_cmpint(a.err, ==, 0);
+	g_assert_cmpint(g_atomic_int_get(&b.frames), ==, 1);
+	g_assert_cmpuint(a.silence_us, <, BULK_SILENCE_MAX_US);
+	stop(&b);
+	stop(&a);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -567,5 +620,6 @@
 	g_test_add_func("/link/connect-refused", test_connect_refused);
 	g_test_add_func("/link/queue-is-bounded", test_queue_is_bounded);
 	g_test_add_func("/link/deadline", test_deadline);
+	g_test_add_func("/link/bulk-taken-for-silence", test_bulk_taken_for_silence);
 	return g_test_run();
 }
