link: an end that receives a long frame says so meanwhile

What callers saw: with bodies or sets over about 500 KB on a link of 2 Mbit/s the sending end closed the link as silent in the middle of the frame (peer-lost, control link down), and took a home for silent after 450 ms with 110 KB. Cause: received bytes made a PING unnecessary, so the receiving end sent nothing, and the PONG it owed waited behind the frame. Evidence: link_test, 1 MB over 2 Mbit/s.

The receiving end sends ALIVE, which has no answer, for each 8 KB received without having sent anything, at most each 100 ms. An idle link and one with short messages carry nothing more. Not a PING: its round-trip time would count the bulk and mislead the choice of a home.

Measured: link_test, the frame arrives, and the silence at the sending end stays under 400 ms.

--- a/kernel/link.c
+++ b/kernel/link.c
@@ -16,6 +16,9 @@
 #define LINK_READ_BYTES (16 * 1024)
 /* A send buffer that has grown beyond this is freed when it is empty. */
 #define LINK_KEEP_BYTES 4096
+/* An end that receives this much without sending anything sends ALIVE, at this interval. */
+#define LINK_BULK_BYTES (8 * 1024)
+#define LINK_ALIVE_INTERVAL_US (100 * US_PER_MS)
 #define LINK_BACKLOG 512
 #define LINK_ID_TEXT_MAX 128
 /* Samples with more than this multiple of the minimum RTT do not update the clock offset. */
@@ -37,6 +40,8 @@
 	bool has_hello;
 	int pending_err; /* closes the link at the next tick */
 	u64 recv_bytes;
+	u64 sent_at_bytes; /* received bytes when something was last sent */
+	u64 last_sent_us;
 	u64 last_recv_us; /* time of the last received data */
 	u64 ping_sent_us; /* time of the first PING since then; 0 if none was sent */
 	u64 ping_interval_us; /* current interval between PINGs */
@@ -247,6 +252,8 @@
 		return handle_ping(k, &in);
 	if (type == LINK_PONG)
 		return handle_pong(k, &in);
+	if (type == LINK_ALIVE)
+		return frame_done(&in);
 	if (!k->is_up)
 		return ERR_INVAL;
 	reset_ping_interval(k);
@@ -298,6 +305,17 @@
 	return err;
 }
 
+/* While a long frame comes in, the other end hears that it is being received. */
+static void show_life(struct link *k, u64 now_us)
+{
+	const struct link_private *p = k->priv;
+	FRAME_AUTO(f, LINK_ALIVE);
+
+	if (k->is_up && p->recv_bytes - p->sent_at_bytes >= LINK_BULK_BYTES &&
+	    now_us - p->last_sent_us >= LINK_ALIVE_INTERVAL_US)
+		send_frame(k, &f);
+}
+
 static int read_some(struct link *k)
 {
 	struct link_private *p = k->priv;
@@ -311,6 +329,7 @@
 	p->recv_bytes += (u64)n;
 	p->last_recv_us = loop_clock_us();
 	p->ping_sent_us = 0;
+	show_life(k, p->last_recv_us);
 	return handle_bytes(k, buf, (size_t)n);
 }
 
@@ -386,6 +405,8 @@
 		loop_timer_set(p->loop, &p->tick, loop_clock_us());
 		return ERR_BUSY;
 	}
+	p->last_sent_us = loop_clock_us();
+	p->sent_at_bytes = p->recv_bytes;
 	drop_sent(p);
 	g_byte_array_append(p->out, (const guint8 *)frame->buf.data, (guint)len);
 	if (!p->is_connecting)
--- a/kernel/link.h
+++ b/kernel/link.h
@@ -4,7 +4,8 @@
  * Both ends send HELLO first. An end that has received nothing for one ping
  * interval sends a PING. It closes the link if the PING is unanswered for
  * LINK_PONG_TIMEOUT_US and nothing was received for LINK_SILENCE_TIMEOUT_US, so
- * a silent network failure is detected. The ping interval is
+ * a silent network failure is detected. An end that receives a long frame sends ALIVE meanwhile, as
+ * its answers to the other's PINGs wait behind that frame. The ping interval is
  * LINK_PING_INTERVAL_MIN_US while the owners send frames, and doubles up to
  * LINK_PING_INTERVAL_MAX_US on an idle link. PONGs carry the remote clock; the
  * offset computed from them makes deadlines comparable on both ends.
@@ -36,7 +37,7 @@
 #define LINK_SEND_QUEUE_MAX_BYTES (64 * 1024 * 1024)
 
 /* Frame types below LINK_TYPE_FIRST are reserved for this module. */
-enum { LINK_HELLO = 1, LINK_PING, LINK_PONG, LINK_TYPE_FIRST = 16 };
+enum { LINK_HELLO = 1, LINK_PING, LINK_PONG, LINK_ALIVE, LINK_TYPE_FIRST = 16 };
 
 enum link_role { LINK_NODE = 1, LINK_CONTROL };
 
