--- a/test/watch_test.c
+++ b/test/watch_test.c
@@ -1,5 +1,6 @@
 /* A node's link to control, tested against fake control processes. */
 #include "control/config_stream.h"
+#include "lib/ctr.h"
 #include "lib/delta.h"
 #include "lib/err.h"
 #include "lib/set.h"
@@ -215,6 +216,35 @@
 	g_assert_cmpint(g_atomic_int_get(&from->watches), ==, 1);
 }
 
+static void do_stall(void *arg)
+{
+	(void)arg;
+	g_usleep(US_PER_S);
+}
+
+/*
+ * Guards against: a node that was busy itself for a while takes its control process for not fresh,
+ * though its words wait to be read.
+ */
+static void test_own_stall_taken_for_old_word(void)
+{
+	struct fake_node node;
+	struct endpoint at = { .host = "127.0.0.1" };
+
+	start_control(&controls[0]);
+	fake_node_prepare(&node);
+	g_array_set_size(node.settings.node.control, 0);
+	at.port = controls[0].port;
+	g_array_append_val(node.settings.node.control, at);
+	fake_node_run(&node);
+	wait_watches(&controls[0], 1);
+	for (u32 i = 0; i < 3; i++) {
+		loop_call(node.node->loop, do_stall, NULL);
+		g_usleep(300 * US_PER_MS);
+		g_assert_cmpuint(ctr_get(CTR_CONTROL_NOT_FRESH), ==, 0);
+	}
+}
+
 #define SET_TEXT(version, name)                                                                    \
 	"{\"version\":" version ",\"routes\":[{\"name\":\"" name                                   \
 	"\",\"host\":\"h.example\",\"prefix\":\"/\",\"repeat\":\"always\",\"timeout_ms\":1000,"    \
@@ -435,6 +465,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/watch/moves-to-process-tried-before", test_moves_to_process_tried_before);
 	g_test_add_func("/watch/late-word-taken-for-new", test_late_word_taken_for_new);
+	g_test_add_func("/watch/own-stall-taken-for-old-word", test_own_stall_taken_for_old_word);
 	g_test_add_func("/watch/set-delta", test_set_delta);
 	g_test_add_func("/watch/compressed-set", test_compressed_set);
 	g_test_add_func("/watch/first-call-of-a-service", test_first_call_of_a_service);
