watch: no check of freshness right after the node itself was busy

What callers saw: nothing by itself; a node that was busy for over 0.7 s counted its control process as not fresh and tried others, which cost links and bytes at the worst moment. Cause: the timer ran before the words that waited in the socket were read. A tick that comes over 100 ms late checks nothing; the next one comes after the words were read. Evidence: watch_test, red before.

--- a/node/watch.c
+++ b/node/watch.c
@@ -650,19 +650,32 @@
 	w->main.last_fresh_us = 0;
 }
 
+/*
+ * Returns whether this tick comes so late that words of control processes wait to be read. The next
+ * one comes after they were, so two in succession are not skipped.
+ */
+static bool has_stalled(struct watch *w, u64 now_us)
+{
+	w->has_stalled = !w->has_stalled && w->tick_due_us && now_us > w->tick_due_us + TICK_US;
+	return w->has_stalled;
+}
+
 static void on_timer(void *arg, u64 now_us)
 {
 	struct watch *w = arg;
 
-	check_main(w, now_us);
-	check_trial(w, now_us);
+	if (!has_stalled(w, now_us)) {
+		check_main(w, now_us);
+		check_trial(w, now_us);
+	}
 	if (is_up(&w->main) && now_us >= w->renew_due_us) {
 		watch_send_renew(w);
 		w->renew_due_us = now_us + CTL_RENEW_INTERVAL_US;
 	}
 	if (w->removal_due_us && now_us >= w->removal_due_us && is_main_fresh(w, now_us))
 		remove_unreported(w);
-	loop_timer_set(w->node->loop, &w->timer, now_us + TICK_US);
+	w->tick_due_us = now_us + TICK_US;
+	loop_timer_set(w->node->loop, &w->timer, w->tick_due_us);
 }
 
 static void add_candidates(struct watch *w)
--- a/node/watch_impl.h
+++ b/node/watch_impl.h
@@ -28,6 +28,8 @@
 	struct control_link trial;
 	GPtrArray *candidates; /* of struct candidate */
 	struct loop_timer timer;
+	u64 tick_due_us;
+	bool has_stalled; /* the last tick came late and checked nothing */
 	u64 renew_due_us;
 	u64 removal_due_us; /* when unreported nodes are removed; 0 when done */
 	GHashTable *reported; /* nodes reported by the main control process */
