--- /dev/null
+++ b/test/join_lib.sh
@@ -0,0 +1,61 @@
+# join_lib - functions for tests of a control group that is founded by seeds
+# Needs API and PEER (ports), bin, dir, the array pid, and wait_lib. Each process has its own loopback
+# address, as a VM has.
+# shellcheck shell=bash disable=SC2154
+
+# start_control I FOUND SEEDS - starts the process at 127.0.0.I
+start_control() {
+	cat >"$dir/$1.ini" <<END
+[cluster]
+name=breizh
+
+[control]
+address=127.0.0.$1
+zone=z$(($1 % 3))
+region=breizh
+data=$dir/data$1
+api_listen=127.0.0.$1:$API
+peer_port=$PEER
+seeds=$3
+found=$2
+losses=2
+END
+	"$bin" serve -c "$dir/$1.ini" >>"$dir/$1.log" 2>&1 &
+	pid[$1]=$!
+}
+
+# end I - kills the process; the data that it has synced survive
+end() {
+	kill -KILL "${pid[$1]}"
+	wait "${pid[$1]}" 2>/dev/null
+	unset "pid[$1]"
+}
+
+status() { curl -s -m 2 "http://127.0.0.$1:$API/v1/status"; }
+voters() { status "$1" | grep -o '"voter":true' | wc -l; }
+has_voters() { [ "$(voters "$1")" = "$2" ]; }
+is_voter() { status "$1" | grep -q "\"address\":\"127.0.0.$2:$PEER\",\"replica\":\"[0-9a-f]*\",\"voter\":true"; }
+is_gone() { ! status "$1" | grep -q "\"address\":\"127.0.0.$2:$PEER\""; }
+leader() { status "$1" | grep -o '"leader":{"id":[0-9]*' | grep -o '[0-9]*$'; }
+
+set_json() {
+	printf '{"version":%s,"routes":[{"name":"r","host":"h.example","prefix":"/%s/","repeat":"never","timeout_ms":1000,"attempts":1,"service":"a"}],"services":[{"name":"a"}]}' "$1" "$2"
+}
+# put I BASE VERSION PATH - prints the response status
+put() {
+	set_json "$3" "$4" | curl -s -m 10 -o "$dir/answer" -w '%{http_code}' -X PUT -H "If-Match: $2" --data-binary @- \
+		"http://127.0.0.$1:$API/v1/set"
+}
+put_succeeds() { [ "$(put "$1" "$2" "$3" "$4")" = 200 ]; }
+get() { curl -s -m 5 "http://127.0.0.$1:$API/v1/set"; }
+is_set() { [ "$(get "$1")" = "$(set_json "$2" "$3")" ]; }
+
+stop_all() {
+	for i in "${!pid[@]}"; do
+		kill -KILL "${pid[$i]}" 2>/dev/null
+	done
+	wait 2>/dev/null
+	[ "$failures" = 0 ] || tail -n 20 "$dir"/*.log
+	rm -rf "$dir"
+}
+trap stop_all EXIT
