upstream: a reset while the request is being sent does not end an answer

Callers saw a success whose body was cut. An upstream answered before it had read a long request, without a length, and reset the connection. The socket reports a reset once: here to the send of the rest of the request, and the read after it then shows a plain close, which ends such a body.

A failed send is now kept with the connection, and a close after it counts as a reset. An answer with a length or in chunks that has come whole still counts.

--- a/node/upstream.c
+++ b/node/upstream.c
@@ -49,6 +49,7 @@
 	u64 answers; /* final answers read so far */
 	size_t buffered_bytes; /* size of the response body being read */
 	bool is_connecting;
+	bool has_send_failed; /* the connection was reset, which a read may show as a plain close */
 	bool has_answer; /* the parser has delivered a whole answer */
 };
 
@@ -175,8 +176,11 @@
 		c->call->is_written = true;
 		n = send(c->fd.fd, c->out->data + c->out_off, c->out->len - c->out_off,
 			 MSG_NOSIGNAL);
-		if (n < 0)
-			break; /* the following read reports the error */
+		if (n < 0) {
+			/* The following read ends the call. */
+			c->has_send_failed = errno != EAGAIN && errno != EINTR;
+			break;
+		}
 		c->out_off += (guint)n;
 	}
 	loop_fd_change(c->u->loop, &c->fd, c->out_off < c->out->len ? EPOLLIN | EPOLLOUT : EPOLLIN);
@@ -358,7 +362,7 @@
 	if (n < 0 && (errno == EAGAIN || errno == EINTR))
 		return;
 	if (n <= 0) {
-		on_eof(c, n < 0);
+		on_eof(c, n < 0 || c->has_send_failed);
 		return;
 	}
 	/* An idle connection has no request that the bytes could answer. */
