http_read: a body whose end is not understood is no body to the close

Callers saw a success for an answer whose head was spoilt: with a Transfer-Encoding other than chunked, http_parser counts the head of an answer as one that states no length, and the body ends with the connection. A body in another encoding was also passed on without its header. An empty Content-Length was refused before too, by http_parser; that no longer rests on it.

Such a message is now malformed, for answers (502) as for requests (400), like one that states two lengths.

--- a/lib/http_read.c
+++ b/lib/http_read.c
@@ -89,18 +89,32 @@
 	return (p->flags & (F_CHUNKED | F_CONTENTLENGTH)) != 0;
 }
 
-/* Given two lengths or encodings, another HTTP parser might choose the other (smuggling). */
+static bool is_chunked_only(const char *encoding)
+{
+	const size_t len = strlen("chunked");
+
+	return !g_ascii_strncasecmp(encoding, "chunked", len) &&
+	       !encoding[len + strspn(encoding + len, " \t")];
+}
+
+/*
+ * Returns whether the body's end is stated in a way that this parser does not understand, as by an
+ * empty length or by an encoding other than chunked, or stated twice: another HTTP parser might
+ * choose the other length (smuggling).
+ */
 static bool is_ambiguous(const struct http_read *r)
 {
 	u32 lengths = 0;
 
 	for (guint i = 0; i < r->msg->headers->len; i++) {
 		const struct http_header *h = g_ptr_array_index(r->msg->headers, i);
+		bool is_encoding = !g_ascii_strcasecmp(h->name, "Transfer-Encoding");
 
-		lengths += !g_ascii_strcasecmp(h->name, "Content-Length") ||
-			   !g_ascii_strcasecmp(h->name, "Transfer-Encoding");
+		if (is_encoding && !is_chunked_only(h->value))
+			return true;
+		lengths += is_encoding || !g_ascii_strcasecmp(h->name, "Content-Length");
 	}
-	return lengths > 1;
+	return lengths > 1 || (lengths && !has_length(&r->parser));
 }
 
 /* These have no body, regardless of their Content-Length. */
--- a/test/cut_answer_test.c
+++ b/test/cut_answer_test.c
@@ -56,6 +56,8 @@
 	  false },
 	{ "GET", NULL, "HTTP/1.1 200 OK\r\nX-Bird: hoopoe\r\nTransfer-Encoding: chunked\r\n\r\n",
 	  "5\r\nhello\r\n6;x=1\r\n hoops\r\n0\r\nX-Trailer: owl\r\n\r\n", "hello hoops", false },
+	{ "GET", NULL, "HTTP/1.1 200 OK\r\nTransfer-Encoding: \t Chunked \r\n\r\n",
+	  "5\r\nhello\r\n0\r\n\r\n", "hello", false },
 	{ "GET", NULL, "HTTP/1.1 200 OK\r\nX-Bird: hoopoe\r\n\r\n", "hello", NULL, true },
 	{ "GET", NULL, "HTTP/1.0 200 OK\r\nX-Bird: hoopoe\r\n\r\n", "hello", NULL, true },
 	{ "GET", NULL, "HTTP/1.0 200 OK\r\nContent-Length: 5\r\n\r\n", "hello", "hello", false },
