test: answers with another id or two ids, known red

An extra answer that names another request counts as the answer to a request that was sent without an id. An answer with two different ids, as a cut head with the next answer behind it has, counts for the first.

--- a/test/dialect_test.c
+++ b/test/dialect_test.c
@@ -54,6 +54,33 @@
 	http_free(refusal);
 }
 
+/* Guards against: a request that was sent without an id gets the answer to another one. */
+static void test_request_without_id(void)
+{
+	struct http_msg *request = make_message(0, NULL, NULL);
+	struct http_msg *other = make_message(200, "Lavenderlead-Attempt-Id", "one");
+	struct http_msg *without_id = make_message(200, NULL, NULL);
+
+	g_assert_false(platform_dialect.is_answer_to(other, request));
+	g_assert_true(platform_dialect.is_answer_to(without_id, request));
+	http_free(request);
+	http_free(other);
+	http_free(without_id);
+}
+
+/* Guards against: a head that was cut, with the next answer's behind it, passes for the first. */
+static void test_two_ids(void)
+{
+	struct http_msg *request = make_message(0, "Lavenderlead-Attempt-Id", "one");
+	struct http_msg *both = make_message(200, "Lavenderlead-Attempt-Id", "one");
+
+	http_add_header(both, "lavenderlead-attempt-id", "two");
+	g_assert_false(platform_dialect.is_answer_to(both, request));
+	g_assert_false(platform_dialect.names_request(both, request));
+	http_free(request);
+	http_free(both);
+}
+
 static void check_names_request(const char *request_id, const char *answer_id, bool expected)
 {
 	const char *name = "Lavenderlead-Attempt-Id";
@@ -167,6 +194,8 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/dialect/not-run", test_not_run);
 	g_test_add_func("/dialect/is-answer-to", test_is_answer_to);
+	g_test_add_func("/dialect/request-without-id", test_request_without_id);
+	g_test_add_func("/dialect/two-ids", test_two_ids);
 	g_test_add_func("/dialect/names-request", test_names_request);
 	g_test_add_func("/dialect/rewritten-headers", test_rewritten_headers);
 	g_test_add_func("/dialect/load", test_load);
