test: a refusal that comes twice between nodes, and a reply that is cut there

A REFUSE frame for an attempt that has ended is dropped as late, whatever it says, and the next attempt of the call goes on. A reply whose body was cut with its link is fetched again by the fence (POST) or ends as unknown (GET). Neither fault can happen between two nodes.

--- a/test/entry_test.c
+++ b/test/entry_test.c
@@ -484,6 +484,66 @@
 	stop();
 }
 
+/* Guards against: a refusal that comes twice also ends the call's next attempt, which runs. */
+static void test_refusal_that_comes_twice(void)
+{
+	u64 late = ctr_get(CTR_LATE_REPLY);
+	struct fake_peer other;
+	struct call_id refused;
+	struct call_id running;
+	struct caller c;
+
+	start();
+	caller_start_call(&c, "POST", "one hoopoe", 0);
+	expect_event(PEER_EVENT_UP);
+	refused = expect_call("one hoopoe");
+	fake_peer_start(&other, true);
+	fake_node_set_directory_entry(&node, other.name, other.self.incarnation, DIR_UP);
+	fake_peer_refuse(&home, refused, CTR_DRAINING, true);
+	peer_event_free(fake_peer_expect(&other, PEER_EVENT_UP));
+	running = peer_event_take_id(fake_peer_expect(&other, PEER_CALL));
+	fake_peer_refuse(&home, refused, CTR_DRAINING, true);
+	fake_peer_refuse(&home, refused, CTR_UPSTREAM_SHED, true);
+	fake_peer_refuse(&home, refused, CTR_UPSTREAM_BROKEN, false);
+	wait_counter(CTR_LATE_REPLY, late + 3);
+	g_assert_cmpuint(running.seq, !=, refused.seq);
+	fake_peer_reply(&other, running, "noted");
+	caller_finish(&c, 200, NULL, "noted");
+	fake_peer_stop(&other);
+	stop();
+}
+
+/* The link breaks within the body of the reply. */
+static void cut_reply(struct caller *c, const char *method, struct call_id *id)
+{
+	start();
+	caller_start_call(c, method, strcmp(method, "POST") ? NULL : "one hoopoe", 0);
+	expect_event(PEER_EVENT_UP);
+	*id = expect_call(NULL);
+	fake_peer_send_reply_head(&home, *id, 10);
+	fake_peer_send_body(&home, *id, "not");
+	fake_peer_close_link(&home);
+}
+
+/* Guards against: a reply whose body was cut between two nodes is passed on as whole. */
+static void test_reply_cut_between_nodes(void)
+{
+	struct call_id id;
+	struct caller c;
+
+	cut_reply(&c, "POST", &id);
+	expect_event(PEER_EVENT_UP);
+	expect_id(PEER_FENCE, id);
+	fake_peer_fenced(&home, id, FENCE_DONE);
+	fake_peer_send_reply_head(&home, id, 5);
+	fake_peer_send_body(&home, id, "noted");
+	caller_finish(&c, 200, NULL, "noted");
+	stop();
+	cut_reply(&c, "GET", &id);
+	caller_finish(&c, 502, "unknown", NULL);
+	stop();
+}
+
 static void block_loop_briefly(void *arg)
 {
 	(void)arg;
@@ -542,6 +602,8 @@
 	g_test_add_func("/entry/half-closed-post", test_half_closed_post);
 	g_test_add_func("/entry/first-call-links-all", test_first_call_links_all);
 	g_test_add_func("/entry/unresponsive-home", test_unresponsive_home);
+	g_test_add_func("/entry/refusal-that-comes-twice", test_refusal_that_comes_twice);
+	g_test_add_func("/entry/reply-cut-between-nodes", test_reply_cut_between_nodes);
 	g_test_add_func("/entry/reset-beside-a-broken-link", test_reset_beside_a_broken_link);
 	ret = g_test_run();
 	fflush(stdout);
--- a/test/fakes/fake_peer.c
+++ b/test/fakes/fake_peer.c
@@ -343,18 +343,32 @@
 	send_message(p, NULL, id, text);
 }
 
-void fake_peer_reply(struct fake_peer *p, struct call_id id, const char *body)
+static void put_reply(struct frame_out *f, struct call_id id, u64 body_len)
 {
-	struct peer_reply reply = { .id = id, .body_len = strlen(body), .msg = http_new() };
-	FRAME_AUTO(f, PEER_REPLY);
+	struct peer_reply reply = { .id = id, .body_len = body_len, .msg = http_new() };
 
 	reply.load.limit = 100;
 	reply.msg->status = 200;
-	peer_reply_put(&f, &reply);
+	peer_reply_put(f, &reply);
 	http_free(reply.msg);
+}
+
+void fake_peer_reply(struct fake_peer *p, struct call_id id, const char *body)
+{
+	FRAME_AUTO(f, PEER_REPLY);
+
+	put_reply(&f, id, strlen(body));
 	send_message(p, &f, id, body);
 }
 
+void fake_peer_send_reply_head(struct fake_peer *p, struct call_id id, u64 body_len)
+{
+	FRAME_AUTO(f, PEER_REPLY);
+
+	put_reply(&f, id, body_len);
+	send_message(p, &f, id, NULL);
+}
+
 void fake_peer_refuse(struct fake_peer *p, struct call_id id, enum ctr reason, bool is_not_run)
 {
 	struct peer_refuse refuse = { .id = id, .is_not_run = is_not_run };
--- a/test/fakes/fake_peer.h
+++ b/test/fakes/fake_peer.h
@@ -66,6 +66,9 @@
 void fake_peer_call(struct fake_peer *p, struct call_id id, const char *method, const char *body,
 		    u64 deadline_us);
 void fake_peer_reply(struct fake_peer *p, struct call_id id, const char *body);
+/* fake_peer_send_reply_head - sends a REPLY with BODY_LEN as its length, but without its body. */
+void fake_peer_send_reply_head(struct fake_peer *p, struct call_id id, u64 body_len);
+
 void fake_peer_refuse(struct fake_peer *p, struct call_id id, enum ctr reason, bool is_not_run);
 void fake_peer_send_id(struct fake_peer *p, enum peer_type type, struct call_id id);
 void fake_peer_fenced(struct fake_peer *p, struct call_id id, enum fence_state state);
