test: an upstream's status that promises not-run without saying so, known red

503, 429 and 408 tell a caller that its request has not run. An upstream that ran the request and answers with one of them, without the statement of a refusal, makes the node give this promise.

--- a/test/earlier_refusal_test.c
+++ b/test/earlier_refusal_test.c
@@ -134,18 +134,23 @@
 	}
 }
 
-static void start(void)
+static void start_with(raw_server_handler serve_one)
 {
 	node.dialect = NULL;
 	fake_node_prepare(&node);
 	node.dialect = &platform_dialect;
 	fake_node_run(&node);
-	raw_server_start(&upstream, serve, NULL);
+	raw_server_start(&upstream, serve_one, NULL);
 	fake_peer_start(&entry, false);
 	fake_peer_dial(&entry, node.settings.node.peer_port);
 	peer_event_free(fake_peer_expect(&entry, PEER_EVENT_UP));
 }
 
+static void start(void)
+{
+	start_with(serve);
+}
+
 /* Sends the call and returns how it ended. */
 static struct peer_event *call(const struct scenario *c, u32 n)
 {
@@ -254,6 +259,44 @@
 	play_moments((struct scenario){ .ids = { "a", "b", "c", "d" } }, false);
 }
 
+/* Runs the request and answers with the scenario's status, without the statement of a refusal. */
+static void serve_unstated(struct raw_server *s, int fd, u32 nth)
+{
+	(void)nth;
+	while (raw_read_request(s, fd)) {
+		g_autofree char *text = g_strdup_printf(
+			"HTTP/1.1 %u No\r\nContent-Length: 0\r\n" ID_HEADER ": a\r\n\r\n",
+			scenario->status);
+
+		raw_write(fd, text);
+	}
+}
+
+/*
+ * Guards against: callers are told that a call has not run, since the upstream's status reads so,
+ * though it does not state it.
+ */
+static void test_status_without_statement(void)
+{
+	static const u16 statuses[] = { 503, 429, 408 };
+	static struct scenario c = { .ids = { "a" } };
+
+	start_with(serve_unstated);
+	scenario = &c;
+	for (size_t i = 0; i < 2 * G_N_ELEMENTS(statuses); i++) {
+		struct peer_event *e;
+
+		c.status = statuses[i / 2];
+		c.method = i % 2 ? "GET" : "POST";
+		fake_node_announce_upstream(&node, upstream.port, 4);
+		e = call(&c, 1);
+		g_test_message("%s status %u", c.method, c.status);
+		g_assert_cmpint(e->type, ==, PEER_REFUSE);
+		g_assert_false(e->is_not_run);
+		peer_event_free(e);
+	}
+}
+
 /* Guards against: an overloaded upstream that refuses at once, before it reads an id, gives 502. */
 static void test_first_without_id_counts(void)
 {
@@ -285,6 +328,7 @@
 	g_test_add_func("/earlier-refusal/without-id", test_without_id);
 	g_test_add_func("/earlier-refusal/same-id-again", test_same_id_again);
 	g_test_add_func("/earlier-refusal/without-id-after-answers", test_without_id_after_answers);
+	g_test_add_func("/earlier-refusal/status-without-statement", test_status_without_statement);
 	g_test_add_func("/earlier-refusal/first-without-id-counts", test_first_without_id_counts);
 	ret = g_test_run();
 	fflush(stdout);
