home: a status that promises not-run needs the upstream's statement

Callers take 503, 429 and 408 for a guarantee that their request has not run and never will, and send it again. An upstream that had run a request and answered with one of them, without the header that states a refusal, made the node give that guarantee. Such a call now ends with an unknown outcome (refusal-unstated, 502), so what may be repeated goes elsewhere. 421 stays as it was: another instance than the expected one answers so.

Evidence: /earlier-refusal/status-without-statement, red before, green now.

--- a/lib/ctr_list.h
+++ b/lib/ctr_list.h
@@ -34,6 +34,8 @@
     "the upstream closed or broke the connection after the request was written")
 CTR(ANSWER_UNCERTAIN, "answer-uncertain",
     "the upstream's answer names no request and may belong to an earlier one")
+CTR(REFUSAL_UNSTATED, "refusal-unstated",
+    "the upstream's status reads as not-run, but the answer doesn't state it")
 CTR(UPSTREAM_SHORT, "upstream-short", "the upstream body ended before its announced length")
 CTR(UPSTREAM_TIMEOUT, "upstream-timeout", "the upstream did not answer before the deadline")
 CTR(PEER_LOST, "peer-lost", "the link to the home node broke during the call")
--- a/node/dialect.h
+++ b/node/dialect.h
@@ -76,6 +76,11 @@
 	bool (*names_request)(const struct http_msg *answer, const struct http_msg *request);
 	/* is_not_run - whether the upstream guarantees that the request never runs. */
 	bool (*is_not_run)(const struct http_msg *answer);
+	/*
+	 * is_unstated_refusal - whether callers take the status as a guarantee that the request
+	 * never runs, which the upstream does not give.
+	 */
+	bool (*is_unstated_refusal)(const struct http_msg *answer);
 	/*
 	 * is_refused_below - whether a node refused a nested call of the upstream, after making
 	 * its own attempts.
--- a/node/home.c
+++ b/node/home.c
@@ -250,6 +250,8 @@
 		mark_upstream_lost(n, CTR_UPSTREAM_REFUSED);
 	if (not_run != CTR_COUNT)
 		refuse_not_run(n, j, not_run);
+	else if (!call->err && n->dialect->is_unstated_refusal(call->reply))
+		report_unknown_outcome(n, j, CTR_REFUSAL_UNSTATED);
 	else if (!call->err)
 		deliver_reply(n, j);
 	else if (!call->is_written)
