--- a/test/cut_answer_test.c
+++ b/test/cut_answer_test.c
@@ -261,6 +261,39 @@
 	teardown();
 }
 
+/* On the first connection, answers before it has read the body, and reads on. */
+static void serve_early(struct raw_server *s, int fd, u32 nth)
+{
+	char buf[65536];
+
+	if (nth == 2) {
+		if (raw_read_request(s, fd))
+			raw_write(fd, WHOLE);
+		return;
+	}
+	g_assert_cmpint(recv(fd, buf, 16, 0), >, 0);
+	raw_write(fd, WHOLE);
+	g_usleep(PAUSE_US);
+	while (recv(fd, buf, sizeof(buf), 0) > 0)
+		;
+}
+
+/* Guards against: a request is written where the upstream still expects the last one's body. */
+static void test_answer_before_whole_request(void)
+{
+	setup(serve_early);
+	g_byte_array_set_size(fixture.request->body, LONG_BODY_BYTES);
+	memset(fixture.request->body->data, 'x', LONG_BODY_BYTES);
+	check_run("POST", 0);
+	http_free(fixture.call.reply);
+	g_byte_array_set_size(fixture.request->body, 0);
+	check_run("POST", 0);
+	g_assert_cmpmem(fixture.call.reply->body->data, fixture.call.reply->body->len, "own", 3);
+	http_free(fixture.call.reply);
+	g_assert_cmpint(g_atomic_int_get(&fixture.server.requests), ==, 1);
+	teardown();
+}
+
 /* Heads whose length or encoding can't be understood, for instance because they are spoilt. */
 static const struct answer unclear[] = {
 	{ "GET", NULL, "HTTP/1.1 200 OK\r\nContent-Length:\r\nX-Bird: owl\r\n\r\n", "hello", NULL,
@@ -301,6 +334,8 @@
 	g_test_add_func("/cut-answer/every-byte", test_every_byte);
 	g_test_add_func("/cut-answer/every-byte-reset", test_every_byte_reset);
 	g_test_add_func("/cut-answer/reset-while-sending", test_reset_while_sending);
+	g_test_add_func("/cut-answer/answer-before-whole-request",
+			test_answer_before_whole_request);
 	g_test_add_func("/cut-answer/unclear-length", test_unclear_length);
 	return g_test_run();
 }
