node: what it costs to bring a configuration into force is logged

A node logs the frames of a revision, the time since the first one, the time that its loop spent on them and the longest turn.

--- a/lib/ctr_list.h
+++ b/lib/ctr_list.h
@@ -80,6 +80,7 @@
 CTR(FRAME_TOO_LARGE, "frame-too-large", "links closed because a frame was over the limit")
 /* Configuration received by the node. */
 CTR(CONFIG_APPLIED, "config-applied", "configuration revisions applied")
+CTR(CONFIG_BYTES, "config-bytes", "bytes of routes and services that were decoded")
 CTR(CONFIG_STALE, "config-stale", "configuration messages ignored because their revision is lower")
 CTR(CONTROL_MOVED, "control-moved", "changes of the control process the node watches")
 CTR(CONTROL_NOT_FRESH, "control-not-fresh", "control processes left because they are not fresh")
--- a/node/config.c
+++ b/node/config.c
@@ -172,6 +172,8 @@
 	FINDINGS_AUTO(found);
 	struct set *set = NULL;
 
+	if (change->json)
+		ctr_add(CTR_CONFIG_BYTES, strlen(change->json));
 	if (change->json)
 		set = set_parse(change->json, strlen(change->json), &found);
 	if (change->json && !set) {
@@ -201,6 +203,7 @@
 	g_hash_table_remove(c->by_name, change->name);
 	if (!change->json)
 		return;
+	ctr_add(CTR_CONFIG_BYTES, strlen(change->json));
 	res = res_parse(change->json, strlen(change->json), &found);
 	if (!res) {
 		log_event(LOG_ERROR, "service in the configuration is invalid", "service",
--- a/node/watch.c
+++ b/node/watch.c
@@ -50,19 +50,21 @@
 	u64 nearer_retry_at_us; /* the same while it is fresh, to find a nearer one */
 };
 
+static bool is_up(const struct control_link *s)
+{
+	return s->link && s->link->is_up;
+}
+
 void watch_send_renew(struct watch *w)
 {
 	FRAME_AUTO(f, CTL_RENEW);
 
+	if (!is_up(&w->main))
+		return;
 	frame_put_u64(&f, config_revision());
 	link_send(w->main.link, &f);
 }
 
-static bool is_up(const struct control_link *s)
-{
-	return s->link && s->link->is_up;
-}
-
 void watch_register(struct node *n)
 {
 	struct watch *w = n->watch;
@@ -169,6 +171,8 @@
 {
 	FRAME_AUTO(f, CTL_WATCH);
 
+	if (!is_up(&w->main))
+		return;
 	frame_put_u64(&f, have);
 	link_send(w->main.link, &f);
 }
--- a/node/watch_config.c
+++ b/node/watch_config.c
@@ -92,7 +92,36 @@
 	return 0;
 }
 
+static void log_work(const struct config_work *work, u64 now_us)
+{
+	log_event(LOG_INFO, "configuration in force", "revision", log_u64(config_revision()),
+		  "frames", log_u64(work->frames), "time_us", log_u64(now_us - work->began_us),
+		  "busy_us", log_u64(work->busy_us), "longest_us", log_u64(work->longest_us), NULL);
+}
+
+static void count_work(struct config_work *work, u64 began_us, u64 now_us)
+{
+	u64 took_us = now_us - began_us;
+
+	if (!work->began_us)
+		work->began_us = began_us;
+	work->frames++;
+	work->busy_us += took_us;
+	work->longest_us = MAX(work->longest_us, took_us);
+}
+
 int watch_config_frame(struct watch *w, u32 type, struct frame_in *in)
 {
-	return type == CTL_CONFIG ? on_config(w, in) : on_set_delta(w, in);
+	struct config_work *work = &w->config_work;
+	u64 began_us = loop_clock_us();
+	u64 revision = config_revision();
+	int err = type == CTL_CONFIG ? on_config(w, in) : on_set_delta(w, in);
+	u64 now_us = loop_clock_us();
+
+	count_work(work, began_us, now_us);
+	if (config_revision() != revision) {
+		log_work(work, now_us);
+		*work = (struct config_work){ 0 };
+	}
+	return err;
 }
--- a/node/watch_impl.h
+++ b/node/watch_impl.h
@@ -19,6 +19,14 @@
 	u64 last_fresh_us; /* when the control process was last fresh; 0 if never */
 };
 
+/* What the revision that is being received has cost so far. */
+struct config_work {
+	u64 began_us; /* when its first frame arrived; 0 between revisions */
+	u32 frames;
+	u64 busy_us; /* time spent in handling them */
+	u64 longest_us; /* the longest time spent in one frame */
+};
+
 struct watch {
 	struct node *node;
 	struct control_link main;
@@ -31,6 +39,7 @@
 	GHashTable *subscriptions; /* service -> whether its upstreams were received */
 	u32 node_count; /* in the directory */
 	GPtrArray *changes; /* of struct config_change, collected until the last frame */
+	struct config_work config_work;
 	bool was_linked;
 };
 
