test: a set of many routes holds up the calls of a node

/config-size/large-set-holds-up-calls gives a node a set of 6,000 routes, as control makes its frames, and bounds what one turn of the node's loop decodes and how long it takes: 16 KB, 5 ms of processor time (50 ms at 0.1 of a core). /config-size/one-route-costs-whole-set bounds what a change of one route costs in all: 1 KB, 5 ms.

test/fakes/fake_config makes the frames of a set without links.

--- /dev/null
+++ b/test/config_size_test.c
@@ -0,0 +1,98 @@
+/* What a node spends in one turn of its loop, and in all, on a set of many routes. */
+#include "node/config.h"
+#include "test/fakes/fake_config.h"
+#include "test/fakes/fake_node.h"
+
+#include <stdio.h>
+#include <unistd.h>
+
+#define ROUTES 6000
+#define CHANGED_ROUTE 77
+#define NO_ROUTE UINT32_MAX
+#define TIMEOUT_MS 1000
+/* Times that a change is measured; the shortest counts, as the machine may be busy. */
+#define ROUNDS 5
+/*
+ * Calls may be held up for this long: 50 ms at a node that has 0.1 of a core. Parsing JSON took
+ * 60 ns a byte, so that a turn may decode 80 KB at most; a fifth of it leaves room for slow
+ * machines.
+ */
+#define TURN_MAX_US (5 * US_PER_MS)
+#define TURN_MAX_BYTES (16 * 1024)
+/* A change costs what has changed: a route of less than 200 bytes, and the frames around it. */
+#define CHANGE_MAX_BYTES 1024
+
+static struct fake_config control;
+static struct fake_node node;
+static struct fake_config_cost cost;
+
+static void do_give(void *arg)
+{
+	(void)arg;
+	fake_config_give(&control, node.node->watch, &cost);
+}
+
+static void do_reset(void *arg)
+{
+	(void)arg;
+	config_reset();
+}
+
+static void start(void)
+{
+	fake_node_start(&node);
+	loop_call(node.node->loop, do_reset, NULL);
+	fake_config_init(&control);
+}
+
+/* Declares the set of VERSION and gives it to the node; sets COST. */
+static void change(u32 version, u32 changed, u32 timeout_ms)
+{
+	g_autofree char *text = fake_config_text(version, ROUTES, changed, timeout_ms);
+
+	fake_config_replace(&control, version, text);
+	loop_call(node.node->loop, do_give, NULL);
+}
+
+/* Guards against: a node answers no calls while it takes in a set of many routes. */
+static void test_large_set_holds_up_calls(void)
+{
+	u64 longest_us = UINT64_MAX;
+
+	start();
+	for (u32 i = 0; i < ROUNDS; i++) {
+		change(i + 1, NO_ROUTE, TIMEOUT_MS + i * 10);
+		g_assert_cmpuint(cost.longest_plain_bytes, <=, TURN_MAX_BYTES);
+		g_assert_cmpuint(cost.most_decoded_bytes, <=, TURN_MAX_BYTES);
+		longest_us = MIN(longest_us, cost.longest_us);
+	}
+	g_assert_cmpuint(longest_us, <=, TURN_MAX_US);
+}
+
+/* Guards against: a change of one route costs each node as much as all routes. */
+static void test_one_route_costs_whole_set(void)
+{
+	u64 busy_us = UINT64_MAX;
+
+	start();
+	change(1, NO_ROUTE, TIMEOUT_MS);
+	for (u32 i = 0; i < ROUNDS; i++) {
+		change(i + 2, i % 2 ? NO_ROUTE : CHANGED_ROUTE, TIMEOUT_MS);
+		g_assert_cmpuint(cost.plain_bytes, <=, CHANGE_MAX_BYTES);
+		g_assert_cmpuint(cost.decoded_bytes, <=, CHANGE_MAX_BYTES);
+		busy_us = MIN(busy_us, cost.busy_us);
+	}
+	g_assert_cmpuint(busy_us, <=, TURN_MAX_US);
+}
+
+int main(int argc, char **argv)
+{
+	int ret;
+
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/config-size/large-set-holds-up-calls", test_large_set_holds_up_calls);
+	g_test_add_func("/config-size/one-route-costs-whole-set", test_one_route_costs_whole_set);
+	ret = g_test_run();
+	fflush(stdout);
+	_exit(ret); /* the node still runs */
+}
--- /dev/null
+++ b/test/fakes/fake_config.c
@@ -0,0 +1,118 @@
+#include "test/fakes/fake_config.h"
+
+#include "lib/set.h"
+#include "node/config.h"
+
+#include <string.h>
+#include <time.h>
+
+#define HOSTS 7
+#define SERVICES 20
+
+void fake_config_init(struct fake_config *c)
+{
+	memset(c, 0, sizeof(*c));
+	store_init(&c->store);
+}
+
+void fake_config_clear(struct fake_config *c)
+{
+	config_frames_clear(&c->frames);
+	store_clear(&c->store);
+}
+
+char *fake_config_text(u32 version, u32 routes, u32 changed, u32 timeout_ms)
+{
+	GString *text = g_string_new(NULL);
+
+	g_string_append_printf(text, "{\"version\":%u,\"routes\":[", version);
+	for (u32 i = 0; i < routes; i++)
+		g_string_append_printf(
+			text,
+			"%s{\"name\":\"route-%u\",\"host\":\"h%u.example\",\"prefix\":\"/%x/\","
+			"\"service\":\"service-%u\",\"repeat\":\"%s\",\"attempts\":3,"
+			"\"timeout_ms\":%u,\"target_ms\":250,\"priority\":%u}",
+			i ? "," : "", i, i % HOSTS, i * 2654435761u, i % SERVICES,
+			i % 3 ? "always" : "never", i == changed ? timeout_ms + 1 : timeout_ms,
+			i % 4);
+	g_string_append(text, "],\"services\":[");
+	for (u32 i = 0; i < SERVICES; i++)
+		g_string_append_printf(text, "%s{\"name\":\"service-%u\"}", i ? "," : "", i);
+	g_string_append(text, "]}");
+	return g_string_free(text, FALSE);
+}
+
+void fake_config_replace(struct fake_config *c, u64 version, const char *text)
+{
+	struct store_change change = { .op = STORE_SET,
+				       .name = (char *)SET_NAME,
+				       .change_id = (char *)"",
+				       .json = (char *)text,
+				       .version = version,
+				       .has_if_match = true,
+				       .if_match = version - 1 };
+	g_autoptr(GBytes) command = store_change_pack(&change);
+	struct store_result r;
+
+	store_apply(&c->store, command, &r);
+	g_assert_cmpint(r.status / 100, ==, 2);
+}
+
+static u64 cpu_us(void)
+{
+	struct timespec t;
+
+	clock_gettime(CLOCK_THREAD_CPUTIME_ID, &t);
+	return (u64)t.tv_sec * US_PER_S + (u64)t.tv_nsec / 1000;
+}
+
+static size_t handle(struct watch *w, u32 type, struct frame_in *in)
+{
+	g_assert_cmpint(watch_config_frame(w, type, in), ==, 0);
+	return in->len;
+}
+
+/* Returns the bytes of the frame after it is inflated. */
+static size_t give_frame(struct watch *w, struct frame_out *f)
+{
+	g_autoptr(GByteArray) bytes = NULL;
+	struct frame_in inner;
+	struct frame_in in;
+	u32 type;
+
+	frame_in_init(&in, f->buf.data + FRAME_HEADER_BYTES, frame_end(f) - FRAME_HEADER_BYTES);
+	type = (u32)frame_get_u64(&in);
+	if (type != CTL_COMPRESSED)
+		return handle(w, type, &in);
+	bytes = ctl_inflate(&in, &inner, &type);
+	g_assert_nonnull(bytes);
+	return handle(w, type, &inner);
+}
+
+static void count_frame(struct watch *w, struct frame_out *f, struct fake_config_cost *cost)
+{
+	u64 decoded_before = ctr_get(CTR_CONFIG_BYTES);
+	u64 began_us = cpu_us();
+	size_t plain = give_frame(w, f);
+	u64 took_us = cpu_us() - began_us;
+	u64 decoded = ctr_get(CTR_CONFIG_BYTES) - decoded_before;
+
+	cost->frames++;
+	cost->link_bytes += f->buf.size;
+	cost->plain_bytes += plain;
+	cost->longest_plain_bytes = MAX(cost->longest_plain_bytes, plain);
+	cost->decoded_bytes += decoded;
+	cost->most_decoded_bytes = MAX(cost->most_decoded_bytes, decoded);
+	cost->busy_us += took_us;
+	cost->longest_us = MAX(cost->longest_us, took_us);
+}
+
+void fake_config_give(struct fake_config *c, struct watch *w, struct fake_config_cost *cost)
+{
+	const GPtrArray *frames = config_frames_get(&c->frames, &c->store, config_revision());
+
+	memset(cost, 0, sizeof(*cost));
+	for (guint i = 0; i < frames->len; i++)
+		count_frame(w, g_ptr_array_index(frames, i), cost);
+	g_assert_cmpuint(config_revision(), ==, c->store.revision);
+}
--- /dev/null
+++ b/test/fakes/fake_config.h
@@ -0,0 +1,44 @@
+/*
+ * fake_config - control's part of a configuration, without links: a store and the frames made of it
+ *
+ * SOURCE test/fakes/fake_config.c
+ */
+#ifndef FAKE_CONFIG_H
+#define FAKE_CONFIG_H
+
+#include "control/config_frames.h"
+#include "node/watch_impl.h"
+
+struct fake_config {
+	struct store store;
+	struct config_frames frames;
+};
+
+/* What a node spent on the frames of one difference. */
+struct fake_config_cost {
+	u32 frames;
+	size_t link_bytes;
+	size_t plain_bytes; /* inflated */
+	size_t longest_plain_bytes; /* of one frame */
+	u64 decoded_bytes; /* by the counter config-bytes */
+	u64 most_decoded_bytes; /* in one frame */
+	u64 busy_us; /* processor time */
+	u64 longest_us; /* of one frame */
+};
+
+void fake_config_init(struct fake_config *c);
+void fake_config_clear(struct fake_config *c);
+
+/* fake_config_text - returns a set whose routes have TIMEOUT_MS; CHANGED has 1 ms more. */
+char *fake_config_text(u32 version, u32 routes, u32 changed, u32 timeout_ms);
+
+/* fake_config_replace - declares TEXT as the set of VERSION, which must be one higher. */
+void fake_config_replace(struct fake_config *c, u64 version, const char *text);
+
+/*
+ * fake_config_give - gives W the frames from the revision in force to the newest. Runs on the loop
+ * of the node.
+ */
+void fake_config_give(struct fake_config *c, struct watch *w, struct fake_config_cost *cost);
+
+#endif
