--- a/bench/config_bench.c
+++ b/bench/config_bench.c
@@ -6,7 +6,8 @@
  * Gives a node the frames that control makes of a whole set, of a change of one route, of its
  * return, and of a set whose routes have all changed. Prints for each the bytes on the link, the
  * bytes after they are inflated, the frames, the processor time of all of them and of the longest,
- * which is how long calls wait, and the growth of the heap, in which control's copies are included.
+ * which is how long calls wait, the processor time that control took to make them, and the growth
+ * of the heap, in which control's copies are included.
  */
 #include "node/config.h"
 #include "test/fakes/fake_config.h"
@@ -55,9 +56,9 @@
 
 	fake_config_replace(&control, version, text);
 	loop_call(node.node->loop, give, &c);
-	printf("%-16s %8zu %9zu %6u %8llu %10llu %10.0f\n", name, c.link_bytes, c.plain_bytes,
+	printf("%-16s %8zu %9zu %6u %8llu %10llu %8llu %10.0f\n", name, c.link_bytes, c.plain_bytes,
 	       c.frames, (unsigned long long)c.busy_us, (unsigned long long)c.longest_us,
-	       (double)heap_bytes() - (double)before);
+	       (unsigned long long)c.made_us, (double)heap_bytes() - (double)before);
 }
 
 int main(int argc, char **argv)
@@ -73,7 +74,8 @@
 	fake_node_start(&node);
 	loop_call(node.node->loop, reset, NULL);
 	fake_config_init(&control);
-	printf("%5u routes       on link     plain frames  busy_us longest_us heap_bytes\n",
+	printf("%5u routes       on link     plain frames  busy_us longest_us  made_us "
+	       "heap_bytes\n",
 	       routes);
 	measure("whole", 1, routes, NO_ROUTE, TIMEOUT_MS);
 	measure("one route", 2, routes, CHANGED_ROUTE, TIMEOUT_MS);
--- a/bench/control_bench.c
+++ b/bench/control_bench.c
@@ -110,8 +110,11 @@
 	fflush(stdout);
 }
 
+/* The first frame of a configuration stands for all. */
 static void apply_config(struct bench_node *n, struct frame_in *in)
 {
+	if (frame_get_u64(in) != CTL_CONFIG_BEGIN)
+		return;
 	n->revision = frame_get_u64(in);
 	send_renew(n);
 	print_revision();
--- a/bench/state_bench.c
+++ b/bench/state_bench.c
@@ -14,6 +14,7 @@
 #include "node/call_table.h"
 #include "node/choose.h"
 #include "node/config.h"
+#include "node/config_build.h"
 
 #include <glib.h>
 #include <malloc.h>
@@ -113,17 +114,14 @@
 
 static void fill_config(u32 from, u32 to)
 {
-	g_autoptr(GPtrArray) changes = g_ptr_array_new_with_free_func(config_change_free);
+	struct config_build *b = config_build_new(to, config_revision());
 
 	for (u32 i = from; i < to; i++) {
-		struct config_change *change = g_new0(struct config_change, 1);
+		g_autofree char *json = make_json(i);
 
-		change->name = g_strdup_printf("service-%u", i);
-		change->version = 1;
-		change->json = make_json(i);
-		g_ptr_array_add(changes, change);
+		config_build_declare(b, 1, json);
 	}
-	config_apply(to, false, changes);
+	config_build_publish(b);
 }
 
 static void fill_calls(u32 from, u32 to)
--- a/control/config_frames.c
+++ b/control/config_frames.c
@@ -1,104 +1,177 @@
 #include "control/config_frames.h"
 
-#include "lib/delta.h"
-#include "lib/set.h"
+#include "lib/set_frame.h"
 #include "wire/ctl.h"
 
 #include <string.h>
 
-/* Bounds the items of a CTL_CONFIG frame, to stay below the frame size limit. */
-#define CONFIG_FRAME_BYTES (256 * 1024)
+/* Frames that are being written. */
+struct writer {
+	GPtrArray *frames;
+	struct frame_out *frame; /* the last one; NULL if it is ended */
+	u32 steps; /* in it */
+	const struct set_route *last_route; /* in it */
+};
 
-/* Returns how many items from FROM on fit into one frame; at least one. */
-static guint count_fitting(const GPtrArray *items, guint from)
+static void end_frame(struct writer *w)
 {
-	size_t bytes = 0;
-	guint n = 0;
+	if (w->frame)
+		g_ptr_array_add(w->frames, ctl_compress(g_steal_pointer(&w->frame)));
+	w->steps = 0;
+	w->last_route = NULL;
+}
+
+/* Returns the frame to write the next step into. */
+static struct frame_out *begin_step(struct writer *w, enum ctl_config_step step)
+{
+	if (w->frame &&
+	    (w->steps >= CONFIG_FRAME_STEPS_MAX || w->frame->buf.size >= CONFIG_FRAME_BYTES))
+		end_frame(w);
+	if (!w->frame)
+		w->frame = ctl_frame_new(CTL_CONFIG);
+	w->steps++;
+	frame_put_u64(w->frame, step);
+	return w->frame;
+}
+
+static void put_begin(struct writer *w, u64 revision, u64 base)
+{
+	struct frame_out *f = begin_step(w, CTL_CONFIG_BEGIN);
+
+	frame_put_u64(f, revision);
+	frame_put_u64(f, base);
+}
+
+static void put_declared(struct writer *w, const struct store_item *item)
+{
+	struct frame_out *f = begin_step(w, item->json ? CTL_CONFIG_DECLARE : CTL_CONFIG_UNDECLARE);
+
+	frame_put_str(f, item->name);
+	if (!item->json)
+		return;
+	frame_put_u64(f, item->version);
+	frame_put_str(f, item->json);
+}
+
+static void put_set(struct writer *w, const struct set *s)
+{
+	struct frame_out *f = begin_step(w, CTL_CONFIG_SET);
 
-	while (from + n < items->len && n < CTL_ITEMS_PER_FRAME) {
-		const struct store_item *item = g_ptr_array_index(items, from + n);
+	frame_put_u64(f, s->version);
+	frame_put_u64(f, s->limits.head_bytes);
+	frame_put_u64(f, s->limits.body_bytes);
+	frame_put_u64(f, s->limits.head_timeout_ms);
+	frame_put_u64(f, s->limits.idle_timeout_ms);
+}
+
+static void put_services(struct writer *w, const struct set *s, const GArray *indexes)
+{
+	for (guint i = 0; i < indexes->len; i++)
+		set_service_put(begin_step(w, CTL_CONFIG_SERVICE),
+				g_ptr_array_index(s->services, g_array_index(indexes, u32, i)));
+}
 
-		bytes += strlen(item->name) + (item->json ? strlen(item->json) : 0);
-		if (n && bytes > CONFIG_FRAME_BYTES)
-			break;
-		n++;
+static void put_routes(struct writer *w, const struct set *s, const GArray *indexes)
+{
+	g_autoptr(GPtrArray) routes = g_ptr_array_new();
+
+	for (guint i = 0; i < indexes->len; i++)
+		g_ptr_array_add(routes,
+				g_ptr_array_index(s->routes, g_array_index(indexes, u32, i)));
+	g_ptr_array_sort(routes, set_route_compare);
+	for (guint i = 0; i < routes->len; i++) {
+		const struct set_route *r = g_ptr_array_index(routes, i);
+		struct frame_out *f = begin_step(w, CTL_CONFIG_ROUTE);
+
+		set_route_put(f, r, w->last_route);
+		w->last_route = r;
 	}
-	return n;
 }
 
-static void add_items(GPtrArray *frames, const struct store *s, const GPtrArray *items,
-		      bool is_snapshot)
+static void put_keys(struct writer *w, enum ctl_config_step step, const GArray *keys)
 {
-	guint from = 0;
-
-	do {
-		guint count = count_fitting(items, from);
-		struct frame_out *f = ctl_frame_new(CTL_CONFIG);
-
-		frame_put_u64(f, s->revision);
-		frame_put_bool(f, is_snapshot);
-		frame_put_bool(f, from + count == items->len);
-		frame_put_u64(f, count);
-		for (guint i = from; i < from + count; i++)
-			store_item_put(f, g_ptr_array_index(items, i));
-		g_ptr_array_add(frames, ctl_compress(f));
-		from += count;
-	} while (from < items->len);
+	for (guint i = 0; i < keys->len; i++)
+		frame_put_u64(begin_step(w, step), g_array_index(keys, u64, i));
 }
 
-/*
- * Adds a delta if only the set has changed and its history has a delta since FROM. Returns false if
- * the changes have to be sent in full.
- */
-static bool add_delta(struct config_frames *c, GPtrArray *frames, const struct store *s, u64 from,
-		      const GPtrArray *items)
+/* A service is added before the routes to it, and removed after them. */
+static void put_difference(struct writer *w, const struct set *s, const struct set_difference *d)
 {
-	const struct store_item *set = items->len == 1 ? g_ptr_array_index(items, 0) : NULL;
-	struct frame_out *f;
-	const GArray *ops;
-	u64 checksum;
-
-	if (!set || strcmp(set->name, SET_NAME) || !set->json)
-		return false;
-	ops = set_history_delta(&c->set_history, from, s->revision, &checksum);
-	if (!ops)
-		return false;
-	f = ctl_frame_new(CTL_SET_DELTA);
-	frame_put_u64(f, s->revision);
-	frame_put_u64(f, from);
-	frame_put_u64(f, set->version);
-	frame_put_u64(f, checksum);
-	delta_put(f, ops);
-	g_ptr_array_add(frames, ctl_compress(f));
-	return true;
+	put_set(w, s);
+	put_services(w, s, d->services);
+	put_keys(w, CTL_CONFIG_DROP_ROUTE, d->dropped_routes);
+	put_routes(w, s, d->routes);
+	put_keys(w, CTL_CONFIG_DROP_SERVICE, d->dropped_services);
+}
+
+static void put_end(struct writer *w, const struct set_history *h)
+{
+	struct frame_out *f = begin_step(w, CTL_CONFIG_END);
+
+	frame_put_u64(f, h->checksum);
+	frame_put_u64(f, h->newest ? h->newest->routes->len : 0);
+	frame_put_u64(f, h->newest ? h->newest->services->len : 0);
 }
 
 static GPtrArray *make_frames(struct config_frames *c, const struct store *s, u64 from)
 {
-	GPtrArray *frames = g_ptr_array_new_with_free_func(ctl_frame_free);
+	struct writer w = { .frames = g_ptr_array_new_with_free_func(ctl_frame_free) };
 	const struct store_item *set = store_find(s, SET_NAME);
-	bool is_snapshot;
-	g_autoptr(GPtrArray) items = store_changes_since(s, from, &is_snapshot);
-
-	if (set)
-		set_history_add(&c->set_history, s->revision, set->json);
-	if (is_snapshot || !add_delta(c, frames, s, from, items))
-		add_items(frames, s, items, is_snapshot);
-	return frames;
+	struct set_history *h = &c->set_history;
+	__attribute__((cleanup(set_difference_clear))) struct set_difference difference = { 0 };
+	g_autoptr(GPtrArray) items = NULL;
+	bool is_whole;
+
+	items = store_changes_since(s, from, &is_whole);
+	if (!is_whole && !set_history_compare(h, from, &difference) && set) {
+		g_ptr_array_unref(items);
+		items = store_changes_since(s, 0, &is_whole);
+	}
+	if (is_whole) {
+		set_difference_clear(&difference);
+		set_history_compare(h, 0, &difference);
+	}
+	put_begin(&w, s->revision, is_whole ? 0 : from);
+	for (guint i = 0; i < items->len; i++)
+		if (strcmp(((struct store_item *)g_ptr_array_index(items, i))->name, SET_NAME))
+			put_declared(&w, g_ptr_array_index(items, i));
+	if (set_history_has_changed(h, is_whole ? 0 : from))
+		put_difference(&w, h->newest, &difference);
+	put_end(&w, h);
+	end_frame(&w);
+	return w.frames;
 }
 
-const GPtrArray *config_frames_get(struct config_frames *c, const struct store *s, u64 from)
+/* Returns the entry for FROM, or an unused one. Entries that lead to an older revision are unused.
+ */
+static struct config_frames_entry *find_entry(struct config_frames *c, u64 from, u64 to)
 {
-	struct config_frames_entry *e;
+	struct config_frames_entry *unused = NULL;
 
 	for (u32 i = 0; i < CONFIG_FRAMES_ENTRIES; i++) {
-		e = &c->entries[i];
-		if (e->frames && e->from == from && e->to == s->revision)
-			return e->frames;
+		struct config_frames_entry *e = &c->entries[i];
+
+		if (e->to != to)
+			g_clear_pointer(&e->frames, g_ptr_array_unref);
+		if (e->frames && e->from == from)
+			return e;
+		if (!e->frames)
+			unused = e;
 	}
-	e = &c->entries[c->next_entry];
-	c->next_entry = (c->next_entry + 1) % CONFIG_FRAMES_ENTRIES;
-	g_clear_pointer(&e->frames, g_ptr_array_unref);
+	if (!unused)
+		unused = &c->entries[c->next_entry++ % CONFIG_FRAMES_ENTRIES];
+	g_clear_pointer(&unused->frames, g_ptr_array_unref);
+	return unused;
+}
+
+const GPtrArray *config_frames_get(struct config_frames *c, const struct store *s, u64 from)
+{
+	struct config_frames_entry *e;
+
+	set_history_update(&c->set_history, store_find(s, SET_NAME), s->revision);
+	e = find_entry(c, from, s->revision);
+	if (e->frames)
+		return e->frames;
 	*e = (struct config_frames_entry){ .from = from,
 					   .to = s->revision,
 					   .frames = make_frames(c, s, from) };
--- a/control/config_frames.h
+++ b/control/config_frames.h
@@ -2,8 +2,9 @@
  * config_frames - the frames that bring nodes from one revision of the configuration to the newest
  *
  * Most nodes need the same frames: after a change they have the revision before it, and after a
- * start none. So the frames are made once for all of them. Long ones are compressed, as the links
- * of nodes may be narrow, and calls wait behind what is sent over them.
+ * start none. So the frames are made once for all of them. They hold what has changed between the
+ * two revisions, in parts that a node handles in a short time each. Every control process makes the
+ * same frames of the same two revisions.
  *
  * SOURCE control/config_frames.c
  */
@@ -13,7 +14,10 @@
 #include "control/set_history.h"
 #include "control/store.h"
 
-#define CONFIG_FRAMES_ENTRIES 2
+/* A frame is ended when it has this many steps, or bytes before it is compressed. */
+#define CONFIG_FRAME_STEPS_MAX 256
+#define CONFIG_FRAME_BYTES (8 * 1024)
+#define CONFIG_FRAMES_ENTRIES 8
 
 struct config_frames_entry {
 	u64 from;
@@ -28,8 +32,8 @@
 };
 
 /*
- * config_frames_get - returns the frames from revision FROM, 0 for none, to that of the store. They
- * are valid until the next call.
+ * config_frames_get - returns the frames from revision FROM, 0 for none, to that of the store: the
+ * whole configuration if what it was at FROM is not known. They are valid until the next call.
  */
 const GPtrArray *config_frames_get(struct config_frames *c, const struct store *s, u64 from);
 void config_frames_clear(struct config_frames *c);
--- a/control/set_history.c
+++ b/control/set_history.c
@@ -1,66 +1,208 @@
 #include "control/set_history.h"
 
-#include "lib/delta.h"
+#include "lib/log.h"
+#include "lib/pmap.h"
+#include "lib/set_frame.h"
 
 #include <string.h>
-#include <xxhash.h>
 
-/* Larger sets are not kept, to bound the memory. */
-#define SET_MAX_BYTES (4 * 1024 * 1024)
-
-static struct set_history_entry *find(struct set_history *h, u64 revision)
+static void entry_free(gpointer p)
 {
-	for (u32 i = 0; i < SET_HISTORY_ENTRIES && revision; i++)
-		if (h->sets[i].revision == revision)
-			return &h->sets[i];
-	return NULL;
+	struct set_history_entry *e = p;
+
+	g_array_unref(e->routes);
+	g_array_unref(e->services);
+	g_free(e);
 }
 
-/* The delta points into the JSON of a set, so it is dropped before the set may be freed. */
-static void drop_delta(struct set_history *h)
+static size_t entry_bytes(const struct set_history_entry *e)
 {
-	g_clear_pointer(&h->delta, g_array_unref);
-	h->delta_from = 0;
-	h->delta_to = 0;
+	return (e->routes->len + e->services->len) * sizeof(struct set_item);
 }
 
 void set_history_clear(struct set_history *h)
 {
-	drop_delta(h);
-	for (u32 i = 0; i < SET_HISTORY_ENTRIES; i++)
-		g_free(h->sets[i].json);
+	g_queue_clear_full(&h->entries, entry_free);
+	set_free(h->newest);
 	memset(h, 0, sizeof(*h));
 }
 
-void set_history_add(struct set_history *h, u64 revision, const char *json)
+static gint compare_keys(gconstpointer a, gconstpointer b)
+{
+	const struct set_item *x = a;
+	const struct set_item *y = b;
+
+	if (x->key == y->key)
+		return 0;
+	return x->key < y->key ? -1 : 1;
+}
+
+static GArray *index_routes(const struct set *s)
+{
+	GArray *items = g_array_new(FALSE, FALSE, sizeof(struct set_item));
+
+	for (guint i = 0; i < s->routes->len; i++) {
+		const struct set_route *r = g_ptr_array_index(s->routes, i);
+		struct set_item item = { set_route_key_hash(r), i, set_route_hash(r) };
+
+		g_array_append_val(items, item);
+	}
+	g_array_sort(items, compare_keys);
+	return items;
+}
+
+static GArray *index_services(const struct set *s)
+{
+	GArray *items = g_array_new(FALSE, FALSE, sizeof(struct set_item));
+
+	for (guint i = 0; i < s->services->len; i++) {
+		const struct set_service *service = g_ptr_array_index(s->services, i);
+		struct set_item item = { pmap_hash(service->name), i, set_service_hash(service) };
+
+		g_array_append_val(items, item);
+	}
+	g_array_sort(items, compare_keys);
+	return items;
+}
+
+static u64 sum_hashes(const GArray *items)
+{
+	u64 sum = 0;
+
+	for (guint i = 0; i < items->len; i++)
+		sum += g_array_index(items, struct set_item, i).hash;
+	return sum;
+}
+
+static void drop_oldest(struct set_history *h)
+{
+	while (h->bytes > SET_HISTORY_MAX_BYTES && h->entries.length > 1) {
+		struct set_history_entry *oldest = g_queue_pop_head(&h->entries);
+
+		h->bytes -= entry_bytes(oldest);
+		entry_free(oldest);
+	}
+}
+
+/* Takes ownership of SET. */
+static void add_entry(struct set_history *h, struct set *set, u64 from, u64 to)
+{
+	struct set_history_entry *e = g_new0(struct set_history_entry, 1);
+
+	e->from = from;
+	e->to = to;
+	e->routes = index_routes(set);
+	e->services = index_services(set);
+	g_queue_push_tail(&h->entries, e);
+	h->bytes += entry_bytes(e);
+	drop_oldest(h);
+	set_free(h->newest);
+	h->newest = set;
+	h->checksum = sum_hashes(e->routes) + sum_hashes(e->services);
+}
+
+static void parse_newest(struct set_history *h, const struct store_item *set, u64 revision)
 {
-	struct set_history_entry *slot = &h->sets[h->next_slot];
+	FINDINGS_AUTO(found);
+	struct set *parsed = set_parse(set->json, strlen(set->json), &found);
 
-	if (find(h, revision) || strlen(json) > SET_MAX_BYTES)
+	if (parsed) {
+		add_entry(h, parsed, set->revision, revision);
 		return;
-	drop_delta(h);
-	g_free(slot->json);
-	slot->revision = revision;
-	slot->json = g_strdup(json);
-	slot->checksum = XXH64(json, strlen(json), 0);
-	h->next_slot = (h->next_slot + 1) % SET_HISTORY_ENTRIES;
-}
-
-const GArray *set_history_delta(struct set_history *h, u64 from, u64 to, u64 *checksum)
-{
-	const struct set_history_entry *old_set = find(h, from);
-	const struct set_history_entry *new_set = find(h, to);
-
-	if (!old_set || !new_set)
-		return NULL;
-	if (h->delta_from != from || h->delta_to != to) {
-		drop_delta(h);
-		h->delta = delta_make(old_set->json, new_set->json);
-		h->delta_from = from;
-		h->delta_to = to;
 	}
-	*checksum = new_set->checksum;
-	if (h->delta->len > DELTA_OPS_MAX)
-		return NULL;
-	return delta_bytes(h->delta) < strlen(new_set->json) / 2 ? h->delta : NULL;
+	h->invalid_revision = set->revision;
+	log_event(LOG_ERROR, "the declared set is invalid; nodes keep the previous one", "revision",
+		  log_u64(set->revision), "place", findings_at(&found, 0)->place, "text",
+		  findings_at(&found, 0)->text, NULL);
+}
+
+void set_history_update(struct set_history *h, const struct store_item *set, u64 revision)
+{
+	struct set_history_entry *last = g_queue_peek_tail(&h->entries);
+
+	if (!set || set->revision == h->invalid_revision)
+		return;
+	if (last && last->from == set->revision)
+		last->to = revision;
+	else
+		parse_newest(h, set, revision);
+}
+
+bool set_history_has_changed(const struct set_history *h, u64 revision)
+{
+	const struct set_history_entry *last = h->entries.tail ? h->entries.tail->data : NULL;
+
+	return last && last->from > revision;
+}
+
+/* Returns the set that was in force at REVISION, or NULL if it is not known. */
+static const struct set_history_entry *find(const struct set_history *h, u64 revision)
+{
+	for (const GList *l = h->entries.tail; l; l = l->prev) {
+		const struct set_history_entry *e = l->data;
+
+		if (e->from <= revision && revision <= e->to)
+			return e;
+	}
+	return NULL;
+}
+
+static gint compare_u32(gconstpointer a, gconstpointer b)
+{
+	u32 x = *(const u32 *)a;
+	u32 y = *(const u32 *)b;
+
+	if (x == y)
+		return 0;
+	return x < y ? -1 : 1;
+}
+
+/* Adds the indexes of items of TO that FROM lacks or has with another hash, and dropped keys. */
+static void compare_items(const GArray *from, const GArray *to, GArray *changed, GArray *dropped)
+{
+	guint i = 0;
+
+	for (guint k = 0; k < to->len; k++) {
+		const struct set_item *now = &g_array_index(to, struct set_item, k);
+
+		while (i < from->len && g_array_index(from, struct set_item, i).key < now->key)
+			g_array_append_val(dropped, g_array_index(from, struct set_item, i++).key);
+		if (i < from->len && g_array_index(from, struct set_item, i).key == now->key &&
+		    g_array_index(from, struct set_item, i++).hash == now->hash)
+			continue;
+		g_array_append_val(changed, now->at);
+	}
+	for (; i < from->len; i++)
+		g_array_append_val(dropped, g_array_index(from, struct set_item, i).key);
+	g_array_sort(changed, compare_u32);
+}
+
+bool set_history_compare(const struct set_history *h, u64 revision, struct set_difference *out)
+{
+	static const struct set_history_entry none;
+	const struct set_history_entry *now = h->entries.tail ? h->entries.tail->data : NULL;
+	const struct set_history_entry *old = revision ? find(h, revision) : &none;
+	g_autoptr(GArray) empty = g_array_new(FALSE, FALSE, sizeof(struct set_item));
+
+	out->routes = g_array_new(FALSE, FALSE, sizeof(u32));
+	out->services = g_array_new(FALSE, FALSE, sizeof(u32));
+	out->dropped_routes = g_array_new(FALSE, FALSE, sizeof(u64));
+	out->dropped_services = g_array_new(FALSE, FALSE, sizeof(u64));
+	if (!old)
+		return false;
+	if (!now)
+		return true;
+	compare_items(old->routes ? old->routes : empty, now->routes, out->routes,
+		      out->dropped_routes);
+	compare_items(old->services ? old->services : empty, now->services, out->services,
+		      out->dropped_services);
+	return true;
+}
+
+void set_difference_clear(struct set_difference *d)
+{
+	g_clear_pointer(&d->routes, g_array_unref);
+	g_clear_pointer(&d->services, g_array_unref);
+	g_clear_pointer(&d->dropped_routes, g_array_unref);
+	g_clear_pointer(&d->dropped_services, g_array_unref);
 }
--- a/control/set_history.h
+++ b/control/set_history.h
@@ -1,45 +1,66 @@
 /*
- * set_history - the sets that this process recently sent to nodes
+ * set_history - the newest set, and what its predecessors contained
  *
- * A node that has one of them receives a delta to the newest set instead of the whole
- * set, which may be hundreds of kilobytes over a slow link.
+ * Of each set the hashes of its routes and services are kept, so that it is known what a node lacks
+ * that has an earlier one. The text is parsed once, when it is new.
  *
  * SOURCE control/set_history.c
  */
 #ifndef SET_HISTORY_H
 #define SET_HISTORY_H
 
-#include "lib/types.h"
+#include "control/store.h"
+#include "lib/set.h"
 
-#include <glib.h>
+/* The oldest sets are dropped beyond this: 80 sets of 6,000 routes are kept. */
+#define SET_HISTORY_MAX_BYTES (8 * 1024 * 1024)
 
-#define SET_HISTORY_ENTRIES 4
+/* A route or a service of a set. */
+struct set_item {
+	u64 key; /* set_route_key_hash or pmap_hash of the name */
+	u32 at; /* index in the list of the set */
+	u64 hash; /* set_route_hash or set_service_hash */
+};
 
 struct set_history_entry {
-	u64 revision; /* of the configuration; 0 for an unused entry */
-	char *json;
-	u64 checksum; /* of JSON */
+	u64 from; /* the first and last revision at which this set is known to have been in force */
+	u64 to;
+	GArray *routes; /* of struct set_item, by key */
+	GArray *services; /* of struct set_item, by key */
 };
 
 struct set_history {
-	struct set_history_entry sets[SET_HISTORY_ENTRIES];
-	u32 next_slot;
-	u64 delta_from; /* revision that the cached delta applies to, 0 when there is none */
-	u64 delta_to; /* revision that the cached delta results in */
-	GArray *delta; /* cached; of struct delta_op */
+	GQueue entries; /* of struct set_history_entry, oldest first; the last one is NEWEST */
+	size_t bytes;
+	struct set *newest; /* NULL if there is no set */
+	u64 checksum; /* of the newest set */
+	u64 invalid_revision; /* of a set that was not taken, so that it is parsed once */
+};
+
+/* What brings a node from one set to the newest. */
+struct set_difference {
+	GArray *routes; /* of u32, indexes of routes to add or replace, ascending */
+	GArray *services; /* of u32, the same of services */
+	GArray *dropped_routes; /* of u64, keys */
+	GArray *dropped_services; /* of u64, keys */
 };
 
 void set_history_clear(struct set_history *h);
 
-/* set_history_add - adds JSON, the set at REVISION. */
-void set_history_add(struct set_history *h, u64 revision, const char *json);
+/*
+ * set_history_update - makes the set of the store, which is at REVISION, the newest. An invalid
+ * set is logged and not taken.
+ */
+void set_history_update(struct set_history *h, const struct store_item *set, u64 revision);
 
 /*
- * set_history_delta - returns the delta from the set at revision FROM to the set at TO. Returns
- * NULL when one of them is no longer kept, or when the delta has more than DELTA_OPS_MAX
- * operations or at least half the size of the whole set. Sets *CHECKSUM to that of the JSON
- * at TO.
+ * set_history_compare - fills in the difference from the set in force at REVISION, 0 for none, to
+ * the newest set. Returns false if the set at REVISION is not known. To be cleared in any case.
  */
-const GArray *set_history_delta(struct set_history *h, u64 from, u64 to, u64 *checksum);
+bool set_history_compare(const struct set_history *h, u64 revision, struct set_difference *out);
+void set_difference_clear(struct set_difference *d);
+
+/* set_history_has_changed - returns whether the newest set came after REVISION. */
+bool set_history_has_changed(const struct set_history *h, u64 revision);
 
 #endif
--- a/lib/frame.c
+++ b/lib/frame.c
@@ -175,6 +175,11 @@
 	return (u32)n;
 }
 
+bool frame_has_more(const struct frame_in *in)
+{
+	return !in->err && in->off < in->len;
+}
+
 int frame_done(const struct frame_in *in)
 {
 	if (in->err || in->off != in->len)
--- a/lib/frame.h
+++ b/lib/frame.h
@@ -64,6 +64,9 @@
  */
 u32 frame_get_count(struct frame_in *in, u32 max);
 
+/* frame_has_more - returns whether fields remain; false after an error. */
+bool frame_has_more(const struct frame_in *in);
+
 /* frame_done - returns 0 if the whole payload was read without error, else ERR_INVAL. */
 int frame_done(const struct frame_in *in);
 
--- a/lib/set.c
+++ b/lib/set.c
@@ -69,10 +69,24 @@
 	g_free(((struct set_split_part *)p)->service);
 }
 
-static void route_free(gpointer p)
+struct set_route *set_route_new(void)
+{
+	struct set_route *r = g_new0(struct set_route, 1);
+
+	r->parts = g_array_new(FALSE, TRUE, sizeof(struct set_split_part));
+	g_array_set_clear_func(r->parts, part_clear);
+	return r;
+}
+
+void set_route_add_part(struct set_route *r, char *service, u64 weight)
 {
-	struct set_route *r = p;
+	struct set_split_part part = { .service = service, .weight = weight };
 
+	g_array_append_val(r->parts, part);
+}
+
+void set_route_free(struct set_route *r)
+{
 	g_free(r->name);
 	g_free(r->host);
 	g_free(r->prefix);
@@ -80,15 +94,23 @@
 	g_free(r);
 }
 
-static void service_free(gpointer p)
+static void route_free(gpointer p)
 {
-	struct set_service *s = p;
+	set_route_free(p);
+}
 
+void set_service_free(struct set_service *s)
+{
 	g_free(s->name);
 	g_free(s->health_path);
 	g_free(s);
 }
 
+static void service_free(gpointer p)
+{
+	set_service_free(p);
+}
+
 void set_free(struct set *s)
 {
 	if (!s)
@@ -140,8 +162,6 @@
 	struct set_split_part *only;
 	u64 sum = 0;
 
-	r->parts = g_array_new(FALSE, TRUE, sizeof(struct set_split_part));
-	g_array_set_clear_func(r->parts, part_clear);
 	if (split) {
 		read_split(r, split, at, found);
 	} else {
@@ -176,7 +196,7 @@
 
 static struct set_route *read_route(json_t *obj, size_t i, struct findings *found)
 {
-	struct set_route *r = g_new0(struct set_route, 1);
+	struct set_route *r = set_route_new();
 	struct location at = { "routes", i };
 
 	r->name = get_text(obj, at, "name", found);
@@ -326,41 +346,93 @@
 	return g_strdup_printf("p%u", priority);
 }
 
-static struct res_rank *find_rank(struct res_service *s, u32 worth)
+static int compare_targets(const struct set_target *a, const struct set_target *b)
+{
+	if (a->priority != b->priority)
+		return a->priority < b->priority ? -1 : 1;
+	if (a->target_ms != b->target_ms)
+		return a->target_ms < b->target_ms ? -1 : 1;
+	return 0;
+}
+
+/* Returns the index of the first target that is not below T. */
+static guint find_target(const GArray *targets, const struct set_target *t)
 {
-	for (guint i = 0; i < s->ranks->len; i++) {
-		struct res_rank *r = g_ptr_array_index(s->ranks, i);
+	guint from = 0;
+	guint to = targets->len;
+
+	while (from < to) {
+		guint middle = from + (to - from) / 2;
 
-		if (r->worth == worth)
-			return r;
+		if (compare_targets(&g_array_index(targets, struct set_target, middle), t) < 0)
+			from = middle + 1;
+		else
+			to = middle;
 	}
-	return NULL;
+	return from;
 }
 
-static void update_floors(struct res_service *s)
+static struct set_target *target_at(const GArray *targets, guint at, const struct set_target *t)
 {
-	for (guint i = 0; i < s->ranks->len; i++) {
-		struct res_rank *r = g_ptr_array_index(s->ranks, i);
+	struct set_target *found =
+		at < targets->len ? &g_array_index(targets, struct set_target, at) : NULL;
 
-		r->floor_percent = MIN(RANK_FLOOR_PERCENT, RANK_FLOORS_SUM_PERCENT / s->ranks->len);
-	}
+	return found && !compare_targets(found, t) ? found : NULL;
 }
 
-void set_add_rank(struct res_service *s, const struct set_route *route)
+void set_target_add(GArray *targets, u32 priority, u32 target_ms)
 {
-	u32 worth = set_worth_of_priority(route->priority);
-	struct res_rank *r = find_rank(s, worth);
+	struct set_target t = { priority, target_ms, 1 };
+	guint at = find_target(targets, &t);
+	struct set_target *same = target_at(targets, at, &t);
+
+	if (same)
+		same->routes++;
+	else
+		g_array_insert_val(targets, at, t);
+}
+
+bool set_target_remove(GArray *targets, u32 priority, u32 target_ms)
+{
+	struct set_target t = { priority, target_ms, 0 };
+	guint at = find_target(targets, &t);
+	struct set_target *same = target_at(targets, at, &t);
+
+	if (!same)
+		return false;
+	if (!--same->routes)
+		g_array_remove_index(targets, at);
+	return true;
+}
+
+static struct res_rank *rank_new(const struct set_target *t)
+{
+	struct res_rank *r = res_rank_new(set_rank_name_of_priority(t->priority));
 
-	if (r) {
-		r->target_ms = MIN(r->target_ms, (u32)route->target_ms);
-		return;
-	}
-	if (s->ranks->len == RES_RANKS_MAX)
-		return;
-	r = res_rank_new(set_rank_name_of_priority(route->priority));
 	r->idempotency = RES_IDEMPOTENT_NEVER; /* each request states whether it may be repeated */
-	r->target_ms = (u32)route->target_ms;
-	r->worth = worth;
-	g_ptr_array_add(s->ranks, r);
-	update_floors(s);
+	r->target_ms = t->target_ms;
+	r->worth = set_worth_of_priority(t->priority);
+	return r;
+}
+
+void set_make_ranks(struct res_service *s, const GArray *targets)
+{
+	struct res_rank *last = NULL;
+
+	g_ptr_array_set_size(s->ranks, 0);
+	for (guint i = 0; i < targets->len; i++) {
+		const struct set_target *t = &g_array_index(targets, struct set_target, i);
+
+		if (last && last->worth == set_worth_of_priority(t->priority)) {
+			last->target_ms = MIN(last->target_ms, t->target_ms);
+			continue;
+		}
+		if (s->ranks->len == RES_RANKS_MAX)
+			break;
+		last = rank_new(t);
+		g_ptr_array_add(s->ranks, last);
+	}
+	for (guint i = 0; i < s->ranks->len; i++)
+		((struct res_rank *)g_ptr_array_index(s->ranks, i))->floor_percent =
+			MIN(RANK_FLOOR_PERCENT, RANK_FLOORS_SUM_PERCENT / s->ranks->len);
 }
--- a/lib/set.h
+++ b/lib/set.h
@@ -17,7 +17,7 @@
 
 #include <glib.h>
 
-/* A set is sent in one frame. */
+/* A set is one entry of the replicated log. */
 #define SET_JSON_MAX_BYTES (8 * 1024 * 1024)
 /* The resource name of a stored set; no service can have this name. */
 #define SET_NAME "/set"
@@ -42,6 +42,13 @@
 	u32 priority; /* 0 is the highest */
 };
 
+/* The number of routes to a service that have the same priority and target. */
+struct set_target {
+	u32 priority;
+	u32 target_ms;
+	u32 routes;
+};
+
 struct set_service {
 	char *name;
 	char *health_path; /* may be NULL */
@@ -66,6 +73,14 @@
 struct set *set_parse(const char *json, size_t len, struct findings *found);
 void set_free(struct set *s);
 
+/* set_route_new - returns a route without texts and parts. */
+struct set_route *set_route_new(void);
+void set_route_free(struct set_route *r);
+
+/* set_route_add_part - adds a part; takes ownership of SERVICE. */
+void set_route_add_part(struct set_route *r, char *service, u64 weight);
+void set_service_free(struct set_service *s);
+
 /* set_worth_of_priority - returns the worth of the rank for PRIORITY, at least 1. */
 u32 set_worth_of_priority(u32 priority);
 
@@ -76,9 +91,16 @@
 char *set_rank_name_of_priority(u32 priority);
 
 /*
- * set_add_rank - adds a rank for the priority of ROUTE to the service. The target
- * of a rank is the shortest target of its routes.
+ * set_target_add, set_target_remove - count a route to a service in TARGETS, an array of struct
+ * set_target in ascending order. set_target_remove returns false if no such route was counted.
+ */
+void set_target_add(GArray *targets, u32 priority, u32 target_ms);
+bool set_target_remove(GArray *targets, u32 priority, u32 target_ms);
+
+/*
+ * set_make_ranks - replaces the ranks of the service by those of TARGETS: one for each worth, the
+ * highest RES_RANKS_MAX. The target of a rank is the shortest target of its routes.
  */
-void set_add_rank(struct res_service *s, const struct set_route *route);
+void set_make_ranks(struct res_service *s, const GArray *targets);
 
 #endif
--- a/node/caller.c
+++ b/node/caller.c
@@ -25,7 +25,7 @@
 /* Returns the remaining target time; a caller's retry has already used part of it. */
 static u64 remaining_target_us(struct config_route *r, u64 remaining_ms)
 {
-	u64 target_ms = r->route->target_ms;
+	u64 target_ms = r->target_ms;
 
 	return MAX(target_ms - MIN(age_ms(&r->age, remaining_ms), target_ms), 1) * US_PER_MS;
 }
@@ -36,12 +36,12 @@
 	u64 remaining_us = call->deadline_us > now ? call->deadline_us - now : 0;
 
 	call->service = g_strdup(config_route_pick_service(r, &n->choose.rng));
-	call->rank = set_rank_name_of_priority(r->route->priority);
-	call->is_idempotent = r->route->is_idempotent;
-	call->worth = set_worth_of_priority(r->route->priority);
+	call->rank = set_rank_name_of_priority(r->priority);
+	call->is_idempotent = r->is_idempotent;
+	call->worth = set_worth_of_priority(r->priority);
 	call->target_us = remaining_target_us(r, remaining_us / US_PER_MS);
-	call->attempts = r->route->attempts;
-	call->deadline_us = MIN(call->deadline_us, now + r->route->timeout_ms * US_PER_MS);
+	call->attempts = r->attempts;
+	call->deadline_us = MIN(call->deadline_us, now + r->timeout_ms * US_PER_MS);
 }
 
 static enum ctr apply_rank(const struct config *config, const char *host, struct entry_call *call)
@@ -241,7 +241,7 @@
 	if (config_current() && host)
 		r = config_find_route(config_current(), host, request->msg->target);
 	if (r)
-		is_idempotent = r->route->is_idempotent;
+		is_idempotent = r->is_idempotent;
 	config_read_unlock();
 	return is_idempotent;
 }
@@ -289,7 +289,7 @@
 	config_read_lock();
 	config = config_current();
 	if (config && config->set) {
-		const struct set_limits *l = &config->set->set->limits;
+		const struct set_limits *l = &config->set->limits;
 
 		limits.head_bytes = or_default(l->head_bytes, limits.head_bytes);
 		limits.body_bytes =
--- a/node/config.h
+++ b/node/config.h
@@ -2,64 +2,68 @@
  * config - a node's active configuration, an immutable snapshot
  *
  * Readers access the snapshot under RCU; the loop's thread publishes a new one
- * for each revision. A revision that is not above the current one is never published.
+ * for each revision (config_build.h). A revision that is not above the current one is never
+ * published.
  *
- * SOURCE node/config.c
+ * SOURCE node/config.c (snapshots), node/config_find.c (look-ups)
  */
 #ifndef CONFIG_H
 #define CONFIG_H
 
+#include "lib/pmap.h"
 #include "lib/res.h"
 #include "lib/rng.h"
 #include "lib/set.h"
 #include "node/age.h"
 
 struct config_service {
+	u32 refs;
 	struct res_service *res;
-	u64 version;
-	gint refs;
+	u64 version; /* of a service that was declared on its own */
+	char *health_path; /* of a service of the set; may be NULL */
+	GArray *targets; /* of struct set_target: the routes to a service of the set, else NULL */
+};
+
+/* A service that gets a share of a route's requests, with the credit of weighted round robin. */
+struct config_part {
+	const char *service;
+	u64 weight;
+	i64 credit;
 };
 
-/* A route of the set, with the credit of each part of its traffic split. */
+/* A route of the set, in one piece of memory, shared by all revisions in which it is the same. */
 struct config_route {
-	const struct set_route *route;
-	i64 *credit;
+	u32 refs;
+	u32 parts_len;
+	u64 hash; /* as set_route_hash */
+	const char *key; /* as set_route_key */
+	u64 timeout_ms;
+	u64 target_ms;
+	u32 attempts; /* maximum number of upstreams that one request is sent to */
+	u32 priority;
+	bool is_idempotent;
 	bool has_initial_credit;
 	struct age age; /* estimates the age of callers' requests */
+	struct config_part parts[];
 };
 
 /* The active set, shared between revisions until it changes. */
 struct config_set {
-	gint refs;
-	struct set *set;
-	char *text; /* as declared */
-	GHashTable *routes; /* "host\nprefix" -> struct config_route */
-	GHashTable *services; /* name -> struct config_service */
+	u32 refs;
+	u64 version;
+	u64 checksum; /* the sum of the hashes of its routes and services */
+	struct set_limits limits;
+	struct pmap routes; /* of struct config_route */
+	struct pmap services; /* of struct config_service */
 };
 
 struct config {
 	u64 revision;
 	struct config_set *set; /* NULL before the first one */
-	GHashTable *by_name; /* name -> struct config_service */
+	GHashTable *by_name; /* name -> struct config_service that was declared on its own */
 	GHashTable *by_host; /* host -> struct config_service, not owned */
 };
 
-/* A service as received from a control process; JSON is NULL if the service was deleted. */
-struct config_change {
-	char *name;
-	u64 version;
-	char *json;
-};
-
-/* config_set_text - returns the active set as declared, or NULL. Loop's thread only. */
-const char *config_set_text(void);
-
-/*
- * config_apply - publishes REVISION: CHANGES applied to the current snapshot, or
- * replacing it when IS_SNAPSHOT. Loop's thread only. Returns 0, or
- * ERR_CONFLICT when REVISION is not above the current one.
- */
-int config_apply(u64 revision, bool is_snapshot, GPtrArray *changes);
 u64 config_revision(void);
 
 /* config_read_lock, config_read_unlock - must enclose any use of config_current. */
@@ -69,8 +73,8 @@
 /* config_current - returns the snapshot, or NULL before the first one. */
 const struct config *config_current(void);
 
-/* config_service_names - returns copies of all service names; the caller frees the array. */
-GPtrArray *config_service_names(void);
+/* config_service_names - returns copies of all service names, or NULL if there are above MAX. */
+GPtrArray *config_service_names(u32 max);
 
 /*
  * config_find_service_by_host - finds the service that declares HOST, or else the one named by
@@ -79,6 +83,9 @@
 const struct config_service *config_find_service_by_host(const struct config *c, const char *host);
 const struct config_service *config_find_service(const struct config *c, const char *name);
 
+/* config_find_set_service - returns the service NAME of the set, or NULL. */
+const struct config_service *config_find_set_service(const struct config *c, const char *name);
+
 /*
  * config_find_route - returns the route of HOST with the longest prefix of TARGET,
  * or NULL. A port in HOST is ignored.
@@ -92,8 +99,6 @@
  */
 const char *config_route_pick_service(struct config_route *r, struct rng *rng);
 
-void config_change_free(gpointer change);
-
 /* config_reset - discards the configuration; for tests and process shutdown. */
 void config_reset(void);
 
--- /dev/null
+++ b/node/config_impl.h
@@ -0,0 +1,33 @@
+/*
+ * config_impl - private declarations shared by the source files of config
+ *
+ * SOURCE node/config.c (snapshots), node/config_build.c (the next one)
+ */
+#ifndef CONFIG_IMPL_H
+#define CONFIG_IMPL_H
+
+#include "node/config.h"
+
+/* config_route_new - returns a route with the content of FROM. */
+struct config_route *config_route_new(const struct set_route *from, u64 hash);
+void config_route_ref(struct config_route *r);
+void config_route_unref(struct config_route *r);
+
+/* config_service_new - returns a service; takes ownership of RES. */
+struct config_service *config_service_new(struct res_service *res);
+
+/* config_service_unref - suits GHashTable. */
+void config_service_unref(gpointer service);
+
+/* config_set_new - returns an empty set for NULL, else one that shares the content of FROM. */
+struct config_set *config_set_new(const struct config_set *from);
+void config_set_ref(struct config_set *s);
+void config_set_unref(struct config_set *s);
+
+/* config_publish - puts NEXT into force in place of the current snapshot, which it frees. */
+void config_publish(struct config *next);
+
+/* config_index_hosts - fills C->by_host. */
+void config_index_hosts(struct config *c);
+
+#endif
--- a/node/slowness_monitor.c
+++ b/node/slowness_monitor.c
@@ -82,17 +82,14 @@
 /* Returns the health path that the configuration sets for the service, or NULL. */
 static char *health_path(const struct node *n)
 {
-	const struct config *c;
+	const struct config_service *s;
 	char *path = NULL;
 
 	config_read_lock();
-	c = config_current();
-	for (guint i = 0; c && c->set && i < c->set->set->services->len; i++) {
-		const struct set_service *s = g_ptr_array_index(c->set->set->services, i);
-
-		if (!strcmp(s->name, n->dir_entry.service))
-			path = g_strdup(s->health_path);
-	}
+	s = config_current() ? config_find_set_service(config_current(), n->dir_entry.service) :
+			       NULL;
+	if (s)
+		path = g_strdup(s->health_path);
 	config_read_unlock();
 	return path;
 }
--- a/node/watch.c
+++ b/node/watch.c
@@ -13,6 +13,7 @@
 #include "lib/err.h"
 #include "lib/log.h"
 #include "node/config.h"
+#include "node/config_build.h"
 #include "wire/ctl.h"
 #include "wire/endpoint.h"
 
@@ -88,7 +89,6 @@
 static void close_main(struct watch *w)
 {
 	close_link(&w->main);
-	g_ptr_array_set_size(w->changes, 0);
 	g_hash_table_remove_all(w->reported);
 	w->removal_due_us = 0;
 }
@@ -124,10 +124,10 @@
 /* Subscribes to all services of a small configuration before the first call arrives. */
 void watch_subscribe_configured_services(struct watch *w)
 {
-	g_autoptr(GPtrArray) names = config_service_names();
+	g_autoptr(GPtrArray) names = config_service_names(SUBSCRIBE_ALL_SERVICES_MAX);
 	bool is_new = false;
 
-	for (guint i = 0; names->len <= SUBSCRIBE_ALL_SERVICES_MAX && i < names->len; i++)
+	for (guint i = 0; names && i < names->len; i++)
 		is_new |= add_subscription(w, g_ptr_array_index(names, i));
 	if (is_new)
 		send_subscriptions(w);
@@ -171,6 +171,7 @@
 {
 	FRAME_AUTO(f, CTL_WATCH);
 
+	w->awaits_whole = false;
 	if (!is_up(&w->main))
 		return;
 	frame_put_u64(&f, have);
@@ -402,8 +403,7 @@
 {
 	switch (type) {
 	case CTL_CONFIG:
-	case CTL_SET_DELTA:
-		return watch_config_frame(s->w, type, in);
+		return watch_config_frame(s->w, in);
 	case CTL_VIEW:
 		return on_view(s->w, in);
 	case CTL_FRESHNESS:
@@ -576,7 +576,6 @@
 	w->node = n;
 	w->main.w = w;
 	w->trial.w = w;
-	w->changes = g_ptr_array_new_with_free_func(config_change_free);
 	w->reported = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	w->subscriptions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	w->candidates = g_ptr_array_new_with_free_func(g_free);
@@ -596,6 +595,6 @@
 	g_ptr_array_unref(w->candidates);
 	g_hash_table_unref(w->reported);
 	g_hash_table_unref(w->subscriptions);
-	g_ptr_array_unref(w->changes);
+	config_build_free(w->build);
 	g_clear_pointer(&n->watch, g_free);
 }
--- a/node/watch_impl.h
+++ b/node/watch_impl.h
@@ -38,16 +38,17 @@
 	GHashTable *reported; /* nodes reported by the main control process */
 	GHashTable *subscriptions; /* service -> whether its upstreams were received */
 	u32 node_count; /* in the directory */
-	GPtrArray *changes; /* of struct config_change, collected until the last frame */
+	struct config_build *build; /* the configuration that is being received, or NULL */
+	bool awaits_whole; /* a difference did not fit, the whole has been requested */
 	struct config_work config_work;
 	bool was_linked;
 };
 
 /*
- * watch_config_frame - handles one frame of a configuration, of TYPE CTL_CONFIG or CTL_SET_DELTA.
- * An error closes the link.
+ * watch_config_frame - handles one CTL_CONFIG frame. What has been received stays when the link
+ * changes, and is discarded when another difference begins. An error closes the link.
  */
-int watch_config_frame(struct watch *w, u32 type, struct frame_in *in);
+int watch_config_frame(struct watch *w, struct frame_in *in);
 
 /* watch_request_config - requests the changes since revision HAVE; 0 requests the whole. */
 void watch_request_config(struct watch *w, u64 have);
--- a/test/config_frames_test.c
+++ b/test/config_frames_test.c
@@ -1,6 +1,7 @@
 /* The frames that bring nodes to the newest configuration. */
 #include "control/config_frames.h"
 #include "lib/set.h"
+#include "test/fakes/fake_config.h"
 #include "wire/ctl.h"
 
 #include <string.h>
@@ -16,10 +17,11 @@
 	for (u32 i = 0; i < ROUTES; i++)
 		g_string_append_printf(text,
 				       "%s{\"name\":\"r%u\",\"host\":\"h.example\",\"prefix\":"
-				       "\"/%x/\",\"timeout_ms\":%u}",
+				       "\"/%x/\",\"timeout_ms\":%u,\"service\":\"a\","
+				       "\"repeat\":\"never\",\"attempts\":1}",
 				       i ? "," : "", i, i * 2654435761u,
 				       i < old_routes ? 1000 : 1000 + (u32)version);
-	g_string_append(text, "]}");
+	g_string_append(text, "],\"services\":[{\"name\":\"a\"}]}");
 	return g_string_free(text, FALSE);
 }
 
@@ -85,21 +87,14 @@
 	store_clear(&s);
 }
 
-/* Returns the revision that the first frame leads to. */
+/* Returns the revision that the frames lead to. */
 static u64 revision_of(const GPtrArray *frames)
 {
-	struct frame_out *f = g_ptr_array_index(frames, 0);
-	g_autoptr(GByteArray) bytes = NULL;
-	struct frame_in inner;
 	struct frame_in in;
-	u32 type;
-
-	frame_in_init(&in, f->buf.data + FRAME_HEADER_BYTES, frame_end(f) - FRAME_HEADER_BYTES);
-	if (frame_get_u64(&in) != CTL_COMPRESSED)
-		return frame_get_u64(&in);
-	bytes = ctl_inflate(&in, &inner, &type);
-	g_assert_nonnull(bytes);
-	return frame_get_u64(&inner);
+	g_autoptr(GByteArray) bytes = fake_config_open(g_ptr_array_index(frames, 0), &in);
+
+	g_assert_cmpuint(frame_get_u64(&in), ==, CTL_CONFIG_BEGIN);
+	return frame_get_u64(&in);
 }
 
 /* Guards against: a node gets the frames of an earlier revision. */
--- a/test/fakes/fake_config.c
+++ b/test/fakes/fake_config.c
@@ -2,6 +2,7 @@
 
 #include "lib/set.h"
 #include "node/config.h"
+#include "node/config_build.h"
 
 #include <string.h>
 #include <time.h>
@@ -66,27 +67,33 @@
 	return (u64)t.tv_sec * US_PER_S + (u64)t.tv_nsec / 1000;
 }
 
-static size_t handle(struct watch *w, u32 type, struct frame_in *in)
+GByteArray *fake_config_open(struct frame_out *f, struct frame_in *in)
 {
-	g_assert_cmpint(watch_config_frame(w, type, in), ==, 0);
-	return in->len;
+	GByteArray *bytes;
+	struct frame_in outer;
+	u32 type;
+
+	frame_in_init(&outer, f->buf.data + FRAME_HEADER_BYTES, frame_end(f) - FRAME_HEADER_BYTES);
+	type = (u32)frame_get_u64(&outer);
+	if (type == CTL_COMPRESSED) {
+		bytes = ctl_inflate(&outer, in, &type);
+		g_assert_nonnull(bytes);
+	} else {
+		bytes = g_byte_array_new();
+		*in = outer;
+	}
+	g_assert_cmpuint(type, ==, CTL_CONFIG);
+	return bytes;
 }
 
 /* Returns the bytes of the frame after it is inflated. */
 static size_t give_frame(struct watch *w, struct frame_out *f)
 {
-	g_autoptr(GByteArray) bytes = NULL;
-	struct frame_in inner;
 	struct frame_in in;
-	u32 type;
+	g_autoptr(GByteArray) bytes = fake_config_open(f, &in);
 
-	frame_in_init(&in, f->buf.data + FRAME_HEADER_BYTES, frame_end(f) - FRAME_HEADER_BYTES);
-	type = (u32)frame_get_u64(&in);
-	if (type != CTL_COMPRESSED)
-		return handle(w, type, &in);
-	bytes = ctl_inflate(&in, &inner, &type);
-	g_assert_nonnull(bytes);
-	return handle(w, type, &inner);
+	g_assert_cmpint(watch_config_frame(w, &in), ==, 0);
+	return in.len;
 }
 
 static void count_frame(struct watch *w, struct frame_out *f, struct fake_config_cost *cost)
@@ -109,10 +116,41 @@
 
 void fake_config_give(struct fake_config *c, struct watch *w, struct fake_config_cost *cost)
 {
+	u64 began_us = cpu_us();
 	const GPtrArray *frames = config_frames_get(&c->frames, &c->store, config_revision());
 
 	memset(cost, 0, sizeof(*cost));
+	cost->made_us = cpu_us() - began_us;
 	for (guint i = 0; i < frames->len; i++)
 		count_frame(w, g_ptr_array_index(frames, i), cost);
 	g_assert_cmpuint(config_revision(), ==, c->store.revision);
 }
+
+void fake_config_declare(u64 revision, const char *const *json, size_t n)
+{
+	struct config_build *b = config_build_new(revision, 0);
+
+	g_assert_nonnull(b);
+	for (size_t i = 0; i < n; i++)
+		g_assert_cmpint(config_build_declare(b, 1, json[i]), ==, 0);
+	g_assert_cmpint(config_build_publish(b), ==, 0);
+}
+
+void fake_config_put_set(u64 revision, const char *json)
+{
+	struct config_build *b = config_build_new(revision, config_revision());
+	FINDINGS_AUTO(found);
+	struct set *set = set_parse(json, strlen(json), &found);
+
+	g_assert_nonnull(b);
+	g_assert_nonnull(set);
+	g_assert_true(!config_current() || !config_current()->set);
+	config_build_set(b, set->version, &set->limits);
+	for (guint i = 0; i < set->services->len; i++)
+		g_assert_cmpint(config_build_service(b, g_ptr_array_index(set->services, i)), ==,
+				0);
+	for (guint i = 0; i < set->routes->len; i++)
+		g_assert_cmpint(config_build_route(b, g_ptr_array_index(set->routes, i)), ==, 0);
+	g_assert_cmpint(config_build_publish(b), ==, 0);
+	set_free(set);
+}
--- a/test/fakes/fake_config.h
+++ b/test/fakes/fake_config.h
@@ -24,6 +24,7 @@
 	u64 most_decoded_bytes; /* in one frame */
 	u64 busy_us; /* processor time */
 	u64 longest_us; /* of one frame */
+	u64 made_us; /* processor time of control, to make the frames */
 };
 
 void fake_config_init(struct fake_config *c);
@@ -41,4 +42,16 @@
  */
 void fake_config_give(struct fake_config *c, struct watch *w, struct fake_config_cost *cost);
 
+/* fake_config_open - reads the frame F, which is compressed or not; returns bytes to be freed. */
+GByteArray *fake_config_open(struct frame_out *f, struct frame_in *in);
+
+/*
+ * fake_config_declare - puts a configuration of the N services in JSON into force, in this process
+ * and without frames. It replaces the one in force.
+ */
+void fake_config_declare(u64 revision, const char *const *json, size_t n);
+
+/* fake_config_put_set - the same with the set JSON, beside the services that were declared. */
+void fake_config_put_set(u64 revision, const char *json);
+
 #endif
--- a/test/fakes/fake_node.c
+++ b/test/fakes/fake_node.c
@@ -1,6 +1,7 @@
 #include "test/fakes/fake_node.h"
 
 #include "node/config.h"
+#include "test/fakes/fake_config.h"
 #include "test/fakes/httpc.h"
 #include "test/fakes/raw_server.h"
 
@@ -25,16 +26,11 @@
 
 static void configure(void *arg)
 {
-	g_autoptr(GPtrArray) changes = g_ptr_array_new_with_free_func(config_change_free);
-	struct config_change *change = g_new0(struct config_change, 1);
+	static const char *const json[] = { service_json };
 
 	(void)arg;
 	config_reset(); /* removes the configuration of an earlier node in this process */
-	change->name = g_strdup("sightings");
-	change->version = 1;
-	change->json = g_strdup(service_json);
-	g_ptr_array_add(changes, change);
-	g_assert_cmpint(config_apply(1, true, changes), ==, 0);
+	fake_config_declare(1, json, 1);
 }
 
 static void fill_settings(struct settings *s)
--- a/test/fuzz_test.c
+++ b/test/fuzz_test.c
@@ -7,6 +7,7 @@
 #include "lib/err.h"
 #include "lib/res.h"
 #include "lib/rng.h"
+#include "lib/set_frame.h"
 #include "lib/settings.h"
 #include "wire/dir_entry.h"
 #include "wire/peer.h"
@@ -251,9 +252,52 @@
 	return err;
 }
 
+/* A service of a set, and two routes of which the second is the difference to the first. */
+static void sample_set(struct frame_out *f)
+{
+	struct set_service service = { .name = (char *)"sightings", .health_path = (char *)"/h" };
+	struct set_route *first = set_route_new();
+	struct set_route *second = set_route_new();
+
+	first->host = g_strdup("h.example");
+	first->prefix = g_strdup("/one/");
+	first->timeout_ms = 1000;
+	set_route_add_part(first, g_strdup("sightings"), 900);
+	set_route_add_part(first, g_strdup("atlas"), 100);
+	second->host = g_strdup("h.example");
+	second->prefix = g_strdup("/other/");
+	second->is_idempotent = true;
+	second->timeout_ms = 900;
+	set_route_add_part(second, g_strdup("atlas"), 1000);
+	set_service_put(f, &service);
+	set_route_put(f, first, NULL);
+	set_route_put(f, second, first);
+	set_route_free(first);
+	set_route_free(second);
+}
+
+static int copy_set(struct frame_in *in, struct frame_out *out)
+{
+	struct set_service *service = set_service_get(in);
+	struct set_route *first = set_route_get(in, NULL);
+	struct set_route *second = first ? set_route_get(in, first) : NULL;
+	int err = frame_done(in);
+
+	if (!err) {
+		set_service_put(out, service);
+		set_route_put(out, first, NULL);
+		set_route_put(out, second, first);
+	}
+	g_clear_pointer(&service, set_service_free);
+	g_clear_pointer(&first, set_route_free);
+	g_clear_pointer(&second, set_route_free);
+	return err;
+}
+
 static const struct codec codecs[] = {
 	{ sample_call, copy_call }, { sample_reply, copy_reply }, { sample_refuse, copy_refuse },
 	{ sample_body, copy_body }, { sample_entry, copy_entry }, { sample_raft, copy_raft },
+	{ sample_set, copy_set },
 };
 
 static void test_codec(gconstpointer index)
@@ -450,6 +494,7 @@
 	g_test_add_data_func("/fuzz/body", GUINT_TO_POINTER(3), test_codec);
 	g_test_add_data_func("/fuzz/dir-entry", GUINT_TO_POINTER(4), test_codec);
 	g_test_add_data_func("/fuzz/raft-msg", GUINT_TO_POINTER(5), test_codec);
+	g_test_add_data_func("/fuzz/set", GUINT_TO_POINTER(6), test_codec);
 	g_test_add_func("/fuzz/random-bytes", test_random_bytes);
 	g_test_add_func("/fuzz/resources", test_resources);
 	g_test_add_func("/fuzz/settings", test_settings);
--- a/test/home_notice_test.c
+++ b/test/home_notice_test.c
@@ -2,6 +2,7 @@
 #include "lib/set.h"
 #include "node/config.h"
 #include "platform/dialect.h"
+#include "test/fakes/fake_config.h"
 #include "test/fakes/fake_node.h"
 #include "test/fakes/fake_peer.h"
 #include "test/fakes/raw_server.h"
@@ -223,15 +224,8 @@
 
 static void apply_set(void *arg)
 {
-	g_autoptr(GPtrArray) changes = g_ptr_array_new_with_free_func(config_change_free);
-	struct config_change *change = g_new0(struct config_change, 1);
-
 	(void)arg;
-	change->name = g_strdup(SET_NAME);
-	change->version = 1;
-	change->json = g_strdup(set_json);
-	g_ptr_array_add(changes, change);
-	g_assert_cmpint(config_apply(2, false, changes), ==, 0);
+	fake_config_put_set(2, set_json);
 }
 
 /*
--- a/test/res_test.c
+++ b/test/res_test.c
@@ -1,5 +1,6 @@
 #include "lib/res.h"
 #include "node/config.h"
+#include "test/fakes/fake_config.h"
 
 #include <glib.h>
 #include <string.h>
@@ -190,15 +191,10 @@
 	g_assert_false(res_is_idempotent(&r, "GET"));
 }
 
-static struct config_change *make_change(const char *name, const char *host)
+static char *make_json(const char *name, const char *host)
 {
-	struct config_change *c = g_new0(struct config_change, 1);
-
-	c->name = g_strdup(name);
-	c->version = 1;
-	c->json = g_strdup_printf("{\"name\":\"%s\",\"hosts\":[\"%s\"],\"ranks\":[%s]}", name, host,
-				  RANK("r", "{\"path\":\"/\"}"));
-	return c;
+	return g_strdup_printf("{\"name\":\"%s\",\"hosts\":[\"%s\"],\"ranks\":[%s]}", name, host,
+			       RANK("r", "{\"path\":\"/\"}"));
 }
 
 /* All nodes route a host that several services claim to the same one, in any order of updates. */
@@ -209,12 +205,14 @@
 						{ "bulletin", "checklist", "atlas" } };
 
 	for (size_t i = 0; i < G_N_ELEMENTS(order); i++) {
-		g_autoptr(GPtrArray) list = g_ptr_array_new_with_free_func(config_change_free);
 		const struct config_service *s;
+		char *json[3];
 
 		for (size_t j = 0; j < 3; j++)
-			g_ptr_array_add(list, make_change(order[i][j], "one.example"));
-		g_assert_cmpint(config_apply(i + 1, true, list), ==, 0);
+			json[j] = make_json(order[i][j], "one.example");
+		fake_config_declare(i + 1, (const char *const *)json, 3);
+		for (size_t j = 0; j < 3; j++)
+			g_free(json[j]);
 		config_read_lock();
 		s = config_find_service_by_host(config_current(), "ONE.example:8080");
 		g_assert_cmpstr(s->res->name, ==, "atlas");
--- a/test/set_test.c
+++ b/test/set_test.c
@@ -1,6 +1,7 @@
 /* Tests parsing of sets, with the JSON path of each problem, and route lookup at a node. */
 #include "lib/set.h"
 #include "node/config.h"
+#include "test/fakes/fake_config.h"
 
 #include <glib.h>
 #include <string.h>
@@ -53,16 +54,19 @@
 static void test_floors(void)
 {
 	struct res_service *service = res_new();
-	struct set_route route = { .target_ms = 250 };
+	g_autoptr(GArray) targets = g_array_new(FALSE, FALSE, sizeof(struct set_target));
 	const struct res_rank *r;
 	u32 sum = 0;
 
-	for (route.priority = 0; route.priority < 2; route.priority++)
-		set_add_rank(service, &route);
+	for (u32 priority = 0; priority < 2; priority++)
+		set_target_add(targets, priority, 250);
+	set_make_ranks(service, targets);
 	r = g_ptr_array_index(service->ranks, 1);
 	g_assert_cmpuint(r->floor_percent, ==, 20);
-	for (; route.priority < 8; route.priority++)
-		set_add_rank(service, &route);
+	for (u32 priority = 2; priority < 8; priority++)
+		set_target_add(targets, priority, 250);
+	set_make_ranks(service, targets);
+	g_assert_cmpuint(service->ranks->len, ==, 8);
 	for (guint i = 0; i < service->ranks->len; i++) {
 		r = g_ptr_array_index(service->ranks, i);
 		sum += r->floor_percent;
@@ -72,6 +76,47 @@
 	res_free(service);
 }
 
+/* Returns the target of the rank of PRIORITY, or 0 if there is none. */
+static u32 target_of(const GArray *targets, u32 priority)
+{
+	struct res_service *service = res_new();
+	u32 target_ms = 0;
+
+	set_make_ranks(service, targets);
+	for (guint i = 0; i < service->ranks->len; i++) {
+		const struct res_rank *r = g_ptr_array_index(service->ranks, i);
+
+		if (r->worth == set_worth_of_priority(priority))
+			target_ms = r->target_ms;
+	}
+	res_free(service);
+	return target_ms;
+}
+
+/* Guards against: a rank keeps the target of a route that has been removed. */
+static void test_rank_keeps_target_of_removed_route(void)
+{
+	g_autoptr(GArray) targets = g_array_new(FALSE, FALSE, sizeof(struct set_target));
+
+	set_target_add(targets, 3, 400);
+	set_target_add(targets, 3, 100);
+	set_target_add(targets, 3, 100);
+	set_target_add(targets, 1, 50);
+	g_assert_cmpuint(target_of(targets, 3), ==, 100);
+	g_assert_true(set_target_remove(targets, 3, 100));
+	g_assert_cmpuint(target_of(targets, 3), ==, 100);
+	g_assert_true(set_target_remove(targets, 3, 100));
+	g_assert_cmpuint(target_of(targets, 3), ==, 400);
+	g_assert_false(set_target_remove(targets, 3, 100));
+	g_assert_true(set_target_remove(targets, 3, 400));
+	g_assert_cmpuint(target_of(targets, 3), ==, 0);
+	g_assert_cmpuint(target_of(targets, 1), ==, 50);
+	/* All priorities from 999 on have the same worth, and share a rank. */
+	set_target_add(targets, 2000, 30);
+	set_target_add(targets, 1000, 40);
+	g_assert_cmpuint(target_of(targets, 5000), ==, 30);
+}
+
 static void test_findings(void)
 {
 	expect("{\"version\":", "$\n");
@@ -119,56 +164,37 @@
 	expect_route(ROUTE ",\"split\":[{\"service\":\"a\",\"weight\":0}]", "$.routes[0].split\n");
 }
 
-static void apply(u64 revision, const char *json)
-{
-	g_autoptr(GPtrArray) changes = g_ptr_array_new_with_free_func(config_change_free);
-	struct config_change *change = g_new0(struct config_change, 1);
-
-	change->name = g_strdup(SET_NAME);
-	change->version = revision;
-	change->json = g_strdup(json);
-	g_ptr_array_add(changes, change);
-	g_assert_cmpint(config_apply(revision, false, changes), ==, 0);
-}
-
-static const char *route_of(const char *host, const char *target)
+/* Returns the timeout of the route, which tells the routes of a test apart; 0 for no route. */
+static u64 route_of(const char *host, const char *target)
 {
 	const struct config_route *r = config_find_route(config_current(), host, target);
 
-	return r ? r->route->name : NULL;
+	return r ? r->timeout_ms : 0;
 }
 
-#define NAMED_ROUTE(name, host, prefix, service)                                                   \
-	"{\"name\":\"" name "\",\"host\":\"" host "\",\"prefix\":\"" prefix                        \
-	"\",\"repeat\":\"never\",\"timeout_ms\":9,\"attempts\":1,\"service\":\"" service "\"}"
+#define TIMED_ROUTE(timeout, host, prefix, service)                                                \
+	"{\"name\":\"r\",\"host\":\"" host "\",\"prefix\":\"" prefix                               \
+	"\",\"repeat\":\"never\",\"timeout_ms\":" timeout ",\"attempts\":1,\"service\":\"" service \
+	"\"}"
 
 static void test_longest_prefix(void)
 {
 	config_reset();
-	apply(1, SET("1", NAMED_ROUTE("all", "h.example", "/", "a") "," NAMED_ROUTE(
-				  "deep", "h.example", "/x/y/",
-				  "b") "," NAMED_ROUTE("other", "g.example", "/x/", "b")));
-	g_assert_cmpstr(route_of("h.example", "/x/y/z?q=/x/"), ==, "deep");
-	g_assert_cmpstr(route_of("H.Example:8080", "/x/y/"), ==, "deep");
-	g_assert_cmpstr(route_of("h.example", "/x/y"), ==, "all");
-	g_assert_cmpstr(route_of("h.example", "/x/yz/"), ==, "all");
-	g_assert_cmpstr(route_of("g.example", "/x/"), ==, "other");
-	g_assert_null(route_of("g.example", "/"));
-	g_assert_null(route_of("nobody.example", "/x/"));
+	fake_config_put_set(1,
+			    SET("1", TIMED_ROUTE("1", "h.example", "/", "a") "," TIMED_ROUTE(
+					     "2", "h.example", "/x/y/",
+					     "b") "," TIMED_ROUTE("3", "g.example", "/x/", "b")));
+	g_assert_cmpuint(route_of("h.example", "/x/y/z?q=/x/"), ==, 2);
+	g_assert_cmpuint(route_of("H.Example:8080", "/x/y/"), ==, 2);
+	g_assert_cmpuint(route_of("h.example", "/x/y"), ==, 1);
+	g_assert_cmpuint(route_of("h.example", "/x/yz/"), ==, 1);
+	g_assert_cmpuint(route_of("g.example", "/x/"), ==, 3);
+	g_assert_cmpuint(route_of("g.example", "/"), ==, 0);
+	g_assert_cmpuint(route_of("nobody.example", "/x/"), ==, 0);
 	g_assert_nonnull(config_find_service(config_current(), "a"));
 	config_reset();
 }
 
-/* A malformed set leaves the current set in force. */
-static void test_bad_set_changes_nothing(void)
-{
-	config_reset();
-	apply(1, SET("1", NAMED_ROUTE("all", "h.example", "/", "a")));
-	apply(2, "{\"version\":2");
-	g_assert_cmpstr(route_of("h.example", "/"), ==, "all");
-	config_reset();
-}
-
 /* The split holds in every short window of requests. */
 static void test_split(void)
 {
@@ -176,8 +202,8 @@
 	struct config_route *r;
 
 	config_reset();
-	apply(1, SET("1", "{" ROUTE ",\"split\":[{\"service\":\"a\",\"weight\":90},"
-			  "{\"service\":\"b\",\"weight\":10}]}"));
+	fake_config_put_set(1, SET("1", "{" ROUTE ",\"split\":[{\"service\":\"a\",\"weight\":90},"
+					"{\"service\":\"b\",\"weight\":10}]}"));
 	r = config_find_route(config_current(), "h.example", "/x/");
 	for (u32 window = 0; window < 50; window++) {
 		u32 b = 0;
@@ -198,7 +224,8 @@
 	g_test_add_func("/set/findings", test_findings);
 	g_test_add_func("/set/value-ranges", test_value_ranges);
 	g_test_add_func("/set/longest-prefix", test_longest_prefix);
-	g_test_add_func("/set/bad-set-changes-nothing", test_bad_set_changes_nothing);
+	g_test_add_func("/set/rank-keeps-target-of-removed-route",
+			test_rank_keeps_target_of_removed_route);
 	g_test_add_func("/set/split", test_split);
 	return g_test_run();
 }
--- a/test/watch_test.c
+++ b/test/watch_test.c
@@ -1,7 +1,7 @@
 /* A node's link to control, tested against fake control processes. */
-#include "lib/delta.h"
 #include "lib/set.h"
 #include "node/config.h"
+#include "test/fakes/fake_config.h"
 #include "test/fakes/fake_node.h"
 #include "test/fakes/httpc.h"
 #include "test/fakes/raw_server.h"
@@ -11,7 +11,6 @@
 #include <stdio.h>
 #include <string.h>
 #include <unistd.h>
-#include <xxhash.h>
 
 #define FRESH_INTERVAL_US (50 * US_PER_MS)
 #define WAIT_MS 20000
@@ -177,44 +176,27 @@
 	"\"target_ms\":250,\"attempts\":2,\"service\":\"a\"}],\"services\":[{\"name\":\"a\"}],"    \
 	"\"limits\":{}}"
 
-/* The next message of the control process, sent on its loop's thread. */
-struct to_send {
-	u64 revision;
-	u64 base;
-	const char *old_set;
-	const char *new_set;
-	const char *checksum_text; /* the text that the checksum is computed from */
-};
+/* The frames that control makes of its sets, sent on its loop's thread. */
+static struct fake_config declared;
 
-static void put_set(struct frame_out *f, const struct to_send *s)
+static void declare(u64 version, const char *text)
 {
-	frame_put_u64(f, s->revision);
-	frame_put_bool(f, true);
-	frame_put_bool(f, true);
-	frame_put_u64(f, 1);
-	frame_put_str(f, SET_NAME);
-	frame_put_u64(f, s->revision);
-	frame_put_u64(f, s->revision);
-	frame_put_bool(f, true);
-	frame_put_str(f, s->new_set);
+	fake_config_replace(&declared, version, text);
 }
 
-static void send_set(void *arg)
+/* Sends the frames from the revision ARG to the newest. */
+static void send_frames(void *arg)
 {
-	FRAME_AUTO(f, CTL_CONFIG);
+	const GPtrArray *frames =
+		config_frames_get(&declared.frames, &declared.store, GPOINTER_TO_UINT(arg));
 
-	put_set(&f, arg);
-	link_send(controls[0].link, &f);
+	for (guint i = 0; i < frames->len; i++)
+		link_send(controls[0].link, g_ptr_array_index(frames, i));
 }
 
-static void send_compressed_set(void *arg)
+static void send_from(u32 revision)
 {
-	struct frame_out *f = ctl_frame_new(CTL_CONFIG);
-
-	put_set(f, arg);
-	f = ctl_compress(f);
-	link_send(controls[0].link, f);
-	ctl_frame_free(f);
+	loop_call(controls[0].loop, send_frames, GUINT_TO_POINTER(revision));
 }
 
 /* A compressed frame whose bytes are damaged. */
@@ -228,17 +210,24 @@
 	link_send(controls[0].link, &f);
 }
 
-static void send_delta(void *arg)
+/* A difference without changes, and with a checksum that fits no set. */
+struct misfit {
+	u64 revision;
+	u64 base;
+};
+
+static void send_misfit(void *arg)
 {
-	const struct to_send *s = arg;
-	g_autoptr(GArray) ops = delta_make(s->old_set, s->new_set);
-	FRAME_AUTO(f, CTL_SET_DELTA);
-
-	frame_put_u64(&f, s->revision);
-	frame_put_u64(&f, s->base);
-	frame_put_u64(&f, s->revision);
-	frame_put_u64(&f, XXH64(s->checksum_text, strlen(s->checksum_text), 0));
-	delta_put(&f, ops);
+	const struct misfit *m = arg;
+	FRAME_AUTO(f, CTL_CONFIG);
+
+	frame_put_u64(&f, CTL_CONFIG_BEGIN);
+	frame_put_u64(&f, m->revision);
+	frame_put_u64(&f, m->base);
+	frame_put_u64(&f, CTL_CONFIG_END);
+	frame_put_u64(&f, 1234);
+	frame_put_u64(&f, 1);
+	frame_put_u64(&f, 1);
 	link_send(controls[0].link, &f);
 }
 
@@ -266,53 +255,56 @@
 /* A compressed set comes into force; a damaged one ends the link and changes nothing. */
 static void test_compressed_set(void)
 {
-	g_autofree char *padding = g_strnfill(4000, ' ');
-	g_autofree char *text = g_strconcat(SET_TEXT("1", "one"), padding, NULL);
-	struct to_send first = { .revision = 5, .new_set = text };
+	g_autofree char *text = fake_config_text(2, 1000, UINT32_MAX, 1000);
 	struct fake_node node;
 
 	start_node_of_first_control(&node);
-	loop_call(controls[0].loop, send_compressed_set, &first);
-	wait_revision(5);
+	fake_config_init(&declared);
+	/* The node already has a configuration with revision 1. */
+	declare(1, SET_TEXT("1", "one"));
+	declare(2, text);
+	send_from(0);
+	wait_revision(2);
+	g_assert_cmpuint(config_current()->set->routes.count, ==, 1000);
 	loop_call(controls[0].loop, send_damaged, NULL);
 	wait_watches(&controls[0], 2);
-	g_assert_cmpuint(config_revision(), ==, 5);
+	g_assert_cmpuint(config_revision(), ==, 2);
 }
 
-/* A delta that does not apply changes nothing and makes the node request the whole set. */
+/* A difference that does not fit changes nothing and makes the node request the whole set, once. */
 static void test_set_delta(void)
 {
+	struct misfit m = { .revision = 9, .base = 8 };
 	struct fake_node node;
-	struct to_send first = { .revision = 5, .new_set = SET_TEXT("1", "one") };
-	struct to_send next = { .revision = 6,
-				.base = 5,
-				.old_set = SET_TEXT("1", "one"),
-				.new_set = SET_TEXT("2", "two"),
-				.checksum_text = SET_TEXT("2", "two") };
 
 	start_node_of_first_control(&node);
-	loop_call(controls[0].loop, send_set, &first);
-	wait_revision(5);
-	loop_call(controls[0].loop, send_delta, &next);
-	wait_revision(6);
-	/* Based on a revision that the node does not have, then with a wrong checksum. */
-	next.revision = 8;
-	next.base = 7;
-	loop_call(controls[0].loop, send_delta, &next);
+	fake_config_init(&declared);
+	declare(1, SET_TEXT("1", "one"));
+	declare(2, SET_TEXT("2", "two"));
+	send_from(0);
+	wait_revision(2);
+	declare(3, SET_TEXT("3", "three"));
+	send_from(2);
+	wait_revision(3);
+	g_assert_cmpuint(config_current()->set->version, ==, 3);
+	/* Based on a revision that the node does not have; then with a wrong checksum. */
+	loop_call(controls[0].loop, send_misfit, &m);
 	wait_watches(&controls[0], 2);
-	next.base = 6;
-	next.old_set = SET_TEXT("2", "two");
-	next.new_set = SET_TEXT("3", "three");
-	next.checksum_text = "another text";
-	loop_call(controls[0].loop, send_delta, &next);
+	g_assert_cmpuint(config_revision(), ==, 3);
+	declare(4, SET_TEXT("4", "four"));
+	send_from(0);
+	wait_revision(4);
+	m = (struct misfit){ .revision = 5, .base = 4 };
+	loop_call(controls[0].loop, send_misfit, &m);
 	wait_watches(&controls[0], 3);
-	g_assert_cmpuint(config_revision(), ==, 6);
-	/* A delta to an older revision is ignored. */
-	next.revision = 4;
-	loop_call(controls[0].loop, send_delta, &next);
-	first.revision = 9;
-	loop_call(controls[0].loop, send_set, &first);
-	wait_revision(9);
+	g_assert_cmpuint(config_revision(), ==, 4);
+	loop_call(controls[0].loop, send_misfit, &m);
+	/* A difference to an older revision is ignored. */
+	m = (struct misfit){ .revision = 3, .base = 2 };
+	loop_call(controls[0].loop, send_misfit, &m);
+	declare(5, SET_TEXT("5", "five"));
+	send_from(0);
+	wait_revision(5);
 	g_assert_cmpint(g_atomic_int_get(&controls[0].watches), ==, 3);
 }
 
--- a/wire/ctl.h
+++ b/wire/ctl.h
@@ -2,8 +2,7 @@
  * ctl - frame types exchanged with and between control processes
  *
  * node to control:    CTL_REGISTER, CTL_RENEW, CTL_WATCH, CTL_SUBSCRIBE
- * control to node:    CTL_CONFIG, CTL_SET_DELTA, CTL_VIEW, CTL_FRESHNESS, CTL_MEMBERS,
- *                     CTL_COMPRESSED
+ * control to node:    CTL_CONFIG, CTL_VIEW, CTL_FRESHNESS, CTL_MEMBERS, CTL_COMPRESSED
  * control to control: CTL_RAFT, CTL_DIRECTORY, CTL_HEARTBEAT, CTL_FORWARD,
  *                     CTL_FORWARD_RESULT, CTL_JOIN, CTL_MEMBERS
  *
@@ -40,9 +39,7 @@
 	CTL_REGISTER = LINK_TYPE_FIRST, /* the node's directory entry */
 	CTL_RENEW, /* applied configuration revision */
 	CTL_WATCH, /* configuration revision that the node has */
-	CTL_CONFIG, /* revision, is_snapshot, is_last, count, {name, version, revision, is_live,
-		       json} */
-	CTL_SET_DELTA, /* revision, base revision, version, checksum of the text, delta */
+	CTL_CONFIG, /* {step, its fields}: see enum ctl_config_step */
 	CTL_SUBSCRIBE, /* count, {service}: all services that the node calls */
 	CTL_VIEW, /* nodes in the directory, count, {service sent completely}, count,
 		     {is_dropped, entry} */
@@ -57,6 +54,22 @@
 	CTL_COMPRESSED, /* length, bytes in deflate form: another frame to a node */
 };
 
+/*
+ * The steps from one revision of the configuration to another, in one CTL_CONFIG frame or several.
+ * The difference from nothing is the whole configuration.
+ */
+enum ctl_config_step {
+	CTL_CONFIG_BEGIN = 1, /* revision, base revision or 0 */
+	CTL_CONFIG_DECLARE, /* name, version, json: a service that was declared on its own */
+	CTL_CONFIG_UNDECLARE, /* name */
+	CTL_CONFIG_SET, /* version, limits: head_bytes, body_bytes, head_ and idle_timeout_ms */
+	CTL_CONFIG_SERVICE, /* a service of the set */
+	CTL_CONFIG_DROP_SERVICE, /* pmap_hash of its name */
+	CTL_CONFIG_ROUTE, /* a route, as difference to the one before it in the frame */
+	CTL_CONFIG_DROP_ROUTE, /* set_route_key_hash */
+	CTL_CONFIG_END, /* checksum, routes, services of the set: brings it into force */
+};
+
 /* ctl_frame_new, ctl_frame_free - a frame on the heap; ctl_frame_free suits GPtrArray. */
 struct frame_out *ctl_frame_new(enum ctl_type type);
 void ctl_frame_free(gpointer frame);
