test: a change of one route holds up control

/config-size/one-route-holds-up-control bounds the processor time that control takes on its loop to make the frames of a change of one route in 6,000: 15 ms, which is 25 ms at 0.6 of a core.

--- a/test/config_size_test.c
+++ b/test/config_size_test.c
@@ -22,6 +22,12 @@
 /* A change costs what has changed: a route of less than 200 bytes, and the frames around it. */
 #define CHANGE_MAX_BYTES 1024
 
+/*
+ * The loop of a control process may be held up for 25 ms, a sixth of the interval of heartbeats, at
+ * 0.6 of a core.
+ */
+#define CONTROL_TURN_MAX_US (15 * US_PER_MS)
+
 static struct fake_config control;
 static struct fake_node node;
 static struct fake_config_cost cost;
@@ -85,6 +91,20 @@
 	g_assert_cmpuint(busy_us, <=, TURN_MAX_US);
 }
 
+/* Guards against: a change of one route holds up control for as long as all routes. */
+static void test_one_route_holds_up_control(void)
+{
+	u64 made_us = UINT64_MAX;
+
+	start();
+	change(1, NO_ROUTE, TIMEOUT_MS);
+	for (u32 i = 0; i < ROUNDS; i++) {
+		change(i + 2, i % 2 ? NO_ROUTE : CHANGED_ROUTE, TIMEOUT_MS);
+		made_us = MIN(made_us, cost.made_us);
+	}
+	g_assert_cmpuint(made_us, <=, CONTROL_TURN_MAX_US);
+}
+
 int main(int argc, char **argv)
 {
 	int ret;
@@ -92,6 +112,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/config-size/large-set-holds-up-calls", test_large_set_holds_up_calls);
 	g_test_add_func("/config-size/one-route-costs-whole-set", test_one_route_costs_whole_set);
+	g_test_add_func("/config-size/one-route-holds-up-control", test_one_route_holds_up_control);
 	ret = g_test_run();
 	fflush(stdout);
 	_exit(ret); /* the node still runs */
