--- a/bench/config_bench.c
+++ b/bench/config_bench.c
@@ -35,7 +35,7 @@
 
 static void give(void *arg)
 {
-	fake_config_give(&control, node.node->watch, arg);
+	fake_config_give_stream(&control, node.node->watch, arg);
 }
 
 /* The heap of a node alone: everything that control has is made before and after it. */
@@ -56,9 +56,10 @@
 
 	fake_config_replace(&control, version, text);
 	loop_call(node.node->loop, give, &c);
-	printf("%-16s %8zu %9zu %6u %8llu %10llu %8llu %10.0f\n", name, c.link_bytes, c.plain_bytes,
-	       c.frames, (unsigned long long)c.busy_us, (unsigned long long)c.longest_us,
-	       (unsigned long long)c.made_us, (double)heap_bytes() - (double)before);
+	printf("%-16s %8zu %9zu %6u %8llu %10llu %8llu %10.0f\n", name, c.link_bytes,
+	       (size_t)c.decoded_bytes, c.frames, (unsigned long long)c.busy_us,
+	       (unsigned long long)c.longest_us, (unsigned long long)c.made_us,
+	       (double)heap_bytes() - (double)before);
 }
 
 int main(int argc, char **argv)
@@ -74,7 +75,7 @@
 	fake_node_start(&node);
 	loop_call(node.node->loop, reset, NULL);
 	fake_config_init(&control);
-	printf("%5u routes       on link     plain frames  busy_us longest_us  made_us "
+	printf("%5u routes       on link     plain  parts  busy_us longest_us  made_us "
 	       "heap_bytes\n",
 	       routes);
 	measure("whole", 1, routes, NO_ROUTE, TIMEOUT_MS);
--- a/control/config_frames.c
+++ b/control/config_frames.c
@@ -16,7 +16,7 @@
 static void end_frame(struct writer *w)
 {
 	if (w->frame)
-		g_ptr_array_add(w->frames, ctl_compress(g_steal_pointer(&w->frame)));
+		g_ptr_array_add(w->frames, g_steal_pointer(&w->frame));
 	w->steps = 0;
 	w->last_route = NULL;
 }
@@ -164,11 +164,16 @@
 	return unused;
 }
 
+void config_frames_observe(struct config_frames *c, const struct store *s)
+{
+	set_history_update(&c->set_history, store_find(s, SET_NAME), s->revision);
+}
+
 const GPtrArray *config_frames_get(struct config_frames *c, const struct store *s, u64 from)
 {
 	struct config_frames_entry *e;
 
-	set_history_update(&c->set_history, store_find(s, SET_NAME), s->revision);
+	config_frames_observe(c, s);
 	e = find_entry(c, from, s->revision);
 	if (e->frames)
 		return e->frames;
--- a/control/config_frames.h
+++ b/control/config_frames.h
@@ -14,10 +14,10 @@
 #include "control/set_history.h"
 #include "control/store.h"
 
-/* A frame is ended when it has this many steps, or bytes before it is compressed. */
+/* A frame is ended when it has this many steps or bytes. */
 #define CONFIG_FRAME_STEPS_MAX 256
 #define CONFIG_FRAME_BYTES (8 * 1024)
-#define CONFIG_FRAMES_ENTRIES 8
+#define CONFIG_FRAMES_ENTRIES 2
 
 struct config_frames_entry {
 	u64 from;
@@ -36,6 +36,12 @@
  * whole configuration if what it was at FROM is not known. They are valid until the next call.
  */
 const GPtrArray *config_frames_get(struct config_frames *c, const struct store *s, u64 from);
+
+/*
+ * config_frames_observe - notes the configuration of the store, so that nodes that get it from
+ * another control process can get the difference from it. Needed after each change.
+ */
+void config_frames_observe(struct config_frames *c, const struct store *s);
 void config_frames_clear(struct config_frames *c);
 
 #endif
--- a/kernel/link.c
+++ b/kernel/link.c
@@ -35,7 +35,9 @@
 	bool wants_write;
 	bool is_dead;
 	bool has_hello;
+	bool is_ending; /* nothing is sent after what is queued */
 	int pending_err; /* closes the link at the next tick */
+	u64 recv_bytes;
 	u64 last_recv_us; /* time of the last received data */
 	u64 ping_sent_us; /* time of the first PING since then; 0 if none was sent */
 	u64 ping_interval_us; /* current interval between PINGs */
@@ -307,6 +309,7 @@
 		return ERR_CLOSED;
 	if (n < 0)
 		return errno == EAGAIN || errno == EINTR ? 0 : ERR_CLOSED;
+	p->recv_bytes += (u64)n;
 	p->last_recv_us = loop_clock_us();
 	p->ping_sent_us = 0;
 	return handle_bytes(k, buf, (size_t)n);
@@ -347,6 +350,8 @@
 	}
 	if (p->out_off == p->out->len)
 		reset_out(p);
+	if (p->is_ending && !p->out->len)
+		shutdown(p->fd.fd, SHUT_WR);
 	set_write(k, p->out->len > 0);
 }
 
@@ -372,7 +377,7 @@
 	struct link_private *p = k->priv;
 	size_t len = frame_end(frame);
 
-	if (p->is_dead)
+	if (p->is_dead || p->is_ending)
 		return ERR_CLOSED;
 	if (len > FRAME_MAX_BYTES + FRAME_HEADER_BYTES)
 		return ERR_TOOBIG;
@@ -391,6 +396,14 @@
 	return 0;
 }
 
+void link_end_sending(struct link *k)
+{
+	if (k->priv->is_dead || k->priv->is_connecting)
+		return;
+	k->priv->is_ending = true;
+	flush(k);
+}
+
 int link_send(struct link *k, struct frame_out *frame)
 {
 	if (!k->priv->is_dead)
@@ -511,6 +524,11 @@
 		send_ping(k);
 }
 
+u64 link_received_bytes(const struct link *k)
+{
+	return k->priv->recv_bytes;
+}
+
 u64 link_silence_us(const struct link *k, u64 now_us)
 {
 	return now_us > k->priv->last_recv_us ? now_us - k->priv->last_recv_us : 0;
--- a/lib/ctr_list.h
+++ b/lib/ctr_list.h
@@ -7,9 +7,12 @@
 CTR(NO_RANK, "no-rank", "no rank of the service matches the request")
 CTR(NO_UPSTREAM, "no-upstream", "the service has no upstream that can take the call")
 CTR(NO_CONFIG, "no-config", "no configuration received yet")
+CTR(CONFIG_NOT_CURRENT, "config-not-current",
+    "not allowed by a configuration that may not be the newest")
 CTR(BODY_TOO_LARGE, "body-too-large", "the request body is over max_body_bytes")
 CTR(BAD_REQUEST, "bad-request", "the request is malformed or its body ended early")
 CTR(DRAINING, "draining", "refused because the node is draining")
+CTR(STOPPING, "stopping", "refused because the node ends before the call could")
 CTR(QUEUE_WAIT, "queue-wait", "refused because the expected wait is over the target")
 CTR(RATE_LIMIT, "rate-limit", "refused because the upstream's rate limit allows no call in time")
 CTR(LATE_CALL, "late-call", "calls that came too late for their target and go behind all others")
@@ -32,6 +35,8 @@
 /* Unknown outcomes: the call may have been executed. */
 CTR(UPSTREAM_BROKEN, "upstream-broken",
     "the upstream closed or broke the connection after the request was written")
+CTR(ANSWER_UNCERTAIN, "answer-uncertain",
+    "the upstream's answer names no request and may belong to an earlier one")
 CTR(UPSTREAM_SHORT, "upstream-short", "the upstream body ended before its announced length")
 CTR(UPSTREAM_TIMEOUT, "upstream-timeout", "the upstream did not answer before the deadline")
 CTR(PEER_LOST, "peer-lost", "the link to the home node broke during the call")
@@ -80,11 +85,15 @@
 CTR(FRAME_TOO_LARGE, "frame-too-large", "links closed because a frame was over the limit")
 /* Configuration received by the node. */
 CTR(CONFIG_APPLIED, "config-applied", "configuration revisions applied")
-CTR(CONFIG_BYTES, "config-bytes", "bytes of routes and services that were decoded")
+CTR(CONFIG_DECODED_BYTES, "config-decoded-bytes", "bytes of routes and services that were decoded")
 CTR(CONFIG_STALE, "config-stale", "configuration messages ignored because their revision is lower")
+CTR(CONFIG_BYTES, "config-bytes", "bytes of configurations received from control")
+CTR(CONFIG_UNFINISHED, "config-unfinished", "configurations dropped before they were complete")
+CTR(WORD_LATE, "word-late", "freshness words that arrived over 0.5 s after they were sent")
 CTR(CONTROL_MOVED, "control-moved", "changes of the control process the node watches")
 CTR(CONTROL_NOT_FRESH, "control-not-fresh", "control processes left because they are not fresh")
 /* The control plane. */
+CTR(CONFIG_SENT_BYTES, "config-sent-bytes", "bytes of configurations sent to nodes")
 CTR(CHANGE_ACCEPTED, "change-accepted", "changes accepted")
 CTR(CHANGE_CONFLICT, "change-conflict", "changes refused because of a version conflict")
 CTR(CHANGE_REPEATED, "change-repeated", "changes answered from the memory of change ids")
--- a/node/config.c
+++ b/node/config.c
@@ -55,7 +55,7 @@
 struct config_route *config_route_new(const struct set_route *from, u64 hash)
 {
 	g_autofree char *key = set_route_key(from->host, from->prefix);
-	size_t parts_bytes = from->parts->len * sizeof(struct config_part);
+	size_t parts_bytes = from->parts->len * sizeof(struct config_split);
 	struct config_route *r = g_malloc0(sizeof(*r) + parts_bytes + text_bytes(from, key));
 	char *end = (char *)r + sizeof(*r) + parts_bytes;
 
--- a/node/config.h
+++ b/node/config.h
@@ -25,7 +25,7 @@
 };
 
 /* A service that gets a share of a route's requests, with the credit of weighted round robin. */
-struct config_part {
+struct config_split {
 	const char *service;
 	u64 weight;
 	i64 credit;
@@ -44,7 +44,7 @@
 	bool is_idempotent;
 	bool has_initial_credit;
 	struct age age; /* estimates the age of callers' requests */
-	struct config_part parts[];
+	struct config_split parts[];
 };
 
 /* The active set, shared between revisions until it changes. */
--- a/node/config_find.c
+++ b/node/config_find.c
@@ -86,7 +86,7 @@
 
 const char *config_route_pick_service(struct config_route *r, struct rng *rng)
 {
-	struct config_part *best = &r->parts[0];
+	struct config_split *best = &r->parts[0];
 	i64 sum = 0;
 
 	if (r->parts_len == 1)
@@ -96,7 +96,7 @@
 	if (!r->has_initial_credit)
 		init_credit(r, sum, rng);
 	for (u32 i = 0; i < r->parts_len; i++) {
-		struct config_part *part = &r->parts[i];
+		struct config_split *part = &r->parts[i];
 
 		part->credit += (i64)part->weight;
 		if (!best->weight || (part->weight && part->credit > best->credit))
--- a/node/mesh.c
+++ b/node/mesh.c
@@ -110,6 +110,7 @@
 	p->id = p->call.id;
 	p->body_len = p->call.body_len;
 	p->deadline_us = link_to_local_us(m->link, p->call.deadline_us);
+	watch_note_revision(m->node, p->call.revision);
 	record_call(m);
 	return add_partial_message(m, p);
 }
@@ -477,6 +478,21 @@
 	return sum;
 }
 
+void mesh_finish(struct node *n)
+{
+	g_clear_pointer(&n->mesh->listener, link_stop_listening);
+	for (guint i = 0; i < n->mesh->accepted->len; i++) {
+		const struct mesh_peer *m = g_ptr_array_index(n->mesh->accepted, i);
+
+		link_end_sending(m->link);
+	}
+}
+
+u32 mesh_accepted_links(const struct node *n)
+{
+	return n->mesh->accepted->len;
+}
+
 int mesh_start(struct node *n)
 {
 	const struct node_settings *s = &n->settings->node;
--- a/node/watch.c
+++ b/node/watch.c
@@ -25,6 +25,8 @@
 #define NOT_FRESH_MAX_US (700 * US_PER_MS)
 /* A trial is abandoned when the control process has not reported its freshness by then. */
 #define TRIAL_TIMEOUT_US (500 * US_PER_MS)
+/* A word of freshness that took longer to arrive is logged and counted. */
+#define WORD_LATE_US (500 * US_PER_MS)
 #define RETRY_INTERVAL_US (500 * US_PER_MS)
 /* Interval between trials of a nearer control process while the main one is fresh. */
 #define NEARER_RETRY_INTERVAL_US (15 * US_PER_S)
@@ -86,8 +88,36 @@
 	s->candidate = NULL;
 }
 
-static void close_main(struct watch *w)
+static u64 bytes_since_word(const struct control_link *s)
 {
+	return link_received_bytes(s->link) - s->word_at_bytes;
+}
+
+static u64 unfinished_bytes(const struct watch *w)
+{
+	struct config_request q = { 0 };
+
+	config_receive_describe(&w->receive, &q);
+	return q.received;
+}
+
+/* Logs why the node leaves its control process, and how much it got since the last word. */
+static void log_left(struct watch *w, const char *reason)
+{
+	const struct control_link *s = &w->main;
+	u64 now = loop_clock_us();
+
+	log_event(LOG_INFO, "control left", "control", s->candidate->at.host, "reason", reason,
+		  "word_age_us", log_u64(s->word_sent_us ? now - s->word_sent_us : 0),
+		  "bytes_since_word", log_u64(bytes_since_word(s)), "unfinished_bytes",
+		  log_u64(unfinished_bytes(w)), "requested_age_us", log_u64(now - w->requested_us),
+		  "revision", log_u64(config_revision()), NULL);
+}
+
+static void close_main(struct watch *w, const char *reason)
+{
+	if (w->main.candidate)
+		log_left(w, reason);
 	close_link(&w->main);
 	g_hash_table_remove_all(w->reported);
 	w->removal_due_us = 0;
@@ -167,15 +197,27 @@
 	return n->watch->node_count;
 }
 
-void watch_request_config(struct watch *w, u64 have)
+/* Requests the rest of the configuration of which the node has a part, or the changes since HAVE.
+ */
+static void send_watch(struct watch *w, u64 have)
 {
+	struct config_request q = { .number = ++w->request, .revision = have };
 	FRAME_AUTO(f, CTL_WATCH);
 
-	w->awaits_whole = false;
+	config_receive_describe(&w->receive, &q);
+	if (q.received)
+		q.revision = q.stream.from;
+	config_request_put(&f, &q);
 	if (!is_up(&w->main))
 		return;
-	frame_put_u64(&f, have);
 	link_send(w->main.link, &f);
+	w->requested_us = loop_clock_us();
+}
+
+void watch_request_config(struct watch *w, u64 have)
+{
+	config_receive_drop(&w->receive);
+	send_watch(w, have);
 }
 
 /* Applies a view's entry; IS_DROPPED when control replaced it by another one in the view. */
@@ -280,7 +322,7 @@
 	if (w->was_linked)
 		ctr_inc(CTR_CONTROL_MOVED);
 	w->was_linked = true;
-	close_main(w);
+	close_main(w, w->main.last_fresh_us ? "nearer" : "not fresh");
 	w->main = w->trial;
 	w->trial.link = NULL;
 	w->trial.candidate = NULL;
@@ -289,7 +331,7 @@
 	/* A new version makes this control process accept the entry. */
 	w->node->dir_entry.version++;
 	watch_register(w->node);
-	watch_request_config(w, config_revision());
+	send_watch(w, config_revision());
 	resend_subscriptions(w);
 	log_event(LOG_INFO, "control link up", "control", k->remote.name, "fresh",
 		  w->main.last_fresh_us ? "yes" : "no", NULL);
@@ -323,14 +365,30 @@
 	close_link(&w->trial);
 }
 
+static void record_word(struct control_link *s, u64 sent_us, u64 now_us)
+{
+	if (now_us - sent_us > WORD_LATE_US) {
+		ctr_inc(CTR_WORD_LATE);
+		log_event(LOG_INFO, "word of freshness late", "control", s->candidate->at.host,
+			  "age_us", log_u64(now_us - sent_us), "bytes_before",
+			  log_u64(bytes_since_word(s)), NULL);
+	}
+	s->word_sent_us = sent_us;
+	s->word_at_bytes = link_received_bytes(s->link);
+}
+
 static int on_fresh(struct control_link *s, struct frame_in *in)
 {
 	bool is_fresh = frame_get_bool(in);
 	u64 revision = frame_get_u64(in);
+	u64 sent = link_to_local_us(s->link, frame_get_u64(in));
 	u64 now = loop_clock_us();
 
 	if (frame_done(in))
 		return ERR_INVAL;
+	watch_note_revision(s->w->node, revision);
+	sent = MIN(sent, now);
+	record_word(s, sent, now);
 	is_fresh = is_fresh && revision >= config_revision();
 	if (s == &s->w->trial)
 		finish_trial(s->w, is_fresh, now);
@@ -397,35 +455,101 @@
 	return frame_done(in);
 }
 
-static int on_compressed(struct control_link *s, struct frame_in *in);
+static void on_stream_begin(void *arg)
+{
+	watch_config_begin(arg);
+}
+
+static int on_stream_frame(void *arg, u32 type, struct frame_in *in)
+{
+	return type == CTL_CONFIG ? watch_config_frame(arg, in) : ERR_INVAL;
+}
+
+static const struct config_receive_ops receive_ops = { .begin = on_stream_begin,
+						       .frame = on_stream_frame };
+
+static void send_ack(struct watch *w)
+{
+	FRAME_AUTO(f, CTL_CONFIG_ACK);
+
+	frame_put_u64(&f, w->request);
+	frame_put_u64(&f, w->receive.received);
+	link_send(w->main.link, &f);
+}
+
+static void log_received(struct watch *w, const struct config_part *p)
+{
+	log_event(LOG_INFO, "configuration received", "control", w->main.link->remote.name, "from",
+		  log_u64(p->stream.from), "to", log_u64(p->stream.to), "bytes", log_u64(p->total),
+		  "requested_age_us", log_u64(loop_clock_us() - w->requested_us), "revision",
+		  log_u64(config_revision()), NULL);
+}
+
+/* The stream is complete. If it is not in force, the whole configuration is requested. */
+static void finish_stream(struct watch *w, const struct config_part *p)
+{
+	log_received(w, p);
+	if (config_revision() >= p->stream.to)
+		return;
+	log_event(LOG_WARN, "a configuration is not in force; requesting the whole one", "revision",
+		  log_u64(p->stream.to), "have", log_u64(config_revision()), NULL);
+	watch_request_config(w, 0);
+}
+
+/* The stream that begins with P takes the place of one that is not complete. */
+static void log_superseded(struct watch *w, const struct config_part *p)
+{
+	if (p->offset || !unfinished_bytes(w))
+		return;
+	ctr_inc(CTR_CONFIG_UNFINISHED);
+	log_event(LOG_INFO, "unfinished configuration dropped", "to", log_u64(w->receive.stream.to),
+		  "bytes", log_u64(w->receive.received), "of", log_u64(w->receive.total), "next",
+		  log_u64(p->stream.to), NULL);
+}
+
+static int on_config_part(struct control_link *s, struct frame_in *in)
+{
+	struct watch *w = s->w;
+	struct config_part p;
+	int err = config_part_get(in, &p);
+
+	/* Parts for an earlier request may still be on their way. */
+	if (!err && (s != &w->main || p.request != w->request))
+		return 0;
+	if (!err) {
+		ctr_add(CTR_CONFIG_BYTES, p.len);
+		log_superseded(w, &p);
+		err = config_receive_part(&w->receive, &p);
+	}
+	if (err) {
+		log_event(LOG_WARN, "part of a configuration refused", "control",
+			  s->candidate->at.host, "error", err_text(err), NULL);
+		return err;
+	}
+	if (p.request != w->request)
+		return 0;
+	send_ack(w);
+	if (config_receive_is_complete(&w->receive))
+		finish_stream(w, &p);
+	return 0;
+}
 
 static int on_message(struct control_link *s, u32 type, struct frame_in *in)
 {
 	switch (type) {
-	case CTL_CONFIG:
-		return watch_config_frame(s->w, in);
+	case CTL_CONFIG_PART:
+		return on_config_part(s, in);
 	case CTL_VIEW:
 		return on_view(s->w, in);
 	case CTL_FRESHNESS:
 		return on_fresh(s, in);
 	case CTL_MEMBERS:
 		return on_members(s->w, in);
-	case CTL_COMPRESSED:
-		return on_compressed(s, in);
 	default:
 		return ERR_INVAL;
 	}
 }
 
-static int on_compressed(struct control_link *s, struct frame_in *in)
-{
-	struct frame_in inner;
-	u32 type;
-	g_autoptr(GByteArray) bytes = ctl_inflate(in, &inner, &type);
-
-	return bytes ? on_message(s, type, &inner) : ERR_INVAL;
-}
-
 static int on_frame(struct link *k, u32 type, struct frame_in *in)
 {
 	return on_message(k->arg, type, in);
@@ -444,14 +568,13 @@
 	struct watch *w = s->w;
 
 	s->candidate->retry_at_us = loop_clock_us() + RETRY_INTERVAL_US;
-	s->link = NULL;
 	if (s == &w->trial) {
 		close_link(s);
 		return;
 	}
 	log_event(LOG_WARN, "control link down", "control", k->remote.name ? k->remote.name : "",
 		  "error", err_text(err), NULL);
-	close_main(w);
+	close_main(w, "link down");
 }
 
 static const struct link_ops ops = { .up = on_up, .frame = on_frame, .down = on_down };
@@ -523,7 +646,8 @@
 	ctr_inc(CTR_CONTROL_NOT_FRESH);
 	log_event(LOG_WARN, "control not fresh", "control", w->main.link->remote.name, "age_us",
 		  log_u64(now_us - w->main.last_fresh_us), "revision", log_u64(config_revision()),
-		  NULL);
+		  "word_age_us", log_u64(now_us - w->main.word_sent_us), "bytes_since_word",
+		  log_u64(bytes_since_word(&w->main)), NULL);
 	w->main.last_fresh_us = 0;
 }
 
@@ -563,9 +687,22 @@
 	add_candidates(w);
 }
 
-bool watch_is_fresh(const struct node *n)
+void watch_note_revision(struct node *n, u64 revision)
 {
-	return is_main_fresh(n->watch, loop_clock_us());
+	if (n->watch)
+		n->watch->newest_revision = MAX(n->watch->newest_revision, revision);
+}
+
+u64 watch_newest_revision(const struct node *n)
+{
+	return n->watch ? n->watch->newest_revision : 0;
+}
+
+bool watch_is_current(const struct node *n)
+{
+	const struct watch *w = n->watch;
+
+	return w && is_main_fresh(w, loop_clock_us()) && config_revision() >= w->newest_revision;
 }
 
 int watch_start(struct node *n)
@@ -576,6 +713,7 @@
 	w->node = n;
 	w->main.w = w;
 	w->trial.w = w;
+	config_receive_init(&w->receive, &receive_ops, w);
 	w->reported = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	w->subscriptions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	w->candidates = g_ptr_array_new_with_free_func(g_free);
@@ -596,5 +734,6 @@
 	g_hash_table_unref(w->reported);
 	g_hash_table_unref(w->subscriptions);
 	config_build_free(w->build);
+	config_receive_clear(&w->receive);
 	g_clear_pointer(&n->watch, g_free);
 }
--- a/node/watch_config.c
+++ b/node/watch_config.c
@@ -12,14 +12,10 @@
 
 #define CONFIG_TEXT_MAX_BYTES SET_JSON_MAX_BYTES
 
-/* Requests the whole configuration once. Returns an error if it is the whole that does not fit. */
+/* Requests the whole configuration. Returns an error if it is the whole that does not fit. */
 static int request_whole(struct watch *w, u64 revision, u64 base)
 {
-	bool is_requested = w->awaits_whole;
-
 	g_clear_pointer(&w->build, config_build_free);
-	if (base && is_requested)
-		return 0;
 	log_event(base ? LOG_WARN : LOG_ERROR,
 		  base ? "the difference does not fit; requesting the whole configuration" :
 			 "the whole configuration is inconsistent; keeping the previous one",
@@ -28,10 +24,14 @@
 	if (!base)
 		return ERR_INVAL;
 	watch_request_config(w, 0);
-	w->awaits_whole = true;
 	return 0;
 }
 
+void watch_config_begin(struct watch *w)
+{
+	g_clear_pointer(&w->build, config_build_free);
+}
+
 static int on_begin(struct watch *w, struct frame_in *in)
 {
 	u64 revision = frame_get_u64(in);
@@ -41,7 +41,6 @@
 		return ERR_INVAL;
 	g_clear_pointer(&w->build, config_build_free);
 	w->config_work = (struct config_work){ 0 };
-	w->awaits_whole &= base > 0;
 	if (revision <= config_revision()) {
 		ctr_inc(CTR_CONFIG_STALE);
 		return 0;
@@ -212,7 +211,7 @@
 	int err = finish_frame(w, on_steps(w, in));
 	u64 now_us = loop_clock_us();
 
-	ctr_add(CTR_CONFIG_BYTES, in->len);
+	ctr_add(CTR_CONFIG_DECODED_BYTES, in->len);
 	count_work(work, began_us, now_us);
 	if (config_revision() != revision) {
 		log_work(work, now_us);
--- a/node/watch_impl.h
+++ b/node/watch_impl.h
@@ -6,6 +6,7 @@
 #ifndef WATCH_IMPL_H
 #define WATCH_IMPL_H
 
+#include "node/config_receive.h"
 #include "node/node.h"
 #include "wire/ctl.h"
 
@@ -17,6 +18,8 @@
 	struct candidate *candidate;
 	u64 start_us;
 	u64 last_fresh_us; /* when the control process was last fresh; 0 if never */
+	u64 word_sent_us; /* when its last word of freshness was sent; 0 before the first */
+	u64 word_at_bytes; /* bytes received before that word */
 };
 
 /* What the revision that is being received has cost so far. */
@@ -39,18 +42,27 @@
 	GHashTable *subscriptions; /* service -> whether its upstreams were received */
 	u32 node_count; /* in the directory */
 	struct config_build *build; /* the configuration that is being received, or NULL */
-	bool awaits_whole; /* a difference did not fit, the whole has been requested */
 	struct config_work config_work;
+	u64 newest_revision; /* the highest that was named, by control or by a peer */
+	u64 requested_us; /* when the configuration was last requested */
+	u64 request; /* number of the last request for the configuration */
+	struct config_receive receive;
 	bool was_linked;
 };
 
 /*
  * watch_config_frame - handles one CTL_CONFIG frame. What has been received stays when the link
- * changes, and is discarded when another difference begins. An error closes the link.
+ * changes, and is discarded when another configuration begins. An error closes the link.
  */
 int watch_config_frame(struct watch *w, struct frame_in *in);
 
-/* watch_request_config - requests the changes since revision HAVE; 0 requests the whole. */
+/* watch_config_begin - discards what was received of a configuration that is not complete. */
+void watch_config_begin(struct watch *w);
+
+/*
+ * watch_request_config - drops the rest of the configuration that is being received, and requests
+ * the changes since revision HAVE; 0 requests the whole.
+ */
 void watch_request_config(struct watch *w, u64 have);
 
 /* watch_send_renew - reports the revision in force. */
--- a/test/config_diff_test.c
+++ b/test/config_diff_test.c
@@ -406,7 +406,6 @@
 	g_assert_cmpint(g.err, ==, err);
 	g_assert_cmpuint(config_revision(), ==, revision);
 	g_assert_cmpuint(config_current()->set->checksum, ==, checksum);
-	node.node->watch->awaits_whole = false;
 }
 
 /* A step that does not fit what it builds on, or leads to another set, changes nothing. */
--- /dev/null
+++ b/test/config_transfer_test.c
@@ -0,0 +1,292 @@
+/* A configuration on its way from control processes to a node, over a narrow link. */
+#include "control/control.h"
+#include "control/op.h"
+#include "lib/set.h"
+#include "node/config.h"
+#include "test/fakes/fake_config.h"
+#include "test/fakes/fake_node.h"
+#include "test/fakes/paced_relay.h"
+#include "test/fakes/raw_server.h"
+
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#define CONTROLS 2
+#define ROUTES 6000
+/* Words of random digits in a path, so that the set takes longer than a node waits for a word. */
+#define PREFIX_WORDS 11
+#define LINK_BYTES_PER_S (2000000 / 8)
+/* For connecting, trying a control process, a read through the leader, and applying the set. */
+#define ALLOWANCE_US (3 * US_PER_S)
+#define WAIT_US (20 * US_PER_S)
+
+/* A real control process, the only member of its group; all of them get the same changes. */
+struct control_process {
+	struct settings settings;
+	struct control *control;
+	u16 relay_port;
+};
+
+static struct control_process controls[CONTROLS];
+static struct paced_link narrow;
+
+static u16 free_port(void)
+{
+	u16 port;
+
+	close(raw_listen(&port));
+	return port;
+}
+
+static void start_control(struct control_process *p)
+{
+	struct settings *s = &p->settings;
+	struct member_setting self = { .id = 1 };
+
+	s->cluster = g_strdup("breizh");
+	s->control.id = 1;
+	s->control.address = g_strdup("127.0.0.1");
+	s->control.zone = g_strdup("elsewhere");
+	s->control.region = g_strdup("r");
+	s->control.data = g_dir_make_tmp("config_transfer_test_XXXXXX", NULL);
+	s->control.api_port = free_port();
+	s->control.api_listen =
+		(struct endpoint){ .host = "127.0.0.1", .port = s->control.api_port };
+	s->control.peer_port = free_port();
+	s->control.members = g_array_new(FALSE, FALSE, sizeof(struct member_setting));
+	self.at = (struct endpoint){ .host = "127.0.0.1", .port = s->control.peer_port };
+	g_array_append_val(s->control.members, self);
+	p->control = control_new(s);
+	g_assert_cmpint(p->control->module.ops->start(&p->control->module, NULL), ==, 0);
+	p->relay_port = paced_relay_start(&narrow, s->control.peer_port);
+}
+
+/* Returns a set that compresses badly, as paths of real routes do. */
+static char *set_text(u64 version, u32 routes)
+{
+	GString *text = g_string_new(NULL);
+	g_autoptr(GRand) rand = g_rand_new_with_seed(7);
+
+	g_string_append_printf(text, "{\"version\":%u,\"routes\":[", (u32)version);
+	for (u32 i = 0; i < routes; i++) {
+		g_string_append_printf(text, "%s{\"name\":\"r%u\",\"host\":\"h%08x.example\",",
+				       i ? "," : "", i, g_rand_int(rand));
+		g_string_append(text, "\"prefix\":\"/");
+		for (u32 k = 0; k < PREFIX_WORDS; k++)
+			g_string_append_printf(text, "%08x", g_rand_int(rand));
+		g_string_append_printf(text,
+				       "/\",\"repeat\":\"always\",\"timeout_ms\":%u,"
+				       "\"target_ms\":250,\"attempts\":2,\"service\":\"a\"}",
+				       i < version ? 1001u : 1000u);
+	}
+	g_string_append(text, "],\"services\":[{\"name\":\"a\"}],\"limits\":{}}");
+	return g_string_free(text, FALSE);
+}
+
+struct declaration {
+	struct control *control;
+	GBytes *command;
+	gint status; /* 0 until it is accepted */
+};
+
+static void on_declared(struct control *c, struct op *o)
+{
+	struct declaration *d = o->arg;
+
+	(void)c;
+	g_atomic_int_set(&d->status, o->outcome == OP_DONE ? o->result.status : 1);
+	op_free(o);
+}
+
+static void submit(void *arg)
+{
+	struct declaration *d = arg;
+	struct op *o = op_new(OP_CHANGE);
+
+	o->command = g_bytes_ref(d->command);
+	o->done = on_declared;
+	o->arg = d;
+	op_submit(d->control, o);
+}
+
+/* Declares the set of VERSION at all control processes. */
+static void declare(u64 version, const char *text)
+{
+	struct store_change change = { .op = STORE_SET,
+				       .name = (char *)SET_NAME,
+				       .change_id = (char *)"",
+				       .json = (char *)text,
+				       .version = version,
+				       .has_if_match = true,
+				       .if_match = version - 1 };
+	g_autoptr(GBytes) command = store_change_pack(&change);
+
+	for (u32 i = 0; i < CONTROLS; i++) {
+		struct declaration d = { .control = controls[i].control, .command = command };
+		u64 start = loop_clock_us();
+
+		loop_call(d.control->loop, submit, &d);
+		while (!g_atomic_int_get(&d.status) && loop_clock_us() - start < WAIT_US)
+			g_usleep(US_PER_MS);
+		g_assert_cmpint(g_atomic_int_get(&d.status) / 100, ==, 2);
+	}
+}
+
+/* Returns the bytes of a text in deflate form, as fast as control makes it. */
+static u64 compressed_bytes(const char *text)
+{
+	struct fake_config c;
+	struct config_stream *stream;
+	u64 bytes;
+
+	fake_config_init(&c);
+	fake_config_replace(&c, 1, text);
+	stream = config_stream_new(0, 1, config_frames_get(&c.frames, &c.store, 0));
+	bytes = stream->bytes->len;
+	config_stream_unref(stream);
+	fake_config_clear(&c);
+	return bytes;
+}
+
+/* Starts a node without a configuration that reaches all control processes over the narrow link. */
+static void start_node(struct fake_node *node)
+{
+	fake_node_prepare(node);
+	if (g_getenv("TEST_LOG"))
+		log_open(NULL, LOG_INFO, LOG_TEXT);
+	g_array_set_size(node->settings.node.control, 0);
+	for (u32 i = 0; i < CONTROLS; i++) {
+		struct endpoint at = { .host = "127.0.0.1", .port = controls[i].relay_port };
+
+		g_array_append_val(node->settings.node.control, at);
+	}
+	config_reset();
+	node->node = node_new(&node->settings);
+	g_assert_cmpint(node->node->module.ops->start(&node->node->module, NULL), ==, 0);
+}
+
+static u64 wait_revision(u64 revision, u64 start_us, u64 limit_us)
+{
+	while (config_revision() < revision && loop_clock_us() - start_us < limit_us)
+		g_usleep(US_PER_MS);
+	return config_revision();
+}
+
+/*
+ * Guards against: a set that takes a node's link longer than a control process may be without a
+ * word of freshness never arrives, as the node goes from one control process to the next.
+ */
+static void test_large_set_on_narrow_link(void)
+{
+	g_autofree char *text = set_text(1, ROUTES);
+	u64 bytes = compressed_bytes(text);
+	struct fake_node node;
+	u64 start;
+
+	/* The link is filled for longer than a node waits for a word. */
+	g_assert_cmpuint(bytes * US_PER_S / LINK_BYTES_PER_S, >, US_PER_S);
+	declare(1, text);
+	start = loop_clock_us();
+	start_node(&node);
+	g_assert_cmpuint(
+		wait_revision(1, start, bytes * US_PER_S / LINK_BYTES_PER_S + ALLOWANCE_US), ==, 1);
+	g_test_message("%u bytes compressed, %u relayed, in force after %u ms", (u32)bytes,
+		       (u32)g_atomic_int_get(&narrow.bytes),
+		       (u32)((loop_clock_us() - start) / US_PER_MS));
+}
+
+/* Closes the links from nodes to a control process. */
+static void drop_nodes(void *arg)
+{
+	struct control *c = arg;
+
+	while (c->nodes->len) {
+		struct link **first = g_ptr_array_index(c->nodes, 0);
+		struct link *k = *first;
+
+		nodes_on_link_down(c, k);
+		link_close(k);
+	}
+}
+
+/*
+ * Guards against: a node that loses its control process during a transfer begins again with the
+ * next one. The link breaks three times, each time after a quarter of the set.
+ */
+static void test_begins_again_at_next_process(void)
+{
+	g_autofree char *text = set_text(1, ROUTES);
+	u64 bytes = compressed_bytes(text);
+	struct fake_node node;
+	u64 start;
+
+	declare(1, text);
+	start = loop_clock_us();
+	start_node(&node);
+	for (u32 i = 1; i <= 3; i++) {
+		while ((u64)g_atomic_int_get(&narrow.bytes) < i * bytes / 4 &&
+		       loop_clock_us() - start < WAIT_US)
+			g_usleep(US_PER_MS);
+		g_assert_cmpuint(config_revision(), ==, 0);
+		for (u32 j = 0; j < CONTROLS; j++)
+			loop_call(controls[j].control->loop, drop_nodes, controls[j].control);
+	}
+	g_assert_cmpuint(wait_revision(1, start, WAIT_US), ==, 1);
+	g_test_message("%u bytes compressed, %u relayed, in force after %u ms", (u32)bytes,
+		       (u32)g_atomic_int_get(&narrow.bytes),
+		       (u32)((loop_clock_us() - start) / US_PER_MS));
+	/* At most a window is lost with each link; the rest is for greetings and words. */
+	g_assert_cmpuint((u64)g_atomic_int_get(&narrow.bytes), <,
+			 bytes + 3 * CONFIG_WINDOW_BYTES + bytes / 10);
+}
+
+#define CHANGES 8
+#define CHANGE_INTERVAL_US (500 * US_PER_MS)
+
+/*
+ * Guards against: a node whose transfer takes longer than the time between two changes gets none of
+ * them, or only the first one.
+ */
+static void test_changes_during_transfer(void)
+{
+	g_autofree char *first = set_text(1, ROUTES);
+	u64 transfer_us = compressed_bytes(first) * US_PER_S / LINK_BYTES_PER_S;
+	struct fake_node node;
+	u64 start;
+	u64 last;
+
+	declare(1, first);
+	start = loop_clock_us();
+	start_node(&node);
+	for (u64 version = 2; version <= CHANGES; version++) {
+		g_autofree char *text = set_text(version, ROUTES);
+
+		g_usleep(CHANGE_INTERVAL_US);
+		declare(version, text);
+		if (loop_clock_us() - start > transfer_us + ALLOWANCE_US)
+			g_assert_cmpuint(config_revision(), >, 0);
+	}
+	last = loop_clock_us();
+	g_assert_cmpuint(wait_revision(CHANGES, last, transfer_us + ALLOWANCE_US), ==, CHANGES);
+	g_test_message("the last change in force after %u ms",
+		       (u32)((loop_clock_us() - last) / US_PER_MS));
+}
+
+int main(int argc, char **argv)
+{
+	int ret;
+
+	g_test_init(&argc, &argv, NULL);
+	log_open(NULL, LOG_ERROR, LOG_TEXT);
+	narrow.bytes_per_s = LINK_BYTES_PER_S;
+	for (u32 i = 0; i < CONTROLS; i++)
+		start_control(&controls[i]);
+	g_test_add_func("/config-transfer/large-set-on-narrow-link", test_large_set_on_narrow_link);
+	g_test_add_func("/config-transfer/begins-again-at-next-process",
+			test_begins_again_at_next_process);
+	g_test_add_func("/config-transfer/changes-during-transfer", test_changes_during_transfer);
+	ret = g_test_run();
+	fflush(stdout);
+	_exit(ret); /* the processes still run */
+}
--- a/test/fakes/fake_config.c
+++ b/test/fakes/fake_config.c
@@ -67,51 +67,35 @@
 	return (u64)t.tv_sec * US_PER_S + (u64)t.tv_nsec / 1000;
 }
 
-GByteArray *fake_config_open(struct frame_out *f, struct frame_in *in)
-{
-	GByteArray *bytes;
-	struct frame_in outer;
-	u32 type;
-
-	frame_in_init(&outer, f->buf.data + FRAME_HEADER_BYTES, frame_end(f) - FRAME_HEADER_BYTES);
-	type = (u32)frame_get_u64(&outer);
-	if (type == CTL_COMPRESSED) {
-		bytes = ctl_inflate(&outer, in, &type);
-		g_assert_nonnull(bytes);
-	} else {
-		bytes = g_byte_array_new();
-		*in = outer;
-	}
-	g_assert_cmpuint(type, ==, CTL_CONFIG);
-	return bytes;
-}
-
-/* Returns the bytes of the frame after it is inflated. */
+/* Returns the bytes of the frame. */
 static size_t give_frame(struct watch *w, struct frame_out *f)
 {
 	struct frame_in in;
-	g_autoptr(GByteArray) bytes = fake_config_open(f, &in);
 
+	frame_in_init(&in, f->buf.data + FRAME_HEADER_BYTES, frame_end(f) - FRAME_HEADER_BYTES);
+	g_assert_cmpuint(frame_get_u64(&in), ==, CTL_CONFIG);
 	g_assert_cmpint(watch_config_frame(w, &in), ==, 0);
 	return in.len;
 }
 
+static void count_cost(struct fake_config_cost *cost, u64 took_us, u64 decoded)
+{
+	cost->frames++;
+	cost->decoded_bytes += decoded;
+	cost->most_decoded_bytes = MAX(cost->most_decoded_bytes, decoded);
+	cost->busy_us += took_us;
+	cost->longest_us = MAX(cost->longest_us, took_us);
+}
+
 static void count_frame(struct watch *w, struct frame_out *f, struct fake_config_cost *cost)
 {
-	u64 decoded_before = ctr_get(CTR_CONFIG_BYTES);
+	u64 decoded_before = ctr_get(CTR_CONFIG_DECODED_BYTES);
 	u64 began_us = cpu_us();
 	size_t plain = give_frame(w, f);
-	u64 took_us = cpu_us() - began_us;
-	u64 decoded = ctr_get(CTR_CONFIG_BYTES) - decoded_before;
 
-	cost->frames++;
-	cost->link_bytes += f->buf.size;
+	count_cost(cost, cpu_us() - began_us, ctr_get(CTR_CONFIG_DECODED_BYTES) - decoded_before);
 	cost->plain_bytes += plain;
 	cost->longest_plain_bytes = MAX(cost->longest_plain_bytes, plain);
-	cost->decoded_bytes += decoded;
-	cost->most_decoded_bytes = MAX(cost->most_decoded_bytes, decoded);
-	cost->busy_us += took_us;
-	cost->longest_us = MAX(cost->longest_us, took_us);
 }
 
 void fake_config_give(struct fake_config *c, struct watch *w, struct fake_config_cost *cost)
@@ -119,10 +103,47 @@
 	u64 began_us = cpu_us();
 	const GPtrArray *frames = config_frames_get(&c->frames, &c->store, config_revision());
 
+	struct config_stream *stream;
+
 	memset(cost, 0, sizeof(*cost));
 	cost->made_us = cpu_us() - began_us;
 	for (guint i = 0; i < frames->len; i++)
 		count_frame(w, g_ptr_array_index(frames, i), cost);
+	stream = config_stream_new(0, 1, frames);
+	cost->link_bytes = stream->bytes->len;
+	config_stream_unref(stream);
+	g_assert_cmpuint(config_revision(), ==, c->store.revision);
+}
+
+static void give_part(struct watch *w, const struct config_stream *stream, u32 offset,
+		      struct fake_config_cost *cost)
+{
+	u32 len = MIN(stream->bytes->len - offset, (u32)CONFIG_PART_BYTES);
+	struct config_part p = { .stream = stream->id,
+				 .total = stream->bytes->len,
+				 .offset = offset,
+				 .bytes = stream->bytes->data + offset,
+				 .len = len };
+	u64 decoded_before = ctr_get(CTR_CONFIG_DECODED_BYTES);
+	u64 began_us = cpu_us();
+
+	g_assert_cmpint(config_receive_part(&w->receive, &p), ==, 0);
+	count_cost(cost, cpu_us() - began_us, ctr_get(CTR_CONFIG_DECODED_BYTES) - decoded_before);
+}
+
+void fake_config_give_stream(struct fake_config *c, struct watch *w, struct fake_config_cost *cost)
+{
+	u64 from = config_revision();
+	u64 began_us = cpu_us();
+	struct config_stream *stream = config_stream_new(
+		from, c->store.revision, config_frames_get(&c->frames, &c->store, from));
+
+	memset(cost, 0, sizeof(*cost));
+	cost->made_us = cpu_us() - began_us;
+	cost->link_bytes = stream->bytes->len;
+	for (u32 at = 0; at < stream->bytes->len; at += CONFIG_PART_BYTES)
+		give_part(w, stream, at, cost);
+	config_stream_unref(stream);
 	g_assert_cmpuint(config_revision(), ==, c->store.revision);
 }
 
--- a/test/fakes/fake_config.h
+++ b/test/fakes/fake_config.h
@@ -6,7 +6,7 @@
 #ifndef FAKE_CONFIG_H
 #define FAKE_CONFIG_H
 
-#include "control/config_frames.h"
+#include "control/config_stream.h"
 #include "node/watch_impl.h"
 
 struct fake_config {
@@ -17,8 +17,8 @@
 /* What a node spent on the frames of one difference. */
 struct fake_config_cost {
 	u32 frames;
-	size_t link_bytes;
-	size_t plain_bytes; /* inflated */
+	size_t link_bytes; /* of the stream, compressed */
+	size_t plain_bytes;
 	size_t longest_plain_bytes; /* of one frame */
 	u64 decoded_bytes; /* by the counter config-bytes */
 	u64 most_decoded_bytes; /* in one frame */
@@ -42,8 +42,11 @@
  */
 void fake_config_give(struct fake_config *c, struct watch *w, struct fake_config_cost *cost);
 
-/* fake_config_open - reads the frame F, which is compressed or not; returns bytes to be freed. */
-GByteArray *fake_config_open(struct frame_out *f, struct frame_in *in);
+/*
+ * fake_config_give_stream - the same in the parts in which the frames go over a link; the cost is
+ * that of parts in place of frames.
+ */
+void fake_config_give_stream(struct fake_config *c, struct watch *w, struct fake_config_cost *cost);
 
 /*
  * fake_config_declare - puts a configuration of the N services in JSON into force, in this process
--- a/test/fakes/fake_peer.h
+++ b/test/fakes/fake_peer.h
@@ -19,11 +19,14 @@
 	struct link_id self;
 	char *name;
 	u16 port;
+	u64 revision; /* configuration revision that its calls name */
 	struct link_listener *listener;
 	struct link *link; /* the newest link; NULL when none is up */
 	GAsyncQueue *events; /* of struct peer_event */
 	gint load_count; /* LOAD messages received */
 	struct peer_event *partial; /* a call or reply whose body is incomplete */
+	const char *header_name; /* added to the request of each call; NULL for none */
+	const char *header_value;
 };
 
 enum { PEER_EVENT_UP = 1, PEER_EVENT_DOWN = 2 };
@@ -33,6 +36,7 @@
 	struct call_id id;
 	u16 status;
 	char *method;
+	u64 deadline_us; /* of a call, on the clock of this process, which the node shares */
 	GByteArray *body;
 	u64 body_len;
 	char *reason;
@@ -50,8 +54,12 @@
 /* fake_peer_close_link - closes the link and drops an incomplete message. */
 void fake_peer_close_link(struct fake_peer *p);
 
-/* fake_peer_expect - returns the next event, which must be of TYPE; waits up to 20 s. */
+/*
+ * fake_peer_expect, fake_peer_expect_any - return the next event, which must be of TYPE if one is
+ * given; wait up to 20 s.
+ */
 struct peer_event *fake_peer_expect(struct fake_peer *p, u32 type);
+struct peer_event *fake_peer_expect_any(struct fake_peer *p);
 void peer_event_free(struct peer_event *e);
 
 /* peer_event_take_id - returns the event's call id and frees the event. */
