--- a/control/config_frames.h
+++ b/control/config_frames.h
@@ -2,7 +2,9 @@
  * config_frames - the frames that bring nodes from one revision of the configuration to the newest
  *
  * Most nodes need the same frames: after a change they have the revision before it, and after a
- * start none. So the frames are made once for all of them.
+ * start none. So the frames are made once for all of them. They hold what has changed between the
+ * two revisions, in parts that a node handles in a short time each. Every control process makes the
+ * same frames of the same two revisions.
  *
  * SOURCE control/config_frames.c
  */
@@ -12,6 +14,9 @@
 #include "control/set_history.h"
 #include "control/store.h"
 
+/* A frame is ended when it has this many steps or bytes. */
+#define CONFIG_FRAME_STEPS_MAX 256
+#define CONFIG_FRAME_BYTES (8 * 1024)
 #define CONFIG_FRAMES_ENTRIES 2
 
 struct config_frames_entry {
@@ -27,10 +32,16 @@
 };
 
 /*
- * config_frames_get - returns the frames from revision FROM, 0 for none, to that of the store. They
- * are valid until the next call.
+ * config_frames_get - returns the frames from revision FROM, 0 for none, to that of the store: the
+ * whole configuration if what it was at FROM is not known. They are valid until the next call.
  */
 const GPtrArray *config_frames_get(struct config_frames *c, const struct store *s, u64 from);
+
+/*
+ * config_frames_observe - notes the configuration of the store, so that nodes that get it from
+ * another control process can get the difference from it. Needed after each change.
+ */
+void config_frames_observe(struct config_frames *c, const struct store *s);
 void config_frames_clear(struct config_frames *c);
 
 #endif
--- a/control/nodes.c
+++ b/control/nodes.c
@@ -327,6 +327,7 @@
 {
 	bool is_waiting = false;
 
+	config_frames_observe(&c->config_streams.frames, &c->store);
 	if (!raft_is_fresh(&c->raft, CTL_LEASE_US, loop_clock_us()))
 		return;
 	for (guint i = 0; i < c->nodes->len; i++) {
--- a/lib/ctr_list.h
+++ b/lib/ctr_list.h
@@ -87,6 +87,7 @@
 CTR(FRAME_TOO_LARGE, "frame-too-large", "links closed because a frame was over the limit")
 /* Configuration received by the node. */
 CTR(CONFIG_APPLIED, "config-applied", "configuration revisions applied")
+CTR(CONFIG_DECODED_BYTES, "config-decoded-bytes", "bytes of routes and services that were decoded")
 CTR(CONFIG_STALE, "config-stale", "configuration messages ignored because their revision is lower")
 CTR(CONFIG_BYTES, "config-bytes", "bytes of configurations received from control")
 CTR(CONFIG_UNFINISHED, "config-unfinished", "configurations dropped before they were complete")
--- a/lib/set.h
+++ b/lib/set.h
@@ -6,7 +6,7 @@
  * with its JSON path. Unknown keys are ignored, since later versions may add keys.
  *
  * UNITS milliseconds, bytes
- * SOURCE lib/set.c
+ * SOURCE lib/set.c, lib/set_reuse.c
  */
 #ifndef SET_H
 #define SET_H
@@ -17,7 +17,7 @@
 
 #include <glib.h>
 
-/* A set is sent in one frame. */
+/* A set is one entry of the replicated log. */
 #define SET_JSON_MAX_BYTES (8 * 1024 * 1024)
 /* The resource name of a stored set; no service can have this name. */
 #define SET_NAME "/set"
@@ -40,6 +40,17 @@
 	u64 timeout_ms;
 	u64 target_ms;
 	u32 priority; /* 0 is the highest */
+	u32 refs;
+	u64 text_hash[2]; /* of its JSON; 0 if it is not known */
+	u64 key_hash; /* set_route_key_hash and set_route_hash, where they were needed; else 0 */
+	u64 hash;
+};
+
+/* The number of routes to a service that have the same priority and target. */
+struct set_target {
+	u32 priority;
+	u32 target_ms;
+	u32 routes;
 };
 
 struct set_service {
@@ -66,6 +77,27 @@
 struct set *set_parse(const char *json, size_t len, struct findings *found);
 void set_free(struct set *s);
 
+/*
+ * set_parse_after - the same, for a text that set_parse has accepted before: the routes whose JSON
+ * is that of a route of PREVIOUS, which may be NULL, are not parsed but shared.
+ */
+struct set *set_parse_after(const struct set *previous, const char *json, size_t len,
+			    struct findings *found);
+
+/* set_new_routes - returns an empty list of routes that drops its references. */
+GPtrArray *set_new_routes(void);
+
+/* set_route_new - returns a route without texts and parts. */
+struct set_route *set_route_new(void);
+struct set_route *set_route_ref(struct set_route *r);
+
+/* set_route_free - drops a reference. */
+void set_route_free(struct set_route *r);
+
+/* set_route_add_part - adds a part; takes ownership of SERVICE. */
+void set_route_add_part(struct set_route *r, char *service, u64 weight);
+void set_service_free(struct set_service *s);
+
 /* set_worth_of_priority - returns the worth of the rank for PRIORITY, at least 1. */
 u32 set_worth_of_priority(u32 priority);
 
@@ -76,9 +108,16 @@
 char *set_rank_name_of_priority(u32 priority);
 
 /*
- * set_add_rank - adds a rank for the priority of ROUTE to the service. The target
- * of a rank is the shortest target of its routes.
+ * set_target_add, set_target_remove - count a route to a service in TARGETS, an array of struct
+ * set_target in ascending order. set_target_remove returns false if no such route was counted.
+ */
+void set_target_add(GArray *targets, u32 priority, u32 target_ms);
+bool set_target_remove(GArray *targets, u32 priority, u32 target_ms);
+
+/*
+ * set_make_ranks - replaces the ranks of the service by those of TARGETS: one for each worth, the
+ * highest RES_RANKS_MAX. The target of a rank is the shortest target of its routes.
  */
-void set_add_rank(struct res_service *s, const struct set_route *route);
+void set_make_ranks(struct res_service *s, const GArray *targets);
 
 #endif
--- a/node/watch.c
+++ b/node/watch.c
@@ -13,6 +13,7 @@
 #include "lib/err.h"
 #include "lib/log.h"
 #include "node/config.h"
+#include "node/config_build.h"
 #include "wire/ctl.h"
 #include "wire/endpoint.h"
 
@@ -52,19 +53,21 @@
 	u64 nearer_retry_at_us; /* the same while it is fresh, to find a nearer one */
 };
 
+static bool is_up(const struct control_link *s)
+{
+	return s->link && s->link->is_up;
+}
+
 void watch_send_renew(struct watch *w)
 {
 	FRAME_AUTO(f, CTL_RENEW);
 
+	if (!is_up(&w->main))
+		return;
 	frame_put_u64(&f, config_revision());
 	link_send(w->main.link, &f);
 }
 
-static bool is_up(const struct control_link *s)
-{
-	return s->link && s->link->is_up;
-}
-
 void watch_register(struct node *n)
 {
 	struct watch *w = n->watch;
@@ -151,10 +154,10 @@
 /* Subscribes to all services of a small configuration before the first call arrives. */
 void watch_subscribe_configured_services(struct watch *w)
 {
-	g_autoptr(GPtrArray) names = config_service_names();
+	g_autoptr(GPtrArray) names = config_service_names(SUBSCRIBE_ALL_SERVICES_MAX);
 	bool is_new = false;
 
-	for (guint i = 0; names->len <= SUBSCRIBE_ALL_SERVICES_MAX && i < names->len; i++)
+	for (guint i = 0; names && i < names->len; i++)
 		is_new |= add_subscription(w, g_ptr_array_index(names, i));
 	if (is_new)
 		send_subscriptions(w);
@@ -205,6 +208,8 @@
 	if (q.received)
 		q.revision = q.stream.from;
 	config_request_put(&f, &q);
+	if (!is_up(&w->main))
+		return;
 	link_send(w->main.link, &f);
 	w->requested_us = loop_clock_us();
 }
@@ -460,9 +465,7 @@
 
 static int on_stream_frame(void *arg, u32 type, struct frame_in *in)
 {
-	if (type != CTL_CONFIG && type != CTL_SET_DELTA)
-		return ERR_INVAL;
-	return watch_config_frame(arg, type, in);
+	return type == CTL_CONFIG ? watch_config_frame(arg, in) : ERR_INVAL;
 }
 
 static const struct config_receive_ops receive_ops = { .begin = on_stream_begin,
@@ -726,7 +729,6 @@
 	w->node = n;
 	w->main.w = w;
 	w->trial.w = w;
-	w->changes = g_ptr_array_new_with_free_func(config_change_free);
 	config_receive_init(&w->receive, &receive_ops, w);
 	w->reported = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	w->subscriptions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -747,7 +749,7 @@
 	g_ptr_array_unref(w->candidates);
 	g_hash_table_unref(w->reported);
 	g_hash_table_unref(w->subscriptions);
-	g_ptr_array_unref(w->changes);
+	config_build_free(w->build);
 	config_receive_clear(&w->receive);
 	g_clear_pointer(&n->watch, g_free);
 }
--- a/node/watch_impl.h
+++ b/node/watch_impl.h
@@ -22,6 +22,14 @@
 	u64 word_at_bytes; /* bytes received before that word */
 };
 
+/* What the revision that is being received has cost so far. */
+struct config_work {
+	u64 began_us; /* when its first frame arrived; 0 between revisions */
+	u32 frames;
+	u64 busy_us; /* time spent in handling them */
+	u64 longest_us; /* the longest time spent in one frame */
+};
+
 struct watch {
 	struct node *node;
 	struct control_link main;
@@ -35,7 +43,8 @@
 	GHashTable *reported; /* nodes reported by the main control process */
 	GHashTable *subscriptions; /* service -> whether its upstreams were received */
 	u32 node_count; /* in the directory */
-	GPtrArray *changes; /* of struct config_change, collected until the last frame */
+	struct config_build *build; /* the configuration that is being received, or NULL */
+	struct config_work config_work;
 	u64 newest_revision; /* the highest that was named, by control or by a peer */
 	u64 requested_us; /* when the configuration was last requested */
 	u64 request; /* number of the last request for the configuration */
@@ -44,12 +53,12 @@
 };
 
 /*
- * watch_config_frame - handles one frame of a configuration, of TYPE CTL_CONFIG or CTL_SET_DELTA.
- * An error closes the link.
+ * watch_config_frame - handles one CTL_CONFIG frame. What has been received stays when the link
+ * changes, and is discarded when another configuration begins. An error closes the link.
  */
-int watch_config_frame(struct watch *w, u32 type, struct frame_in *in);
+int watch_config_frame(struct watch *w, struct frame_in *in);
 
-/* watch_config_begin - drops what was collected of a configuration that is not complete. */
+/* watch_config_begin - discards what was received of a configuration that is not complete. */
 void watch_config_begin(struct watch *w);
 
 /*
--- a/test/config_stream_test.c
+++ b/test/config_stream_test.c
@@ -18,10 +18,11 @@
 	for (u32 i = 0; i < ROUTES; i++)
 		g_string_append_printf(text,
 				       "%s{\"name\":\"r%u\",\"host\":\"h.example\",\"prefix\":"
-				       "\"/%x/\",\"timeout_ms\":%u}",
+				       "\"/%x/\",\"timeout_ms\":%u,\"service\":\"a\","
+				       "\"repeat\":\"never\",\"attempts\":1}",
 				       i ? "," : "", i, i * 2654435761u,
 				       i < old_routes ? 1000 : 1000 + (u32)version);
-	g_string_append(text, "]}");
+	g_string_append(text, "],\"services\":[{\"name\":\"a\"}]}");
 	return g_string_free(text, FALSE);
 }
 
--- a/test/config_transfer_test.c
+++ b/test/config_transfer_test.c
@@ -3,6 +3,7 @@
 #include "control/op.h"
 #include "lib/set.h"
 #include "node/config.h"
+#include "test/fakes/fake_config.h"
 #include "test/fakes/fake_node.h"
 #include "test/fakes/paced_relay.h"
 #include "test/fakes/raw_server.h"
@@ -10,10 +11,11 @@
 #include <stdio.h>
 #include <string.h>
 #include <unistd.h>
-#include <zlib.h>
 
 #define CONTROLS 2
 #define ROUTES 6000
+/* Words of random digits in a path, so that the set takes longer than a node waits for a word. */
+#define PREFIX_WORDS 11
 #define LINK_BYTES_PER_S (2000000 / 8)
 /* For connecting, trying a control process, a read through the leader, and applying the set. */
 #define ALLOWANCE_US (3 * US_PER_S)
@@ -60,23 +62,24 @@
 	p->relay_port = paced_relay_start(&narrow, s->control.peer_port);
 }
 
-/* Returns a set that compresses badly, as names and paths of real routes do. */
+/* Returns a set that compresses badly, as paths of real routes do. */
 static char *set_text(u64 version, u32 routes)
 {
 	GString *text = g_string_new(NULL);
 	g_autoptr(GRand) rand = g_rand_new_with_seed(7);
 
 	g_string_append_printf(text, "{\"version\":%u,\"routes\":[", (u32)version);
-	for (u32 i = 0; i < routes; i++)
+	for (u32 i = 0; i < routes; i++) {
+		g_string_append_printf(text, "%s{\"name\":\"r%u\",\"host\":\"h%08x.example\",",
+				       i ? "," : "", i, g_rand_int(rand));
+		g_string_append(text, "\"prefix\":\"/");
+		for (u32 k = 0; k < PREFIX_WORDS; k++)
+			g_string_append_printf(text, "%08x", g_rand_int(rand));
 		g_string_append_printf(text,
-				       "%s{\"name\":\"r%u-%08x%08x%08x%08x\",\"host\":\"h%08x."
-				       "example\",\"prefix\":"
-				       "\"/%08x%08x/\",\"repeat\":\"always\",\"timeout_ms\":%u,"
+				       "/\",\"repeat\":\"always\",\"timeout_ms\":%u,"
 				       "\"target_ms\":250,\"attempts\":2,\"service\":\"a\"}",
-				       i ? "," : "", i, g_rand_int(rand), g_rand_int(rand),
-				       g_rand_int(rand), g_rand_int(rand), g_rand_int(rand),
-				       g_rand_int(rand), g_rand_int(rand),
 				       i < version ? 1001u : 1000u);
+	}
 	g_string_append(text, "],\"services\":[{\"name\":\"a\"}],\"limits\":{}}");
 	return g_string_free(text, FALSE);
 }
@@ -133,12 +136,17 @@
 /* Returns the bytes of a text in deflate form, as fast as control makes it. */
 static u64 compressed_bytes(const char *text)
 {
-	uLongf len = compressBound(strlen(text));
-	g_autofree u8 *out = g_malloc(len);
-
-	g_assert_cmpint(compress2(out, &len, (const u8 *)text, strlen(text), Z_BEST_SPEED), ==,
-			Z_OK);
-	return len;
+	struct fake_config c;
+	struct config_stream *stream;
+	u64 bytes;
+
+	fake_config_init(&c);
+	fake_config_replace(&c, 1, text);
+	stream = config_stream_new(0, 1, config_frames_get(&c.frames, &c.store, 0));
+	bytes = stream->bytes->len;
+	config_stream_unref(stream);
+	fake_config_clear(&c);
+	return bytes;
 }
 
 /* Starts a node without a configuration that reaches all control processes over the narrow link. */
--- a/test/watch_test.c
+++ b/test/watch_test.c
@@ -1,9 +1,9 @@
 /* A node's link to control, tested against fake control processes. */
 #include "control/config_stream.h"
 #include "lib/ctr.h"
-#include "lib/delta.h"
 #include "lib/err.h"
 #include "lib/set.h"
+#include "lib/set_frame.h"
 #include "node/config.h"
 #include "test/fakes/fake_node.h"
 #include "test/fakes/fake_peer.h"
@@ -15,7 +15,6 @@
 #include <stdio.h>
 #include <string.h>
 #include <unistd.h>
-#include <xxhash.h>
 
 #define FRESH_INTERVAL_US (50 * US_PER_MS)
 #define WAIT_MS 20000
@@ -258,22 +257,46 @@
 struct to_send {
 	u64 revision;
 	u64 base;
-	const char *old_set;
 	const char *new_set;
-	const char *checksum_text; /* the text that the checksum is computed from */
+	bool has_wrong_checksum;
 };
 
+static void put_routes(struct frame_out *f, const struct set *set, u64 checksum)
+{
+	for (guint i = 0; i < set->services->len; i++) {
+		frame_put_u64(f, CTL_CONFIG_SERVICE);
+		set_service_put(f, g_ptr_array_index(set->services, i));
+		checksum += set_service_hash(g_ptr_array_index(set->services, i));
+	}
+	for (guint i = 0; i < set->routes->len; i++) {
+		frame_put_u64(f, CTL_CONFIG_ROUTE);
+		set_route_put(f, g_ptr_array_index(set->routes, i), NULL);
+		checksum += set_route_hash(g_ptr_array_index(set->routes, i));
+	}
+	frame_put_u64(f, CTL_CONFIG_END);
+	frame_put_u64(f, checksum);
+	frame_put_u64(f, set->routes->len);
+	frame_put_u64(f, set->services->len);
+}
+
+/* Puts all services and routes of the new set, also into a difference. */
 static void put_set(struct frame_out *f, const struct to_send *s)
 {
+	FINDINGS_AUTO(found);
+	struct set *set = set_parse(s->new_set, strlen(s->new_set), &found);
+
+	g_assert_nonnull(set);
+	frame_put_u64(f, CTL_CONFIG_BEGIN);
 	frame_put_u64(f, s->revision);
-	frame_put_bool(f, true);
-	frame_put_bool(f, true);
-	frame_put_u64(f, 1);
-	frame_put_str(f, SET_NAME);
-	frame_put_u64(f, s->revision);
-	frame_put_u64(f, s->revision);
-	frame_put_bool(f, true);
-	frame_put_str(f, s->new_set);
+	frame_put_u64(f, s->base);
+	frame_put_u64(f, CTL_CONFIG_SET);
+	frame_put_u64(f, set->version);
+	frame_put_u64(f, set->limits.head_bytes);
+	frame_put_u64(f, set->limits.body_bytes);
+	frame_put_u64(f, set->limits.head_timeout_ms);
+	frame_put_u64(f, set->limits.idle_timeout_ms);
+	put_routes(f, set, s->has_wrong_checksum);
+	set_free(set);
 }
 
 /* Sends FRAME to the node of the first control process, as a stream of one part. Frees it. */
@@ -328,20 +351,6 @@
 	send_stream(&s, ctl_frame_new(CTL_MEMBERS));
 }
 
-static void send_delta(void *arg)
-{
-	const struct to_send *s = arg;
-	g_autoptr(GArray) ops = delta_make(s->old_set, s->new_set);
-	struct frame_out *f = ctl_frame_new(CTL_SET_DELTA);
-
-	frame_put_u64(f, s->revision);
-	frame_put_u64(f, s->base);
-	frame_put_u64(f, s->revision);
-	frame_put_u64(f, XXH64(s->checksum_text, strlen(s->checksum_text), 0));
-	delta_put(f, ops);
-	send_stream(s, f);
-}
-
 static void wait_revision(u64 revision)
 {
 	for (u32 i = 0; i < WAIT_MS && config_revision() != revision; i++)
@@ -386,32 +395,27 @@
 {
 	struct fake_node node;
 	struct to_send first = { .revision = 5, .new_set = SET_TEXT("1", "one") };
-	struct to_send next = { .revision = 6,
-				.base = 5,
-				.old_set = SET_TEXT("1", "one"),
-				.new_set = SET_TEXT("2", "two"),
-				.checksum_text = SET_TEXT("2", "two") };
+	struct to_send next = { .revision = 6, .base = 5, .new_set = SET_TEXT("2", "two") };
 
 	start_node_of_first_control(&node);
 	loop_call(controls[0].loop, send_set, &first);
 	wait_revision(5);
-	loop_call(controls[0].loop, send_delta, &next);
+	loop_call(controls[0].loop, send_set, &next);
 	wait_revision(6);
 	/* Based on a revision that the node does not have, then with a wrong checksum. */
 	next.revision = 8;
 	next.base = 7;
-	loop_call(controls[0].loop, send_delta, &next);
+	loop_call(controls[0].loop, send_set, &next);
 	wait_watches(&controls[0], 2);
 	next.base = 6;
-	next.old_set = SET_TEXT("2", "two");
 	next.new_set = SET_TEXT("3", "three");
-	next.checksum_text = "another text";
-	loop_call(controls[0].loop, send_delta, &next);
+	next.has_wrong_checksum = true;
+	loop_call(controls[0].loop, send_set, &next);
 	wait_watches(&controls[0], 3);
 	g_assert_cmpuint(config_revision(), ==, 6);
 	/* A delta to an older revision is ignored. */
 	next.revision = 4;
-	loop_call(controls[0].loop, send_delta, &next);
+	loop_call(controls[0].loop, send_set, &next);
 	first.revision = 9;
 	loop_call(controls[0].loop, send_set, &first);
 	wait_revision(9);
--- a/wire/ctl.h
+++ b/wire/ctl.h
@@ -3,7 +3,7 @@
  *
  * node to control:    CTL_REGISTER, CTL_RENEW, CTL_WATCH, CTL_SUBSCRIBE, CTL_CONFIG_ACK
  * control to node:    CTL_CONFIG_PART, CTL_VIEW, CTL_FRESHNESS, CTL_MEMBERS
- * inside CTL_CONFIG_PART: CTL_CONFIG, CTL_SET_DELTA
+ * inside CTL_CONFIG_PART: CTL_CONFIG
  * control to control: CTL_RAFT, CTL_DIRECTORY, CTL_HEARTBEAT, CTL_FORWARD,
  *                     CTL_FORWARD_RESULT, CTL_JOIN, CTL_MEMBERS
  *
@@ -40,10 +40,7 @@
 	CTL_REGISTER = LINK_TYPE_FIRST, /* the node's directory entry */
 	CTL_RENEW, /* applied configuration revision */
 	CTL_WATCH, /* what the node has and wants, see wire/config_part.h */
-	CTL_CONFIG, /* revision, is_snapshot, is_last, count, {name, version, revision, is_live,
-		       json}; inside a stream */
-	CTL_SET_DELTA, /* revision, base revision, version, checksum of the text, delta; inside a
-			  stream */
+	CTL_CONFIG, /* {step, its fields}, inside a stream: see enum ctl_config_step */
 	CTL_SUBSCRIBE, /* count, {service}: all services that the node calls */
 	CTL_VIEW, /* nodes in the directory, count, {service sent completely}, count,
 		     {is_dropped, entry} */
@@ -59,6 +56,22 @@
 	CTL_CONFIG_ACK, /* request number, bytes of the stream that were received */
 };
 
+/*
+ * The steps from one revision of the configuration to another, in one CTL_CONFIG frame or several.
+ * The difference from nothing is the whole configuration.
+ */
+enum ctl_config_step {
+	CTL_CONFIG_BEGIN = 1, /* revision, base revision or 0 */
+	CTL_CONFIG_DECLARE, /* name, version, json: a service that was declared on its own */
+	CTL_CONFIG_UNDECLARE, /* name */
+	CTL_CONFIG_SET, /* version, limits: head_bytes, body_bytes, head_ and idle_timeout_ms */
+	CTL_CONFIG_SERVICE, /* a service of the set */
+	CTL_CONFIG_DROP_SERVICE, /* pmap_hash of its name */
+	CTL_CONFIG_ROUTE, /* a route, as difference to the one before it in the frame */
+	CTL_CONFIG_DROP_ROUTE, /* set_route_key_hash */
+	CTL_CONFIG_END, /* checksum, routes, services of the set: brings it into force */
+};
+
 /* ctl_frame_new, ctl_frame_free - a frame on the heap; ctl_frame_free suits GPtrArray. */
 struct frame_out *ctl_frame_new(enum ctl_type type);
 void ctl_frame_free(gpointer frame);
