control: a read is sent to the next leader at once

Callers saw 503 no-config for up to 2.5 s after nodes had started, while the control process that they used had been fresh under a new leader for longer than a second.

Cause: the read that confirms a first configuration is forwarded to the leader. If that one goes silent, the read was sent again only when the link to it was closed, after 2 s without a byte, and all nodes of that control process that asked meanwhile waited for the same read. Class: a wait for one process that is bound to a connection instead of to the role.

A read that was forwarded is now started again as soon as another leader is known. Its old answer may still come and is as good: the read index was confirmed after the read began. A change is left where it is, since it may have been accepted (op_test:/op/change-stays-with-a-former-leader).

op_test:/op/read-waits-for-a-former-leader failed before (0 == 1) and passes.

--- a/control/op.c
+++ b/control/op.c
@@ -134,6 +134,13 @@
 	       (c->store.revision >= o->result.revision || age_us > OP_TIMEOUT_US);
 }
 
+/* Returns whether another process leads by now. A read can be repeated there; a change can't. */
+static bool is_read_superseded(struct control *c, const struct op *o)
+{
+	return o->kind == OP_READ && o->forwarded_to && c->raft.leader &&
+	       peers_link(c, c->raft.leader) != o->forwarded_to;
+}
+
 static void poll_one(struct control *c, struct op *o, u64 now_us)
 {
 	u64 age = now_us - o->start_us;
@@ -147,6 +154,10 @@
 		finish(c, o, o->may_have_run ? OP_UNKNOWN : OP_NOT_RUN);
 		return;
 	}
+	if (is_read_superseded(c, o)) {
+		o->forwarded_to = NULL;
+		o->is_started = false;
+	}
 	if (!o->is_started)
 		start(c, o, now_us);
 }
