test: callers that keep sending until a node is gone; last frames of a link that ends

stop_test.sh stops a node three times (once; with a second SIGTERM between reloads; with its upstream already gone) while 30 callers keep sending on open or new connections until nobody can connect, with calls of up to 2.8 s in a grace of 6 s, half of them POST. No call that ran may lack its upstream's answer and none that was refused may run. It also stops a node right after its start, and before it has a configuration.

/link/last-frames-lost-by-a-reset covers the end of links: with link_close in the place of link_end_sending the other end reads a reset instead of the last frames.

--- a/test/link_test.c
+++ b/test/link_test.c
@@ -37,6 +37,8 @@
 	gint err;
 	i64 local_us; /* remote_us converted to the local clock */
 	u64 remote_us;
+	int raw_fd; /* the raw end, in test_last_frames_lost_by_a_reset */
+	size_t queued_bytes;
 };
 
 static void on_up(struct link *k)
@@ -513,6 +515,54 @@
 	stop(&e);
 }
 
+#define ENDING_FRAMES 4
+
+/* The frames don't fit into the socket's buffers; bytes of the other end are unread meanwhile. */
+static void send_and_end(void *arg)
+{
+	static char block[2 * 1024 * 1024];
+	struct end *e = arg;
+	FRAME_AUTO(late, TYPE_TEXT);
+
+	raw_send_texts(e->raw_fd, 3);
+	for (u32 i = 0; i < ENDING_FRAMES; i++) {
+		FRAME_AUTO(f, TYPE_TEXT);
+
+		frame_put_bin(&f, block, sizeof(block));
+		g_assert_cmpint(link_send(e->link, &f), ==, 0);
+	}
+	e->queued_bytes = ENDING_FRAMES * sizeof(block);
+	link_end_sending(e->link);
+	g_assert_cmpint(link_send(e->link, &late), ==, ERR_CLOSED);
+}
+
+/*
+ * Guards against: the last replies of a process that leaves are lost, as its link is closed while
+ * bytes of the other end are unread, which resets the connection.
+ */
+static void test_last_frames_lost_by_a_reset(void)
+{
+	struct end e;
+	char buf[65536];
+	size_t got = 0;
+	ssize_t n;
+
+	start_listener(&e);
+	e.raw_fd = raw_connect(e.port);
+	raw_handshake(e.raw_fd, 0);
+	wait_for(&e.ups, 1);
+	loop_call(e.loop, send_and_end, &e);
+	while ((n = recv(e.raw_fd, buf, sizeof(buf), 0)) > 0) {
+		got += (size_t)n;
+		g_usleep(US_PER_MS / 10);
+	}
+	g_assert_cmpint(n, ==, 0);
+	g_assert_cmpuint(got, >, e.queued_bytes);
+	close(e.raw_fd);
+	wait_for(&e.downs, 1);
+	stop(&e);
+}
+
 static void convert_to_local(void *arg)
 {
 	struct end *e = arg;
@@ -567,5 +617,6 @@
 	g_test_add_func("/link/connect-refused", test_connect_refused);
 	g_test_add_func("/link/queue-is-bounded", test_queue_is_bounded);
 	g_test_add_func("/link/deadline", test_deadline);
+	g_test_add_func("/link/last-frames-lost-by-a-reset", test_last_frames_lost_by_a_reset);
 	return g_test_run();
 }
--- a/test/programs/caller.c
+++ b/test/programs/caller.c
@@ -3,7 +3,7 @@
  *
  * caller -p PORT[,PORT...] -H HOST -i PREFIX [-n CALLS] [-c CONNECTIONS]
  *        [-w PAUSE_MS] [-m MIXED|GET|POST] [-d DELAY_MS] [-t TIMEOUT_MS]
- *        [-b BODY_BYTES] [-G] [-q QUIT_MS] [-f FAIL]
+ *        [-b BODY_BYTES] [-G] [-K] [-s SPREAD_MS] [-q QUIT_MS] [-f FAIL]
  *
  * CONNECTIONS threads share CALLS calls; thread T connects to port number T
  * modulo the number of ports. MIXED makes every second call a POST. DELAY_MS asks
@@ -12,6 +12,8 @@
  * QUIT_MS. FAIL is the failure that every third call requests from the upstream.
  * -G: all threads start at the first port; a thread moves to the next port when a
  * response has Connection: close or it cannot connect, and ends after the last port.
+ * -K: a thread keeps sending, on its connection or a new one, until it cannot connect. -s: the
+ * upstream's delays are spread evenly over SPREAD_MS, from DELAY_MS.
  *
  * Prints one line per call: ID METHOD STATUS OUTCOME REASON BODY. OUTCOME:
  * answer, not-run, unknown, or none without a response (not-run without a
@@ -47,6 +49,8 @@
 	u32 body_bytes;
 	u32 abort_after_ms;
 	bool leaves_on_close;
+	bool stays; /* until it cannot connect */
+	u32 spread_ms;
 	const char *fail;
 };
 
@@ -60,7 +64,7 @@
 struct client {
 	struct mg_connection *conn;
 	u32 port_index; /* in opt.ports */
-	bool is_finished; /* with -G: the last port was left */
+	bool is_finished; /* -G: the last port was left; -K: the port is closed */
 };
 
 struct answer {
@@ -105,6 +109,12 @@
 	return g_string_free(s, FALSE);
 }
 
+/* A delay that looks random, the same for the same call in each run. */
+static u32 delay_ms(const char *id)
+{
+	return opt.delay_ms + (opt.spread_ms ? g_str_hash(id) * 2654435761U % opt.spread_ms : 0);
+}
+
 static int send_call(struct client *c, const char *id, const char *method, const char *body,
 		     const char *fail)
 {
@@ -115,7 +125,7 @@
 		      "%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\n"
 		      "Lavenderlead-Timeout-Ms: %u\r\nDelay-Ms: %u\r\n%s%s%sContent-Length: "
 		      "%zu\r\n\r\n",
-		      method, path, opt.host, id, opt.timeout_ms, opt.delay_ms,
+		      method, path, opt.host, id, opt.timeout_ms, delay_ms(id),
 		      fail ? "Fail: " : "", fail ? fail : "", fail ? "\r\n" : "", len) <= 0)
 		return -1;
 	return len && mg_write(c->conn, body, len) != (int)len ? -1 : 0;
@@ -173,6 +183,7 @@
 	if (!c->conn) {
 		g_strlcpy(a->outcome, "not-run", sizeof(a->outcome));
 		g_strlcpy(a->reason, "no-connection", sizeof(a->reason));
+		c->is_finished = opt.stays;
 		leave_port(c);
 		return;
 	}
@@ -222,7 +233,7 @@
 {
 	int c;
 
-	while ((c = getopt(argc, argv, "p:H:i:n:c:w:m:d:t:b:q:f:G")) != -1) {
+	while ((c = getopt(argc, argv, "p:H:i:n:c:w:m:d:t:b:q:f:s:GK")) != -1) {
 		if (c == 'p')
 			parse_ports(optarg);
 		else if (c == 'H')
@@ -249,6 +260,10 @@
 			opt.fail = optarg;
 		else if (c == 'G')
 			opt.leaves_on_close = true;
+		else if (c == 'K')
+			opt.stays = true;
+		else if (c == 's')
+			opt.spread_ms = (u32)atoi(optarg);
 		else
 			return -1;
 	}
@@ -262,7 +277,8 @@
 	if (parse(argc, argv)) {
 		fprintf(stderr, "usage: caller -p PORT[,PORT...] -H HOST -i PREFIX [-n CALLS] "
 				"[-c CONNECTIONS] [-w PAUSE_MS] [-m MIXED|GET|POST] [-d DELAY_MS] "
-				"[-t TIMEOUT_MS] [-b BODY_BYTES] [-q QUIT_MS] [-G] [-f FAIL]\n");
+				"[-t TIMEOUT_MS] [-b BODY_BYTES] [-q QUIT_MS] [-G] [-K] "
+				"[-s SPREAD_MS] [-f FAIL]\n");
 		return 2;
 	}
 	signal(SIGPIPE, SIG_IGN);
--- /dev/null
+++ b/test/stop_test.sh
@@ -0,0 +1,114 @@
+#!/bin/bash
+# stop_test.sh - callers keep sending on open connections until a process that stops is gone
+# Their calls last up to what is left of the grace. No call that was passed on stays without its
+# upstream's answer, and none that was refused runs.
+set -u
+cd "$(dirname "$0")/.." || exit 1
+. test/mesh.sh
+failed=0
+grace_s=6
+
+fail() {
+	echo "FAILED: $*"
+	failed=1
+}
+
+ended() { ! kill -0 "${pid[$1]}" 2>/dev/null; }
+
+now_ms() { echo $(($(date +%s%N) / 1000000)); }
+
+# end_of NAME WHAT - waits for the end of the process
+end_of() {
+	wait_for "the end of $2" ended "$1" || fail "$2 did not end"
+	kill_hard "$1"
+}
+
+is_listening() { curl -s -o "$dir/status" "http://127.0.0.1:$(local_port "$1")/v1/status"; }
+
+# callers NAME OPTION... - starts callers of node 3 that end when nobody can connect to it
+callers() {
+	local name=$1
+	shift
+	run "$name" $programs/caller -p "$(caller_port 3)" -H sightings.breizh.example -i "$name" \
+		-n 20000 -K "$@"
+	names="$names $name"
+}
+
+# check NAME - each call has its own answer, or was not run, or was not passed on
+check() {
+	local name=$1
+	end_of "$name" "the callers $name"
+	awk 'FILENAME ~ /runs/ { runs[$1] = 1; next }
+		/ 200 answer - own$/ || $4 == "not-run" { next }
+		$3 != 0 || $1 in runs { print "lost:", $0 }' \
+		"$dir"/runs[123] "$dir/$name.out" >"$dir/$name.lost"
+	head -3 "$dir/$name.lost"
+	[ -s "$dir/$name.lost" ] && fail "$name: $(wc -l <"$dir/$name.lost") calls lost"
+	echo "$name: $(cut -d' ' -f3-6 "$dir/$name.out" | sort | uniq -c | sort -rn | tr -s ' \n' ' ')"
+}
+
+# has_config - returns whether node 3 serves
+has_config() {
+	$programs/caller -p "$(caller_port 3)" -H sightings.breizh.example -i "warm$RANDOM$RANDOM" -n 20 -c 4 |
+		grep -vc ' 200 answer - own$' | grep -qx 0
+}
+
+# round NAME SIGNAL... - sends the signals to node 3 while callers keep sending
+round() {
+	local name=$1 began= sig
+	shift
+	wait_for "the configuration at node 3" has_config || fail "no configuration at node 3"
+	callers "$name-long" -c 12 -s 2800 -t 12000 -w 10
+	callers "$name-short" -c 12 -s 900 -t 1500 -w 10
+	callers "$name-quick" -c 6 -s 100 -t 4000 -w 10
+	sleep 0.7
+	for sig in "$@"; do
+		[ "$sig" = TERM ] && began=${began:-$(now_ms)}
+		signal "$sig" node3
+		sleep 0.1
+	done
+	until ended node3 || (($(now_ms) > began + 2000 * grace_s)); do sleep 0.02; done
+	(($(now_ms) <= began + 1000 * grace_s)) ||
+		fail "$name: node 3 ended after its grace, or not at all"
+	kill_hard node3
+	for sig in long short quick; do check "$name-$sig"; done
+	start_node 3
+}
+
+names=
+mesh_begin "${BASE:-30000}" 3
+for i in 1 2 3; do start_control $i; done
+for j in 1 2 3; do
+	echo "shutdown_grace_s=$grace_s" >>"$dir/node$j.ini"
+	start_node $j
+done
+for j in 1 2 3; do start_upstream $j sightings -k 40; done
+wait_for "a leader" has_leader || exit 1
+wait_for "3 upstreams" has_upstreams 3 || exit 1
+./lavenderlead apply -f examples/breizh/services --control "$control" >"$dir/apply.out" 2>&1 ||
+	exit 1
+
+round once TERM
+# Signals that repeat, and a reload of the settings just before and after.
+round twice HUP TERM HUP TERM
+# The upstream beside the node has ended before.
+kill_hard upstream3
+round without_upstream TERM
+# During its start, and before it has a configuration.
+wait_for "node 3" is_listening 3
+kill_hard node3
+for i in 1 2 3; do kill_hard control$i; done
+for delay in 0 0.01 0.1; do
+	start_node 3
+	wait_for "the program of node 3" grep -qx lavenderlead "/proc/${pid[node3]}/comm" || exit 1
+	sleep $delay
+	signal TERM node3
+	end_of node3 "node 3 told to stop $delay s after its start"
+done
+
+args=()
+for name in $names; do args+=(-c "$dir/$name.out"); done
+for j in 1 2 3; do args+=(-u "$dir/runs$j"); done
+$programs/verdict "${args[@]}" || failed=1
+echo "stop_test: $failed failures"
+exit $failed
