--- a/test/mesh.sh
+++ b/test/mesh.sh
@@ -6,7 +6,19 @@
 declare -A pid
 programs=build/test/programs
 
+# require_programs - names the programs that were not built, and exits
+require_programs() {
+	local missing= file
+	for file in ./lavenderlead $programs/{caller,observer,operator,upstream,verdict}; do
+		[ -x $file ] || missing="$missing $file"
+	done
+	[ -z "$missing" ] && return
+	echo "not built:$missing; run: make lavenderlead tests"
+	exit 1
+}
+
 mesh_begin() {
+	require_programs
 	base=$1
 	dir=$(mktemp -d -t lavenderlead-mesh.XXXXXX)
 	pid=()
--- a/test/stop_test.sh
+++ b/test/stop_test.sh
@@ -7,6 +7,7 @@
 . test/mesh.sh
 failed=0
 grace_s=6
+longest_ms=2800 # what is taken until 40 % of the grace ends before its upstream's last deadline
 
 fail() {
 	echo "FAILED: $*"
@@ -58,7 +59,7 @@
 	local name=$1 began= sig
 	shift
 	wait_for "the configuration at node 3" has_config || fail "no configuration at node 3"
-	callers "$name-long" -c 12 -s 2800 -t 12000 -w 10
+	callers "$name-long" -c 12 -s $longest_ms -t 12000 -w 10
 	callers "$name-short" -c 12 -s 900 -t 1500 -w 10
 	callers "$name-quick" -c 6 -s 100 -t 4000 -w 10
 	sleep 0.7
@@ -91,6 +92,10 @@
 round once TERM
 # Signals that repeat, and a reload of the settings just before and after.
 round twice HUP TERM HUP TERM
+# The settings name a shorter grace from just before the signal on.
+sed -i 's/^shutdown_grace_s=.*/shutdown_grace_s=3/' "$dir/node3.ini"
+grace_s=3 longest_ms=1200
+round shorter HUP TERM
 # The upstream beside the node has ended before.
 kill_hard upstream3
 round without_upstream TERM
