test: the upstreams of many services hold back the words of freshness (known red)

600 services with 12 upstreams each, a node behind 2 Mbit/s that calls all of them: it leaves each control process after 0.7 to 0.8 s without a word and gets all upstreams again from the next.

--- a/test/config_transfer_test.c
+++ b/test/config_transfer_test.c
@@ -1,6 +1,7 @@
 /* A configuration on its way from control processes to a node, over a narrow link. */
 #include "control/control.h"
 #include "control/op.h"
+#include "lib/ctr.h"
 #include "lib/set.h"
 #include "node/config.h"
 #include "test/fakes/fake_node.h"
@@ -265,6 +266,83 @@
 		       (u32)((loop_clock_us() - last) / US_PER_MS));
 }
 
+#define SERVICES 600
+#define UPSTREAMS 12
+/* At least, of an upstream in a view. */
+#define ENTRY_BYTES 60
+
+/* Registers upstreams of many services, as their nodes would. */
+static void register_upstreams(void *arg)
+{
+	struct control *c = arg;
+
+	for (u32 i = 0; i < SERVICES * UPSTREAMS; i++) {
+		g_autofree char *name = g_strdup_printf("10.1.%u.%u:8081", i / 250, i % 250);
+		g_autofree char *service = g_strdup_printf("service-%u", i / UPSTREAMS);
+		struct dir_entry e = { .node = name,
+				       .zone = (char *)"elsewhere",
+				       .region = (char *)"r",
+				       .incarnation = loop_wall_clock_us(),
+				       .version = 1,
+				       .state = DIR_UP,
+				       .service = service,
+				       .slots = 12,
+				       .connections = 200 };
+
+		g_assert_cmpint(directory_register(&c->directory, &e, loop_clock_us()), ==, 1);
+	}
+}
+
+struct requests {
+	struct node *node;
+	u32 pending; /* services whose upstreams have not come yet */
+};
+
+static void request_services(void *arg)
+{
+	struct requests *r = arg;
+
+	r->pending = 0;
+	for (u32 i = 0; i < SERVICES; i++) {
+		g_autofree char *service = g_strdup_printf("service-%u", i);
+
+		r->pending += !watch_is_fresh(r->node) || watch_request_service(r->node, service);
+	}
+}
+
+/*
+ * Guards against: the upstreams of many services, sent at once, hold back the words of freshness of
+ * a node behind a narrow link, which goes from one control process to the next.
+ */
+static void test_many_services_on_narrow_link(void)
+{
+	u64 transfer_us = SERVICES * UPSTREAMS * ENTRY_BYTES * US_PER_S / LINK_BYTES_PER_S;
+	struct requests r = { .pending = SERVICES };
+	struct fake_node node;
+	u64 start;
+	u64 moved;
+
+	for (u32 i = 0; i < CONTROLS; i++)
+		loop_call(controls[i].control->loop, register_upstreams, controls[i].control);
+	declare(1, "{\"version\":1,\"routes\":[],\"services\":[],\"limits\":{}}");
+	start = loop_clock_us();
+	start_node(&node);
+	g_assert_cmpuint(wait_revision(1, start, WAIT_US), ==, 1);
+	r.node = node.node;
+	moved = ctr_get(CTR_CONTROL_MOVED);
+	start = loop_clock_us();
+	while (r.pending && loop_clock_us() - start < 2 * transfer_us + ALLOWANCE_US) {
+		g_usleep(50 * US_PER_MS);
+		loop_call(node.node->loop, request_services, &r);
+	}
+	g_test_message("%u services pending, %u bytes relayed, %u moves after %u ms", r.pending,
+		       (u32)g_atomic_int_get(&narrow.bytes),
+		       (u32)(ctr_get(CTR_CONTROL_MOVED) - moved),
+		       (u32)((loop_clock_us() - start) / US_PER_MS));
+	g_assert_cmpuint(r.pending, ==, 0);
+	g_assert_cmpuint(ctr_get(CTR_CONTROL_MOVED), ==, moved);
+}
+
 int main(int argc, char **argv)
 {
 	int ret;
@@ -278,6 +356,8 @@
 	g_test_add_func("/config-transfer/begins-again-at-next-process",
 			test_begins_again_at_next_process);
 	g_test_add_func("/config-transfer/changes-during-transfer", test_changes_during_transfer);
+	g_test_add_func("/config-transfer/many-services-on-narrow-link",
+			test_many_services_on_narrow_link);
 	ret = g_test_run();
 	fflush(stdout);
 	_exit(ret); /* the processes still run */
