control, node: the upstreams of many services go to a node a window at a time

What callers saw: a node that calls many services over a narrow link never settles: their upstreams were sent at once, in front of the words of freshness, and again by each next control process. From about 180 services of 12 upstreams at 2 Mbit/s: 0.7 s hold 175 KB.

A view holds about 128 changes, and after 128 changes the node answers before more are sent. Small views are not answered each, so the traffic of a quiet fleet stays as it was.

--- a/control/nodes.c
+++ b/control/nodes.c
@@ -19,6 +19,7 @@
 	struct config_request request; /* the last one; its revision is what the node has by now */
 	struct config_transfer transfer;
 	struct view view;
+	u32 view_sent; /* changes of the view sent since the node last answered one */
 	u64 members_index; /* log index of the membership sent last; 0 for none */
 };
 
@@ -183,32 +184,45 @@
 	dir_entry_put(f, &e);
 }
 
-/* A send error is ignored: the send queue is full only if the node is unresponsive. */
+/*
+ * Sends the next changes of the view. After each VIEW_CHANGES_MAX the node has to answer before
+ * more are sent, so that words of freshness wait behind no more than these. A send error is
+ * ignored: the send queue is full only if the node is unresponsive.
+ */
 static void push_view(struct control *c, struct node_link *n)
 {
 	g_autoptr(GPtrArray) complete = g_ptr_array_new();
-	g_autoptr(GArray) changes = view_collect_changes(&n->view, &c->directory, complete);
-	guint from = 0;
+	g_autoptr(GArray) changes = NULL;
+	FRAME_AUTO(f, CTL_VIEW);
 
+	if (n->view_sent >= VIEW_CHANGES_MAX)
+		return;
+	changes = view_collect_changes(&n->view, &c->directory, complete);
 	if (!changes->len && !complete->len && !view_is_count_stale(&n->view, &c->directory))
 		return;
 	n->view.nodes = c->directory.nodes;
-	do {
-		guint count = MIN(changes->len - from, (guint)CTL_ITEMS_PER_FRAME);
-		bool is_last = from + count == changes->len;
-		FRAME_AUTO(f, CTL_VIEW);
-
-		frame_put_u64(&f, c->directory.nodes);
-		/* Services are listed in the last frame, when all of their upstreams were sent. */
-		frame_put_u64(&f, is_last ? complete->len : 0);
-		for (guint i = 0; is_last && i < complete->len; i++)
-			frame_put_str(&f, g_ptr_array_index(complete, i));
-		frame_put_u64(&f, count);
-		for (guint i = from; i < from + count; i++)
-			put_view_change(&f, &g_array_index(changes, struct view_change, i));
-		link_send(n->link, &f);
-		from += count;
-	} while (from < changes->len);
+	n->view_sent += changes->len;
+	frame_put_bool(&f, n->view_sent >= VIEW_CHANGES_MAX);
+	frame_put_u64(&f, c->directory.nodes);
+	frame_put_u64(&f, complete->len);
+	for (guint i = 0; i < complete->len; i++)
+		frame_put_str(&f, g_ptr_array_index(complete, i));
+	frame_put_u64(&f, changes->len);
+	for (guint i = 0; i < changes->len; i++)
+		put_view_change(&f, &g_array_index(changes, struct view_change, i));
+	link_send(n->link, &f);
+}
+
+static int receive_view_ack(struct control *c, struct link *k, struct frame_in *in)
+{
+	struct node_link *n = find_node(c, k);
+
+	if (frame_done(in))
+		return ERR_INVAL;
+	n->view_sent = 0;
+	if (view_needs_update(&n->view, &c->directory))
+		push_view(c, n);
+	return 0;
 }
 
 void nodes_push_directory(struct control *c)
@@ -312,6 +326,8 @@
 		return receive_watch(c, k, in);
 	case CTL_CONFIG_ACK:
 		return receive_ack(c, k, in);
+	case CTL_VIEW_ACK:
+		return receive_view_ack(c, k, in);
 	case CTL_SUBSCRIBE:
 		return receive_subscribe(c, k, in);
 	default:
--- a/control/view.c
+++ b/control/view.c
@@ -162,7 +162,7 @@
 	gpointer seq;
 
 	g_hash_table_iter_init(&iter, v->sent);
-	while (g_hash_table_iter_next(&iter, &node, &seq)) {
+	while (out->len < VIEW_CHANGES_MAX && g_hash_table_iter_next(&iter, &node, &seq)) {
 		const struct directory_item *item = directory_find(d, node);
 
 		bool is_dropped = item && is_unsubscribed(v, item);
@@ -186,7 +186,7 @@
 	/* Removals precede the additions that replace them. */
 	collect_sent(v, d, out);
 	g_hash_table_iter_init(&iter, v->subscriptions);
-	while (g_hash_table_iter_next(&iter, &name, &service)) {
+	while (out->len < VIEW_CHANGES_MAX && g_hash_table_iter_next(&iter, &name, &service)) {
 		struct view_service *s = service;
 
 		collect_service(v, d, name, s, out);
@@ -194,6 +194,9 @@
 			g_ptr_array_add(answered, name);
 		s->is_answered = true;
 	}
+	/* Whether anything is left is found out by the next call. */
+	if (out->len >= VIEW_CHANGES_MAX)
+		return out;
 	v->seq = d->seq;
 	v->is_answer_due = false;
 	return out;
--- a/control/view.h
+++ b/control/view.h
@@ -13,6 +13,9 @@
 
 #include "control/directory.h"
 
+/* Changes collected at a time, about 10 KB; up to the size of a subset more. */
+#define VIEW_CHANGES_MAX 128
+
 struct view {
 	char *node;
 	char *zone;
@@ -46,9 +49,10 @@
 bool view_is_count_stale(const struct view *v, const struct directory *d);
 
 /*
- * view_collect_changes - returns the changes that the node lacks (struct view_change) and marks
- * them as sent; free the array. Adds the names of the services that were subscribed to since the
- * last call to ANSWERED.
+ * view_collect_changes - returns the changes that the node lacks (struct view_change), about
+ * VIEW_CHANGES_MAX at a time, and marks them as sent; free the array. If it returns that many, more
+ * may be due (view_needs_update). Adds the names of the services that were subscribed to and whose
+ * upstreams are all sent with this call, unless they were before, to ANSWERED.
  */
 GArray *view_collect_changes(struct view *v, const struct directory *d, GPtrArray *answered);
 
--- a/node/watch.c
+++ b/node/watch.c
@@ -245,9 +245,17 @@
 	}
 }
 
+static void send_view_ack(struct watch *w)
+{
+	FRAME_AUTO(f, CTL_VIEW_ACK);
+
+	link_send(w->main.link, &f);
+}
+
 static int on_view(struct watch *w, struct frame_in *in)
 {
 	g_autoptr(GPtrArray) answered = g_ptr_array_new_with_free_func(g_free);
+	bool is_answer_due = frame_get_bool(in);
 	u32 node_count = (u32)frame_get_u64(in);
 	u32 n;
 
@@ -263,6 +271,8 @@
 	}
 	if (frame_done(in))
 		return ERR_INVAL;
+	if (is_answer_due)
+		send_view_ack(w);
 	/* A control process that has just started does not know all nodes yet. */
 	if (node_count > w->node_count || !w->removal_due_us)
 		w->node_count = node_count;
--- a/test/fakes/paced_relay.c
+++ b/test/fakes/paced_relay.c
@@ -3,6 +3,8 @@
 #include "kernel/loop.h"
 #include "test/fakes/raw_server.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -79,6 +81,7 @@
 {
 	struct relay *r = arg;
 	int size = BUFFER_BYTES;
+	int one = 1;
 
 	for (;;) {
 		int from = accept(r->fd, NULL, NULL);
@@ -87,6 +90,8 @@
 
 		g_assert_cmpint(from, >=, 0);
 		g_assert_cmpint(to, >=, 0);
+		setsockopt(from, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+		setsockopt(to, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
 		setsockopt(to, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
 		*refs = 2;
 		start_flow(NULL, from, to, refs);
--- a/test/view_test.c
+++ b/test/view_test.c
@@ -238,6 +238,41 @@
 	teardown();
 }
 
+#define MANY_SERVICES 100
+#define MANY_UPSTREAMS 12
+
+/*
+ * Guards against: the upstreams of many services are sent at once, in front of all other messages.
+ * A service is answered only when all of its upstreams are sent.
+ */
+static void test_many_services_at_once(void)
+{
+	GPtrArray *services = g_ptr_array_new_with_free_func(g_free);
+	guint answered_total = 0;
+	guint total = 0;
+
+	setup(0);
+	for (u32 i = 0; i < MANY_SERVICES * MANY_UPSTREAMS; i++) {
+		g_autofree char *service = g_strdup_printf("service-%u", i / MANY_UPSTREAMS);
+
+		register_node(i, service, DIR_UP);
+	}
+	for (u32 i = 0; i < MANY_SERVICES; i++)
+		g_ptr_array_add(services, g_strdup_printf("service-%u", i));
+	view_subscribe(&v, services);
+	while (view_needs_update(&v, &d)) {
+		guint answered;
+		g_autoptr(GArray) out = collect(&answered);
+
+		total += out->len;
+		answered_total += answered;
+		g_assert_cmpuint(out->len, <, VIEW_CHANGES_MAX + 2 * SUBSET_MAX);
+		g_assert_cmpuint(answered_total * MANY_UPSTREAMS, ==, total);
+	}
+	g_assert_cmpuint(answered_total, ==, MANY_SERVICES);
+	teardown();
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -248,5 +283,6 @@
 	g_test_add_func("/view/replaced-while-up", test_replaced_while_up);
 	g_test_add_func("/view/other-service", test_other_service);
 	g_test_add_func("/view/number-of-nodes", test_number_of_nodes);
+	g_test_add_func("/view/many-services-at-once", test_many_services_at_once);
 	return g_test_run();
 }
--- a/test/watch_test.c
+++ b/test/watch_test.c
@@ -64,6 +64,7 @@
 	u32 n = frame_get_count(in, CTL_SUBSCRIPTIONS_MAX);
 	FRAME_AUTO(f, CTL_VIEW);
 
+	frame_put_bool(&f, false);
 	frame_put_u64(&f, 1);
 	frame_put_u64(&f, n);
 	for (u32 i = 0; i < n; i++) {
--- a/wire/ctl.h
+++ b/wire/ctl.h
@@ -1,7 +1,8 @@
 /*
  * ctl - frame types exchanged with and between control processes
  *
- * node to control:    CTL_REGISTER, CTL_RENEW, CTL_WATCH, CTL_SUBSCRIBE, CTL_CONFIG_ACK
+ * node to control:    CTL_REGISTER, CTL_RENEW, CTL_WATCH, CTL_SUBSCRIBE, CTL_CONFIG_ACK,
+ *                     CTL_VIEW_ACK
  * control to node:    CTL_CONFIG_PART, CTL_VIEW, CTL_FRESHNESS, CTL_MEMBERS
  * inside CTL_CONFIG_PART: CTL_CONFIG, CTL_SET_DELTA
  * control to control: CTL_RAFT, CTL_DIRECTORY, CTL_HEARTBEAT, CTL_FORWARD,
@@ -45,8 +46,8 @@
 	CTL_SET_DELTA, /* revision, base revision, version, checksum of the text, delta; inside a
 			  stream */
 	CTL_SUBSCRIBE, /* count, {service}: all services that the node calls */
-	CTL_VIEW, /* nodes in the directory, count, {service sent completely}, count,
-		     {is_dropped, entry} */
+	CTL_VIEW, /* whether it has to be answered, nodes in the directory, count,
+		     {service sent completely}, count, {is_dropped, entry} */
 	CTL_FRESHNESS, /* is_fresh, configuration revision, time of sending */
 	CTL_RAFT, /* Raft message */
 	CTL_HEARTBEAT, /* count, {control id, incarnation, heartbeat number, age, report} */
@@ -56,6 +57,7 @@
 	CTL_MEMBERS, /* count, {host, port}: the members of the group */
 	CTL_JOIN, /* control id, replica id, host, port, is_first: requests membership */
 	CTL_CONFIG_PART, /* part of a configuration stream, see wire/config_part.h */
+	CTL_VIEW_ACK, /* answers a view */
 	CTL_CONFIG_ACK, /* request number, bytes of the stream that were received */
 };
 
