test: upstream deadline waits for the upstream's end of the connection

/upstream/deadline failed once in a whole check beside load: saw_close was false. The call ends after 50 ms, and the test took its server down then; where the server's thread had not accepted the connection by then, it never looked whether the connection is closed. With an accept that is late by 120 ms the old test fails with the same line each time, the new one passes. The check is the same: the connection must be seen closed.

--- a/test/upstream_test.c
+++ b/test/upstream_test.c
@@ -402,6 +402,7 @@
 	const char *text;
 	bool must_cancel;
 	bool saw_close;
+	gint has_ended;
 };
 
 static void cancel(void *arg)
@@ -422,6 +423,16 @@
 	if (stall->must_cancel)
 		loop_post(stall->f->loop, cancel, stall->f);
 	stall->saw_close = raw_wait_closed(fd);
+	g_atomic_int_set(&stall->has_ended, true);
+}
+
+/* The call may end before the upstream has accepted its connection. */
+static void wait_stall_ended(struct stall *stall)
+{
+	u64 end_us = loop_clock_us() + LONG_TIMEOUT_US;
+
+	while (!g_atomic_int_get(&stall->has_ended) && loop_clock_us() < end_us)
+		g_usleep(US_PER_MS);
 }
 
 /* An answer that stalls after TEXT ends by cancellation, or at the deadline. */
@@ -435,6 +446,7 @@
 	err = run_until(&f, f.server.port, loop_clock_us() + timeout_us);
 	g_assert_cmpint(err, ==, expected);
 	g_assert_null(f.reply);
+	wait_stall_ended(&stall);
 	teardown(&f);
 	g_assert_true(stall.saw_close);
 }
