control: a changed set goes into the log as the difference to the one before

A set was one log entry with its whole text: each change of one route in 6,000 sent 984 KB to each of the other members and to each disk, across zones, and again where the change had come to a follower.

It applies only to that version, so that all members get the same text. A set's change id, which is made of its content, stands for the change, as the same change may come in both forms; a change that is repeated over an upgrade to this version is refused with 422.

--- a/control/op.c
+++ b/control/op.c
@@ -115,6 +115,9 @@
 {
 	u64 now = loop_clock_us();
 
+	/* At the process that got the change, so that it is also short where it is forwarded. */
+	if (o->kind == OP_CHANGE && !o->origin)
+		o->command = store_command_shrink(&c->store, o->command);
 	o->seq = ++c->op_seq;
 	o->start_us = now;
 	g_hash_table_insert(c->ops, &o->seq, o);
--- a/control/store.c
+++ b/control/store.c
@@ -1,5 +1,6 @@
 #include "control/store.h"
 
+#include "lib/delta.h"
 #include "lib/err.h"
 #include "lib/frame.h"
 #include "lib/set.h"
@@ -58,6 +59,10 @@
 	frame_put_str(&f, c->change_id);
 	frame_put_str(&f, c->json);
 	frame_put_u64(&f, c->version);
+	if (c->op == STORE_SET_DELTA) {
+		frame_put_u64(&f, c->checksum);
+		delta_put(&f, c->ops);
+	}
 	frame_end(&f);
 	return g_bytes_new(f.buf.data + FRAME_HEADER_BYTES, f.buf.size - FRAME_HEADER_BYTES);
 }
@@ -76,8 +81,12 @@
 	c->change_id = frame_get_str(&in, STORE_CHANGE_ID_MAX_BYTES);
 	c->json = frame_get_str(&in, STORE_TEXT_MAX_BYTES);
 	c->version = frame_get_u64(&in);
-	if (c->op < STORE_PUT || c->op > STORE_SET)
+	if (c->op < STORE_PUT || c->op > STORE_SET_DELTA)
 		return ERR_INVAL;
+	if (c->op == STORE_SET_DELTA) {
+		c->checksum = frame_get_u64(&in);
+		c->ops = delta_get(&in);
+	}
 	return frame_done(&in);
 }
 
@@ -86,6 +95,7 @@
 	g_free(c->name);
 	g_free(c->change_id);
 	g_free(c->json);
+	g_clear_pointer(&c->ops, g_array_unref);
 }
 
 const struct store_item *store_find(const struct store *s, const char *name)
@@ -198,14 +208,37 @@
 	out->version = c->version;
 }
 
-static void execute(struct store *s, const struct store_change *c, struct store_result *out)
+static bool is_set_change(const struct store_change *c)
+{
+	return c->op == STORE_SET || c->op == STORE_SET_DELTA;
+}
+
+/* The same text results at every replica, as they have the same current set. */
+static void replace_set_by_delta(struct store *s, struct store_change *c, struct store_result *out)
+{
+	const struct store_item *item = store_find(s, c->name);
+	char *text = item && c->has_if_match ? delta_apply(item->json, c->ops) : NULL;
+
+	if (!text || XXH64(text, strlen(text), 0) != c->checksum) {
+		g_free(text);
+		out->status = 400;
+		return;
+	}
+	g_free(c->json);
+	c->json = text;
+	replace_set(s, c, out);
+}
+
+static void execute(struct store *s, struct store_change *c, struct store_result *out)
 {
 	const struct store_item *item = store_find(s, c->name);
 	u64 current = item ? item->version : 0;
 
 	if (c->has_if_match && c->if_match != current) {
-		out->status = c->op == STORE_SET ? 412 : 409;
+		out->status = is_set_change(c) ? 412 : 409;
 		out->version = current;
+	} else if (c->op == STORE_SET_DELTA) {
+		replace_set_by_delta(s, c, out);
 	} else if (c->op == STORE_SET) {
 		replace_set(s, c, out);
 	} else if (c->op == STORE_PUT) {
@@ -233,19 +266,60 @@
 	}
 }
 
-void store_apply(struct store *s, GBytes *command, struct store_result *out)
+/* Returns whether the change, with the current text and the ops of a delta, is worth a delta. */
+static bool is_delta_shorter(const struct store_change *c, const GArray *ops)
+{
+	return ops->len <= DELTA_OPS_MAX && delta_bytes(ops) < strlen(c->json) / 2;
+}
+
+GBytes *store_command_shrink(const struct store *s, GBytes *command)
 {
 	__attribute__((cleanup(store_change_clear))) struct store_change c = { 0 };
-	struct change_record *record;
+	g_autofree char *text = NULL;
+	const struct store_item *item;
+	GBytes *shorter;
+
+	if (store_change_unpack(&c, command) || c.op != STORE_SET)
+		return command;
+	item = store_find(s, c.name);
+	if (!item || !c.has_if_match || c.if_match != item->version)
+		return command;
+	c.ops = delta_make(item->json, c.json);
+	if (!is_delta_shorter(&c, c.ops))
+		return command;
+	c.op = STORE_SET_DELTA;
+	c.checksum = XXH64(c.json, strlen(c.json), 0);
+	text = g_steal_pointer(&c.json); /* the ops point into it */
+	shorter = store_change_pack(&c);
+	g_bytes_unref(command);
+	return shorter;
+}
+
+/*
+ * Identifies a change, so that an id is not used for another one. The same set may come as a text
+ * and as a delta; its id is made from its content.
+ */
+static u64 hash_change(const struct store_change *c, GBytes *command)
+{
 	gsize len;
 	const void *p = g_bytes_get_data(command, &len);
-	u64 hash = XXH64(p, len, 0);
+
+	return is_set_change(c) ? XXH64(c->change_id, strlen(c->change_id), STORE_SET) :
+				  XXH64(p, len, 0);
+}
+
+void store_apply(struct store *s, GBytes *command, struct store_result *out)
+{
+	__attribute__((cleanup(store_change_clear))) struct store_change c = { 0 };
+	struct change_record *record;
+	u64 hash;
 
 	memset(out, 0, sizeof(*out));
 	if (store_change_unpack(&c, command)) {
 		out->status = 400;
 		return;
 	}
+	hash = hash_change(&c, command);
 	record = *c.change_id ? g_hash_table_lookup(s->changes, c.change_id) : NULL;
 	if (record && record->hash != hash) {
 		out->status = 422;
@@ -259,7 +333,7 @@
 	}
 	execute(s, &c, out);
 	/* A refused set may be retried with the same change id once its predecessor is in place. */
-	if (*c.change_id && (c.op != STORE_SET || out->status < 300))
+	if (*c.change_id && (!is_set_change(&c) || out->status < 300))
 		record_result(s, c.change_id, hash, out);
 }
 
--- a/control/store.h
+++ b/control/store.h
@@ -20,12 +20,13 @@
 #define STORE_TOMBSTONES_MAX 4096
 #define STORE_CHANGE_ID_MAX_BYTES 128
 
-enum store_op { STORE_PUT = 1, STORE_DELETE, STORE_SET };
+enum store_op { STORE_PUT = 1, STORE_DELETE, STORE_SET, STORE_SET_DELTA };
 
 /*
  * A change, as encoded in the log. JSON is the canonical form of the service.
  * STORE_SET replaces the whole set: JSON is the text exactly as sent, VERSION is the
- * operator's version number, which must be higher than that of the current set.
+ * operator's version number, which must be higher than that of the current set. STORE_SET_DELTA is
+ * the same change with the text as the difference to that of version IF_MATCH.
  */
 struct store_change {
 	enum store_op op;
@@ -34,7 +35,9 @@
 	u64 if_match;
 	char *change_id; /* "" when the operator gave none */
 	char *json;
-	u64 version; /* STORE_SET only */
+	u64 version; /* of a set only */
+	GArray *ops; /* STORE_SET_DELTA only, of struct delta_op: point into the command */
+	u64 checksum; /* STORE_SET_DELTA only, of the text that results */
 };
 
 struct store_result {
@@ -72,6 +75,12 @@
 int store_change_unpack(struct store_change *c, GBytes *data);
 void store_change_clear(struct store_change *c);
 
+/*
+ * store_command_shrink - takes COMMAND and returns it, or a shorter one for the same change: that
+ * of a set with the difference to the current one, if the change builds on it.
+ */
+GBytes *store_command_shrink(const struct store *s, GBytes *command);
+
 /* store_apply - applies one command of the log. */
 void store_apply(struct store *s, GBytes *command, struct store_result *out);
 
