--- a/node/watch.c
+++ b/node/watch.c
@@ -250,9 +250,17 @@
 	}
 }
 
+static void send_view_ack(struct watch *w)
+{
+	FRAME_AUTO(f, CTL_VIEW_ACK);
+
+	link_send(w->main.link, &f);
+}
+
 static int on_view(struct watch *w, struct frame_in *in)
 {
 	g_autoptr(GPtrArray) answered = g_ptr_array_new_with_free_func(g_free);
+	bool is_answer_due = frame_get_bool(in);
 	u32 node_count = (u32)frame_get_u64(in);
 	u32 n;
 
@@ -268,6 +276,8 @@
 	}
 	if (frame_done(in))
 		return ERR_INVAL;
+	if (is_answer_due)
+		send_view_ack(w);
 	/* A control process that has just started does not know all nodes yet. */
 	if (node_count > w->node_count || !w->removal_due_us)
 		w->node_count = node_count;
@@ -349,14 +359,15 @@
 		candidate->retry_at_us = now_us + RETRY_INTERVAL_US;
 }
 
-static void finish_trial(struct watch *w, bool is_fresh, u64 now_us)
+/* The control process was fresh at FRESH_US; 0 if it is not. */
+static void finish_trial(struct watch *w, u64 fresh_us, u64 now_us)
 {
 	struct candidate *candidate = w->trial.candidate;
 	bool has_fresh = is_main_fresh(w, now_us);
 	bool is_nearer = !w->main.candidate || candidate->distance < w->main.candidate->distance;
+	bool is_fresh = fresh_us && now_us - fresh_us <= NOT_FRESH_MAX_US;
 
-	if (is_fresh)
-		w->trial.last_fresh_us = now_us;
+	w->trial.last_fresh_us = is_fresh ? fresh_us : 0;
 	if (is_fresh ? !has_fresh || is_nearer : !has_fresh && is_nearer) {
 		promote(w, now_us);
 		return;
@@ -372,6 +383,8 @@
 		log_event(LOG_INFO, "word of freshness late", "control", s->candidate->at.host,
 			  "age_us", log_u64(now_us - sent_us), "bytes_before",
 			  log_u64(bytes_since_word(s)), NULL);
+		/* The offset of the clocks may come from a PING that was slow. */
+		link_ping(s->link);
 	}
 	s->word_sent_us = sent_us;
 	s->word_at_bytes = link_received_bytes(s->link);
@@ -391,9 +404,9 @@
 	record_word(s, sent, now);
 	is_fresh = is_fresh && revision >= config_revision();
 	if (s == &s->w->trial)
-		finish_trial(s->w, is_fresh, now);
+		finish_trial(s->w, is_fresh ? sent : 0, now);
 	else if (is_fresh)
-		s->last_fresh_us = now;
+		s->last_fresh_us = MAX(s->last_fresh_us, sent);
 	return 0;
 }
 
@@ -651,19 +664,32 @@
 	w->main.last_fresh_us = 0;
 }
 
+/*
+ * Returns whether this tick comes so late that words of control processes wait to be read. The next
+ * one comes after they were, so two in succession are not skipped.
+ */
+static bool has_stalled(struct watch *w, u64 now_us)
+{
+	w->has_stalled = !w->has_stalled && w->tick_due_us && now_us > w->tick_due_us + TICK_US;
+	return w->has_stalled;
+}
+
 static void on_timer(void *arg, u64 now_us)
 {
 	struct watch *w = arg;
 
-	check_main(w, now_us);
-	check_trial(w, now_us);
+	if (!has_stalled(w, now_us)) {
+		check_main(w, now_us);
+		check_trial(w, now_us);
+	}
 	if (is_up(&w->main) && now_us >= w->renew_due_us) {
 		watch_send_renew(w);
 		w->renew_due_us = now_us + CTL_RENEW_INTERVAL_US;
 	}
 	if (w->removal_due_us && now_us >= w->removal_due_us && is_main_fresh(w, now_us))
 		remove_unreported(w);
-	loop_timer_set(w->node->loop, &w->timer, now_us + TICK_US);
+	w->tick_due_us = now_us + TICK_US;
+	loop_timer_set(w->node->loop, &w->timer, w->tick_due_us);
 }
 
 static void add_candidates(struct watch *w)
