--- a/test/earlier_refusal_test.c
+++ b/test/earlier_refusal_test.c
@@ -19,6 +19,7 @@
 #define WAIT_MS 20000
 /* Longer than the home node takes to read what was written. */
 #define PAUSE_US (5 * US_PER_MS)
+#define REFUSALS 200
 #define ID_HEADER "Lavenderlead-Attempt-Id"
 
 enum when {
@@ -43,6 +44,7 @@
 static struct raw_server upstream;
 static struct scenario *scenario; /* the one being played */
 static u32 nth_request; /* of the scenario */
+static u32 connections;
 static gint is_idle_repeat_written;
 static u64 seq;
 
@@ -259,6 +261,38 @@
 	play_moments((struct scenario){ .ids = { "a", "b", "c", "d" } }, false);
 }
 
+/* Refuses each request by its id, and counts the connections. */
+static void serve_refusals(struct raw_server *s, int fd, u32 nth)
+{
+	while (raw_read_request(s, fd)) {
+		g_autofree char *id = g_strdup_printf("%u", g_atomic_int_get(&s->requests));
+		g_autofree char *text = refusal_text(503, id);
+
+		connections = nth;
+		raw_write(fd, text);
+	}
+}
+
+/* Guards against: an overload, with many refusals, costs a new connection for each of them. */
+static void test_refusals_keep_connection(void)
+{
+	static struct scenario c = { .method = "POST" };
+
+	start_with(serve_refusals);
+	fake_node_announce_upstream(&node, upstream.port, 4);
+	for (u32 i = 1; i <= REFUSALS; i++) {
+		g_autofree char *id = g_strdup_printf("%u", i);
+		struct peer_event *e;
+
+		c.ids[0] = id;
+		e = call(&c, 1);
+		g_assert_cmpint(e->type, ==, PEER_REFUSE);
+		g_assert_true(e->is_not_run);
+		peer_event_free(e);
+	}
+	g_assert_cmpuint(connections, <=, 1 + REFUSALS / 50);
+}
+
 /* Runs the request and answers with the scenario's status, without the statement of a refusal. */
 static void serve_unstated(struct raw_server *s, int fd, u32 nth)
 {
@@ -328,6 +362,7 @@
 	g_test_add_func("/earlier-refusal/without-id", test_without_id);
 	g_test_add_func("/earlier-refusal/same-id-again", test_same_id_again);
 	g_test_add_func("/earlier-refusal/without-id-after-answers", test_without_id_after_answers);
+	g_test_add_func("/earlier-refusal/refusals-keep-connection", test_refusals_keep_connection);
 	g_test_add_func("/earlier-refusal/status-without-statement", test_status_without_statement);
 	g_test_add_func("/earlier-refusal/first-without-id-counts", test_first_without_id_counts);
 	ret = g_test_run();
