upstream: a refusal that names its request keeps the connection

An overloaded upstream refused thousands of calls, and each refusal cost a new connection. A copy of a refusal can be told from the answer to a later request when it names its request and the later one has another id. So the connection remembers the ids that were refused on it, up to 64; a request with such an id goes to another connection. A refusal without an id, or in the dialect without ids, still ends the connection.

Evidence: /earlier-refusal/refusals-keep-connection, red before (200), green now; the other tests of earlier refusals stay green, also the one in which an attempt with the refused id comes again.

--- a/node/upstream.c
+++ b/node/upstream.c
@@ -25,6 +25,8 @@
 #define IDLE_MARGIN_US (1 * US_PER_S)
 /* Answers to other requests that are skipped before the connection is closed. */
 #define FOREIGN_ANSWERS_MAX 2
+/* Refused requests whose ids a connection remembers; at this number it is not used again. */
+#define REFUSED_IDS_MAX 64
 
 struct upstream {
 	struct loop *loop;
@@ -47,6 +49,7 @@
 	u64 idle_max_us;
 	u32 foreign_answers; /* answers to other requests that were skipped */
 	u64 answers; /* final answers read so far */
+	GPtrArray *refused_ids; /* of the requests that were refused on this connection */
 	size_t buffered_bytes; /* size of the response body being read */
 	bool is_connecting;
 	bool has_send_failed; /* the connection was reset, which a read may show as a plain close */
@@ -76,6 +79,7 @@
 	g_queue_unlink(c->call ? &c->u->busy : &c->u->idle, &c->queue_link);
 	http_read_clear(&c->read);
 	g_byte_array_unref(c->out);
+	g_ptr_array_unref(c->refused_ids);
 	g_free(c);
 }
 
@@ -226,21 +230,41 @@
 	c->foreign_answers = 0;
 }
 
-/* A copy of a refusal must not come where the answer to a later request is expected. */
-static bool is_refusal(const struct upstream_conn *c, const struct http_msg *m)
+/*
+ * Returns whether a copy of M would be told from the answer to a later request. A refusal must name
+ * its request for that, and a request with that id must not come here again.
+ */
+static bool may_follow(struct upstream_conn *c, const struct http_msg *m)
 {
-	return !c->call->is_poll &&
-	       (c->u->dialect->is_not_run(m) || c->u->dialect->is_other_instance(m));
+	const struct dialect *d = c->u->dialect;
+	const char *id = d->id(c->call->request);
+
+	if (c->call->is_poll || !d->is_not_run(m))
+		return !d->is_other_instance(m);
+	if (!id || !d->names_request(m, c->call->request) || d->is_other_instance(m) ||
+	    c->refused_ids->len >= REFUSED_IDS_MAX)
+		return false;
+	g_ptr_array_add(c->refused_ids, g_strdup(id));
+	return true;
+}
+
+static bool has_refused(const struct upstream_conn *c, const struct http_msg *request)
+{
+	const char *id = c->u->dialect->id(request);
+
+	for (guint i = 0; id && i < c->refused_ids->len; i++)
+		if (!strcmp(g_ptr_array_index(c->refused_ids, i), id))
+			return true;
+	return false;
 }
 
 /*
  * Bytes after the answer belong to no request. When the answer came before the whole request was
  * sent, the rest of the request remains unsent.
  */
-static bool is_reusable(const struct upstream_conn *c, const struct http_msg *m)
+static bool is_reusable(const struct upstream_conn *c)
 {
-	return c->read.is_keep_alive && c->read.has_length && !c->foreign_answers && !c->out->len &&
-	       !is_refusal(c, m);
+	return c->read.is_keep_alive && c->read.has_length && !c->foreign_answers && !c->out->len;
 }
 
 static void complete_call(struct upstream_conn *c, struct http_msg *m)
@@ -248,7 +272,7 @@
 	struct upstream_call *call = c->call;
 	u64 max_us = idle_max_us(m);
 
-	if (is_reusable(c, m) && max_us)
+	if (is_reusable(c) && max_us && may_follow(c, m))
 		return_to_pool(c, max_us);
 	else
 		conn_close(c);
@@ -427,7 +451,7 @@
 		}
 		if (!is_usable(c, call, now))
 			return NULL;
-		if (has_unread(c)) {
+		if (has_refused(c, call->request) || has_unread(c)) {
 			conn_close(c);
 			continue;
 		}
@@ -459,6 +483,7 @@
 	c->is_connecting = true;
 	c->state_since_us = loop_clock_us();
 	c->out = g_byte_array_new();
+	c->refused_ids = g_ptr_array_new_with_free_func(g_free);
 	c->queue_link.data = c;
 	c->fd = (struct loop_fd){ .ready = on_ready, .arg = c, .fd = fd };
 	http_read_init(&c->read, true, &read_ops, c);
