httpd: what has arrived when a server stops accepting is still answered

What callers could see: a request that had arrived on an open connection when a stopping node closed its idle connections was reset, and one that was read behind an unanswered one was dropped with its connection. Callers send both again, but at the price of a request without an answer.

Connections are read once more before they are closed, and what was read is started or refused by its owner, and answered. Nothing more is read behind an unanswered request. Connections are visited so that handling one may close others.

/httpd/arrived-request-closed-unread failed before and passes now.

--- a/kernel/httpd.c
+++ b/kernel/httpd.c
@@ -40,7 +40,9 @@
 	GQueue conns; /* of struct httpd_conn */
 	u32 requests;
 	bool no_keep_alive;
-	bool is_stopping; /* each connection ends with what has been started on it */
+	bool is_stopping; /* nothing is read behind an unanswered request */
+	u16 incomplete_status; /* of httpd_refuse_incomplete */
+	enum ctr incomplete_reason;
 };
 
 struct httpd_conn {
@@ -236,19 +238,10 @@
 
 static void start_queued(struct httpd_conn *c);
 
-/* Callers send requests again that they sent behind a response that closes the connection. */
-static void drop_unstarted(struct httpd_conn *c)
-{
-	struct httpd_request *r;
-
-	while ((r = g_queue_peek_tail(&c->requests)) && !r->is_started) {
-		g_queue_unlink(&c->requests, &r->link);
-		c->h->requests--;
-		request_free(r);
-	}
-}
-
-/* Requests that were already read must be answered before the connection closes. */
+/*
+ * Requests that were already read must be answered before the connection closes. Callers send those
+ * again that they sent behind the last response.
+ */
 static bool is_last_answer(const struct httpd_conn *c)
 {
 	return !c->requests.length && (c->h->is_stopping || http_read_is_idle(&c->read));
@@ -262,8 +255,6 @@
 	while ((r = g_queue_peek_head(&c->requests)) && r->answer && !c->must_close) {
 		g_queue_unlink(&c->requests, &r->link);
 		c->h->requests--;
-		if (c->h->is_stopping)
-			drop_unstarted(c);
 		if (is_last_answer(c))
 			c->must_close = c->h->no_keep_alive || asks_to_close(r->msg) || c->is_eof;
 		write_answer(c, r->msg, r->answer);
@@ -338,8 +329,7 @@
 		bool is_first = l == c->requests.head;
 
 		if (!r->is_started) {
-			if (!is_first &&
-			    (c->h->is_stopping || !c->h->ops->may_overlap(r, c->h->arg)))
+			if (!is_first && !c->h->ops->may_overlap(r, c->h->arg))
 				return;
 			start(c, r);
 		}
@@ -606,37 +596,53 @@
 	h->fd.fd = -1;
 }
 
-void httpd_stop_accepting(struct httpd *h)
+/* Reads a request that has arrived, but not been read; closes the connection if there is none. */
+static void end_conn(struct httpd_conn *c)
 {
-	GList *next;
+	bool was_busy = callbacks_begin(c);
+
+	if (is_idle(c) && !was_busy && wants_read(c))
+		read_some(c);
+	if (!c->is_dead)
+		advance_requests(c);
+	if (!c->is_dead && is_idle(c) && http_read_is_idle(&c->read) && !was_busy && !c->must_close)
+		conn_close(c);
+	update_events(c);
+	callbacks_end(c, was_busy);
+}
+
+/* Calls FN for each connection. Handling one may close it and others. */
+static void for_each_conn(struct httpd *h, void (*fn)(struct httpd_conn *c))
+{
+	for (guint i = h->conns.length; i && h->conns.length; i--) {
+		GList *l = g_queue_pop_head_link(&h->conns);
+
+		g_queue_push_tail_link(&h->conns, l);
+		fn(l->data);
+	}
+}
 
+void httpd_stop_accepting(struct httpd *h)
+{
 	h->no_keep_alive = true;
 	h->is_stopping = true;
 	close_port(h);
-	for (GList *l = h->conns.head; l; l = next) {
-		struct httpd_conn *c = l->data;
+	for_each_conn(h, end_conn);
+}
 
-		next = l->next;
-		if (is_idle(c) && http_read_is_idle(&c->read) && !c->is_busy)
-			conn_close(c);
-		else
-			update_events(c);
-	}
+static void refuse_incomplete(struct httpd_conn *c)
+{
+	if (c->requests.length || c->must_close || http_read_is_idle(&c->read))
+		return;
+	send_error(c, c->h->incomplete_status, c->h->incomplete_reason);
+	flush(c);
 }
 
 void httpd_refuse_incomplete(struct httpd *h, u16 status, enum ctr reason)
 {
-	GList *next;
-
-	for (GList *l = h->conns.head; l; l = next) {
-		struct httpd_conn *c = l->data;
-
-		next = l->next;
-		if (c->requests.length || c->must_close || http_read_is_idle(&c->read))
-			continue;
-		send_error(c, status, reason);
-		flush(c);
-	}
+	h->incomplete_status = status;
+	h->incomplete_reason = reason;
+	for_each_conn(h, refuse_incomplete);
 }
 
 size_t httpd_unsent_bytes(const struct httpd *h)
--- a/kernel/httpd.h
+++ b/kernel/httpd.h
@@ -69,9 +69,9 @@
 void httpd_disable_keep_alive(struct httpd *h);
 
 /*
- * httpd_stop_accepting - closes the port and all connections without a request in progress. Each
- * other connection is closed after the responses to what has been started on it; a request
- * that is arriving is started only if it is the first of its connection.
+ * httpd_stop_accepting - closes the port and all connections on which no request has arrived. Each
+ * other connection is closed after the responses to the requests that were read from it; no more
+ * are read behind an unanswered one.
  */
 void httpd_stop_accepting(struct httpd *h);
 
--- a/test/httpd_test.c
+++ b/test/httpd_test.c
@@ -23,6 +23,7 @@
 	gint disconnects; /* calls of on_caller_closed */
 	struct httpd_limits limits;
 	u32 requests; /* the result of count_requests */
+	int fd; /* the caller's, in test_arrived_request_closed_unread */
 };
 
 struct late {
@@ -264,6 +265,36 @@
 	stop(&f);
 }
 
+/* Sends a request while the server's thread is in this call, so that it has not been read. */
+static void send_and_stop_accepting(void *arg)
+{
+	struct fixture *f = arg;
+
+	raw_write(f->fd, GET("/now/arrived"));
+	httpd_stop_accepting(f->h);
+}
+
+/*
+ * Guards against: a server that stops accepting closes a connection on which a request has arrived,
+ * and its caller reads a reset.
+ */
+static void test_arrived_request_closed_unread(void)
+{
+	struct fixture f;
+	g_autofree char *got = NULL;
+
+	start(&f);
+	f.fd = raw_connect(f.port);
+	raw_write(f.fd, GET("/now/first"));
+	wait_started(&f, 1);
+	loop_call(f.loop, send_and_stop_accepting, &f);
+	got = read_all(f.fd);
+	g_assert_nonnull(strstr(got, "</now/first>"));
+	g_assert_nonnull(strstr(got, "</now/arrived>"));
+	g_assert_nonnull(strstr(got, "Connection: close"));
+	stop(&f);
+}
+
 static void count_requests(void *arg)
 {
 	struct fixture *f = arg;
@@ -338,6 +369,7 @@
 	g_test_add_func("/httpd/limits", test_limits);
 	g_test_add_func("/httpd/ambiguous", test_ambiguous);
 	g_test_add_func("/httpd/stop-accepting", test_stop_accepting);
+	g_test_add_func("/httpd/arrived-request-closed-unread", test_arrived_request_closed_unread);
 	g_test_add_func("/httpd/reset-request-still-counted", test_reset_request_still_counted);
 	g_test_add_func("/httpd/started-behind-another-after-stop",
 			test_started_behind_another_after_stop);
