--- a/test/config_transfer_test.c
+++ b/test/config_transfer_test.c
@@ -314,7 +314,7 @@
 	for (u32 i = 0; i < SERVICES; i++) {
 		g_autofree char *service = g_strdup_printf("service-%u", i);
 
-		r->pending += !watch_is_fresh(r->node) || watch_request_service(r->node, service);
+		r->pending += !watch_is_current(r->node) || watch_request_service(r->node, service);
 	}
 }
 
