node: streams and views in files of their own; behaviour unchanged

What the node gets of the directory moves to node/watch_view.c, the configuration in parts to node/watch_stream.c; the links and trials stay.

--- a/node/watch.c
+++ b/node/watch.c
@@ -32,12 +32,6 @@
 #define NEARER_RETRY_INTERVAL_US (15 * US_PER_S)
 /* By then even a control process that has just started has reported all live nodes. */
 #define REMOVAL_DELAY_US (10 * US_PER_S)
-/*
- * Up to this number of configured services a node subscribes to all of them, beyond it only to
- * those that are called.
- */
-#define SUBSCRIBE_ALL_SERVICES_MAX 16
-
 enum distance { SAME_ZONE, SAME_REGION, UNKNOWN_DISTANCE, OTHER_REGION };
 
 /* Limit on known control processes, both seeds and reported members. */
@@ -53,7 +47,7 @@
 	u64 nearer_retry_at_us; /* the same while it is fresh, to find a nearer one */
 };
 
-static bool is_up(const struct control_link *s)
+bool watch_is_up(const struct control_link *s)
 {
 	return s->link && s->link->is_up;
 }
@@ -62,7 +56,7 @@
 {
 	FRAME_AUTO(f, CTL_RENEW);
 
-	if (!is_up(&w->main))
+	if (!watch_is_up(&w->main))
 		return;
 	frame_put_u64(&f, config_revision());
 	link_send(w->main.link, &f);
@@ -73,7 +67,7 @@
 	struct watch *w = n->watch;
 	FRAME_AUTO(f, CTL_REGISTER);
 
-	if (!w || !is_up(&w->main))
+	if (!w || !watch_is_up(&w->main))
 		return;
 	dir_entry_put(&f, &n->dir_entry);
 	link_send(w->main.link, &f);
@@ -93,14 +87,6 @@
 	return link_received_bytes(s->link) - s->word_at_bytes;
 }
 
-static u64 unfinished_bytes(const struct watch *w)
-{
-	struct config_request q = { 0 };
-
-	config_receive_describe(&w->receive, &q);
-	return q.received;
-}
-
 /* Logs why the node leaves its control process, and how much it got since the last word. */
 static void log_left(struct watch *w, const char *reason)
 {
@@ -110,8 +96,8 @@
 	log_event(LOG_INFO, "control left", "control", s->candidate->at.host, "reason", reason,
 		  "word_age_us", log_u64(s->word_sent_us ? now - s->word_sent_us : 0),
 		  "bytes_since_word", log_u64(bytes_since_word(s)), "unfinished_bytes",
-		  log_u64(unfinished_bytes(w)), "requested_age_us", log_u64(now - w->requested_us),
-		  "revision", log_u64(config_revision()), NULL);
+		  log_u64(watch_unfinished_bytes(w)), "requested_age_us",
+		  log_u64(now - w->requested_us), "revision", log_u64(config_revision()), NULL);
 }
 
 static void close_main(struct watch *w, const char *reason)
@@ -123,192 +109,6 @@
 	w->removal_due_us = 0;
 }
 
-/* Messages on the main link */
-
-/* Services that the node calls. Control answers with the upstreams that this node may use. */
-
-static void send_subscriptions(struct watch *w)
-{
-	GHashTableIter iter;
-	gpointer name;
-	FRAME_AUTO(f, CTL_SUBSCRIBE);
-
-	if (!is_up(&w->main))
-		return;
-	frame_put_u64(&f, g_hash_table_size(w->subscriptions));
-	g_hash_table_iter_init(&iter, w->subscriptions);
-	while (g_hash_table_iter_next(&iter, &name, NULL))
-		frame_put_str(&f, name);
-	link_send(w->main.link, &f);
-}
-
-static bool add_subscription(struct watch *w, const char *service)
-{
-	if (g_hash_table_contains(w->subscriptions, service) ||
-	    g_hash_table_size(w->subscriptions) >= CTL_SUBSCRIPTIONS_MAX)
-		return false;
-	g_hash_table_insert(w->subscriptions, g_strdup(service), GINT_TO_POINTER(false));
-	return true;
-}
-
-/* Subscribes to all services of a small configuration before the first call arrives. */
-void watch_subscribe_configured_services(struct watch *w)
-{
-	g_autoptr(GPtrArray) names = config_service_names(SUBSCRIBE_ALL_SERVICES_MAX);
-	bool is_new = false;
-
-	for (guint i = 0; names && i < names->len; i++)
-		is_new |= add_subscription(w, g_ptr_array_index(names, i));
-	if (is_new)
-		send_subscriptions(w);
-}
-
-static void mark_answered(struct watch *w, const char *service)
-{
-	if (g_hash_table_contains(w->subscriptions, service))
-		g_hash_table_insert(w->subscriptions, g_strdup(service), GINT_TO_POINTER(true));
-}
-
-/* Requests all services again, from a new control process. */
-static void resend_subscriptions(struct watch *w)
-{
-	GHashTableIter iter;
-
-	g_hash_table_iter_init(&iter, w->subscriptions);
-	while (g_hash_table_iter_next(&iter, NULL, NULL))
-		g_hash_table_iter_replace(&iter, GINT_TO_POINTER(false));
-	send_subscriptions(w);
-}
-
-bool watch_request_service(struct node *n, const char *service)
-{
-	struct watch *w = n->watch;
-
-	if (!is_up(&w->main))
-		return false;
-	if (add_subscription(w, service))
-		send_subscriptions(w);
-	return g_hash_table_contains(w->subscriptions, service) &&
-	       !g_hash_table_lookup(w->subscriptions, service);
-}
-
-u32 watch_node_count(const struct node *n)
-{
-	return n->watch->node_count;
-}
-
-/* Requests the rest of the configuration of which the node has a part, or the changes since HAVE.
- */
-static void send_watch(struct watch *w, u64 have)
-{
-	struct config_request q = { .number = ++w->request, .revision = have };
-	FRAME_AUTO(f, CTL_WATCH);
-
-	config_receive_describe(&w->receive, &q);
-	if (q.received)
-		q.revision = q.stream.from;
-	config_request_put(&f, &q);
-	if (!is_up(&w->main))
-		return;
-	link_send(w->main.link, &f);
-	w->requested_us = loop_clock_us();
-}
-
-void watch_request_config(struct watch *w, u64 have)
-{
-	config_receive_drop(&w->receive);
-	send_watch(w, have);
-}
-
-/* Applies a view's entry; IS_DROPPED when control replaced it by another one in the view. */
-static void apply_entry(struct watch *w, const struct dir_entry *e, bool is_dropped)
-{
-	struct choose *c = &w->node->choose;
-
-	if (w->removal_due_us)
-		g_hash_table_add(w->reported, g_strdup(e->node));
-	/* The node's own copy of its entry is authoritative. */
-	if (!strcmp(e->node, w->node->self.name))
-		return;
-	choose_set_entry(c, e, loop_clock_us());
-	if (is_dropped)
-		choose_disable(c, e->node);
-	entry_directory_changed(w->node, e);
-}
-
-static void read_answered(struct watch *w, struct frame_in *in, GPtrArray *answered)
-{
-	u32 n = frame_get_count(in, CTL_SUBSCRIPTIONS_MAX);
-
-	for (u32 i = 0; i < n && !in->err; i++) {
-		char *name = frame_get_str(in, CTL_NAME_MAX_BYTES);
-
-		if (in->err)
-			return;
-		g_ptr_array_add(answered, name);
-		mark_answered(w, name);
-	}
-}
-
-static void send_view_ack(struct watch *w)
-{
-	FRAME_AUTO(f, CTL_VIEW_ACK);
-
-	link_send(w->main.link, &f);
-}
-
-static int on_view(struct watch *w, struct frame_in *in)
-{
-	g_autoptr(GPtrArray) answered = g_ptr_array_new_with_free_func(g_free);
-	bool is_answer_due = frame_get_bool(in);
-	u32 node_count = (u32)frame_get_u64(in);
-	u32 n;
-
-	read_answered(w, in, answered);
-	n = frame_get_count(in, CTL_ITEMS_PER_FRAME);
-	for (u32 i = 0; i < n && !in->err; i++) {
-		__attribute__((cleanup(dir_entry_clear))) struct dir_entry e = { 0 };
-		bool is_dropped = frame_get_bool(in);
-
-		dir_entry_get(in, &e);
-		if (!in->err)
-			apply_entry(w, &e, is_dropped);
-	}
-	if (frame_done(in))
-		return ERR_INVAL;
-	if (is_answer_due)
-		send_view_ack(w);
-	/* A control process that has just started does not know all nodes yet. */
-	if (node_count > w->node_count || !w->removal_due_us)
-		w->node_count = node_count;
-	for (guint i = 0; i < answered->len; i++)
-		entry_service_known(w->node, g_ptr_array_index(answered, i));
-	return 0;
-}
-
-/* Removes nodes that left while no control process was linked: the new one never reports them. */
-static void remove_unreported(struct watch *w)
-{
-	struct choose *c = &w->node->choose;
-	g_autoptr(GList) names = g_hash_table_get_keys(c->targets);
-
-	for (GList *l = names; l; l = l->next) {
-		__attribute__((cleanup(dir_entry_clear))) struct dir_entry e = { 0 };
-		const char *name = l->data;
-
-		if (g_hash_table_contains(w->reported, name) || !strcmp(name, w->node->self.name))
-			continue;
-		dir_entry_copy(&e, &choose_find(c, name)->entry);
-		e.state = DIR_GONE;
-		choose_set_entry(c, &e, loop_clock_us());
-		entry_directory_changed(w->node, &e);
-	}
-	w->removal_due_us = 0;
-	g_hash_table_remove_all(w->reported);
-}
-
-/* Links */
-
 static enum distance link_distance(const struct watch *w, const struct link *k)
 {
 	const struct link_id *self = &w->node->self;
@@ -320,7 +120,7 @@
 
 static bool is_main_fresh(const struct watch *w, u64 now_us)
 {
-	return is_up(&w->main) && w->main.last_fresh_us &&
+	return watch_is_up(&w->main) && w->main.last_fresh_us &&
 	       now_us - w->main.last_fresh_us <= NOT_FRESH_MAX_US;
 }
 
@@ -341,8 +141,8 @@
 	/* A new version makes this control process accept the entry. */
 	w->node->dir_entry.version++;
 	watch_register(w->node);
-	send_watch(w, config_revision());
-	resend_subscriptions(w);
+	watch_resume_config(w, config_revision());
+	watch_resend_subscriptions(w);
 	log_event(LOG_INFO, "control link up", "control", k->remote.name, "fresh",
 		  w->main.last_fresh_us ? "yes" : "no", NULL);
 }
@@ -468,92 +268,13 @@
 	return frame_done(in);
 }
 
-static void on_stream_begin(void *arg)
-{
-	watch_config_begin(arg);
-}
-
-static int on_stream_frame(void *arg, u32 type, struct frame_in *in)
-{
-	return type == CTL_CONFIG ? watch_config_frame(arg, in) : ERR_INVAL;
-}
-
-static const struct config_receive_ops receive_ops = { .begin = on_stream_begin,
-						       .frame = on_stream_frame };
-
-static void send_ack(struct watch *w)
-{
-	FRAME_AUTO(f, CTL_CONFIG_ACK);
-
-	frame_put_u64(&f, w->request);
-	frame_put_u64(&f, w->receive.received);
-	link_send(w->main.link, &f);
-}
-
-static void log_received(struct watch *w, const struct config_part *p)
-{
-	log_event(LOG_INFO, "configuration received", "control", w->main.link->remote.name, "from",
-		  log_u64(p->stream.from), "to", log_u64(p->stream.to), "bytes", log_u64(p->total),
-		  "requested_age_us", log_u64(loop_clock_us() - w->requested_us), "revision",
-		  log_u64(config_revision()), NULL);
-}
-
-/* The stream is complete. If it is not in force, the whole configuration is requested. */
-static void finish_stream(struct watch *w, const struct config_part *p)
-{
-	log_received(w, p);
-	if (config_revision() >= p->stream.to)
-		return;
-	log_event(LOG_WARN, "a configuration is not in force; requesting the whole one", "revision",
-		  log_u64(p->stream.to), "have", log_u64(config_revision()), NULL);
-	watch_request_config(w, 0);
-}
-
-/* The stream that begins with P takes the place of one that is not complete. */
-static void log_superseded(struct watch *w, const struct config_part *p)
-{
-	if (p->offset || !unfinished_bytes(w))
-		return;
-	ctr_inc(CTR_CONFIG_UNFINISHED);
-	log_event(LOG_INFO, "unfinished configuration dropped", "to", log_u64(w->receive.stream.to),
-		  "bytes", log_u64(w->receive.received), "of", log_u64(w->receive.total), "next",
-		  log_u64(p->stream.to), NULL);
-}
-
-static int on_config_part(struct control_link *s, struct frame_in *in)
-{
-	struct watch *w = s->w;
-	struct config_part p;
-	int err = config_part_get(in, &p);
-
-	/* Parts for an earlier request may still be on their way. */
-	if (!err && (s != &w->main || p.request != w->request))
-		return 0;
-	if (!err) {
-		ctr_add(CTR_CONFIG_BYTES, p.len);
-		log_superseded(w, &p);
-		err = config_receive_part(&w->receive, &p);
-	}
-	if (err) {
-		log_event(LOG_WARN, "part of a configuration refused", "control",
-			  s->candidate->at.host, "error", err_text(err), NULL);
-		return err;
-	}
-	if (p.request != w->request)
-		return 0;
-	send_ack(w);
-	if (config_receive_is_complete(&w->receive))
-		finish_stream(w, &p);
-	return 0;
-}
-
 static int on_message(struct control_link *s, u32 type, struct frame_in *in)
 {
 	switch (type) {
 	case CTL_CONFIG_PART:
-		return on_config_part(s, in);
+		return watch_on_config_part(s, in);
 	case CTL_VIEW:
-		return on_view(s->w, in);
+		return watch_on_view(s->w, in);
 	case CTL_FRESHNESS:
 		return on_fresh(s, in);
 	case CTL_MEMBERS:
@@ -654,7 +375,7 @@
 /* Counts and logs once that the main link is no longer fresh. */
 static void check_main(struct watch *w, u64 now_us)
 {
-	if (!is_up(&w->main) || !w->main.last_fresh_us || is_main_fresh(w, now_us))
+	if (!watch_is_up(&w->main) || !w->main.last_fresh_us || is_main_fresh(w, now_us))
 		return;
 	ctr_inc(CTR_CONTROL_NOT_FRESH);
 	log_event(LOG_WARN, "control not fresh", "control", w->main.link->remote.name, "age_us",
@@ -682,12 +403,12 @@
 		check_main(w, now_us);
 		check_trial(w, now_us);
 	}
-	if (is_up(&w->main) && now_us >= w->renew_due_us) {
+	if (watch_is_up(&w->main) && now_us >= w->renew_due_us) {
 		watch_send_renew(w);
 		w->renew_due_us = now_us + CTL_RENEW_INTERVAL_US;
 	}
 	if (w->removal_due_us && now_us >= w->removal_due_us && is_main_fresh(w, now_us))
-		remove_unreported(w);
+		watch_remove_unreported(w);
 	w->tick_due_us = now_us + TICK_US;
 	loop_timer_set(w->node->loop, &w->timer, w->tick_due_us);
 }
@@ -739,7 +460,7 @@
 	w->node = n;
 	w->main.w = w;
 	w->trial.w = w;
-	config_receive_init(&w->receive, &receive_ops, w);
+	watch_stream_init(w);
 	w->reported = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	w->subscriptions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	w->candidates = g_ptr_array_new_with_free_func(g_free);
--- a/node/watch_impl.h
+++ b/node/watch_impl.h
@@ -1,7 +1,8 @@
 /*
  * watch_impl - what the sources of the link to control share
  *
- * SOURCE node/watch.c (links), node/watch_config.c (frames of the configuration)
+ * SOURCE node/watch.c (links), node/watch_stream.c (configuration in parts), node/watch_config.c
+ * (its frames), node/watch_view.c (the directory)
  */
 #ifndef WATCH_IMPL_H
 #define WATCH_IMPL_H
@@ -73,4 +74,31 @@
 /* watch_subscribe_configured_services - subscribes to all services of a small configuration. */
 void watch_subscribe_configured_services(struct watch *w);
 
+bool watch_is_up(const struct control_link *s);
+
+/* watch_on_config_part - handles CTL_CONFIG_PART. */
+int watch_on_config_part(struct control_link *s, struct frame_in *in);
+void watch_stream_init(struct watch *w);
+
+/*
+ * watch_resume_config - requests the rest of the configuration of which the node has a part, or the
+ * changes since HAVE.
+ */
+void watch_resume_config(struct watch *w, u64 have);
+
+/* watch_unfinished_bytes - returns what was received of a configuration that is not complete. */
+u64 watch_unfinished_bytes(const struct watch *w);
+
+/* watch_on_view - handles CTL_VIEW. */
+int watch_on_view(struct watch *w, struct frame_in *in);
+
+/* watch_resend_subscriptions - requests all services again, from a new control process. */
+void watch_resend_subscriptions(struct watch *w);
+
+/*
+ * watch_remove_unreported - removes nodes that left while no control process was linked: the new
+ * one never reports them.
+ */
+void watch_remove_unreported(struct watch *w);
+
 #endif
