control: the leader, too, makes a forwarded set a difference

A process that is behind when it gets a set forwards the text, since it lacks the version that the set builds on. The leader has it, and puts the difference into the log.

--- a/control/op.c
+++ b/control/op.c
@@ -115,8 +115,8 @@
 {
 	u64 now = loop_clock_us();
 
-	/* At the process that got the change, so that it is also short where it is forwarded. */
-	if (o->kind == OP_CHANGE && !o->origin)
+	/* Before it is forwarded; at the leader once more, if that process was not up to date. */
+	if (o->kind == OP_CHANGE)
 		o->command = store_command_shrink(&c->store, o->command);
 	o->seq = ++c->op_seq;
 	o->start_us = now;
