--- a/test/mesh.sh
+++ b/test/mesh.sh
@@ -17,8 +17,18 @@
 	exit 1
 }
 
+# require_ports - exits if a port of the mesh may be taken by an outgoing connection of any process
+require_ports() {
+	local low high
+	read -r low high </proc/sys/net/ipv4/ip_local_port_range
+	(($1 + 600 < low || $1 > high)) && return
+	echo "the first port $1 is not 600 below the range of outgoing connections, $low to $high"
+	exit 1
+}
+
 mesh_begin() {
 	require_programs
+	require_ports "$1"
 	base=$1
 	dir=$(mktemp -d -t lavenderlead-mesh.XXXXXX)
 	pid=()
