control: what a directory change costs a node's view depends on what changed

At each change of the directory control looked at everything that each of its nodes had been sent, in one turn of its loop. Now it walks the items that changed since the node's last collection; all that was sent only when the subscriptions changed, or more has changed than was sent. Upstreams that were replaced in the subset of a service are looked for among its upstreams, not among all that were sent.

--- a/control/view.c
+++ b/control/view.c
@@ -112,22 +112,14 @@
 }
 
 /* Drops upstreams that were sent and are still up, but are no longer in the subset. */
-static void drop_replaced(struct view *v, const struct directory *d, const char *service,
-			  const GArray *picked, GArray *out)
+static void drop_replaced(struct view *v, const struct directory_service *s, const GArray *picked,
+			  GArray *out)
 {
-	GHashTableIter iter;
-	gpointer node;
-
-	g_hash_table_iter_init(&iter, v->sent);
-	while (g_hash_table_iter_next(&iter, &node, NULL)) {
-		const struct directory_item *item = directory_find(d, node);
+	for (guint i = 0; s && i < s->up->len; i++) {
+		const struct directory_item *item = g_ptr_array_index(s->up, i);
 
-		if (!item || directory_state(item) != DIR_UP)
-			continue;
-		if (strcmp(item->entry.service, service) || contains(picked, item))
-			continue;
-		add_change(out, item, true);
-		g_hash_table_iter_remove(&iter);
+		if (!contains(picked, item) && g_hash_table_remove(v->sent, item->entry.node))
+			add_change(out, item, true);
 	}
 }
 
@@ -142,7 +134,7 @@
 		return;
 	s->seq = seq;
 	picked = pick_subset(v, now);
-	drop_replaced(v, d, name, picked, out);
+	drop_replaced(v, now, picked, out);
 	for (guint i = 0; i < picked->len; i++)
 		add_if_changed(v, g_array_index(picked, struct subset_item, i).arg, out);
 }
@@ -154,7 +146,20 @@
 	       !g_hash_table_contains(v->subscriptions, item->entry.service);
 }
 
-/* Adds the changes of items that were sent before, including those that are no longer up. */
+/* Adds ITEM if it differs from what was sent. Returns whether it is to be forgotten. */
+static bool collect_item(const struct view *v, const struct directory_item *item, u64 *seq,
+			 GArray *out)
+{
+	bool is_dropped = is_unsubscribed(v, item);
+
+	if (is_dropped || item->seq != *seq) {
+		*seq = item->seq;
+		add_change(out, item, is_dropped);
+	}
+	return is_dropped || directory_state(item) == DIR_GONE;
+}
+
+/* Adds the changes of all items that were sent before, including those that are no longer up. */
 static void collect_sent(struct view *v, const struct directory *d, GArray *out)
 {
 	GHashTableIter iter;
@@ -165,17 +170,31 @@
 	while (out->len < VIEW_CHANGES_MAX && g_hash_table_iter_next(&iter, &node, &seq)) {
 		const struct directory_item *item = directory_find(d, node);
 
-		bool is_dropped = item && is_unsubscribed(v, item);
-
-		if (item && (is_dropped || item->seq != *(u64 *)seq)) {
-			*(u64 *)seq = item->seq;
-			add_change(out, item, is_dropped);
-		}
-		if (!item || is_dropped || directory_state(item) == DIR_GONE)
+		if (!item || collect_item(v, item, seq, out))
 			g_hash_table_iter_remove(&iter);
 	}
 }
 
+/* Does the same with the items that have changed since the last collection. */
+static void collect_changed(struct view *v, const struct directory *d, GArray *out)
+{
+	g_autoptr(GPtrArray) items = directory_changes_since(d, v->seq);
+
+	for (guint i = 0; i < items->len && out->len < VIEW_CHANGES_MAX; i++) {
+		const struct directory_item *item = g_ptr_array_index(items, i);
+		u64 *seq = g_hash_table_lookup(v->sent, item->entry.node);
+
+		if (seq && collect_item(v, item, seq, out))
+			g_hash_table_remove(v->sent, item->entry.node);
+	}
+}
+
+/* Other subscriptions can concern any item that was sent. */
+static bool needs_scan(const struct view *v, const struct directory *d)
+{
+	return v->is_answer_due || d->seq - v->seq > g_hash_table_size(v->sent);
+}
+
 GArray *view_collect_changes(struct view *v, const struct directory *d, GPtrArray *answered)
 {
 	GArray *out = g_array_new(FALSE, FALSE, sizeof(struct view_change));
@@ -184,7 +203,10 @@
 	gpointer service;
 
 	/* Removals precede the additions that replace them. */
-	collect_sent(v, d, out);
+	if (needs_scan(v, d))
+		collect_sent(v, d, out);
+	else
+		collect_changed(v, d, out);
 	g_hash_table_iter_init(&iter, v->subscriptions);
 	while (out->len < VIEW_CHANGES_MAX && g_hash_table_iter_next(&iter, &name, &service)) {
 		struct view_service *s = service;
