--- a/test/httpd_test.c
+++ b/test/httpd_test.c
@@ -23,6 +23,7 @@
 	gint disconnects; /* calls of on_caller_closed */
 	struct httpd_limits limits;
 	u32 requests; /* the result of count_requests */
+	int fd; /* the caller's, in test_arrived_request_closed_unread */
 };
 
 struct late {
@@ -173,6 +174,35 @@
 	stop(&f);
 }
 
+static void answer_held(void *arg)
+{
+	answer(((struct fixture *)arg)->held);
+}
+
+static void wait_started(struct fixture *f, gint n)
+{
+	for (u32 i = 0; i < WAIT_MS && g_atomic_int_get(&f->started) < n; i++)
+		g_usleep(US_PER_MS);
+	g_assert_cmpint(g_atomic_int_get(&f->started), ==, n);
+}
+
+static void count_requests(void *arg)
+{
+	struct fixture *f = arg;
+
+	f->requests = httpd_requests(f->h);
+}
+
+static void wait_requests(struct fixture *f, u32 n)
+{
+	loop_call(f->loop, count_requests, f);
+	for (u32 i = 0; i < WAIT_MS && f->requests != n; i++) {
+		g_usleep(US_PER_MS);
+		loop_call(f->loop, count_requests, f);
+	}
+	g_assert_cmpuint(f->requests, ==, n);
+}
+
 /*
  * A non-idempotent request starts only after all earlier ones are answered: a
  * caller sends pipelined requests without an answer again after a close.
@@ -184,10 +214,14 @@
 
 	start(&f);
 	fd = raw_connect(f.port);
-	raw_write(fd, GET("/late/1") POST("/late/2") POST("/late/3"));
+	raw_write(fd, GET("/held") POST("/held") POST("/held"));
+	wait_started(&f, 1);
+	wait_requests(&f, 3);
 	g_usleep(LATE_US / 2);
 	g_assert_cmpint(g_atomic_int_get(&f.started), ==, 1);
-	g_usleep(LATE_US);
+	loop_call(f.loop, answer_held, &f);
+	wait_started(&f, 2);
+	g_usleep(LATE_US / 2);
 	g_assert_cmpint(g_atomic_int_get(&f.started), ==, 2);
 	close(fd);
 	stop(&f);
@@ -227,18 +261,6 @@
 	httpd_stop_accepting(((struct fixture *)arg)->h);
 }
 
-static void answer_held(void *arg)
-{
-	answer(((struct fixture *)arg)->held);
-}
-
-static void wait_started(struct fixture *f, gint n)
-{
-	for (u32 i = 0; i < WAIT_MS && g_atomic_int_get(&f->started) < n; i++)
-		g_usleep(US_PER_MS);
-	g_assert_cmpint(g_atomic_int_get(&f->started), ==, n);
-}
-
 /* The server stops accepting while one request runs and another connection is idle. */
 static void test_stop_accepting(void)
 {
@@ -264,21 +286,34 @@
 	stop(&f);
 }
 
-static void count_requests(void *arg)
+/* Sends a request while the server's thread is in this call, so that it has not been read. */
+static void send_and_stop_accepting(void *arg)
 {
 	struct fixture *f = arg;
 
-	f->requests = httpd_requests(f->h);
+	raw_write(f->fd, GET("/now/arrived"));
+	httpd_stop_accepting(f->h);
 }
 
-static void wait_requests(struct fixture *f, u32 n)
+/*
+ * Guards against: a server that stops accepting closes a connection on which a request has arrived,
+ * and its caller reads a reset.
+ */
+static void test_arrived_request_closed_unread(void)
 {
-	loop_call(f->loop, count_requests, f);
-	for (u32 i = 0; i < WAIT_MS && f->requests != n; i++) {
-		g_usleep(US_PER_MS);
-		loop_call(f->loop, count_requests, f);
-	}
-	g_assert_cmpuint(f->requests, ==, n);
+	struct fixture f;
+	g_autofree char *got = NULL;
+
+	start(&f);
+	f.fd = raw_connect(f.port);
+	raw_write(f.fd, GET("/now/first"));
+	wait_started(&f, 1);
+	loop_call(f.loop, send_and_stop_accepting, &f);
+	got = read_all(f.fd);
+	g_assert_nonnull(strstr(got, "</now/first>"));
+	g_assert_nonnull(strstr(got, "</now/arrived>"));
+	g_assert_nonnull(strstr(got, "Connection: close"));
+	stop(&f);
 }
 
 /*
@@ -338,6 +373,7 @@
 	g_test_add_func("/httpd/limits", test_limits);
 	g_test_add_func("/httpd/ambiguous", test_ambiguous);
 	g_test_add_func("/httpd/stop-accepting", test_stop_accepting);
+	g_test_add_func("/httpd/arrived-request-closed-unread", test_arrived_request_closed_unread);
 	g_test_add_func("/httpd/reset-request-still-counted", test_reset_request_still_counted);
 	g_test_add_func("/httpd/started-behind-another-after-stop",
 			test_started_behind_another_after_stop);
