--- a/test/config_transfer_test.c
+++ b/test/config_transfer_test.c
@@ -9,6 +9,7 @@
 #include "test/fakes/paced_relay.h"
 #include "test/fakes/raw_server.h"
 
+#include <glib/gstdio.h>
 #include <stdio.h>
 #include <string.h>
 #include <unistd.h>
@@ -351,6 +352,19 @@
 	g_assert_cmpuint(ctr_get(CTR_CONTROL_MOVED), ==, moved);
 }
 
+static void remove_folder(const char *path)
+{
+	g_autoptr(GDir) dir = g_dir_open(path, 0, NULL);
+	const char *name;
+
+	while (dir && (name = g_dir_read_name(dir))) {
+		g_autofree char *file = g_build_filename(path, name, NULL);
+
+		g_unlink(file);
+	}
+	g_rmdir(path);
+}
+
 int main(int argc, char **argv)
 {
 	int ret;
@@ -367,6 +381,8 @@
 	g_test_add_func("/config-transfer/many-services-on-narrow-link",
 			test_many_services_on_narrow_link);
 	ret = g_test_run();
+	for (u32 i = 0; i < CONTROLS; i++)
+		remove_folder(controls[i].settings.control.data);
 	fflush(stdout);
 	_exit(ret); /* the processes still run */
 }
