test: stop_test.sh reads the time of a stop from the node's log; more threads in the test upstream

In 9 runs at a load of 20 to 42 on 8 processors two things failed. A stop of 2.2 s by the node's log (grace 3 s) was measured as more than 3 s, as the script's own commands were late: the log's times are compared now, with the same bound. In two runs 2 calls each of up to 0.9 s had no answer within their 2.2 s. Why it was late is not known.

--- a/test/programs/upstream.c
+++ b/test/programs/upstream.c
@@ -23,7 +23,8 @@
 #include <string.h>
 #include <unistd.h>
 
-#define SERVER_THREADS 64
+/* Each open connection holds one, also an idle one that its node uses no more. */
+#define SERVER_THREADS 160
 #define BODY_MAX_BYTES (16 * 1024 * 1024)
 #define ANNOUNCE_INTERVAL_S 1
 
--- a/test/stop_test.sh
+++ b/test/stop_test.sh
@@ -16,7 +16,12 @@
 
 ended() { ! kill -0 "${pid[$1]}" 2>/dev/null; }
 
-now_ms() { echo $(($(date +%s%N) / 1000000)); }
+# stop_ms - prints how long the last stop of node 3 took, by its log
+stop_ms() {
+	local times
+	times=$(awk '/info stopping/ { a = $1 } /info stopped/ { b = $1 } END { print a, b }' "$dir/node3.out")
+	echo $((($(date -d "${times#* }" +%s%N) - $(date -d "${times% *}" +%s%N)) / 1000000))
+}
 
 # end_of NAME WHAT - waits for the end of the process
 end_of() {
@@ -56,7 +61,7 @@
 
 # round NAME SIGNAL... - sends the signals to node 3 while callers keep sending
 round() {
-	local name=$1 began= sig
+	local name=$1 sig
 	shift
 	wait_for "the configuration at node 3" has_config || fail "no configuration at node 3"
 	callers "$name-long" -c 12 -s $longest_ms -t 12000 -w 10
@@ -64,14 +69,11 @@
 	callers "$name-quick" -c 6 -s 100 -t 4000 -w 10
 	sleep 0.7
 	for sig in "$@"; do
-		[ "$sig" = TERM ] && began=${began:-$(now_ms)}
 		signal "$sig" node3
 		sleep 0.1
 	done
-	until ended node3 || (($(now_ms) > began + 2000 * grace_s)); do sleep 0.02; done
-	(($(now_ms) <= began + 1000 * grace_s)) ||
-		fail "$name: node 3 ended after its grace, or not at all"
-	kill_hard node3
+	end_of node3 "node 3"
+	(($(stop_ms) <= 1000 * grace_s)) || fail "$name: node 3 took $(stop_ms) ms to stop"
 	for sig in long short quick; do check "$name-$sig"; done
 	start_node 3
 }
