test: what one change of an upstream costs the view of a node

A view counts the upstreams that it looks at (view.looks). Red: one upstream that joins a service of 1,105 costs 1,129 looks, and any change costs a look at all that was sent; the target is a few looks at each member of the subset. /view/same-as-picked makes 10,000 random changes of services, states, zones and subscriptions and compares what the node has with subset_pick over all upstreams. It is red because a view doesn't notice when an upstream that stays up changes its zone, which has a test of its own (/view/zone-changes-while-up).

--- a/control/view.c
+++ b/control/view.c
@@ -85,7 +85,7 @@
 }
 
 /* Returns this node's subset of the upstreams that are up for a service. */
-static GArray *pick_subset(const struct view *v, const struct directory_service *s)
+static GArray *pick_subset(struct view *v, const struct directory_service *s)
 {
 	GArray *items = g_array_new(FALSE, FALSE, sizeof(struct subset_item));
 
@@ -97,6 +97,7 @@
 							  !strcmp(e->region, v->region),
 					   .arg = item };
 
+		v->looks++;
 		g_array_append_val(items, one);
 	}
 	subset_pick(v->node, items);
@@ -122,6 +123,7 @@
 	while (g_hash_table_iter_next(&iter, &node, NULL)) {
 		const struct directory_item *item = directory_find(d, node);
 
+		v->looks++;
 		if (!item || directory_state(item) != DIR_UP)
 			continue;
 		if (strcmp(item->entry.service, service) || contains(picked, item))
@@ -167,6 +169,7 @@
 
 		bool is_dropped = item && is_unsubscribed(v, item);
 
+		v->looks++;
 		if (item && (is_dropped || item->seq != *(u64 *)seq)) {
 			*(u64 *)seq = item->seq;
 			add_change(out, item, is_dropped);
--- a/control/view.h
+++ b/control/view.h
@@ -25,6 +25,7 @@
 	u64 seq; /* directory.seq at the last collection */
 	bool is_answer_due; /* the node awaits the reply to its subscription */
 	u32 nodes; /* number in the whole directory, as sent last */
+	u64 looks; /* upstreams looked at so far: the work done */
 };
 
 /* One change to send. */
--- a/test/view_test.c
+++ b/test/view_test.c
@@ -11,13 +11,13 @@
 static struct directory d;
 static struct view v;
 
-static void register_node(u32 i, const char *service, enum dir_state state)
+static void register_in(u32 i, const char *service, enum dir_state state, const char *zone)
 {
 	static u64 last_version;
 	u64 version = ++last_version;
 	char name[32];
 	struct dir_entry e = { .node = name,
-			       .zone = (char *)(i % 5 ? "brest" : "rennes"),
+			       .zone = (char *)zone,
 			       .region = (char *)"breizh",
 			       .incarnation = 1,
 			       .version = version,
@@ -29,6 +29,11 @@
 	g_assert_cmpint(directory_register(&d, &e, NOW_US), ==, 1);
 }
 
+static void register_node(u32 i, const char *service, enum dir_state state)
+{
+	register_in(i, service, state, i % 5 ? "brest" : "rennes");
+}
+
 static void setup(u32 upstreams)
 {
 	directory_init(&d, 1, 1);
@@ -273,6 +278,197 @@
 	teardown();
 }
 
+#define LARGE 1105
+#define LARGE_CHANGES 500
+/* A change may cost a view a few looks at each member of the subset. */
+#define LOOKS_MAX (4 * SUBSET_MAX)
+
+/* Returns how many upstreams the view looked at to collect its changes. */
+static u64 count_looks(void)
+{
+	u64 before = v.looks;
+	g_autoptr(GArray) out = collect(NULL);
+
+	return v.looks - before;
+}
+
+/*
+ * Guards against: one upstream that joins or leaves makes the view of every node pick its subset
+ * from all upstreams of the service anew, in one turn of the loop.
+ */
+static void test_change_costs_whole_service(void)
+{
+	g_autoptr(GRand) rand = g_rand_new_with_seed(1);
+	u64 looks = 0;
+
+	setup(LARGE);
+	subscribe("sightings", NULL);
+	count_looks();
+	for (u32 n = 0; n < LARGE_CHANGES; n++) {
+		u32 i = (u32)g_rand_int_range(rand, 0, LARGE);
+		u64 joined;
+
+		register_node(i, "sightings", DIR_GONE);
+		looks += count_looks();
+		register_node(i, "sightings", DIR_UP);
+		joined = count_looks();
+		g_assert_cmpuint(joined, <=, LOOKS_MAX);
+		looks += joined;
+	}
+	g_assert_cmpuint(looks, <=, 2 * LARGE_CHANGES * LOOKS_MAX);
+	teardown();
+}
+
+/* Guards against: a change of any upstream makes a view look at all that it has sent. */
+static void test_change_costs_all_sent(void)
+{
+	GPtrArray *services = g_ptr_array_new_with_free_func(g_free);
+
+	setup(0);
+	for (u32 i = 0; i < MANY_SERVICES * MANY_UPSTREAMS; i++) {
+		g_autofree char *service = g_strdup_printf("service-%u", i / MANY_UPSTREAMS);
+
+		register_node(i, service, DIR_UP);
+	}
+	for (u32 i = 0; i < MANY_SERVICES; i++)
+		g_ptr_array_add(services, g_strdup_printf("service-%u", i));
+	view_subscribe(&v, services);
+	while (view_needs_update(&v, &d))
+		count_looks();
+	register_node(0, "service-0", DIR_DRAINING);
+	g_assert_cmpuint(count_looks(), <=, LOOKS_MAX);
+	register_node(0, "elsewhere", DIR_UP);
+	g_assert_cmpuint(count_looks(), <=, LOOKS_MAX);
+	teardown();
+}
+
+/* What a node has after all changes sent to it: upstreams that are up -> their service. */
+static GHashTable *received;
+
+static void receive(void)
+{
+	while (view_needs_update(&v, &d)) {
+		g_autoptr(GArray) out = collect(NULL);
+
+		for (guint i = 0; i < out->len; i++) {
+			const struct view_change *c = change_at(out, i);
+			const struct dir_entry *e = &c->item->entry;
+
+			if (c->is_dropped || directory_state(c->item) != DIR_UP)
+				g_hash_table_remove(received, e->node);
+			else
+				g_hash_table_replace(received, g_strdup(e->node),
+						     g_strdup(e->service));
+		}
+	}
+}
+
+/* Checks that the node has exactly the subset that picking from all upstreams gives. */
+static u32 check_same_as_picked(const char *service)
+{
+	const struct directory_service *s = directory_service(&d, service);
+	g_autoptr(GArray) items = g_array_new(FALSE, FALSE, sizeof(struct subset_item));
+
+	for (guint i = 0; s && i < s->up->len; i++) {
+		const struct directory_item *item = g_ptr_array_index(s->up, i);
+		struct subset_item one = { .node = item->entry.node,
+					   .is_own_zone = !strcmp(item->entry.zone, "rennes") };
+
+		g_array_append_val(items, one);
+	}
+	subset_pick(NODE, items);
+	for (guint i = 0; i < items->len; i++) {
+		const char *node = g_array_index(items, struct subset_item, i).node;
+
+		g_assert_cmpstr(g_hash_table_lookup(received, node), ==, service);
+	}
+	return items->len;
+}
+
+#define STEPS 10000
+#define PHASE_STEPS 1000
+#define BATCH_MAX 60
+
+struct phase {
+	int upstreams;
+	int own_zone_percent;
+	int up_percent;
+};
+
+static void change_one(GRand *rand, const struct phase *p)
+{
+	static const char *const services[] = { "sightings", "atlas", "other" };
+	u32 i = (u32)g_rand_int_range(rand, 0, p->upstreams);
+	bool is_own = g_rand_int_range(rand, 0, 100) < p->own_zone_percent;
+	bool is_up = g_rand_int_range(rand, 0, 100) < p->up_percent;
+	enum dir_state down = g_rand_boolean(rand) ? DIR_DRAINING : DIR_GONE;
+
+	register_in(i, services[g_rand_int_range(rand, 0, 3)], is_up ? DIR_UP : down,
+		    is_own ? "rennes" : "brest");
+}
+
+static void change_subscriptions(GRand *rand)
+{
+	if (g_rand_boolean(rand))
+		subscribe("other", NULL);
+	subscribe("sightings", g_rand_boolean(rand) ? "atlas" : NULL);
+}
+
+static void check_received(void)
+{
+	bool is_atlas = g_hash_table_contains(v.subscriptions, "atlas");
+	u32 n = check_same_as_picked("sightings");
+
+	if (is_atlas)
+		n += check_same_as_picked("atlas");
+	g_assert_cmpuint(g_hash_table_size(received), ==, n);
+}
+
+/* After any changes a node has the subset that picking from all upstreams gives, and no more. */
+static void test_same_as_picked(void)
+{
+	static const struct phase phases[] = {
+		{ 600, 20, 70 }, { 600, 2, 20 }, { 40, 50, 60 }, { 600, 98, 70 }, { 600, 50, 5 }
+	};
+	g_autoptr(GRand) rand = g_rand_new_with_seed(1);
+	u32 batch = 1;
+
+	setup(0);
+	received = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	subscribe("sightings", "atlas");
+	for (u32 i = 0; i < STEPS; i++) {
+		change_one(rand, &phases[i / PHASE_STEPS % G_N_ELEMENTS(phases)]);
+		if (!g_rand_int_range(rand, 0, 100))
+			change_subscriptions(rand);
+		if (--batch)
+			continue;
+		receive();
+		check_received();
+		batch = g_rand_boolean(rand) ? 1 : (u32)g_rand_int_range(rand, 1, BATCH_MAX);
+	}
+	g_hash_table_unref(received);
+	teardown();
+}
+
+/* Guards against: an upstream whose zone changes while it is up stays where it was in the subset.
+ */
+static void test_zone_changes_while_up(void)
+{
+	setup(0);
+	received = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	subscribe("sightings", NULL);
+	for (u32 i = 0; i < MANY; i++)
+		register_in(i, "sightings", DIR_UP, "brest");
+	receive();
+	for (u32 i = 0; i < MANY; i++) {
+		register_in(i, "sightings", DIR_UP, "rennes");
+		receive();
+		g_assert_cmpuint(check_same_as_picked("sightings"), ==, SUBSET_MAX);
+	}
+	g_hash_table_unref(received);
+	teardown();
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -284,5 +480,9 @@
 	g_test_add_func("/view/other-service", test_other_service);
 	g_test_add_func("/view/number-of-nodes", test_number_of_nodes);
 	g_test_add_func("/view/many-services-at-once", test_many_services_at_once);
+	g_test_add_func("/view/change-costs-whole-service", test_change_costs_whole_service);
+	g_test_add_func("/view/change-costs-all-sent", test_change_costs_all_sent);
+	g_test_add_func("/view/same-as-picked", test_same_as_picked);
+	g_test_add_func("/view/zone-changes-while-up", test_zone_changes_while_up);
 	return g_test_run();
 }
