control: a change of one upstream costs each view its own weight, not the whole service

What it did: each upstream that joined or left made a control process hash, sort and compare all upstreams of the service for every node that subscribes to it, and look up all that it had sent to the node, in the turn of the loop that also sends words of freshness and raft's messages.

Cause: a view knew only that a service had changed.

Now the directory keeps which nodes last joined, left or moved for each service, by name: 16 and an eighth of the upstreams. A view keeps the 16 highest weights of its own zone and of other zones (control/candidates), from which the subset follows, since it needs at most 12 of each. A join is one weight and a comparison; a leave that is no candidate nothing more; after 5 of 16 have left, or more changes than the directory keeps, all upstreams are offered again, for that node and service alone, without a sort. What was sent is looked at by the directory's changes, unless they are more than what was sent, or the subscriptions changed. Candidates are known by their weight, so no pointer to an entry that was removed is followed.

Also: an upstream that stayed up and changed its zone stayed where it was in the subset; it now leaves and joins. subset_pick is unchanged in what it picks, nodes need no new version.

/view/same-as-picked compares with subset_pick after 10,000 random changes; also run with the address and undefined behaviour sanitizers.

--- a/control/directory.c
+++ b/control/directory.c
@@ -3,6 +3,12 @@
 #include "lib/ctr.h"
 #include "lib/err.h"
 
+#include <string.h>
+
+/* Changes of a service that are kept: with more, a view is faster anew from all upstreams. */
+#define SERVICE_CHANGES_MIN 16
+#define SERVICE_CHANGES_DIVISOR 8
+
 static void item_free(gpointer p)
 {
 	struct directory_item *item = p;
@@ -16,6 +22,7 @@
 	struct directory_service *s = p;
 
 	g_ptr_array_unref(s->up);
+	g_queue_clear_full(&s->changed, g_free);
 	g_free(s);
 }
 
@@ -29,6 +36,7 @@
 	d->nodes = 0;
 	g_queue_init(&d->order);
 	d->seq = 0;
+	d->removed_seq = 0;
 	d->last_expire_us = 0;
 }
 
@@ -52,6 +60,7 @@
 		return s;
 	s = g_new0(struct directory_service, 1);
 	s->up = g_ptr_array_new();
+	g_queue_init(&s->changed);
 	g_hash_table_insert(d->services, g_strdup(name), s);
 	return s;
 }
@@ -76,12 +85,22 @@
 	return item->owner == d->self && item->owner_incarnation == d->incarnation;
 }
 
-static void remove_from_service(struct directory *d, struct directory_item *item)
+static void record_service_change(struct directory_service *s, const char *node)
+{
+	guint kept = SERVICE_CHANGES_MIN + s->up->len / SERVICE_CHANGES_DIVISOR;
+
+	s->changes++;
+	g_queue_push_tail(&s->changed, g_strdup(node));
+	while (s->changed.length > kept)
+		g_free(g_queue_pop_head(&s->changed));
+}
+
+static void remove_from_service(struct directory_item *item)
 {
 	if (!item->service)
 		return;
 	g_ptr_array_remove_fast(item->service->up, item);
-	item->service->seq = d->seq;
+	record_service_change(item->service, item->entry.node);
 	item->service = NULL;
 }
 
@@ -97,12 +116,12 @@
 	item->is_counted = is_present;
 	if (s == item->service)
 		return;
-	remove_from_service(d, item);
+	remove_from_service(item);
 	if (!s)
 		return;
 	item->service = s;
-	s->seq = d->seq;
 	g_ptr_array_add(s->up, item);
+	record_service_change(s, item->entry.node);
 }
 
 /* Records a change of ITEM and moves it to the end of the order of changes. */
@@ -133,8 +152,13 @@
 /* The hash table uses entry.node as its key, so that string is kept. */
 static void set_entry(struct directory_item *item, const struct dir_entry *e)
 {
-	char *node = g_steal_pointer(&item->entry.node);
+	char *node;
 
+	/* Subsets depend on the zone: an upstream that moves leaves and joins. */
+	if (item->service &&
+	    (strcmp(item->entry.zone, e->zone) || strcmp(item->entry.region, e->region)))
+		remove_from_service(item);
+	node = g_steal_pointer(&item->entry.node);
 	dir_entry_clear(&item->entry);
 	dir_entry_copy(&item->entry, e);
 	g_free(item->entry.node);
@@ -310,6 +334,7 @@
 
 static void remove_item(struct directory *d, struct directory_item *item)
 {
+	d->removed_seq = d->seq;
 	g_queue_unlink(&d->order, &item->link);
 	g_hash_table_remove(d->items, item->entry.node);
 }
--- a/control/directory.h
+++ b/control/directory.h
@@ -48,7 +48,8 @@
 /* The upstreams of one service. */
 struct directory_service {
 	GPtrArray *up; /* of struct directory_item */
-	u64 seq; /* directory.seq when UP last changed */
+	GQueue changed; /* names of nodes that joined, left or moved last, owned; newest last */
+	u64 changes; /* number of all these since the start */
 };
 
 /* Liveness of a control process. Only the process itself increments heartbeat_seq. */
@@ -67,6 +68,7 @@
 	GHashTable *services; /* name -> struct directory_service */
 	u32 nodes; /* number of nodes that are not gone */
 	u64 seq;
+	u64 removed_seq; /* seq when a tombstone was last removed */
 	u64 last_expire_us;
 };
 
--- a/control/view.h
+++ b/control/view.h
@@ -4,7 +4,9 @@
  *
  * A state machine over the directory, without network I/O. A node that calls a service uses a
  * subset of its upstreams (wire/subset.h). It receives only these: each one when it joins the
- * subset, and again when it changes.
+ * subset, and again when it changes. A change of one upstream costs a view the comparison with its
+ * candidates (control/candidates.h); all upstreams of a service are looked at only for the first
+ * subset, after many changes at once, and when too many candidates have left.
  *
  * SOURCE control/view.c
  */
@@ -21,8 +23,11 @@
 	char *zone;
 	char *region;
 	GHashTable *subscriptions; /* service -> struct view_service */
-	GHashTable *sent; /* node -> directory_item.seq that was sent last */
+	GHashTable *sent; /* node (GRefString) -> directory_item.seq that was sent last */
+	u64 seed; /* subset_seed of NODE */
 	u64 seq; /* directory.seq at the last collection */
+	u64 sent_seq; /* directory.seq up to which the changes of SENT are collected */
+	bool is_sent_due; /* subscriptions have changed: look at all of SENT */
 	bool is_answer_due; /* the node awaits the reply to its subscription */
 	u32 nodes; /* number in the whole directory, as sent last */
 	u64 looks; /* upstreams looked at so far: the work done */
--- a/wire/subset.h
+++ b/wire/subset.h
@@ -27,6 +27,17 @@
 	u64 weight; /* rendezvous hash; set by subset_pick */
 };
 
+/* subset_seed, subset_weight - the rendezvous hash of an upstream NODE at the node of SEED */
+u64 subset_seed(const char *node);
+u64 subset_weight(u64 seed, const char *node);
+
+/*
+ * subset_own_share - return how many of OWN upstreams of its own zone a node uses, if there are
+ * OTHERS of other zones; of these it uses as many as then fit. Numbers above SUBSET_MAX count as
+ * SUBSET_MAX.
+ */
+u32 subset_own_share(u32 own, u32 others);
+
 /*
  * subset_pick - reduce ITEMS (struct subset_item) to the subset for NODE, with upstreams of its
  * own zone first; return the number of these
