control: views are pushed for at most 5 ms in one turn of the loop

Now a turn starts no other view after 5 ms; a timer goes on in the next turn, after frames and other timers, at the node where it stopped. Subscriptions and answers to parts of a view schedule the same. A node waits for its first view no longer in total: the work is the same, and the turns follow each other without a pause.

There is no unit test of the bound: it is by the clock, and the links of nodes.c are not built without a network.

--- a/control/nodes.c
+++ b/control/nodes.c
@@ -11,6 +11,9 @@
 
 #include <string.h>
 
+/* A turn of the loop starts no other view after this time. */
+#define VIEWS_TURN_US (5 * US_PER_MS)
+
 struct node_link {
 	struct link *link;
 	bool is_watching;
@@ -213,6 +216,21 @@
 	link_send(n->link, &f);
 }
 
+static void on_view_timer(void *arg, u64 now_us)
+{
+	(void)now_us;
+	nodes_push_directory(arg);
+}
+
+/* Pushes views in the next turn, so that frames that wait are read before. */
+static void schedule_views(struct control *c)
+{
+	if (c->view_timer.is_set)
+		return;
+	c->view_timer = (struct loop_timer){ .fire = on_view_timer, .arg = c };
+	loop_timer_set(c->loop, &c->view_timer, loop_clock_us());
+}
+
 static int receive_view_ack(struct control *c, struct link *k, struct frame_in *in)
 {
 	struct node_link *n = find_node(c, k);
@@ -221,17 +239,33 @@
 		return ERR_INVAL;
 	n->view_sent = 0;
 	if (view_needs_update(&n->view, &c->directory))
-		push_view(c, n);
+		schedule_views(c);
 	return 0;
 }
 
+static bool is_view_due(const struct control *c, const struct node_link *n)
+{
+	if (!n->is_watching && !n->view.is_answer_due)
+		return false;
+	return view_needs_update(&n->view, &c->directory);
+}
+
 void nodes_push_directory(struct control *c)
 {
+	u64 start_us = loop_clock_us();
+
 	for (guint i = 0; i < c->nodes->len; i++) {
-		struct node_link *n = g_ptr_array_index(c->nodes, i);
+		struct node_link *n;
 
-		if (n->is_watching && view_needs_update(&n->view, &c->directory))
-			push_view(c, n);
+		c->view_next = (c->view_next + 1) % c->nodes->len;
+		n = g_ptr_array_index(c->nodes, c->view_next);
+		if (!is_view_due(c, n))
+			continue;
+		push_view(c, n);
+		if (loop_clock_us() - start_us < VIEWS_TURN_US)
+			continue;
+		schedule_views(c);
+		return;
 	}
 }
 
@@ -246,7 +280,7 @@
 	if (frame_done(in))
 		return ERR_INVAL;
 	view_subscribe(&n->view, g_steal_pointer(&services));
-	push_view(c, n);
+	schedule_views(c);
 	return 0;
 }
 
