--- a/test/config_transfer_test.c
+++ b/test/config_transfer_test.c
@@ -1,15 +1,12 @@
 /* A configuration on its way from control processes to a node, over a narrow link. */
-#include "control/control.h"
-#include "control/op.h"
 #include "lib/ctr.h"
 #include "lib/set.h"
 #include "node/config.h"
 #include "test/fakes/fake_config.h"
 #include "test/fakes/fake_node.h"
+#include "test/fakes/lone_control.h"
 #include "test/fakes/paced_relay.h"
-#include "test/fakes/raw_server.h"
 
-#include <glib/gstdio.h>
 #include <stdio.h>
 #include <string.h>
 #include <unistd.h>
@@ -25,43 +22,17 @@
 
 /* A real control process, the only member of its group; all of them get the same changes. */
 struct control_process {
-	struct settings settings;
-	struct control *control;
+	struct lone_control lone;
 	u16 relay_port;
 };
 
 static struct control_process controls[CONTROLS];
 static struct paced_link narrow;
 
-static u16 free_port(void)
-{
-	u16 port;
-
-	close(raw_listen(&port));
-	return port;
-}
-
 static void start_control(struct control_process *p)
 {
-	struct settings *s = &p->settings;
-	struct member_setting self = { .id = 1 };
-
-	s->cluster = g_strdup("breizh");
-	s->control.id = 1;
-	s->control.address = g_strdup("127.0.0.1");
-	s->control.zone = g_strdup("elsewhere");
-	s->control.region = g_strdup("r");
-	s->control.data = g_dir_make_tmp("config_transfer_test_XXXXXX", NULL);
-	s->control.api_port = free_port();
-	s->control.api_listen =
-		(struct endpoint){ .host = "127.0.0.1", .port = s->control.api_port };
-	s->control.peer_port = free_port();
-	s->control.members = g_array_new(FALSE, FALSE, sizeof(struct member_setting));
-	self.at = (struct endpoint){ .host = "127.0.0.1", .port = s->control.peer_port };
-	g_array_append_val(s->control.members, self);
-	p->control = control_new(s);
-	g_assert_cmpint(p->control->module.ops->start(&p->control->module, NULL), ==, 0);
-	p->relay_port = paced_relay_start(&narrow, s->control.peer_port);
+	lone_control_start(&p->lone, "elsewhere");
+	p->relay_port = paced_relay_start(&narrow, p->lone.settings.control.peer_port);
 }
 
 /* Returns a set that compresses badly, as paths of real routes do. */
@@ -86,53 +57,13 @@
 	return g_string_free(text, FALSE);
 }
 
-struct declaration {
-	struct control *control;
-	GBytes *command;
-	gint status; /* 0 until it is accepted */
-};
-
-static void on_declared(struct control *c, struct op *o)
-{
-	struct declaration *d = o->arg;
-
-	(void)c;
-	g_atomic_int_set(&d->status, o->outcome == OP_DONE ? o->result.status : 1);
-	op_free(o);
-}
-
-static void submit(void *arg)
-{
-	struct declaration *d = arg;
-	struct op *o = op_new(OP_CHANGE);
-
-	o->command = g_bytes_ref(d->command);
-	o->done = on_declared;
-	o->arg = d;
-	op_submit(d->control, o);
-}
-
 /* Declares the set of VERSION at all control processes. */
 static void declare(u64 version, const char *text)
 {
-	struct store_change change = { .op = STORE_SET,
-				       .name = (char *)SET_NAME,
-				       .change_id = (char *)"",
-				       .json = (char *)text,
-				       .version = version,
-				       .has_if_match = true,
-				       .if_match = version - 1 };
-	g_autoptr(GBytes) command = store_change_pack(&change);
-
-	for (u32 i = 0; i < CONTROLS; i++) {
-		struct declaration d = { .control = controls[i].control, .command = command };
-		u64 start = loop_clock_us();
-
-		loop_call(d.control->loop, submit, &d);
-		while (!g_atomic_int_get(&d.status) && loop_clock_us() - start < WAIT_US)
-			g_usleep(US_PER_MS);
-		g_assert_cmpint(g_atomic_int_get(&d.status) / 100, ==, 2);
-	}
+	for (u32 i = 0; i < CONTROLS; i++)
+		g_assert_cmpint(
+			lone_control_declare(&controls[i].lone, version, version - 1, text) / 100,
+			==, 2);
 }
 
 /* Returns the bytes of a text in deflate form, as fast as control makes it. */
@@ -232,7 +163,8 @@
 			g_usleep(US_PER_MS);
 		g_assert_cmpuint(config_revision(), ==, 0);
 		for (u32 j = 0; j < CONTROLS; j++)
-			loop_call(controls[j].control->loop, drop_nodes, controls[j].control);
+			loop_call(controls[j].lone.control->loop, drop_nodes,
+				  controls[j].lone.control);
 	}
 	g_assert_cmpuint(wait_revision(1, start, WAIT_US), ==, 1);
 	g_test_message("%u bytes compressed, %u relayed, in force after %u ms", (u32)bytes,
@@ -332,7 +264,8 @@
 	u64 moved;
 
 	for (u32 i = 0; i < CONTROLS; i++)
-		loop_call(controls[i].control->loop, register_upstreams, controls[i].control);
+		loop_call(controls[i].lone.control->loop, register_upstreams,
+			  controls[i].lone.control);
 	declare(1, "{\"version\":1,\"routes\":[],\"services\":[],\"limits\":{}}");
 	start = loop_clock_us();
 	start_node(&node);
@@ -352,19 +285,6 @@
 	g_assert_cmpuint(ctr_get(CTR_CONTROL_MOVED), ==, moved);
 }
 
-static void remove_folder(const char *path)
-{
-	g_autoptr(GDir) dir = g_dir_open(path, 0, NULL);
-	const char *name;
-
-	while (dir && (name = g_dir_read_name(dir))) {
-		g_autofree char *file = g_build_filename(path, name, NULL);
-
-		g_unlink(file);
-	}
-	g_rmdir(path);
-}
-
 int main(int argc, char **argv)
 {
 	int ret;
@@ -382,7 +302,7 @@
 			test_many_services_on_narrow_link);
 	ret = g_test_run();
 	for (u32 i = 0; i < CONTROLS; i++)
-		remove_folder(controls[i].settings.control.data);
+		lone_control_remove_folder(&controls[i].lone);
 	fflush(stdout);
 	_exit(ret); /* the processes still run */
 }
--- /dev/null
+++ b/test/fakes/lone_control.c
@@ -0,0 +1,111 @@
+#include "test/fakes/lone_control.h"
+
+#include "control/op.h"
+#include "lib/set.h"
+#include "test/fakes/raw_server.h"
+
+#include <glib/gstdio.h>
+#include <unistd.h>
+
+#define WAIT_US (20 * US_PER_S)
+
+static u16 free_port(void)
+{
+	u16 port;
+
+	close(raw_listen(&port));
+	return port;
+}
+
+void lone_control_start(struct lone_control *p, const char *zone)
+{
+	struct settings *s = &p->settings;
+	struct member_setting self = { .id = 1 };
+
+	s->cluster = g_strdup("breizh");
+	s->control.id = 1;
+	s->control.address = g_strdup("127.0.0.1");
+	s->control.zone = g_strdup(zone);
+	s->control.region = g_strdup("r");
+	s->control.data = g_dir_make_tmp("lone_control_XXXXXX", NULL);
+	s->control.api_port = free_port();
+	s->control.api_listen =
+		(struct endpoint){ .host = "127.0.0.1", .port = s->control.api_port };
+	s->control.peer_port = free_port();
+	s->control.members = g_array_new(FALSE, FALSE, sizeof(struct member_setting));
+	self.at = (struct endpoint){ .host = "127.0.0.1", .port = s->control.peer_port };
+	g_array_append_val(s->control.members, self);
+	p->control = control_new(s);
+	g_assert_cmpint(p->control->module.ops->start(&p->control->module, NULL), ==, 0);
+}
+
+struct declaration {
+	struct control *control;
+	GBytes *command;
+	struct store_result result;
+	gint outcome; /* OP_PENDING until the change has ended */
+};
+
+static void on_declared(struct control *c, struct op *o)
+{
+	struct declaration *d = o->arg;
+
+	(void)c;
+	d->result = o->result;
+	g_atomic_int_set(&d->outcome, o->outcome);
+	op_free(o);
+}
+
+static void submit(void *arg)
+{
+	struct declaration *d = arg;
+	struct op *o = op_new(OP_CHANGE);
+
+	o->command = g_bytes_ref(d->command);
+	o->done = on_declared;
+	o->arg = d;
+	op_submit(d->control, o);
+}
+
+/* Submits the change and waits for its end. */
+static int declare_once(struct declaration *d, u64 end_us)
+{
+	g_atomic_int_set(&d->outcome, OP_PENDING);
+	loop_call(d->control->loop, submit, d);
+	while (g_atomic_int_get(&d->outcome) == OP_PENDING && loop_clock_us() < end_us)
+		g_usleep(US_PER_MS);
+	return g_atomic_int_get(&d->outcome);
+}
+
+u16 lone_control_declare(struct lone_control *p, u64 version, u64 base, const char *text)
+{
+	struct store_change change = { .op = STORE_SET,
+				       .name = (char *)SET_NAME,
+				       .change_id = (char *)"",
+				       .json = (char *)text,
+				       .version = version,
+				       .has_if_match = true,
+				       .if_match = base };
+	g_autoptr(GBytes) command = store_change_pack(&change);
+	struct declaration d = { .control = p->control, .command = command };
+	u64 end_us = loop_clock_us() + WAIT_US;
+
+	while (declare_once(&d, end_us) == OP_NOT_RUN && loop_clock_us() < end_us)
+		;
+	return d.outcome == OP_DONE ? d.result.status : 0;
+}
+
+void lone_control_remove_folder(struct lone_control *p)
+{
+	const char *path = p->settings.control.data;
+	g_autoptr(GDir) dir = path ? g_dir_open(path, 0, NULL) : NULL;
+	const char *name;
+
+	while (dir && (name = g_dir_read_name(dir))) {
+		g_autofree char *file = g_build_filename(path, name, NULL);
+
+		g_unlink(file);
+	}
+	if (path)
+		g_rmdir(path);
+}
