--- a/control/config_frames.c
+++ b/control/config_frames.c
@@ -142,7 +142,8 @@
 	return w.frames;
 }
 
-/* Returns the entry for FROM, or an unused one. Entries that lead to an older revision are unused.
+/*
+ * Returns the entry for FROM, or an unused one. Entries that lead to an older revision are unused.
  */
 static struct config_frames_entry *find_entry(struct config_frames *c, u64 from, u64 to)
 {
--- a/control/config_transfer.h
+++ b/control/config_transfer.h
@@ -2,7 +2,7 @@
  * config_transfer - the transfer of one configuration stream to one node
  *
  * Only a window of bytes beyond those that the node has acknowledged is on its way, so that the
- * words of freshness and other messages wait behind no more than that. A transfer under way is
+ * freshness reports and other messages wait behind no more than that. A transfer under way is
  * finished when the configuration changes meanwhile; the difference follows. So a node comes
  * forward however often the configuration changes.
  *
--- a/control/disk.c
+++ b/control/disk.c
@@ -85,7 +85,8 @@
 	return n < 0 ? ERR_IO : 0;
 }
 
-/* Removes a partly written record before it is retried. Returns ERR_NO_SPACE, or ERR_IO on failure.
+/*
+ * Removes a partly written record before it is retried. Returns ERR_NO_SPACE, or ERR_IO on failure.
  */
 static int truncate_partial(int fd, off_t len)
 {
--- a/control/nodes.c
+++ b/control/nodes.c
@@ -189,7 +189,7 @@
 
 /*
  * Sends the next changes of the view. After each VIEW_CHANGES_MAX the node has to answer before
- * more are sent, so that words of freshness wait behind no more than these. A send error is
+ * more are sent, so that freshness reports wait behind no more than these. A send error is
  * ignored: the send queue is full only if the node is unresponsive.
  */
 static void push_view(struct control *c, struct node_link *n)
--- a/lib/ctr_list.h
+++ b/lib/ctr_list.h
@@ -91,7 +91,8 @@
 CTR(CONFIG_STALE, "config-stale", "configuration messages ignored because their revision is lower")
 CTR(CONFIG_BYTES, "config-bytes", "bytes of configurations received from control")
 CTR(CONFIG_UNFINISHED, "config-unfinished", "configurations dropped before they were complete")
-CTR(WORD_LATE, "word-late", "freshness words that arrived over 0.5 s after they were sent")
+CTR(FRESHNESS_LATE, "freshness-late",
+    "freshness reports that arrived over 0.5 s after they were sent")
 CTR(CONTROL_MOVED, "control-moved", "changes of the control process the node watches")
 CTR(CONTROL_NOT_FRESH, "control-not-fresh", "control processes left because they are not fresh")
 /* The control plane. */
--- a/node/watch.c
+++ b/node/watch.c
@@ -25,8 +25,8 @@
 #define NOT_FRESH_MAX_US (700 * US_PER_MS)
 /* A trial is abandoned when the control process has not reported its freshness by then. */
 #define TRIAL_TIMEOUT_US (500 * US_PER_MS)
-/* A word of freshness that took longer to arrive is logged and counted. */
-#define WORD_LATE_US (500 * US_PER_MS)
+/* A freshness report that took longer to arrive is logged and counted. */
+#define FRESHNESS_LATE_US (500 * US_PER_MS)
 #define RETRY_INTERVAL_US (500 * US_PER_MS)
 /* Interval between trials of a nearer control process while the main one is fresh. */
 #define NEARER_RETRY_INTERVAL_US (15 * US_PER_S)
@@ -82,20 +82,24 @@
 	s->candidate = NULL;
 }
 
-static u64 bytes_since_word(const struct control_link *s)
+static u64 bytes_since_freshness(const struct control_link *s)
 {
-	return link_received_bytes(s->link) - s->word_at_bytes;
+	return link_received_bytes(s->link) - s->freshness_at_bytes;
 }
 
-/* Logs why the node leaves its control process, and how much it got since the last word. */
+/*
+ * Logs why the node leaves its control process, and how much it got since the last freshness
+ * report.
+ */
 static void log_left(struct watch *w, const char *reason)
 {
 	const struct control_link *s = &w->main;
 	u64 now = loop_clock_us();
 
 	log_event(LOG_INFO, "control left", "control", s->candidate->at.host, "reason", reason,
-		  "word_age_us", log_u64(s->word_sent_us ? now - s->word_sent_us : 0),
-		  "bytes_since_word", log_u64(bytes_since_word(s)), "unfinished_bytes",
+		  "freshness_age_us",
+		  log_u64(s->freshness_sent_us ? now - s->freshness_sent_us : 0),
+		  "bytes_since_freshness", log_u64(bytes_since_freshness(s)), "unfinished_bytes",
 		  log_u64(watch_unfinished_bytes(w)), "requested_age_us",
 		  log_u64(now - w->requested_us), "revision", log_u64(config_revision()), NULL);
 }
@@ -176,18 +180,18 @@
 	close_link(&w->trial);
 }
 
-static void record_word(struct control_link *s, u64 sent_us, u64 now_us)
+static void record_freshness(struct control_link *s, u64 sent_us, u64 now_us)
 {
-	if (now_us - sent_us > WORD_LATE_US) {
-		ctr_inc(CTR_WORD_LATE);
-		log_event(LOG_INFO, "word of freshness late", "control", s->candidate->at.host,
+	if (now_us - sent_us > FRESHNESS_LATE_US) {
+		ctr_inc(CTR_FRESHNESS_LATE);
+		log_event(LOG_INFO, "freshness report late", "control", s->candidate->at.host,
 			  "age_us", log_u64(now_us - sent_us), "bytes_before",
-			  log_u64(bytes_since_word(s)), NULL);
+			  log_u64(bytes_since_freshness(s)), NULL);
 		/* The offset of the clocks may come from a PING that was slow. */
 		link_ping(s->link);
 	}
-	s->word_sent_us = sent_us;
-	s->word_at_bytes = link_received_bytes(s->link);
+	s->freshness_sent_us = sent_us;
+	s->freshness_at_bytes = link_received_bytes(s->link);
 }
 
 static int on_fresh(struct control_link *s, struct frame_in *in)
@@ -201,7 +205,7 @@
 		return ERR_INVAL;
 	watch_note_revision(s->w->node, revision);
 	sent = MIN(sent, now);
-	record_word(s, sent, now);
+	record_freshness(s, sent, now);
 	is_fresh = is_fresh && revision >= config_revision();
 	if (s == &s->w->trial)
 		finish_trial(s->w, is_fresh ? sent : 0, now);
@@ -380,14 +384,14 @@
 	ctr_inc(CTR_CONTROL_NOT_FRESH);
 	log_event(LOG_WARN, "control not fresh", "control", w->main.link->remote.name, "age_us",
 		  log_u64(now_us - w->main.last_fresh_us), "revision", log_u64(config_revision()),
-		  "word_age_us", log_u64(now_us - w->main.word_sent_us), "bytes_since_word",
-		  log_u64(bytes_since_word(&w->main)), NULL);
+		  "freshness_age_us", log_u64(now_us - w->main.freshness_sent_us),
+		  "bytes_since_freshness", log_u64(bytes_since_freshness(&w->main)), NULL);
 	w->main.last_fresh_us = 0;
 }
 
 /*
- * Returns whether this tick comes so late that words of control processes wait to be read. The next
- * one comes after they were, so two in succession are not skipped.
+ * Returns whether this tick comes so late that reports of control processes wait to be read. The
+ * next one comes after they were, so two in succession are not skipped.
  */
 static bool has_stalled(struct watch *w, u64 now_us)
 {
--- a/node/watch_impl.h
+++ b/node/watch_impl.h
@@ -19,8 +19,8 @@
 	struct candidate *candidate;
 	u64 start_us;
 	u64 last_fresh_us; /* when the control process was last fresh; 0 if never */
-	u64 word_sent_us; /* when its last word of freshness was sent; 0 before the first */
-	u64 word_at_bytes; /* bytes received before that word */
+	u64 freshness_sent_us; /* when its last freshness report was sent; 0 before the first */
+	u64 freshness_at_bytes; /* bytes received before that report */
 };
 
 /* What the revision that is being received has cost so far. */
--- a/test/admit_rate_test.c
+++ b/test/admit_rate_test.c
@@ -52,7 +52,8 @@
 	scenario_clear(&s);
 }
 
-/* Guards against: with few calls a second, the floors of lower ranks take the urgent calls' part.
+/*
+ * Guards against: with few calls a second, the floors of lower ranks take the urgent calls' part.
  */
 static void test_floor_takes_more_than_its_part(void)
 {
@@ -125,7 +126,8 @@
 	scenario_clear(&s);
 }
 
-/* Guards against: after the limit falls, the calls of the higher one count in full, or not at all.
+/*
+ * Guards against: after the limit falls, the calls of the higher one count in full, or not at all.
  */
 static void test_lower_limit_is_exceeded(void)
 {
--- a/test/config_receive_test.c
+++ b/test/config_receive_test.c
@@ -75,7 +75,8 @@
 				     .len = MIN(len, s->bytes->len - offset) };
 }
 
-/* Takes the stream from where R is, in parts of PART_BYTES, up to UNTIL. Returns the first error.
+/*
+ * Takes the stream from where R is, in parts of PART_BYTES, up to UNTIL. Returns the first error.
  */
 static int take(struct config_receive *r, const struct config_stream *s, size_t part_bytes,
 		u64 until)
--- a/test/config_stream_test.c
+++ b/test/config_stream_test.c
@@ -43,7 +43,8 @@
 	g_assert_cmpint(r.status / 100, ==, 2);
 }
 
-/* Guards against: a set of many routes fills the narrow link of a node, and calls wait behind it.
+/*
+ * Guards against: a set of many routes fills the narrow link of a node, and calls wait behind it.
  */
 static void test_whole_set_fills_narrow_links(void)
 {
@@ -146,8 +147,8 @@
 	(void)err;
 }
 
-/* Guards against: a word of freshness waits behind a whole set in the buffers of a link. */
-static void test_word_waits_behind_the_set(void)
+/* Guards against: a freshness report waits behind a whole set in the buffers of a link. */
+static void test_freshness_waits_behind_the_set(void)
 {
 	static const struct link_ops ops = { .up = on_link_up,
 					     .frame = on_link_frame,
@@ -201,6 +202,7 @@
 			test_stream_is_made_for_each_node);
 	g_test_add_func("/config-stream/part-is-lost-at-the-next-process",
 			test_part_is_lost_at_the_next_process);
-	g_test_add_func("/config-stream/word-waits-behind-the-set", test_word_waits_behind_the_set);
+	g_test_add_func("/config-stream/freshness-waits-behind-the-set",
+			test_freshness_waits_behind_the_set);
 	return g_test_run();
 }
--- a/test/config_transfer_test.c
+++ b/test/config_transfer_test.c
@@ -13,7 +13,7 @@
 
 #define CONTROLS 2
 #define ROUTES 6000
-/* Words of random digits in a path, so that the set takes longer than a node waits for a word. */
+/* Words of random digits in a path, so that the set takes longer than a node waits for a report. */
 #define PREFIX_WORDS 11
 #define LINK_BYTES_PER_S (2000000 / 8)
 /* For connecting, trying a control process, a read through the leader, and applying the set. */
@@ -108,7 +108,7 @@
 
 /*
  * Guards against: a set that takes a node's link longer than a control process may be without a
- * word of freshness never arrives, as the node goes from one control process to the next.
+ * freshness report never arrives, as the node goes from one control process to the next.
  */
 static void test_large_set_on_narrow_link(void)
 {
@@ -117,7 +117,7 @@
 	struct fake_node node;
 	u64 start;
 
-	/* The link is filled for longer than a node waits for a word. */
+	/* The link is filled for longer than a node waits for a report. */
 	g_assert_cmpuint(bytes * US_PER_S / LINK_BYTES_PER_S, >, US_PER_S);
 	declare(1, text);
 	start = loop_clock_us();
@@ -170,7 +170,7 @@
 	g_test_message("%u bytes compressed, %u relayed, in force after %u ms", (u32)bytes,
 		       (u32)g_atomic_int_get(&narrow.bytes),
 		       (u32)((loop_clock_us() - start) / US_PER_MS));
-	/* At most a window is lost with each link; the rest is for greetings and words. */
+	/* At most a window is lost with each link; the rest is for greetings and reports. */
 	g_assert_cmpuint((u64)g_atomic_int_get(&narrow.bytes), <,
 			 bytes + 3 * CONFIG_WINDOW_BYTES + bytes / 10);
 }
@@ -252,7 +252,7 @@
 }
 
 /*
- * Guards against: the upstreams of many services, sent at once, hold back the words of freshness of
+ * Guards against: the upstreams of many services, sent at once, hold back the freshness reports of
  * a node behind a narrow link, which goes from one control process to the next.
  */
 static void test_many_services_on_narrow_link(void)
--- a/test/emptied_disks_test.c
+++ b/test/emptied_disks_test.c
@@ -434,7 +434,8 @@
 		       SEEDS, (u32)stale_max_us, (u32)recovery_max_us, fresh_learners);
 }
 
-/* Guards against a change lost, or an older state called fresh, after a loss of power at the end.
+/*
+ * Guards against a change lost, or an older state called fresh, after a loss of power at the end.
  */
 static void test_two_of_three_holders(void)
 {
--- a/test/set_log_test.c
+++ b/test/set_log_test.c
@@ -48,7 +48,8 @@
 	g_assert_true(!g_strcmp0(text, want));
 }
 
-/* Guards against: the log, and the links between control processes, carry all routes at a change.
+/*
+ * Guards against: the log, and the links between control processes, carry all routes at a change.
  */
 static void test_one_route_fills_the_log(void)
 {
--- a/test/view_test.c
+++ b/test/view_test.c
@@ -512,7 +512,8 @@
 	teardown();
 }
 
-/* Guards against: an upstream whose zone changes while it is up stays where it was in the subset.
+/*
+ * Guards against: an upstream whose zone changes while it is up stays where it was in the subset.
  */
 static void test_zone_changes_while_up(void)
 {
--- a/test/watch_test.c
+++ b/test/watch_test.c
@@ -31,7 +31,7 @@
 	u16 port;
 	gint is_fresh;
 	gint revision; /* that its freshness messages name */
-	gint word_age_ms; /* of its words of freshness when they are sent */
+	gint freshness_age_ms; /* of its freshness reports when they are sent */
 	gint watches;
 	u64 request; /* number of the last one */
 	u64 watched_us;
@@ -48,7 +48,7 @@
 
 	frame_put_bool(&f, g_atomic_int_get(&c->is_fresh));
 	frame_put_u64(&f, (u64)g_atomic_int_get(&c->revision));
-	frame_put_u64(&f, now_us - (u64)g_atomic_int_get(&c->word_age_ms) * US_PER_MS);
+	frame_put_u64(&f, now_us - (u64)g_atomic_int_get(&c->freshness_age_ms) * US_PER_MS);
 	if (c->link)
 		link_send(c->link, &f);
 	loop_timer_set(c->loop, &c->timer, now_us + FRESH_INTERVAL_US);
@@ -186,10 +186,10 @@
 }
 
 /*
- * Guards against: a word of freshness that waited on its way counts as new, so the node stays with
+ * Guards against: a freshness report that waited on its way counts as new, so the node stays with
  * a control process that was fresh a while ago.
  */
-static void test_late_word_taken_for_new(void)
+static void test_late_freshness_taken_for_new(void)
 {
 	struct fake_node node;
 	struct fake_control *from;
@@ -211,10 +211,10 @@
 	from = controls[0].watches ? &controls[0] : &controls[1];
 	to = from == &controls[0] ? &controls[1] : &controls[0];
 	began_us = loop_clock_us();
-	g_atomic_int_set(&from->word_age_ms, 2000);
+	g_atomic_int_set(&from->freshness_age_ms, 2000);
 	wait_watches(to, 1);
 	g_assert_cmpuint(to->watched_us - began_us, <, MOVE_MAX_US);
-	/* Nor does it go back to one whose words are old. */
+	/* Nor does it go back to one whose reports are old. */
 	g_usleep(2 * US_PER_S);
 	g_assert_cmpint(g_atomic_int_get(&from->watches), ==, 1);
 }
@@ -227,9 +227,9 @@
 
 /*
  * Guards against: a node that was busy itself for a while takes its control process for not fresh,
- * though its words wait to be read.
+ * though its reports wait to be read.
  */
-static void test_own_stall_taken_for_old_word(void)
+static void test_own_stall_taken_for_old_freshness(void)
 {
 	struct fake_node node;
 	struct endpoint at = { .host = "127.0.0.1" };
@@ -607,8 +607,9 @@
 
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/watch/moves-to-process-tried-before", test_moves_to_process_tried_before);
-	g_test_add_func("/watch/late-word-taken-for-new", test_late_word_taken_for_new);
-	g_test_add_func("/watch/own-stall-taken-for-old-word", test_own_stall_taken_for_old_word);
+	g_test_add_func("/watch/late-freshness-taken-for-new", test_late_freshness_taken_for_new);
+	g_test_add_func("/watch/own-stall-taken-for-old-freshness",
+			test_own_stall_taken_for_old_freshness);
 	g_test_add_func("/watch/set-delta", test_set_delta);
 	g_test_add_func("/watch/compressed-set", test_compressed_set);
 	g_test_add_func("/watch/first-call-of-a-service", test_first_call_of_a_service);
