http_head: a head with a spoilt line is refused, not read without its length

Seen: an upstream's "200 OK\rContent-Length: 50", " Content-Length: 50" or a Content-Length in a folded line, with 5 bytes of body and a close, reached callers as a whole 200 of 5 bytes. "Content-Length : 5" and "Transfer-Encoding : chunked" were passed on to callers, and from callers to upstreams, beside the length that the node writes itself.

Cause: the installed http_parser is built with fewer checks: it takes any byte after a CR for the LF, joins folded lines, accepts spaces in names and a NUL in the status line. What could not be understood counted as absent.

Evidence: http_read_test, paths spoilt-line-end, spoilt-field and space-before-colon, failed before.

Fix: each head is checked line by line before it is parsed; the parser stops behind each message, so that the next head is checked too. RFC 9112 5.1 and 5.2 ask for refusal of a space before a colon and allow it for folded lines.

Measured: the three paths pass; cut_answer, cut_request, upstream, httpd, earlier_refusal, entry, home and stop tests pass.

--- a/lib/http_read.c
+++ b/lib/http_read.c
@@ -160,15 +160,17 @@
 	struct http_read *r = reader_of(p);
 	struct http_msg *m = g_steal_pointer(&r->msg);
 
+	/* The next bytes are a head again, which is checked before it is parsed. */
+	http_parser_pause(p, 1);
+	r->head = (struct http_head){ 0 };
+	r->is_in_body = false;
 	if (r->is_response && m->status < STATUS_FINAL_FIRST) {
 		http_free(m);
 		return ++r->interim > INTERIM_MAX ? fail(r, ERR_TOOBIG) : 0;
 	}
 	r->interim = 0;
-	r->is_in_body = false;
 	r->is_keep_alive = http_should_keep_alive(p);
-	if (r->is_response)
-		http_parser_pause(p, 1);
+	r->is_delivered = r->is_response;
 	return r->ops->message(r, m) ? fail(r, ERR_CANCELLED) : 0;
 }
 
@@ -210,25 +212,40 @@
 	return !r->msg;
 }
 
-int http_read_feed(struct http_read *r, const void *data, size_t len, size_t *unparsed)
+/* Parses the first of the LEN bytes that are within one head or one body; returns how many. */
+static size_t parse_part(struct http_read *r, const char *data, size_t len)
 {
-	size_t parsed;
 	enum http_errno err;
+	size_t parsed;
 
+	if (!r->is_in_body)
+		r->err = http_head_check(&r->head, data, len, &len);
 	if (r->err)
-		return r->err;
+		return 0;
 	if (HTTP_PARSER_ERRNO(&r->parser) == HPE_PAUSED)
 		http_parser_pause(&r->parser, 0);
 	parsed = http_parser_execute(&r->parser, &callbacks, data, len);
 	err = HTTP_PARSER_ERRNO(&r->parser);
-	if (unparsed)
-		*unparsed = len - MIN(parsed, len);
-	if (r->err)
-		return r->err;
 	/* The parser stops at a protocol upgrade, which is not supported. */
-	if (r->parser.upgrade || (err != HPE_OK && err != HPE_PAUSED)) {
+	if (!r->err && (r->parser.upgrade || (err != HPE_OK && err != HPE_PAUSED)))
 		r->err = ERR_INVAL;
+	return MIN(parsed, len);
+}
+
+int http_read_feed(struct http_read *r, const void *data, size_t len, size_t *unparsed)
+{
+	const char *at = data;
+
+	if (r->err)
 		return r->err;
-	}
-	return 0;
+	r->is_delivered = false;
+	do {
+		size_t parsed = parse_part(r, at, len);
+
+		at += parsed;
+		len -= parsed;
+	} while (!r->err && len && !r->is_delivered);
+	if (unparsed)
+		*unparsed = len;
+	return r->err;
 }
--- a/lib/http_read.h
+++ b/lib/http_read.h
@@ -2,7 +2,7 @@
  * http_read - parses HTTP/1.1 messages from a byte stream
  *
  * Built on http_parser. A message is delivered when it is complete. Input that is
- * malformed, has an ambiguous length or exceeds a limit ends the stream.
+ * malformed (see http_head), has an ambiguous length or exceeds a limit ends the stream.
  *
  * UNITS bytes
  * ERRORS http_read_feed: ERR_INVAL (malformed or ambiguous), ERR_TOOBIG (a limit
@@ -13,6 +13,7 @@
 #define HTTP_READ_H
 
 #include "lib/http.h"
+#include "lib/http_head.h"
 
 #include <http_parser.h>
 
@@ -42,6 +43,8 @@
 	bool has_length; /* the head delimits the body: a length or chunked encoding */
 	/* private */
 	http_parser parser;
+	struct http_head head;
+	bool is_delivered; /* a final response, by the bytes that are being fed */
 	GString *name;
 	GString *value;
 	GString *target;
