http_read: an answer with a status below 100 is refused, not skipped

Seen: an upstream's "HTTP/1.1 20 OK" was skipped as an interim answer; the call waited for another one until its deadline, and another answer on the connection would have been taken for it.

Cause: every status below 200 counted as interim; a status that has lost a digit is none.

--- a/lib/http_read.c
+++ b/lib/http_read.c
@@ -4,6 +4,7 @@
 
 #include <string.h>
 
+#define STATUS_FIRST 100
 /* Responses with a lower status are interim (1xx). */
 #define STATUS_FINAL_FIRST 200
 /* Limit on interim responses before a final response. */
@@ -135,7 +136,7 @@
 	r->msg->target = g_strdup(r->target->str);
 	if (!r->is_response)
 		r->msg->method = g_strdup(http_method_str((enum http_method)p->method));
-	if (is_ambiguous(r))
+	if (is_ambiguous(r) || (r->is_response && r->msg->status < STATUS_FIRST))
 		return fail(r, ERR_INVAL);
 	if ((p->flags & F_CONTENTLENGTH) && p->content_length > r->max_body_bytes &&
 	    !r->has_no_body)
