http_read: an interim answer has no body, whatever its length says

Seen: with a 103 that states a length, that many bytes of the final answer were read as the body of the 103, and what followed was parsed as the answer; where those bytes are an upstream's body, a part of it became the answer.

Cause: http_parser reads a body for 1xx when a length is stated; RFC 9112 6.3 ends them at the empty line.

Evidence: /http-read/interim-with-length failed before and passes; cut_answer and upstream tests pass.

--- a/lib/http_read.c
+++ b/lib/http_read.c
@@ -118,10 +118,14 @@
 	return lengths > 1 || (lengths && !has_length(&r->parser));
 }
 
-/* These have no body, regardless of their Content-Length. */
-static bool is_bodiless(u16 status)
+/* Returns whether the response has no body, regardless of its length (RFC 9112 6.3). */
+static bool is_bodiless(const struct http_read *r)
 {
-	return status == 204 || status == 304;
+	u16 status = r->msg->status;
+
+	if (!r->is_response)
+		return false;
+	return r->has_no_body || status < STATUS_FINAL_FIRST || status == 204 || status == 304;
 }
 
 static int on_head(http_parser *p)
@@ -143,7 +147,7 @@
 		return fail(r, ERR_TOOBIG);
 	if (r->ops->head && r->ops->head(r))
 		return fail(r, ERR_CANCELLED);
-	return r->has_no_body || (r->is_response && is_bodiless(r->msg->status)) ? 1 : 0;
+	return is_bodiless(r) ? 1 : 0;
 }
 
 static int on_body(http_parser *p, const char *at, size_t len)
