http_read: a 304 or 204 with a long length is not over the limit on bodies

Cause: only answers to HEAD were known to leave out the body when its length was compared with the limit.

Evidence: /http-read/long-length-without-body failed before and passes; cut_answer and upstream tests pass.

--- a/lib/http_read.c
+++ b/lib/http_read.c
@@ -143,7 +143,7 @@
 	if (is_ambiguous(r) || (r->is_response && r->msg->status < STATUS_FIRST))
 		return fail(r, ERR_INVAL);
 	if ((p->flags & F_CONTENTLENGTH) && p->content_length > r->max_body_bytes &&
-	    !r->has_no_body)
+	    !is_bodiless(r))
 		return fail(r, ERR_TOOBIG);
 	if (r->ops->head && r->ops->head(r))
 		return fail(r, ERR_CANCELLED);
