http_read: a chunk whose line end is missing is refused

Seen: with a chunk length that is spoilt, two bytes of the body were dropped as the line end of the chunk, and where a chunk of length 0 followed by chance the rest passed as a whole answer.

Cause: the installed http_parser does not compare the two bytes behind a chunk with CR and LF.

Evidence: /http-read/chunk-without-line-end failed before and passes; cut_answer, cut_request and httpd tests pass. upstream_test:/upstream/deadline failed 1 of 7 times on a machine at load 19, with and without this change to be looked at.

--- a/lib/http_read.c
+++ b/lib/http_read.c
@@ -9,6 +9,8 @@
 #define STATUS_FINAL_FIRST 200
 /* Limit on interim responses before a final response. */
 #define INTERIM_MAX 16
+/* Of the line end behind a chunk. */
+#define CHUNK_END_BYTES 2
 
 static struct http_read *reader_of(http_parser *p)
 {
@@ -150,6 +152,35 @@
 	return is_bodiless(r) ? 1 : 0;
 }
 
+/* http_parser takes any two bytes behind a chunk for its line end. AT is where they continue. */
+static int check_chunk_end(struct http_read *r, const char *at)
+{
+	static const char line_end[] = "\r\n";
+
+	while (r->chunk_end_bytes && at < r->part_end) {
+		if (*at++ != line_end[CHUNK_END_BYTES - r->chunk_end_bytes])
+			return fail(r, ERR_INVAL);
+		r->chunk_end_bytes--;
+	}
+	return 0;
+}
+
+/* The chunk of length 0 ends the body. */
+static int on_chunk(http_parser *p)
+{
+	reader_of(p)->chunk_bytes = p->content_length;
+	return 0;
+}
+
+static int on_chunk_data(struct http_read *r, const char *at, size_t len)
+{
+	r->chunk_bytes -= len;
+	if (r->chunk_bytes)
+		return 0;
+	r->chunk_end_bytes = CHUNK_END_BYTES;
+	return check_chunk_end(r, at + len);
+}
+
 static int on_body(http_parser *p, const char *at, size_t len)
 {
 	struct http_read *r = reader_of(p);
@@ -157,7 +188,7 @@
 	if (r->msg->body->len + len > r->max_body_bytes)
 		return fail(r, ERR_TOOBIG);
 	g_byte_array_append(r->msg->body, (const guint8 *)at, (guint)len);
-	return 0;
+	return p->flags & F_CHUNKED ? on_chunk_data(r, at, len) : 0;
 }
 
 static int on_message(http_parser *p)
@@ -186,6 +217,7 @@
 	.on_header_value = on_value,
 	.on_headers_complete = on_head,
 	.on_body = on_body,
+	.on_chunk_header = on_chunk,
 	.on_message_complete = on_message,
 };
 
@@ -225,7 +257,8 @@
 
 	if (!r->is_in_body)
 		r->err = http_head_check(&r->head, data, len, &len);
-	if (r->err)
+	r->part_end = data + len;
+	if (r->err || check_chunk_end(r, data))
 		return 0;
 	if (HTTP_PARSER_ERRNO(&r->parser) == HPE_PAUSED)
 		http_parser_pause(&r->parser, 0);
--- a/lib/http_read.h
+++ b/lib/http_read.h
@@ -44,6 +44,9 @@
 	/* private */
 	http_parser parser;
 	struct http_head head;
+	u64 chunk_bytes; /* of the chunk being read, that are missing */
+	u32 chunk_end_bytes; /* of the line end behind a chunk, that are missing */
+	const char *part_end; /* end of the bytes that are being parsed */
 	bool is_delivered; /* a final response, by the bytes that are being fed */
 	GString *name;
 	GString *value;
