test: the deadline of an upstream test's call is counted from its start

The deadline of 50 ms was taken before the call was handed to the loop; where the loop was late, the call ended before it connected, and the test waited 20 s for a connection.

--- a/test/upstream_test.c
+++ b/test/upstream_test.c
@@ -21,6 +21,7 @@
 	struct http_msg *request;
 	struct upstream_call call;
 	struct endpoint at;
+	u64 timeout_us; /* from the start of the call */
 	bool must_cancel; /* right after the call is started */
 	GAsyncQueue *done;
 	struct http_msg *reply;
@@ -52,18 +53,20 @@
 {
 	struct fixture *f = arg;
 
+	/* Counted from here, since the loop may be late where the machine is busy. */
+	f->call.deadline_us = loop_clock_us() + f->timeout_us;
 	upstream_start(f->u, &f->at, &f->call);
 	if (f->must_cancel)
 		upstream_abort(&f->call, ERR_CANCELLED);
 }
 
 /* Starts a call on the loop and waits until it ends. */
-static int run_until(struct fixture *f, u16 port, u64 deadline_us)
+static int run_for(struct fixture *f, u16 port, u64 timeout_us)
 {
 	http_free(g_steal_pointer(&f->reply));
 	f->at = (struct endpoint){ .host = "127.0.0.1", .port = port };
+	f->timeout_us = timeout_us;
 	f->call = (struct upstream_call){ .request = f->request,
-					  .deadline_us = deadline_us,
 					  .max_body_bytes = BODY_MAX_BYTES,
 					  .done = on_done,
 					  .arg = f };
@@ -75,7 +78,7 @@
 
 static int run(struct fixture *f)
 {
-	return run_until(f, f->server.port, loop_clock_us() + LONG_TIMEOUT_US);
+	return run_for(f, f->server.port, LONG_TIMEOUT_US);
 }
 
 static void check_run(struct fixture *f, int expected)
@@ -374,7 +377,7 @@
 
 	setup(&f, "POST", serve_many, NULL);
 	close(fd);
-	err = run_until(&f, closed, loop_clock_us() + LONG_TIMEOUT_US);
+	err = run_for(&f, closed, LONG_TIMEOUT_US);
 	g_assert_cmpint(err, ==, ERR_REFUSED);
 	g_assert_false(f.call.is_written);
 	teardown(&f);
@@ -387,7 +390,7 @@
 	int err;
 
 	setup(&f, "POST", serve_many, NULL);
-	err = run_until(&f, f.server.port, loop_clock_us());
+	err = run_for(&f, f.server.port, 0);
 	g_assert_cmpint(err, ==, ERR_TIMEOUT);
 	g_assert_false(f.call.is_written);
 	f.must_cancel = true;
@@ -443,7 +446,7 @@
 	int err;
 
 	setup(&f, "GET", serve_stall, &stall);
-	err = run_until(&f, f.server.port, loop_clock_us() + timeout_us);
+	err = run_for(&f, f.server.port, timeout_us);
 	g_assert_cmpint(err, ==, expected);
 	g_assert_null(f.reply);
 	wait_stall_ended(&stall);
