http_server: an unclear length is refused at the operators' interfaces

Seen: a change with "Content-Length: 5x", "5, 5", two lengths or the encoding identity was made with as much of its body as CivetWeb read; what followed on the connection ran as the next request, though by the second length it was body.

Cause: CivetWeb takes the digits at the start of a length, the first of two, and identity for no encoding.

Evidence: /cut-request/operator-unclear-length failed before and passes, its second part failed without the close of the connection.

Measured: cut_request, client and control tests pass.

--- a/control/api.c
+++ b/control/api.c
@@ -228,7 +228,8 @@
 				       "the declaration is too large");
 	if (err)
 		return http_send_error(conn, 400, "not-run", ctr_name(CTR_BAD_REQUEST),
-				       "the request body ended early");
+				       err == ERR_INVAL ? "the length of the body is unclear" :
+							  "the request body ended early");
 	return 0;
 }
 
--- a/lib/http_server.c
+++ b/lib/http_server.c
@@ -85,11 +85,42 @@
 	return ret;
 }
 
+static bool is_number(const char *text)
+{
+	return *text && !text[strspn(text, "0123456789")];
+}
+
+/*
+ * CivetWeb reads the digits that a Content-Length begins with, takes the first of two, and takes
+ * the encoding identity for none.
+ */
+static bool is_length_clear(const struct mg_request_info *ri)
+{
+	u32 lengths = 0;
+
+	for (int i = 0; i < ri->num_headers; i++) {
+		const struct mg_header *h = &ri->http_headers[i];
+		bool is_encoding = !g_ascii_strcasecmp(h->name, "Transfer-Encoding");
+		bool is_length = !g_ascii_strcasecmp(h->name, "Content-Length");
+
+		if ((is_encoding && g_ascii_strcasecmp(h->value, "chunked")) ||
+		    (is_length && !is_number(h->value)))
+			return false;
+		lengths += is_encoding || is_length;
+	}
+	return lengths <= 1;
+}
+
 int http_read_body(struct mg_connection *conn, GByteArray *out, u64 max)
 {
 	const struct mg_request_info *ri = mg_get_request_info(conn);
 	int n;
 
+	if (!is_length_clear(ri)) {
+		/* What follows may be the rest of the body. */
+		mg_disable_connection_keep_alive(conn);
+		return ERR_INVAL;
+	}
 	if (ri->content_length > 0 && (u64)ri->content_length > max)
 		return ERR_TOOBIG;
 	do {
--- a/lib/http_server.h
+++ b/lib/http_server.h
@@ -29,7 +29,8 @@
 
 /*
  * http_read_body - reads the request body into OUT. Returns 0, ERR_TOOBIG if it exceeds
- * MAX bytes, or ERR_TRUNCATED if it ended before its Content-Length.
+ * MAX bytes, ERR_TRUNCATED if it ended before its Content-Length, or ERR_INVAL if its length
+ * can't be read or is stated twice.
  */
 int http_read_body(struct mg_connection *conn, GByteArray *out, u64 max);
 
--- a/test/cut_request_test.c
+++ b/test/cut_request_test.c
@@ -215,6 +215,19 @@
 	"Transfer-Encoding : chunked",
 };
 
+/* By the second length, what looks like another request is a part of the body. */
+static void check_second_not_started(void)
+{
+	g_autofree char *text = g_strdup_printf(
+		"PUT /v1/thing HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n"
+		"Content-Length: %zu\r\n\r\nhello%s",
+		strlen("hello") + strlen(operator_requests[0]), operator_requests[0]);
+
+	g_atomic_int_set(&started, 0);
+	send_cut(text, strlen(text), false);
+	g_assert_cmpint(g_atomic_int_get(&started), ==, 0);
+}
+
 /* Guards against: a change whose length can't be read is made, at the interfaces for operators. */
 static void test_operator_unclear_length(void)
 {
@@ -235,6 +248,7 @@
 		g_test_message("%s", unclear[i]);
 		g_assert_cmpint(g_atomic_int_get(&started), ==, 0);
 	}
+	check_second_not_started();
 	mg_stop(server_ctx);
 }
 
