test: encodings stated twice or with more, an upgrade and interim answers without end

Mutation trials: without the check of two lengths, of what follows "chunked", of an upgrade or of the number of interim answers no test failed, since the bodies of the cases were refused for other reasons.

--- a/test/http_read_test.c
+++ b/test/http_read_test.c
@@ -173,6 +173,9 @@
 	check_refused(true, "HTTP/1.1 101 Switching Protocols\r\n\r\nhello");
 	check_refused(true, "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n"
 			    "Connection: upgrade\r\n\r\nhello");
+	check_refused(true, "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n"
+			    "Connection: upgrade\r\n\r\n"
+			    "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello");
 }
 
 /* Guards against: the start of the final answer is read as the body of an interim one. */
@@ -229,6 +232,19 @@
 	}
 }
 
+static void check_heads_refused(const char *const *heads, size_t n, const char *body)
+{
+	for (size_t i = 0; i < n; i++) {
+		g_autofree char *response =
+			g_strdup_printf("HTTP/1.1 200 OK\r\n%s\r\n\r\n%s", heads[i], body);
+		g_autofree char *request =
+			g_strdup_printf("POST / HTTP/1.1\r\n%s\r\n\r\n%s", heads[i], body);
+
+		check_refused(true, response);
+		check_refused(false, request);
+	}
+}
+
 /* Guards against: two or unreadable lengths, of which another reader might choose the other one. */
 static void test_two_lengths(void)
 {
@@ -245,22 +261,41 @@
 		"Content-Length: 18446744073709551615",
 		"Content-Length: 18446744073709551621",
 		"Content-Length: 101",
+	};
+
+	check_heads_refused(heads, G_N_ELEMENTS(heads), "hello");
+}
+
+/* Guards against: an encoding that is stated twice, or with more, is read as chunked or as none. */
+static void test_unclear_encoding(void)
+{
+	static const char *const heads[] = {
 		"Content-Length: 5\r\nTransfer-Encoding: chunked",
 		"Transfer-Encoding: chunked\r\nContent-Length: 5",
 		"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+		"Transfer-Encoding: identity\r\nTransfer-Encoding: chunked",
 		"Transfer-Encoding: chunked, chunked",
 		"Transfer-Encoding: chunked;q=1",
+		"Transfer-Encoding: chunkedx",
+		"Transfer-Encoding: chunke",
+		"Transfer-Encoding: x chunked",
+		"Transfer-Encoding:",
 	};
 
-	for (size_t i = 0; i < G_N_ELEMENTS(heads); i++) {
-		g_autofree char *response =
-			g_strdup_printf("HTTP/1.1 200 OK\r\n%s\r\n\r\nhello", heads[i]);
-		g_autofree char *request =
-			g_strdup_printf("POST / HTTP/1.1\r\n%s\r\n\r\nhello", heads[i]);
+	check_heads_refused(heads, G_N_ELEMENTS(heads), "5\r\nhello\r\n0\r\n\r\n");
+}
 
-		check_refused(true, response);
-		check_refused(false, request);
-	}
+/* Guards against: an upstream keeps a call waiting with interim answers without end. */
+static void test_many_interim(void)
+{
+	g_autoptr(GString) text = g_string_new(NULL);
+
+	for (u32 i = 0; i < 17; i++)
+		g_string_append(text, "HTTP/1.1 103 Early\r\n\r\n");
+	g_string_append(text, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello");
+	check_refused(true, text->str);
+	g_string_erase(text, 0, strlen("HTTP/1.1 103 Early\r\n\r\n"));
+	check_taken(true, text->str, "200  \nContent-Length: 5\nhello");
 }
 
 int main(int argc, char **argv)
@@ -276,5 +311,7 @@
 	g_test_add_func("/http-read/chunk-without-line-end", test_chunk_without_line_end);
 	g_test_add_func("/http-read/spoilt-chunk-length", test_spoilt_chunk_length);
 	g_test_add_func("/http-read/two-lengths", test_two_lengths);
+	g_test_add_func("/http-read/unclear-encoding", test_unclear_encoding);
+	g_test_add_func("/http-read/many-interim", test_many_interim);
 	return g_test_run();
 }
