--- a/test/upstream_test.c
+++ b/test/upstream_test.c
@@ -66,10 +66,9 @@
 	http_free(g_steal_pointer(&f->reply));
 	f->at = (struct endpoint){ .host = "127.0.0.1", .port = port };
 	f->timeout_us = timeout_us;
-	f->call = (struct upstream_call){ .request = f->request,
-					  .max_body_bytes = BODY_MAX_BYTES,
-					  .done = on_done,
-					  .arg = f };
+	f->call = (struct upstream_call){
+		.request = f->request, .max_body_bytes = BODY_MAX_BYTES, .done = on_done, .arg = f
+	};
 	loop_call(f->loop, start_on_loop, f);
 	g_async_queue_pop(f->done);
 	f->reply = f->call.reply;
