upstream: a head that holds a second status line is no certain answer

What callers saw: a request that an upstream had run was told as not run and could run at a second upstream, or got the status of another answer with the body of its own. The upstream had written an earlier answer once more on a kept connection, stopped in its head, and then answered.

Cause: the answer's status line became part of the copy's reason phrase, or of the value of a header, so that the copy's status and statement stood in one head with the answer's id. The identity of an answer was read from one of two heads.

Now a status line within a reason phrase is malformed, as no server writes one. One in the value of a header may be meant so; such an answer counts only as the first of its connection, which is not used again. A joined head always holds the whole status line of the second answer, so none passes; heads that also join two ids or two lengths were found out before. An upstream that has such a header in each answer costs a connection a call, /repeated-answer/header-with-status-line.

--- a/lib/http_read.c
+++ b/lib/http_read.c
@@ -6,6 +6,7 @@
 
 /* Responses with a lower status are interim (1xx). */
 #define STATUS_FINAL_FIRST 200
+#define STATUS_DIGITS 3
 /* Limit on interim responses before a final response. */
 #define INTERIM_MAX 16
 
@@ -37,6 +38,8 @@
 	g_string_truncate(r->name, 0);
 	g_string_truncate(r->value, 0);
 	g_string_truncate(r->target, 0);
+	g_string_truncate(r->reason, 0);
+	r->is_joined = false;
 	return 0;
 }
 
@@ -46,12 +49,34 @@
 	return add_head_bytes(reader_of(p), len);
 }
 
+static int on_reason(http_parser *p, const char *at, size_t len)
+{
+	g_string_append_len(reader_of(p)->reason, at, (gssize)len);
+	return add_head_bytes(reader_of(p), len);
+}
+
+/* Returns whether a status line, such as "HTTP/1.1 200", stands anywhere in TEXT. */
+static bool has_status_line(const char *text)
+{
+	const char *at = strstr(text, "HTTP/");
+
+	for (; at; at = strstr(at + 1, "HTTP/")) {
+		const char *code = at + strlen("HTTP/");
+
+		code += strspn(code, "0123456789.");
+		if (*code == ' ' && strspn(code + 1, "0123456789") == STATUS_DIGITS)
+			return true;
+	}
+	return false;
+}
+
 static int end_header(struct http_read *r)
 {
 	if (!r->name->len)
 		return 0;
 	if (r->msg->headers->len >= HTTP_HEADERS_MAX)
 		return fail(r, ERR_TOOBIG);
+	r->is_joined = r->is_joined || (r->is_response && has_status_line(r->value->str));
 	http_add_header(r->msg, r->name->str, r->value->str);
 	g_string_truncate(r->name, 0);
 	g_string_truncate(r->value, 0);
@@ -135,7 +160,7 @@
 	r->msg->target = g_strdup(r->target->str);
 	if (!r->is_response)
 		r->msg->method = g_strdup(http_method_str((enum http_method)p->method));
-	if (is_ambiguous(r))
+	if (is_ambiguous(r) || has_status_line(r->reason->str))
 		return fail(r, ERR_INVAL);
 	if ((p->flags & F_CONTENTLENGTH) && p->content_length > r->max_body_bytes &&
 	    !r->has_no_body)
@@ -175,6 +200,7 @@
 static const http_parser_settings callbacks = {
 	.on_message_begin = on_begin,
 	.on_url = on_target,
+	.on_status = on_reason,
 	.on_header_field = on_name,
 	.on_header_value = on_value,
 	.on_headers_complete = on_head,
@@ -194,6 +220,7 @@
 	r->name = g_string_new(NULL);
 	r->value = g_string_new(NULL);
 	r->target = g_string_new(NULL);
+	r->reason = g_string_new(NULL);
 }
 
 void http_read_clear(struct http_read *r)
@@ -202,6 +229,7 @@
 	g_string_free(r->name, TRUE);
 	g_string_free(r->value, TRUE);
 	g_string_free(r->target, TRUE);
+	g_string_free(r->reason, TRUE);
 	memset(r, 0, sizeof(*r));
 }
 
--- a/lib/http_read.h
+++ b/lib/http_read.h
@@ -2,7 +2,8 @@
  * http_read - parses HTTP/1.1 messages from a byte stream
  *
  * Built on http_parser. A message is delivered when it is complete. Input that is
- * malformed, has an ambiguous length or exceeds a limit ends the stream.
+ * malformed, has an ambiguous length, has a status line within its reason phrase or
+ * exceeds a limit ends the stream.
  *
  * UNITS bytes
  * ERRORS http_read_feed: ERR_INVAL (malformed or ambiguous), ERR_TOOBIG (a limit
@@ -40,11 +41,17 @@
 	bool is_in_body;
 	bool is_keep_alive; /* of the message that was delivered last */
 	bool has_length; /* the head delimits the body: a length or chunked encoding */
+	/*
+	 * A header's value in the response holds a status line: the head may be two heads, the
+	 * first of which was cut.
+	 */
+	bool is_joined;
 	/* private */
 	http_parser parser;
 	GString *name;
 	GString *value;
 	GString *target;
+	GString *reason;
 	size_t head_bytes;
 	u32 interim; /* 1xx responses since the last final response */
 	int err;
--- a/node/upstream.c
+++ b/node/upstream.c
@@ -260,11 +260,13 @@
 
 /*
  * Bytes after the answer belong to no request. When the answer came before the whole request was
- * sent, the rest of the request remains unsent.
+ * sent, the rest of the request remains unsent. Heads that look joined are taken only from new
+ * connections.
  */
 static bool is_reusable(const struct upstream_conn *c)
 {
-	return c->read.is_keep_alive && c->read.has_length && !c->foreign_answers && !c->out->len;
+	return c->read.is_keep_alive && c->read.has_length && !c->read.is_joined &&
+	       !c->foreign_answers && !c->out->len;
 }
 
 static void complete_call(struct upstream_conn *c, struct http_msg *m)
@@ -310,11 +312,16 @@
 	return true;
 }
 
-/* Returns whether M may be a copy of an answer to an earlier request on this connection. */
+/*
+ * Returns whether M, or the beginning of its head, may be a copy of an answer to an earlier request
+ * on this connection.
+ */
 static bool is_uncertain_answer(const struct upstream_conn *c, const struct http_msg *m)
 {
-	return c->answers > 1 && !c->call->is_poll &&
-	       !c->u->dialect->names_request(m, c->call->request);
+	if (c->answers == 1)
+		return false;
+	return c->read.is_joined ||
+	       (!c->call->is_poll && !c->u->dialect->names_request(m, c->call->request));
 }
 
 /* Returns 0 if M answers the call, 1 if it is skipped, or an error that ends the call. */
--- a/test/repeated_answer_test.c
+++ b/test/repeated_answer_test.c
@@ -337,6 +337,29 @@
 	teardown();
 }
 
+static void serve_status_lines(struct raw_server *s, int fd, u32 nth)
+{
+	(void)nth;
+	while (raw_read_request(s, fd))
+		raw_write(fd, "HTTP/1.1 200 OK\r\n" ID_B "X-Origin: HTTP/1.1 404 Not Found\r\n"
+			      "Via: HTTP/1.1 owl\r\nContent-Length: 5\r\n\r\nnoted");
+}
+
+/* Guards against: an upstream whose answers have a status line in a header is of no use. */
+static void test_header_with_status_line(void)
+{
+	setup(serve_status_lines);
+	for (u32 i = 0; i < 4; i++) {
+		int err = run(i % 2 ? "POST" : "GET", "b", 0);
+
+		g_assert_cmpint(err, ==, 0);
+		g_assert_cmpstr(http_header(fixture.call.reply, "X-Origin"), ==,
+				"HTTP/1.1 404 Not Found");
+		http_free(g_steal_pointer(&fixture.call.reply));
+	}
+	teardown();
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -347,5 +370,6 @@
 	g_test_add_func("/repeated-answer/while-sending", test_while_sending);
 	g_test_add_func("/repeated-answer/after-answers-without-body",
 			test_after_answers_without_body);
+	g_test_add_func("/repeated-answer/header-with-status-line", test_header_with_status_line);
 	return g_test_run();
 }
