test: a request without an id gets 502 where another came before it

/repeated-answer/request-without-id sends four requests without an id to an upstream that answers all. Fails: the second is run and ends with ERR_UNCERTAIN, since an answer that names no call counts only as the first of its connection, and there is nothing that the answer could name.

--- a/test/repeated_answer_test.c
+++ b/test/repeated_answer_test.c
@@ -360,6 +360,27 @@
 	teardown();
 }
 
+static void serve_without_ids(struct raw_server *s, int fd, u32 nth)
+{
+	(void)nth;
+	while (raw_read_request(s, fd))
+		raw_write(fd, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nnoted");
+}
+
+/* Guards against: callers that name no request get 502 for each one that follows another. */
+static void test_request_without_id(void)
+{
+	setup(serve_without_ids);
+	for (u32 i = 0; i < 4; i++) {
+		int err = run(i % 2 ? "POST" : "GET", NULL, 0);
+
+		g_assert_cmpint(err, ==, 0);
+		g_assert_cmpuint(fixture.call.reply->status, ==, 200);
+		http_free(g_steal_pointer(&fixture.call.reply));
+	}
+	teardown();
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -371,5 +392,6 @@
 	g_test_add_func("/repeated-answer/after-answers-without-body",
 			test_after_answers_without_body);
 	g_test_add_func("/repeated-answer/header-with-status-line", test_header_with_status_line);
+	g_test_add_func("/repeated-answer/request-without-id", test_request_without_id);
 	return g_test_run();
 }
