upstream: a request without an id gets a connection of its own

What callers saw: requests without an id that came after another on the same connection to the upstream were run and ended with 502 answer-uncertain. Cause: an answer that names no request counts only as the first of its connection, so that no copy of an earlier one passes for it; the answer to a request without an id can't name one.

Now such a request is sent on a new connection, on which its answer is the first one, and that connection is closed after it, since each such request needs a new one. A dialect says whether its answers name requests; in the native one they are told apart by order, as before.

--- a/node/dialect.h
+++ b/node/dialect.h
@@ -50,6 +50,8 @@
 	 * having sent its whole request.
 	 */
 	bool is_close_final;
+	/* Whether answers name their request by its id, rather than being told apart by order. */
+	bool has_ids;
 
 	/* timeout_ms - reads the caller's timeout; false when there is none or it is invalid. */
 	bool (*timeout_ms)(const struct http_msg *request, u64 *ms);
--- a/node/upstream.c
+++ b/node/upstream.c
@@ -230,15 +230,24 @@
 	c->foreign_answers = 0;
 }
 
+/* No answer can name such a request, so it must get the first answer of its connection. */
+static bool is_nameless(const struct dialect *d, const struct upstream_call *call)
+{
+	return d->has_ids && !call->is_poll && !d->id(call->request);
+}
+
 /*
  * Returns whether a copy of M would be told from the answer to a later request. A refusal must name
- * its request for that, and a request with that id must not come here again.
+ * its request for that, and a request with that id must not come here again. Connections for
+ * requests without an id are not kept: each of these needs a new one.
  */
 static bool may_follow(struct upstream_conn *c, const struct http_msg *m)
 {
 	const struct dialect *d = c->u->dialect;
 	const char *id = d->id(c->call->request);
 
+	if (is_nameless(d, c->call))
+		return false;
 	if (c->call->is_poll || !d->is_not_run(m))
 		return !d->is_other_instance(m);
 	if (!id || !d->names_request(m, c->call->request) || d->is_other_instance(m) ||
@@ -536,7 +545,7 @@
 		fail_from_loop(call, ERR_TIMEOUT);
 		return;
 	}
-	c = find_idle(u, at, call);
+	c = is_nameless(u->dialect, call) ? NULL : find_idle(u, at, call);
 	if (!c)
 		c = dial(u, at);
 	if (!c) {
--- a/node/upstream.h
+++ b/node/upstream.h
@@ -6,8 +6,9 @@
  * on a new connection or on one that was used within the last half second.
  *
  * A faulty upstream may write an earlier answer again. An answer that names no request is taken
- * only as the first one of its connection. A connection on which the upstream has refused a request
- * is used again only for requests with other ids, and only if the refusal named its request.
+ * only as the first one of its connection; a request without an id therefore gets a connection of
+ * its own. A connection on which the upstream has refused a request is used again only for requests
+ * with other ids, and only if the refusal named its request.
  *
  * All functions must be called on the loop's thread.
  *
