test: what no test noticed about connections after refusals and about polls

Changes made by hand, one at a time, to the code that keeps an earlier refusal from its connection's next request went unnoticed: a connection used again after a refusal without an id, after a 421, after a foreign answer or bytes behind an answer, without keep-alive or a length; refused ids without a bound; polls judged as calls. /repeated-answer/connections-kept, refused-ids-are-bounded and polls-keep-connection fail with these changes. All pass on the code as it is.

--- a/test/repeated_answer_test.c
+++ b/test/repeated_answer_test.c
@@ -21,6 +21,8 @@
 /* More than the sockets of client and server buffer. */
 #define LONG_BODY_BYTES (16 * 1024 * 1024)
 
+#define REFUSALS 200
+
 #define ID_HEADER "Lavenderlead-Attempt-Id"
 #define ID_A ID_HEADER ": a\r\n"
 #define ID_B ID_HEADER ": b\r\n"
@@ -29,6 +31,8 @@
 
 /* The answer to the second request, which the upstream runs. */
 #define OWN "HTTP/1.1 200 OK\r\n" ID_B "X-Bird: hoopoe\r\nContent-Length: 5\r\n\r\nnoted"
+/* The answer to a third request. */
+#define NEXT "HTTP/1.1 200 OK\r\n" ID_HEADER ": c\r\n" EMPTY "\r\n"
 #define REFUSAL_A "HTTP/1.1 503 Service Unavailable\r\n" ID_A NOT_RUN EMPTY "\r\n"
 
 /* What the upstream writes on one connection. */
@@ -156,22 +160,27 @@
 	return m;
 }
 
-/* Runs one call; the caller frees its reply. */
-static int run(const char *method, const char *id, size_t body_len)
+/* Runs one call and frees REQUEST; the caller frees its reply. */
+static int run_call(struct http_msg *request, bool is_poll)
 {
-	struct http_msg *request = make_request(method, id, body_len);
-
-	fixture.call = (struct upstream_call){ .request = request,
-					       .is_idempotent = strcmp(method, "POST") != 0,
-					       .deadline_us = loop_clock_us() + TIMEOUT_US,
-					       .max_body_bytes = BODY_MAX_BYTES,
-					       .done = on_done };
+	fixture.call =
+		(struct upstream_call){ .request = request,
+					.is_idempotent = strcmp(request->method, "POST") != 0,
+					.is_poll = is_poll,
+					.deadline_us = loop_clock_us() + TIMEOUT_US,
+					.max_body_bytes = BODY_MAX_BYTES,
+					.done = on_done };
 	loop_call(fixture.loop, start_on_loop, NULL);
 	g_async_queue_pop(fixture.done);
 	http_free(request);
 	return fixture.call.err;
 }
 
+static int run(const char *method, const char *id, size_t body_len)
+{
+	return run_call(make_request(method, id, body_len), false);
+}
+
 static void run_first(const char *method)
 {
 	int err = run(method, "a", 0);
@@ -198,20 +207,17 @@
 	http_free(g_steal_pointer(&fixture.call.reply));
 }
 
-/* Returns the error of the second call. */
-static int play_once(const struct play *p, const char *method)
+static void play_once(const struct play *p, const char *method)
 {
 	gint connections;
-	int err;
 
 	fixture.play = *p;
 	loop_call(fixture.loop, close_idle, NULL);
 	run_first("GET");
 	connections = g_atomic_int_get(&fixture.connections);
-	err = run(method, "b", p->is_early ? LONG_BODY_BYTES : 0);
+	run(method, "b", p->is_early ? LONG_BODY_BYTES : 0);
 	g_assert_cmpint(g_atomic_int_get(&fixture.connections), ==, connections);
 	check_outcome(p);
-	return err;
 }
 
 static void play_methods(const struct play *p)
@@ -381,6 +387,114 @@
 	teardown();
 }
 
+struct kept_case {
+	const char *text; /* the answer to the first request, b */
+	bool is_kept;
+};
+
+static const struct kept_case kept_cases[] = {
+	{ OWN, true },
+	{ "HTTP/1.1 503 No\r\n" ID_B NOT_RUN EMPTY "\r\n", true },
+	{ "HTTP/1.1 503 No\r\n" NOT_RUN EMPTY "\r\n", false },
+	{ "HTTP/1.1 421 No\r\n" ID_B EMPTY "\r\n", false },
+	{ "HTTP/1.1 421 No\r\n" ID_B NOT_RUN EMPTY "\r\n", false },
+	{ REFUSAL_A OWN, false },
+	{ OWN REFUSAL_A, false },
+	{ OWN "HTTP/1.1 200 O", false },
+	{ "HTTP/1.1 200 OK\r\n" ID_B "X-Origin: HTTP/1.1 200 OK\r\n" EMPTY "\r\n", false },
+	{ "HTTP/1.1 200 OK\r\n" ID_B "Connection: close\r\n" EMPTY "\r\n", false },
+	{ "HTTP/1.0 200 OK\r\n" ID_B EMPTY "\r\n", false },
+	{ "HTTP/1.1 204 No Content\r\n" ID_B "\r\n", false },
+};
+
+static void serve_kept(struct raw_server *s, int fd, u32 nth)
+{
+	g_atomic_int_set(&fixture.connections, (gint)nth);
+	while (raw_read_request(s, fd))
+		raw_write(fd, g_atomic_int_get(&s->requests) % 2 ? fixture.play.first : NEXT);
+}
+
+/*
+ * Guards against: a connection is used again after a refusal that names no request, with bytes of
+ * an answer outstanding, or though another upstream has the address; or each answer costs a
+ * connection.
+ */
+static void test_connections_kept(void)
+{
+	setup(serve_kept);
+	for (size_t i = 0; i < G_N_ELEMENTS(kept_cases); i++) {
+		const struct kept_case *k = &kept_cases[i];
+		gint before;
+		int err;
+
+		g_test_message("%s", k->text);
+		fixture.play.first = k->text;
+		loop_call(fixture.loop, close_idle, NULL);
+		err = run("POST", "b", 0);
+		g_assert_cmpint(err, ==, 0);
+		http_free(g_steal_pointer(&fixture.call.reply));
+		before = g_atomic_int_get(&fixture.connections);
+		err = run("POST", "c", 0);
+		g_assert_cmpint(err, ==, 0);
+		http_free(g_steal_pointer(&fixture.call.reply));
+		g_assert_true((g_atomic_int_get(&fixture.connections) == before) == k->is_kept);
+	}
+	teardown();
+}
+
+static void serve_many_refusals(struct raw_server *s, int fd, u32 nth)
+{
+	g_atomic_int_set(&fixture.connections, (gint)nth);
+	while (raw_read_request(s, fd)) {
+		g_autofree char *text = g_strdup_printf("HTTP/1.1 503 No\r\n" ID_HEADER
+							": %d\r\n" NOT_RUN EMPTY "\r\n",
+							g_atomic_int_get(&s->requests));
+
+		raw_write(fd, text);
+	}
+}
+
+/* Guards against: the ids of refused requests pile up on a connection that stays in use. */
+static void test_refused_ids_are_bounded(void)
+{
+	setup(serve_many_refusals);
+	for (u32 i = 1; i <= REFUSALS; i++) {
+		g_autofree char *id = g_strdup_printf("%u", i);
+		int err = run("POST", id, 0);
+
+		g_assert_cmpint(err, ==, 0);
+		http_free(g_steal_pointer(&fixture.call.reply));
+	}
+	g_assert_cmpint(g_atomic_int_get(&fixture.connections), >, 1);
+	g_assert_cmpint(g_atomic_int_get(&fixture.connections), <=, 1 + REFUSALS / 50);
+	teardown();
+}
+
+static void serve_health(struct raw_server *s, int fd, u32 nth)
+{
+	g_atomic_int_set(&fixture.connections, (gint)nth);
+	while (raw_read_request(s, fd))
+		raw_write(fd, g_atomic_int_get(&s->requests) % 2 ?
+				      "HTTP/1.1 200 OK\r\n" EMPTY "\r\n" :
+				      "HTTP/1.1 503 No\r\n" NOT_RUN EMPTY "\r\n");
+}
+
+/* Guards against: polls, whose answers name no request, end as uncertain or take a connection each.
+ */
+static void test_polls_keep_connection(void)
+{
+	setup(serve_health);
+	for (u32 i = 0; i < 6; i++) {
+		int err = run_call(make_request("GET", NULL, 0), true);
+
+		g_assert_cmpint(err, ==, 0);
+		g_assert_cmpuint(fixture.call.reply->status, ==, i % 2 ? 503 : 200);
+		http_free(g_steal_pointer(&fixture.call.reply));
+	}
+	g_assert_cmpint(g_atomic_int_get(&fixture.connections), ==, 1);
+	teardown();
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -393,5 +507,8 @@
 			test_after_answers_without_body);
 	g_test_add_func("/repeated-answer/header-with-status-line", test_header_with_status_line);
 	g_test_add_func("/repeated-answer/request-without-id", test_request_without_id);
+	g_test_add_func("/repeated-answer/connections-kept", test_connections_kept);
+	g_test_add_func("/repeated-answer/refused-ids-are-bounded", test_refused_ids_are_bounded);
+	g_test_add_func("/repeated-answer/polls-keep-connection", test_polls_keep_connection);
 	return g_test_run();
 }
