--- a/test/entry_test.c
+++ b/test/entry_test.c
@@ -513,6 +513,57 @@
 	stop();
 }
 
+/*
+ * Guards against: what a home node says once more of a fenced call ends the call's next attempt,
+ * which runs, or starts a third.
+ */
+static void test_frames_that_come_after_a_fence(void)
+{
+	u64 late = ctr_get(CTR_LATE_REPLY);
+	struct fake_peer other;
+	struct call_id fenced;
+	struct call_id running;
+	struct caller c;
+
+	start_fenced_call(&c, &fenced);
+	fake_peer_start(&other, true);
+	fake_node_set_directory_entry(&node, other.name, other.self.incarnation, DIR_UP);
+	fake_peer_fenced(&home, fenced, FENCE_NOT_RUN);
+	peer_event_free(fake_peer_expect(&other, PEER_EVENT_UP));
+	running = peer_event_take_id(fake_peer_expect(&other, PEER_CALL));
+	fake_peer_fenced(&home, fenced, FENCE_NOT_RUN);
+	fake_peer_fenced(&home, fenced, FENCE_UNKNOWN);
+	fake_peer_fenced(&home, fenced, FENCE_DONE);
+	fake_peer_reply(&home, fenced, "a late answer");
+	fake_peer_refuse(&home, fenced, CTR_UPSTREAM_SHED, true);
+	fake_peer_refuse(&home, fenced, CTR_UPSTREAM_BROKEN, false);
+	/* Nobody has asked for the outcome of the attempt that runs. */
+	fake_peer_fenced(&other, running, FENCE_NOT_RUN);
+	fake_peer_fenced(&other, running, FENCE_UNKNOWN);
+	wait_counter(CTR_LATE_REPLY, late + 6);
+	fake_peer_reply(&other, running, "noted");
+	fake_peer_refuse(&other, running, CTR_UPSTREAM_SHED, true);
+	caller_finish(&c, 200, NULL, "noted");
+	fake_peer_stop(&other);
+	stop();
+}
+
+/* Guards against: a call that runs is told as not run by an earlier outcome of its fence. */
+static void test_running_after_a_fence(void)
+{
+	struct call_id id;
+	struct caller c;
+
+	start_fenced_call(&c, &id);
+	fake_peer_fenced(&home, id, FENCE_RUNNING);
+	fake_peer_fenced(&home, id, FENCE_RUNNING);
+	fake_peer_refuse(&home, id, CTR_UPSTREAM_BROKEN, false);
+	fake_peer_refuse(&home, id, CTR_UPSTREAM_SHED, true);
+	fake_peer_fenced(&home, id, FENCE_NOT_RUN);
+	caller_finish(&c, 502, "unknown", NULL);
+	stop();
+}
+
 /* The link breaks within the body of the reply. */
 static void cut_reply(struct caller *c, const char *method, struct call_id *id)
 {
@@ -603,6 +654,9 @@
 	g_test_add_func("/entry/first-call-links-all", test_first_call_links_all);
 	g_test_add_func("/entry/unresponsive-home", test_unresponsive_home);
 	g_test_add_func("/entry/refusal-that-comes-twice", test_refusal_that_comes_twice);
+	g_test_add_func("/entry/frames-that-come-after-a-fence",
+			test_frames_that_come_after_a_fence);
+	g_test_add_func("/entry/running-after-a-fence", test_running_after_a_fence);
 	g_test_add_func("/entry/reply-cut-between-nodes", test_reply_cut_between_nodes);
 	g_test_add_func("/entry/reset-beside-a-broken-link", test_reset_beside_a_broken_link);
 	ret = g_test_run();
