test: a call with a short deadline expired before it was started

/upstream/deadline failed 4 times in 60 runs on a busy machine: in the trace of a failure nothing was written and the upstream accepted no connection, as the loop began the call after its 50 ms had passed. So there was no connection whose close could be seen. The call now has 500 ms; what is checked is the same.

--- a/test/upstream_test.c
+++ b/test/upstream_test.c
@@ -10,7 +10,8 @@
 
 #define BODY_MAX_BYTES 65536
 #define LONG_TIMEOUT_US (20 * US_PER_S)
-#define SHORT_TIMEOUT_US (50 * US_PER_MS)
+/* Longer than a busy machine takes to start a call, so that it is written before it expires. */
+#define SHORT_TIMEOUT_US (500 * US_PER_MS)
 /* Longer than any delay within the client. */
 #define PAUSE_US (60 * US_PER_MS)
 
