test: a health answer that is written once more ends a rate limit in force

/home-notice/copied-health-answer-ends-limit: an upstream names 10 requests per second in all answers, and before each poll's answer but the first of a connection it writes that of an earlier poll, which named none.

--- a/test/home_notice_test.c
+++ b/test/home_notice_test.c
@@ -20,6 +20,8 @@
 #define RESTART_CALLS 30
 #define RESTART_US (1 * US_PER_S)
 #define HEALTH_PATH "/health"
+#define ID_HEADER "Lavenderlead-Attempt-Id"
+#define ID_LINE ID_HEADER ": a\r\n"
 #define POLLS_PER_S 60
 
 static struct fake_node node;
@@ -78,6 +80,8 @@
 	g_thread_unref(g_thread_new("connection", serve_connection, GINT_TO_POINTER(dup(fd))));
 }
 
+static raw_server_handler serve_upstream = serve;
+
 static void announce(void)
 {
 	fake_node_announce_upstream(&node, upstream.port, SLOTS);
@@ -91,7 +95,7 @@
 	node.settings.node.load_asks_per_s = POLLS_PER_S;
 	node.dialect = &platform_dialect;
 	fake_node_run(&node);
-	raw_server_start(&upstream, serve, NULL);
+	raw_server_start(&upstream, serve_upstream, NULL);
 	fake_peer_start(&entry, false);
 	fake_peer_dial(&entry, node.settings.node.peer_port);
 	peer_event_free(fake_peer_expect(&entry, PEER_EVENT_UP));
@@ -284,6 +288,68 @@
 	g_assert_cmpint(g_atomic_int_get(&calls), ==, 0);
 }
 
+#define LIMIT "Server-Limit: 10.0\r\n"
+
+static char *kept_answer(const char *id_line, const char *lines)
+{
+	return g_strdup_printf("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n%s%s\r\nnoted", id_line,
+			       lines);
+}
+
+/*
+ * Answers any number of requests for each connection. Before each poll's answer but the first it
+ * writes the answer of an earlier one, which named no limit.
+ */
+static void *serve_copies(void *arg)
+{
+	int fd = GPOINTER_TO_INT(arg);
+	g_autoptr(GString) head = g_string_new(NULL);
+
+	for (u32 polls = 0; read_head(fd, head);) {
+		bool is_health = strstr(head->str, HEALTH_PATH) != NULL;
+		g_autofree char *copy = kept_answer("", "");
+		g_autofree char *own = kept_answer(is_health ? "" : ID_LINE, LIMIT);
+
+		if (!is_health)
+			g_atomic_int_inc(&calls);
+		else if (polls++) {
+			raw_write(fd, copy);
+			g_usleep(5 * US_PER_MS);
+		}
+		raw_write(fd, own);
+	}
+	close(fd);
+	return NULL;
+}
+
+static void serve_with_copies(struct raw_server *s, int fd, u32 nth)
+{
+	(void)s;
+	(void)nth;
+	g_thread_unref(g_thread_new("connection", serve_copies, GINT_TO_POINTER(dup(fd))));
+}
+
+/*
+ * Guards against: a health answer that is written once more ends a rate limit that is in force. The
+ * upstream may get one and a half times the limit, and 5 calls.
+ */
+static void test_copied_health_answer_ends_limit(void)
+{
+	gint sent;
+
+	serve_upstream = serve_with_copies;
+	start("");
+	entry.header_name = ID_HEADER;
+	entry.header_value = "a";
+	loop_call(node.node->loop, apply_set, NULL);
+	announce();
+	call(LONG_TIMEOUT_US);
+	expect_answer();
+	sent = flood();
+	g_assert_cmpint(sent, <=, 15 * (gint)(FLOOD_US / US_PER_S) + 5);
+	g_assert_cmpint(sent, >=, 9 * (gint)(FLOOD_US / US_PER_S));
+}
+
 int main(int argc, char **argv)
 {
 	int ret;
@@ -307,6 +373,8 @@
 			test_first_health_answer_reports_slow_vm);
 	g_test_add_func("/home-notice/restarted-home-uses-leaving-upstream",
 			test_restarted_home_uses_leaving_upstream);
+	g_test_add_func("/home-notice/copied-health-answer-ends-limit",
+			test_copied_health_answer_ends_limit);
 	ret = g_test_run();
 	fflush(stdout);
 	_exit(ret); /* the threads of nodes are still running */
