home: a rate limit is not ended or raised by one answer that may be a copy

What the upstream saw: many more calls than the rate limit that it names, 270 to 301 in 2 s at a limit of 10/s, while it writes an earlier health answer once more before the true one.

Cause: answers to polls name no request and are told from earlier ones by their place. A copy from before the limit ended it until the next answer that named it, and each such end filled the bucket anew.

Now an answer that is known only by its place, and is not the first of its connection, ends or raises the limit only if the one before it did so too. A copy displaces the true answer, which arrives on an idle connection and closes it, or is taken for the next poll's: it names the limit. So one copy a connection never gives two in a row. A lower limit counts at once, as does what an answer says that names its request. A limit that really ends is kept for one more poll.

Slowness may still be one poll old after a copy; it changes within milliseconds anyway.

--- a/node/home.c
+++ b/node/home.c
@@ -240,7 +240,7 @@
 
 	if (!call->err && not_run != CTR_OTHER_INSTANCE) {
 		slowness_monitor_record_answer(n->home->slowness_monitor, call->reply);
-		home_record_notice(n, call->reply, j->req.started_us, "call");
+		home_record_notice(n, call, j->req.started_us, "call");
 	}
 	release_admission(n, j);
 	log_completion(n, j);
--- a/node/home_notice.c
+++ b/node/home_notice.c
@@ -46,7 +46,7 @@
 	home_refuse_queued(n, CTR_DRAINING);
 }
 
-void home_record_notice(struct node *n, const struct http_msg *answer, u64 sent_us,
+void home_record_notice(struct node *n, const struct upstream_call *call, u64 sent_us,
 			const char *source)
 {
 	struct home *h = n->home;
@@ -56,7 +56,7 @@
 	if (sent_us < h->upstream_since_us)
 		return; /* the answer is from an earlier upstream */
 	h->notice_source = NOTICE_READ;
-	if (n->dialect->notice(answer, &said)) {
+	if (n->dialect->notice(call->reply, &said)) {
 		ctr_inc(CTR_NOTICE_BAD);
 		log_event(LOG_WARN, "rate limit of the upstream is invalid", "source", source,
 			  NULL);
@@ -64,7 +64,7 @@
 	}
 	if (said.has_rate_limit)
 		ctr_inc(CTR_RATE_LIMIT_NAMED);
-	if (!notice_update(&h->notice, &said, sent_us, loop_clock_us()))
+	if (!notice_update(&h->notice, &said, sent_us, loop_clock_us(), call->may_be_copy))
 		return;
 	log_change(n, &before, source);
 	h->calls_under_limit = 0;
--- a/node/node.h
+++ b/node/node.h
@@ -24,6 +24,7 @@
 #include "node/retry.h"
 #include "node/shed.h"
 #include "node/stop.h"
+#include "node/upstream.h"
 
 struct slowness_monitor;
 struct home;
@@ -186,10 +187,10 @@
 u32 home_in_progress(struct node *n);
 
 /*
- * home_record_notice - applies what the upstream says of itself in ANSWER, whose request was sent
- * at SENT_US. SOURCE names the kind of request in the log.
+ * home_record_notice - applies what the upstream says of itself in the reply to CALL, which was
+ * sent at SENT_US. SOURCE names the kind of request in the log.
  */
-void home_record_notice(struct node *n, const struct http_msg *answer, u64 sent_us,
+void home_record_notice(struct node *n, const struct upstream_call *call, u64 sent_us,
 			const char *source);
 
 /* home_poll_ended - the poll of the health path that was sent at SENT_US has ended. */
--- a/node/upstream.c
+++ b/node/upstream.c
@@ -358,6 +358,7 @@
 	}
 	if (len)
 		c->foreign_answers++;
+	c->call->may_be_copy = c->answers > 1 && (c->call->is_poll || !c->u->dialect->has_ids);
 	complete_call(c, m);
 	return 0;
 }
@@ -540,6 +541,7 @@
 	call->reply = NULL;
 	call->err = 0;
 	call->is_written = false;
+	call->may_be_copy = false;
 	call->timer = (struct loop_timer){ .fire = on_timer, .arg = call };
 	if (!remaining_us(call)) {
 		fail_from_loop(call, ERR_TIMEOUT);
--- a/node/upstream.h
+++ b/node/upstream.h
@@ -42,6 +42,7 @@
 	int err;
 	struct http_msg *reply; /* owned by the caller; NULL after an error */
 	bool is_written; /* bytes of the request may have reached the upstream */
+	bool may_be_copy; /* the reply is told from earlier ones only by its place */
 	/* private */
 	struct upstream *u;
 	struct upstream_conn *conn;
--- a/test/notice_test.c
+++ b/test/notice_test.c
@@ -75,12 +75,12 @@
 {
 	struct notice n = { 0 };
 
-	g_assert_false(notice_update(&n, &nothing, 1, 2));
-	g_assert_true(notice_update(&n, &LIMITED(9400), 3, 4));
-	g_assert_false(notice_update(&n, &LIMITED(9400), 5, 6));
-	g_assert_true(notice_update(&n, &LIMITED(4000), 7, 8));
+	g_assert_false(notice_update(&n, &nothing, 1, 2, false));
+	g_assert_true(notice_update(&n, &LIMITED(9400), 3, 4, false));
+	g_assert_false(notice_update(&n, &LIMITED(9400), 5, 6, false));
+	g_assert_true(notice_update(&n, &LIMITED(4000), 7, 8, false));
 	g_assert_cmpuint(n.now.rate_limit_milli_per_s, ==, 4000);
-	g_assert_true(notice_update(&n, &nothing, 9, 10));
+	g_assert_true(notice_update(&n, &nothing, 9, 10, false));
 	g_assert_false(n.now.has_rate_limit);
 }
 
@@ -89,20 +89,41 @@
 {
 	struct notice n = { 0 };
 
-	notice_update(&n, &LIMITED(9400), 10, 20);
-	g_assert_false(notice_update(&n, &nothing, 19, 30));
+	notice_update(&n, &LIMITED(9400), 10, 20, false);
+	g_assert_false(notice_update(&n, &nothing, 19, 30, false));
 	g_assert_true(n.now.has_rate_limit);
-	g_assert_true(notice_update(&n, &nothing, 20, 31));
+	g_assert_true(notice_update(&n, &nothing, 20, 31, false));
 	g_assert_false(n.now.has_rate_limit);
 }
 
+/* Guards against: an earlier answer that is written once more ends or raises the limit in force. */
+static void test_copy_of_earlier_answer(void)
+{
+	struct notice n = { 0 };
+
+	notice_update(&n, &LIMITED(9400), 1, 2, true);
+	g_assert_false(notice_update(&n, &nothing, 3, 4, true));
+	g_assert_false(notice_update(&n, &LIMITED(9400), 5, 6, true));
+	g_assert_false(notice_update(&n, &LIMITED(9500), 7, 8, true));
+	g_assert_true(notice_update(&n, &LIMITED(4000), 9, 10, true));
+	/* One that was sent too early does not count as the first of two. */
+	g_assert_false(notice_update(&n, &nothing, 9, 11, true));
+	g_assert_false(notice_update(&n, &nothing, 12, 13, true));
+	g_assert_true(notice_update(&n, &nothing, 14, 15, true));
+	g_assert_false(n.now.has_rate_limit);
+	g_assert_true(notice_update(&n, &LIMITED(4000), 16, 17, true));
+	g_assert_false(notice_update(&n, &LIMITED(5000), 18, 19, true));
+	g_assert_true(notice_update(&n, &LIMITED(5000), 20, 21, true));
+	g_assert_true(notice_update(&n, &nothing, 22, 23, false));
+}
+
 static void test_leaving_is_final(void)
 {
 	struct notice n = { 0 };
 
-	g_assert_true(notice_update(&n, &leaving, 1, 2));
-	g_assert_false(notice_update(&n, &leaving, 3, 4));
-	g_assert_false(notice_update(&n, &nothing, 5, 6));
+	g_assert_true(notice_update(&n, &leaving, 1, 2, false));
+	g_assert_false(notice_update(&n, &leaving, 3, 4, false));
+	g_assert_false(notice_update(&n, &nothing, 5, 6, false));
 	g_assert_true(n.now.is_leaving);
 }
 
@@ -113,6 +134,7 @@
 	g_test_add_func("/notice/headers", test_headers);
 	g_test_add_func("/notice/changes", test_changes);
 	g_test_add_func("/notice/late-answer-without-limit", test_late_answer_without_limit);
+	g_test_add_func("/notice/copy-of-earlier-answer", test_copy_of_earlier_answer);
 	g_test_add_func("/notice/leaving-is-final", test_leaving_is_final);
 	return g_test_run();
 }
