--- a/node/upstream.c
+++ b/node/upstream.c
@@ -230,15 +230,24 @@
 	c->foreign_answers = 0;
 }
 
+/* No answer can name such a request, so it must get the first answer of its connection. */
+static bool is_nameless(const struct dialect *d, const struct upstream_call *call)
+{
+	return d->has_ids && !call->is_poll && !d->id(call->request);
+}
+
 /*
  * Returns whether a copy of M would be told from the answer to a later request. A refusal must name
- * its request for that, and a request with that id must not come here again.
+ * its request for that, and a request with that id must not come here again. Connections for
+ * requests without an id are not kept: each of these needs a new one.
  */
 static bool may_follow(struct upstream_conn *c, const struct http_msg *m)
 {
 	const struct dialect *d = c->u->dialect;
 	const char *id = d->id(c->call->request);
 
+	if (is_nameless(d, c->call))
+		return false;
 	if (c->call->is_poll || !d->is_not_run(m))
 		return !d->is_other_instance(m);
 	if (!id || !d->names_request(m, c->call->request) || d->is_other_instance(m) ||
@@ -260,11 +269,13 @@
 
 /*
  * Bytes after the answer belong to no request. When the answer came before the whole request was
- * sent, the rest of the request remains unsent.
+ * sent, the rest of the request remains unsent. Heads that look joined are taken only from new
+ * connections.
  */
 static bool is_reusable(const struct upstream_conn *c)
 {
-	return c->read.is_keep_alive && c->read.has_length && !c->foreign_answers && !c->out->len;
+	return c->read.is_keep_alive && c->read.has_length && !c->read.is_joined &&
+	       !c->foreign_answers && !c->out->len;
 }
 
 static void complete_call(struct upstream_conn *c, struct http_msg *m)
@@ -310,11 +321,16 @@
 	return true;
 }
 
-/* Returns whether M may be a copy of an answer to an earlier request on this connection. */
+/*
+ * Returns whether M, or the beginning of its head, may be a copy of an answer to an earlier request
+ * on this connection.
+ */
 static bool is_uncertain_answer(const struct upstream_conn *c, const struct http_msg *m)
 {
-	return c->answers > 1 && !c->call->is_poll &&
-	       !c->u->dialect->names_request(m, c->call->request);
+	if (c->answers == 1)
+		return false;
+	return c->read.is_joined ||
+	       (!c->call->is_poll && !c->u->dialect->names_request(m, c->call->request));
 }
 
 /* Returns 0 if M answers the call, 1 if it is skipped, or an error that ends the call. */
@@ -342,6 +358,7 @@
 	}
 	if (len)
 		c->foreign_answers++;
+	c->call->may_be_copy = c->answers > 1 && (c->call->is_poll || !c->u->dialect->has_ids);
 	complete_call(c, m);
 	return 0;
 }
@@ -524,12 +541,13 @@
 	call->reply = NULL;
 	call->err = 0;
 	call->is_written = false;
+	call->may_be_copy = false;
 	call->timer = (struct loop_timer){ .fire = on_timer, .arg = call };
 	if (!remaining_us(call)) {
 		fail_from_loop(call, ERR_TIMEOUT);
 		return;
 	}
-	c = find_idle(u, at, call);
+	c = is_nameless(u->dialect, call) ? NULL : find_idle(u, at, call);
 	if (!c)
 		c = dial(u, at);
 	if (!c) {
