test: planned stops of control processes; two cases fail

request_cut_by_a_stop: a change is in progress at the leader and waits for its group when the leader gets SIGTERM; the group goes on 0.2 s later and accepts the change. The operator's connection is closed with no answer (curl: empty reply), and a watch ends within its chunked body (curl 18). stopped_leader_keeps_the_lead: after the end of a leader that was told to stop, no other member names a leader until an election time-out has passed (0.6 to 1.2 s).

--- a/test/control_test.sh
+++ b/test/control_test.sh
@@ -497,12 +497,59 @@
 	wait_for "every node to use the control process of its zone" use_own_zone
 }
 
+# Guards against: a control process that stops closes the connections of operators' requests that it
+# has begun without an answer, also of a change that is then accepted.
+case_request_cut_by_a_stop() {
+	local leader i request watch answer
+	put 1 sightings 250 >/dev/null
+	leader=$(leader_at 1)
+	curl -sN -m 20 "http://$(api "$leader")/v1/watch" >"$dir/watch" &
+	watch=$!
+	wait_for "the watch" grep -q sightings "$dir/watch"
+	# The change waits until the others run again.
+	for i in $(others "$leader"); do signal STOP "control$i"; done
+	put "$leader" sightings 444 -H 'Change-Id: cut' >"$dir/answer" &
+	request=$!
+	sleep 1
+	signal TERM "control$leader"
+	sleep 0.2
+	for i in $(others "$leader"); do signal CONT "control$i"; done
+	wait "$request"
+	answer=$(cat "$dir/answer")
+	case $answer in
+	"200  "* | "503 unknown "*) ;;
+	*) fail "a change in progress in a stop: ${answer:-no answer}" ;;
+	esac
+	wait "$watch" || fail "the watch of a process that stops ended with $?, in the middle"
+	end TERM "control$leader"
+	start_process "control$leader"
+	wait_for "all nodes in force again" in_force_is "$leader" 4 4
+}
+
+# Guards against: a leader that stops leaves the group without a leader until an election time-out.
+case_stopped_leader_keeps_the_lead() {
+	local leader first second answer
+	leader=$(leader_at 1)
+	first=$(others "$leader" | head -1)
+	second=$(others "$leader" | tail -1)
+	end TERM "control$leader"
+	knows_other_leader "$first" "$leader" || knows_other_leader "$second" "$leader" ||
+		fail "no leader after the end of control $leader"
+	answer=$(put "$first" sightings 250)
+	case $answer in
+	"200  "* | "201  "*) ;;
+	*) fail "a change right after the stop of a leader: $answer" ;;
+	esac
+	start_process "control$leader"
+	wait_for "all nodes in force again" in_force_is "$leader" 4 4
+}
+
 # Without arguments: runs two groups of cases in parallel, each with its own processes.
 if [ $# = 0 ]; then
 	rm -rf "$dir"
 	BASE=$BASE bash "$0" apply_at_once if_match_race resend nearest bad_input silent_cut pair_cut stale_control &
 	first=$!
-	BASE=$((BASE + 1000)) bash "$0" kill_leader stop_leader missed_changes in_force no_quorum replace
+	BASE=$((BASE + 1000)) bash "$0" kill_leader stop_leader request_cut_by_a_stop stopped_leader_keeps_the_lead missed_changes in_force no_quorum replace
 	second=$?
 	wait "$first" && exit "$second"
 	exit 1
