control: a stopping process answers the requests that it has begun

What operators saw: a change in progress at a control process that got SIGTERM ended with a closed connection and no answer, though it was accepted; watches ended within their chunked body.

Cause: CivetWeb's mg_stop waits for the threads of its handlers, but writes nothing from the moment it has been told to stop. The answer was made and thrown away. The class: a library's stop taken for one that lets what has begun end.

--- a/control/api.c
+++ b/control/api.c
@@ -5,7 +5,6 @@
 #include "lib/ctr.h"
 #include "lib/err.h"
 #include "lib/http_server.h"
-#include "lib/log.h"
 #include "lib/res.h"
 #include "lib/set.h"
 
@@ -16,8 +15,6 @@
 #include <string.h>
 #include <sys/random.h>
 
-#define API_THREADS 64
-
 void api_add_in_force(struct control *c, json_t *obj)
 {
 	struct in_force f;
@@ -487,29 +484,13 @@
 	return http_send_error(conn, 404, NULL, NULL, "no such resource");
 }
 
-int api_start(struct control *c)
-{
-	const struct control_settings *s = &c->settings->control;
-
-	c->http = http_server_start(s->api_listen.host, s->api_listen.port, API_THREADS);
-	if (!c->http) {
-		log_event(LOG_ERROR, "cannot listen; is the port in use?", "address",
-			  s->api_listen.host, "api_port", log_u64(s->api_listen.port), NULL);
-		return ERR_IO;
-	}
-	mg_set_request_handler(c->http, "/v1/services", on_services, c);
-	mg_set_request_handler(c->http, "/v1/set", api_on_set, c);
-	mg_set_request_handler(c->http, "/v1/watch", api_on_watch, c);
-	mg_set_request_handler(c->http, "/v1/status", on_status, c);
-	mg_set_request_handler(c->http, "/v1/members/", on_members, c);
-	mg_set_request_handler(c->http, "/v1/metrics", http_handle_metrics, NULL);
-	mg_set_request_handler(c->http, "/", on_unknown, NULL);
-	return 0;
-}
-
-void api_stop(struct control *c)
-{
-	__atomic_store_n(&c->is_stopping, true, __ATOMIC_RELEASE);
-	if (c->http)
-		mg_stop(c->http);
-}
+const struct api_path api_paths[] = {
+	{ "/v1/services", on_services },
+	{ "/v1/set", api_on_set },
+	{ "/v1/watch", api_on_watch },
+	{ "/v1/status", on_status },
+	{ "/v1/members/", on_members },
+	{ "/v1/metrics", http_handle_metrics },
+	{ "/", on_unknown },
+	{ NULL, NULL },
+};
--- a/control/api.h
+++ b/control/api.h
@@ -1,7 +1,7 @@
 /*
  * api - the HTTP API for services, the set, members and status
  *
- * SOURCE control/api.c, control/api_set.c, control/api_watch.c
+ * SOURCE control/api.c, control/api_set.c, control/api_watch.c, control/api_serve.c
  */
 #ifndef API_H
 #define API_H
@@ -14,6 +14,15 @@
 #include <jansson.h>
 #include <pthread.h>
 
+/* A path of the API, and the function that answers its requests; it gets the struct control. */
+struct api_path {
+	const char *path;
+	mg_request_handler serve;
+};
+
+/* Ends with a path that is NULL. */
+extern const struct api_path api_paths[];
+
 /* A request on a server thread that waits for its operation on the loop's thread. */
 struct api_waiter {
 	pthread_mutex_t lock;
--- a/control/control.h
+++ b/control/control.h
@@ -60,6 +60,7 @@
 	bool is_confirming;
 	struct join *join; /* automatic membership changes, see join.h */
 	struct mg_context *http;
+	u32 api_requests; /* of the API, begun and not answered; changed by its threads */
 	bool is_stopping;
 };
 
--- a/lib/http_server.c
+++ b/lib/http_server.c
@@ -31,7 +31,7 @@
 	return 0;
 }
 
-struct mg_context *http_server_start(const char *address, u16 port, u32 threads)
+struct mg_context *http_server_start(const char *address, u16 port, u32 threads, void *owner)
 {
 	struct mg_callbacks callbacks;
 	g_autofree char *ports = g_strdup_printf("%s:%u", address, port);
@@ -52,7 +52,12 @@
 
 	memset(&callbacks, 0, sizeof(callbacks));
 	callbacks.http_error = on_http_error;
-	return mg_start(&callbacks, NULL, options);
+	return mg_start(&callbacks, owner, options);
+}
+
+void *http_server_owner(const struct mg_connection *conn)
+{
+	return mg_get_user_data(mg_get_context(conn));
 }
 
 int http_send_response(struct mg_connection *conn, int status, const char *type,
--- a/lib/http_server.h
+++ b/lib/http_server.h
@@ -13,8 +13,14 @@
 struct mg_connection;
 struct mg_context;
 
-/* http_server_start - starts a server on ADDRESS:PORT; returns NULL if it cannot listen. */
-struct mg_context *http_server_start(const char *address, u16 port, u32 threads);
+/*
+ * http_server_start - starts a server on ADDRESS:PORT; returns NULL if it cannot listen. Handlers
+ * get OWNER from http_server_owner.
+ */
+struct mg_context *http_server_start(const char *address, u16 port, u32 threads, void *owner);
+
+/* http_server_owner - returns the owner of the server that CONN belongs to. */
+void *http_server_owner(const struct mg_connection *conn);
 
 /*
  * http_send_response - sends a complete response. OUTCOME and REASON, unless NULL, become
--- a/test/programs/upstream.c
+++ b/test/programs/upstream.c
@@ -152,7 +152,7 @@
 	pthread_sigmask(SIG_BLOCK, &set, NULL);
 	signal(SIGPIPE, SIG_IGN);
 	mg_init_library(0);
-	server = http_server_start("127.0.0.1", opt.port, SERVER_THREADS);
+	server = http_server_start("127.0.0.1", opt.port, SERVER_THREADS, NULL);
 	if (!server) {
 		fprintf(stderr, "upstream: cannot listen on port %u\n", opt.port);
 		return 1;
