control: a leader that stops hands over first

What operators saw: after the planned stop of the leading control process, no member led for an election time-out (0.6 to 1.2 s); changes and reads waited, and nodes had no fresh control process.

Cause: raft could transfer leadership, but nothing asked it to when the process stopped.

--- a/control/control.c
+++ b/control/control.c
@@ -8,6 +8,8 @@
 
 #include <string.h>
 
+#define HAND_OVER_POLL_US (5 * US_PER_MS)
+
 static void on_link_up(struct link *k)
 {
 	if (k->remote.role == LINK_NODE)
@@ -141,10 +143,45 @@
 	loop_timer_cancel(c->loop, &c->view_timer);
 }
 
+struct hand_over {
+	struct control *control;
+	bool is_under_way;
+};
+
+static void begin_hand_over(void *arg)
+{
+	struct hand_over *h = arg;
+	struct control *c = h->control;
+
+	h->is_under_way = !raft_hand_over(&c->raft, loop_clock_us());
+	raft_host_arm(c);
+}
+
+static void check_hand_over(void *arg)
+{
+	struct hand_over *h = arg;
+
+	h->is_under_way = raft_is_handing_over(&h->control->raft);
+}
+
+/* If this process leads, another takes over, so that no election time-out has to pass. */
+static void hand_over(struct control *c)
+{
+	struct hand_over h = { .control = c };
+	u64 end_us = loop_clock_us() + RAFT_TRANSFER_TIMEOUT_US;
+
+	loop_call(c->loop, begin_hand_over, &h);
+	while (h.is_under_way && loop_clock_us() < end_us) {
+		g_usleep(HAND_OVER_POLL_US);
+		loop_call(c->loop, check_hand_over, &h);
+	}
+}
+
 static void control_stop(struct module *m)
 {
 	struct control *c = (struct control *)m;
 
+	hand_over(c);
 	api_stop(c);
 	loop_call(c->loop, stop_on_loop, c);
 	loop_stop(c->loop);
--- a/control/raft.h
+++ b/control/raft.h
@@ -246,6 +246,15 @@
  */
 int raft_transfer_leadership(struct raft *r, u32 to, u64 now_us);
 
+/*
+ * raft_hand_over - transfer leadership to the voter that answers and has the longest log. Returns
+ * ERR_NOTLEADER, or ERR_NOTFOUND if there is no such voter.
+ */
+int raft_hand_over(struct raft *r, u64 now_us);
+
+/* raft_is_handing_over - whether a transfer is under way, or has ended without a known leader */
+bool raft_is_handing_over(const struct raft *r);
+
 /* raft_log_bytes - bytes of the entries in memory after index AFTER. */
 u64 raft_log_bytes(const struct raft *r, u64 after);
 
--- a/control/raft_replicate.c
+++ b/control/raft_replicate.c
@@ -278,6 +278,33 @@
 	return 0;
 }
 
+static bool may_succeed(const struct raft *r, u32 pos, u64 now_us)
+{
+	const struct raft_member *m = &r->members.m[pos];
+
+	return m->is_voter && m->id != r->id &&
+	       now_us - r->progress[pos].heard_us < RAFT_ELECTION_TIMEOUT_MIN_US;
+}
+
+int raft_hand_over(struct raft *r, u64 now_us)
+{
+	u32 to = 0;
+	u64 match = 0;
+
+	for (u32 i = 0; i < r->members.n; i++) {
+		if (!may_succeed(r, i, now_us) || (to && r->progress[i].match <= match))
+			continue;
+		to = r->members.m[i].id;
+		match = r->progress[i].match;
+	}
+	return raft_transfer_leadership(r, to, now_us);
+}
+
+bool raft_is_handing_over(const struct raft *r)
+{
+	return r->role == RAFT_LEADER ? r->transfer_to : !r->leader;
+}
+
 /*
  * Records a reply. Returns the sender's progress if the reply is for this term
  * and from the replica id that the membership records, else NULL.
--- a/test/raft_case_test.c
+++ b/test/raft_case_test.c
@@ -339,6 +339,37 @@
 	assert_no_violation_and_free(g);
 }
 
+/* A leader that stops hands over to a member that has the whole log, and not to one that is down.
+ */
+static void test_hand_over(void)
+{
+	struct fake_group *g = settled_group(3, 17);
+	u32 leader = fake_group_leader(g);
+	u32 down = follower_except(g, 0);
+	u32 to = follower_except(g, down);
+
+	fake_group_crash(g, down);
+	fake_group_propose(g, leader);
+	fake_group_run(g, RAFT_HEARTBEAT_US);
+	g_assert_cmpint(raft_hand_over(fake_raft(g, to), g->now_us), ==, ERR_NOTLEADER);
+	g_assert_cmpint(raft_hand_over(fake_raft(g, leader), g->now_us), ==, 0);
+	fake_group_run(g, RAFT_ELECTION_TIMEOUT_MIN_US / 2);
+	g_assert_cmpuint(fake_group_leader(g), ==, to);
+	assert_no_violation_and_free(g);
+}
+
+/* A leader without another voter that answers goes on. */
+static void test_hand_over_to_nobody(void)
+{
+	struct fake_group *g = settled_group(1, 17);
+	u32 leader = fake_group_leader(g);
+
+	g_assert_cmpint(raft_hand_over(fake_raft(g, leader), g->now_us), ==, ERR_NOTFOUND);
+	fake_group_run(g, US_PER_S);
+	g_assert_cmpuint(fake_group_leader(g), ==, leader);
+	assert_no_violation_and_free(g);
+}
+
 static void test_transfer_to_a_dead_member_is_abandoned(void)
 {
 	struct fake_group *g = settled_group(3, 17);
@@ -448,6 +479,8 @@
 	g_test_add_func("/raft-case/snapshot-is-resumed", test_snapshot_is_resumed);
 	g_test_add_func("/raft-case/cut-off-leader-steps-down", test_cut_off_leader_steps_down);
 	g_test_add_func("/raft-case/transfer", test_transfer);
+	g_test_add_func("/raft-case/hand-over", test_hand_over);
+	g_test_add_func("/raft-case/hand-over-to-nobody", test_hand_over_to_nobody);
 	g_test_add_func("/raft-case/transfer-to-a-dead-member",
 			test_transfer_to_a_dead_member_is_abandoned);
 	g_test_add_func("/raft-case/removed-leader-transfers-leadership",
