--- a/test/fakes/fake_peer.c
+++ b/test/fakes/fake_peer.c
@@ -153,6 +153,9 @@
 	case PEER_LOAD:
 		g_atomic_int_inc(&p->load_count);
 		return 0;
+	case PEER_GOAWAY:
+		g_atomic_int_inc(&p->goaway_count);
+		return 0;
 	default:
 		return 0; /* probes are ignored */
 	}
--- a/test/fakes/fake_peer.h
+++ b/test/fakes/fake_peer.h
@@ -24,6 +24,7 @@
 	struct link *link; /* the newest link; NULL when none is up */
 	GAsyncQueue *events; /* of struct peer_event */
 	gint load_count; /* LOAD messages received */
+	gint goaway_count; /* GOAWAY messages received */
 	struct peer_event *partial; /* a call or reply whose body is incomplete */
 	const char *header_name; /* added to the request of each call; NULL for none */
 	const char *header_value;
--- a/test/httpd_test.c
+++ b/test/httpd_test.c
@@ -365,6 +365,28 @@
 	stop(&f);
 }
 
+/*
+ * Guards against: a connection on which half a request was read behind a started one stays open
+ * after the last response that its server gives.
+ */
+static void test_half_request_behind_another_after_stop(void)
+{
+	struct fixture f;
+	g_autofree char *got = NULL;
+	int fd;
+
+	start(&f);
+	fd = raw_connect(f.port);
+	raw_write(fd, GET("/held") "GET /now/half HTTP/1.1\r\nHo");
+	wait_started(&f, 1);
+	loop_call(f.loop, stop_accepting, &f);
+	loop_call(f.loop, answer_held, &f);
+	got = read_all(fd);
+	g_assert_nonnull(strstr(got, "</held>"));
+	g_assert_nonnull(strstr(got, "Connection: close"));
+	stop(&f);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -377,5 +399,7 @@
 	g_test_add_func("/httpd/reset-request-still-counted", test_reset_request_still_counted);
 	g_test_add_func("/httpd/started-behind-another-after-stop",
 			test_started_behind_another_after_stop);
+	g_test_add_func("/httpd/half-request-behind-another-after-stop",
+			test_half_request_behind_another_after_stop);
 	return g_test_run();
 }
--- a/test/stop_test.c
+++ b/test/stop_test.c
@@ -13,7 +13,10 @@
 
 #define GRACE_MS 3000
 #define GRACE_US (GRACE_MS * US_PER_MS)
+#define LONG_GRACE_MS 10000
 #define WAIT_MS 20000
+/* More than a socket takes whose other end doesn't read. */
+#define LONG_BODY_BYTES (8u * 1024 * 1024)
 
 static struct fake_node node;
 static struct fake_peer home;
@@ -26,7 +29,8 @@
 /* The schedule of any grace is in order and keeps what the users' rules state in seconds. */
 static void test_plan(void)
 {
-	static const u64 graces_ms[] = { 0, 1, 100, 1000, 3000, 6000, 10000, 60000 };
+	static const u64 graces_ms[] = { 0,    1,     100,   1000,  2000,  3000,
+					 6000, 10000, 30000, 60000, 120000 };
 
 	for (size_t i = 0; i < G_N_ELEMENTS(graces_ms); i++) {
 		u64 begin_us = 5 * US_PER_S;
@@ -126,6 +130,18 @@
 	raw_write(fd, text);
 }
 
+/* Reads until the connection ends. */
+static char *read_all(int fd)
+{
+	GString *got = g_string_new(NULL);
+	char buf[65536];
+	ssize_t n;
+
+	while ((n = recv(fd, buf, sizeof(buf), 0)) > 0)
+		g_string_append_len(got, buf, n);
+	return g_string_free(got, FALSE);
+}
+
 /* Reads one answer, or "" if the connection ends without one. */
 static char *read_answer(int fd)
 {
@@ -254,6 +270,7 @@
  */
 static void test_incomplete_request_closed_without_answer(void)
 {
+	g_autofree char *got = NULL;
 	int first;
 	int half;
 
@@ -263,7 +280,10 @@
 	hold_call(first);
 	raw_write(half, "POST / HTTP/1.1\r\nHost: sightings.example\r\nContent-Length: 10\r\n\r\n");
 	begin_stop();
-	expect_answer(half, "HTTP/1.1 503 ", "Connection: close");
+	got = read_all(half);
+	g_assert_true(g_str_has_prefix(got, "HTTP/1.1 503 "));
+	g_assert_nonnull(strstr(got, "Connection: close"));
+	g_assert_nonnull(strstr(got, "Lavenderlead-Reason: stopping"));
 	expect_answer(first, "HTTP/1.1 502 ", "Lavenderlead-Outcome: unknown");
 	end();
 }
@@ -387,6 +407,271 @@
 	end();
 }
 
+/*
+ * Guards against: a call that its home refuses after the last deadline of an upstream is sent to
+ * another, and its caller hears of the refusal only at the end.
+ */
+static void test_retry_after_the_last_deadline(void)
+{
+	struct fake_peer other;
+	struct call_id held;
+	int first;
+
+	start_with_home();
+	fake_peer_start(&other, true);
+	first = connect_caller();
+	held = hold_call(first);
+	fake_node_set_directory_entry(&node, other.name, other.self.incarnation, DIR_UP);
+	begin_stop();
+	wait_grace(90);
+	fake_peer_refuse(&home, held, CTR_DRAINING, true);
+	expect_answer(first, "HTTP/1.1 503 ", "Lavenderlead-Outcome: not-run");
+	end();
+	g_assert_null(g_async_queue_try_pop(other.events));
+	fake_peer_stop(&other);
+}
+
+/* A request that names no time has the default one, which ends after this process. */
+static void test_late_request_without_a_time(void)
+{
+	struct call_id held;
+	int first;
+	int kept;
+
+	start_with_home();
+	first = connect_caller();
+	kept = connect_caller();
+	held = hold_call(first);
+	begin_stop();
+	wait_grace(55);
+	raw_write(kept, "POST / HTTP/1.1\r\nHost: sightings.example\r\nContent-Length: 0\r\n\r\n");
+	expect_answer(kept, "HTTP/1.1 503 ", "Lavenderlead-Outcome: not-run");
+	expect_no_call();
+	fake_peer_reply(&home, held, "noted");
+	expect_answer(first, "HTTP/1.1 200 ", NULL);
+	end();
+}
+
+/*
+ * Guards against: a request that was sent behind an unanswered one is passed on once that is
+ * answered, late in the grace.
+ */
+static void test_request_behind_a_late_answer(void)
+{
+	g_autofree char *got = NULL;
+	struct call_id held;
+	int fd;
+
+	start_with_home();
+	fd = connect_caller();
+	held = hold_call(fd);
+	send_request(fd, "POST", 30000);
+	begin_stop();
+	wait_grace(75);
+	fake_peer_reply(&home, held, "noted");
+	got = read_all(fd);
+	g_assert_true(g_str_has_prefix(got, "HTTP/1.1 200 "));
+	g_assert_nonnull(strstr(got, "HTTP/1.1 503 "));
+	g_assert_nonnull(strstr(got, "Lavenderlead-Outcome: not-run"));
+	g_assert_nonnull(strstr(got, "Connection: close"));
+	expect_no_call();
+	end();
+}
+
+/* A chunked body of before the stop that ends early in the grace is passed on and answered. */
+static void test_body_that_ends_early(void)
+{
+	int fd;
+
+	start_with_home();
+	fd = connect_caller();
+	raw_write(fd, "POST / HTTP/1.1\r\nHost: sightings.example\r\n"
+		      "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n");
+	begin_stop();
+	wait_grace(20);
+	raw_write(fd, "3\r\ndef\r\n0\r\n\r\n");
+	peer_event_free(fake_peer_expect(&home, PEER_EVENT_UP));
+	fake_peer_reply(&home, expect_call(NULL), "noted");
+	expect_answer(fd, "HTTP/1.1 200 ", NULL);
+	end();
+}
+
+/*
+ * Guards against: a node that stops ends while a caller who reads slowly still reads an answer that
+ * was made long before.
+ */
+static void test_slow_reader_is_cut(void)
+{
+	g_autofree char *body = g_strnfill(LONG_BODY_BYTES, 'x');
+	g_autofree char *got = NULL;
+	struct call_id held;
+	int fd;
+
+	fake_node_prepare(&node);
+	node.settings.node.shutdown_grace_ms = GRACE_MS;
+	node.settings.node.max_body_bytes = LONG_BODY_BYTES;
+	fake_node_run(&node);
+	fake_peer_start(&home, true);
+	fake_node_set_directory_entry(&node, home.name, home.self.incarnation, DIR_UP);
+	fd = connect_caller();
+	held = hold_call(fd);
+	begin_stop();
+	wait_grace(10);
+	fake_peer_reply(&home, held, body);
+	wait_grace(80);
+	got = read_all(fd);
+	g_assert_cmpuint(strlen(got), >, LONG_BODY_BYTES);
+	end();
+}
+
+/* Returns whether the answer is a refusal; false if the port was closed first. */
+static bool is_refusal(int fd)
+{
+	g_autofree char *got = read_answer(fd);
+
+	if (!*got)
+		return false;
+	g_assert_true(g_str_has_prefix(got, "HTTP/1.1 503 "));
+	return true;
+}
+
+/*
+ * Guards against: callers who keep sending what is refused at once keep a node from ending, though
+ * it takes no call any more.
+ */
+static void test_refused_calls_prolong_the_stop(void)
+{
+	bool is_refused;
+	int fd;
+
+	start_with_home();
+	node.settings.node.shutdown_grace_ms = LONG_GRACE_MS;
+	fd = connect_caller();
+	fake_peer_reply(&home, hold_call(fd), "noted");
+	expect_answer(fd, "HTTP/1.1 200 ", NULL);
+	begin_stop();
+	while (loop_clock_us() - stop_us < LONG_GRACE_MS * US_PER_MS / 5) {
+		send_request(fd, "POST", 60000);
+		fake_peer_reply(&home, expect_call(NULL), "noted");
+		expect_answer(fd, "HTTP/1.1 200 ", NULL);
+		g_usleep(100 * US_PER_MS);
+	}
+	g_usleep(LONG_GRACE_MS * US_PER_MS / 16);
+	while ((fd = raw_connect(node.settings.node.caller_port)) >= 0) {
+		send_request(fd, "POST", 60000);
+		is_refused = is_refusal(fd);
+		close(fd);
+		if (!is_refused)
+			break;
+		g_usleep(20 * US_PER_MS);
+	}
+	g_assert_cmpuint(loop_clock_us() - stop_us, <, LONG_GRACE_MS * US_PER_MS / 2);
+	g_thread_join(stopper);
+}
+
+/*
+ * Guards against: callers and other nodes hear of a stop only at its end, or from an upstream that
+ * announces itself during the stop that it takes calls.
+ */
+static void test_stop_is_told(void)
+{
+	start_home(1);
+	g_assert_true(node_is_ready(node.node));
+	begin_stop();
+	while (!g_atomic_int_get(&entry.goaway_count))
+		g_usleep(US_PER_MS);
+	g_assert_cmpuint(loop_clock_us() - stop_us, <, GRACE_US / 2);
+	g_assert_false(node_is_ready(node.node));
+	fake_node_announce_upstream(&node, upstream.port, 1);
+	g_assert_cmpint(node.node->dir_entry.state, ==, DIR_DRAINING);
+	fake_peer_call(&entry, id_of(1), "POST", "one", loop_clock_us() + 60 * US_PER_S);
+	expect_refusal(1, true);
+	end();
+}
+
+/* Answers when the test says so. */
+static gint may_answer;
+
+static void serve_long_answer(struct raw_server *s, int fd, u32 nth)
+{
+	g_autofree char *head =
+		g_strdup_printf("HTTP/1.1 200 OK\r\nContent-Length: %u\r\n\r\n", LONG_BODY_BYTES);
+	g_autofree char *body = g_strnfill(LONG_BODY_BYTES, 'x');
+
+	(void)nth;
+	if (!raw_read_request(s, fd))
+		return;
+	while (!g_atomic_int_get(&may_answer))
+		g_usleep(US_PER_MS);
+	raw_write(fd, head);
+	raw_write(fd, body);
+	raw_wait_closed(fd);
+}
+
+static void sleep_until(void *arg)
+{
+	u64 now = loop_clock_us();
+	u64 until_us = *(u64 *)arg;
+
+	if (now < until_us)
+		g_usleep(until_us - now);
+}
+
+/*
+ * Guards against: a home node that stops ends while another node still reads an answer that was
+ * made long before.
+ */
+static void test_slow_entry_node_is_cut(void)
+{
+	u64 until_us;
+	struct peer_event *e;
+
+	fake_node_prepare(&node);
+	node.settings.node.shutdown_grace_ms = GRACE_MS;
+	node.settings.node.max_body_bytes = LONG_BODY_BYTES;
+	fake_node_run(&node);
+	raw_server_start(&upstream, serve_long_answer, NULL);
+	fake_node_announce_upstream(&node, upstream.port, 4);
+	fake_peer_start(&entry, false);
+	fake_peer_dial(&entry, node.settings.node.peer_port);
+	peer_event_free(fake_peer_expect(&entry, PEER_EVENT_UP));
+	fake_peer_call(&entry, id_of(1), "POST", "one", loop_clock_us() + 60 * US_PER_S);
+	while (!g_atomic_int_get(&upstream.requests))
+		g_usleep(US_PER_MS);
+	begin_stop();
+	wait_grace(45);
+	until_us = stop_us + GRACE_US * 80 / 100;
+	loop_post(entry.loop, sleep_until, &until_us);
+	g_atomic_int_set(&may_answer, 1);
+	e = fake_peer_expect(&entry, PEER_REPLY);
+	g_assert_cmpuint(e->body->len, ==, LONG_BODY_BYTES);
+	peer_event_free(e);
+	end();
+}
+
+/*
+ * Guards against: a process that was frozen until after its grace gives up calls whose answers have
+ * arrived meanwhile.
+ */
+static void test_answer_that_came_while_frozen(void)
+{
+	u64 until_us;
+	struct call_id held;
+	int fd;
+
+	start_with_home();
+	fd = connect_caller();
+	held = hold_call(fd);
+	begin_stop();
+	wait_grace(30);
+	until_us = stop_us + GRACE_US * 110 / 100;
+	loop_post(node.node->loop, sleep_until, &until_us);
+	fake_peer_reply(&home, held, "noted");
+	expect_answer(fd, "HTTP/1.1 200 ", NULL);
+	g_thread_join(stopper);
+	g_assert_cmpuint(ended_us - stop_us, <, GRACE_US * 120 / 100);
+}
+
 /* A node with no grace at all still tells its callers. */
 static void test_no_grace(void)
 {
@@ -421,6 +706,16 @@
 	g_test_add_func("/stop/unanswered-call-is-told", test_unanswered_call_is_told);
 	g_test_add_func("/stop/queued-call-kept-until-the-end",
 			test_queued_call_kept_until_the_end);
+	g_test_add_func("/stop/retry-after-the-last-deadline", test_retry_after_the_last_deadline);
+	g_test_add_func("/stop/late-request-without-a-time", test_late_request_without_a_time);
+	g_test_add_func("/stop/request-behind-a-late-answer", test_request_behind_a_late_answer);
+	g_test_add_func("/stop/body-that-ends-early", test_body_that_ends_early);
+	g_test_add_func("/stop/slow-reader-is-cut", test_slow_reader_is_cut);
+	g_test_add_func("/stop/refused-calls-prolong-the-stop",
+			test_refused_calls_prolong_the_stop);
+	g_test_add_func("/stop/stop-is-told", test_stop_is_told);
+	g_test_add_func("/stop/slow-entry-node-is-cut", test_slow_entry_node_is_cut);
+	g_test_add_func("/stop/answer-that-came-while-frozen", test_answer_that_came_while_frozen);
 	g_test_add_func("/stop/no-grace", test_no_grace);
 	ret = g_test_run();
 	fflush(stdout);
--- a/test/stop_test.sh
+++ b/test/stop_test.sh
@@ -59,6 +59,17 @@
 		grep -vc ' 200 answer - own$' | grep -qx 0
 }
 
+# act SIGNAL - sends it to node 3; "stop2" stops node 2, where calls of node 3 run, "short" names
+# a shorter grace in the settings of node 3, "sleep" waits
+act() {
+	case $1 in
+	stop2) signal TERM node2 ;;
+	short) sed -i 's/^shutdown_grace_s=.*/shutdown_grace_s=1/' "$dir/node3.ini" ;;
+	sleep) sleep 0.8 ;;
+	*) signal "$1" node3 ;;
+	esac
+}
+
 # round NAME SIGNAL... - sends the signals to node 3 while callers keep sending
 round() {
 	local name=$1 sig
@@ -69,7 +80,7 @@
 	callers "$name-quick" -c 6 -s 100 -t 4000 -w 10
 	sleep 0.7
 	for sig in "$@"; do
-		signal "$sig" node3
+		act "$sig"
 		sleep 0.1
 	done
 	end_of node3 "node 3"
@@ -94,6 +105,18 @@
 round once TERM
 # Signals that repeat, and a reload of the settings just before and after.
 round twice HUP TERM HUP TERM
+# The settings name a shorter grace only after the signal.
+round changed TERM short HUP
+sed -i "s/^shutdown_grace_s=.*/shutdown_grace_s=$grace_s/" "$dir/node3.ini"
+# The process does not run for a part of its grace.
+longest_ms=1200
+round frozen TERM STOP sleep CONT
+# A node where its calls run stops at the same time.
+longest_ms=2800
+round both stop2 TERM
+end_of node2 "node 2"
+start_node 2
+wait_for "3 upstreams" has_upstreams 3 || fail "node 2 does not return"
 # The settings name a shorter grace from just before the signal on.
 sed -i 's/^shutdown_grace_s=.*/shutdown_grace_s=3/' "$dir/node3.ini"
 grace_s=3 longest_ms=1200
