test: a control process is fresh by messages that were long on their way

Callers would see 404 for a route that was confirmed seconds ago: a node judges the word of freshness by when it was sent, but the control process that sends it judges its own freshness by when the reply (leader) or the heartbeat (follower) arrived. A leader with a reply to a round of 0.9 s ago, and a follower with a heartbeat of 3 s ago, are fresh; the lease is 0.6 s.

--- a/test/raft_step_test.c
+++ b/test/raft_step_test.c
@@ -1,6 +1,7 @@
 /* Steps one raft replica message by message and records what it sends and writes. */
 #include "control/raft_impl.h"
 #include "lib/err.h"
+#include "wire/ctl.h"
 
 #include <string.h>
 
@@ -634,6 +635,56 @@
 	owner_free(o);
 }
 
+/*
+ * Guards against: a leader counts as fresh by replies that were long on their way, although its
+ * followers may have elected another one since they sent them.
+ */
+static void test_leader_is_fresh_by_late_replies(void)
+{
+	struct owner *o = owner_new(3, 1, 3);
+	struct raft_msg late = { .type = RAFT_APPEND_ENTRIES_REPLY, .from = 2, .is_ok = true };
+	u64 arrived = NOW_US + RAFT_ELECTION_TIMEOUT_MIN_US - 1;
+
+	elect(o);
+	raft_tick(&o->r, NOW_US);
+	reply(o, 2, 4, true);
+	g_assert_true(raft_is_fresh(&o->r, CTL_LEASE_US, NOW_US));
+	late.term = o->r.term;
+	late.index = 4;
+	late.round = o->r.round; /* of the heartbeat at NOW_US */
+	step(o, late, arrived);
+	g_assert_false(raft_is_fresh(&o->r, CTL_LEASE_US, arrived + CTL_LEASE_US / 2));
+	owner_free(o);
+}
+
+/*
+ * Guards against: a follower counts as fresh by a heartbeat that was long on its way, although it
+ * lacks what was committed since. The round of a heartbeat is the time of the leader's clock, which
+ * is the follower's here.
+ */
+static void test_follower_is_fresh_by_late_heartbeat(void)
+{
+	struct owner *o = owner_new(3, 1, 3);
+	struct raft_entry *noop = raft_entry_new(4, 2, RAFT_NOOP, NULL);
+	g_autoptr(GPtrArray) entries = g_ptr_array_new();
+	struct raft_msg append = { .type = RAFT_APPEND_ENTRIES,
+				   .from = 2,
+				   .term = 2,
+				   .index = 3,
+				   .log_term = 1,
+				   .commit = 4,
+				   .round = NOW_US,
+				   .entries = entries };
+
+	g_ptr_array_add(entries, noop);
+	step(o, append, NOW_US);
+	g_assert_true(raft_is_fresh(&o->r, CTL_LEASE_US, NOW_US));
+	step(o, append, NOW_US + 3 * US_PER_S);
+	g_assert_false(raft_is_fresh(&o->r, CTL_LEASE_US, NOW_US + 3 * US_PER_S));
+	raft_entry_free(noop);
+	owner_free(o);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -674,6 +725,10 @@
 			test_late_tick_starts_no_election);
 	g_test_add_func("/raft-step/fresh-after-commit-in-the-leaders-term",
 			test_fresh_after_commit_in_the_leaders_term);
+	g_test_add_func("/raft-step/leader-is-fresh-by-late-replies",
+			test_leader_is_fresh_by_late_replies);
+	g_test_add_func("/raft-step/follower-is-fresh-by-late-heartbeat",
+			test_follower_is_fresh_by_late_heartbeat);
 	g_test_add_func("/raft-step/start-without-leader", test_start_without_leader);
 	g_test_add_func("/raft-step/entries-in-flight-are-bounded",
 			test_entries_in_flight_are_bounded);
