test: a compressed part holds up a node, unknown revisions hold up control

Callers would wait: a part of 8 KB may hold any number of routes, and all its frames are handled in one turn. 6,000 routes with numbered paths are 1,287 bytes; the turn takes 10 to 15 ms of processor time, 0.1 s and more at 0.1 of a core. Control makes and compresses the whole set for each revision that its nodes have and that it never observed: 57 and 63 ms for eight. Both tests fail.

--- a/test/config_size_test.c
+++ b/test/config_size_test.c
@@ -75,6 +75,12 @@
 	g_assert_cmpuint(longest_us, <=, TURN_MAX_US);
 }
 
+static void do_give_stream(void *arg)
+{
+	(void)arg;
+	fake_config_give_stream(&control, node.node->watch, &cost);
+}
+
 /* Guards against: a change of one route costs each node as much as all routes. */
 static void test_one_route_costs_whole_set(void)
 {
@@ -105,12 +111,84 @@
 	g_assert_cmpuint(made_us, <=, CONTROL_TURN_MAX_US);
 }
 
+/* Returns a set whose paths are numbered, as those of generated routes are. */
+static char *numbered_text(u32 version, u32 timeout_ms)
+{
+	GString *text = g_string_new(NULL);
+
+	g_string_append_printf(text, "{\"version\":%u,\"routes\":[", version);
+	for (u32 i = 0; i < ROUTES; i++)
+		g_string_append_printf(text,
+				       "%s{\"name\":\"route-%u\",\"host\":\"shop.example\","
+				       "\"prefix\":\"/item/%u/\","
+				       "\"service\":\"a\",\"repeat\":\"always\",\"attempts\":3,"
+				       "\"timeout_ms\":%u,\"target_ms\":250}",
+				       i ? "," : "", i, i, timeout_ms);
+	g_string_append(text, "],\"services\":[{\"name\":\"a\"}]}");
+	return g_string_free(text, FALSE);
+}
+
+/*
+ * Guards against: a part of a set whose routes compress well holds many of them, and a node answers
+ * no calls while it handles them.
+ */
+static void test_part_of_numbered_routes_holds_up_calls(void)
+{
+	u64 longest_us = UINT64_MAX;
+
+	start();
+	for (u32 i = 0; i < ROUNDS; i++) {
+		g_autofree char *text = numbered_text(i + 1, TIMEOUT_MS + i * 10);
+
+		fake_config_replace(&control, i + 1, text);
+		loop_call(node.node->loop, do_give_stream, NULL);
+		g_test_message("%zu bytes on the link, most decoded of one part %u, longest %u us",
+			       cost.link_bytes, (u32)cost.most_decoded_bytes, (u32)cost.longest_us);
+		longest_us = MIN(longest_us, cost.longest_us);
+	}
+	g_assert_cmpuint(longest_us, <=, TURN_MAX_US);
+	g_assert_cmpuint(cost.most_decoded_bytes, <=, TURN_MAX_BYTES);
+}
+
+#define REVISIONS 8
+
+/*
+ * Guards against: a control process that has just started, or got several changes at once, makes
+ * the whole set anew, in one turn, for each revision that its nodes have.
+ */
+static void test_unknown_revisions_hold_up_control(void)
+{
+	struct config_streams streams = { 0 };
+	u64 busy_us;
+
+	fake_config_init(&control);
+	for (u32 i = 0; i <= REVISIONS; i++) {
+		g_autofree char *text = fake_config_text(i + 1, ROUTES, i, TIMEOUT_MS);
+
+		fake_config_replace(&control, i + 1, text);
+	}
+	config_frames_observe(&streams.frames, &control.store);
+	config_stream_unref(config_streams_get(&streams, &control.store, 0));
+	busy_us = fake_config_cpu_us();
+	for (u32 from = 1; from <= REVISIONS; from++)
+		config_stream_unref(config_streams_get(&streams, &control.store, from));
+	busy_us = fake_config_cpu_us() - busy_us;
+	g_test_message("%u us for %u revisions", (u32)busy_us, REVISIONS);
+	config_streams_clear(&streams);
+	fake_config_clear(&control);
+	g_assert_cmpuint(busy_us, <=, CONTROL_TURN_MAX_US);
+}
+
 int main(int argc, char **argv)
 {
 	int ret;
 
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/config-size/large-set-holds-up-calls", test_large_set_holds_up_calls);
+	g_test_add_func("/config-size/part-of-numbered-routes-holds-up-calls",
+			test_part_of_numbered_routes_holds_up_calls);
+	g_test_add_func("/config-size/unknown-revisions-hold-up-control",
+			test_unknown_revisions_hold_up_control);
 	g_test_add_func("/config-size/one-route-costs-whole-set", test_one_route_costs_whole_set);
 	g_test_add_func("/config-size/one-route-holds-up-control", test_one_route_holds_up_control);
 	ret = g_test_run();
--- a/test/fakes/fake_config.c
+++ b/test/fakes/fake_config.c
@@ -59,7 +59,7 @@
 	g_assert_cmpint(r.status / 100, ==, 2);
 }
 
-static u64 cpu_us(void)
+u64 fake_config_cpu_us(void)
 {
 	struct timespec t;
 
@@ -90,23 +90,24 @@
 static void count_frame(struct watch *w, struct frame_out *f, struct fake_config_cost *cost)
 {
 	u64 decoded_before = ctr_get(CTR_CONFIG_DECODED_BYTES);
-	u64 began_us = cpu_us();
+	u64 began_us = fake_config_cpu_us();
 	size_t plain = give_frame(w, f);
 
-	count_cost(cost, cpu_us() - began_us, ctr_get(CTR_CONFIG_DECODED_BYTES) - decoded_before);
+	count_cost(cost, fake_config_cpu_us() - began_us,
+		   ctr_get(CTR_CONFIG_DECODED_BYTES) - decoded_before);
 	cost->plain_bytes += plain;
 	cost->longest_plain_bytes = MAX(cost->longest_plain_bytes, plain);
 }
 
 void fake_config_give(struct fake_config *c, struct watch *w, struct fake_config_cost *cost)
 {
-	u64 began_us = cpu_us();
+	u64 began_us = fake_config_cpu_us();
 	const GPtrArray *frames = config_frames_get(&c->frames, &c->store, config_revision());
 
 	struct config_stream *stream;
 
 	memset(cost, 0, sizeof(*cost));
-	cost->made_us = cpu_us() - began_us;
+	cost->made_us = fake_config_cpu_us() - began_us;
 	for (guint i = 0; i < frames->len; i++)
 		count_frame(w, g_ptr_array_index(frames, i), cost);
 	stream = config_stream_new(0, 1, frames);
@@ -125,21 +126,22 @@
 				 .bytes = stream->bytes->data + offset,
 				 .len = len };
 	u64 decoded_before = ctr_get(CTR_CONFIG_DECODED_BYTES);
-	u64 began_us = cpu_us();
+	u64 began_us = fake_config_cpu_us();
 
 	g_assert_cmpint(config_receive_part(&w->receive, &p), ==, 0);
-	count_cost(cost, cpu_us() - began_us, ctr_get(CTR_CONFIG_DECODED_BYTES) - decoded_before);
+	count_cost(cost, fake_config_cpu_us() - began_us,
+		   ctr_get(CTR_CONFIG_DECODED_BYTES) - decoded_before);
 }
 
 void fake_config_give_stream(struct fake_config *c, struct watch *w, struct fake_config_cost *cost)
 {
 	u64 from = config_revision();
-	u64 began_us = cpu_us();
+	u64 began_us = fake_config_cpu_us();
 	struct config_stream *stream = config_stream_new(
 		from, c->store.revision, config_frames_get(&c->frames, &c->store, from));
 
 	memset(cost, 0, sizeof(*cost));
-	cost->made_us = cpu_us() - began_us;
+	cost->made_us = fake_config_cpu_us() - began_us;
 	cost->link_bytes = stream->bytes->len;
 	for (u32 at = 0; at < stream->bytes->len; at += CONFIG_PART_BYTES)
 		give_part(w, stream, at, cost);
--- a/test/fakes/fake_config.h
+++ b/test/fakes/fake_config.h
@@ -30,6 +30,9 @@
 void fake_config_init(struct fake_config *c);
 void fake_config_clear(struct fake_config *c);
 
+/* fake_config_cpu_us - returns the processor time of the calling thread. */
+u64 fake_config_cpu_us(void);
+
 /* fake_config_text - returns a set whose routes have TIMEOUT_MS; CHANGED has 1 ms more. */
 char *fake_config_text(u32 version, u32 routes, u32 changed, u32 timeout_ms);
 
