test: a large set on a link with delay, and a long name of a service

364 KB at 2 Mbit/s take 1.45 s, but 3.2 to 3.4 s with 100 ms of delay, as a window of 16 KB waits for each acknowledgement; a change has to be in force after 2 s. paced_relay can delay bytes for it. A set with a service's name of 257 to 1,024 bytes is accepted, but control closes each link with a subscription to it: 14 links down in 2 s, also after another set has dropped the service.

--- a/test/config_transfer_test.c
+++ b/test/config_transfer_test.c
@@ -285,6 +285,64 @@
 	g_assert_cmpuint(ctr_get(CTR_CONTROL_MOVED), ==, moved);
 }
 
+/* Of a queue of 25 KB of calls at 2 Mbit/s, or of a node that waits for its processor time. */
+#define DELAY_US (100 * US_PER_MS)
+/* A configuration has to be in force after this time. */
+#define PROPAGATION_US (2 * US_PER_S)
+
+/*
+ * Guards against: a set whose bytes need half of the time for a change is late, as control waits
+ * for the acknowledgement of each window over a link with some delay.
+ */
+static void test_large_set_on_link_with_delay(void)
+{
+	g_autofree char *text = set_text(2, ROUTES);
+	u64 bytes = compressed_bytes(text);
+	struct fake_node node;
+	u64 start;
+
+	g_assert_cmpuint(bytes * US_PER_S / LINK_BYTES_PER_S + 4 * DELAY_US, <, PROPAGATION_US);
+	declare(1, "{\"version\":1,\"routes\":[],\"services\":[],\"limits\":{}}");
+	narrow.delay_us = DELAY_US;
+	start_node(&node);
+	g_assert_cmpuint(wait_revision(1, loop_clock_us(), WAIT_US), ==, 1);
+	declare(2, text);
+	start = loop_clock_us();
+	g_assert_cmpuint(wait_revision(2, start, WAIT_US), ==, 2);
+	g_test_message("%u bytes in force after %u ms", (u32)bytes,
+		       (u32)((loop_clock_us() - start) / US_PER_MS));
+	g_assert_cmpuint(loop_clock_us() - start, <, PROPAGATION_US);
+}
+
+#define NAME_BYTES 300
+#define SUBSCRIBED_US (2 * US_PER_S)
+
+/*
+ * Guards against: a set is accepted with a name of a service that is longer than control takes in a
+ * subscription; control closes the link of each node that subscribes, again and again.
+ */
+static void test_long_name_closes_links(void)
+{
+	g_autofree char *name = g_strnfill(NAME_BYTES, 'a');
+	g_autofree char *text = g_strdup_printf(
+		"{\"version\":1,\"routes\":[{\"name\":\"r\",\"host\":\"h.example\",\"prefix\":\"/"
+		"\","
+		"\"repeat\":\"always\",\"timeout_ms\":1000,\"attempts\":2,\"service\":\"%s\"}],"
+		"\"services\":[{\"name\":\"%s\"}]}",
+		name, name);
+	struct fake_node node;
+	u64 down;
+
+	declare(1, text);
+	start_node(&node);
+	g_assert_cmpuint(wait_revision(1, loop_clock_us(), WAIT_US), ==, 1);
+	down = ctr_get(CTR_LINK_DOWN);
+	g_usleep(SUBSCRIBED_US);
+	g_test_message("%u links down in %u ms", (u32)(ctr_get(CTR_LINK_DOWN) - down),
+		       (u32)(SUBSCRIBED_US / US_PER_MS));
+	g_assert_cmpuint(ctr_get(CTR_LINK_DOWN), ==, down);
+}
+
 int main(int argc, char **argv)
 {
 	int ret;
@@ -300,6 +358,9 @@
 	g_test_add_func("/config-transfer/changes-during-transfer", test_changes_during_transfer);
 	g_test_add_func("/config-transfer/many-services-on-narrow-link",
 			test_many_services_on_narrow_link);
+	g_test_add_func("/config-transfer/large-set-on-link-with-delay",
+			test_large_set_on_link_with_delay);
+	g_test_add_func("/config-transfer/long-name-closes-links", test_long_name_closes_links);
 	ret = g_test_run();
 	for (u32 i = 0; i < CONTROLS; i++)
 		lone_control_remove_folder(&controls[i].lone);
--- a/test/fakes/paced_relay.c
+++ b/test/fakes/paced_relay.c
@@ -5,6 +5,7 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -23,6 +24,14 @@
 	int from;
 	int to;
 	gint *refs; /* of the connection */
+	GAsyncQueue *delayed; /* of struct chunk; NULL: bytes go on at once */
+};
+
+/* Bytes that are on their way; with LEN 0, the end of the connection. */
+struct chunk {
+	u64 due_us;
+	size_t len;
+	char bytes[CHUNK_BYTES];
 };
 
 /* Waits until the link has taken N further bytes. */
@@ -40,6 +49,35 @@
 		g_usleep(until - now);
 }
 
+static struct chunk *chunk_new(const struct flow *f, const char *bytes, size_t len)
+{
+	struct chunk *c = g_new(struct chunk, 1);
+
+	c->due_us = loop_clock_us() + f->link->delay_us;
+	c->len = len;
+	memcpy(c->bytes, bytes, len);
+	return c;
+}
+
+/* Sends delayed chunks when they are due, in their order. */
+static gpointer delay_main(gpointer arg)
+{
+	struct flow *f = arg;
+	bool is_open = true;
+
+	while (is_open) {
+		g_autofree struct chunk *c = g_async_queue_pop(f->delayed);
+		u64 now = loop_clock_us();
+
+		if (c->due_us > now)
+			g_usleep(c->due_us - now);
+		is_open = c->len;
+		if (is_open)
+			send(f->to, c->bytes, c->len, MSG_NOSIGNAL);
+	}
+	return NULL;
+}
+
 static bool relay_chunk(const struct flow *f)
 {
 	char chunk[CHUNK_BYTES];
@@ -49,15 +87,38 @@
 		return false;
 	if (f->link)
 		pace(f->link, (size_t)n);
+	if (f->delayed) {
+		g_async_queue_push(f->delayed, chunk_new(f, chunk, (size_t)n));
+		return true;
+	}
 	return send(f->to, chunk, (size_t)n, MSG_NOSIGNAL) == n;
 }
 
+static GThread *start_delay(struct flow *f)
+{
+	if (!f->link || !f->link->delay_us)
+		return NULL;
+	f->delayed = g_async_queue_new_full(g_free);
+	return g_thread_new("delay", delay_main, f);
+}
+
+static void end_delay(struct flow *f, GThread *thread)
+{
+	if (!thread)
+		return;
+	g_async_queue_push(f->delayed, chunk_new(f, "", 0));
+	g_thread_join(thread);
+	g_async_queue_unref(f->delayed);
+}
+
 static gpointer flow_main(gpointer arg)
 {
 	struct flow *f = arg;
+	GThread *delay = start_delay(f);
 
 	while (relay_chunk(f))
 		;
+	end_delay(f, delay);
 	shutdown(f->from, SHUT_RDWR);
 	shutdown(f->to, SHUT_RDWR);
 	if (g_atomic_int_dec_and_test(f->refs)) {
--- a/test/fakes/paced_relay.h
+++ b/test/fakes/paced_relay.h
@@ -17,6 +17,7 @@
 struct paced_link {
 	GMutex lock;
 	u64 bytes_per_s;
+	u64 delay_us; /* of each byte beside the rate; not to be changed after the first start */
 	u64 free_at_us; /* when the last byte that was given to the link is through */
 	gint bytes; /* relayed so far */
 };
