test: subscriptions to many services hold back renewals

Callers would see a node's upstream gone, and no acknowledgement of its configuration: with each service that is called for the first time a node sends the names of all that it called. 600 services are 2.1 MB, 8.4 s at 2 Mbit/s, in front of renewals, which have to come within 5 s.

--- a/test/config_transfer_test.c
+++ b/test/config_transfer_test.c
@@ -314,6 +314,44 @@
 	g_assert_cmpuint(loop_clock_us() - start, <, PROPAGATION_US);
 }
 
+struct one_request {
+	struct node *node;
+	u32 service;
+};
+
+static void request_one(void *arg)
+{
+	const struct one_request *r = arg;
+	g_autofree char *service = g_strdup_printf("service-%u", r->service);
+
+	watch_request_service(r->node, service);
+}
+
+/*
+ * Guards against: with each service that is called for the first time a node sends the names of all
+ * of them, and its renewals and acknowledgements wait behind them for longer than it may be silent.
+ */
+static void test_subscriptions_hold_back_renewals(void)
+{
+	struct one_request r = { 0 };
+	struct fake_node node;
+	u64 before;
+	u64 bytes;
+
+	declare(1, "{\"version\":1,\"routes\":[],\"services\":[],\"limits\":{}}");
+	start_node(&node);
+	g_assert_cmpuint(wait_revision(1, loop_clock_us(), WAIT_US), ==, 1);
+	r.node = node.node;
+	before = (u64)g_atomic_int_get(&narrow.bytes_back);
+	for (r.service = 0; r.service < SERVICES; r.service++)
+		loop_call(node.node->loop, request_one, &r);
+	g_usleep(US_PER_S);
+	bytes = (u64)g_atomic_int_get(&narrow.bytes_back) - before;
+	g_test_message("%u bytes for %u services, %u ms at this rate", (u32)bytes, SERVICES,
+		       (u32)(bytes * 1000 / LINK_BYTES_PER_S));
+	g_assert_cmpuint(bytes * US_PER_S / LINK_BYTES_PER_S, <, DIRECTORY_TTL_US);
+}
+
 #define NAME_BYTES 300
 #define SUBSCRIBED_US (2 * US_PER_S)
 
@@ -360,6 +398,8 @@
 			test_many_services_on_narrow_link);
 	g_test_add_func("/config-transfer/large-set-on-link-with-delay",
 			test_large_set_on_link_with_delay);
+	g_test_add_func("/config-transfer/subscriptions-hold-back-renewals",
+			test_subscriptions_hold_back_renewals);
 	g_test_add_func("/config-transfer/long-name-closes-links", test_long_name_closes_links);
 	ret = g_test_run();
 	for (u32 i = 0; i < CONTROLS; i++)
--- a/test/fakes/paced_relay.c
+++ b/test/fakes/paced_relay.c
@@ -20,7 +20,8 @@
 };
 
 struct flow {
-	struct paced_link *link; /* NULL: not paced */
+	struct paced_link *link;
+	bool is_paced;
 	int from;
 	int to;
 	gint *refs; /* of the connection */
@@ -85,8 +86,10 @@
 
 	if (n <= 0)
 		return false;
-	if (f->link)
+	if (f->is_paced)
 		pace(f->link, (size_t)n);
+	else
+		g_atomic_int_add(&f->link->bytes_back, (gint)n);
 	if (f->delayed) {
 		g_async_queue_push(f->delayed, chunk_new(f, chunk, (size_t)n));
 		return true;
@@ -96,7 +99,7 @@
 
 static GThread *start_delay(struct flow *f)
 {
-	if (!f->link || !f->link->delay_us)
+	if (!f->is_paced || !f->link->delay_us)
 		return NULL;
 	f->delayed = g_async_queue_new_full(g_free);
 	return g_thread_new("delay", delay_main, f);
@@ -130,11 +133,13 @@
 	return NULL;
 }
 
-static void start_flow(struct paced_link *link, int from, int to, gint *refs)
+static void start_flow(struct paced_link *link, bool is_paced, int from, int to, gint *refs)
 {
 	struct flow *f = g_new0(struct flow, 1);
 
-	*f = (struct flow){ .link = link, .from = from, .to = to, .refs = refs };
+	*f = (struct flow){
+		.link = link, .is_paced = is_paced, .from = from, .to = to, .refs = refs
+	};
 	g_thread_unref(g_thread_new("flow", flow_main, f));
 }
 
@@ -155,8 +160,8 @@
 		setsockopt(to, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
 		setsockopt(to, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
 		*refs = 2;
-		start_flow(NULL, from, to, refs);
-		start_flow(r->link, to, from, refs);
+		start_flow(r->link, false, from, to, refs);
+		start_flow(r->link, true, to, from, refs);
 	}
 	return NULL;
 }
--- a/test/fakes/paced_relay.h
+++ b/test/fakes/paced_relay.h
@@ -20,6 +20,7 @@
 	u64 delay_us; /* of each byte beside the rate; not to be changed after the first start */
 	u64 free_at_us; /* when the last byte that was given to the link is through */
 	gint bytes; /* relayed so far */
+	gint bytes_back; /* the same towards the targets */
 };
 
 /* paced_relay_start - relays a port, which is returned, to TARGET over LINK, for ever. */
