raft: a control process is fresh by when messages were sent, not by when they arrived

Callers could see 404 for a route that was confirmed seconds before: a node judges a freshness report by when it was sent, but the control process that sends it judged itself by when the leader's heartbeat, or the reply of a follower, arrived.

A round is named by the time at which the leader sent it, and replies echo it. Elections and check-quorum still go by arrival: they ask whether a member is there.

raft_step_test:/raft-step/fresh-after-commit-in-the-leaders-term gave a heartbeat without a round, which no leader sends; it has one now, its checks are the same.

--- a/control/raft.h
+++ b/control/raft.h
@@ -125,6 +125,11 @@
 	void (*restore)(struct raft *r, u64 index, GBytes *state);
 	GBytes *(*snapshot)(struct raft *r); /* returns the state after the last applied entry */
 	void (*read_ready)(struct raft *r, u64 read_id, bool is_ok);
+	/*
+	 * to_local_us - converts a time of the clock of member FROM; 0 if it is not known. NULL if
+	 * all members have one clock.
+	 */
+	u64 (*to_local_us)(struct raft *r, u32 from, u64 remote_us);
 };
 
 /* The leader's replication state for one member. */
@@ -178,7 +183,9 @@
 
 	u64 election_due_us;
 	u64 heartbeat_due_us;
-	u64 leader_heard_us;
+	u64 leader_heard_us; /* when the last message of the leader arrived */
+	u64 leader_sent_us; /* when the newest heartbeat round of the leader was sent */
+	u64 leader_sent_term; /* the term of that leader */
 	u64 leader_commit; /* highest commit index received from a leader */
 	u32 votes[RAFT_MEMBERS_MAX];
 	u32 nvotes;
@@ -254,8 +261,9 @@
 
 /*
  * raft_is_fresh - whether the applied state may be served: an entry of the current term is
- * committed and, within LEASE_US, a leader heard from a quorum, or a follower that has applied up
- * to the leader's commit index heard from the leader.
+ * committed and, of rounds sent within LEASE_US, a leader got replies from a quorum, or a follower
+ * that has applied up to the leader's commit index got the heartbeat. The time that a message spent
+ * on its way counts.
  */
 bool raft_is_fresh(const struct raft *r, u64 lease_us, u64 now_us);
 
--- a/control/raft_follow.c
+++ b/control/raft_follow.c
@@ -3,6 +3,17 @@
 
 #include "lib/ctr.h"
 
+/* A message that was long on its way says nothing about what the leader has committed since. */
+static void note_leader_sent(struct raft *r, const struct raft_msg *m, u64 now_us)
+{
+	u64 sent_us = r->ops->to_local_us ? r->ops->to_local_us(r, m->from, m->round) : m->round;
+
+	if (m->term > r->leader_sent_term)
+		r->leader_sent_us = 0;
+	r->leader_sent_term = m->term;
+	r->leader_sent_us = MAX(r->leader_sent_us, MIN(sent_us, now_us));
+}
+
 /* Becomes a follower of the sender of M and resets the election timeout. */
 static void follow_leader(struct raft *r, const struct raft_msg *m, u64 now_us)
 {
@@ -10,6 +21,7 @@
 		raft_become_follower(r, m->term, m->from, now_us);
 	r->leader = m->from;
 	r->leader_heard_us = now_us;
+	note_leader_sent(r, m, now_us);
 	r->leader_commit = MAX(r->leader_commit, m->commit);
 	raft_reset_election_timeout(r, now_us);
 }
--- a/control/raft_host.c
+++ b/control/raft_host.c
@@ -105,6 +105,13 @@
 	op_read_ready(r->arg, read_id, is_ok);
 }
 
+static u64 host_to_local_us(struct raft *r, u32 from, u64 remote_us)
+{
+	const struct link *k = peers_link(r->arg, from);
+
+	return k ? link_to_local_us(k, remote_us) : 0;
+}
+
 static const struct raft_ops host_ops = {
 	.send = host_send,
 	.save_state = host_save_state,
@@ -114,6 +121,7 @@
 	.restore = host_restore,
 	.snapshot = host_snapshot,
 	.read_ready = host_read_ready,
+	.to_local_us = host_to_local_us,
 };
 
 static u64 random_id(void)
--- a/test/raft_step_test.c
+++ b/test/raft_step_test.c
@@ -574,6 +574,7 @@
 				   .index = 3,
 				   .log_term = 1,
 				   .commit = 1,
+				   .round = NOW_US,
 				   .entries = entries };
 
 	g_ptr_array_add(entries, noop);
