set, wire: one bound for names, so that each set that is accepted can be used

What was seen: a set with a service's name of 257 to 1,024 bytes was accepted, but control refused each frame that named it and closed the link: 14 links down in 2 s at one node, which then lost its words of freshness. Upstreams with names over 127 bytes could not announce themselves.

Frames and announcements take what a set takes.

--- a/control/nodes.c
+++ b/control/nodes.c
@@ -277,7 +277,7 @@
 	struct node_link *n = find_node(c, k);
 
 	for (u32 i = 0; i < count && !in->err; i++)
-		g_ptr_array_add(services, frame_get_str(in, CTL_NAME_MAX_BYTES));
+		g_ptr_array_add(services, frame_get_str(in, SET_TEXT_MAX_BYTES));
 	if (frame_done(in))
 		return ERR_INVAL;
 	if (is_whole)
--- a/lib/set.c
+++ b/lib/set.c
@@ -6,7 +6,6 @@
 #define TIMEOUT_MAX_MS (10 * 60 * 1000)
 /* A latency target may exceed the timeout of its route by less than this. */
 #define TARGET_SLACK_MS (60 * 1000)
-#define TEXT_MAX_BYTES 1024
 #define ROUTES_MAX 200000
 #define SPLIT_PARTS_MAX 64
 #define ATTEMPTS_MAX 100
@@ -36,7 +35,7 @@
 {
 	const char *text = json_string_value(json_object_get(obj, key));
 
-	if (!text || !*text || strlen(text) > TEXT_MAX_BYTES) {
+	if (!text || !*text || strlen(text) > SET_TEXT_MAX_BYTES) {
 		report(found, at, key, "missing, empty, too long or not a string");
 		text = "";
 	}
--- a/lib/set.h
+++ b/lib/set.h
@@ -19,6 +19,8 @@
 
 /* A set is one entry of the replicated log. */
 #define SET_JSON_MAX_BYTES (8 * 1024 * 1024)
+/* Bound of each name, host and path; frames and announcements take as much. */
+#define SET_TEXT_MAX_BYTES 1024
 /* The resource name of a stored set; no service can have this name. */
 #define SET_NAME "/set"
 /* The worth of priority 0; it decreases by 1 with each following priority. */
--- a/node/local.c
+++ b/node/local.c
@@ -13,7 +13,7 @@
 #include <string.h>
 
 #define ANNOUNCE_MAX_BYTES 4096
-#define NAME_MAX_BYTES 128
+#define NAME_MAX_BYTES (SET_TEXT_MAX_BYTES + 1)
 #define SLOTS_MAX 100000
 #define COLD_MAX_MS (3600 * 1000)
 
--- a/node/watch_view.c
+++ b/node/watch_view.c
@@ -112,7 +112,7 @@
 	u32 n = frame_get_count(in, CTL_SUBSCRIPTIONS_MAX);
 
 	for (u32 i = 0; i < n && !in->err; i++) {
-		char *name = frame_get_str(in, CTL_NAME_MAX_BYTES);
+		char *name = frame_get_str(in, SET_TEXT_MAX_BYTES);
 
 		if (in->err)
 			return;
--- a/wire/ctl.h
+++ b/wire/ctl.h
@@ -28,7 +28,6 @@
 #define CTL_ITEMS_PER_FRAME 256
 /* Services that one node may subscribe to. */
 #define CTL_SUBSCRIPTIONS_MAX 4096
-#define CTL_NAME_MAX_BYTES 256
 /* Directory changes are batched for this time before they are sent. */
 #define CTL_PROPAGATE_DELAY_US (50 * US_PER_MS)
 /*
--- a/wire/dir_entry.c
+++ b/wire/dir_entry.c
@@ -1,6 +1,7 @@
 #include "wire/dir_entry.h"
 
 #include "lib/err.h"
+#include "lib/set.h"
 
 #include <glib.h>
 #include <string.h>
@@ -29,7 +30,7 @@
 	e->incarnation = frame_get_u64(in);
 	e->version = frame_get_u64(in);
 	e->state = (enum dir_state)frame_get_u64(in);
-	e->service = frame_get_str(in, DIR_TEXT_MAX_BYTES);
+	e->service = frame_get_str(in, SET_TEXT_MAX_BYTES);
 	e->slots = (u32)frame_get_u64(in);
 	e->connections = (u32)frame_get_u64(in);
 	if (e->state < DIR_NO_UPSTREAM || e->state > DIR_GONE)
--- a/wire/peer.c
+++ b/wire/peer.c
@@ -1,6 +1,7 @@
 #include "wire/peer.h"
 
 #include "lib/err.h"
+#include "lib/set.h"
 
 #include <string.h>
 
@@ -98,7 +99,7 @@
 int peer_call_get(struct frame_in *in, struct peer_call *c)
 {
 	c->id = peer_id_get(in);
-	c->service = frame_get_str(in, PEER_NAME_MAX_BYTES);
+	c->service = frame_get_str(in, SET_TEXT_MAX_BYTES);
 	c->rank = frame_get_str(in, PEER_NAME_MAX_BYTES);
 	c->deadline_us = frame_get_u64(in);
 	c->revision = frame_get_u64(in);
