--- a/test/watch_test.c
+++ b/test/watch_test.c
@@ -62,14 +62,17 @@
 /* Answers that the requested services have no upstream. */
 static void on_subscribe(struct fake_control *c, struct link *k, struct frame_in *in)
 {
+	bool is_whole = frame_get_bool(in);
 	u32 n = frame_get_count(in, CTL_SUBSCRIPTIONS_MAX);
 	FRAME_AUTO(f, CTL_VIEW);
 
+	if (is_whole)
+		g_atomic_int_set(&c->subscribed_services, 0);
 	frame_put_bool(&f, false);
 	frame_put_u64(&f, 1);
 	frame_put_u64(&f, n);
 	for (u32 i = 0; i < n; i++) {
-		g_autofree char *name = frame_get_str(in, CTL_NAME_MAX_BYTES);
+		g_autofree char *name = frame_get_str(in, SET_TEXT_MAX_BYTES);
 
 		frame_put_str(&f, name);
 	}
