--- a/test/cut_request_test.c
+++ b/test/cut_request_test.c
@@ -235,7 +235,7 @@
 	int fd = raw_listen(&port);
 
 	close(fd);
-	server_ctx = http_server_start("127.0.0.1", port, 2);
+	server_ctx = http_server_start("127.0.0.1", port, 2, NULL);
 	g_assert_nonnull(server_ctx);
 	mg_set_request_handler(server_ctx, "/", on_operator_request, NULL);
 	for (size_t i = 0; i < G_N_ELEMENTS(unclear); i++) {
