--- a/test/fakes/fake_group.c
+++ b/test/fakes/fake_group.c
@@ -135,6 +135,17 @@
 
 /* Raft callbacks */
 
+/* Returns when a message of BYTES that is sent now arrives. */
+static u64 arrival_us(struct fake_group *g, u32 from, size_t bytes)
+{
+	u64 *free_us = &g->link_free_us[from];
+
+	if (!g->bytes_per_s)
+		return g->now_us + DELAY_MIN_US + rng_below(&g->rng, g->delay_max_us + 1);
+	*free_us = MAX(*free_us, g->now_us) + bytes * US_PER_S / g->bytes_per_s;
+	return *free_us + DELAY_MIN_US;
+}
+
 static void queue_message(struct fake_group *g, u32 from, u32 to, GBytes *frame)
 {
 	struct fake_message *m = g_new0(struct fake_message, 1);
@@ -143,7 +154,7 @@
 	m->to = to;
 	m->frame = g_bytes_ref(frame);
 	m->seq = g->messages++;
-	m->due_us = g->now_us + DELAY_MIN_US + rng_below(&g->rng, g->delay_max_us + 1);
+	m->due_us = arrival_us(g, from, g_bytes_get_size(frame));
 	g_ptr_array_add(g->queue, m);
 }
 
--- a/test/fakes/fake_group.h
+++ b/test/fakes/fake_group.h
@@ -7,6 +7,9 @@
  * to another drops all of them. Raft's safety properties are checked at every
  * step, and the first violation is recorded in violation. The replicated state
  * is a hash chain over the commands.
+ *
+ * With a rate of the links, messages leave a replica one after the other and
+ * arrive in that order, as on the link of a VM.
  */
 #ifndef FAKE_GROUP_H
 #define FAKE_GROUP_H
@@ -40,6 +43,8 @@
 	u32 drop_percent;
 	u32 duplicate_percent;
 	u32 delay_max_us;
+	u32 bytes_per_s; /* of the outgoing link of each replica; 0: no limit, and no order */
+	u64 link_free_us[FAKE_GROUP_MAX + 1]; /* when what was sent before has left */
 	u32 state_pad_bytes; /* padding that enlarges snapshots */
 	u32 chunk_bytes; /* for replicas started from now on; 0 for the default */
 	u32 retained_entries_max; /* the same; used when chunk_bytes is not 0 */
