control: long messages between control processes go through lanes that heartbeats overtake

A member that the leader did not know the log of was sent its missing entries again with each heartbeat. Evidence: raft_link_test, at 10 Mbit/s a new term for one entry of 1.5 MB.

A long frame now goes through a lane (control/bulk.c): parts of 8 KB, at most 64 KB beyond those answered, in order. There is one for the log and requests, one for the directory, of which the changes that come while earlier ones are on their way follow together. While a member's lane is busy it gets heartbeats beside it: without entries, after an entry that it is known to have, marked and echoed as overtaking, so that the answer counts for the lease and the quorum but says nothing about the entries. No entries are sent again while the lane is busy: what is on its way is either handled or lost with the link. Entries that are unanswered are also bounded by bytes (512 KB and one entry).

--- a/control/control.c
+++ b/control/control.c
@@ -29,6 +29,7 @@
 
 	(void)err;
 	op_link_down(c, k);
+	peers_on_link_down(c, k);
 	nodes_on_link_down(c, k);
 }
 
--- a/control/control.h
+++ b/control/control.h
@@ -41,6 +41,7 @@
 	struct directory directory;
 
 	GHashTable *peers; /* "HOST:PORT" -> struct control_peer; outgoing links */
+	GHashTable *incoming; /* link from another control process -> its lanes, see peers.c */
 	struct config_streams config_streams;
 	GPtrArray *nodes; /* of struct node_link; links accepted from nodes */
 	GHashTable *reports; /* control id -> struct in_force_report of another process */
@@ -78,12 +79,16 @@
 /* peers_dial_back - connect to the peer that has just connected through K */
 void peers_dial_back(struct control *c, const struct link *k);
 void peers_send_raft(struct control *c, u32 to, const struct raft_msg *m);
+bool peers_is_sending_raft(struct control *c, u32 to); /* see struct raft_ops */
+/* peers_send_forward - send a request, which may be long, through a link of peers_link */
+int peers_send_forward(struct control *c, struct link *k, struct frame_out *f);
 void peers_refresh(struct control *c); /* connects to new members */
 void propagate_tick(struct control *c, u64 now_us); /* sends heartbeats with reports */
 void propagate_schedule_heartbeat(struct control *c); /* reports changed applied revisions */
 void propagate_directory(struct control *c); /* sends directory changes to the peers */
 void propagate_schedule(struct control *c); /* sends changes to peers and nodes as a batch */
 int peers_on_frame(struct control *c, struct link *k, u32 type, struct frame_in *in);
+void peers_on_link_down(struct control *c, struct link *k); /* of a link from another process */
 /* propagate_count_in_force - count the nodes that have applied the current configuration */
 void propagate_count_in_force(struct control *c, struct in_force *out);
 
--- a/control/control_peer.h
+++ b/control/control_peer.h
@@ -6,6 +6,7 @@
 #ifndef CONTROL_PEER_H
 #define CONTROL_PEER_H
 
+#include "control/bulk.h"
 #include "control/control.h"
 
 struct control_peer {
@@ -15,14 +16,21 @@
 	struct link *link;
 	struct loop_timer redial;
 	u64 dir_seq; /* directory changes up to this sequence number were sent */
+	struct bulk_out lanes[BULK_LANES];
 };
 
 /* peers_each - call FN for each peer whose link is up */
 void peers_each(struct control *c, void (*fn)(struct control *c, struct control_peer *p));
 
+/* peers_send_lane - send a frame through a lane of the link to P, which is up */
+void peers_send_lane(struct control_peer *p, enum bulk_lane lane, struct frame_out *f);
+
 /* peers_id - return the control id of the remote end of K, or 0 if unknown */
 u32 peers_id(struct control *c, const struct link *k);
 
+/* propagate_directory_to - send P the directory changes that it lacks */
+void propagate_directory_to(struct control *c, struct control_peer *p);
+
 /* propagate_receive_entries - handle CTL_DIRECTORY, directory entries of other processes */
 int propagate_receive_entries(struct control *c, struct link *k, struct frame_in *in);
 
--- a/control/op.c
+++ b/control/op.c
@@ -76,7 +76,7 @@
 	}
 }
 
-static void forward(struct op *o, struct link *k)
+static void forward(struct control *c, struct op *o, struct link *k)
 {
 	gsize len = 0;
 	const void *data = o->command ? g_bytes_get_data(o->command, &len) : NULL;
@@ -86,7 +86,7 @@
 	frame_put_u64(&f, o->kind);
 	frame_put_u64(&f, o->member);
 	frame_put_bin(&f, data, len);
-	if (link_send(k, &f))
+	if (peers_send_forward(c, k, &f))
 		return;
 	o->is_started = true;
 	o->may_have_run = o->kind == OP_CHANGE;
@@ -108,7 +108,7 @@
 		return;
 	k = peers_link(c, c->raft.leader);
 	if (k)
-		forward(o, k);
+		forward(c, o, k);
 }
 
 void op_submit(struct control *c, struct op *o)
--- a/control/peers.c
+++ b/control/peers.c
@@ -14,6 +14,12 @@
 
 static void dial(struct control_peer *p);
 
+static void clear_lanes(struct control_peer *p)
+{
+	for (u32 i = 0; i < BULK_LANES; i++)
+		bulk_out_clear(&p->lanes[i]);
+}
+
 static void peer_free(gpointer arg)
 {
 	struct control_peer *p = arg;
@@ -21,6 +27,7 @@
 	loop_timer_cancel(p->c->loop, &p->redial);
 	if (p->link)
 		link_close(p->link);
+	clear_lanes(p);
 	g_free(p);
 }
 
@@ -29,14 +36,19 @@
 	struct control_peer *p = k->arg;
 
 	p->dir_seq = 0;
+	clear_lanes(p);
 	log_event(LOG_INFO, "control link up", "peer", k->remote.name, NULL);
 	propagate_directory(p->c);
 }
 
+static int receive_ack(struct control_peer *p, struct frame_in *in);
+
 static int on_frame(struct link *k, u32 type, struct frame_in *in)
 {
 	struct control_peer *p = k->arg;
 
+	if (type == CTL_BULK_ACK)
+		return receive_ack(p, in);
 	return peers_on_frame(p->c, k, type, in);
 }
 
@@ -48,6 +60,7 @@
 		log_event(LOG_WARN, "control link down", "peer", k->remote.name, "error",
 			  err_text(err), NULL);
 	p->link = NULL;
+	clear_lanes(p);
 	op_link_down(p->c, k);
 	loop_timer_set(p->c->loop, &p->redial, loop_clock_us() + REDIAL_US);
 }
@@ -137,10 +150,103 @@
 	}
 }
 
+/* Long messages */
+
+/* What comes through the lanes of one link. */
+struct incoming {
+	struct control *c;
+	struct link *link;
+	struct bulk_in lanes[BULK_LANES];
+};
+
+static void incoming_free(gpointer arg)
+{
+	struct incoming *n = arg;
+
+	for (u32 i = 0; i < BULK_LANES; i++)
+		bulk_in_clear(&n->lanes[i]);
+	g_free(n);
+}
+
+static struct incoming *incoming_of(struct control *c, struct link *k)
+{
+	struct incoming *n = g_hash_table_lookup(c->incoming, k);
+
+	if (n)
+		return n;
+	n = g_new0(struct incoming, 1);
+	n->c = c;
+	n->link = k;
+	g_hash_table_insert(c->incoming, k, n);
+	return n;
+}
+
+void peers_on_link_down(struct control *c, struct link *k)
+{
+	g_hash_table_remove(c->incoming, k);
+}
+
+static int on_long_frame(void *arg, u32 type, struct frame_in *in)
+{
+	struct incoming *n = arg;
+
+	if (type == CTL_BULK)
+		return ERR_INVAL;
+	return peers_on_frame(n->c, n->link, type, in);
+}
+
+static int receive_part(struct control *c, struct link *k, struct frame_in *in)
+{
+	struct incoming *n = incoming_of(c, k);
+	u64 lane = frame_get_u64(in);
+	u64 offset = frame_get_u64(in);
+	size_t len;
+	const void *p = frame_get_bin(in, &len);
+	FRAME_AUTO(f, CTL_BULK_ACK);
+	int err;
+
+	if (frame_done(in) || lane >= BULK_LANES)
+		return ERR_INVAL;
+	err = bulk_receive(&n->lanes[lane], offset, p, len, on_long_frame, n);
+	if (err)
+		return err;
+	frame_put_u64(&f, lane);
+	frame_put_u64(&f, n->lanes[lane].received);
+	link_send(k, &f);
+	return 0;
+}
+
+static void send_part(void *arg, struct frame_out *part)
+{
+	struct control_peer *p = arg;
+
+	link_send(p->link, part);
+}
+
+static int receive_ack(struct control_peer *p, struct frame_in *in)
+{
+	u64 lane = frame_get_u64(in);
+	u64 received = frame_get_u64(in);
+
+	if (frame_done(in) || lane >= BULK_LANES || bulk_acknowledge(&p->lanes[lane], received))
+		return ERR_INVAL;
+	bulk_send(&p->lanes[lane], (enum bulk_lane)lane, send_part, p);
+	if (lane == BULK_DIRECTORY)
+		propagate_directory_to(p->c, p);
+	return 0;
+}
+
+void peers_send_lane(struct control_peer *p, enum bulk_lane lane, struct frame_out *f)
+{
+	bulk_put(&p->lanes[lane], f);
+	bulk_send(&p->lanes[lane], lane, send_part, p);
+}
+
 void peers_start(struct control *c)
 {
 	c->peers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, peer_free);
 	c->reports = g_hash_table_new_full(NULL, NULL, NULL, in_force_report_free);
+	c->incoming = g_hash_table_new_full(NULL, NULL, NULL, incoming_free);
 	peers_refresh(c);
 }
 
@@ -148,6 +254,7 @@
 {
 	g_hash_table_unref(c->peers);
 	g_hash_table_unref(c->reports);
+	g_hash_table_unref(c->incoming);
 }
 
 static struct control_peer *find_peer(struct control *c, u32 id)
@@ -162,11 +269,19 @@
 	return NULL;
 }
 
-struct link *peers_link(struct control *c, u32 id)
+/* Returns the peer if the link to it is up, else NULL. */
+static struct control_peer *find_linked_peer(struct control *c, u32 id)
 {
 	struct control_peer *p = find_peer(c, id);
 
-	return p && p->link && p->link->is_up ? p->link : NULL;
+	return p && p->link && p->link->is_up ? p : NULL;
+}
+
+struct link *peers_link(struct control *c, u32 id)
+{
+	struct control_peer *p = find_linked_peer(c, id);
+
+	return p ? p->link : NULL;
 }
 
 u32 peers_id(struct control *c, const struct link *k)
@@ -179,13 +294,33 @@
 
 void peers_send_raft(struct control *c, u32 to, const struct raft_msg *m)
 {
-	struct link *k = peers_link(c, to);
+	struct control_peer *p = find_linked_peer(c, to);
 	FRAME_AUTO(f, CTL_RAFT);
 
-	if (!k)
+	if (!p)
 		return;
 	raft_msg_put(&f, m);
-	link_send(k, &f);
+	if (m->is_ordered && bulk_needs_lane(&p->lanes[BULK_LOG], &f, m->unacknowledged))
+		peers_send_lane(p, BULK_LOG, &f);
+	else
+		link_send(p->link, &f);
+}
+
+bool peers_is_sending_raft(struct control *c, u32 to)
+{
+	struct control_peer *p = find_linked_peer(c, to);
+
+	return p && bulk_is_sending(&p->lanes[BULK_LOG]);
+}
+
+int peers_send_forward(struct control *c, struct link *k, struct frame_out *f)
+{
+	struct control_peer *p = g_hash_table_lookup(c->peers, k->remote.name);
+
+	if (!p || p->link != k || !bulk_needs_lane(&p->lanes[BULK_LOG], f, 0))
+		return link_send(k, f);
+	peers_send_lane(p, BULK_LOG, f);
+	return 0;
 }
 
 void peers_each(struct control *c, void (*fn)(struct control *c, struct control_peer *p))
@@ -233,6 +368,8 @@
 		return join_receive_request(c, k, in);
 	case CTL_MEMBERS:
 		return join_receive_members(c, in);
+	case CTL_BULK:
+		return receive_part(c, k, in);
 	default:
 		return ERR_INVAL;
 	}
--- a/control/propagate.c
+++ b/control/propagate.c
@@ -42,10 +42,14 @@
 	return out;
 }
 
-static void send_directory(struct control *c, struct control_peer *p)
+/* Sends the changes, unless earlier ones are on their way: then all together follow those. */
+void propagate_directory_to(struct control *c, struct control_peer *p)
 {
-	g_autoptr(GPtrArray) items = changes_for(c, p);
+	g_autoptr(GPtrArray) items = NULL;
 
+	if (bulk_is_sending(&p->lanes[BULK_DIRECTORY]))
+		return;
+	items = changes_for(c, p);
 	for (guint from = 0; from < items->len; from += CTL_ITEMS_PER_FRAME) {
 		guint n = MIN(items->len - from, (guint)CTL_ITEMS_PER_FRAME);
 		FRAME_AUTO(f, CTL_DIRECTORY);
@@ -53,15 +57,14 @@
 		frame_put_u64(&f, n);
 		for (guint i = from; i < from + n; i++)
 			put_item(&f, g_ptr_array_index(items, i));
-		if (link_send(p->link, &f))
-			return;
+		peers_send_lane(p, BULK_DIRECTORY, &f);
 	}
 	p->dir_seq = c->directory.seq;
 }
 
 void propagate_directory(struct control *c)
 {
-	peers_each(c, send_directory);
+	peers_each(c, propagate_directory_to);
 }
 
 static void on_propagate_timer(void *arg, u64 now_us)
--- a/control/raft.h
+++ b/control/raft.h
@@ -43,6 +43,8 @@
 #define RAFT_BATCH_BYTES_MAX (256 * 1024)
 /* Bounds the entries sent to one member and not yet acknowledged. */
 #define RAFT_INFLIGHT_ENTRIES_MAX (4 * RAFT_BATCH_ENTRIES_MAX)
+/* Beyond this many bytes of such entries no further one is sent. */
+#define RAFT_INFLIGHT_BYTES_MAX (512 * 1024)
 #define RAFT_CHUNK_BYTES (256 * 1024)
 #define RAFT_SNAPSHOT_MAX_BYTES (512 * 1024 * 1024)
 /* Entries before the snapshot kept in memory, so that a slow member can catch up without it. */
@@ -101,12 +103,17 @@
 	u64 round; /* leader's time of the heartbeat round, echoed in the reply */
 	bool is_ok;
 	bool is_transfer;
+	bool is_overtaking; /* AppendEntries without entries that may overtake them; echoed */
 	GPtrArray *entries; /* of struct raft_entry, or NULL */
 	struct raft_members members; /* RAFT_INSTALL_SNAPSHOT, RAFT_FORM, RAFT_FORMED */
 	u64 to_replica; /* RAFT_INSTALL_SNAPSHOT: replica id that the membership records */
 	u64 offset; /* RAFT_INSTALL_SNAPSHOT: offset of the chunk; in the reply: bytes received */
 	u64 total; /* RAFT_INSTALL_SNAPSHOT: size of the whole snapshot in bytes */
 	GBytes *snapshot; /* RAFT_INSTALL_SNAPSHOT: the chunk */
+
+	/* Not encoded: */
+	bool is_ordered; /* may not overtake earlier ordered messages to the same member */
+	u64 unacknowledged; /* bytes of the entries sent before this message */
 };
 
 enum raft_role { RAFT_FORMING, RAFT_FOLLOWER, RAFT_PRECANDIDATE, RAFT_CANDIDATE, RAFT_LEADER };
@@ -116,6 +123,11 @@
 /* Callbacks that the owner implements. Storage callbacks return once the data is synced to disk. */
 struct raft_ops {
 	void (*send)(struct raft *r, u32 to, const struct raft_msg *m);
+	/*
+	 * is_sending - returns whether ordered messages to TO may still be on their way, so that
+	 * others overtake them. False once they are handled or lost. NULL: never.
+	 */
+	bool (*is_sending)(struct raft *r, u32 to);
 	void (*save_state)(struct raft *r, u64 term, u32 vote);
 	/* append - replaces the log from the index of the first entry on */
 	void (*append)(struct raft *r, GPtrArray *entries);
@@ -139,7 +151,7 @@
 	bool is_probing; /* match index unknown: one message in flight at a time */
 	u64 snapshot_index; /* index of the snapshot being sent, or 0 */
 	u64 snapshot_offset; /* offset of the last chunk sent */
-	u64 chunk_sent_us; /* 0 when no chunk awaits a reply */
+	u64 chunk_sent_us; /* when it was last on its way; 0 when no chunk awaits a reply */
 };
 
 /* A snapshot that is being received in chunks. */
--- a/control/raft_follow.c
+++ b/control/raft_follow.c
@@ -85,7 +85,9 @@
 
 void raft_on_append_entries(struct raft *r, const struct raft_msg *m, u64 now_us)
 {
-	struct raft_msg reply = { .type = RAFT_APPEND_ENTRIES_REPLY, .round = m->round };
+	struct raft_msg reply = { .type = RAFT_APPEND_ENTRIES_REPLY,
+				  .round = m->round,
+				  .is_overtaking = m->is_overtaking };
 
 	if (r->role == RAFT_FORMING) {
 		/* The leader only accepts a reply of its own term; it then sends the snapshot. */
--- a/control/raft_host.c
+++ b/control/raft_host.c
@@ -37,6 +37,11 @@
 	peers_send_raft(r->arg, to, m);
 }
 
+static bool host_is_sending(struct raft *r, u32 to)
+{
+	return peers_is_sending_raft(r->arg, to);
+}
+
 static void host_save_state(struct raft *r, u64 term, u32 vote)
 {
 	struct control *c = r->arg;
@@ -107,6 +112,7 @@
 
 static const struct raft_ops host_ops = {
 	.send = host_send,
+	.is_sending = host_is_sending,
 	.save_state = host_save_state,
 	.append = host_append,
 	.save_snapshot = host_save_snapshot,
--- a/control/raft_msg.c
+++ b/control/raft_msg.c
@@ -100,6 +100,7 @@
 	frame_put_u64(f, m->round);
 	frame_put_bool(f, m->is_ok);
 	frame_put_bool(f, m->is_transfer);
+	frame_put_bool(f, m->is_overtaking);
 	put_entries(f, m->entries);
 	raft_members_put(f, &m->members);
 	frame_put_u64(f, m->to_replica);
@@ -124,6 +125,7 @@
 	m->round = frame_get_u64(in);
 	m->is_ok = frame_get_bool(in);
 	m->is_transfer = frame_get_bool(in);
+	m->is_overtaking = frame_get_bool(in);
 	get_entries(in, m);
 	raft_members_get(in, &m->members);
 	m->to_replica = frame_get_u64(in);
--- a/control/raft_replicate.c
+++ b/control/raft_replicate.c
@@ -50,6 +50,11 @@
 	raft_become_follower(r, r->term, 0, now_us);
 }
 
+static bool is_sending(struct raft *r, u32 pos)
+{
+	return r->ops->is_sending && r->ops->is_sending(r, r->members.m[pos].id);
+}
+
 /* Sends one chunk of the snapshot; the next is sent when this one is acknowledged. */
 static void send_snapshot_chunk(struct raft *r, u32 pos, u64 now_us)
 {
@@ -69,8 +74,11 @@
 		p->snapshot_offset = 0;
 		p->chunk_sent_us = 0;
 	}
+	if (p->chunk_sent_us && is_sending(r, pos))
+		p->chunk_sent_us = now_us;
 	if (p->chunk_sent_us && now_us - p->chunk_sent_us < RAFT_CHUNK_RESEND_US)
 		return;
+	m.is_ordered = true;
 	m.offset = MIN(p->snapshot_offset, m.total);
 	chunk = g_bytes_new_from_bytes(r->snap_state, m.offset,
 				       MIN(r->chunk_bytes, m.total - m.offset));
@@ -96,6 +104,16 @@
 	return batch;
 }
 
+/* Returns the bytes of the entries that the member was sent and has not acknowledged. */
+static u64 unacknowledged_bytes(const struct raft *r, const struct raft_progress *p)
+{
+	u64 bytes = 0;
+
+	for (u64 i = MAX(p->match, r->base_index) + 1; !p->is_probing && i < p->next; i++)
+		bytes += raft_entry_bytes(raft_entry_at(r, i));
+	return bytes;
+}
+
 /* Sends AppendEntries with the entries after PREVIOUS. Returns how many it contains. */
 static u32 send_append(struct raft *r, u32 pos, u64 previous, bool is_empty)
 {
@@ -105,20 +123,36 @@
 			      .log_term = raft_term_at(r, previous),
 			      .commit = r->commit,
 			      .round = r->round,
-			      .entries = batch };
+			      .entries = batch,
+			      .is_ordered = true,
+			      .unacknowledged = unacknowledged_bytes(r, &r->progress[pos]) };
 
 	raft_send(r, r->members.m[pos].id, &m);
 	return batch->len;
 }
 
+/* Sends AppendEntries without entries, which is not held up by the ordered messages. */
+static void send_alive(struct raft *r, u32 pos, u64 previous, bool is_overtaking)
+{
+	struct raft_msg m = { .type = RAFT_APPEND_ENTRIES,
+			      .index = previous,
+			      .log_term = raft_term_at(r, previous),
+			      .commit = r->commit,
+			      .round = r->round,
+			      .is_overtaking = is_overtaking };
+
+	raft_send(r, r->members.m[pos].id, &m);
+}
+
 static bool needs_snapshot(const struct raft *r, u32 pos)
 {
 	return r->progress[pos].next <= r->base_index;
 }
 
-static bool is_window_full(const struct raft_progress *p)
+static bool is_window_full(const struct raft *r, const struct raft_progress *p)
 {
-	return p->next > p->match + RAFT_INFLIGHT_ENTRIES_MAX;
+	return p->next > p->match + RAFT_INFLIGHT_ENTRIES_MAX ||
+	       unacknowledged_bytes(r, p) >= RAFT_INFLIGHT_BYTES_MAX;
 }
 
 /* Returns whether the member can be sent entries without awaiting earlier replies. */
@@ -166,18 +200,29 @@
 		send_snapshot_chunk(r, pos, now_us);
 		return;
 	}
-	n = send_append(r, pos, p->next - 1, !p->is_probing && is_window_full(p));
+	n = send_append(r, pos, p->next - 1, !p->is_probing && is_window_full(r, p));
 	if (!p->is_probing)
 		p->next += n;
 }
 
-/* A member that needs the snapshot gets an empty AppendEntries, which checks that it still does. */
+/*
+ * A member that needs the snapshot gets an empty AppendEntries, which checks that it still does.
+ * One that entries are on their way to gets what overtakes them, after an entry that it is known to
+ * have.
+ */
 static void send_heartbeat(struct raft *r, u32 pos, u64 now_us)
 {
-	if (needs_snapshot(r, pos))
-		send_append(r, pos, r->snap_index, true);
-	else
+	struct raft_progress *p = &r->progress[pos];
+
+	if (needs_snapshot(r, pos)) {
+		if (p->chunk_sent_us && is_sending(r, pos))
+			p->chunk_sent_us = now_us;
+		send_alive(r, pos, r->snap_index, false);
+	} else if (is_sending(r, pos)) {
+		send_alive(r, pos, MAX(p->match, r->base_index), true);
+	} else {
 		send_missing(r, pos, now_us);
+	}
 }
 
 void raft_send_heartbeats(struct raft *r, u64 now_us)
@@ -196,7 +241,7 @@
 	for (u32 i = 0; i < r->members.n; i++) {
 		const struct raft_progress *p = &r->progress[i];
 
-		if (is_replicating(r, i) && p->next <= raft_last_index(r) && !is_window_full(p))
+		if (is_replicating(r, i) && p->next <= raft_last_index(r) && !is_window_full(r, p))
 			send_missing(r, i, now_us);
 	}
 }
@@ -322,7 +367,7 @@
 	if (r->role != RAFT_LEADER)
 		return;
 	try_finish_transfer(r, pos);
-	if (p->next <= raft_last_index(r) && !is_window_full(p))
+	if (p->next <= raft_last_index(r) && !is_window_full(r, p))
 		send_missing(r, pos, now_us);
 }
 
@@ -341,8 +386,14 @@
 
 void raft_on_append_entries_reply(struct raft *r, const struct raft_msg *m, u64 now_us)
 {
-	struct raft_progress *p = process_reply(r, m, now_us);
+	struct raft_progress *p;
 
+	/* It says nothing about the entries that are on their way. */
+	if (m->is_overtaking) {
+		record_reply(r, m, now_us);
+		return;
+	}
+	p = process_reply(r, m, now_us);
 	if (!p)
 		return;
 	p->next = MAX(p->match + 1, MIN(m->index + 1, p->next - 1));
--- a/test/fakes/fake_group.c
+++ b/test/fakes/fake_group.c
@@ -15,6 +15,7 @@
 	u64 seq;
 	u32 from;
 	u32 to;
+	u32 epoch; /* of the link */
 	GBytes *frame;
 };
 
@@ -153,30 +154,75 @@
 	m->from = from;
 	m->to = to;
 	m->frame = g_bytes_ref(frame);
+	m->epoch = g->lanes[from][to].epoch;
 	m->seq = g->messages++;
 	m->due_us = arrival_us(g, from, g_bytes_get_size(frame));
 	g_ptr_array_add(g->queue, m);
 }
 
-static void group_send(struct raft *r, u32 to, const struct raft_msg *m)
+static void break_lane(struct fake_lane *l)
+{
+	bulk_out_clear(&l->out);
+	bulk_in_clear(&l->in);
+	l->epoch++;
+}
+
+/* Ends the links between two replicas. */
+static void break_links(struct fake_group *g, u32 a, u32 b)
+{
+	break_lane(&g->lanes[a][b]);
+	break_lane(&g->lanes[b][a]);
+}
+
+static void send_frame(struct fake_group *g, u32 from, u32 to, struct frame_out *out)
 {
-	struct fake_replica *f = replica_of(r);
-	struct fake_group *g = f->group;
 	g_autoptr(GBytes) frame = NULL;
-	FRAME_AUTO(out, CTL_RAFT);
 
-	raft_msg_put(&out, m);
-	if (frame_end(&out) > FRAME_MAX_BYTES)
-		report_violation(g, "a message exceeds the frame size limit", f->id, m->index);
-	g->bytes += out.buf.size;
-	if (f->is_ending || !to || to > g->n || g->cut[f->id][to])
+	if (frame_end(out) > FRAME_MAX_BYTES)
+		report_violation(g, "a message exceeds the frame size limit", from, 0);
+	g->bytes += out->buf.size;
+	if (g->r[from].is_ending || !to || to > g->n)
 		return;
+	if (g->cut[from][to]) {
+		break_links(g, from, to);
+		return;
+	}
 	if (rng_below(&g->rng, 100) < g->drop_percent)
 		return;
-	frame = g_bytes_new(out.buf.data + FRAME_HEADER_BYTES, out.buf.size - FRAME_HEADER_BYTES);
-	queue_message(g, f->id, to, frame);
+	frame = g_bytes_new(out->buf.data + FRAME_HEADER_BYTES, out->buf.size - FRAME_HEADER_BYTES);
+	queue_message(g, from, to, frame);
 	if (rng_below(&g->rng, 100) < g->duplicate_percent)
-		queue_message(g, f->id, to, frame);
+		queue_message(g, from, to, frame);
+}
+
+static void send_part(void *arg, struct frame_out *part)
+{
+	struct fake_lane *l = arg;
+
+	send_frame(l->group, l->from, l->to, part);
+}
+
+static void group_send(struct raft *r, u32 to, const struct raft_msg *m)
+{
+	struct fake_replica *f = replica_of(r);
+	struct fake_lane *l = to <= f->group->n ? &f->group->lanes[f->id][to] : NULL;
+	FRAME_AUTO(out, CTL_RAFT);
+
+	raft_msg_put(&out, m);
+	if (!f->group->bytes_per_s || !l || !f->group->r[to].is_up || !m->is_ordered ||
+	    !bulk_needs_lane(&l->out, &out, m->unacknowledged)) {
+		send_frame(f->group, f->id, to, &out);
+		return;
+	}
+	bulk_put(&l->out, &out);
+	bulk_send(&l->out, BULK_LOG, send_part, l);
+}
+
+static bool group_is_sending(struct raft *r, u32 to)
+{
+	struct fake_replica *f = replica_of(r);
+
+	return to <= f->group->n && bulk_is_sending(&f->group->lanes[f->id][to].out);
 }
 
 static void crash_on_error(struct fake_replica *f, int err)
@@ -308,6 +354,7 @@
 
 static const struct raft_ops group_ops = {
 	.send = group_send,
+	.is_sending = group_is_sending,
 	.save_state = group_save_state,
 	.append = group_append,
 	.save_snapshot = group_save_snapshot,
@@ -375,6 +422,8 @@
 	memset(&f->control.raft, 0, sizeof(f->control.raft));
 	fake_disk_crash(f->disk);
 	f->is_up = false;
+	for (u32 other = 1; other <= g->n; other++)
+		break_links(g, id, other);
 }
 
 void fake_group_wipe_disk(struct fake_group *g, u32 id)
@@ -399,6 +448,10 @@
 	g_array_set_size(g->committed, 1);
 	g->reads = g_array_new(FALSE, TRUE, sizeof(struct fake_read));
 	g->proposals = g_array_new(FALSE, TRUE, sizeof(struct fake_proposal));
+	for (u32 from = 1; from <= n; from++)
+		for (u32 to = 1; to <= n; to++)
+			g->lanes[from][to] =
+				(struct fake_lane){ .group = g, .from = from, .to = to };
 	for (u32 id = 1; id <= n; id++) {
 		g->r[id].group = g;
 		g->r[id].id = id;
@@ -449,21 +502,74 @@
 		check_leader(f);
 }
 
-static void deliver(struct fake_group *g, struct fake_message *m)
+static int receive_raft(void *arg, u32 type, struct frame_in *in)
 {
+	struct fake_lane *l = arg;
 	__attribute__((cleanup(raft_msg_clear))) struct raft_msg msg = { 0 };
+
+	if (type != CTL_RAFT || raft_msg_get(in, &msg))
+		return ERR_INVAL;
+	raft_step(fake_raft(l->group, l->to), &msg, l->group->now_us);
+	return 0;
+}
+
+static int receive_part(struct fake_lane *l, struct frame_in *in)
+{
+	u64 lane = frame_get_u64(in);
+	u64 offset = frame_get_u64(in);
+	size_t len;
+	const void *p = frame_get_bin(in, &len);
+	FRAME_AUTO(f, CTL_BULK_ACK);
+	int err = bulk_receive(&l->in, offset, p, len, receive_raft, l);
+
+	frame_put_u64(&f, lane);
+	frame_put_u64(&f, l->in.received);
+	send_frame(l->group, l->to, l->from, &f);
+	return err;
+}
+
+/* Handles the acknowledgement of parts that went through L. */
+static int receive_ack(struct fake_lane *l, struct frame_in *in)
+{
+	int err;
+
+	frame_get_u64(in);
+	err = bulk_acknowledge(&l->out, frame_get_u64(in));
+	bulk_send(&l->out, BULK_LOG, send_part, l);
+	return err;
+}
+
+static int receive_frame(struct fake_group *g, const struct fake_message *m, struct frame_in *in)
+{
+	u32 type = (u32)frame_get_u64(in);
+
+	switch (type) {
+	case CTL_BULK:
+		return receive_part(&g->lanes[m->from][m->to], in);
+	case CTL_BULK_ACK:
+		return receive_ack(&g->lanes[m->to][m->from], in);
+	default:
+		return receive_raft(&g->lanes[m->from][m->to], type, in);
+	}
+}
+
+static void deliver(struct fake_group *g, struct fake_message *m)
+{
 	struct frame_in in;
 	gsize len;
 	const void *p = g_bytes_get_data(m->frame, &len);
 
-	if (!g->r[m->to].is_up || g->cut[m->from][m->to])
+	if (!g->r[m->to].is_up)
+		return;
+	if (g->cut[m->from][m->to]) {
+		break_links(g, m->from, m->to);
+		return;
+	}
+	if (g->bytes_per_s && m->epoch != g->lanes[m->from][m->to].epoch)
 		return;
 	frame_in_init(&in, p, len);
-	frame_get_u64(&in);
-	if (raft_msg_get(&in, &msg))
+	if (receive_frame(g, m, &in))
 		report_violation(g, "a message cannot be decoded", m->from, 0);
-	else
-		raft_step(fake_raft(g, m->to), &msg, g->now_us);
 	after_step(g, m->to);
 }
 
--- a/test/fakes/fake_group.h
+++ b/test/fakes/fake_group.h
@@ -9,11 +9,13 @@
  * is a hash chain over the commands.
  *
  * With a rate of the links, messages leave a replica one after the other and
- * arrive in that order, as on the link of a VM.
+ * arrive in that order, as on the link of a VM, and the replicas use the lanes of
+ * control/bulk.h. What a cut drops, or a crash, ends the links between the two.
  */
 #ifndef FAKE_GROUP_H
 #define FAKE_GROUP_H
 
+#include "control/bulk.h"
 #include "control/control.h"
 #include "test/fakes/fake_disk.h"
 
@@ -33,6 +35,16 @@
 	u64 hash; /* hash chain over these commands */
 };
 
+/* The lane from one replica to another. */
+struct fake_lane {
+	struct fake_group *group;
+	u32 from;
+	u32 to;
+	u32 epoch; /* counts the links; what was sent on an earlier one is lost */
+	struct bulk_out out;
+	struct bulk_in in;
+};
+
 struct fake_group {
 	u64 seed;
 	struct rng rng;
@@ -44,6 +56,7 @@
 	u32 duplicate_percent;
 	u32 delay_max_us;
 	u32 bytes_per_s; /* of the outgoing link of each replica; 0: no limit, and no order */
+	struct fake_lane lanes[FAKE_GROUP_MAX + 1][FAKE_GROUP_MAX + 1]; /* [from][to] */
 	u64 link_free_us[FAKE_GROUP_MAX + 1]; /* when what was sent before has left */
 	u32 state_pad_bytes; /* padding that enlarges snapshots */
 	u32 chunk_bytes; /* for replicas started from now on; 0 for the default */
--- a/test/raft_link_test.c
+++ b/test/raft_link_test.c
@@ -186,6 +186,52 @@
 	finish(w);
 }
 
+#define SCHEDULES 300
+#define SCHEDULE_STEPS 150
+#define ENTRY_BYTES_MAX (200 * 1000)
+
+static void random_action(struct fake_group *g)
+{
+	u32 id = 1 + rng_below(&g->rng, g->n);
+	u32 leader = fake_group_leader(g);
+	u32 dice = rng_below(&g->rng, 100);
+
+	if (dice < 40 && leader)
+		propose(g, 1 + rng_below(&g->rng, ENTRY_BYTES_MAX));
+	else if (dice < 60 && leader)
+		fake_group_propose(g, leader);
+	else if (dice < 65)
+		fake_group_crash(g, id);
+	else if (dice < 75)
+		fake_group_start(g, id);
+	else if (dice < 78)
+		fake_group_isolate(g, id);
+	else if (dice < 85)
+		fake_group_heal(g);
+	else if (dice < 90 && g->r[id].is_up && fake_raft(g, id)->role != RAFT_FORMING)
+		raft_compact(fake_raft(g, id));
+}
+
+/* Safety and progress with losses of links while long messages are on their way. */
+static void test_random_schedules(void)
+{
+	for (u64 seed = 1; seed <= SCHEDULES; seed++) {
+		struct fake_group *g = settled_group(seed);
+
+		g->bytes_per_s = BYTES_PER_S << rng_below(&g->rng, 4);
+		for (u32 i = 0; i < SCHEDULE_STEPS && !g->violation; i++) {
+			fake_group_run(g, 1000 + rng_below(&g->rng, 60000));
+			random_action(g);
+		}
+		fake_group_heal(g);
+		for (u32 id = 1; id <= g->n; id++)
+			fake_group_start(g, id);
+		g_assert_true(fake_group_settle(g, 4 * SETTLE_US));
+		g_assert_cmpstr(g->violation, ==, NULL);
+		fake_group_free(g);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -193,5 +239,6 @@
 	g_test_add_func("/raft-link/storm-on-slow-link", test_storm_on_slow_link);
 	g_test_add_func("/raft-link/missed-set-on-slow-link", test_missed_set_on_slow_link);
 	g_test_add_func("/raft-link/snapshot-on-slow-link", test_snapshot_on_slow_link);
+	g_test_add_func("/raft-link/random-schedules", test_random_schedules);
 	return g_test_run();
 }
--- a/wire/ctl.h
+++ b/wire/ctl.h
@@ -6,7 +6,8 @@
  * control to node:    CTL_CONFIG_PART, CTL_VIEW, CTL_FRESHNESS, CTL_MEMBERS
  * inside CTL_CONFIG_PART: CTL_CONFIG
  * control to control: CTL_RAFT, CTL_DIRECTORY, CTL_HEARTBEAT, CTL_FORWARD,
- *                     CTL_FORWARD_RESULT, CTL_JOIN, CTL_MEMBERS
+ *                     CTL_FORWARD_RESULT, CTL_JOIN, CTL_MEMBERS, CTL_BULK, CTL_BULK_ACK
+ * inside CTL_BULK:    CTL_RAFT, CTL_DIRECTORY, CTL_FORWARD
  *
  * SOURCE wire/ctl.c
  */
@@ -56,6 +57,8 @@
 	CTL_CONFIG_PART, /* part of a configuration stream, see wire/config_part.h */
 	CTL_VIEW_ACK, /* answers a view */
 	CTL_CONFIG_ACK, /* request number, bytes of the stream that were received */
+	CTL_BULK, /* lane, offset, bytes: part of long messages, see control/bulk.h */
+	CTL_BULK_ACK, /* lane, bytes of it that were handled */
 };
 
 /*
