raft: a follower is fresh by what it had heard within the lease and has applied since

What callers could see: in a storm of changes that is faster than a link between control VMs, followers are without freshness for as long as it lasts, their nodes leave them, and a node that no other takes stays without control.

Cause: a follower was fresh only with all applied that the last word named.

A follower now keeps the last word and the oldest one that it has not applied, and is fresh for the lease after it heard the newest word that it has applied in full. The state that it serves is at most the lease older than the leader's, as before for a follower that hears nothing new. One that comes forward no longer is not fresh, though it hears the leader (fresh-though-always-behind).

--- a/control/raft.c
+++ b/control/raft.c
@@ -183,6 +183,5 @@
 		return false;
 	if (r->role == RAFT_LEADER)
 		return raft_count_active_voters(r, lease_us, now_us) >= raft_quorum(r);
-	return r->leader && now_us - r->leader_heard_us < lease_us &&
-	       r->applied >= r->leader_commit;
+	return r->leader && r->caught_up_us && now_us - r->caught_up_us < lease_us;
 }
--- a/control/raft.h
+++ b/control/raft.h
@@ -162,6 +162,12 @@
 	GByteArray *bytes;
 };
 
+/* What a leader said to be committed. */
+struct raft_word {
+	u64 heard_us;
+	u64 commit; /* highest index so far */
+};
+
 struct raft {
 	const struct raft_ops *ops;
 	void *arg;
@@ -191,7 +197,9 @@
 	u64 election_due_us;
 	u64 heartbeat_due_us;
 	u64 leader_heard_us;
-	u64 leader_commit; /* highest commit index received from a leader */
+	struct raft_word word; /* the last one from a leader */
+	struct raft_word pending; /* an earlier one that is not applied; heard_us 0 if none */
+	u64 caught_up_us; /* when the last word was heard of which all is applied; 0 if none */
 	u32 votes[RAFT_MEMBERS_MAX];
 	u32 nvotes;
 	struct raft_progress progress[RAFT_MEMBERS_MAX]; /* by position in members */
@@ -266,8 +274,9 @@
 
 /*
  * raft_is_fresh - whether the applied state may be served: an entry of the current term is
- * committed and, within LEASE_US, a leader heard from a quorum, or a follower that has applied up
- * to the leader's commit index heard from the leader.
+ * committed and, within LEASE_US, a leader heard from a quorum, or a follower heard from the leader
+ * what has been applied by now. So the state is at most LEASE_US older than the leader's, also at a
+ * follower that is always a few entries behind.
  */
 bool raft_is_fresh(const struct raft *r, u64 lease_us, u64 now_us);
 
--- a/control/raft_follow.c
+++ b/control/raft_follow.c
@@ -6,14 +6,31 @@
 /* Becomes a follower of the sender of M and resets the election timeout. */
 static void follow_leader(struct raft *r, const struct raft_msg *m, u64 now_us)
 {
-	if (m->term > r->term || r->role != RAFT_FOLLOWER)
+	if (m->term > r->term || r->role != RAFT_FOLLOWER || r->leader != m->from) {
 		raft_become_follower(r, m->term, m->from, now_us);
-	r->leader = m->from;
+		r->pending = (struct raft_word){ 0 };
+		r->caught_up_us = 0;
+	}
 	r->leader_heard_us = now_us;
-	r->leader_commit = MAX(r->leader_commit, m->commit);
+	r->word =
+		(struct raft_word){ .heard_us = now_us, .commit = MAX(r->word.commit, m->commit) };
+	if (!r->pending.heard_us)
+		r->pending = r->word;
 	raft_reset_election_timeout(r, now_us);
 }
 
+/* Notes which words are applied by now. Of those that are not, the oldest and the last are kept. */
+static void note_applied(struct raft *r)
+{
+	if (r->applied >= r->word.commit) {
+		r->caught_up_us = r->word.heard_us;
+		r->pending = (struct raft_word){ 0 };
+	} else if (r->applied >= r->pending.commit) {
+		r->caught_up_us = r->pending.heard_us;
+		r->pending = r->word;
+	}
+}
+
 /* Returns false when the entries of M are not consecutive or conflict with a committed entry. */
 static bool is_valid_append(const struct raft *r, const struct raft_msg *m)
 {
@@ -100,6 +117,7 @@
 	} else {
 		follow_leader(r, m, now_us);
 		handle_append(r, m, &reply);
+		note_applied(r);
 	}
 	raft_send(r, m->from, &reply);
 }
@@ -191,7 +209,9 @@
 		ctr_inc(CTR_RAFT_BAD);
 		return;
 	}
-	if (m->term >= r->term)
+	if (m->term >= r->term) {
 		handle_install(r, m, &reply, now_us);
+		note_applied(r);
+	}
 	raft_send(r, m->from, &reply);
 }
--- a/test/raft_step_test.c
+++ b/test/raft_step_test.c
@@ -561,6 +561,55 @@
 	owner_free(o);
 }
 
+/* A word of the leader: entry INDEX, which follows in the log of owner_new(3, 1, 3), and COMMIT. */
+static void hear(struct owner *o, u64 index, u64 commit, u64 now_us)
+{
+	struct raft_entry *e = raft_entry_new(index, 2, RAFT_NOOP, NULL);
+	g_autoptr(GPtrArray) entries = g_ptr_array_new();
+
+	if (index > raft_last_index(&o->r))
+		g_ptr_array_add(entries, e);
+	step(o,
+	     (struct raft_msg){ .type = RAFT_APPEND_ENTRIES,
+				.from = 2,
+				.term = 2,
+				.index = index - 1,
+				.log_term = raft_term_at(&o->r, index - 1),
+				.commit = commit,
+				.entries = entries },
+	     now_us);
+	raft_entry_free(e);
+}
+
+#define LEASE_US (600 * US_PER_MS)
+
+/*
+ * Guards against: a follower that is always a few entries behind the leader's words is never fresh.
+ * One that does not come forward is not, though it hears the leader.
+ */
+static void test_fresh_though_always_behind(void)
+{
+	struct owner *o = owner_new(3, 1, 3);
+	u64 now = NOW_US;
+	u64 index = 4;
+
+	hear(o, index, index, now);
+	g_assert_true(raft_is_fresh(&o->r, LEASE_US, now));
+	for (u32 i = 0; i < 20; i++) {
+		now += 100 * US_PER_MS;
+		index++;
+		hear(o, index, index + 2, now);
+		g_assert_cmpuint(o->r.applied, <, o->r.word.commit);
+		g_assert_true(raft_is_fresh(&o->r, LEASE_US, now));
+	}
+	for (u32 i = 0; i < 10; i++) {
+		now += 100 * US_PER_MS;
+		hear(o, index, index + 4, now);
+	}
+	g_assert_false(raft_is_fresh(&o->r, LEASE_US, now));
+	owner_free(o);
+}
+
 /* A follower is not fresh until an entry of the leader's term commits: it may lack commits. */
 static void test_fresh_after_commit_in_the_leaders_term(void)
 {
@@ -638,6 +687,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/raft-step/vote-is-saved-before-reply", test_vote_is_saved_before_reply);
+	g_test_add_func("/raft-step/fresh-though-always-behind", test_fresh_though_always_behind);
 	g_test_add_func("/raft-step/vote-requires-up-to-date-log",
 			test_vote_requires_up_to_date_log);
 	g_test_add_func("/raft-step/candidate-saves-its-vote", test_candidate_saves_its_vote);
