--- a/control/raft.h
+++ b/control/raft.h
@@ -43,6 +43,8 @@
 #define RAFT_BATCH_BYTES_MAX (256 * 1024)
 /* Bounds the entries sent to one member and not yet acknowledged. */
 #define RAFT_INFLIGHT_ENTRIES_MAX (4 * RAFT_BATCH_ENTRIES_MAX)
+/* Beyond this many bytes of such entries no further one is sent. */
+#define RAFT_INFLIGHT_BYTES_MAX (512 * 1024)
 #define RAFT_CHUNK_BYTES (256 * 1024)
 #define RAFT_SNAPSHOT_MAX_BYTES (512 * 1024 * 1024)
 /* Entries before the snapshot kept in memory, so that a slow member can catch up without it. */
@@ -101,12 +103,17 @@
 	u64 round; /* leader's time of the heartbeat round, echoed in the reply */
 	bool is_ok;
 	bool is_transfer;
+	bool is_overtaking; /* AppendEntries without entries that may overtake them; echoed */
 	GPtrArray *entries; /* of struct raft_entry, or NULL */
 	struct raft_members members; /* RAFT_INSTALL_SNAPSHOT, RAFT_FORM, RAFT_FORMED */
 	u64 to_replica; /* RAFT_INSTALL_SNAPSHOT: replica id that the membership records */
 	u64 offset; /* RAFT_INSTALL_SNAPSHOT: offset of the chunk; in the reply: bytes received */
 	u64 total; /* RAFT_INSTALL_SNAPSHOT: size of the whole snapshot in bytes */
 	GBytes *snapshot; /* RAFT_INSTALL_SNAPSHOT: the chunk */
+
+	/* Not encoded: */
+	bool is_ordered; /* may not overtake earlier ordered messages to the same member */
+	u64 unacknowledged; /* bytes of the entries sent before this message */
 };
 
 enum raft_role { RAFT_FORMING, RAFT_FOLLOWER, RAFT_PRECANDIDATE, RAFT_CANDIDATE, RAFT_LEADER };
@@ -116,6 +123,11 @@
 /* Callbacks that the owner implements. Storage callbacks return once the data is synced to disk. */
 struct raft_ops {
 	void (*send)(struct raft *r, u32 to, const struct raft_msg *m);
+	/*
+	 * is_sending - returns whether ordered messages to TO may still be on their way, so that
+	 * others overtake them. False once they are handled or lost. NULL: never.
+	 */
+	bool (*is_sending)(struct raft *r, u32 to);
 	void (*save_state)(struct raft *r, u64 term, u32 vote);
 	/* append - replaces the log from the index of the first entry on */
 	void (*append)(struct raft *r, GPtrArray *entries);
@@ -144,7 +156,7 @@
 	bool is_probing; /* match index unknown: one message in flight at a time */
 	u64 snapshot_index; /* index of the snapshot being sent, or 0 */
 	u64 snapshot_offset; /* offset of the last chunk sent */
-	u64 chunk_sent_us; /* 0 when no chunk awaits a reply */
+	u64 chunk_sent_us; /* when it was last on its way; 0 when no chunk awaits a reply */
 };
 
 /* A snapshot that is being received in chunks. */
@@ -155,6 +167,12 @@
 	GByteArray *bytes;
 };
 
+/* What a leader said to be committed. */
+struct raft_word {
+	u64 sent_us; /* when its heartbeat round began, by the clock of this process */
+	u64 commit; /* highest index so far */
+};
+
 struct raft {
 	const struct raft_ops *ops;
 	void *arg;
@@ -184,9 +202,9 @@
 	u64 election_due_us;
 	u64 heartbeat_due_us;
 	u64 leader_heard_us; /* when the last message of the leader arrived */
-	u64 leader_sent_us; /* when the newest heartbeat round of the leader was sent */
-	u64 leader_sent_term; /* the term of that leader */
-	u64 leader_commit; /* highest commit index received from a leader */
+	struct raft_word word; /* the newest one of the leader */
+	struct raft_word pending; /* an earlier one that is not applied; sent_us 0 if none */
+	u64 caught_up_us; /* when the newest word was sent of which all is applied; 0 if none */
 	u32 votes[RAFT_MEMBERS_MAX];
 	u32 nvotes;
 	struct raft_progress progress[RAFT_MEMBERS_MAX]; /* by position in members */
@@ -271,8 +289,9 @@
 /*
  * raft_is_fresh - whether the applied state may be served: an entry of the current term is
  * committed and, of rounds sent within LEASE_US, a leader got replies from a quorum, or a follower
- * that has applied up to the leader's commit index got the heartbeat. The time that a message spent
- * on its way counts.
+ * has applied what the leader said to be committed. The time that a message spent on its way
+ * counts. So the state is at most LEASE_US older than the leader's, also at a follower that is
+ * always a few entries behind.
  */
 bool raft_is_fresh(const struct raft *r, u64 lease_us, u64 now_us);
 
