--- a/test/raft_step_test.c
+++ b/test/raft_step_test.c
@@ -577,6 +577,7 @@
 				.index = index - 1,
 				.log_term = raft_term_at(&o->r, index - 1),
 				.commit = commit,
+				.round = now_us,
 				.entries = entries },
 	     now_us);
 	raft_entry_free(e);
