test: the checker of fault runs finds calls that ran and got no response in a planned stop

A caller of tools/fault notes when a call ended without a response, and the run notes from when to when a node was told to stop and ended by itself. verdict_test has the planted violation and three cuts that do not count.

--- a/test/fakes/verdict.c
+++ b/test/fakes/verdict.c
@@ -17,6 +17,14 @@
 	u64 mark;
 };
 
+/* The time of a call that ended without a response, or of a planned stop. */
+struct verdict_span {
+	char *id; /* of the call */
+	u64 port; /* of the node for callers */
+	u64 began_ms;
+	u64 ended_ms;
+};
+
 /* The highest revision that was observed at a node. */
 struct verdict_node {
 	u64 highest_revision;
@@ -42,11 +50,21 @@
 	g_free(c);
 }
 
+static void span_free(gpointer p)
+{
+	struct verdict_span *s = p;
+
+	g_free(s->id);
+	g_free(s);
+}
+
 void verdict_init(struct verdict *v)
 {
 	v->calls = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, call_free);
 	v->runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	v->changes = g_ptr_array_new_with_free_func(change_free);
+	v->cuts = g_ptr_array_new_with_free_func(span_free);
+	v->stops = g_ptr_array_new_with_free_func(span_free);
 	v->state = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, change_free);
 	v->revisions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 }
@@ -56,6 +74,8 @@
 	g_hash_table_unref(v->calls);
 	g_hash_table_unref(v->runs);
 	g_ptr_array_unref(v->changes);
+	g_ptr_array_unref(v->cuts);
+	g_ptr_array_unref(v->stops);
 	g_hash_table_unref(v->state);
 	g_hash_table_unref(v->revisions);
 }
@@ -152,6 +172,58 @@
 	n->highest_revision = MAX(n->highest_revision, revision);
 }
 
+/* Adds the span whose port is at FIELDS. */
+static void add_span(GPtrArray *spans, const char *id, char **fields)
+{
+	struct verdict_span *s = g_new0(struct verdict_span, 1);
+
+	s->id = g_strdup(id);
+	s->port = strtoull(fields[0], NULL, 10);
+	s->began_ms = strtoull(fields[1], NULL, 10);
+	s->ended_ms = strtoull(fields[2], NULL, 10);
+	g_ptr_array_add(spans, s);
+}
+
+void verdict_add_cut(struct verdict *v, const char *line, struct findings *found)
+{
+	g_auto(GStrv) fields = split(line, 4, "cut", found);
+
+	if (fields)
+		add_span(v->cuts, fields[0], fields + 1);
+}
+
+void verdict_add_stop(struct verdict *v, const char *line, struct findings *found)
+{
+	g_auto(GStrv) fields = split(line, 3, "stop", found);
+
+	if (fields)
+		add_span(v->stops, NULL, fields);
+}
+
+static bool is_in_a_stop(const struct verdict *v, const struct verdict_span *cut)
+{
+	for (guint i = 0; i < v->stops->len; i++) {
+		const struct verdict_span *s = g_ptr_array_index(v->stops, i);
+
+		if (s->port == cut->port && s->began_ms <= cut->ended_ms &&
+		    cut->ended_ms <= s->ended_ms)
+			return true;
+	}
+	return false;
+}
+
+/* A node that stops answers each call that it has passed on to an upstream. */
+static void check_cuts(struct verdict *v, struct findings *found)
+{
+	for (guint i = 0; i < v->cuts->len; i++) {
+		const struct verdict_span *cut = g_ptr_array_index(v->cuts, i);
+
+		if (g_hash_table_contains(v->runs, cut->id) && is_in_a_stop(v, cut))
+			findings_add(found, cut->id,
+				     "ran, and got no response in a planned stop of its node");
+	}
+}
+
 static void check_call(const char *id, const struct verdict_call *c, guint runs,
 		       struct findings *found)
 {
@@ -239,5 +311,6 @@
 void verdict_check(struct verdict *v, struct findings *found)
 {
 	check_calls(v, found);
+	check_cuts(v, found);
 	check_changes(v, found);
 }
--- a/test/fakes/verdict.h
+++ b/test/fakes/verdict.h
@@ -9,6 +9,8 @@
  *   operator    NAME CHANGE-ID OUTCOME VERSION MARK
  *               OUTCOME: accepted, conflict, not-run or unknown
  *   state       NAME VERSION MARK, the stored services after the run
+ *   cut         ID PORT BEGAN_MS ENDED_MS, a call that ended without a response: the node's port
+ *   stop        PORT BEGAN_MS ENDED_MS, a node that was told to stop and ended by itself
  *   observer    NODE REVISION, in order of observation; 0 means no configuration
  *
  * MARK is a number that the operator stores in the service, unique to each change.
@@ -25,6 +27,8 @@
 	GHashTable *calls; /* id -> struct verdict_call */
 	GHashTable *runs; /* id -> number of executions */
 	GPtrArray *changes; /* of struct verdict_change */
+	GPtrArray *cuts; /* of struct verdict_span */
+	GPtrArray *stops; /* of struct verdict_span */
 	GHashTable *state; /* name -> struct verdict_change */
 	GHashTable *revisions; /* node -> struct verdict_node */
 };
@@ -38,6 +42,8 @@
 void verdict_add_operator(struct verdict *v, const char *line, struct findings *found);
 void verdict_add_state(struct verdict *v, const char *line, struct findings *found);
 void verdict_add_observer(struct verdict *v, const char *line, struct findings *found);
+void verdict_add_cut(struct verdict *v, const char *line, struct findings *found);
+void verdict_add_stop(struct verdict *v, const char *line, struct findings *found);
 
 /* verdict_check - reports each violated guarantee as a finding. */
 void verdict_check(struct verdict *v, struct findings *found);
--- a/test/httpd_test.c
+++ b/test/httpd_test.c
@@ -384,6 +384,7 @@
 	got = read_all(fd);
 	g_assert_nonnull(strstr(got, "</held>"));
 	g_assert_nonnull(strstr(got, "Connection: close"));
+	g_assert_null(strstr(got, "HTTP/1.1 408 "));
 	stop(&f);
 }
 
--- a/test/programs/caller.c
+++ b/test/programs/caller.c
@@ -3,7 +3,7 @@
  *
  * caller -p PORT[,PORT...] -H HOST -i PREFIX [-n CALLS] [-c CONNECTIONS]
  *        [-w PAUSE_MS] [-m MIXED|GET|POST] [-d DELAY_MS] [-t TIMEOUT_MS]
- *        [-b BODY_BYTES] [-G] [-K] [-s SPREAD_MS] [-q QUIT_MS] [-f FAIL]
+ *        [-b BODY_BYTES] [-G] [-K] [-s SPREAD_MS] [-q QUIT_MS] [-f FAIL] [-T CUTS]
  *
  * CONNECTIONS threads share CALLS calls; thread T connects to port number T
  * modulo the number of ports. MIXED makes every second call a POST. DELAY_MS asks
@@ -13,7 +13,8 @@
  * -G: all threads start at the first port; a thread moves to the next port when a
  * response has Connection: close or it cannot connect, and ends after the last port.
  * -K: a thread keeps sending, on its connection or a new one, until it cannot connect. -s: the
- * upstream's delays are spread evenly over SPREAD_MS, from DELAY_MS.
+ * upstream's delays are spread evenly over SPREAD_MS, from DELAY_MS. -T: appends a line for each
+ * call that was sent and got no response to the file CUTS: ID PORT BEGAN_MS ENDED_MS.
  *
  * Prints one line per call: ID METHOD STATUS OUTCOME REASON BODY. OUTCOME:
  * answer, not-run, unknown, or none without a response (not-run without a
@@ -52,6 +53,7 @@
 	bool stays; /* until it cannot connect */
 	u32 spread_ms;
 	const char *fail;
+	FILE *cuts;
 };
 
 static struct options opt = {
@@ -201,6 +203,16 @@
 	return number % 2 ? "POST" : "GET";
 }
 
+/* The caller holds print_lock. */
+static void print_cut(const char *id, u16 port, gint64 began_us)
+{
+	if (!opt.cuts)
+		return;
+	fprintf(opt.cuts, "%s %u %lld %lld\n", id, port, (long long)(began_us / US_PER_MS),
+		(long long)(g_get_real_time() / US_PER_MS));
+	fflush(opt.cuts);
+}
+
 static gpointer client_main(gpointer arg)
 {
 	struct client c = { .port_index = GPOINTER_TO_UINT(arg) };
@@ -209,11 +221,15 @@
 	while (!c.is_finished && (number = g_atomic_int_add(&next_call, 1)) < (gint)opt.calls) {
 		g_autofree char *id = g_strdup_printf("%s-%d", opt.prefix, number);
 		struct answer a = { .outcome = "none", .reason = "-", .body = "none" };
+		u16 port = opt.ports[c.port_index];
+		gint64 began_us = g_get_real_time();
 
 		make_call(&c, id, method_of(number), number % 3 ? NULL : opt.fail, &a);
 		pthread_mutex_lock(&print_lock);
 		printf("%s %s %d %s %s %s\n", id, method_of(number), a.status, a.outcome, a.reason,
 		       a.body);
+		if (!strcmp(a.outcome, "none"))
+			print_cut(id, port, began_us);
 		pthread_mutex_unlock(&print_lock);
 		g_usleep(opt.pause_ms * US_PER_MS);
 	}
@@ -233,7 +249,7 @@
 {
 	int c;
 
-	while ((c = getopt(argc, argv, "p:H:i:n:c:w:m:d:t:b:q:f:s:GK")) != -1) {
+	while ((c = getopt(argc, argv, "p:H:i:n:c:w:m:d:t:b:q:f:s:T:GK")) != -1) {
 		if (c == 'p')
 			parse_ports(optarg);
 		else if (c == 'H')
@@ -262,6 +278,8 @@
 			opt.leaves_on_close = true;
 		else if (c == 'K')
 			opt.stays = true;
+		else if (c == 'T')
+			opt.cuts = fopen(optarg, "a");
 		else if (c == 's')
 			opt.spread_ms = (u32)atoi(optarg);
 		else
@@ -278,7 +296,7 @@
 		fprintf(stderr, "usage: caller -p PORT[,PORT...] -H HOST -i PREFIX [-n CALLS] "
 				"[-c CONNECTIONS] [-w PAUSE_MS] [-m MIXED|GET|POST] [-d DELAY_MS] "
 				"[-t TIMEOUT_MS] [-b BODY_BYTES] [-q QUIT_MS] [-G] [-K] "
-				"[-s SPREAD_MS] [-f FAIL]\n");
+				"[-s SPREAD_MS] [-f FAIL] [-T CUTS]\n");
 		return 2;
 	}
 	signal(SIGPIPE, SIG_IGN);
--- a/test/verdict_test.c
+++ b/test/verdict_test.c
@@ -127,6 +127,24 @@
 	expect(f, "reverted from revision 2 to 1");
 }
 
+/* Three calls without a response: at another node, after the stop, and one that has not run. */
+static void test_cuts_that_count_not(struct fixture *f, gconstpointer unused)
+{
+	(void)unused;
+	verdict_add_stop(&f->v, "28110 1000 4000", &f->found);
+	verdict_add_cut(&f->v, "a 28120 1500 2000", &f->found);
+	verdict_add_cut(&f->v, "b 28110 3900 4001", &f->found);
+	verdict_add_cut(&f->v, "c 28110 1500 2000", &f->found);
+	test_clean(f, NULL);
+}
+
+static void test_cut_in_a_stop(struct fixture *f, gconstpointer unused)
+{
+	test_cuts_that_count_not(f, unused);
+	verdict_add_cut(&f->v, "d 28110 900 4000", &f->found);
+	expect(f, "no response in a planned stop");
+}
+
 static void test_malformed_line(struct fixture *f, gconstpointer unused)
 {
 	(void)unused;
@@ -150,6 +168,8 @@
 	ADD("/verdict/two-winners", test_two_winners);
 	ADD("/verdict/refused-change-stands", test_refused_change_stands);
 	ADD("/verdict/reverted-revision", test_reverted_revision);
+	ADD("/verdict/cuts-that-count-not", test_cuts_that_count_not);
+	ADD("/verdict/cut-in-a-stop", test_cut_in_a_stop);
 	ADD("/verdict/malformed-line", test_malformed_line);
 	return g_test_run();
 }
