test: a leader that stops hands over to a member that has just ended; fails

Seen when the control processes were stopped one after another: the second, which led, took 0.6 s longer to end than the first (1.34 s and 0.67 s), and no member led meanwhile.

--- a/test/raft_case_test.c
+++ b/test/raft_case_test.c
@@ -358,6 +358,26 @@
 	assert_no_violation_and_free(g);
 }
 
+/*
+ * Guards against: the members of a group are stopped one after another, and the leader hands over
+ * to the one that has just ended, whose log is as long as that of the others.
+ */
+static void test_hand_over_to_the_one_that_ended(void)
+{
+	struct fake_group *g = settled_group(3, 17);
+	u32 leader = fake_group_leader(g);
+	u32 first = follower_except(g, 0);
+	u32 second = follower_except(g, first);
+	u32 down = MIN(first, second);
+
+	fake_group_crash(g, down);
+	fake_group_run(g, 2 * RAFT_HEARTBEAT_US);
+	g_assert_cmpint(raft_hand_over(fake_raft(g, leader), g->now_us), ==, 0);
+	fake_group_run(g, RAFT_ELECTION_TIMEOUT_MIN_US / 2);
+	g_assert_cmpuint(fake_group_leader(g), ==, MAX(first, second));
+	assert_no_violation_and_free(g);
+}
+
 /* A leader without another voter that answers goes on. */
 static void test_hand_over_to_nobody(void)
 {
@@ -480,6 +500,8 @@
 	g_test_add_func("/raft-case/cut-off-leader-steps-down", test_cut_off_leader_steps_down);
 	g_test_add_func("/raft-case/transfer", test_transfer);
 	g_test_add_func("/raft-case/hand-over", test_hand_over);
+	g_test_add_func("/raft-case/hand-over-to-the-one-that-ended",
+			test_hand_over_to_the_one_that_ended);
 	g_test_add_func("/raft-case/hand-over-to-nobody", test_hand_over_to_nobody);
 	g_test_add_func("/raft-case/transfer-to-a-dead-member",
 			test_transfer_to_a_dead_member_is_abandoned);
