control: a leader that stops does not hand over to a member that has just ended

What operators saw: when the control processes were stopped one after another, the second, which led, left the group without a leader for 0.6 s and more.

Cause: of members with equally long logs the first was taken, also one that had ended since its last reply; the transfer then ran out.

Now the member heard last is taken, and the choice is made again after two heartbeats, when a member that has ended has missed one.

Measured: raft_case_test hand-over-to-the-one-that-ended failed before and passes.

--- a/control/control.c
+++ b/control/control.c
@@ -9,6 +9,8 @@
 #include <string.h>
 
 #define HAND_OVER_POLL_US (5 * US_PER_MS)
+/* A member that is there has answered a heartbeat meanwhile. */
+#define HAND_OVER_TRY_US (2 * RAFT_HEARTBEAT_US)
 
 static void on_link_up(struct link *k)
 {
@@ -164,16 +166,27 @@
 	h->is_under_way = raft_is_handing_over(&h->control->raft);
 }
 
-/* If this process leads, another takes over, so that no election time-out has to pass. */
+static void wait_for_successor(struct hand_over *h, u64 end_us)
+{
+	while (h->is_under_way && loop_clock_us() < end_us) {
+		g_usleep(HAND_OVER_POLL_US);
+		loop_call(h->control->loop, check_hand_over, h);
+	}
+}
+
+/*
+ * If this process leads, another takes over, so that no election time-out has to pass. The first
+ * choice may be a member that has ended since its last reply.
+ */
 static void hand_over(struct control *c)
 {
-	struct hand_over h = { .control = c };
-	u64 end_us = loop_clock_us() + RAFT_TRANSFER_TIMEOUT_US;
+	struct hand_over h = { .control = c, .is_under_way = true };
+	u64 now = loop_clock_us();
+	u64 end_us = now + RAFT_TRANSFER_TIMEOUT_US;
 
-	loop_call(c->loop, begin_hand_over, &h);
-	while (h.is_under_way && loop_clock_us() < end_us) {
-		g_usleep(HAND_OVER_POLL_US);
-		loop_call(c->loop, check_hand_over, &h);
+	for (; h.is_under_way && now < end_us; now = loop_clock_us()) {
+		loop_call(c->loop, begin_hand_over, &h);
+		wait_for_successor(&h, now + HAND_OVER_TRY_US);
 	}
 }
 
--- a/control/raft_replicate.c
+++ b/control/raft_replicate.c
@@ -286,16 +286,26 @@
 	       now_us - r->progress[pos].heard_us < RAFT_ELECTION_TIMEOUT_MIN_US;
 }
 
+/* Of logs that are equally long, that of the member heard last: another may have ended just now. */
+static bool is_better_successor(const struct raft_progress *p, const struct raft_progress *other)
+{
+	if (!other || p->match != other->match)
+		return !other || p->match > other->match;
+	return p->heard_us > other->heard_us;
+}
+
 int raft_hand_over(struct raft *r, u64 now_us)
 {
+	const struct raft_progress *best = NULL;
 	u32 to = 0;
-	u64 match = 0;
 
 	for (u32 i = 0; i < r->members.n; i++) {
-		if (!may_succeed(r, i, now_us) || (to && r->progress[i].match <= match))
+		const struct raft_progress *p = &r->progress[i];
+
+		if (!may_succeed(r, i, now_us) || !is_better_successor(p, best))
 			continue;
+		best = p;
 		to = r->members.m[i].id;
-		match = r->progress[i].match;
 	}
 	return raft_transfer_leadership(r, to, now_us);
 }
