test: a control process whose grace is shorter than an operation; fails

The setting isn't there yet, so its process doesn't start; without the setting: killed 2 s after SIGTERM, a change that waits for its group ended without an answer (curl: 000).

--- a/test/control_test.sh
+++ b/test/control_test.sh
@@ -526,6 +526,35 @@
 	wait_for "all nodes in force again" in_force_is "$leader" 4 4
 }
 
+# Guards against: a control process that may take less time to stop than an operation lasts is killed
+# before it has answered.
+case_grace_shorter_than_an_operation() {
+	local request answer
+	put 1 sightings 250 >/dev/null
+	end TERM control3
+	echo "shutdown_grace_s=2" >>"$dir/control3.ini"
+	start_process control3
+	wait_for "control 3" is_fresh 3
+	signal STOP control1
+	signal STOP control2
+	put 3 sightings 555 >"$dir/answer" &
+	request=$!
+	sleep 0.5
+	signal TERM control3
+	sleep 2
+	end KILL control3
+	wait "$request"
+	answer=$(cat "$dir/answer")
+	case $answer in
+	"503 unknown "* | "503 not-run "*) ;;
+	*) fail "a change that can't end in the grace: ${answer:-no answer}" ;;
+	esac
+	signal CONT control1
+	signal CONT control2
+	start_process control3
+	wait_for "all nodes in force again" in_force_is 3 4 4
+}
+
 # Guards against: a leader that stops leaves the group without a leader until an election time-out.
 case_stopped_leader_keeps_the_lead() {
 	local leader first second answer
@@ -549,7 +578,7 @@
 	rm -rf "$dir"
 	BASE=$BASE bash "$0" apply_at_once if_match_race resend nearest bad_input silent_cut pair_cut stale_control &
 	first=$!
-	BASE=$((BASE + 1000)) bash "$0" kill_leader stop_leader request_cut_by_a_stop stopped_leader_keeps_the_lead missed_changes in_force no_quorum replace
+	BASE=$((BASE + 1000)) bash "$0" kill_leader stop_leader request_cut_by_a_stop stopped_leader_keeps_the_lead grace_shorter_than_an_operation missed_changes in_force no_quorum replace
 	second=$?
 	wait "$first" && exit "$second"
 	exit 1
