control: a stop ends operations in time for its grace

What operators saw: with a grace shorter than an operation's 5 s, a control process was killed before it had answered a change that waited for its group.

Cause: only a node knew how long its stop may take.

--- a/control/api_serve.c
+++ b/control/api_serve.c
@@ -7,8 +7,8 @@
 #include "lib/log.h"
 
 #define API_THREADS 64
-/* Requests in progress are answered within this time: their operations end after OP_TIMEOUT_US. */
-#define STOP_TIMEOUT_US (OP_TIMEOUT_US + 250 * US_PER_MS)
+/* Within this time the answers of operations that were ended are written. */
+#define WRITE_US (100 * US_PER_MS)
 #define STOP_POLL_US (5 * US_PER_MS)
 
 static int refuse(struct mg_connection *conn)
@@ -50,20 +50,31 @@
 	return 0;
 }
 
-/* CivetWeb writes nothing more once it has been told to stop. */
-static void wait_for_answers(struct control *c)
+/* Returns whether all requests that were begun are answered. */
+static bool wait_for_answers(struct control *c, u64 end_us)
 {
-	u64 end_us = loop_clock_us() + STOP_TIMEOUT_US;
-
-	while (__atomic_load_n(&c->api_requests, __ATOMIC_SEQ_CST) && loop_clock_us() < end_us)
+	while (__atomic_load_n(&c->api_requests, __ATOMIC_SEQ_CST)) {
+		if (loop_clock_us() >= end_us)
+			return false;
 		g_usleep(STOP_POLL_US);
+	}
+	return true;
+}
+
+static void end_operations(void *arg)
+{
+	op_end_all(arg);
 }
 
-void api_stop(struct control *c)
+/* CivetWeb writes nothing more once it has been told to stop. */
+void api_stop(struct control *c, u64 end_us)
 {
 	__atomic_store_n(&c->is_stopping, true, __ATOMIC_SEQ_CST);
 	if (!c->http)
 		return;
-	wait_for_answers(c);
+	if (!wait_for_answers(c, MIN(end_us, loop_clock_us() + OP_TIMEOUT_US))) {
+		loop_call(c->loop, end_operations, c);
+		wait_for_answers(c, loop_clock_us() + WRITE_US);
+	}
 	mg_stop(c->http);
 }
--- a/control/control.c
+++ b/control/control.c
@@ -8,6 +8,8 @@
 
 #include <string.h>
 
+/* At the end of the grace, to write the last answers and close the connections. */
+#define CLOSE_US (500 * US_PER_MS)
 #define HAND_OVER_POLL_US (5 * US_PER_MS)
 /* A member that is there has answered a heartbeat meanwhile. */
 #define HAND_OVER_TRY_US (2 * RAFT_HEARTBEAT_US)
@@ -178,11 +180,10 @@
  * If this process leads, another takes over, so that no election time-out has to pass. The first
  * choice may be a member that has ended since its last reply.
  */
-static void hand_over(struct control *c)
+static void hand_over(struct control *c, u64 end_us)
 {
 	struct hand_over h = { .control = c, .is_under_way = true };
 	u64 now = loop_clock_us();
-	u64 end_us = now + RAFT_TRANSFER_TIMEOUT_US;
 
 	for (; h.is_under_way && now < end_us; now = loop_clock_us()) {
 		loop_call(c->loop, begin_hand_over, &h);
@@ -194,8 +195,11 @@
 {
 	struct control *c = (struct control *)m;
 
-	hand_over(c);
-	api_stop(c);
+	u64 now = loop_clock_us();
+	u64 grace_us = c->settings->control.shutdown_grace_ms * US_PER_MS;
+
+	hand_over(c, now + MIN(grace_us / 4, RAFT_TRANSFER_TIMEOUT_US));
+	api_stop(c, now + grace_us - MIN(grace_us / 4, CLOSE_US));
 	loop_call(c->loop, stop_on_loop, c);
 	loop_stop(c->loop);
 	raft_host_close(c);
--- a/control/control.h
+++ b/control/control.h
@@ -103,6 +103,7 @@
 
 /* api */
 int api_start(struct control *c);
-void api_stop(struct control *c);
+/* Requests in progress are answered by END_US. */
+void api_stop(struct control *c, u64 end_us);
 
 #endif
--- a/control/op.c
+++ b/control/op.c
@@ -173,6 +173,17 @@
 		poll_one(c, l->data, now_us);
 }
 
+void op_end_all(struct control *c)
+{
+	g_autoptr(GList) all = g_hash_table_get_values(c->ops);
+
+	for (GList *l = all; l; l = l->next) {
+		struct op *o = l->data;
+
+		finish(c, o, o->may_have_run ? OP_UNKNOWN : OP_NOT_RUN);
+	}
+}
+
 void op_applied(struct control *c, const struct raft_entry *e, const struct store_result *result)
 {
 	g_autoptr(GList) all = g_hash_table_get_values(c->ops);
--- a/control/op.h
+++ b/control/op.h
@@ -50,6 +50,12 @@
 void op_submit(struct control *c, struct op *o);
 
 /* op_poll - start operations that wait for a leader, and end those past their deadline */
+/*
+ * op_end_all - ends all operations with what is known of their outcome. Those of other processes
+ * hear of it too.
+ */
+void op_end_all(struct control *c);
+
 void op_poll(struct control *c, u64 now_us);
 
 /*
--- a/lib/settings.c
+++ b/lib/settings.c
@@ -73,6 +73,7 @@
 	s->node.probe_budget_bytes_per_s = DEFAULT_PROBE_BYTES_PER_S;
 	s->node.max_body_bytes = DEFAULT_MAX_BODY_BYTES;
 	s->node.shutdown_grace_ms = DEFAULT_SHUTDOWN_GRACE_MS;
+	s->control.shutdown_grace_ms = DEFAULT_SHUTDOWN_GRACE_MS;
 	s->node.retry_budget_percent = DEFAULT_RETRY_PERCENT;
 	s->node.retry_budget_slack = DEFAULT_RETRY_SLACK;
 	s->node.retry_budget_window_ms = DEFAULT_RETRY_WINDOW_MS;
--- a/lib/settings.h
+++ b/lib/settings.h
@@ -66,6 +66,7 @@
 	bool may_form_group; /* key "found": the seeds may form a new group */
 	bool uses_seeds; /* members lists seeds; further members join automatically */
 	u32 losses; /* members that may fail at the same time */
+	u64 shutdown_grace_ms;
 };
 
 struct settings {
--- a/lib/settings_keys.c
+++ b/lib/settings_keys.c
@@ -310,6 +310,7 @@
 	CUSTOM("control", "found", set_found, show_found),
 	NUMBER("control", "losses", KIND_NUMBER32, control.losses, 0, SETTINGS_MEMBERS_MAX / 2 - 1),
 	PLAIN("control", "api_listen", KIND_ENDPOINT, control.api_listen),
+	DECIMAL("control", "shutdown_grace_s", control.shutdown_grace_ms, 0, GRACE_LIMIT_S, 1000),
 	CUSTOM("log", "level", set_level, show_level),
 	CUSTOM("log", "format", set_format, show_format),
 	PLAIN("log", "file", KIND_TEXT, log_file),
--- a/lib/settings_show.c
+++ b/lib/settings_show.c
@@ -16,6 +16,7 @@
 	"node.probe_budget_bytes_per_s",
 	"node.max_body_bytes",
 	"node.shutdown_grace_s",
+	"control.shutdown_grace_s",
 	"log.level",
 };
 
--- a/test/settings_test.c
+++ b/test/settings_test.c
@@ -70,6 +70,7 @@
 	g_assert_cmpuint(s.control.members->len, ==, 2);
 	g_assert_cmpuint(s.node.max_body_bytes, ==, 8388608);
 	g_assert_cmpuint(s.node.shutdown_grace_ms, ==, 30000);
+	g_assert_cmpuint(s.control.shutdown_grace_ms, ==, 30000);
 	g_assert_cmpuint(s.node.probe_budget_per_s, ==, 20);
 	g_assert_cmpuint(s.node.probe_budget_bytes_per_s, ==, 4096);
 	g_assert_cmpint(s.log_level, ==, LOG_WARN);
