httpd: one job a file

Functions that are used across files have the prefix httpd_conn_; behaviour unchanged. httpd_test, cut_request_test, fuzz_test, entry_test, home_test, stop_test pass.

--- a/kernel/httpd.h
+++ b/kernel/httpd.h
@@ -9,7 +9,7 @@
  * connection, callers resend the requests that were pipelined after it.
  *
  * UNITS microseconds, bytes
- * SOURCE kernel/httpd.c
+ * SOURCE kernel/httpd.c, kernel/httpd_conn.c, kernel/httpd_request.c, kernel/httpd_read.c
  */
 #ifndef HTTPD_H
 #define HTTPD_H
--- /dev/null
+++ b/kernel/httpd_impl.h
@@ -0,0 +1,91 @@
+/*
+ * httpd_impl - the parts of an HTTP server: connections, their requests, and what is read
+ *
+ * UNITS microseconds, bytes
+ * SOURCE kernel/httpd.c, kernel/httpd_conn.c, kernel/httpd_request.c, kernel/httpd_read.c
+ */
+#ifndef HTTPD_IMPL_H
+#define HTTPD_IMPL_H
+
+#include "kernel/httpd.h"
+#include "lib/http_read.h"
+
+struct httpd {
+	struct loop *loop;
+	struct loop_fd fd;
+	const struct httpd_ops *ops;
+	void *arg;
+	struct httpd_limits limits;
+	struct loop_timer timeout_timer;
+	GQueue conns; /* of struct httpd_conn */
+	u32 requests;
+	bool no_keep_alive;
+	bool is_stopping; /* nothing is read behind an unanswered request */
+	u16 incomplete_status; /* of httpd_refuse_incomplete */
+	enum ctr incomplete_reason;
+};
+
+struct httpd_conn {
+	struct httpd *h;
+	struct loop_fd fd;
+	struct http_read read;
+	GQueue requests; /* of struct httpd_request, in order of arrival */
+	GByteArray *out;
+	guint out_off;
+	GList link;
+	u64 since_us; /* start of the idle time, of the request being read, or of lingering */
+	u32 events;
+	bool is_eof;
+	bool must_close; /* after the data in out is sent */
+	bool is_lingering;
+	bool is_busy; /* callbacks are running; a closed connection is freed afterwards */
+	bool is_dead;
+};
+
+/* httpd_conn: life and output of a connection */
+
+void httpd_request_free(struct httpd_request *r);
+
+/* httpd_conn_close - closes C at once; it is freed after the callbacks that run have returned. */
+void httpd_conn_close(struct httpd_conn *c);
+
+/*
+ * httpd_conn_begin, httpd_conn_end - callbacks run between these two, so that a connection closed
+ * in one stays valid. The result of the first is an argument of the second.
+ */
+bool httpd_conn_begin(struct httpd_conn *c);
+void httpd_conn_end(struct httpd_conn *c, bool was_busy);
+
+bool httpd_conn_wants_read(const struct httpd_conn *c);
+void httpd_conn_update_events(struct httpd_conn *c);
+
+/* httpd_conn_is_idle - returns whether no request is unanswered and no byte unsent. */
+bool httpd_conn_is_idle(const struct httpd_conn *c);
+
+/* httpd_conn_flush - sends what the socket takes; closes or lingers after the last answer. */
+void httpd_conn_flush(struct httpd_conn *c);
+
+void httpd_conn_append(struct httpd_conn *c, const char *text);
+void httpd_conn_write_answer(struct httpd_conn *c, const struct http_msg *request,
+			     const struct http_msg *m);
+
+/* httpd_request: requests in order of arrival */
+
+/* httpd_conn_advance - writes the answers that are ready, and starts requests that may start. */
+void httpd_conn_advance(struct httpd_conn *c);
+
+extern const struct http_read_ops httpd_read_ops;
+
+/* httpd_read: what arrives, and what is late */
+
+/* httpd_conn_send_error - sends an error response of the server itself, and closes after it. */
+void httpd_conn_send_error(struct httpd_conn *c, u16 status, enum ctr reason);
+
+void httpd_conn_read(struct httpd_conn *c);
+
+/* httpd_conn_on_ready - handles events of the socket of the connection ARG. */
+void httpd_conn_on_ready(void *arg, u32 events);
+
+void httpd_conn_check_timeout(struct httpd_conn *c, u64 now_us);
+
+#endif
--- /dev/null
+++ b/kernel/httpd_read.c
@@ -0,0 +1,145 @@
+/* What an HTTP server reads, and what is wrong or late. */
+#include "kernel/httpd_impl.h"
+
+#include "lib/err.h"
+
+#include <errno.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+
+#define READ_BYTES 16384
+/* Time for the caller to read the last response before the connection is closed. */
+#define LINGER_US (1 * US_PER_S)
+
+static u16 error_status(const struct httpd_conn *c, int err)
+{
+	if (err != ERR_TOOBIG)
+		return 400;
+	return c->read.is_in_body ? 413 : 431;
+}
+
+/* Sends an error response of the server itself and closes the connection after it. */
+void httpd_conn_send_error(struct httpd_conn *c, u16 status, enum ctr reason)
+{
+	g_autofree char *body = g_strdup_printf("{\"error\":\"%s\"}\n", http_reason_phrase(status));
+	struct http_msg *m = http_json_response(status, body);
+
+	ctr_inc(reason);
+	if (c->h->ops->refuse)
+		c->h->ops->refuse(m, c->h->arg);
+	c->must_close = true;
+	httpd_conn_write_answer(c, NULL, m);
+	http_free(m);
+}
+
+/* If earlier requests are unanswered, their responses are sent first, without an error response. */
+static void reject_input(struct httpd_conn *c, int err)
+{
+	if (c->requests.length) {
+		c->is_eof = true;
+		return;
+	}
+	httpd_conn_send_error(c, error_status(c, err),
+			      c->read.is_in_body && err == ERR_TOOBIG ? CTR_BODY_TOO_LARGE :
+									CTR_HTTP_MALFORMED);
+}
+
+static void report_close(struct httpd_conn *c, enum httpd_close_kind how)
+{
+	GList *next;
+
+	for (GList *l = c->requests.head; l && c->h->ops->closed; l = next) {
+		struct httpd_request *r = l->data;
+
+		next = l->next;
+		if (!r->is_started)
+			r->caller_closed = true;
+		else if (!r->answer)
+			c->h->ops->closed(r, how, c->h->arg);
+	}
+}
+
+static void on_eof(struct httpd_conn *c)
+{
+	if (c->is_eof)
+		return;
+	c->is_eof = true;
+	if (c->is_lingering) {
+		httpd_conn_close(c);
+		return;
+	}
+	if (!http_read_is_idle(&c->read) && !c->requests.length) {
+		httpd_conn_send_error(c, 400, CTR_BAD_REQUEST); /* the request is incomplete */
+		return;
+	}
+	report_close(c, HTTPD_HALF_CLOSED);
+}
+
+void httpd_conn_read(struct httpd_conn *c)
+{
+	u8 buf[READ_BYTES];
+	ssize_t n = recv(c->fd.fd, buf, sizeof(buf), 0);
+	int err;
+
+	if (n < 0 && (errno == EAGAIN || errno == EINTR))
+		return;
+	if (n < 0) {
+		httpd_conn_close(c);
+		return;
+	}
+	if (n == 0) {
+		on_eof(c);
+		return;
+	}
+	if (c->is_lingering)
+		return;
+	if (http_read_is_idle(&c->read))
+		c->since_us = loop_clock_us();
+	c->read.max_head_bytes = c->h->limits.head_bytes;
+	c->read.max_body_bytes = c->h->limits.body_bytes;
+	err = http_read_feed(&c->read, buf, (size_t)n, NULL);
+	if (err)
+		reject_input(c, err);
+}
+
+void httpd_conn_on_ready(void *arg, u32 events)
+{
+	struct httpd_conn *c = arg;
+	bool was_busy = httpd_conn_begin(c);
+
+	if (events & (EPOLLIN | EPOLLRDHUP)) {
+		if (httpd_conn_wants_read(c) || c->is_eof)
+			httpd_conn_read(c);
+		else if (events & EPOLLRDHUP)
+			on_eof(c);
+	}
+	if (!c->is_dead && (events & (EPOLLHUP | EPOLLERR)))
+		httpd_conn_close(c);
+	httpd_conn_advance(c);
+	httpd_conn_end(c, was_busy);
+}
+
+/* Time limit from the first byte of a request to the end of its head or of its body. */
+static u64 read_timeout_us(const struct httpd_conn *c)
+{
+	const struct httpd_limits *l = &c->h->limits;
+
+	return l->head_timeout_us + (c->read.is_in_body ? l->idle_timeout_us : 0);
+}
+
+void httpd_conn_check_timeout(struct httpd_conn *c, u64 now_us)
+{
+	u64 age = now_us > c->since_us ? now_us - c->since_us : 0;
+
+	if (c->is_lingering && age > LINGER_US) {
+		httpd_conn_close(c);
+	} else if (c->is_lingering || c->requests.length || c->must_close) {
+		return;
+	} else if (http_read_is_idle(&c->read)) {
+		if (age > c->h->limits.idle_timeout_us)
+			httpd_conn_close(c);
+	} else if (age > read_timeout_us(c)) {
+		httpd_conn_send_error(c, 408, CTR_BAD_REQUEST);
+		httpd_conn_flush(c);
+	}
+}
--- /dev/null
+++ b/kernel/httpd_request.c
@@ -0,0 +1,139 @@
+/* Requests of an HTTP server, which are answered in the order of their arrival. */
+#include "kernel/httpd_impl.h"
+
+#include <string.h>
+
+static bool asks_to_close(const struct http_msg *request)
+{
+	const char *value = http_header(request, "Connection");
+
+	return value && !g_ascii_strcasecmp(value, "close");
+}
+
+static void start_queued(struct httpd_conn *c);
+
+/*
+ * Requests that were already read must be answered before the connection closes. Callers send those
+ * again that they sent behind the last response.
+ */
+static bool is_last_answer(const struct httpd_conn *c)
+{
+	return !c->requests.length && (c->h->is_stopping || http_read_is_idle(&c->read));
+}
+
+/* Writes the completed responses at the head of the queue, in order. */
+static void write_ready_answers(struct httpd_conn *c)
+{
+	struct httpd_request *r;
+
+	while ((r = g_queue_peek_head(&c->requests)) && r->answer && !c->must_close) {
+		g_queue_unlink(&c->requests, &r->link);
+		c->h->requests--;
+		if (is_last_answer(c))
+			c->must_close = c->h->no_keep_alive || asks_to_close(r->msg) || c->is_eof;
+		httpd_conn_write_answer(c, r->msg, r->answer);
+		httpd_request_free(r);
+	}
+	if (!c->requests.length)
+		c->since_us = loop_clock_us();
+}
+
+static bool has_ready_answer(const struct httpd_conn *c)
+{
+	const struct httpd_request *r = g_queue_peek_head((GQueue *)&c->requests);
+
+	return r && r->answer && !c->must_close;
+}
+
+/* Loops because a request may be answered as it starts, and then lets the next one start. */
+void httpd_conn_advance(struct httpd_conn *c)
+{
+	do {
+		if (!c->is_dead)
+			write_ready_answers(c);
+		if (!c->is_dead && !c->must_close)
+			start_queued(c);
+	} while (!c->is_dead && has_ready_answer(c));
+	if (!c->is_dead)
+		httpd_conn_flush(c);
+}
+
+void httpd_answer(struct httpd_request *r, struct http_msg *answer)
+{
+	struct httpd_conn *c = r->conn;
+	bool was_busy;
+
+	r->answer = answer;
+	if (!c) {
+		httpd_request_free(r);
+		return;
+	}
+	if (c->is_busy)
+		return; /* written after the callbacks have returned */
+	was_busy = httpd_conn_begin(c);
+	httpd_conn_advance(c);
+	httpd_conn_end(c, was_busy);
+}
+
+/* R may have been freed already. */
+static bool is_unanswered(const struct httpd_conn *c, const struct httpd_request *r)
+{
+	return g_queue_find((GQueue *)&c->requests, r) && !r->answer;
+}
+
+static void start(struct httpd_conn *c, struct httpd_request *r)
+{
+	bool caller_closed = r->caller_closed;
+
+	r->is_started = true;
+	c->h->ops->request(r, c->h->arg);
+	/* The caller closed its side while the request was queued. */
+	if (caller_closed && is_unanswered(c, r) && c->h->ops->closed)
+		c->h->ops->closed(r, HTTPD_HALF_CLOSED, c->h->arg);
+}
+
+/* Starts the first request, and those after it that may overlap. */
+static void start_queued(struct httpd_conn *c)
+{
+	GList *l = c->requests.head;
+
+	while (l && !c->is_dead) {
+		struct httpd_request *r = l->data;
+		GList *next = l->next;
+		bool is_first = l == c->requests.head;
+
+		if (!r->is_started) {
+			if (!is_first && !c->h->ops->may_overlap(r, c->h->arg))
+				return;
+			start(c, r);
+		}
+		l = next;
+	}
+}
+
+static int on_head(struct http_read *read)
+{
+	struct httpd_conn *c = read->arg;
+	const char *expect = http_header(read->msg, "Expect");
+
+	if (expect && !g_ascii_strcasecmp(expect, "100-continue") && !c->requests.length)
+		httpd_conn_append(c, "HTTP/1.1 100 Continue\r\n\r\n");
+	return 0;
+}
+
+static int on_message(struct http_read *read, struct http_msg *m)
+{
+	struct httpd_conn *c = read->arg;
+	struct httpd_request *r = g_new0(struct httpd_request, 1);
+
+	r->conn = c;
+	r->msg = m;
+	r->began_us = loop_clock_us();
+	r->link.data = r;
+	g_queue_push_tail_link(&c->requests, &r->link);
+	c->h->requests++;
+	c->since_us = r->began_us;
+	return 0;
+}
+
+const struct http_read_ops httpd_read_ops = { .head = on_head, .message = on_message };
