--- a/control/control.c
+++ b/control/control.c
@@ -8,7 +8,11 @@
 
 #include <string.h>
 
+/* At the end of the grace, to write the last answers and close the connections. */
+#define CLOSE_US (500 * US_PER_MS)
 #define HAND_OVER_POLL_US (5 * US_PER_MS)
+/* A member that is there has answered a heartbeat meanwhile. */
+#define HAND_OVER_TRY_US (2 * RAFT_HEARTBEAT_US)
 
 static void on_link_up(struct link *k)
 {
@@ -165,16 +169,26 @@
 	h->is_under_way = raft_is_handing_over(&h->control->raft);
 }
 
-/* If this process leads, another takes over, so that no election time-out has to pass. */
-static void hand_over(struct control *c)
+static void wait_for_successor(struct hand_over *h, u64 end_us)
 {
-	struct hand_over h = { .control = c };
-	u64 end_us = loop_clock_us() + RAFT_TRANSFER_TIMEOUT_US;
-
-	loop_call(c->loop, begin_hand_over, &h);
-	while (h.is_under_way && loop_clock_us() < end_us) {
+	while (h->is_under_way && loop_clock_us() < end_us) {
 		g_usleep(HAND_OVER_POLL_US);
-		loop_call(c->loop, check_hand_over, &h);
+		loop_call(h->control->loop, check_hand_over, h);
+	}
+}
+
+/*
+ * If this process leads, another takes over, so that no election time-out has to pass. The first
+ * choice may be a member that has ended since its last reply.
+ */
+static void hand_over(struct control *c, u64 end_us)
+{
+	struct hand_over h = { .control = c, .is_under_way = true };
+	u64 now = loop_clock_us();
+
+	for (; h.is_under_way && now < end_us; now = loop_clock_us()) {
+		loop_call(c->loop, begin_hand_over, &h);
+		wait_for_successor(&h, now + HAND_OVER_TRY_US);
 	}
 }
 
@@ -182,8 +196,11 @@
 {
 	struct control *c = (struct control *)m;
 
-	hand_over(c);
-	api_stop(c);
+	u64 now = loop_clock_us();
+	u64 grace_us = c->settings->control.shutdown_grace_ms * US_PER_MS;
+
+	hand_over(c, now + MIN(grace_us / 4, RAFT_TRANSFER_TIMEOUT_US));
+	api_stop(c, now + grace_us - MIN(grace_us / 4, CLOSE_US));
 	loop_call(c->loop, stop_on_loop, c);
 	loop_stop(c->loop);
 	raft_host_close(c);
