raft: a process that stops is not elected

What operators saw: after the stop of a control process right after another planned stop, no member led for an election time-out. Cause: a process that had begun to stop was elected, or took over, and ended 0.3 s later. It still votes, and goes on leading while it hands over.

--- a/control/control.c
+++ b/control/control.c
@@ -158,6 +158,7 @@
 	struct hand_over *h = arg;
 	struct control *c = h->control;
 
+	c->raft.stands_for_none = true;
 	h->is_under_way = !raft_hand_over(&c->raft, loop_clock_us());
 	raft_host_arm(c);
 }
--- a/control/raft.c
+++ b/control/raft.c
@@ -147,7 +147,7 @@
 		raft_reset_election_timeout(r, now_us);
 		return;
 	}
-	if (raft_is_voter(r)) {
+	if (raft_is_voter(r) && !r->stands_for_none) {
 		raft_become_precandidate(r, now_us);
 		return;
 	}
--- a/control/raft_elect.c
+++ b/control/raft_elect.c
@@ -219,6 +219,6 @@
 /* The leader itself asks for the election, so it goes ahead although the leader is alive. */
 void raft_on_timeout_now(struct raft *r, const struct raft_msg *m, u64 now_us)
 {
-	if (m->term == r->term && r->role != RAFT_LEADER && raft_is_voter(r))
+	if (m->term == r->term && r->role != RAFT_LEADER && raft_is_voter(r) && !r->stands_for_none)
 		become_candidate(r, true, now_us);
 }
--- a/test/raft_step_test.c
+++ b/test/raft_step_test.c
@@ -736,6 +736,23 @@
 	owner_free(o);
 }
 
+/* Guards against: a process that stops is elected, so that the group has to elect once more. */
+static void test_stopping_process_is_elected(void)
+{
+	struct owner *o = owner_new(3, 1, 3);
+	u64 now = NOW_US;
+
+	o->r.stands_for_none = true;
+	for (u32 i = 0; i < 5; i++) {
+		now = MAX(now, o->r.election_due_us);
+		raft_tick(&o->r, now);
+		g_assert_cmpint(o->r.role, ==, RAFT_FOLLOWER);
+	}
+	step(o, (struct raft_msg){ .type = RAFT_TIMEOUT_NOW, .from = 2, .term = o->r.term }, now);
+	g_assert_cmpint(o->r.role, ==, RAFT_FOLLOWER);
+	owner_free(o);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -781,6 +798,7 @@
 			test_leader_is_fresh_by_late_replies);
 	g_test_add_func("/raft-step/follower-is-fresh-by-late-heartbeat",
 			test_follower_is_fresh_by_late_heartbeat);
+	g_test_add_func("/raft-step/stopping-process-is-elected", test_stopping_process_is_elected);
 	g_test_add_func("/raft-step/start-without-leader", test_start_without_leader);
 	g_test_add_func("/raft-step/entries-in-flight-are-bounded",
 			test_entries_in_flight_are_bounded);
