control: a process answers a leader or candidate that its membership lacks

A process closes the links to all that are no members; it did so to its leader, the fifth member, whenever the second's tick came between the two. Its answers were dropped, the leader never learnt what it had, and it heard heartbeats, so it asked nobody to be let in. The same holds for a member that was down while others joined: it had no link to a leader or a candidate that it did not know.

Fix: the sender of a Raft message is connected to, by the address that it names in its greeting, and keeps its link for two election timeouts after its last message, member or not. Who answers is checked by replica id, as before. Result: the three cases of peers_test, which failed with no answer in 20 s, pass; join_test and emptied_test pass.

--- a/control/control_peer.h
+++ b/control/control_peer.h
@@ -14,6 +14,7 @@
 	struct endpoint at;
 	struct link *link;
 	struct loop_timer redial;
+	u64 heard_us; /* last Raft message from it; 0 for none */
 	u64 dir_seq; /* directory changes up to this sequence number were sent */
 };
 
--- a/control/peers.c
+++ b/control/peers.c
@@ -11,6 +11,11 @@
 #include <string.h>
 
 #define REDIAL_US (300 * US_PER_MS)
+/*
+ * A process that sends Raft messages keeps its link for this time, member or not: a leader sends
+ * them at each heartbeat, a candidate at each election timeout.
+ */
+#define SENDER_KEEP_US (2 * RAFT_ELECTION_TIMEOUT_MAX_US)
 
 static void dial(struct control_peer *p);
 
@@ -103,6 +108,15 @@
 	dial(p);
 }
 
+/*
+ * The membership known here may be older than the sender of a Raft message, which has joined since.
+ * Without an answer it can neither be elected by this process nor bring it up to date.
+ */
+static bool is_sender(const struct control_peer *p)
+{
+	return p->heard_us && loop_clock_us() - p->heard_us < SENDER_KEEP_US;
+}
+
 static gboolean is_obsolete(gpointer key, gpointer value, gpointer arg)
 {
 	struct control_peer *p = value;
@@ -112,7 +126,7 @@
 	(void)key;
 	if (m && endpoint_equal(&m->at, &p->at))
 		return FALSE;
-	if (join_needs_link(c, p->id))
+	if (join_needs_link(c, p->id) || is_sender(p))
 		return FALSE;
 	if (p->link)
 		op_link_down(c, p->link);
@@ -202,13 +216,28 @@
 	}
 }
 
-static int receive_raft(struct control *c, struct frame_in *in)
+/* Records that member ID has sent a Raft message over K, and connects to it if there is no link. */
+static void record_sender(struct control *c, const struct link *k, u32 id)
+{
+	struct control_peer *p = find_peer(c, id);
+	struct endpoint at;
+
+	if (!p && !endpoint_parse(&at, k->remote.name)) {
+		ensure_peer(c, id, &at);
+		p = find_peer(c, id);
+	}
+	if (p)
+		p->heard_us = loop_clock_us();
+}
+
+static int receive_raft(struct control *c, const struct link *k, struct frame_in *in)
 {
 	__attribute__((cleanup(raft_msg_clear))) struct raft_msg m = { 0 };
 	u64 now = loop_clock_us();
 
 	if (raft_msg_get(in, &m))
 		return ERR_INVAL;
+	record_sender(c, k, m.from);
 	raft_step(&c->raft, &m, now);
 	op_poll(c, now);
 	raft_host_arm(c);
@@ -220,7 +249,7 @@
 {
 	switch (type) {
 	case CTL_RAFT:
-		return receive_raft(c, in);
+		return receive_raft(c, k, in);
 	case CTL_DIRECTORY:
 		return propagate_receive_entries(c, k, in);
 	case CTL_HEARTBEAT:
