--- a/test/programs/paced.c
+++ b/test/programs/paced.c
@@ -20,7 +20,7 @@
 #include <unistd.h>
 
 #define CONTROLS 5
-#define CHUNK_BYTES 1460
+#define CHUNK_BYTES 4096
 #define BACKLOG 64
 #define POLL_MS 2
 /* Of the socket towards a control process, which has to wait for the link. */
