control: size the window of a transfer by time

The window begins with 16 KB and grows, up to 128 KB, while the time from sending a part to its acknowledgement stays within half of the smallest one seen and within 50 ms of it: that time is delay then, which more bytes on their way make up for. Over a link without delay a second part on its way doubles the time already, so the window stays at 16 KB and words of freshness wait as long as before. Above 150 ms of queue it shrinks to what went through in the delay and 50 ms. It grows by 100 ms of its rate at most, and is judged anew after a whole window, so it doesn't run ahead of what it knows.

config_stream_test passes a clock, that of a link of 2 Mbit/s without delay; its bound of 16 KB stays.

--- a/control/config_transfer.c
+++ b/control/config_transfer.c
@@ -14,9 +14,10 @@
 				       .acknowledged = (u32)offset,
 				       .start = (u32)offset,
 				       .start_us = now_us };
+	config_window_init(&t->window, t->start);
 }
 
-static int send_part(struct config_transfer *t, struct link *k)
+static int send_part(struct config_transfer *t, struct link *k, u64 now_us)
 {
 	const GByteArray *bytes = t->stream->bytes;
 	struct config_part p = { .request = t->request,
@@ -29,25 +30,27 @@
 
 	config_part_put(&f, &p);
 	t->sent += (u32)p.len;
+	config_window_sent(&t->window, t->sent, now_us);
 	ctr_add(CTR_CONFIG_SENT_BYTES, p.len);
 	return link_send(k, &f);
 }
 
-void config_transfer_send(struct config_transfer *t, struct link *k)
+void config_transfer_send(struct config_transfer *t, struct link *k, u64 now_us)
 {
 	while (t->stream && t->sent < t->stream->bytes->len &&
-	       t->sent - t->acknowledged + CONFIG_PART_BYTES <= CONFIG_WINDOW_BYTES)
-		if (send_part(t, k))
+	       config_window_has_room(&t->window, t->sent - t->acknowledged))
+		if (send_part(t, k, now_us))
 			return;
 }
 
-int config_transfer_acknowledge(struct config_transfer *t, u64 request, u64 received)
+int config_transfer_acknowledge(struct config_transfer *t, u64 request, u64 received, u64 now_us)
 {
 	if (!t->stream || request != t->request)
 		return 0;
 	if (received < t->acknowledged || received > t->sent)
 		return ERR_INVAL;
 	t->acknowledged = (u32)received;
+	config_window_acknowledged(&t->window, t->acknowledged, now_us);
 	return 0;
 }
 
--- a/control/nodes.c
+++ b/control/nodes.c
@@ -302,14 +302,16 @@
 {
 	struct config_stream *stream = resume_stream(c, n);
 	u64 offset = stream ? n->request.received : 0;
+	u64 now_us;
 
 	n->request.received = 0;
 	if (!stream)
 		stream = config_streams_get(&c->config_streams, &c->store, n->request.revision);
 	if (!stream)
 		return;
-	config_transfer_start(&n->transfer, stream, offset, n->request.number, loop_clock_us());
-	config_transfer_send(&n->transfer, n->link);
+	now_us = loop_clock_us();
+	config_transfer_start(&n->transfer, stream, offset, n->request.number, now_us);
+	config_transfer_send(&n->transfer, n->link, now_us);
 }
 
 /* Starts the next transfer, unless one is under way. */
@@ -336,16 +338,17 @@
 	struct node_link *n = find_node(c, k);
 	u64 request = frame_get_u64(in);
 	u64 received = frame_get_u64(in);
+	u64 now_us = loop_clock_us();
 
-	if (frame_done(in) || config_transfer_acknowledge(&n->transfer, request, received))
+	if (frame_done(in) || config_transfer_acknowledge(&n->transfer, request, received, now_us))
 		return ERR_INVAL;
 	if (config_transfer_is_complete(&n->transfer)) {
 		complete_transfer(n);
-		if (raft_is_fresh(&c->raft, CTL_LEASE_US, loop_clock_us()))
+		if (raft_is_fresh(&c->raft, CTL_LEASE_US, now_us))
 			push_config(c, n);
 		return 0;
 	}
-	config_transfer_send(&n->transfer, k);
+	config_transfer_send(&n->transfer, k, now_us);
 	return 0;
 }
 
--- a/test/config_stream_test.c
+++ b/test/config_stream_test.c
@@ -147,6 +147,9 @@
 	(void)err;
 }
 
+/* A part on a link of 2 Mbit/s without delay, where more bytes on their way only wait. */
+#define PART_US (33 * US_PER_MS)
+
 /* Guards against: a freshness report waits behind a whole set in the buffers of a link. */
 static void test_freshness_waits_behind_the_set(void)
 {
@@ -160,6 +163,7 @@
 	struct config_stream *stream;
 	struct store s;
 	struct link *k;
+	u64 now_us = 0;
 	u32 total;
 	u16 port;
 
@@ -171,19 +175,21 @@
 	total = stream->bytes->len;
 	g_assert_cmpuint(total, >, CONFIG_WINDOW_BYTES + 2 * CONFIG_PART_BYTES);
 	config_transfer_start(&t, stream, 0, 5, 0);
-	config_transfer_send(&t, k);
-	config_transfer_send(&t, k);
+	config_transfer_send(&t, k, now_us);
+	config_transfer_send(&t, k, now_us);
 	g_assert_cmpuint(t.sent, ==, CONFIG_WINDOW_BYTES);
 	g_assert_cmpuint(link_queued_bytes(k), <, CONFIG_WINDOW_BYTES + 1000);
 	/* Acknowledgements of an earlier request, or of bytes that were not sent. */
-	g_assert_cmpint(config_transfer_acknowledge(&t, 4, CONFIG_PART_BYTES), ==, 0);
-	g_assert_cmpint(config_transfer_acknowledge(&t, 5, CONFIG_WINDOW_BYTES + 1), ==, ERR_INVAL);
+	g_assert_cmpint(config_transfer_acknowledge(&t, 4, CONFIG_PART_BYTES, now_us), ==, 0);
+	g_assert_cmpint(config_transfer_acknowledge(&t, 5, CONFIG_WINDOW_BYTES + 1, now_us), ==,
+			ERR_INVAL);
 	g_assert_cmpuint(t.acknowledged, ==, 0);
 	while (!config_transfer_is_complete(&t)) {
 		u32 next = MIN(t.acknowledged + CONFIG_PART_BYTES, t.sent);
 
-		g_assert_cmpint(config_transfer_acknowledge(&t, 5, next), ==, 0);
-		config_transfer_send(&t, k);
+		now_us += PART_US;
+		g_assert_cmpint(config_transfer_acknowledge(&t, 5, next, now_us), ==, 0);
+		config_transfer_send(&t, k, now_us);
 		g_assert_cmpuint(t.sent - t.acknowledged, <=, CONFIG_WINDOW_BYTES);
 	}
 	g_assert_cmpuint(t.sent, ==, total);
--- a/wire/config_part.h
+++ b/wire/config_part.h
@@ -16,8 +16,9 @@
 #include "lib/frame.h"
 
 #define CONFIG_PART_BYTES (8 * 1024)
-/* 64 ms at 2 Mbit/s. */
+/* The window begins with this, and grows no further than to the maximum: see config_window.h. */
 #define CONFIG_WINDOW_BYTES (2 * CONFIG_PART_BYTES)
+#define CONFIG_WINDOW_MAX_BYTES (16 * CONFIG_PART_BYTES)
 /* A stream may not be longer. */
 #define CONFIG_STREAM_MAX_BYTES (64 * 1024 * 1024)
 
@@ -31,7 +32,8 @@
 /* CTL_WATCH: what a node has, and that it wants the changes from there on. */
 struct config_request {
 	u64 number; /* of this request on the node; parts and acknowledgements repeat it */
-	u64 revision; /* in force at the node; 0 requests the whole configuration */
+	/* In force at the node, or of STREAM its `from`; 0 requests the whole configuration. */
+	u64 revision;
 	struct config_stream_id stream; /* that it has a part of; zeros if none */
 	u64 received; /* bytes of that stream */
 };
