control: observe sets between changes that are applied together

A node that moved to a control process that had got several changes at once got the whole set for one changed route, with the time on its link that this takes: the set was observed once per raft message, so of entries committed together only the last was known (config_frames_test whole-set-after-changes-in-one-batch: 15,737 bytes for one route).

What an entry made is observed now before the next one is applied, when the entries since the last observation are 64 KB at most (the log has a changed set as a difference, so this bounds the routes to parse) and no more than 5 ms of the batch went into it: a member that catches up with hundreds of entries doesn't parse as many sets in one turn. So of a long batch some revisions stay unknown; nodes with these share the one stream from nothing.

--- a/control/config_frames.c
+++ b/control/config_frames.c
@@ -1,5 +1,6 @@
 #include "control/config_frames.h"
 
+#include "lib/clock.h"
 #include "lib/set_frame.h"
 #include "wire/ctl.h"
 
@@ -161,6 +162,27 @@
 void config_frames_observe(struct config_frames *c, const struct store *s)
 {
 	set_history_update(&c->set_history, store_find(s, SET_NAME), s->revision);
+	c->unobserved_bytes = 0;
+	c->early_us = 0;
+}
+
+static bool may_observe_early(const struct config_frames *c)
+{
+	return c->set_history.newest && c->unobserved_bytes &&
+	       c->unobserved_bytes <= CONFIG_FRAMES_EARLY_BYTES &&
+	       c->early_us < CONFIG_FRAMES_EARLY_US;
+}
+
+void config_frames_before_change(struct config_frames *c, const struct store *s, size_t bytes)
+{
+	u64 began_us = loop_clock_us();
+	u64 early_us = c->early_us;
+
+	if (may_observe_early(c)) {
+		config_frames_observe(c, s);
+		c->early_us = early_us + loop_clock_us() - began_us;
+	}
+	c->unobserved_bytes += bytes;
 }
 
 u64 config_frames_base(struct config_frames *c, const struct store *s, u64 from)
--- a/control/config_frames.h
+++ b/control/config_frames.h
@@ -20,6 +20,13 @@
 /* After a change all nodes need one of two: since the revision before it, or the whole. */
 #define CONFIG_FRAMES_ENTRIES 2
 
+/*
+ * Of changes that are applied together all but the last are observed only within this time, and if
+ * they have no more bytes than this: 4 ms of parsing.
+ */
+#define CONFIG_FRAMES_EARLY_US (5 * US_PER_MS)
+#define CONFIG_FRAMES_EARLY_BYTES (64 * 1024)
+
 struct config_frames_entry {
 	u64 from;
 	u64 to;
@@ -30,6 +37,8 @@
 	struct set_history set_history;
 	struct config_frames_entry entries[CONFIG_FRAMES_ENTRIES];
 	u32 next_entry;
+	size_t unobserved_bytes; /* of the changes since the last observation */
+	u64 early_us; /* spent on observations before changes since the last other one */
 };
 
 /*
@@ -46,9 +55,17 @@
 
 /*
  * config_frames_observe - notes the configuration of the store, so that nodes that get it from
- * another control process can get the difference from it. Needed after each change.
+ * another control process can get the difference from it. Needed after the changes that are applied
+ * together.
  */
 void config_frames_observe(struct config_frames *c, const struct store *s);
+
+/*
+ * config_frames_before_change - a change of BYTES will be applied. Observes what the one before it
+ * made, if that is short and there is time for it: a member that was behind applies hundreds of
+ * changes together.
+ */
+void config_frames_before_change(struct config_frames *c, const struct store *s, size_t bytes);
 void config_frames_clear(struct config_frames *c);
 
 #endif
--- a/control/raft_host.c
+++ b/control/raft_host.c
@@ -77,6 +77,8 @@
 	struct store_result result = { 0 };
 
 	if (e->kind == RAFT_COMMAND) {
+		config_frames_before_change(&c->config_streams.frames, &c->store,
+					    g_bytes_get_size(e->data));
 		store_apply(&c->store, e->data, &result);
 		count_result(&result);
 	}
@@ -88,6 +90,7 @@
 	struct control *c = r->arg;
 
 	(void)index;
+	config_frames_before_change(&c->config_streams.frames, &c->store, g_bytes_get_size(state));
 	if (store_restore(&c->store, state))
 		exit_on_error(ERR_CORRUPT, "restore");
 	op_restored(c);
