node: a turn handles one frame of the configuration

Two frames and a limit of bytes were three rules for one bound. A part whose frames were handled ends in the same turn, so its acknowledgement doesn't wait.

--- a/node/config_receive.c
+++ b/node/config_receive.c
@@ -6,13 +6,8 @@
 #include <string.h>
 
 #define INFLATE_BYTES (16 * 1024)
-/*
- * A turn is over with the first of these. Frames are of 256 steps and 8 KB at most, but for long
- * declarations: 512 short routes, or one frame beyond the bytes.
- */
-#define TURN_FRAMES 2
+/* A turn is over after one frame, or after this much was inflated without one. */
 #define TURN_INFLATIONS 4
-#define TURN_FRAME_BYTES (4 * 1024)
 
 void config_receive_init(struct config_receive *r, const struct config_receive_ops *ops, void *arg)
 {
@@ -183,15 +178,18 @@
 
 /* What one turn has done. */
 struct turn {
-	u32 frames;
+	bool has_frame;
 	u32 inflations;
-	size_t frame_bytes;
 };
 
-static bool is_over(const struct turn *t)
+/* Returns whether the turn may go on: to end a part, after which nothing is left, it always may. */
+static bool may_go_on(const struct config_receive *r, const struct turn *t)
 {
-	return t->frames >= TURN_FRAMES || t->inflations >= TURN_INFLATIONS ||
-	       t->frame_bytes >= TURN_FRAME_BYTES;
+	if (!config_receive_has_work(r))
+		return false;
+	if (r->is_in_part && !r->may_inflate && r->inflated->len < FRAME_HEADER_BYTES)
+		return true;
+	return !t->has_frame && t->inflations < TURN_INFLATIONS;
 }
 
 /* Handles a frame, or inflates some bytes, or ends the part if neither is left. */
@@ -205,8 +203,7 @@
 	if (err)
 		return err;
 	if (bytes) {
-		t->frames++;
-		t->frame_bytes += bytes;
+		t->has_frame = true;
 		return handle_frame(r, bytes);
 	}
 	if (!r->may_inflate)
@@ -220,7 +217,7 @@
 	struct turn t = { 0 };
 	int err = 0;
 
-	while (!err && config_receive_has_work(r) && !is_over(&t))
+	while (!err && may_go_on(r, &t))
 		err = do_step(r, &t);
 	if (err)
 		config_receive_clear(r);
--- a/test/config_receive_test.c
+++ b/test/config_receive_test.c
@@ -211,9 +211,6 @@
 	config_stream_unref(s);
 }
 
-/* Of the frames that one turn handles; a frame of the test's is longer than one of control. */
-#define TURN_FRAMES_MAX 2
-
 /*
  * Guards against: parts that come while others are worked on are handled in the same turn, out of
  * their order, or kept without a bound.
@@ -235,10 +232,10 @@
 	g_assert_cmpuint(r.received, ==, 0);
 	for (u64 frames = 0; config_receive_has_work(&r); frames = t.frames, turns++) {
 		g_assert_cmpint(config_receive_work(&r), ==, 0);
-		g_assert_cmpuint(t.frames - frames, <=, TURN_FRAMES_MAX);
+		g_assert_cmpuint(t.frames - frames, <=, 1);
 	}
 	g_assert_true(config_receive_is_complete(&r));
-	g_assert_cmpuint(turns, >=, FRAMES / TURN_FRAMES_MAX);
+	g_assert_cmpuint(turns, >=, FRAMES);
 	g_assert_cmpuint(t.values, ==, VALUES);
 	config_receive_clear(&r);
 	config_stream_unref(s);
