test: a node that starts in a storm of changes is never behind for longer than a change may take

Looked for: a node that always finishes the transfer of a superseded revision first stays behind in a storm of large sets. Allowed: 2 s, or 2 s after the link has had time for the first set.

--- a/test/config_transfer_test.c
+++ b/test/config_transfer_test.c
@@ -35,8 +35,11 @@
 	p->relay_port = paced_relay_start(&narrow, p->lone.settings.control.peer_port);
 }
 
-/* Returns a set that compresses badly, as paths of real routes do. */
-static char *set_text(u64 version, u32 routes)
+/*
+ * Returns a set that compresses badly, as paths of real routes do. The first CHANGED routes differ
+ * from those of a set in which none is changed.
+ */
+static char *changed_text(u64 version, u32 routes, u64 changed)
 {
 	GString *text = g_string_new(NULL);
 	g_autoptr(GRand) rand = g_rand_new_with_seed(7);
@@ -51,12 +54,18 @@
 		g_string_append_printf(text,
 				       "/\",\"repeat\":\"always\",\"timeout_ms\":%u,"
 				       "\"target_ms\":250,\"attempts\":2,\"service\":\"a\"}",
-				       i < version ? 1001u : 1000u);
+				       i < changed ? 1001u : 1000u);
 	}
 	g_string_append(text, "],\"services\":[{\"name\":\"a\"}],\"limits\":{}}");
 	return g_string_free(text, FALSE);
 }
 
+/* Each version changes one more route than the version before. */
+static char *set_text(u64 version, u32 routes)
+{
+	return changed_text(version, routes, version);
+}
+
 /* Declares the set of VERSION at all control processes. */
 static void declare(u64 version, const char *text)
 {
@@ -207,6 +216,74 @@
 		       (u32)((loop_clock_us() - last) / US_PER_MS));
 }
 
+#define STORM_CHANGES 12
+#define STORM_ROUTES 200
+#define STORM_INTERVAL_US (300 * US_PER_MS)
+/* A change has to be in force this long after it was acknowledged, rule CONFIG. */
+#define IN_FORCE_US (2 * US_PER_S)
+
+/* When each version was acknowledged, and when it came into force; 0 if not yet. */
+struct storm {
+	u64 acknowledged_us[STORM_CHANGES + 1];
+	u64 in_force_us[STORM_CHANGES + 1];
+	gint is_ended;
+};
+
+static gpointer note_in_force(gpointer arg)
+{
+	struct storm *s = arg;
+
+	while (!g_atomic_int_get(&s->is_ended)) {
+		for (u64 v = MIN(config_revision(), STORM_CHANGES); v && !s->in_force_us[v]; v--)
+			s->in_force_us[v] = loop_clock_us();
+		g_usleep(US_PER_MS);
+	}
+	return NULL;
+}
+
+/*
+ * Guards against: a node that starts in a storm of changes stays behind, as it always finishes the
+ * transfer of a superseded revision first. Each change is of STORM_ROUTES further routes.
+ */
+static void test_start_during_storm(void)
+{
+	g_autofree char *first = set_text(1, ROUTES);
+	u64 transfer_us = compressed_bytes(first) * US_PER_S / LINK_BYTES_PER_S;
+	struct storm s = { 0 };
+	struct fake_node node;
+	GThread *thread;
+	u64 start;
+
+	declare(1, first);
+	start = loop_clock_us();
+	start_node(&node);
+	thread = g_thread_new("in force", note_in_force, &s);
+	for (u64 version = 2; version <= STORM_CHANGES; version++) {
+		g_autofree char *text = changed_text(version, ROUTES, version * STORM_ROUTES);
+		u64 due_us = start + (version - 1) * STORM_INTERVAL_US;
+		u64 now = loop_clock_us();
+
+		if (due_us > now)
+			g_usleep(due_us - now);
+		declare(version, text);
+		s.acknowledged_us[version] = loop_clock_us();
+	}
+	g_assert_cmpuint(wait_revision(STORM_CHANGES, loop_clock_us(), WAIT_US), ==, STORM_CHANGES);
+	g_usleep(10 * US_PER_MS);
+	g_atomic_int_set(&s.is_ended, 1);
+	g_thread_join(thread);
+	for (u64 version = 2; version <= STORM_CHANGES; version++) {
+		/* What the node lacks at its start takes its link this long. */
+		u64 from_us = MAX(s.acknowledged_us[version], start + transfer_us);
+
+		g_test_message(
+			"version %u in force %d ms after it was acknowledged", (u32)version,
+			(int)(((i64)s.in_force_us[version] - (i64)s.acknowledged_us[version]) /
+			      US_PER_MS));
+		g_assert_cmpuint(s.in_force_us[version], <=, from_us + IN_FORCE_US);
+	}
+}
+
 #define SERVICES 600
 #define UPSTREAMS 12
 /* At least, of an upstream in a view. */
@@ -298,6 +375,7 @@
 	g_test_add_func("/config-transfer/begins-again-at-next-process",
 			test_begins_again_at_next_process);
 	g_test_add_func("/config-transfer/changes-during-transfer", test_changes_during_transfer);
+	g_test_add_func("/config-transfer/start-during-storm", test_start_during_storm);
 	g_test_add_func("/config-transfer/many-services-on-narrow-link",
 			test_many_services_on_narrow_link);
 	ret = g_test_run();
