test: a node whose link is full of calls finds no other control process, failing

The relay of the tests gets a delay beside its rate, which stands for bytes of others that wait at the link. With 0.3 s of it (75 KB at 2 Mbit/s) a node whose control process is not fresh any more has no other one after 20 s: a trial takes two to three such delays for the greetings and the first freshness report, and is given up after 0.5 s. Allowed: 2 s, as for any move.

--- a/test/fakes/paced_relay.c
+++ b/test/fakes/paced_relay.c
@@ -23,6 +23,13 @@
 	int from;
 	int to;
 	gint *refs; /* of the connection */
+	GAsyncQueue *queue; /* of struct chunk, in the order of their times; of a paced flow */
+};
+
+struct chunk {
+	u64 due_us;
+	ssize_t n; /* 0 ends the flow */
+	char bytes[CHUNK_BYTES];
 };
 
 /* Waits until the link has taken N further bytes. */
@@ -45,19 +52,66 @@
 	char chunk[CHUNK_BYTES];
 	ssize_t n = recv(f->from, chunk, sizeof(chunk), 0);
 
-	if (n <= 0)
-		return false;
-	if (f->link)
+	return n > 0 && send(f->to, chunk, (size_t)n, MSG_NOSIGNAL) == n;
+}
+
+/* Queues what is received for the time at which it is through the link. */
+static bool take_chunk(const struct flow *f)
+{
+	struct chunk *c = g_new(struct chunk, 1);
+	ssize_t n = recv(f->from, c->bytes, sizeof(c->bytes), 0);
+
+	c->n = MAX(n, 0);
+	if (n > 0)
 		pace(f->link, (size_t)n);
-	return send(f->to, chunk, (size_t)n, MSG_NOSIGNAL) == n;
+	c->due_us = loop_clock_us() + (u64)g_atomic_int_get(&f->link->delay_us);
+	g_async_queue_push(f->queue, c);
+	return n > 0;
+}
+
+/* Sends the chunks of a paced flow when they are due. */
+static gpointer delay_main(gpointer arg)
+{
+	const struct flow *f = arg;
+	bool is_open = true;
+	bool is_last = false;
+
+	while (!is_last) {
+		g_autofree struct chunk *c = g_async_queue_pop(f->queue);
+		u64 now = loop_clock_us();
+
+		if (c->due_us > now)
+			g_usleep(c->due_us - now);
+		is_last = !c->n;
+		is_open = is_open && !is_last &&
+			  send(f->to, c->bytes, (size_t)c->n, MSG_NOSIGNAL) == c->n;
+		if (!is_open)
+			shutdown(f->from, SHUT_RDWR);
+	}
+	return NULL;
+}
+
+static void relay_paced(struct flow *f)
+{
+	GThread *thread;
+
+	f->queue = g_async_queue_new();
+	thread = g_thread_new("delay", delay_main, f);
+	while (take_chunk(f))
+		;
+	g_thread_join(thread);
+	g_async_queue_unref(f->queue);
 }
 
 static gpointer flow_main(gpointer arg)
 {
 	struct flow *f = arg;
 
-	while (relay_chunk(f))
-		;
+	if (f->link)
+		relay_paced(f);
+	else
+		while (relay_chunk(f))
+			;
 	shutdown(f->from, SHUT_RDWR);
 	shutdown(f->to, SHUT_RDWR);
 	if (g_atomic_int_dec_and_test(f->refs)) {
--- a/test/fakes/paced_relay.h
+++ b/test/fakes/paced_relay.h
@@ -3,7 +3,7 @@
  *
  * All bytes from the targets share one rate, as on the link of a VM; bytes towards the targets are
  * not paced. Bytes wait in the buffers of the sockets, so a message waits behind all that was
- * written before it.
+ * written before it. A delay stands for a queue of others' bytes at the link that does not end.
  *
  * SOURCE test/fakes/paced_relay.c
  */
@@ -17,6 +17,7 @@
 struct paced_link {
 	GMutex lock;
 	u64 bytes_per_s;
+	gint delay_us; /* of all bytes, beside the rate; may change at any time */
 	u64 free_at_us; /* when the last byte that was given to the link is through */
 	gint bytes; /* relayed so far */
 };
--- a/test/watch_test.c
+++ b/test/watch_test.c
@@ -8,6 +8,7 @@
 #include "test/fakes/fake_node.h"
 #include "test/fakes/fake_peer.h"
 #include "test/fakes/httpc.h"
+#include "test/fakes/paced_relay.h"
 #include "test/fakes/raw_server.h"
 #include "wire/ctl.h"
 
@@ -185,6 +186,43 @@
 	g_assert_cmpuint(to->watched_us - began_us, <, MOVE_MAX_US);
 }
 
+/* What waits at the link: 75 KB of the bodies of calls, at 2 Mbit/s. */
+#define QUEUE_US (300 * US_PER_MS)
+
+/*
+ * Guards against: a node without a fresh control process finds none while its link is full of
+ * calls, as each trial is given up before the greetings and a freshness report have come through.
+ */
+static void test_trials_behind_calls_are_given_up(void)
+{
+	static struct paced_link link = { .bytes_per_s = 2000000 / 8 };
+	struct fake_node node;
+	struct fake_control *from;
+	struct fake_control *to;
+	u64 began_us;
+
+	fake_node_prepare(&node);
+	g_array_set_size(node.settings.node.control, 0);
+	for (guint i = 0; i < G_N_ELEMENTS(controls); i++) {
+		struct endpoint at = { .host = "127.0.0.1" };
+
+		start_control(&controls[i]);
+		at.port = paced_relay_start(&link, controls[i].port);
+		g_array_append_val(node.settings.node.control, at);
+	}
+	fake_node_run(&node);
+	for (u32 i = 0; i < WAIT_MS && !controls[0].watches && !controls[1].watches; i++)
+		g_usleep(US_PER_MS);
+	from = controls[0].watches ? &controls[0] : &controls[1];
+	to = from == &controls[0] ? &controls[1] : &controls[0];
+	g_usleep(US_PER_S);
+	g_atomic_int_set(&link.delay_us, QUEUE_US);
+	began_us = loop_clock_us();
+	g_atomic_int_set(&from->is_fresh, 0);
+	wait_watches(to, 1);
+	g_assert_cmpuint(to->watched_us - began_us, <, MOVE_MAX_US);
+}
+
 /*
  * Guards against: a freshness report that waited on its way counts as new, so the node stays with
  * a control process that was fresh a while ago.
@@ -607,6 +645,8 @@
 
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/watch/moves-to-process-tried-before", test_moves_to_process_tried_before);
+	g_test_add_func("/watch/trials-behind-calls-are-given-up",
+			test_trials_behind_calls_are_given_up);
 	g_test_add_func("/watch/late-freshness-taken-for-new", test_late_freshness_taken_for_new);
 	g_test_add_func("/watch/own-stall-taken-for-old-freshness",
 			test_own_stall_taken_for_old_freshness);
