watch: a trial of a control process ends for lack of bytes, not of time

What callers could see: the link of a node is full of calls' bodies while its control process ends or is cut off. The node finds no other one for as long as that lasts, stays with the configuration that it has, and answers 503 instead of 404.

Cause: a trial had 0.5 s for connection, greetings and the first freshness report, which wait one after the other behind what fills the link. A queue of 0.17 s was enough. A report may come up to 0.45 s late before its control process counts as not fresh, so the main link works where no trial can.

A trial is now abandoned when nothing has come for 0.5 s, or after three times the 0.45 s. A process that is down or frozen is left after 0.5 s as before.

--- a/node/watch.c
+++ b/node/watch.c
@@ -23,8 +23,17 @@
 #define TICK_US (100 * US_PER_MS)
 /* A node leaves a control process that has not been fresh for this time. */
 #define NOT_FRESH_MAX_US (700 * US_PER_MS)
-/* A trial is abandoned when the control process has not reported its freshness by then. */
-#define TRIAL_TIMEOUT_US (500 * US_PER_MS)
+/*
+ * A trial is abandoned when nothing has come from the control process for this time, at first from
+ * the dial on.
+ */
+#define TRIAL_SILENCE_US (500 * US_PER_MS)
+/*
+ * It is abandoned in any case when the control process has not reported its freshness by then. The
+ * connection, the greetings and the report each wait behind what fills the node's link, which may
+ * be as long as a freshness report may wait: NOT_FRESH_MAX_US less the interval of the reports.
+ */
+#define TRIAL_MAX_US (3 * (NOT_FRESH_MAX_US - CTL_FRESHNESS_INTERVAL_US))
 /* A freshness report that took longer to arrive is logged and counted. */
 #define FRESHNESS_LATE_US (500 * US_PER_MS)
 #define RETRY_INTERVAL_US (500 * US_PER_MS)
@@ -366,10 +375,16 @@
 		w->trial.candidate = NULL;
 }
 
+static bool is_trial_over(const struct watch *w, u64 now_us)
+{
+	return now_us - w->trial.start_us > TRIAL_MAX_US ||
+	       link_silence_us(w->trial.link, now_us) > TRIAL_SILENCE_US;
+}
+
 static void check_trial(struct watch *w, u64 now_us)
 {
-	if (w->trial.link && now_us - w->trial.start_us > TRIAL_TIMEOUT_US) {
-		w->trial.candidate->retry_at_us = now_us + TRIAL_TIMEOUT_US;
+	if (w->trial.link && is_trial_over(w, now_us)) {
+		w->trial.candidate->retry_at_us = now_us + RETRY_INTERVAL_US;
 		close_link(&w->trial);
 	}
 	if (!w->trial.link)
