--- a/test/fakes/paced_relay.c
+++ b/test/fakes/paced_relay.c
@@ -5,7 +5,6 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
-#include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -27,13 +26,12 @@
 	int from;
 	int to;
 	gint *refs; /* of the connection */
-	GAsyncQueue *delayed; /* of struct chunk; NULL: bytes go on at once */
+	GAsyncQueue *queue; /* of struct chunk, in the order of their times; of a paced flow */
 };
 
-/* Bytes that are on their way; with LEN 0, the end of the connection. */
 struct chunk {
 	u64 due_us;
-	size_t len;
+	ssize_t n; /* 0 ends the flow */
 	char bytes[CHUNK_BYTES];
 };
 
@@ -52,78 +50,73 @@
 		g_usleep(until - now);
 }
 
-static struct chunk *chunk_new(const struct flow *f, const char *bytes, size_t len)
+static bool relay_chunk(const struct flow *f)
+{
+	char chunk[CHUNK_BYTES];
+	ssize_t n = recv(f->from, chunk, sizeof(chunk), 0);
+
+	if (n > 0)
+		g_atomic_int_add(&f->link->bytes_back, (gint)n);
+	return n > 0 && send(f->to, chunk, (size_t)n, MSG_NOSIGNAL) == n;
+}
+
+/* Queues what is received for the time at which it is through the link. */
+static bool take_chunk(const struct flow *f)
 {
 	struct chunk *c = g_new(struct chunk, 1);
+	ssize_t n = recv(f->from, c->bytes, sizeof(c->bytes), 0);
 
-	c->due_us = loop_clock_us() + f->link->delay_us;
-	c->len = len;
-	memcpy(c->bytes, bytes, len);
-	return c;
+	c->n = MAX(n, 0);
+	if (n > 0)
+		pace(f->link, (size_t)n);
+	c->due_us = loop_clock_us() + (u64)g_atomic_int_get(&f->link->delay_us);
+	g_async_queue_push(f->queue, c);
+	return n > 0;
 }
 
-/* Sends delayed chunks when they are due, in their order. */
+/* Sends the chunks of a paced flow when they are due. */
 static gpointer delay_main(gpointer arg)
 {
-	struct flow *f = arg;
+	const struct flow *f = arg;
 	bool is_open = true;
+	bool is_last = false;
 
-	while (is_open) {
-		g_autofree struct chunk *c = g_async_queue_pop(f->delayed);
+	while (!is_last) {
+		g_autofree struct chunk *c = g_async_queue_pop(f->queue);
 		u64 now = loop_clock_us();
 
 		if (c->due_us > now)
 			g_usleep(c->due_us - now);
-		is_open = c->len;
-		if (is_open)
-			send(f->to, c->bytes, c->len, MSG_NOSIGNAL);
+		is_last = !c->n;
+		is_open = is_open && !is_last &&
+			  send(f->to, c->bytes, (size_t)c->n, MSG_NOSIGNAL) == c->n;
+		if (!is_open)
+			shutdown(f->from, SHUT_RDWR);
 	}
 	return NULL;
 }
 
-static bool relay_chunk(const struct flow *f)
-{
-	char chunk[CHUNK_BYTES];
-	ssize_t n = recv(f->from, chunk, sizeof(chunk), 0);
-
-	if (n <= 0)
-		return false;
-	if (f->is_paced)
-		pace(f->link, (size_t)n);
-	else
-		g_atomic_int_add(&f->link->bytes_back, (gint)n);
-	if (f->delayed) {
-		g_async_queue_push(f->delayed, chunk_new(f, chunk, (size_t)n));
-		return true;
-	}
-	return send(f->to, chunk, (size_t)n, MSG_NOSIGNAL) == n;
-}
-
-static GThread *start_delay(struct flow *f)
+static void relay_paced(struct flow *f)
 {
-	if (!f->is_paced || !f->link->delay_us)
-		return NULL;
-	f->delayed = g_async_queue_new_full(g_free);
-	return g_thread_new("delay", delay_main, f);
-}
+	GThread *thread;
 
-static void end_delay(struct flow *f, GThread *thread)
-{
-	if (!thread)
-		return;
-	g_async_queue_push(f->delayed, chunk_new(f, "", 0));
+	f->queue = g_async_queue_new();
+	thread = g_thread_new("delay", delay_main, f);
+	while (take_chunk(f))
+		;
 	g_thread_join(thread);
-	g_async_queue_unref(f->delayed);
+	g_async_queue_unref(f->queue);
 }
 
 static gpointer flow_main(gpointer arg)
 {
 	struct flow *f = arg;
-	GThread *delay = start_delay(f);
 
-	while (relay_chunk(f))
-		;
-	end_delay(f, delay);
+	if (f->is_paced)
+		relay_paced(f);
+	else
+		while (relay_chunk(f))
+			;
 	shutdown(f->from, SHUT_RDWR);
 	shutdown(f->to, SHUT_RDWR);
 	if (g_atomic_int_dec_and_test(f->refs)) {
