test: half of a copy on an idle connection

/repeated-answer/half-while-idle: with the close of a connection on which bytes arrive while it is idle taken out by hand, no test failed; this one does, as the rest of the copy spoils the next answer. It passes on the code as it is.

--- a/test/repeated_answer_test.c
+++ b/test/repeated_answer_test.c
@@ -54,6 +54,7 @@
 	GAsyncQueue *done;
 	struct play play;
 	gint connections;
+	gint is_half_written;
 };
 
 static struct fixture fixture;
@@ -442,6 +443,46 @@
 	teardown();
 }
 
+/* On the first connection, writes half of a copy while no request is open, the rest later. */
+static void serve_while_idle(struct raw_server *s, int fd, u32 nth)
+{
+	const char *rest = strstr(REFUSAL_A, "Lavenderlead-Not");
+	g_autofree char *half = g_strndup(REFUSAL_A, (gsize)(rest - REFUSAL_A));
+
+	if (nth > 1) {
+		while (raw_read_request(s, fd))
+			raw_write(fd, NEXT);
+		return;
+	}
+	raw_read_request(s, fd);
+	raw_write(fd, OWN);
+	g_usleep(PAUSE_US);
+	raw_write(fd, half);
+	g_atomic_int_set(&fixture.is_half_written, 1);
+	if (!raw_read_request(s, fd))
+		return;
+	raw_write(fd, rest);
+	raw_write(fd, NEXT);
+}
+
+/* Guards against: the rest of a copy that began on an idle connection spoils the next answer. */
+static void test_half_while_idle(void)
+{
+	int err;
+
+	setup(serve_while_idle);
+	err = run("POST", "b", 0);
+	g_assert_cmpint(err, ==, 0);
+	http_free(g_steal_pointer(&fixture.call.reply));
+	while (!g_atomic_int_get(&fixture.is_half_written))
+		g_usleep(PAUSE_US);
+	g_usleep(20 * PAUSE_US);
+	err = run("POST", "c", 0);
+	g_assert_cmpint(err, ==, 0);
+	http_free(g_steal_pointer(&fixture.call.reply));
+	teardown();
+}
+
 static void serve_many_refusals(struct raw_server *s, int fd, u32 nth)
 {
 	g_atomic_int_set(&fixture.connections, (gint)nth);
@@ -508,6 +549,7 @@
 	g_test_add_func("/repeated-answer/header-with-status-line", test_header_with_status_line);
 	g_test_add_func("/repeated-answer/request-without-id", test_request_without_id);
 	g_test_add_func("/repeated-answer/connections-kept", test_connections_kept);
+	g_test_add_func("/repeated-answer/half-while-idle", test_half_while_idle);
 	g_test_add_func("/repeated-answer/refused-ids-are-bounded", test_refused_ids_are_bounded);
 	g_test_add_func("/repeated-answer/polls-keep-connection", test_polls_keep_connection);
 	return g_test_run();
