upstream: one job a file

The last three go into upstream_request.c, upstream_answer.c and upstream_reuse.c, with upstream_impl.h between them. Behaviour unchanged.

--- a/node/node.h
+++ b/node/node.h
@@ -4,7 +4,7 @@
  * All state belongs to the loop's thread, which also serves HTTP.
  *
  * SOURCE node/node.c (start and stop), node/entry*.c (callers' calls), node/caller.c
- * (callers' HTTP), node/home*.c (admission and execution), node/upstream.c (HTTP to
+ * (callers' HTTP), node/home*.c (admission and execution), node/upstream*.c (HTTP to
  * the upstream), node/mesh.c (links to other nodes), node/watch.c (link to
  * control), node/local.c (the upstream's announcements)
  */
--- a/node/upstream.h
+++ b/node/upstream.h
@@ -14,7 +14,9 @@
  *
  * ERRORS ERR_REFUSED, ERR_CLOSED, ERR_TRUNCATED, ERR_TIMEOUT, ERR_TOOBIG, ERR_CANCELLED,
  * ERR_UNCERTAIN; the call may have run if and only if is_written is set.
- * SOURCE node/upstream.c
+ * SOURCE node/upstream.c (calls and their connections), node/upstream_request.c (what is sent),
+ * node/upstream_answer.c (whose answer it is), node/upstream_reuse.c (which connections are used
+ * again)
  */
 #ifndef UPSTREAM_H
 #define UPSTREAM_H
