test: calls after a 421 of the upstream

With the withdrawal of an upstream at whose address another one has answered taken out by hand, no test failed. /home-notice/other-instance-gets-calls does; it passes on the code as it is.

--- a/test/home_notice_test.c
+++ b/test/home_notice_test.c
@@ -220,6 +220,19 @@
 	expect_answer();
 }
 
+/* Guards against: calls go on to an address at which another upstream has answered. */
+static void test_other_instance_gets_calls(void)
+{
+	start("");
+	status_line = "421 Misdirected Request";
+	announce();
+	call(LONG_TIMEOUT_US);
+	expect_refusal("other-instance");
+	call(LONG_TIMEOUT_US);
+	expect_refusal("wrong-home");
+	g_assert_cmpint(g_atomic_int_get(&calls), ==, 1);
+}
+
 static const char set_json[] =
 	"{\"version\":1,\"services\":[{\"name\":\"sightings\",\"health_path\":\"" HEALTH_PATH "\"},"
 	"{\"name\":\"atlas\"}],\"routes\":[{\"name\":\"r\",\"host\":\"h.example\",\"prefix\":\"/\","
@@ -365,6 +378,7 @@
 			test_answer_of_replaced_upstream_drains_new_one);
 	g_test_add_func("/home-notice/other-instance-drains-upstream",
 			test_other_instance_drains_upstream);
+	g_test_add_func("/home-notice/other-instance-gets-calls", test_other_instance_gets_calls);
 	g_test_add_func("/home-notice/restarted-home-exceeds-rate-limit",
 			test_restarted_home_exceeds_rate_limit);
 	g_test_add_func("/home-notice/restarted-home-with-silent-health-path",
