home: one job a file

How calls end (replies, refusals, unknown outcomes) goes into home_end.c, and cancels, broken links and fences into home_cancel.c; struct job is in home_impl.h. Behaviour unchanged.

--- /dev/null
+++ b/node/home_cancel.c
@@ -0,0 +1,106 @@
+/* Calls that are cancelled, and links that break: fences ask what became of their calls. */
+#include "node/home_impl.h"
+
+#include "lib/err.h"
+
+static void cancel_job(struct node *n, struct job *j)
+{
+	if (j->req.state == ADMIT_QUEUED) {
+		admit_cancel(&n->home->admit, &j->req);
+		home_refuse_not_run(n, j, CTR_CANCELLED);
+		return;
+	}
+	upstream_abort(&j->upstream, ERR_CANCELLED);
+}
+
+void home_cancel(struct node *n, struct call_id id)
+{
+	struct job *j = g_hash_table_lookup(n->home->jobs, &id);
+
+	if (j)
+		cancel_job(n, j);
+}
+
+void home_caller_left(struct node *n, struct call_id id)
+{
+	struct job *j = g_hash_table_lookup(n->home->jobs, &id);
+
+	if (j && (j->is_idempotent || j->req.state == ADMIT_QUEUED))
+		cancel_job(n, j);
+}
+
+/* Returns the ids of all jobs. Ending one job may end others, so look up each id again. */
+static GArray *list_job_ids(const struct node *n)
+{
+	GArray *out = g_array_new(FALSE, FALSE, sizeof(struct call_id));
+	GHashTableIter iter;
+	gpointer key;
+
+	g_hash_table_iter_init(&iter, n->home->jobs);
+	while (g_hash_table_iter_next(&iter, &key, NULL))
+		g_array_append_val(out, *(const struct call_id *)key);
+	return out;
+}
+
+static struct job *find_job(const struct node *n, const GArray *ids, guint i)
+{
+	return g_hash_table_lookup(n->home->jobs, &g_array_index(ids, struct call_id, i));
+}
+
+void home_cancel_all(struct node *n)
+{
+	g_autoptr(GArray) ids = list_job_ids(n);
+
+	for (guint i = 0; i < ids->len; i++) {
+		struct job *j = find_job(n, ids, i);
+
+		if (j)
+			cancel_job(n, j);
+	}
+}
+
+void home_refuse_queued(struct node *n, enum ctr reason)
+{
+	g_autoptr(GArray) ids = list_job_ids(n);
+
+	for (guint i = 0; i < ids->len; i++) {
+		struct job *j = find_job(n, ids, i);
+
+		if (!j || j->req.state != ADMIT_QUEUED)
+			continue;
+		admit_cancel(&n->home->admit, &j->req);
+		home_refuse_not_run(n, j, reason);
+	}
+}
+
+void home_fence(struct node *n, struct link *origin, struct call_id id)
+{
+	const struct http_msg *reply;
+	enum fence_state state = call_table_fence(&n->home->table, id, loop_clock_us(), &reply);
+	struct job *j = g_hash_table_lookup(n->home->jobs, &id);
+	FRAME_AUTO(f, PEER_FENCED);
+
+	if (state == FENCE_RUNNING && j)
+		j->origin = origin;
+	peer_id_put(&f, id);
+	frame_put_u64(&f, state);
+	link_send(origin, &f);
+	if (state == FENCE_DONE)
+		home_send_reply(n, origin, id, reply);
+}
+
+void home_link_down(struct node *n, struct link *origin)
+{
+	g_autoptr(GArray) ids = list_job_ids(n);
+
+	for (guint i = 0; i < ids->len; i++) {
+		struct job *j = find_job(n, ids, i);
+
+		if (!j || j->origin != origin || j->is_local)
+			continue;
+		j->origin = NULL;
+		/* The entry node retries idempotent calls elsewhere, and fences the others. */
+		if (j->is_idempotent)
+			cancel_job(n, j);
+	}
+}
--- a/node/home_impl.h
+++ b/node/home_impl.h
@@ -1,8 +1,8 @@
 /*
  * home_impl - private declarations shared by the source files of home
  *
- * SOURCE node/home.c (calls), node/home_ranks.c (ranks), node/home_notice.c (what the upstream
- * says of itself)
+ * SOURCE node/home.c (calls), node/home_end.c (how they end), node/home_cancel.c (cancels and
+ * fences), node/home_ranks.c (ranks), node/home_notice.c (what the upstream says of itself)
  */
 #ifndef HOME_IMPL_H
 #define HOME_IMPL_H
@@ -36,6 +36,18 @@
 	struct loop_timer queue_timer; /* when the next queued request expires or may start */
 };
 
+/* A call that is queued or runs. */
+struct job {
+	struct admit_req req; /* must be first: admission's requests are cast to jobs */
+	struct node *node;
+	struct call_id id;
+	struct link *origin; /* NULL for a call of a local caller, or after the link broke */
+	bool is_local;
+	bool is_idempotent;
+	struct http_msg *msg;
+	struct upstream_call upstream;
+};
+
 /*
  * home_may_start - returns whether a queued call may start, as far as the notice is concerned.
  * Requests the notice of an upstream that is new to this node.
@@ -48,6 +60,20 @@
  */
 int home_find_rank(const struct peer_call *call, const char *method, bool *is_idempotent);
 
+/* home_send_refusal - tells the caller or entry node of call ID; ORIGIN may be NULL. */
+void home_send_refusal(struct node *n, struct link *origin, bool is_local, struct call_id id,
+		       enum ctr reason, bool is_not_run);
+
+/* home_send_reply - sends the reply of call ID to its entry node. */
+void home_send_reply(struct node *n, struct link *origin, struct call_id id,
+		     const struct http_msg *msg);
+
+/* home_refuse_not_run - ends a call that has not run, and frees its job. */
+void home_refuse_not_run(struct node *n, struct job *j, enum ctr reason);
+
+/* home_on_upstream_done - ends the job of a call that has ended at the upstream. */
+void home_on_upstream_done(struct upstream_call *call);
+
 /* home_run_queue - refuses expired calls and starts those that may start. */
 void home_run_queue(struct node *n);
 
