test: an answer whose id is followed by blanks is not taken

/repeated-answer/blanks-around-id: blanks around a header's value are no part of it (RFC 9110 5.5). Fails: the call waits for another answer until its deadline (ERR_TIMEOUT), as the id does not compare equal.

--- a/test/repeated_answer_test.c
+++ b/test/repeated_answer_test.c
@@ -388,6 +388,27 @@
 	teardown();
 }
 
+static void serve_blanks(struct raw_server *s, int fd, u32 nth)
+{
+	(void)nth;
+	while (raw_read_request(s, fd))
+		raw_write(fd, "HTTP/1.1 200 OK\r\n" ID_HEADER ": \t b \t \r\n" EMPTY "\r\n");
+}
+
+/* Guards against: an answer whose id is followed by blanks counts as another request's. */
+static void test_blanks_around_id(void)
+{
+	setup(serve_blanks);
+	for (u32 i = 0; i < 2; i++) {
+		int err = run("POST", "b", 0);
+
+		g_assert_cmpint(err, ==, 0);
+		g_assert_cmpstr(http_header(fixture.call.reply, ID_HEADER), ==, "b");
+		http_free(g_steal_pointer(&fixture.call.reply));
+	}
+	teardown();
+}
+
 struct kept_case {
 	const char *text; /* the answer to the first request, b */
 	bool is_kept;
@@ -548,6 +569,7 @@
 			test_after_answers_without_body);
 	g_test_add_func("/repeated-answer/header-with-status-line", test_header_with_status_line);
 	g_test_add_func("/repeated-answer/request-without-id", test_request_without_id);
+	g_test_add_func("/repeated-answer/blanks-around-id", test_blanks_around_id);
 	g_test_add_func("/repeated-answer/connections-kept", test_connections_kept);
 	g_test_add_func("/repeated-answer/half-while-idle", test_half_while_idle);
 	g_test_add_func("/repeated-answer/refused-ids-are-bounded", test_refused_ids_are_bounded);
