http_read: blanks behind a header's value are dropped

What callers saw: 504 for a call that an upstream had answered at once, where the upstream writes a blank behind the id. Cause: http_parser drops the blanks before a value and keeps those behind it; the id did not compare equal, so the answer counted as that of another request and was skipped. RFC 9110 5.5 says that blanks around a value are no part of it, so they go where the value is read, for all headers of requests and answers.

--- a/lib/http_read.c
+++ b/lib/http_read.c
@@ -70,10 +70,23 @@
 	return false;
 }
 
+static bool is_blank(char c)
+{
+	return c == ' ' || c == '\t';
+}
+
+/* Blanks behind a value are no part of it (RFC 9110 5.5); http_parser drops only those before. */
+static void drop_blanks(GString *value)
+{
+	while (value->len && is_blank(value->str[value->len - 1]))
+		g_string_truncate(value, value->len - 1);
+}
+
 static int end_header(struct http_read *r)
 {
 	if (!r->name->len)
 		return 0;
+	drop_blanks(r->value);
 	if (r->msg->headers->len >= HTTP_HEADERS_MAX)
 		return fail(r, ERR_TOOBIG);
 	r->is_joined = r->is_joined || (r->is_response && has_status_line(r->value->str));
