test: a refusal that names a call which runs on another connection

/repeated-answer/id-of-call-on-other-connection: two calls run on two connections, and on each of them the upstream first writes a refusal that names the other. Both get their own answers; it passes.

--- a/test/repeated_answer_test.c
+++ b/test/repeated_answer_test.c
@@ -161,16 +161,20 @@
 	return m;
 }
 
+static struct upstream_call new_call(const struct http_msg *request, bool is_poll)
+{
+	return (struct upstream_call){ .request = request,
+				       .is_idempotent = strcmp(request->method, "POST") != 0,
+				       .is_poll = is_poll,
+				       .deadline_us = loop_clock_us() + TIMEOUT_US,
+				       .max_body_bytes = BODY_MAX_BYTES,
+				       .done = on_done };
+}
+
 /* Runs one call and frees REQUEST; the caller frees its reply. */
 static int run_call(struct http_msg *request, bool is_poll)
 {
-	fixture.call =
-		(struct upstream_call){ .request = request,
-					.is_idempotent = strcmp(request->method, "POST") != 0,
-					.is_poll = is_poll,
-					.deadline_us = loop_clock_us() + TIMEOUT_US,
-					.max_body_bytes = BODY_MAX_BYTES,
-					.done = on_done };
+	fixture.call = new_call(request, is_poll);
 	loop_call(fixture.loop, start_on_loop, NULL);
 	g_async_queue_pop(fixture.done);
 	http_free(request);
@@ -388,6 +392,64 @@
 	teardown();
 }
 
+/* Two calls that run at the same time, on two connections. */
+struct crossed {
+	GAsyncQueue *connections; /* with a request that has been read */
+	struct upstream_call calls[2];
+};
+
+/* Writes to each of two connections a refusal that names the other's request, then its answer. */
+static void serve_crossed(struct raw_server *s, int fd, u32 nth)
+{
+	struct crossed *x = s->arg;
+	int first;
+
+	g_assert_true(raw_read_request(s, fd));
+	g_async_queue_push(x->connections, GINT_TO_POINTER(dup(fd)));
+	if (nth == 1)
+		return;
+	first = GPOINTER_TO_INT(g_async_queue_pop(x->connections));
+	raw_write(first, "HTTP/1.1 503 No\r\n" ID_HEADER ": c\r\n" NOT_RUN EMPTY "\r\n");
+	raw_write(fd, "HTTP/1.1 503 No\r\n" ID_B NOT_RUN EMPTY "\r\n");
+	g_usleep(PAUSE_US);
+	raw_write(first, OWN);
+	raw_write(fd, NEXT);
+	close(first);
+	close(GPOINTER_TO_INT(g_async_queue_pop(x->connections)));
+}
+
+static void start_crossed(void *arg)
+{
+	struct crossed *x = arg;
+
+	for (u32 i = 0; i < 2; i++)
+		upstream_start(fixture.u, &fixture.at, &x->calls[i]);
+}
+
+/* Guards against: a refusal that names a call which runs on another connection ends either call. */
+static void test_id_of_call_on_other_connection(void)
+{
+	static const char *const ids[] = { "b", "c" };
+	struct crossed x = { .connections = g_async_queue_new() };
+
+	setup(serve_crossed);
+	fixture.server.arg = &x;
+	for (u32 i = 0; i < 2; i++)
+		x.calls[i] = new_call(make_request("POST", ids[i], 0), false);
+	loop_call(fixture.loop, start_crossed, &x);
+	for (u32 i = 0; i < 2; i++)
+		g_async_queue_pop(fixture.done);
+	for (u32 i = 0; i < 2; i++) {
+		g_assert_cmpint(x.calls[i].err, ==, 0);
+		g_assert_cmpuint(x.calls[i].reply->status, ==, 200);
+		g_assert_cmpstr(http_header(x.calls[i].reply, ID_HEADER), ==, ids[i]);
+		http_free(x.calls[i].reply);
+		http_free((struct http_msg *)x.calls[i].request);
+	}
+	teardown();
+	g_async_queue_unref(x.connections);
+}
+
 static void serve_blanks(struct raw_server *s, int fd, u32 nth)
 {
 	(void)nth;
@@ -569,6 +631,8 @@
 			test_after_answers_without_body);
 	g_test_add_func("/repeated-answer/header-with-status-line", test_header_with_status_line);
 	g_test_add_func("/repeated-answer/request-without-id", test_request_without_id);
+	g_test_add_func("/repeated-answer/id-of-call-on-other-connection",
+			test_id_of_call_on_other_connection);
 	g_test_add_func("/repeated-answer/blanks-around-id", test_blanks_around_id);
 	g_test_add_func("/repeated-answer/connections-kept", test_connections_kept);
 	g_test_add_func("/repeated-answer/half-while-idle", test_half_while_idle);
