test: a request without an id after one with an id, and no memset of nothing

With the check for requests without an id in upstream_find_idle() taken out by hand no test failed; /repeated-answer/request-without-id now begins with a request that has one, whose connection is kept. The sanitizers reported a memset of 0 bytes at NULL in this test program; that is gone.

--- a/test/repeated_answer_test.c
+++ b/test/repeated_answer_test.c
@@ -13,6 +13,7 @@
 #include <netinet/tcp.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #define TIMEOUT_US (20 * US_PER_S)
 #define BODY_MAX_BYTES 65536
@@ -157,7 +158,8 @@
 	if (id)
 		http_add_header(m, ID_HEADER, id);
 	g_byte_array_set_size(m->body, (guint)body_len);
-	memset(m->body->data, 'x', body_len);
+	if (body_len)
+		memset(m->body->data, 'x', body_len);
 	return m;
 }
 
@@ -371,11 +373,24 @@
 	teardown();
 }
 
+/* The first answer names its request, the others do not. */
+static void *serve_connection(void *arg)
+{
+	int fd = GPOINTER_TO_INT(arg);
+
+	while (raw_read_request(&fixture.server, fd))
+		raw_write(fd, g_atomic_int_get(&fixture.server.requests) == 1 ?
+				      OWN :
+				      "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nnoted");
+	close(fd);
+	return NULL;
+}
+
 static void serve_without_ids(struct raw_server *s, int fd, u32 nth)
 {
+	(void)s;
 	(void)nth;
-	while (raw_read_request(s, fd))
-		raw_write(fd, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nnoted");
+	g_thread_unref(g_thread_new("connection", serve_connection, GINT_TO_POINTER(dup(fd))));
 }
 
 /* Guards against: callers that name no request get 502 for each one that follows another. */
@@ -383,7 +398,7 @@
 {
 	setup(serve_without_ids);
 	for (u32 i = 0; i < 4; i++) {
-		int err = run(i % 2 ? "POST" : "GET", NULL, 0);
+		int err = run(i % 2 ? "POST" : "GET", i ? NULL : "b", 0);
 
 		g_assert_cmpint(err, ==, 0);
 		g_assert_cmpuint(fixture.call.reply->status, ==, 200);
