--- a/test/repeated_answer_test.c
+++ b/test/repeated_answer_test.c
@@ -13,6 +13,7 @@
 #include <netinet/tcp.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #define TIMEOUT_US (20 * US_PER_S)
 #define BODY_MAX_BYTES 65536
@@ -54,6 +55,7 @@
 	GAsyncQueue *done;
 	struct play play;
 	gint connections;
+	gint is_half_written;
 };
 
 static struct fixture fixture;
@@ -156,20 +158,25 @@
 	if (id)
 		http_add_header(m, ID_HEADER, id);
 	g_byte_array_set_size(m->body, (guint)body_len);
-	memset(m->body->data, 'x', body_len);
+	if (body_len)
+		memset(m->body->data, 'x', body_len);
 	return m;
 }
 
+static struct upstream_call new_call(const struct http_msg *request, bool is_poll)
+{
+	return (struct upstream_call){ .request = request,
+				       .is_idempotent = strcmp(request->method, "POST") != 0,
+				       .is_poll = is_poll,
+				       .deadline_us = loop_clock_us() + TIMEOUT_US,
+				       .max_body_bytes = BODY_MAX_BYTES,
+				       .done = on_done };
+}
+
 /* Runs one call and frees REQUEST; the caller frees its reply. */
 static int run_call(struct http_msg *request, bool is_poll)
 {
-	fixture.call =
-		(struct upstream_call){ .request = request,
-					.is_idempotent = strcmp(request->method, "POST") != 0,
-					.is_poll = is_poll,
-					.deadline_us = loop_clock_us() + TIMEOUT_US,
-					.max_body_bytes = BODY_MAX_BYTES,
-					.done = on_done };
+	fixture.call = new_call(request, is_poll);
 	loop_call(fixture.loop, start_on_loop, NULL);
 	g_async_queue_pop(fixture.done);
 	http_free(request);
@@ -366,11 +373,24 @@
 	teardown();
 }
 
+/* The first answer names its request, the others do not. */
+static void *serve_connection(void *arg)
+{
+	int fd = GPOINTER_TO_INT(arg);
+
+	while (raw_read_request(&fixture.server, fd))
+		raw_write(fd, g_atomic_int_get(&fixture.server.requests) == 1 ?
+				      OWN :
+				      "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nnoted");
+	close(fd);
+	return NULL;
+}
+
 static void serve_without_ids(struct raw_server *s, int fd, u32 nth)
 {
+	(void)s;
 	(void)nth;
-	while (raw_read_request(s, fd))
-		raw_write(fd, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nnoted");
+	g_thread_unref(g_thread_new("connection", serve_connection, GINT_TO_POINTER(dup(fd))));
 }
 
 /* Guards against: callers that name no request get 502 for each one that follows another. */
@@ -378,7 +398,7 @@
 {
 	setup(serve_without_ids);
 	for (u32 i = 0; i < 4; i++) {
-		int err = run(i % 2 ? "POST" : "GET", NULL, 0);
+		int err = run(i % 2 ? "POST" : "GET", i ? NULL : "b", 0);
 
 		g_assert_cmpint(err, ==, 0);
 		g_assert_cmpuint(fixture.call.reply->status, ==, 200);
@@ -387,6 +407,85 @@
 	teardown();
 }
 
+/* Two calls that run at the same time, on two connections. */
+struct crossed {
+	GAsyncQueue *connections; /* with a request that has been read */
+	struct upstream_call calls[2];
+};
+
+/* Writes to each of two connections a refusal that names the other's request, then its answer. */
+static void serve_crossed(struct raw_server *s, int fd, u32 nth)
+{
+	struct crossed *x = s->arg;
+	int first;
+
+	g_assert_true(raw_read_request(s, fd));
+	g_async_queue_push(x->connections, GINT_TO_POINTER(dup(fd)));
+	if (nth == 1)
+		return;
+	first = GPOINTER_TO_INT(g_async_queue_pop(x->connections));
+	raw_write(first, "HTTP/1.1 503 No\r\n" ID_HEADER ": c\r\n" NOT_RUN EMPTY "\r\n");
+	raw_write(fd, "HTTP/1.1 503 No\r\n" ID_B NOT_RUN EMPTY "\r\n");
+	g_usleep(PAUSE_US);
+	raw_write(first, OWN);
+	raw_write(fd, NEXT);
+	close(first);
+	close(GPOINTER_TO_INT(g_async_queue_pop(x->connections)));
+}
+
+static void start_crossed(void *arg)
+{
+	struct crossed *x = arg;
+
+	for (u32 i = 0; i < 2; i++)
+		upstream_start(fixture.u, &fixture.at, &x->calls[i]);
+}
+
+/* Guards against: a refusal that names a call which runs on another connection ends either call. */
+static void test_id_of_call_on_other_connection(void)
+{
+	static const char *const ids[] = { "b", "c" };
+	struct crossed x = { .connections = g_async_queue_new() };
+
+	setup(serve_crossed);
+	fixture.server.arg = &x;
+	for (u32 i = 0; i < 2; i++)
+		x.calls[i] = new_call(make_request("POST", ids[i], 0), false);
+	loop_call(fixture.loop, start_crossed, &x);
+	for (u32 i = 0; i < 2; i++)
+		g_async_queue_pop(fixture.done);
+	for (u32 i = 0; i < 2; i++) {
+		g_assert_cmpint(x.calls[i].err, ==, 0);
+		g_assert_cmpuint(x.calls[i].reply->status, ==, 200);
+		g_assert_cmpstr(http_header(x.calls[i].reply, ID_HEADER), ==, ids[i]);
+		http_free(x.calls[i].reply);
+		http_free((struct http_msg *)x.calls[i].request);
+	}
+	teardown();
+	g_async_queue_unref(x.connections);
+}
+
+static void serve_blanks(struct raw_server *s, int fd, u32 nth)
+{
+	(void)nth;
+	while (raw_read_request(s, fd))
+		raw_write(fd, "HTTP/1.1 200 OK\r\n" ID_HEADER ": \t b \t \r\n" EMPTY "\r\n");
+}
+
+/* Guards against: an answer whose id is followed by blanks counts as another request's. */
+static void test_blanks_around_id(void)
+{
+	setup(serve_blanks);
+	for (u32 i = 0; i < 2; i++) {
+		int err = run("POST", "b", 0);
+
+		g_assert_cmpint(err, ==, 0);
+		g_assert_cmpstr(http_header(fixture.call.reply, ID_HEADER), ==, "b");
+		http_free(g_steal_pointer(&fixture.call.reply));
+	}
+	teardown();
+}
+
 struct kept_case {
 	const char *text; /* the answer to the first request, b */
 	bool is_kept;
@@ -442,6 +541,46 @@
 	teardown();
 }
 
+/* On the first connection, writes half of a copy while no request is open, the rest later. */
+static void serve_while_idle(struct raw_server *s, int fd, u32 nth)
+{
+	const char *rest = strstr(REFUSAL_A, "Lavenderlead-Not");
+	g_autofree char *half = g_strndup(REFUSAL_A, (gsize)(rest - REFUSAL_A));
+
+	if (nth > 1) {
+		while (raw_read_request(s, fd))
+			raw_write(fd, NEXT);
+		return;
+	}
+	raw_read_request(s, fd);
+	raw_write(fd, OWN);
+	g_usleep(PAUSE_US);
+	raw_write(fd, half);
+	g_atomic_int_set(&fixture.is_half_written, 1);
+	if (!raw_read_request(s, fd))
+		return;
+	raw_write(fd, rest);
+	raw_write(fd, NEXT);
+}
+
+/* Guards against: the rest of a copy that began on an idle connection spoils the next answer. */
+static void test_half_while_idle(void)
+{
+	int err;
+
+	setup(serve_while_idle);
+	err = run("POST", "b", 0);
+	g_assert_cmpint(err, ==, 0);
+	http_free(g_steal_pointer(&fixture.call.reply));
+	while (!g_atomic_int_get(&fixture.is_half_written))
+		g_usleep(PAUSE_US);
+	g_usleep(20 * PAUSE_US);
+	err = run("POST", "c", 0);
+	g_assert_cmpint(err, ==, 0);
+	http_free(g_steal_pointer(&fixture.call.reply));
+	teardown();
+}
+
 static void serve_many_refusals(struct raw_server *s, int fd, u32 nth)
 {
 	g_atomic_int_set(&fixture.connections, (gint)nth);
@@ -507,7 +646,11 @@
 			test_after_answers_without_body);
 	g_test_add_func("/repeated-answer/header-with-status-line", test_header_with_status_line);
 	g_test_add_func("/repeated-answer/request-without-id", test_request_without_id);
+	g_test_add_func("/repeated-answer/id-of-call-on-other-connection",
+			test_id_of_call_on_other_connection);
+	g_test_add_func("/repeated-answer/blanks-around-id", test_blanks_around_id);
 	g_test_add_func("/repeated-answer/connections-kept", test_connections_kept);
+	g_test_add_func("/repeated-answer/half-while-idle", test_half_while_idle);
 	g_test_add_func("/repeated-answer/refused-ids-are-bounded", test_refused_ids_are_bounded);
 	g_test_add_func("/repeated-answer/polls-keep-connection", test_polls_keep_connection);
 	return g_test_run();
