test: fakes listen on ports that no outgoing connection gets

Ports are now taken below the kernel's range for outgoing connections. What the tests check is unchanged.

--- a/test/cut_request_test.c
+++ b/test/cut_request_test.c
@@ -45,9 +45,7 @@
 
 static void setup(u32 bytes)
 {
-	int fd = raw_listen(&port);
-
-	close(fd);
+	port = raw_free_port();
 	answer_bytes = bytes;
 	loop = loop_new("cut-request-test");
 	server = httpd_listen(loop, "127.0.0.1", port, &ops, NULL);
@@ -181,9 +179,8 @@
 static void test_operator_every_byte(void)
 {
 	struct mg_context *server_ctx;
-	int fd = raw_listen(&port);
 
-	close(fd);
+	port = raw_free_port();
 	server_ctx = http_server_start("127.0.0.1", port, 2);
 	g_assert_nonnull(server_ctx);
 	mg_set_request_handler(server_ctx, "/", on_operator_request, NULL);
@@ -232,9 +229,8 @@
 static void test_operator_unclear_length(void)
 {
 	struct mg_context *server_ctx;
-	int fd = raw_listen(&port);
 
-	close(fd);
+	port = raw_free_port();
 	server_ctx = http_server_start("127.0.0.1", port, 2);
 	g_assert_nonnull(server_ctx);
 	mg_set_request_handler(server_ctx, "/", on_operator_request, NULL);
--- a/test/fakes/fake_node.c
+++ b/test/fakes/fake_node.c
@@ -15,15 +15,6 @@
 	"{\"name\":\"page\",\"match\":[{\"path\":\"/\"}],"
 	"\"idempotent\":true,\"target_ms\":20000,\"worth\":10,\"floor_percent\":10}]}";
 
-static u16 free_port(void)
-{
-	u16 port;
-	int fd = raw_listen(&port);
-
-	close(fd);
-	return port;
-}
-
 static void configure(void *arg)
 {
 	static const char *const json[] = { service_json };
@@ -35,18 +26,18 @@
 
 static void fill_settings(struct settings *s)
 {
-	struct endpoint no_control = { .host = "127.0.0.1", .port = free_port() };
+	struct endpoint no_control = { .host = "127.0.0.1", .port = raw_free_port() };
 
 	s->cluster = g_strdup("breizh");
 	s->node.is_on = true;
 	s->node.address = g_strdup("127.0.0.1");
 	s->node.zone = g_strdup("z");
 	s->node.region = g_strdup("r");
-	s->node.caller_port = free_port();
+	s->node.caller_port = raw_free_port();
 	s->node.caller_listen =
 		(struct endpoint){ .host = "127.0.0.1", .port = s->node.caller_port };
-	s->node.peer_port = free_port();
-	s->node.local_port = free_port();
+	s->node.peer_port = raw_free_port();
+	s->node.local_port = raw_free_port();
 	s->node.control = g_array_new(FALSE, TRUE, sizeof(struct endpoint));
 	g_array_append_val(s->node.control, no_control);
 	s->node.max_body_bytes = FAKE_NODE_BODY_MAX_BYTES;
--- a/test/fakes/lone_control.c
+++ b/test/fakes/lone_control.c
@@ -9,14 +9,6 @@
 
 #define WAIT_US (20 * US_PER_S)
 
-static u16 free_port(void)
-{
-	u16 port;
-
-	close(raw_listen(&port));
-	return port;
-}
-
 void lone_control_start(struct lone_control *p, const char *zone)
 {
 	struct settings *s = &p->settings;
@@ -28,10 +20,10 @@
 	s->control.zone = g_strdup(zone);
 	s->control.region = g_strdup("r");
 	s->control.data = g_dir_make_tmp("lone_control_XXXXXX", NULL);
-	s->control.api_port = free_port();
+	s->control.api_port = raw_free_port();
 	s->control.api_listen =
 		(struct endpoint){ .host = "127.0.0.1", .port = s->control.api_port };
-	s->control.peer_port = free_port();
+	s->control.peer_port = raw_free_port();
 	s->control.members = g_array_new(FALSE, FALSE, sizeof(struct member_setting));
 	self.at = (struct endpoint){ .host = "127.0.0.1", .port = s->control.peer_port };
 	g_array_append_val(s->control.members, self);
--- a/test/fakes/raw_server.c
+++ b/test/fakes/raw_server.c
@@ -10,6 +10,9 @@
 
 #define BACKLOG 64
 #define WAIT_MAX_MS 10000
+/* Below the kernel's range for outgoing connections, which begins at 32768. */
+#define FREE_PORT_MIN 20000
+#define FREE_PORT_MAX 32767
 
 static struct sockaddr_in loopback(u16 port)
 {
@@ -32,6 +35,30 @@
 	return fd;
 }
 
+static bool is_port_free(u16 port)
+{
+	struct sockaddr_in addr = loopback(port);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	int one = 1;
+	bool is_free;
+
+	/* As the servers do: connections that have ended do not count. */
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	is_free = !bind(fd, (struct sockaddr *)&addr, sizeof(addr)) && !listen(fd, 1);
+	close(fd);
+	return is_free;
+}
+
+u16 raw_free_port(void)
+{
+	u16 port;
+
+	do {
+		port = (u16)g_random_int_range(FREE_PORT_MIN, FREE_PORT_MAX + 1);
+	} while (!is_port_free(port));
+	return port;
+}
+
 int raw_connect(u16 port)
 {
 	struct sockaddr_in addr = loopback(port);
--- a/test/fakes/raw_server.h
+++ b/test/fakes/raw_server.h
@@ -45,6 +45,12 @@
 /* raw_listen - returns a socket listening on 127.0.0.1, and its kernel-chosen port in PORT. */
 int raw_listen(u16 *port);
 
+/*
+ * raw_free_port - returns a port of 127.0.0.1 that nothing listens on. The kernel gives none of
+ * these to outgoing connections.
+ */
+u16 raw_free_port(void);
+
 /* raw_connect - returns a connected socket, or -1. */
 int raw_connect(u16 port);
 
