--- a/test/fakes/raw_server.c
+++ b/test/fakes/raw_server.c
@@ -12,7 +12,7 @@
 #define WAIT_MAX_MS 10000
 /* Below the kernel's range for outgoing connections, which begins at 32768. */
 #define FREE_PORT_MIN 20000
-#define FREE_PORT_MAX 32767
+#define FREE_PORTS 12768
 
 static struct sockaddr_in loopback(u16 port)
 {
@@ -51,10 +51,13 @@
 
 u16 raw_free_port(void)
 {
+	static u32 last;
 	u16 port;
 
+	if (!last)
+		last = g_random_int();
 	do {
-		port = (u16)g_random_int_range(FREE_PORT_MIN, FREE_PORT_MAX + 1);
+		port = (u16)(FREE_PORT_MIN + last++ % FREE_PORTS);
 	} while (!is_port_free(port));
 	return port;
 }
--- a/test/spoilt_answer_test.c
+++ b/test/spoilt_answer_test.c
@@ -15,6 +15,8 @@
 
 #define TIMEOUT_MS 20000
 #define SHORT_TIMEOUT_MS 100
+/* Longer than a test takes on a busy machine. */
+#define TTL_MS 600000
 /* Longer than the nodes take to pass on what was written. */
 #define PAUSE_US (20 * US_PER_MS)
 
@@ -89,11 +91,13 @@
 				     g_strdup_printf("HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n"
 						     "\r\n%s",
 						     strlen(target), target);
+		/* Counted first, as the caller may have its answer before this goes on. */
+		if (is_scripted)
+			g_atomic_int_inc(&scripted);
 		raw_write(fd, text);
 		g_free(target);
 		if (!is_scripted)
 			continue;
-		g_atomic_int_inc(&scripted);
 		end_connection(fd);
 		break;
 	}
@@ -112,7 +116,10 @@
 static void start(void)
 {
 	raw_server_start(&upstream, serve, NULL);
-	fake_node_start(&home);
+	fake_node_prepare(&home);
+	/* The upstream announces itself once. */
+	home.settings.node.upstream_ttl_ms = TTL_MS;
+	fake_node_run(&home);
 	fake_node_announce_upstream(&home, upstream.port, 64);
 	fake_node_set_directory_entry(&home, home.node->self.name, home.node->self.incarnation,
 				      DIR_UP);
@@ -182,6 +189,7 @@
 	a.is_cut = !read_past(fd, a.head, "\r\n\r\n");
 	if (a.is_cut)
 		return a;
+	g_test_message("%s", a.head->str);
 	a.status = atoi(a.head->str + strlen("HTTP/1.1 "));
 	length = strstr(a.head->str, "\r\nContent-Length: ");
 	if (!has_body)
