--- a/test/upstream_test.c
+++ b/test/upstream_test.c
@@ -259,6 +259,42 @@
 	teardown(&f);
 }
 
+/* Answers the first request with the text given; a second one must not come on that connection. */
+static void serve_last(struct raw_server *s, int fd, u32 nth)
+{
+	const char *text = nth == 1 ? s->arg : "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown";
+
+	if (!raw_read_request(s, fd))
+		return;
+	raw_write(fd, text);
+	if (raw_read_request(s, fd))
+		raw_write(fd, "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond");
+}
+
+/* Guards against: a request on a connection that the upstream ends, or that holds other bytes. */
+static void test_last_on_connection(void)
+{
+	static const char *const texts[] = {
+		"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 3\r\n\r\nown",
+		"HTTP/1.0 200 OK\r\nContent-Length: 3\r\n\r\nown",
+		"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nownHTTP/1.1 2",
+		"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nown\r\n0\r\n\r\n0",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+		struct fixture f;
+
+		setup(&f, "GET", serve_last, (void *)texts[i]);
+		g_test_message("%s", texts[i]);
+		check_run(&f, 0);
+		assert_body(&f, "own");
+		check_run(&f, 0);
+		assert_body(&f, "own");
+		teardown(&f);
+	}
+}
+
 /* Reads the second request on a connection, then closes it without an answer. */
 static void serve_one_read_two(struct raw_server *s, int fd, u32 nth)
 {
@@ -486,6 +522,7 @@
 	g_test_add_func("/upstream/answers-without-body", test_answers_without_body);
 	g_test_add_func("/upstream/slow-head", test_slow_head);
 	g_test_add_func("/upstream/keep-alive", test_keep_alive);
+	g_test_add_func("/upstream/last-on-connection", test_last_on_connection);
 	g_test_add_func("/upstream/post-is-sent-once", test_post_is_sent_once);
 	g_test_add_func("/upstream/answer-before-request", test_answer_before_request);
 	g_test_add_func("/upstream/close-before-request", test_close_before_request);
