--- a/test/spoilt_answer_test.c
+++ b/test/spoilt_answer_test.c
@@ -3,6 +3,7 @@
  * node beside the upstream, and through one that reaches it over a link. A caller gets the whole
  * answer or a failure of our own, and the answers of a connection in the order of its requests.
  */
+#include "platform/dialect.h"
 #include "test/fakes/fake_node.h"
 #include "test/fakes/raw_server.h"
 
@@ -17,6 +18,8 @@
 #define SHORT_TIMEOUT_MS 100
 /* Longer than a test takes on a busy machine. */
 #define TTL_MS 600000
+/* Within the limit on the head of an upstream's answer. */
+#define LONG_HEADER_BYTES 60000
 /* Longer than the nodes take to pass on what was written. */
 #define PAUSE_US (20 * US_PER_MS)
 
@@ -38,6 +41,7 @@
 
 static struct fake_node home;
 static struct fake_node entry; /* reaches the upstream over a link */
+static const struct dialect *entry_dialect; /* NULL for the product's own */
 static struct raw_server upstream;
 static struct script script;
 static gint scripted; /* requests that the script answered */
@@ -123,7 +127,10 @@
 	fake_node_announce_upstream(&home, upstream.port, 64);
 	fake_node_set_directory_entry(&home, home.node->self.name, home.node->self.incarnation,
 				      DIR_UP);
-	fake_node_start(&entry);
+	fake_node_prepare(&entry);
+	entry.settings.node.service = g_strdup("marsh");
+	entry.dialect = entry_dialect;
+	fake_node_run(&entry);
 	fake_node_set_directory_entry(&entry, home.node->self.name, home.node->self.incarnation,
 				      DIR_UP);
 }
@@ -389,6 +396,51 @@
 	check_all_passed(&entry);
 }
 
+/* Guards against: an answer with a long header breaks the link between the nodes, with its calls.
+ */
+static void test_long_header(void)
+{
+	g_autofree char *filler = g_strnfill(LONG_HEADER_BYTES, 'x');
+	g_autofree char *text = g_strconcat("HTTP/1.1 200 OK\r\nX-Bird: ", filler,
+					    "\r\nContent-Length: 5\r\n\r\nhello", NULL);
+	u64 down;
+
+	start();
+	check_all_passed(&entry);
+	down = ctr_get(CTR_LINK_DOWN);
+	check_passed(&home, "POST", text, 200, "hello");
+	check_passed(&entry, "POST", text, 200, "hello");
+	g_assert_cmpuint(ctr_get(CTR_LINK_DOWN), ==, down);
+}
+
+/*
+ * Guards against: a request with as many headers as are taken breaks the link between the nodes, as
+ * the node adds one.
+ */
+static void test_many_headers(void)
+{
+	g_autoptr(GString) text = g_string_new(NULL);
+	u64 down;
+	int fd;
+
+	entry_dialect = &platform_dialect;
+	start();
+	entry_dialect = NULL;
+	g_string_append(text, "POST /many HTTP/1.1\r\nHost: sightings.example\r\n"
+			      "Content-Length: 3\r\n");
+	for (u32 i = 2; i < HTTP_HEADERS_MAX; i++)
+		g_string_append_printf(text, "X-Bird-%u: owl\r\n", i);
+	g_string_append(text, "\r\nowl");
+	check_passed(&entry, "POST", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", 200,
+		     "hello");
+	down = ctr_get(CTR_LINK_DOWN);
+	fd = raw_connect(port_of(&entry));
+	raw_write(fd, text->str);
+	expect_path(fd, "/many");
+	close(fd);
+	g_assert_cmpuint(ctr_get(CTR_LINK_DOWN), ==, down);
+}
+
 static void check_order(const struct fake_node *n, const char *text, enum ending ending)
 {
 	g_autofree char *cut = request_text("POST", "/cut", TIMEOUT_MS);
@@ -468,6 +520,8 @@
 	g_test_add_func("/spoilt-answer/cut-silence", test_cut_silence);
 	g_test_add_func("/spoilt-answer/spoilt", test_spoilt);
 	g_test_add_func("/spoilt-answer/meant", test_meant);
+	g_test_add_func("/spoilt-answer/long-header", test_long_header);
+	g_test_add_func("/spoilt-answer/many-headers", test_many_headers);
 	g_test_add_func("/spoilt-answer/order", test_order);
 	g_test_add_func("/spoilt-answer/while-sending", test_while_sending);
 	g_test_add_func("/spoilt-answer/slow-reader", test_slow_reader);
