http: whatever is taken from an upstream or a caller can be sent between nodes

Seen: an upstream's answer with a header of more than 16 KiB (60,000 bytes in the test; a head may have 64 KiB) went to callers beside the upstream, but closed the link to another entry node, each time that the fence fetched it again: the caller got 504 at its deadline, and all other calls on that link were cut off each time. A caller's request with 64 headers did the same, as the node adds the name of its service as the 65th: 503.

Cause: the limits at the end of a link were those of the reader (64 headers) or lower (16 KiB a text, against a head of 64 KiB), so what one node had taken was malformed to the other, and a malformed frame closes its link.

Evidence: /spoilt-answer/long-header and /spoilt-answer/many-headers failed before, and pass.

Fix: a text is bounded by its frame (16 MiB), and twice as many headers are decoded as are read.

Measured: spoilt_answer, entry, home, fuzz, frame and earlier_refusal tests pass.

--- a/lib/http.c
+++ b/lib/http.c
@@ -5,6 +5,9 @@
 #include <http_parser.h>
 #include <string.h>
 
+/* More than http_read takes, for those that are added. */
+#define DECODE_HEADERS_MAX (2 * HTTP_HEADERS_MAX)
+
 static void header_free(gpointer p)
 {
 	struct http_header *h = p;
@@ -146,12 +149,12 @@
 	u32 n;
 
 	m->status = (u16)frame_get_u64(in);
-	m->method = frame_get_str(in, HTTP_TEXT_MAX_BYTES);
-	m->target = frame_get_str(in, HTTP_TEXT_MAX_BYTES);
-	n = frame_get_count(in, HTTP_HEADERS_MAX);
+	m->method = frame_get_str(in, FRAME_MAX_BYTES);
+	m->target = frame_get_str(in, FRAME_MAX_BYTES);
+	n = frame_get_count(in, DECODE_HEADERS_MAX);
 	for (u32 i = 0; i < n && !in->err; i++) {
-		g_autofree char *name = frame_get_str(in, HTTP_TEXT_MAX_BYTES);
-		g_autofree char *value = frame_get_str(in, HTTP_TEXT_MAX_BYTES);
+		g_autofree char *name = frame_get_str(in, FRAME_MAX_BYTES);
+		g_autofree char *value = frame_get_str(in, FRAME_MAX_BYTES);
 
 		http_add_header(m, name, value);
 	}
