--- a/lib/http.h
+++ b/lib/http.h
@@ -59,8 +59,8 @@
 
 /*
  * http_encode - appends the message, except its body, to a frame
- * http_decode - reads it back; returns NULL if the frame is malformed. Whatever http_read takes must
- * pass, as a malformed frame closes its link: texts are bounded by the frame only.
+ * http_decode - reads it back; returns NULL if the frame is malformed. Whatever http_read takes
+ * must pass, as a malformed frame closes its link: texts are bounded by the frame only.
  */
 void http_encode(struct frame_out *f, const struct http_msg *m);
 struct http_msg *http_decode(struct frame_in *in);
