test: what mutation trials showed no test to notice

A reset on a kept connection (the test ended the stream first, so no error was left to be dropped), a status below 100 in front of another answer, a body in chunks or to the close over the limit.

--- a/test/http_read_test.c
+++ b/test/http_read_test.c
@@ -170,6 +170,8 @@
 	check_refused(true, "HTTP/1.1 2\r\n\r\nhello");
 	check_refused(true, "HTTP/1.1 20 OK\r\nContent-Length: 5\r\n\r\nhello"
 			    "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhoops");
+	check_refused(true, "HTTP/1.1 20 OK\r\n\r\n"
+			    "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello");
 	check_refused(true, "HTTP/1.1 101 Switching Protocols\r\n\r\nhello");
 	check_refused(true, "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n"
 			    "Connection: upgrade\r\n\r\nhello");
@@ -298,6 +300,22 @@
 	check_taken(true, text->str, "200  \nContent-Length: 5\nhello");
 }
 
+/* Guards against: a body without a stated length grows beyond the limit. */
+static void test_long_body(void)
+{
+	g_autofree char *body = g_strnfill(BODY_MAX_BYTES + 1, 'x');
+	g_autofree char *to_close = g_strconcat("HTTP/1.1 200 OK\r\n\r\n", body, NULL);
+	g_autofree char *chunked =
+		g_strdup_printf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n",
+				BODY_MAX_BYTES + 1, body);
+	g_autofree char *response = g_strconcat("HTTP/1.1 200 OK\r\n", chunked, NULL);
+	g_autofree char *request = g_strconcat("POST / HTTP/1.1\r\n", chunked, NULL);
+
+	check_refused(true, to_close);
+	check_refused(true, response);
+	check_refused(false, request);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -312,6 +330,7 @@
 	g_test_add_func("/http-read/spoilt-chunk-length", test_spoilt_chunk_length);
 	g_test_add_func("/http-read/two-lengths", test_two_lengths);
 	g_test_add_func("/http-read/unclear-encoding", test_unclear_encoding);
+	g_test_add_func("/http-read/long-body", test_long_body);
 	g_test_add_func("/http-read/many-interim", test_many_interim);
 	return g_test_run();
 }
--- a/test/upstream_test.c
+++ b/test/upstream_test.c
@@ -343,7 +343,7 @@
 			raw_reset_on_close(fd);
 		if (*e->text)
 			g_usleep(PAUSE_US);
-		else
+		else if (!e->must_reset)
 			shutdown(fd, SHUT_WR);
 		g_async_queue_push(e->written, e);
 		if (e->must_reset)
