--- /dev/null
+++ b/test/instance_test.c
@@ -0,0 +1,114 @@
+/* Heartbeats of an upstream's instance: one that can't be understood names no upstream to use. */
+#include "test/fakes/fake_node.h"
+#include "test/fakes/httpc.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define TIMEOUT_MS 20000
+
+#define WHOLE                                                                                      \
+	"{\"service\":\"sightings\",\"address\":\"127.0.0.1:9\",\"zone\":\"z\",\"slots\":4,"       \
+	"\"state\":\"ready\",\"born\":1000,\"sequence\":1}"
+
+static struct fake_node node;
+
+static int put(const char *body)
+{
+	struct httpc_reply reply;
+	int err = httpc_call("127.0.0.1", node.settings.node.local_port, "PUT", "/v1/instances/i-1",
+			     NULL, body, TIMEOUT_MS, &reply);
+	int status = reply.status;
+
+	g_assert_cmpint(err, ==, 0);
+	httpc_reply_clear(&reply);
+	return status;
+}
+
+static enum dir_state state(void)
+{
+	return node.node->dir_entry.state;
+}
+
+static const char *const spoilt[] = {
+	"",
+	"[]",
+	"null",
+	WHOLE "x",
+	"{\"service\":\"sightings\"}",
+	/* without one of the fields */
+	"{\"address\":\"127.0.0.1:9\",\"slots\":4,\"state\":\"ready\",\"born\":1000,\"sequence\":"
+	"2}",
+	"{\"service\":\"sightings\",\"slots\":4,\"state\":\"ready\",\"born\":1000,\"sequence\":2}",
+	"{\"service\":\"sightings\",\"address\":\"127.0.0.1:9\",\"state\":\"ready\",\"born\":1000,"
+	"\"sequence\":2}",
+	"{\"service\":\"sightings\",\"address\":\"127.0.0.1:9\",\"slots\":4,\"born\":1000,"
+	"\"sequence\":2}",
+	"{\"service\":\"sightings\",\"address\":\"127.0.0.1:9\",\"slots\":4,\"state\":\"ready\","
+	"\"sequence\":2}",
+	"{\"service\":\"sightings\",\"address\":\"127.0.0.1:9\",\"slots\":4,\"state\":\"ready\","
+	"\"born\":1000}",
+	/* with one of another type, or not named */
+	"{\"service\":5,\"address\":\"127.0.0.1:9\",\"slots\":4,\"state\":\"ready\",\"born\":1000,"
+	"\"sequence\":2}",
+	"{\"service\":\"sightings\",\"address\":9,\"slots\":4,\"state\":\"ready\",\"born\":1000,"
+	"\"sequence\":2}",
+	"{\"service\":\"sightings\",\"address\":\"here\",\"slots\":4,\"state\":\"ready\","
+	"\"born\":1000,\"sequence\":2}",
+	"{\"service\":\"sightings\",\"address\":\"127.0.0.1:9\",\"slots\":\"4\","
+	"\"state\":\"ready\",\"born\":1000,\"sequence\":2}",
+	"{\"service\":\"sightings\",\"address\":\"127.0.0.1:9\",\"slots\":null,"
+	"\"state\":\"ready\",\"born\":1000,\"sequence\":2}",
+	"{\"service\":\"sightings\",\"address\":\"127.0.0.1:9\",\"slots\":4.5,"
+	"\"state\":\"ready\",\"born\":1000,\"sequence\":2}",
+	"{\"service\":\"sightings\",\"address\":\"127.0.0.1:9\",\"slots\":4,\"state\":\"gone\","
+	"\"born\":1000,\"sequence\":2}",
+	"{\"service\":\"sightings\",\"address\":\"127.0.0.1:9\",\"slots\":4,\"state\":null,"
+	"\"born\":1000,\"sequence\":2}",
+	"{\"service\":\"sightings\",\"address\":\"127.0.0.1:9\",\"slots\":4,\"state\":\"ready\","
+	"\"born\":\"1000\",\"sequence\":2}",
+	"{\"service\":\"sightings\",\"address\":\"127.0.0.1:9\",\"slots\":4,\"state\":\"ready\","
+	"\"born\":1000.5,\"sequence\":2}",
+	"{\"service\":\"sightings\",\"address\":\"127.0.0.1:9\",\"slots\":4,\"state\":\"ready\","
+	"\"born\":1000,\"sequence\":\"2\"}",
+};
+
+static void check_refused(const char *body, enum dir_state expected)
+{
+	int status = put(body);
+
+	g_test_message("%s: %d", body, status);
+	g_assert_cmpint(status, ==, 400);
+	g_assert_cmpint(state(), ==, expected);
+}
+
+static void check_all_refused(enum dir_state expected)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(spoilt); i++)
+		check_refused(spoilt[i], expected);
+	for (size_t len = 0; len < strlen(WHOLE); len++) {
+		g_autofree char *part = g_strndup(WHOLE, len);
+
+		check_refused(part, expected);
+	}
+}
+
+/* Guards against: a heartbeat that is cut, or misses a field, names an upstream to use. */
+static void test_spoilt(void)
+{
+	fake_node_prepare(&node);
+	node.settings.node.upstream_ttl_ms = 600000;
+	fake_node_run(&node);
+	check_all_refused(DIR_NO_UPSTREAM);
+	g_assert_cmpint(put(WHOLE), ==, 200);
+	g_assert_cmpint(state(), ==, DIR_UP);
+	check_all_refused(DIR_UP);
+	g_assert_cmpuint(node.node->dir_entry.slots, ==, 4);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/instance/spoilt", test_spoilt);
+	return g_test_run();
+}
