local: a heartbeat of an instance without its slots is refused

Seen: a heartbeat without slots made its sender an upstream with one slot, or changed the slots of the one in use to one.

Cause: slots are optional in an upstream's own announcement, and a heartbeat of an instance was read likewise; the platform's protocol says that one with a field missing names no target to use.

Evidence: /instance/spoilt failed before and passes; it also cuts a heartbeat after each byte and spoils each field.

Measured: instance_test, badinput and cmd scripts pass.

--- a/node/local.c
+++ b/node/local.c
@@ -171,7 +171,7 @@
 	return invalid_key;
 }
 
-/* An instance must send its start time and a sequence number with every announcement. */
+/* An instance must send its slots, start time and a sequence number with every announcement. */
 static const char *parse_instance(json_t *obj, const char *instance, struct announcement *a)
 {
 	const char *invalid_key = parse(obj, a);
@@ -182,6 +182,8 @@
 		return "service";
 	if (!json_is_string(json_object_get(obj, "state")))
 		return "state";
+	if (!json_object_get(obj, "slots"))
+		return "slots";
 	g_strlcpy(a->instance, instance, sizeof(a->instance));
 	invalid_key = read_number(obj, "born", INT64_MAX, 0, &a->born);
 	return invalid_key ? invalid_key : read_number(obj, "sequence", INT64_MAX, 0, &a->sequence);
