--- a/test/spoilt_answer_test.c
+++ b/test/spoilt_answer_test.c
@@ -187,7 +187,7 @@
 	return true;
 }
 
-/* Answers of the node always state their length, except where there is no body. */
+/* Answers of the node state their length if and only if they may have a body. */
 static struct answer read_answer(int fd, bool has_body)
 {
 	struct answer a = { .head = g_string_new(NULL), .body = g_string_new(NULL) };
@@ -199,8 +199,10 @@
 	g_test_message("%s", a.head->str);
 	a.status = atoi(a.head->str + strlen("HTTP/1.1 "));
 	length = strstr(a.head->str, "\r\nContent-Length: ");
-	if (!has_body)
+	if (!has_body) {
+		g_assert_null(length);
 		return a;
+	}
 	g_assert_nonnull(length);
 	g_assert_null(strstr(length + 1, "\r\nContent-Length"));
 	g_assert_null(strcasestr(a.head->str, "\r\nTransfer-Encoding"));
@@ -354,6 +356,7 @@
 {
 	bool has_body = body != NULL;
 	struct answer a;
+	char byte;
 	int fd;
 
 	script = (struct script){ .text = text, .len = strlen(text) };
@@ -365,6 +368,8 @@
 	if (has_body)
 		g_assert_cmpstr(a.body->str, ==, body);
 	answer_clear(&a);
+	/* Nothing may follow the answer. */
+	g_assert_cmpint(recv(fd, &byte, sizeof(byte), MSG_DONTWAIT), ==, -1);
 	close(fd);
 }
 
