link: opening of links and the other end's clock in files of their own

Moved, behaviour unchanged: dialling, listening and accepting to link_open.c, the clock offset to link_clock.c, with the private struct in link_impl.h. link, entry, home, raft_host and watch tests pass.

--- a/kernel/link.c
+++ b/kernel/link.c
@@ -1,4 +1,4 @@
-#include "kernel/link.h"
+#include "kernel/link_impl.h"
 
 #include "lib/ctr.h"
 #include "lib/err.h"
@@ -6,8 +6,6 @@
 
 #include <arpa/inet.h>
 #include <errno.h>
-#include <glib.h>
-#include <netinet/tcp.h>
 #include <string.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
@@ -19,49 +17,7 @@
 /* An end that receives this much without sending anything sends ALIVE, at this interval. */
 #define LINK_BULK_BYTES (8 * 1024)
 #define LINK_ALIVE_INTERVAL_US (100 * US_PER_MS)
-#define LINK_BACKLOG 512
 #define LINK_ID_TEXT_MAX 128
-/* Samples with more than this multiple of the minimum RTT do not update the clock offset. */
-#define LINK_OFFSET_RTT_FACTOR 2
-/* The minimum RTT expires after this time, so that the offset adapts to a changed network path. */
-#define LINK_MIN_RTT_MAX_AGE_US (60 * US_PER_S)
-
-struct link_private {
-	struct loop *loop;
-	const struct link_id *self;
-	struct loop_fd fd;
-	struct loop_timer tick;
-	GByteArray *in;
-	GByteArray *out;
-	size_t out_off;
-	bool is_connecting;
-	bool wants_write;
-	bool is_dead;
-	bool has_hello;
-	bool is_ending; /* nothing is sent after what is queued */
-	int pending_err; /* closes the link at the next tick */
-	u64 recv_bytes;
-	u64 sent_at_bytes; /* received bytes when something was last sent */
-	u64 last_sent_us;
-	u64 last_recv_us; /* time of the last received data */
-	u64 ping_sent_us; /* time of the first PING since then; 0 if none was sent */
-	u64 ping_interval_us; /* current interval between PINGs */
-	u64 last_pong_us; /* time of the last PONG */
-	u64 last_used_us; /* time of the owner's last frame, sent or received */
-	u64 start_us;
-	u64 connect_timeout_us; /* timeout for the TCP connection */
-	u64 min_rtt_us;
-	u64 min_rtt_at_us;
-	u64 offset_rtt_us; /* RTT of the sample that the clock offset comes from */
-};
-
-struct link_listener {
-	struct loop *loop;
-	const struct link_id *self;
-	struct loop_fd fd;
-	const struct link_ops *ops;
-	void *arg;
-};
 
 static void id_clear(struct link_id *id)
 {
@@ -194,36 +150,15 @@
 	u64 sent = frame_get_u64(in);
 	u64 remote = frame_get_u64(in);
 	u64 now = loop_clock_us();
-	u64 rtt;
 
 	if (frame_done(in) || sent > now)
 		return ERR_INVAL;
-	rtt = now - sent;
 	p->last_pong_us = now;
-	k->rtt_us = k->rtt_us ? (k->rtt_us * 7 + rtt) / 8 : rtt;
-	if (now - p->min_rtt_at_us > LINK_MIN_RTT_MAX_AGE_US)
-		p->min_rtt_us = 0;
-	if (!p->min_rtt_us || rtt < p->min_rtt_us) {
-		p->min_rtt_us = rtt;
-		p->min_rtt_at_us = now;
-	}
-	if (!k->has_clock_offset || rtt <= p->min_rtt_us * LINK_OFFSET_RTT_FACTOR) {
-		k->clock_offset_us = (i64)remote - (i64)(sent + rtt / 2);
-		p->offset_rtt_us = rtt;
-		k->has_clock_offset = true;
-	}
+	link_clock_sample(k, sent, remote, now);
 	mark_up(k);
 	return 0;
 }
 
-u64 link_to_local_us(const struct link *k, u64 remote_us)
-{
-	i64 uncertainty_us = (i64)(k->priv->offset_rtt_us / 2);
-	i64 local_us = (i64)remote_us - k->clock_offset_us - uncertainty_us;
-
-	return local_us > 0 ? (u64)local_us : 0;
-}
-
 /* Resets the ping interval of a link that was idle. */
 static void reset_ping_interval(struct link *k)
 {
@@ -432,7 +367,7 @@
 	return send_frame(k, frame);
 }
 
-static void send_greeting(struct link *k)
+void link_send_greeting(struct link *k)
 {
 	send_hello(k);
 	send_ping(k);
@@ -449,11 +384,11 @@
 		return ERR_REFUSED;
 	p->is_connecting = false;
 	p->last_recv_us = loop_clock_us();
-	send_greeting(k);
+	link_send_greeting(k);
 	return 0;
 }
 
-static void on_ready(void *arg, u32 events)
+void link_on_ready(void *arg, u32 events)
 {
 	struct link *k = arg;
 	int err = 0;
@@ -490,7 +425,7 @@
 	return is_silent(p, now_us) ? ERR_TIMEOUT : 0;
 }
 
-static u64 next_tick_us(const struct link_private *p, u64 now_us)
+u64 link_next_tick_us(const struct link_private *p, u64 now_us)
 {
 	/* An unanswered PING is checked at the shortest interval. */
 	u64 next_us = now_us + (p->ping_sent_us ? LINK_PING_INTERVAL_MIN_US : p->ping_interval_us);
@@ -511,7 +446,7 @@
 		p->ping_interval_us = MIN(p->ping_interval_us * 2, LINK_PING_INTERVAL_MAX_US);
 }
 
-static void on_tick(void *arg, u64 now_us)
+void link_on_tick(void *arg, u64 now_us)
 {
 	struct link *k = arg;
 	struct link_private *p = k->priv;
@@ -531,7 +466,7 @@
 	if (k->is_up && is_ping_due(p, now_us))
 		send_ping(k);
 	back_off_pings(p, now_us);
-	loop_timer_set(p->loop, &p->tick, next_tick_us(p, now_us));
+	loop_timer_set(p->loop, &p->tick, link_next_tick_us(p, now_us));
 }
 
 bool link_is_connecting(const struct link *k)
@@ -554,110 +489,3 @@
 {
 	return now_us > k->priv->last_recv_us ? now_us - k->priv->last_recv_us : 0;
 }
-
-static struct link *link_new(struct loop *l, const struct link_id *self, int fd,
-			     const struct link_ops *ops, void *arg)
-{
-	struct link *k = g_new0(struct link, 1);
-	struct link_private *p = g_new0(struct link_private, 1);
-	u64 now = loop_clock_us();
-	int one = 1;
-
-	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
-	k->ops = ops;
-	k->arg = arg;
-	k->priv = p;
-	p->loop = l;
-	p->self = self;
-	p->in = g_byte_array_new();
-	p->out = g_byte_array_new();
-	p->last_recv_us = now;
-	p->last_used_us = now;
-	p->ping_interval_us = LINK_PING_INTERVAL_MIN_US;
-	p->start_us = now;
-	p->fd = (struct loop_fd){ .ready = on_ready, .arg = k, .fd = fd };
-	p->tick = (struct loop_timer){ .fire = on_tick, .arg = k };
-	loop_timer_set(l, &p->tick, now + LINK_PING_INTERVAL_MIN_US);
-	return k;
-}
-
-static struct sockaddr_in make_address(const char *host, u16 port)
-{
-	struct sockaddr_in addr = { .sin_family = AF_INET, .sin_port = htons(port) };
-
-	inet_pton(AF_INET, host, &addr.sin_addr);
-	return addr;
-}
-
-struct link *link_dial(struct loop *l, const struct link_id *self, const char *host, u16 port,
-		       const struct link_ops *ops, void *arg)
-{
-	struct sockaddr_in addr = make_address(host, port);
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	struct link *k;
-
-	if (fd < 0)
-		return NULL;
-	if (connect(fd, (struct sockaddr *)&addr, sizeof(addr)) && errno != EINPROGRESS) {
-		close(fd);
-		return NULL;
-	}
-	k = link_new(l, self, fd, ops, arg);
-	k->priv->is_connecting = true;
-	k->priv->connect_timeout_us =
-		(u64)g_random_int_range(LINK_CONNECT_TIMEOUT_MIN_US, LINK_CONNECT_TIMEOUT_MAX_US);
-	loop_timer_set(l, &k->priv->tick, next_tick_us(k->priv, k->priv->start_us));
-	k->priv->wants_write = true;
-	if (!loop_fd_add(l, &k->priv->fd, EPOLLIN | EPOLLOUT))
-		return k;
-	link_close(k);
-	return NULL;
-}
-
-static void on_accept(void *arg, u32 events)
-{
-	struct link_listener *s = arg;
-	struct link *k;
-	int fd = accept4(s->fd.fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
-
-	(void)events;
-	if (fd < 0)
-		return;
-	k = link_new(s->loop, s->self, fd, s->ops, s->arg);
-	if (loop_fd_add(s->loop, &k->priv->fd, EPOLLIN))
-		link_close(k);
-	else
-		send_greeting(k);
-}
-
-struct link_listener *link_listen(struct loop *l, const struct link_id *self, const char *host,
-				  u16 port, const struct link_ops *ops, void *arg)
-{
-	struct sockaddr_in addr = make_address(host, port);
-	struct link_listener *s;
-	int one = 1;
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-
-	if (fd < 0)
-		return NULL;
-	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-	if (bind(fd, (struct sockaddr *)&addr, sizeof(addr)) || listen(fd, LINK_BACKLOG)) {
-		close(fd);
-		return NULL;
-	}
-	s = g_new0(struct link_listener, 1);
-	s->loop = l;
-	s->self = self;
-	s->ops = ops;
-	s->arg = arg;
-	s->fd = (struct loop_fd){ .ready = on_accept, .arg = s, .fd = fd };
-	loop_fd_add(l, &s->fd, EPOLLIN);
-	return s;
-}
-
-void link_stop_listening(struct link_listener *s)
-{
-	loop_fd_remove(s->loop, &s->fd);
-	close(s->fd.fd);
-	g_free(s);
-}
--- a/kernel/link.h
+++ b/kernel/link.h
@@ -16,7 +16,7 @@
  * UNITS microseconds, bytes
  * ERRORS down() gets ERR_CLOSED, ERR_REFUSED, ERR_TIMEOUT (no connection, or silence),
  * ERR_INVAL (malformed frame), ERR_TOOBIG, or ERR_BUSY (the send queue was full)
- * SOURCE kernel/link.c
+ * SOURCE kernel/link.c, kernel/link_clock.c, kernel/link_open.c
  */
 #ifndef LINK_H
 #define LINK_H
