--- a/test/spoilt_answer_test.c
+++ b/test/spoilt_answer_test.c
@@ -3,6 +3,7 @@
  * node beside the upstream, and through one that reaches it over a link. A caller gets the whole
  * answer or a failure of our own, and the answers of a connection in the order of its requests.
  */
+#include "platform/dialect.h"
 #include "test/fakes/fake_node.h"
 #include "test/fakes/raw_server.h"
 
@@ -15,6 +16,10 @@
 
 #define TIMEOUT_MS 20000
 #define SHORT_TIMEOUT_MS 100
+/* Longer than a test takes on a busy machine. */
+#define TTL_MS 600000
+/* Within the limit on the head of an upstream's answer. */
+#define LONG_HEADER_BYTES 60000
 /* Longer than the nodes take to pass on what was written. */
 #define PAUSE_US (20 * US_PER_MS)
 
@@ -36,6 +41,7 @@
 
 static struct fake_node home;
 static struct fake_node entry; /* reaches the upstream over a link */
+static const struct dialect *entry_dialect; /* NULL for the product's own */
 static struct raw_server upstream;
 static struct script script;
 static gint scripted; /* requests that the script answered */
@@ -89,11 +95,13 @@
 				     g_strdup_printf("HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n"
 						     "\r\n%s",
 						     strlen(target), target);
+		/* Counted first, as the caller may have its answer before this goes on. */
+		if (is_scripted)
+			g_atomic_int_inc(&scripted);
 		raw_write(fd, text);
 		g_free(target);
 		if (!is_scripted)
 			continue;
-		g_atomic_int_inc(&scripted);
 		end_connection(fd);
 		break;
 	}
@@ -112,11 +120,17 @@
 static void start(void)
 {
 	raw_server_start(&upstream, serve, NULL);
-	fake_node_start(&home);
+	fake_node_prepare(&home);
+	/* The upstream announces itself once. */
+	home.settings.node.upstream_ttl_ms = TTL_MS;
+	fake_node_run(&home);
 	fake_node_announce_upstream(&home, upstream.port, 64);
 	fake_node_set_directory_entry(&home, home.node->self.name, home.node->self.incarnation,
 				      DIR_UP);
-	fake_node_start(&entry);
+	fake_node_prepare(&entry);
+	entry.settings.node.service = g_strdup("marsh");
+	entry.dialect = entry_dialect;
+	fake_node_run(&entry);
 	fake_node_set_directory_entry(&entry, home.node->self.name, home.node->self.incarnation,
 				      DIR_UP);
 }
@@ -173,7 +187,7 @@
 	return true;
 }
 
-/* Answers of the node always state their length, except where there is no body. */
+/* Answers of the node state their length if and only if they may have a body. */
 static struct answer read_answer(int fd, bool has_body)
 {
 	struct answer a = { .head = g_string_new(NULL), .body = g_string_new(NULL) };
@@ -182,10 +196,13 @@
 	a.is_cut = !read_past(fd, a.head, "\r\n\r\n");
 	if (a.is_cut)
 		return a;
+	g_test_message("%s", a.head->str);
 	a.status = atoi(a.head->str + strlen("HTTP/1.1 "));
 	length = strstr(a.head->str, "\r\nContent-Length: ");
-	if (!has_body)
+	if (!has_body) {
+		g_assert_null(length);
 		return a;
+	}
 	g_assert_nonnull(length);
 	g_assert_null(strstr(length + 1, "\r\nContent-Length"));
 	g_assert_null(strcasestr(a.head->str, "\r\nTransfer-Encoding"));
@@ -339,6 +356,7 @@
 {
 	bool has_body = body != NULL;
 	struct answer a;
+	char byte;
 	int fd;
 
 	script = (struct script){ .text = text, .len = strlen(text) };
@@ -350,6 +368,8 @@
 	if (has_body)
 		g_assert_cmpstr(a.body->str, ==, body);
 	answer_clear(&a);
+	/* Nothing may follow the answer. */
+	g_assert_cmpint(recv(fd, &byte, sizeof(byte), MSG_DONTWAIT), ==, -1);
 	close(fd);
 }
 
@@ -381,6 +401,51 @@
 	check_all_passed(&entry);
 }
 
+/* Guards against: an answer with a long header breaks the link between the nodes, with its calls.
+ */
+static void test_long_header(void)
+{
+	g_autofree char *filler = g_strnfill(LONG_HEADER_BYTES, 'x');
+	g_autofree char *text = g_strconcat("HTTP/1.1 200 OK\r\nX-Bird: ", filler,
+					    "\r\nContent-Length: 5\r\n\r\nhello", NULL);
+	u64 down;
+
+	start();
+	check_all_passed(&entry);
+	down = ctr_get(CTR_LINK_DOWN);
+	check_passed(&home, "POST", text, 200, "hello");
+	check_passed(&entry, "POST", text, 200, "hello");
+	g_assert_cmpuint(ctr_get(CTR_LINK_DOWN), ==, down);
+}
+
+/*
+ * Guards against: a request with as many headers as are taken breaks the link between the nodes, as
+ * the node adds one.
+ */
+static void test_many_headers(void)
+{
+	g_autoptr(GString) text = g_string_new(NULL);
+	u64 down;
+	int fd;
+
+	entry_dialect = &platform_dialect;
+	start();
+	entry_dialect = NULL;
+	g_string_append(text, "POST /many HTTP/1.1\r\nHost: sightings.example\r\n"
+			      "Content-Length: 3\r\n");
+	for (u32 i = 2; i < HTTP_HEADERS_MAX; i++)
+		g_string_append_printf(text, "X-Bird-%u: owl\r\n", i);
+	g_string_append(text, "\r\nowl");
+	check_passed(&entry, "POST", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", 200,
+		     "hello");
+	down = ctr_get(CTR_LINK_DOWN);
+	fd = raw_connect(port_of(&entry));
+	raw_write(fd, text->str);
+	expect_path(fd, "/many");
+	close(fd);
+	g_assert_cmpuint(ctr_get(CTR_LINK_DOWN), ==, down);
+}
+
 static void check_order(const struct fake_node *n, const char *text, enum ending ending)
 {
 	g_autofree char *cut = request_text("POST", "/cut", TIMEOUT_MS);
@@ -460,6 +525,8 @@
 	g_test_add_func("/spoilt-answer/cut-silence", test_cut_silence);
 	g_test_add_func("/spoilt-answer/spoilt", test_spoilt);
 	g_test_add_func("/spoilt-answer/meant", test_meant);
+	g_test_add_func("/spoilt-answer/long-header", test_long_header);
+	g_test_add_func("/spoilt-answer/many-headers", test_many_headers);
 	g_test_add_func("/spoilt-answer/order", test_order);
 	g_test_add_func("/spoilt-answer/while-sending", test_while_sending);
 	g_test_add_func("/spoilt-answer/slow-reader", test_slow_reader);
