--- a/control/control.c
+++ b/control/control.c
@@ -8,6 +8,12 @@
 
 #include <string.h>
 
+/* At the end of the grace, to write the last answers and close the connections. */
+#define CLOSE_US (500 * US_PER_MS)
+#define HAND_OVER_POLL_US (5 * US_PER_MS)
+/* A member that is there has answered a heartbeat meanwhile. */
+#define HAND_OVER_TRY_US (2 * RAFT_HEARTBEAT_US)
+
 static void on_link_up(struct link *k)
 {
 	if (k->remote.role == LINK_NODE)
@@ -29,6 +35,7 @@
 
 	(void)err;
 	op_link_down(c, k);
+	peers_on_link_down(c, k);
 	nodes_on_link_down(c, k);
 }
 
@@ -139,13 +146,63 @@
 	loop_timer_cancel(c->loop, &c->propagate_timer);
 	loop_timer_cancel(c->loop, &c->heartbeat_timer);
 	loop_timer_cancel(c->loop, &c->view_timer);
+	loop_timer_cancel(c->loop, &c->config_timer);
+}
+
+struct hand_over {
+	struct control *control;
+	bool is_under_way;
+};
+
+static void begin_hand_over(void *arg)
+{
+	struct hand_over *h = arg;
+	struct control *c = h->control;
+
+	c->raft.stands_for_none = true;
+	h->is_under_way = !raft_hand_over(&c->raft, loop_clock_us());
+	raft_host_arm(c);
+}
+
+static void check_hand_over(void *arg)
+{
+	struct hand_over *h = arg;
+
+	h->is_under_way = raft_is_handing_over(&h->control->raft);
+}
+
+static void wait_for_successor(struct hand_over *h, u64 end_us)
+{
+	while (h->is_under_way && loop_clock_us() < end_us) {
+		g_usleep(HAND_OVER_POLL_US);
+		loop_call(h->control->loop, check_hand_over, h);
+	}
+}
+
+/*
+ * If this process leads, another takes over, so that no election time-out has to pass. The first
+ * choice may be a member that has ended since its last reply.
+ */
+static void hand_over(struct control *c, u64 end_us)
+{
+	struct hand_over h = { .control = c, .is_under_way = true };
+	u64 now = loop_clock_us();
+
+	for (; h.is_under_way && now < end_us; now = loop_clock_us()) {
+		loop_call(c->loop, begin_hand_over, &h);
+		wait_for_successor(&h, now + HAND_OVER_TRY_US);
+	}
 }
 
 static void control_stop(struct module *m)
 {
 	struct control *c = (struct control *)m;
 
-	api_stop(c);
+	u64 now = loop_clock_us();
+	u64 grace_us = c->settings->control.shutdown_grace_ms * US_PER_MS;
+
+	hand_over(c, now + MIN(grace_us / 4, RAFT_TRANSFER_TIMEOUT_US));
+	api_stop(c, now + grace_us - MIN(grace_us / 4, CLOSE_US));
 	loop_call(c->loop, stop_on_loop, c);
 	loop_stop(c->loop);
 	raft_host_close(c);
--- a/control/control.h
+++ b/control/control.h
@@ -41,6 +41,7 @@
 	struct directory directory;
 
 	GHashTable *peers; /* "HOST:PORT" -> struct control_peer; outgoing links */
+	GHashTable *incoming; /* link from another control process -> its lanes, see peers.c */
 	struct config_streams config_streams;
 	GPtrArray *nodes; /* of struct node_link; links accepted from nodes */
 	GHashTable *reports; /* control id -> struct in_force_report of another process */
@@ -54,12 +55,15 @@
 	struct loop_timer freshness_timer;
 	struct loop_timer propagate_timer; /* set while directory changes are pending */
 	struct loop_timer heartbeat_timer; /* set while changes of applied revisions are pending */
+	struct loop_timer config_timer; /* set while transfers are left for the next turn */
+	u32 config_next; /* the node that was pushed last */
 	struct loop_timer view_timer; /* set while changes of views are left for the next turn */
 	u32 view_next; /* the node whose view is pushed next */
 	u32 confirm_round; /* counts reads that confirm an initial configuration, see nodes.c */
 	bool is_confirming;
 	struct join *join; /* automatic membership changes, see join.h */
 	struct mg_context *http;
+	u32 api_requests; /* of the API, begun and not answered; changed by its threads */
 	bool is_stopping;
 };
 
@@ -78,12 +82,16 @@
 /* peers_dial_back - connect to the peer that has just connected through K */
 void peers_dial_back(struct control *c, const struct link *k);
 void peers_send_raft(struct control *c, u32 to, const struct raft_msg *m);
+bool peers_is_sending_raft(struct control *c, u32 to); /* see struct raft_ops */
+/* peers_send_forward - send a request, which may be long, through a link of peers_link */
+int peers_send_forward(struct control *c, struct link *k, struct frame_out *f);
 void peers_refresh(struct control *c); /* connects to new members */
 void propagate_tick(struct control *c, u64 now_us); /* sends heartbeats with reports */
 void propagate_schedule_heartbeat(struct control *c); /* reports changed applied revisions */
 void propagate_directory(struct control *c); /* sends directory changes to the peers */
 void propagate_schedule(struct control *c); /* sends changes to peers and nodes as a batch */
 int peers_on_frame(struct control *c, struct link *k, u32 type, struct frame_in *in);
+void peers_on_link_down(struct control *c, struct link *k); /* of a link from another process */
 /* propagate_count_in_force - count the nodes that have applied the current configuration */
 void propagate_count_in_force(struct control *c, struct in_force *out);
 
@@ -91,9 +99,14 @@
 void nodes_on_link_up(struct control *c, struct link *k);
 void nodes_on_link_down(struct control *c, struct link *k);
 int nodes_on_frame(struct control *c, struct link *k, u32 type, struct frame_in *in);
-void nodes_push(struct control *c); /* sends each node the changes that it lacks */
 void nodes_send_freshness(struct control *c);
 
+/*
+ * nodes_push - send each node the configuration that it lacks; what takes longer than a few ms goes
+ * on in the next turns of the loop
+ */
+void nodes_push(struct control *c);
+
 /*
  * nodes_push_directory - send each node the changes of its view; what takes longer than a few ms
  * goes on in the next turns of the loop
@@ -102,6 +115,7 @@
 
 /* api */
 int api_start(struct control *c);
-void api_stop(struct control *c);
+/* Requests in progress are answered by END_US. */
+void api_stop(struct control *c, u64 end_us);
 
 #endif
--- a/control/raft_host.c
+++ b/control/raft_host.c
@@ -37,6 +37,11 @@
 	peers_send_raft(r->arg, to, m);
 }
 
+static bool host_is_sending(struct raft *r, u32 to)
+{
+	return peers_is_sending_raft(r->arg, to);
+}
+
 static void host_save_state(struct raft *r, u64 term, u32 vote)
 {
 	struct control *c = r->arg;
@@ -77,6 +82,8 @@
 	struct store_result result = { 0 };
 
 	if (e->kind == RAFT_COMMAND) {
+		config_frames_before_change(&c->config_streams.frames, &c->store,
+					    g_bytes_get_size(e->data));
 		store_apply(&c->store, e->data, &result);
 		count_result(&result);
 	}
@@ -88,6 +95,7 @@
 	struct control *c = r->arg;
 
 	(void)index;
+	config_frames_before_change(&c->config_streams.frames, &c->store, g_bytes_get_size(state));
 	if (store_restore(&c->store, state))
 		exit_on_error(ERR_CORRUPT, "restore");
 	op_restored(c);
@@ -105,8 +113,16 @@
 	op_read_ready(r->arg, read_id, is_ok);
 }
 
+static u64 host_to_local_us(struct raft *r, u32 from, u64 remote_us)
+{
+	const struct link *k = peers_link(r->arg, from);
+
+	return k ? link_to_local_us(k, remote_us) : 0;
+}
+
 static const struct raft_ops host_ops = {
 	.send = host_send,
+	.is_sending = host_is_sending,
 	.save_state = host_save_state,
 	.append = host_append,
 	.save_snapshot = host_save_snapshot,
@@ -114,6 +130,7 @@
 	.restore = host_restore,
 	.snapshot = host_snapshot,
 	.read_ready = host_read_ready,
+	.to_local_us = host_to_local_us,
 };
 
 static u64 random_id(void)
--- a/lib/http_read.c
+++ b/lib/http_read.c
@@ -4,10 +4,14 @@
 
 #include <string.h>
 
+#define STATUS_FIRST 100
 /* Responses with a lower status are interim (1xx). */
 #define STATUS_FINAL_FIRST 200
+#define STATUS_DIGITS 3
 /* Limit on interim responses before a final response. */
 #define INTERIM_MAX 16
+/* Of the line end behind a chunk. */
+#define CHUNK_END_BYTES 2
 
 static struct http_read *reader_of(http_parser *p)
 {
@@ -37,6 +41,8 @@
 	g_string_truncate(r->name, 0);
 	g_string_truncate(r->value, 0);
 	g_string_truncate(r->target, 0);
+	g_string_truncate(r->reason, 0);
+	r->is_joined = false;
 	return 0;
 }
 
@@ -46,12 +52,47 @@
 	return add_head_bytes(reader_of(p), len);
 }
 
+static int on_reason(http_parser *p, const char *at, size_t len)
+{
+	g_string_append_len(reader_of(p)->reason, at, (gssize)len);
+	return add_head_bytes(reader_of(p), len);
+}
+
+/* Returns whether a status line, such as "HTTP/1.1 200", stands anywhere in TEXT. */
+static bool has_status_line(const char *text)
+{
+	const char *at = strstr(text, "HTTP/");
+
+	for (; at; at = strstr(at + 1, "HTTP/")) {
+		const char *code = at + strlen("HTTP/");
+
+		code += strspn(code, "0123456789.");
+		if (*code == ' ' && strspn(code + 1, "0123456789") == STATUS_DIGITS)
+			return true;
+	}
+	return false;
+}
+
+static bool is_blank(char c)
+{
+	return c == ' ' || c == '\t';
+}
+
+/* Blanks behind a value are no part of it (RFC 9110 5.5); http_parser drops only those before. */
+static void drop_blanks(GString *value)
+{
+	while (value->len && is_blank(value->str[value->len - 1]))
+		g_string_truncate(value, value->len - 1);
+}
+
 static int end_header(struct http_read *r)
 {
 	if (!r->name->len)
 		return 0;
+	drop_blanks(r->value);
 	if (r->msg->headers->len >= HTTP_HEADERS_MAX)
 		return fail(r, ERR_TOOBIG);
+	r->is_joined = r->is_joined || (r->is_response && has_status_line(r->value->str));
 	http_add_header(r->msg, r->name->str, r->value->str);
 	g_string_truncate(r->name, 0);
 	g_string_truncate(r->value, 0);
@@ -117,10 +158,19 @@
 	return lengths > 1 || (lengths && !has_length(&r->parser));
 }
 
-/* These have no body, regardless of their Content-Length. */
-static bool is_bodiless(u16 status)
+/* Returns whether the response has no body, regardless of its length (RFC 9112 6.3). */
+static bool is_bodiless(const struct http_read *r)
+{
+	u16 status = r->msg->status;
+
+	if (!r->is_response)
+		return false;
+	return r->has_no_body || status < STATUS_FINAL_FIRST || status == 204 || status == 304;
+}
+
+static bool is_status_sound(const struct http_read *r)
 {
-	return status == 204 || status == 304;
+	return r->msg->status >= STATUS_FIRST && !has_status_line(r->reason->str);
 }
 
 static int on_head(http_parser *p)
@@ -135,14 +185,43 @@
 	r->msg->target = g_strdup(r->target->str);
 	if (!r->is_response)
 		r->msg->method = g_strdup(http_method_str((enum http_method)p->method));
-	if (is_ambiguous(r))
+	if (is_ambiguous(r) || (r->is_response && !is_status_sound(r)))
 		return fail(r, ERR_INVAL);
 	if ((p->flags & F_CONTENTLENGTH) && p->content_length > r->max_body_bytes &&
-	    !r->has_no_body)
+	    !is_bodiless(r))
 		return fail(r, ERR_TOOBIG);
 	if (r->ops->head && r->ops->head(r))
 		return fail(r, ERR_CANCELLED);
-	return r->has_no_body || (r->is_response && is_bodiless(r->msg->status)) ? 1 : 0;
+	return is_bodiless(r) ? 1 : 0;
+}
+
+/* http_parser takes any two bytes behind a chunk for its line end. AT is where they continue. */
+static int check_chunk_end(struct http_read *r, const char *at)
+{
+	static const char line_end[] = "\r\n";
+
+	while (r->chunk_end_bytes && at < r->part_end) {
+		if (*at++ != line_end[CHUNK_END_BYTES - r->chunk_end_bytes])
+			return fail(r, ERR_INVAL);
+		r->chunk_end_bytes--;
+	}
+	return 0;
+}
+
+/* The chunk of length 0 ends the body. */
+static int on_chunk(http_parser *p)
+{
+	reader_of(p)->chunk_bytes = p->content_length;
+	return 0;
+}
+
+static int on_chunk_data(struct http_read *r, const char *at, size_t len)
+{
+	r->chunk_bytes -= len;
+	if (r->chunk_bytes)
+		return 0;
+	r->chunk_end_bytes = CHUNK_END_BYTES;
+	return check_chunk_end(r, at + len);
 }
 
 static int on_body(http_parser *p, const char *at, size_t len)
@@ -152,7 +231,7 @@
 	if (r->msg->body->len + len > r->max_body_bytes)
 		return fail(r, ERR_TOOBIG);
 	g_byte_array_append(r->msg->body, (const guint8 *)at, (guint)len);
-	return 0;
+	return p->flags & F_CHUNKED ? on_chunk_data(r, at, len) : 0;
 }
 
 static int on_message(http_parser *p)
@@ -160,25 +239,29 @@
 	struct http_read *r = reader_of(p);
 	struct http_msg *m = g_steal_pointer(&r->msg);
 
+	/* The next bytes are a head again, which is checked before it is parsed. */
+	http_parser_pause(p, 1);
+	r->head = (struct http_head){ 0 };
+	r->is_in_body = false;
 	if (r->is_response && m->status < STATUS_FINAL_FIRST) {
 		http_free(m);
 		return ++r->interim > INTERIM_MAX ? fail(r, ERR_TOOBIG) : 0;
 	}
 	r->interim = 0;
-	r->is_in_body = false;
 	r->is_keep_alive = http_should_keep_alive(p);
-	if (r->is_response)
-		http_parser_pause(p, 1);
+	r->is_delivered = r->is_response;
 	return r->ops->message(r, m) ? fail(r, ERR_CANCELLED) : 0;
 }
 
 static const http_parser_settings callbacks = {
 	.on_message_begin = on_begin,
 	.on_url = on_target,
+	.on_status = on_reason,
 	.on_header_field = on_name,
 	.on_header_value = on_value,
 	.on_headers_complete = on_head,
 	.on_body = on_body,
+	.on_chunk_header = on_chunk,
 	.on_message_complete = on_message,
 };
 
@@ -194,6 +277,7 @@
 	r->name = g_string_new(NULL);
 	r->value = g_string_new(NULL);
 	r->target = g_string_new(NULL);
+	r->reason = g_string_new(NULL);
 }
 
 void http_read_clear(struct http_read *r)
@@ -202,6 +286,7 @@
 	g_string_free(r->name, TRUE);
 	g_string_free(r->value, TRUE);
 	g_string_free(r->target, TRUE);
+	g_string_free(r->reason, TRUE);
 	memset(r, 0, sizeof(*r));
 }
 
@@ -210,25 +295,41 @@
 	return !r->msg;
 }
 
-int http_read_feed(struct http_read *r, const void *data, size_t len, size_t *unparsed)
+/* Parses the first of the LEN bytes that are within one head or one body; returns how many. */
+static size_t parse_part(struct http_read *r, const char *data, size_t len)
 {
-	size_t parsed;
 	enum http_errno err;
+	size_t parsed;
 
-	if (r->err)
-		return r->err;
+	if (!r->is_in_body)
+		r->err = http_head_check(&r->head, data, len, &len);
+	r->part_end = data + len;
+	if (r->err || check_chunk_end(r, data))
+		return 0;
 	if (HTTP_PARSER_ERRNO(&r->parser) == HPE_PAUSED)
 		http_parser_pause(&r->parser, 0);
 	parsed = http_parser_execute(&r->parser, &callbacks, data, len);
 	err = HTTP_PARSER_ERRNO(&r->parser);
-	if (unparsed)
-		*unparsed = len - MIN(parsed, len);
-	if (r->err)
-		return r->err;
 	/* The parser stops at a protocol upgrade, which is not supported. */
-	if (r->parser.upgrade || (err != HPE_OK && err != HPE_PAUSED)) {
+	if (!r->err && (r->parser.upgrade || (err != HPE_OK && err != HPE_PAUSED)))
 		r->err = ERR_INVAL;
+	return MIN(parsed, len);
+}
+
+int http_read_feed(struct http_read *r, const void *data, size_t len, size_t *unparsed)
+{
+	const char *at = data;
+
+	if (r->err)
 		return r->err;
-	}
-	return 0;
+	r->is_delivered = false;
+	do {
+		size_t parsed = parse_part(r, at, len);
+
+		at += parsed;
+		len -= parsed;
+	} while (!r->err && len && !r->is_delivered);
+	if (unparsed)
+		*unparsed = len;
+	return r->err;
 }
--- a/lib/http_server.c
+++ b/lib/http_server.c
@@ -31,7 +31,7 @@
 	return 0;
 }
 
-struct mg_context *http_server_start(const char *address, u16 port, u32 threads)
+struct mg_context *http_server_start(const char *address, u16 port, u32 threads, void *owner)
 {
 	struct mg_callbacks callbacks;
 	g_autofree char *ports = g_strdup_printf("%s:%u", address, port);
@@ -52,7 +52,12 @@
 
 	memset(&callbacks, 0, sizeof(callbacks));
 	callbacks.http_error = on_http_error;
-	return mg_start(&callbacks, NULL, options);
+	return mg_start(&callbacks, owner, options);
+}
+
+void *http_server_owner(const struct mg_connection *conn)
+{
+	return mg_get_user_data(mg_get_context(conn));
 }
 
 int http_send_response(struct mg_connection *conn, int status, const char *type,
@@ -85,11 +90,42 @@
 	return ret;
 }
 
+static bool is_number(const char *text)
+{
+	return *text && !text[strspn(text, "0123456789")];
+}
+
+/*
+ * CivetWeb reads the digits that a Content-Length begins with, takes the first of two, and takes
+ * the encoding identity for none.
+ */
+static bool is_length_clear(const struct mg_request_info *ri)
+{
+	u32 lengths = 0;
+
+	for (int i = 0; i < ri->num_headers; i++) {
+		const struct mg_header *h = &ri->http_headers[i];
+		bool is_encoding = !g_ascii_strcasecmp(h->name, "Transfer-Encoding");
+		bool is_length = !g_ascii_strcasecmp(h->name, "Content-Length");
+
+		if ((is_encoding && g_ascii_strcasecmp(h->value, "chunked")) ||
+		    (is_length && !is_number(h->value)))
+			return false;
+		lengths += is_encoding || is_length;
+	}
+	return lengths <= 1;
+}
+
 int http_read_body(struct mg_connection *conn, GByteArray *out, u64 max)
 {
 	const struct mg_request_info *ri = mg_get_request_info(conn);
 	int n;
 
+	if (!is_length_clear(ri)) {
+		/* What follows may be the rest of the body. */
+		mg_disable_connection_keep_alive(conn);
+		return ERR_INVAL;
+	}
 	if (ri->content_length > 0 && (u64)ri->content_length > max)
 		return ERR_TOOBIG;
 	do {
--- a/lib/http_server.h
+++ b/lib/http_server.h
@@ -13,8 +13,14 @@
 struct mg_connection;
 struct mg_context;
 
-/* http_server_start - starts a server on ADDRESS:PORT; returns NULL if it cannot listen. */
-struct mg_context *http_server_start(const char *address, u16 port, u32 threads);
+/*
+ * http_server_start - starts a server on ADDRESS:PORT; returns NULL if it cannot listen. Handlers
+ * get OWNER from http_server_owner.
+ */
+struct mg_context *http_server_start(const char *address, u16 port, u32 threads, void *owner);
+
+/* http_server_owner - returns the owner of the server that CONN belongs to. */
+void *http_server_owner(const struct mg_connection *conn);
 
 /*
  * http_send_response - sends a complete response. OUTCOME and REASON, unless NULL, become
@@ -29,7 +35,8 @@
 
 /*
  * http_read_body - reads the request body into OUT. Returns 0, ERR_TOOBIG if it exceeds
- * MAX bytes, or ERR_TRUNCATED if it ended before its Content-Length.
+ * MAX bytes, ERR_TRUNCATED if it ended before its Content-Length, or ERR_INVAL if its length
+ * can't be read or is stated twice.
  */
 int http_read_body(struct mg_connection *conn, GByteArray *out, u64 max);
 
--- a/node/upstream.h
+++ b/node/upstream.h
@@ -6,14 +6,17 @@
  * on a new connection or on one that was used within the last half second.
  *
  * A faulty upstream may write an earlier answer again. An answer that names no request is taken
- * only as the first one of its connection. A connection on which the upstream has refused a request
- * is used again only for requests with other ids, and only if the refusal named its request.
+ * only as the first one of its connection; a request without an id therefore gets a connection of
+ * its own. A connection on which the upstream has refused a request is used again only for requests
+ * with other ids, and only if the refusal named its request.
  *
  * All functions must be called on the loop's thread.
  *
  * ERRORS ERR_REFUSED, ERR_CLOSED, ERR_TRUNCATED, ERR_TIMEOUT, ERR_TOOBIG, ERR_CANCELLED,
  * ERR_UNCERTAIN; the call may have run if and only if is_written is set.
- * SOURCE node/upstream.c
+ * SOURCE node/upstream.c (calls and their connections), node/upstream_request.c (what is sent),
+ * node/upstream_answer.c (whose answer it is), node/upstream_reuse.c (which connections are used
+ * again)
  */
 #ifndef UPSTREAM_H
 #define UPSTREAM_H
@@ -41,6 +44,7 @@
 	int err;
 	struct http_msg *reply; /* owned by the caller; NULL after an error */
 	bool is_written; /* bytes of the request may have reached the upstream */
+	bool may_be_copy; /* the reply is told from earlier ones only by its place */
 	/* private */
 	struct upstream *u;
 	struct upstream_conn *conn;
--- a/node/watch.c
+++ b/node/watch.c
@@ -23,8 +23,17 @@
 #define TICK_US (100 * US_PER_MS)
 /* A node leaves a control process that has not been fresh for this time. */
 #define NOT_FRESH_MAX_US (700 * US_PER_MS)
-/* A trial is abandoned when the control process has not reported its freshness by then. */
-#define TRIAL_TIMEOUT_US (500 * US_PER_MS)
+/*
+ * A trial is abandoned when nothing has come from the control process for this time, at first from
+ * the dial on.
+ */
+#define TRIAL_SILENCE_US (500 * US_PER_MS)
+/*
+ * It is abandoned in any case when the control process has not reported its freshness by then. The
+ * connection, the greetings and the report each wait behind what fills the node's link, which may
+ * be as long as a freshness report may wait: NOT_FRESH_MAX_US less the interval of the reports.
+ */
+#define TRIAL_MAX_US (3 * (NOT_FRESH_MAX_US - CTL_FRESHNESS_INTERVAL_US))
 /* A freshness report that took longer to arrive is logged and counted. */
 #define FRESHNESS_LATE_US (500 * US_PER_MS)
 #define RETRY_INTERVAL_US (500 * US_PER_MS)
@@ -300,19 +309,26 @@
 	s->candidate->distance = link_distance(s->w, k);
 }
 
+void watch_lose_control(struct watch *w, int err)
+{
+	const char *name = w->main.link->remote.name;
+
+	w->main.candidate->retry_at_us = loop_clock_us() + RETRY_INTERVAL_US;
+	log_event(LOG_WARN, "control link down", "control", name ? name : "", "error",
+		  err_text(err), NULL);
+	close_main(w, "link down");
+}
+
 static void on_down(struct link *k, int err)
 {
 	struct control_link *s = k->arg;
-	struct watch *w = s->w;
 
-	s->candidate->retry_at_us = loop_clock_us() + RETRY_INTERVAL_US;
-	if (s == &w->trial) {
-		close_link(s);
+	if (s == &s->w->main) {
+		watch_lose_control(s->w, err);
 		return;
 	}
-	log_event(LOG_WARN, "control link down", "control", k->remote.name ? k->remote.name : "",
-		  "error", err_text(err), NULL);
-	close_main(w, "link down");
+	s->candidate->retry_at_us = loop_clock_us() + RETRY_INTERVAL_US;
+	close_link(s);
 }
 
 static const struct link_ops ops = { .up = on_up, .frame = on_frame, .down = on_down };
@@ -366,10 +382,16 @@
 		w->trial.candidate = NULL;
 }
 
+static bool is_trial_over(const struct watch *w, u64 now_us)
+{
+	return now_us - w->trial.start_us > TRIAL_MAX_US ||
+	       link_silence_us(w->trial.link, now_us) > TRIAL_SILENCE_US;
+}
+
 static void check_trial(struct watch *w, u64 now_us)
 {
-	if (w->trial.link && now_us - w->trial.start_us > TRIAL_TIMEOUT_US) {
-		w->trial.candidate->retry_at_us = now_us + TRIAL_TIMEOUT_US;
+	if (w->trial.link && is_trial_over(w, now_us)) {
+		w->trial.candidate->retry_at_us = now_us + RETRY_INTERVAL_US;
 		close_link(&w->trial);
 	}
 	if (!w->trial.link)
@@ -479,12 +501,12 @@
 	struct watch *w = n->watch;
 
 	loop_timer_cancel(n->loop, &w->timer);
+	watch_stream_clear(w);
 	close_link(&w->main);
 	close_link(&w->trial);
 	g_ptr_array_unref(w->candidates);
 	g_hash_table_unref(w->reported);
 	g_hash_table_unref(w->subscriptions);
 	config_build_free(w->build);
-	config_receive_clear(&w->receive);
 	g_clear_pointer(&n->watch, g_free);
 }
--- a/test/config_transfer_test.c
+++ b/test/config_transfer_test.c
@@ -35,8 +35,11 @@
 	p->relay_port = paced_relay_start(&narrow, p->lone.settings.control.peer_port);
 }
 
-/* Returns a set that compresses badly, as paths of real routes do. */
-static char *set_text(u64 version, u32 routes)
+/*
+ * Returns a set that compresses badly, as paths of real routes do. The first CHANGED routes differ
+ * from those of a set in which none is changed.
+ */
+static char *changed_text(u64 version, u32 routes, u64 changed)
 {
 	GString *text = g_string_new(NULL);
 	g_autoptr(GRand) rand = g_rand_new_with_seed(7);
@@ -51,12 +54,18 @@
 		g_string_append_printf(text,
 				       "/\",\"repeat\":\"always\",\"timeout_ms\":%u,"
 				       "\"target_ms\":250,\"attempts\":2,\"service\":\"a\"}",
-				       i < version ? 1001u : 1000u);
+				       i < changed ? 1001u : 1000u);
 	}
 	g_string_append(text, "],\"services\":[{\"name\":\"a\"}],\"limits\":{}}");
 	return g_string_free(text, FALSE);
 }
 
+/* Each version changes one more route than the version before. */
+static char *set_text(u64 version, u32 routes)
+{
+	return changed_text(version, routes, version);
+}
+
 /* Declares the set of VERSION at all control processes. */
 static void declare(u64 version, const char *text)
 {
@@ -207,6 +216,74 @@
 		       (u32)((loop_clock_us() - last) / US_PER_MS));
 }
 
+#define STORM_CHANGES 12
+#define STORM_ROUTES 200
+#define STORM_INTERVAL_US (300 * US_PER_MS)
+/* A change has to be in force this long after it was acknowledged, rule CONFIG. */
+#define IN_FORCE_US (2 * US_PER_S)
+
+/* When each version was acknowledged, and when it came into force; 0 if not yet. */
+struct storm {
+	u64 acknowledged_us[STORM_CHANGES + 1];
+	u64 in_force_us[STORM_CHANGES + 1];
+	gint is_ended;
+};
+
+static gpointer note_in_force(gpointer arg)
+{
+	struct storm *s = arg;
+
+	while (!g_atomic_int_get(&s->is_ended)) {
+		for (u64 v = MIN(config_revision(), STORM_CHANGES); v && !s->in_force_us[v]; v--)
+			s->in_force_us[v] = loop_clock_us();
+		g_usleep(US_PER_MS);
+	}
+	return NULL;
+}
+
+/*
+ * Guards against: a node that starts in a storm of changes stays behind, as it always finishes the
+ * transfer of a superseded revision first. Each change is of STORM_ROUTES further routes.
+ */
+static void test_start_during_storm(void)
+{
+	g_autofree char *first = set_text(1, ROUTES);
+	u64 transfer_us = compressed_bytes(first) * US_PER_S / LINK_BYTES_PER_S;
+	struct storm s = { 0 };
+	struct fake_node node;
+	GThread *thread;
+	u64 start;
+
+	declare(1, first);
+	start = loop_clock_us();
+	start_node(&node);
+	thread = g_thread_new("in force", note_in_force, &s);
+	for (u64 version = 2; version <= STORM_CHANGES; version++) {
+		g_autofree char *text = changed_text(version, ROUTES, version * STORM_ROUTES);
+		u64 due_us = start + (version - 1) * STORM_INTERVAL_US;
+		u64 now = loop_clock_us();
+
+		if (due_us > now)
+			g_usleep(due_us - now);
+		declare(version, text);
+		s.acknowledged_us[version] = loop_clock_us();
+	}
+	g_assert_cmpuint(wait_revision(STORM_CHANGES, loop_clock_us(), WAIT_US), ==, STORM_CHANGES);
+	g_usleep(10 * US_PER_MS);
+	g_atomic_int_set(&s.is_ended, 1);
+	g_thread_join(thread);
+	for (u64 version = 2; version <= STORM_CHANGES; version++) {
+		/* What the node lacks at its start takes its link this long. */
+		u64 from_us = MAX(s.acknowledged_us[version], start + transfer_us);
+
+		g_test_message(
+			"version %u in force %d ms after it was acknowledged", (u32)version,
+			(int)(((i64)s.in_force_us[version] - (i64)s.acknowledged_us[version]) /
+			      US_PER_MS));
+		g_assert_cmpuint(s.in_force_us[version], <=, from_us + IN_FORCE_US);
+	}
+}
+
 #define SERVICES 600
 #define UPSTREAMS 12
 /* At least, of an upstream in a view. */
@@ -285,6 +362,106 @@
 	g_assert_cmpuint(ctr_get(CTR_CONTROL_MOVED), ==, moved);
 }
 
+/* Of a queue of 25 KB of calls at 2 Mbit/s, or of a node that waits for its processor time. */
+#define DELAY_US (100 * US_PER_MS)
+/* A configuration has to be in force after this time. */
+#define PROPAGATION_US (2 * US_PER_S)
+
+/*
+ * Guards against: a set whose bytes need half of the time for a change is late, as control waits
+ * for the acknowledgement of each window over a link with some delay.
+ */
+static void test_large_set_on_link_with_delay(void)
+{
+	g_autofree char *text = set_text(2, ROUTES);
+	u64 bytes = compressed_bytes(text);
+	struct fake_node node;
+	u64 start;
+
+	g_assert_cmpuint(bytes * US_PER_S / LINK_BYTES_PER_S + 4 * DELAY_US, <, PROPAGATION_US);
+	declare(1, "{\"version\":1,\"routes\":[],\"services\":[],\"limits\":{}}");
+	narrow.delay_us = DELAY_US;
+	start_node(&node);
+	g_assert_cmpuint(wait_revision(1, loop_clock_us(), WAIT_US), ==, 1);
+	declare(2, text);
+	start = loop_clock_us();
+	g_assert_cmpuint(wait_revision(2, start, WAIT_US), ==, 2);
+	g_test_message("%u bytes in force after %u ms", (u32)bytes,
+		       (u32)((loop_clock_us() - start) / US_PER_MS));
+	g_assert_cmpuint(loop_clock_us() - start, <, PROPAGATION_US);
+}
+
+struct one_request {
+	struct node *node;
+	u32 service;
+};
+
+static void request_one(void *arg)
+{
+	const struct one_request *r = arg;
+	g_autofree char *service = g_strdup_printf("service-%u", r->service);
+
+	watch_request_service(r->node, service);
+}
+
+/*
+ * Guards against: with each service that is called for the first time a node sends the names of all
+ * of them, and its renewals and acknowledgements wait behind them for longer than it may be silent.
+ */
+static void test_subscriptions_hold_back_renewals(void)
+{
+	struct one_request r = { 0 };
+	struct fake_node node;
+	u64 before;
+	u64 bytes;
+
+	declare(1, "{\"version\":1,\"routes\":[],\"services\":[],\"limits\":{}}");
+	start_node(&node);
+	g_assert_cmpuint(wait_revision(1, loop_clock_us(), WAIT_US), ==, 1);
+	r.node = node.node;
+	before = (u64)g_atomic_int_get(&narrow.bytes_back);
+	for (r.service = 0; r.service < SERVICES; r.service++)
+		loop_call(node.node->loop, request_one, &r);
+	g_usleep(US_PER_S);
+	bytes = (u64)g_atomic_int_get(&narrow.bytes_back) - before;
+	g_test_message("%u bytes for %u services, %u ms at this rate", (u32)bytes, SERVICES,
+		       (u32)(bytes * 1000 / LINK_BYTES_PER_S));
+	g_assert_cmpuint(bytes * US_PER_S / LINK_BYTES_PER_S, <, DIRECTORY_TTL_US);
+}
+
+#define NAME_BYTES 300
+#define SUBSCRIBED_US (2 * US_PER_S)
+
+/*
+ * Guards against: a set is accepted with a name of a service that is longer than control takes in a
+ * subscription; control closes the link of each node that subscribes, again and again.
+ */
+static void test_long_name_closes_links(void)
+{
+	g_autofree char *name = g_strnfill(NAME_BYTES, 'a');
+	g_autofree char *text = g_strdup_printf(
+		"{\"version\":1,\"routes\":[{\"name\":\"r\",\"host\":\"h.example\",\"prefix\":\"/"
+		"\","
+		"\"repeat\":\"always\",\"timeout_ms\":1000,\"attempts\":2,\"service\":\"%s\"}],"
+		"\"services\":[{\"name\":\"%s\"}]}",
+		name, name);
+	struct fake_node node;
+	u64 refused;
+	u64 down;
+
+	declare(1, text);
+	start_node(&node);
+	g_assert_cmpuint(wait_revision(1, loop_clock_us(), WAIT_US), ==, 1);
+	refused = ctr_get(CTR_FRAME_BAD);
+	down = ctr_get(CTR_LINK_DOWN);
+	g_usleep(SUBSCRIBED_US);
+	g_test_message("%u links down in %u ms", (u32)(ctr_get(CTR_LINK_DOWN) - down),
+		       (u32)(SUBSCRIBED_US / US_PER_MS));
+	g_assert_cmpuint(ctr_get(CTR_FRAME_BAD), ==, refused);
+	/* The node tries each other control process once, to see whether it is nearer. */
+	g_assert_cmpuint(ctr_get(CTR_LINK_DOWN) - down, <=, CONTROLS - 1);
+}
+
 int main(int argc, char **argv)
 {
 	int ret;
@@ -298,8 +475,14 @@
 	g_test_add_func("/config-transfer/begins-again-at-next-process",
 			test_begins_again_at_next_process);
 	g_test_add_func("/config-transfer/changes-during-transfer", test_changes_during_transfer);
+	g_test_add_func("/config-transfer/start-during-storm", test_start_during_storm);
 	g_test_add_func("/config-transfer/many-services-on-narrow-link",
 			test_many_services_on_narrow_link);
+	g_test_add_func("/config-transfer/large-set-on-link-with-delay",
+			test_large_set_on_link_with_delay);
+	g_test_add_func("/config-transfer/subscriptions-hold-back-renewals",
+			test_subscriptions_hold_back_renewals);
+	g_test_add_func("/config-transfer/long-name-closes-links", test_long_name_closes_links);
 	ret = g_test_run();
 	for (u32 i = 0; i < CONTROLS; i++)
 		lone_control_remove_folder(&controls[i].lone);
--- a/test/cut_request_test.c
+++ b/test/cut_request_test.c
@@ -45,9 +45,7 @@
 
 static void setup(u32 bytes)
 {
-	int fd = raw_listen(&port);
-
-	close(fd);
+	port = raw_free_port();
 	answer_bytes = bytes;
 	loop = loop_new("cut-request-test");
 	server = httpd_listen(loop, "127.0.0.1", port, &ops, NULL);
@@ -181,10 +179,9 @@
 static void test_operator_every_byte(void)
 {
 	struct mg_context *server_ctx;
-	int fd = raw_listen(&port);
 
-	close(fd);
-	server_ctx = http_server_start("127.0.0.1", port, 2);
+	port = raw_free_port();
+	server_ctx = http_server_start("127.0.0.1", port, 2, NULL);
 	g_assert_nonnull(server_ctx);
 	mg_set_request_handler(server_ctx, "/", on_operator_request, NULL);
 	for (size_t i = 0; i < G_N_ELEMENTS(operator_requests); i++) {
@@ -200,6 +197,57 @@
 	mg_stop(server_ctx);
 }
 
+/* Framing that can't be understood, or that another reader might understand otherwise. */
+static const char *const unclear[] = {
+	"Content-Length:",
+	"Content-Length: 5x",
+	"Content-Length: x",
+	"Content-Length: -5",
+	"Content-Length: 5, 5",
+	"Content-Length: 5\r\nContent-Length: 6",
+	"Content-Length: 5\r\nTransfer-Encoding: chunked",
+	"Transfer-Encoding: chunke",
+	"Transfer-Encoding: gzip, chunked",
+	"Transfer-Encoding: identity",
+	"Transfer-Encoding : chunked",
+};
+
+/* By the second length, what looks like another request is a part of the body. */
+static void check_second_not_started(void)
+{
+	g_autofree char *text = g_strdup_printf(
+		"PUT /v1/thing HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n"
+		"Content-Length: %zu\r\n\r\nhello%s",
+		strlen("hello") + strlen(operator_requests[0]), operator_requests[0]);
+
+	g_atomic_int_set(&started, 0);
+	send_cut(text, strlen(text), false);
+	g_assert_cmpint(g_atomic_int_get(&started), ==, 0);
+}
+
+/* Guards against: a change whose length can't be read is made, at the interfaces for operators. */
+static void test_operator_unclear_length(void)
+{
+	struct mg_context *server_ctx;
+
+	port = raw_free_port();
+	server_ctx = http_server_start("127.0.0.1", port, 2, NULL);
+	g_assert_nonnull(server_ctx);
+	mg_set_request_handler(server_ctx, "/", on_operator_request, NULL);
+	for (size_t i = 0; i < G_N_ELEMENTS(unclear); i++) {
+		g_autofree char *text = g_strconcat("PUT /v1/thing HTTP/1.1\r\nHost: h\r\n"
+						    "Connection: close\r\n",
+						    unclear[i], "\r\n\r\nhello", NULL);
+
+		g_atomic_int_set(&started, 0);
+		send_cut(text, strlen(text), false);
+		g_test_message("%s", unclear[i]);
+		g_assert_cmpint(g_atomic_int_get(&started), ==, 0);
+	}
+	check_second_not_started();
+	mg_stop(server_ctx);
+}
+
 static void check_refused(const char *framing)
 {
 	g_autofree char *text =
@@ -220,12 +268,10 @@
 {
 	setup(3);
 	g_atomic_int_set(&started, 0);
-	check_refused("Content-Length:");
+	for (size_t i = 0; i < G_N_ELEMENTS(unclear); i++)
+		check_refused(unclear[i]);
 	check_refused("Content-Length: \r\nX-Bird: owl");
-	check_refused("Content-Length: 5x");
-	check_refused("Transfer-Encoding: chunke");
-	check_refused("Transfer-Encoding: gzip, chunked");
-	check_refused("Transfer-Encoding: identity");
+	check_refused("Content-Length : 5");
 	loop_call(loop, free_server, NULL);
 	teardown();
 }
@@ -261,6 +307,7 @@
 	g_test_add_func("/cut-request/every-byte", test_every_byte);
 	g_test_add_func("/cut-request/every-byte-reset", test_every_byte_reset);
 	g_test_add_func("/cut-request/operator-every-byte", test_operator_every_byte);
+	g_test_add_func("/cut-request/operator-unclear-length", test_operator_unclear_length);
 	g_test_add_func("/cut-request/unclear-length", test_unclear_length);
 	g_test_add_func("/cut-request/own-answer-cut", test_own_answer_cut);
 	return g_test_run();
--- a/test/fakes/fake_config.h
+++ b/test/fakes/fake_config.h
@@ -30,6 +30,9 @@
 void fake_config_init(struct fake_config *c);
 void fake_config_clear(struct fake_config *c);
 
+/* fake_config_cpu_us - returns the processor time of the calling thread. */
+u64 fake_config_cpu_us(void);
+
 /* fake_config_text - returns a set whose routes have TIMEOUT_MS; CHANGED has 1 ms more. */
 char *fake_config_text(u32 version, u32 routes, u32 changed, u32 timeout_ms);
 
@@ -44,7 +47,7 @@
 
 /*
  * fake_config_give_stream - the same in the parts in which the frames go over a link; the cost is
- * that of parts in place of frames.
+ * that of turns, as many as each part takes, in place of frames.
  */
 void fake_config_give_stream(struct fake_config *c, struct watch *w, struct fake_config_cost *cost);
 
--- a/test/raft_step_test.c
+++ b/test/raft_step_test.c
@@ -1,6 +1,7 @@
 /* Steps one raft replica message by message and records what it sends and writes. */
 #include "control/raft_impl.h"
 #include "lib/err.h"
+#include "wire/ctl.h"
 
 #include <string.h>
 
@@ -561,6 +562,56 @@
 	owner_free(o);
 }
 
+/* A word of the leader: entry INDEX, which follows in the log of owner_new(3, 1, 3), and COMMIT. */
+static void hear(struct owner *o, u64 index, u64 commit, u64 now_us)
+{
+	struct raft_entry *e = raft_entry_new(index, 2, RAFT_NOOP, NULL);
+	g_autoptr(GPtrArray) entries = g_ptr_array_new();
+
+	if (index > raft_last_index(&o->r))
+		g_ptr_array_add(entries, e);
+	step(o,
+	     (struct raft_msg){ .type = RAFT_APPEND_ENTRIES,
+				.from = 2,
+				.term = 2,
+				.index = index - 1,
+				.log_term = raft_term_at(&o->r, index - 1),
+				.commit = commit,
+				.round = now_us,
+				.entries = entries },
+	     now_us);
+	raft_entry_free(e);
+}
+
+#define LEASE_US (600 * US_PER_MS)
+
+/*
+ * Guards against: a follower that is always a few entries behind the leader's words is never fresh.
+ * One that does not come forward is not, though it hears the leader.
+ */
+static void test_fresh_though_always_behind(void)
+{
+	struct owner *o = owner_new(3, 1, 3);
+	u64 now = NOW_US;
+	u64 index = 4;
+
+	hear(o, index, index, now);
+	g_assert_true(raft_is_fresh(&o->r, LEASE_US, now));
+	for (u32 i = 0; i < 20; i++) {
+		now += 100 * US_PER_MS;
+		index++;
+		hear(o, index, index + 2, now);
+		g_assert_cmpuint(o->r.applied, <, o->r.word.commit);
+		g_assert_true(raft_is_fresh(&o->r, LEASE_US, now));
+	}
+	for (u32 i = 0; i < 10; i++) {
+		now += 100 * US_PER_MS;
+		hear(o, index, index + 4, now);
+	}
+	g_assert_false(raft_is_fresh(&o->r, LEASE_US, now));
+	owner_free(o);
+}
+
 /* A follower is not fresh until an entry of the leader's term commits: it may lack commits. */
 static void test_fresh_after_commit_in_the_leaders_term(void)
 {
@@ -573,6 +624,7 @@
 				   .index = 3,
 				   .log_term = 1,
 				   .commit = 1,
+				   .round = NOW_US,
 				   .entries = entries };
 
 	g_ptr_array_add(entries, noop);
@@ -634,10 +686,78 @@
 	owner_free(o);
 }
 
+/*
+ * Guards against: a leader counts as fresh by replies that were long on their way, although its
+ * followers may have elected another one since they sent them.
+ */
+static void test_leader_is_fresh_by_late_replies(void)
+{
+	struct owner *o = owner_new(3, 1, 3);
+	struct raft_msg late = { .type = RAFT_APPEND_ENTRIES_REPLY, .from = 2, .is_ok = true };
+	u64 arrived = NOW_US + RAFT_ELECTION_TIMEOUT_MIN_US - 1;
+
+	elect(o);
+	raft_tick(&o->r, NOW_US);
+	reply(o, 2, 4, true);
+	g_assert_true(raft_is_fresh(&o->r, CTL_LEASE_US, NOW_US));
+	late.term = o->r.term;
+	late.index = 4;
+	late.round = o->r.round; /* of the heartbeat at NOW_US */
+	step(o, late, arrived);
+	g_assert_false(raft_is_fresh(&o->r, CTL_LEASE_US, arrived + CTL_LEASE_US / 2));
+	owner_free(o);
+}
+
+/*
+ * Guards against: a follower counts as fresh by a heartbeat that was long on its way, although it
+ * lacks what was committed since. The round of a heartbeat is the time of the leader's clock, which
+ * is the follower's here.
+ */
+static void test_follower_is_fresh_by_late_heartbeat(void)
+{
+	struct owner *o = owner_new(3, 1, 3);
+	struct raft_entry *noop = raft_entry_new(4, 2, RAFT_NOOP, NULL);
+	g_autoptr(GPtrArray) entries = g_ptr_array_new();
+	struct raft_msg append = { .type = RAFT_APPEND_ENTRIES,
+				   .from = 2,
+				   .term = 2,
+				   .index = 3,
+				   .log_term = 1,
+				   .commit = 4,
+				   .round = NOW_US,
+				   .entries = entries };
+
+	g_ptr_array_add(entries, noop);
+	step(o, append, NOW_US);
+	g_assert_true(raft_is_fresh(&o->r, CTL_LEASE_US, NOW_US));
+	step(o, append, NOW_US + 3 * US_PER_S);
+	g_assert_false(raft_is_fresh(&o->r, CTL_LEASE_US, NOW_US + 3 * US_PER_S));
+	raft_entry_free(noop);
+	owner_free(o);
+}
+
+/* Guards against: a process that stops is elected, so that the group has to elect once more. */
+static void test_stopping_process_is_elected(void)
+{
+	struct owner *o = owner_new(3, 1, 3);
+	u64 now = NOW_US;
+
+	o->r.stands_for_none = true;
+	for (u32 i = 0; i < 5; i++) {
+		now = MAX(now, o->r.election_due_us);
+		raft_tick(&o->r, now);
+		g_assert_cmpint(o->r.role, ==, RAFT_FOLLOWER);
+	}
+	step(o, (struct raft_msg){ .type = RAFT_TIMEOUT_NOW, .from = 2, .term = o->r.term }, now);
+	g_assert_cmpint(o->r.role, ==, RAFT_FOLLOWER);
+	owner_free(o);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/raft-step/vote-is-saved-before-reply", test_vote_is_saved_before_reply);
+	g_test_add_func("/raft-step/fresh-though-always-behind", test_fresh_though_always_behind);
 	g_test_add_func("/raft-step/vote-requires-up-to-date-log",
 			test_vote_requires_up_to_date_log);
 	g_test_add_func("/raft-step/candidate-saves-its-vote", test_candidate_saves_its_vote);
@@ -674,6 +794,11 @@
 			test_late_tick_starts_no_election);
 	g_test_add_func("/raft-step/fresh-after-commit-in-the-leaders-term",
 			test_fresh_after_commit_in_the_leaders_term);
+	g_test_add_func("/raft-step/leader-is-fresh-by-late-replies",
+			test_leader_is_fresh_by_late_replies);
+	g_test_add_func("/raft-step/follower-is-fresh-by-late-heartbeat",
+			test_follower_is_fresh_by_late_heartbeat);
+	g_test_add_func("/raft-step/stopping-process-is-elected", test_stopping_process_is_elected);
 	g_test_add_func("/raft-step/start-without-leader", test_start_without_leader);
 	g_test_add_func("/raft-step/entries-in-flight-are-bounded",
 			test_entries_in_flight_are_bounded);
--- a/test/upstream_test.c
+++ b/test/upstream_test.c
@@ -10,7 +10,8 @@
 
 #define BODY_MAX_BYTES 65536
 #define LONG_TIMEOUT_US (20 * US_PER_S)
-#define SHORT_TIMEOUT_US (50 * US_PER_MS)
+/* Longer than a busy machine takes to start a call, so that it is written before it expires. */
+#define SHORT_TIMEOUT_US (500 * US_PER_MS)
 /* Longer than any delay within the client. */
 #define PAUSE_US (60 * US_PER_MS)
 
@@ -21,6 +22,7 @@
 	struct http_msg *request;
 	struct upstream_call call;
 	struct endpoint at;
+	u64 timeout_us; /* from the start of the call */
 	bool must_cancel; /* right after the call is started */
 	GAsyncQueue *done;
 	struct http_msg *reply;
@@ -52,21 +54,22 @@
 {
 	struct fixture *f = arg;
 
+	/* Counted from here, since the loop may be late where the machine is busy. */
+	f->call.deadline_us = loop_clock_us() + f->timeout_us;
 	upstream_start(f->u, &f->at, &f->call);
 	if (f->must_cancel)
 		upstream_abort(&f->call, ERR_CANCELLED);
 }
 
 /* Starts a call on the loop and waits until it ends. */
-static int run_until(struct fixture *f, u16 port, u64 deadline_us)
+static int run_for(struct fixture *f, u16 port, u64 timeout_us)
 {
 	http_free(g_steal_pointer(&f->reply));
 	f->at = (struct endpoint){ .host = "127.0.0.1", .port = port };
-	f->call = (struct upstream_call){ .request = f->request,
-					  .deadline_us = deadline_us,
-					  .max_body_bytes = BODY_MAX_BYTES,
-					  .done = on_done,
-					  .arg = f };
+	f->timeout_us = timeout_us;
+	f->call = (struct upstream_call){
+		.request = f->request, .max_body_bytes = BODY_MAX_BYTES, .done = on_done, .arg = f
+	};
 	loop_call(f->loop, start_on_loop, f);
 	g_async_queue_pop(f->done);
 	f->reply = f->call.reply;
@@ -75,7 +78,7 @@
 
 static int run(struct fixture *f)
 {
-	return run_until(f, f->server.port, loop_clock_us() + LONG_TIMEOUT_US);
+	return run_for(f, f->server.port, LONG_TIMEOUT_US);
 }
 
 static void check_run(struct fixture *f, int expected)
@@ -257,6 +260,42 @@
 	teardown(&f);
 }
 
+/* Answers the first request with the text given; a second one must not come on that connection. */
+static void serve_last(struct raw_server *s, int fd, u32 nth)
+{
+	const char *text = nth == 1 ? s->arg : "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown";
+
+	if (!raw_read_request(s, fd))
+		return;
+	raw_write(fd, text);
+	if (raw_read_request(s, fd))
+		raw_write(fd, "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond");
+}
+
+/* Guards against: a request on a connection that the upstream ends, or that holds other bytes. */
+static void test_last_on_connection(void)
+{
+	static const char *const texts[] = {
+		"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 3\r\n\r\nown",
+		"HTTP/1.0 200 OK\r\nContent-Length: 3\r\n\r\nown",
+		"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nownHTTP/1.1 2",
+		"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nown\r\n0\r\n\r\n0",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+		struct fixture f;
+
+		setup(&f, "GET", serve_last, (void *)texts[i]);
+		g_test_message("%s", texts[i]);
+		check_run(&f, 0);
+		assert_body(&f, "own");
+		check_run(&f, 0);
+		assert_body(&f, "own");
+		teardown(&f);
+	}
+}
+
 /* Reads the second request on a connection, then closes it without an answer. */
 static void serve_one_read_two(struct raw_server *s, int fd, u32 nth)
 {
@@ -305,7 +344,7 @@
 			raw_reset_on_close(fd);
 		if (*e->text)
 			g_usleep(PAUSE_US);
-		else
+		else if (!e->must_reset)
 			shutdown(fd, SHUT_WR);
 		g_async_queue_push(e->written, e);
 		if (e->must_reset)
@@ -374,7 +413,7 @@
 
 	setup(&f, "POST", serve_many, NULL);
 	close(fd);
-	err = run_until(&f, closed, loop_clock_us() + LONG_TIMEOUT_US);
+	err = run_for(&f, closed, LONG_TIMEOUT_US);
 	g_assert_cmpint(err, ==, ERR_REFUSED);
 	g_assert_false(f.call.is_written);
 	teardown(&f);
@@ -387,7 +426,7 @@
 	int err;
 
 	setup(&f, "POST", serve_many, NULL);
-	err = run_until(&f, f.server.port, loop_clock_us());
+	err = run_for(&f, f.server.port, 0);
 	g_assert_cmpint(err, ==, ERR_TIMEOUT);
 	g_assert_false(f.call.is_written);
 	f.must_cancel = true;
@@ -443,7 +482,7 @@
 	int err;
 
 	setup(&f, "GET", serve_stall, &stall);
-	err = run_until(&f, f.server.port, loop_clock_us() + timeout_us);
+	err = run_for(&f, f.server.port, timeout_us);
 	g_assert_cmpint(err, ==, expected);
 	g_assert_null(f.reply);
 	wait_stall_ended(&stall);
@@ -484,6 +523,7 @@
 	g_test_add_func("/upstream/answers-without-body", test_answers_without_body);
 	g_test_add_func("/upstream/slow-head", test_slow_head);
 	g_test_add_func("/upstream/keep-alive", test_keep_alive);
+	g_test_add_func("/upstream/last-on-connection", test_last_on_connection);
 	g_test_add_func("/upstream/post-is-sent-once", test_post_is_sent_once);
 	g_test_add_func("/upstream/answer-before-request", test_answer_before_request);
 	g_test_add_func("/upstream/close-before-request", test_close_before_request);
--- a/wire/ctl.h
+++ b/wire/ctl.h
@@ -6,7 +6,8 @@
  * control to node:    CTL_CONFIG_PART, CTL_VIEW, CTL_FRESHNESS, CTL_MEMBERS
  * inside CTL_CONFIG_PART: CTL_CONFIG
  * control to control: CTL_RAFT, CTL_DIRECTORY, CTL_HEARTBEAT, CTL_FORWARD,
- *                     CTL_FORWARD_RESULT, CTL_JOIN, CTL_MEMBERS
+ *                     CTL_FORWARD_RESULT, CTL_JOIN, CTL_MEMBERS, CTL_BULK, CTL_BULK_ACK
+ * inside CTL_BULK:    CTL_RAFT, CTL_DIRECTORY, CTL_FORWARD
  *
  * SOURCE wire/ctl.c
  */
@@ -28,7 +29,6 @@
 #define CTL_ITEMS_PER_FRAME 256
 /* Services that one node may subscribe to. */
 #define CTL_SUBSCRIPTIONS_MAX 4096
-#define CTL_NAME_MAX_BYTES 256
 /* Directory changes are batched for this time before they are sent. */
 #define CTL_PROPAGATE_DELAY_US (50 * US_PER_MS)
 /*
@@ -42,7 +42,7 @@
 	CTL_RENEW, /* applied configuration revision */
 	CTL_WATCH, /* what the node has and wants, see wire/config_part.h */
 	CTL_CONFIG, /* {step, its fields}, inside a stream: see enum ctl_config_step */
-	CTL_SUBSCRIBE, /* count, {service}: all services that the node calls */
+	CTL_SUBSCRIBE, /* is_whole, count, {service}: all services that the node calls, or more */
 	CTL_VIEW, /* whether it has to be answered, nodes in the directory, count,
 		     {service sent completely}, count, {is_dropped, entry} */
 	CTL_FRESHNESS, /* is_fresh, configuration revision, time of sending */
@@ -56,6 +56,8 @@
 	CTL_CONFIG_PART, /* part of a configuration stream, see wire/config_part.h */
 	CTL_VIEW_ACK, /* answers a view */
 	CTL_CONFIG_ACK, /* request number, bytes of the stream that were received */
+	CTL_BULK, /* lane, offset, bytes: part of long messages, see control/bulk.h */
+	CTL_BULK_ACK, /* lane, bytes of it that were handled */
 };
 
 /*
