--- a/test/control_test.sh
+++ b/test/control_test.sh
@@ -502,6 +502,7 @@
 case_request_cut_by_a_stop() {
 	local leader i request watch answer
 	put 1 sightings 250 >/dev/null
+	wait_for "leader" has_leader 1
 	leader=$(leader_at 1)
 	curl -sN -m 20 "http://$(api "$leader")/v1/watch" >"$dir/watch" &
 	watch=$!
@@ -558,6 +559,7 @@
 # Guards against: a leader that stops leaves the group without a leader until an election time-out.
 case_stopped_leader_keeps_the_lead() {
 	local leader first second answer
+	wait_for "leader" has_leader 1
 	leader=$(leader_at 1)
 	first=$(others "$leader" | head -1)
 	second=$(others "$leader" | tail -1)
