--- a/test/home_notice_test.c
+++ b/test/home_notice_test.c
@@ -1,6 +1,7 @@
 /* The home node of an upstream that names a rate limit, or says that it is leaving. */
 #include "lib/set.h"
 #include "node/config.h"
+#include "node/home_impl.h"
 #include "platform/dialect.h"
 #include "test/fakes/fake_config.h"
 #include "test/fakes/fake_node.h"
@@ -363,6 +364,57 @@
 	g_assert_cmpint(sent, >=, 9 * (gint)(FLOOD_US / US_PER_S));
 }
 
+/* Answers any number of requests for each connection with the id that all calls have. */
+static void *serve_by_id(void *arg)
+{
+	int fd = GPOINTER_TO_INT(arg);
+	g_autoptr(GString) head = g_string_new(NULL);
+
+	while (read_head(fd, head)) {
+		g_autofree char *own = kept_answer(ID_LINE, notice);
+
+		raw_write(fd, own);
+	}
+	close(fd);
+	return NULL;
+}
+
+static void serve_kept(struct raw_server *s, int fd, u32 nth)
+{
+	(void)s;
+	(void)nth;
+	g_thread_unref(g_thread_new("connection", serve_by_id, GINT_TO_POINTER(dup(fd))));
+}
+
+static void read_has_limit(void *arg)
+{
+	*(bool *)arg = node.node->home->notice.now.has_rate_limit;
+}
+
+static void check_limit_after_call(bool expected)
+{
+	bool has_limit = !expected;
+
+	call(LONG_TIMEOUT_US);
+	expect_answer();
+	loop_call(node.node->loop, read_has_limit, &has_limit);
+	g_assert_true(has_limit == expected);
+}
+
+/* Guards against: a limit that has ended is kept though an answer that names its call says so. */
+static void test_named_answer_ends_limit(void)
+{
+	serve_upstream = serve_kept;
+	start(LIMIT);
+	entry.header_name = ID_HEADER;
+	entry.header_value = "a";
+	announce();
+	check_limit_after_call(true);
+	check_limit_after_call(true);
+	notice = "";
+	check_limit_after_call(false);
+}
+
 int main(int argc, char **argv)
 {
 	int ret;
@@ -389,6 +441,7 @@
 			test_restarted_home_uses_leaving_upstream);
 	g_test_add_func("/home-notice/copied-health-answer-ends-limit",
 			test_copied_health_answer_ends_limit);
+	g_test_add_func("/home-notice/named-answer-ends-limit", test_named_answer_ends_limit);
 	ret = g_test_run();
 	fflush(stdout);
 	_exit(ret); /* the threads of nodes are still running */
--- a/test/repeated_answer_test.c
+++ b/test/repeated_answer_test.c
@@ -23,6 +23,7 @@
 #define LONG_BODY_BYTES (16 * 1024 * 1024)
 
 #define REFUSALS 200
+#define WAIT_MS 2000
 
 #define ID_HEADER "Lavenderlead-Attempt-Id"
 #define ID_A ID_HEADER ": a\r\n"
@@ -378,11 +379,13 @@
 {
 	int fd = GPOINTER_TO_INT(arg);
 
+	g_atomic_int_inc(&fixture.connections);
 	while (raw_read_request(&fixture.server, fd))
 		raw_write(fd, g_atomic_int_get(&fixture.server.requests) == 1 ?
 				      OWN :
 				      "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nnoted");
 	close(fd);
+	g_atomic_int_add(&fixture.connections, -1);
 	return NULL;
 }
 
@@ -404,6 +407,10 @@
 		g_assert_cmpuint(fixture.call.reply->status, ==, 200);
 		http_free(g_steal_pointer(&fixture.call.reply));
 	}
+	/* Only the first request's connection is kept. */
+	for (u32 i = 0; i < WAIT_MS && g_atomic_int_get(&fixture.connections) > 1; i++)
+		g_usleep(US_PER_MS);
+	g_assert_cmpint(g_atomic_int_get(&fixture.connections), ==, 1);
 	teardown();
 }
 
@@ -628,6 +635,7 @@
 
 		g_assert_cmpint(err, ==, 0);
 		g_assert_cmpuint(fixture.call.reply->status, ==, i % 2 ? 503 : 200);
+		g_assert_true(fixture.call.may_be_copy == (i > 0));
 		http_free(g_steal_pointer(&fixture.call.reply));
 	}
 	g_assert_cmpint(g_atomic_int_get(&fixture.connections), ==, 1);
--- a/test/upstream_test.c
+++ b/test/upstream_test.c
@@ -253,6 +253,8 @@
 	for (u32 i = 0; i < 3; i++) {
 		check_run(&f, 0);
 		assert_body(&f, "c1.");
+		/* Answers without ids are told apart by their order. */
+		g_assert_true(f.call.may_be_copy == (i > 0));
 	}
 	g_assert_cmpint(g_atomic_int_get(&f.server.requests), ==, 3);
 	teardown(&f);
