--- a/test/repeated_answer_test.c
+++ b/test/repeated_answer_test.c
@@ -272,6 +272,19 @@
 	teardown();
 }
 
+/* Guards against: an upstream that writes one copy after the other is read until the deadline. */
+static void test_many_copies(void)
+{
+	setup(serve);
+	play_once(&(struct play){ .first = REFUSAL_A,
+				  .before = REFUSAL_A REFUSAL_A REFUSAL_A,
+				  .own = OWN,
+				  .behind = "" },
+		  "POST");
+	g_assert_cmpint(fixture.call.err, ==, ERR_CLOSED);
+	teardown();
+}
+
 /* Guards against: an earlier answer in one segment behind the true one takes its place. */
 static void test_behind(void)
 {
@@ -646,6 +659,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/repeated-answer/before", test_before);
+	g_test_add_func("/repeated-answer/many-copies", test_many_copies);
 	g_test_add_func("/repeated-answer/behind", test_behind);
 	g_test_add_func("/repeated-answer/split", test_split);
 	g_test_add_func("/repeated-answer/cut-copy", test_cut_copy);
