control: the tables of links between control processes stay until the loop has ended

Since lanes, an accepted link that goes down looks into the table of lanes. Between stop_on_loop and the end of the loop another process's link may go down or bring a frame, and peers_stop had freed that table, and those of peers and reports. They are emptied there and freed with the control process. Found by reading; no run has shown it, and there is no test: the window is inside one stop.

--- a/control/control.c
+++ b/control/control.c
@@ -195,6 +195,7 @@
 
 void control_free(struct control *c)
 {
+	peers_free(c);
 	store_clear(&c->store);
 	config_streams_clear(&c->config_streams);
 	directory_clear(&c->directory);
--- a/control/control.h
+++ b/control/control.h
@@ -74,7 +74,8 @@
 
 /* peers, propagate */
 void peers_start(struct control *c);
-void peers_stop(struct control *c);
+void peers_stop(struct control *c); /* on the loop */
+void peers_free(struct control *c); /* after the loop has ended */
 struct link *peers_link(struct control *c, u32 id); /* NULL if the link is not up */
 /* peers_dial_back - connect to the peer that has just connected through K */
 void peers_dial_back(struct control *c, const struct link *k);
--- a/control/peers.c
+++ b/control/peers.c
@@ -250,8 +250,18 @@
 	peers_refresh(c);
 }
 
+/* The tables stay: links from other processes may still bring a frame, or close. */
 void peers_stop(struct control *c)
 {
+	g_hash_table_remove_all(c->peers);
+	g_hash_table_remove_all(c->reports);
+	g_hash_table_remove_all(c->incoming);
+}
+
+void peers_free(struct control *c)
+{
+	if (!c->peers)
+		return;
 	g_hash_table_unref(c->peers);
 	g_hash_table_unref(c->reports);
 	g_hash_table_unref(c->incoming);
