--- a/test/repeated_answer_test.c
+++ b/test/repeated_answer_test.c
@@ -23,6 +23,7 @@
 #define LONG_BODY_BYTES (16 * 1024 * 1024)
 
 #define REFUSALS 200
+#define WAIT_MS 2000
 
 #define ID_HEADER "Lavenderlead-Attempt-Id"
 #define ID_A ID_HEADER ": a\r\n"
@@ -271,6 +272,19 @@
 	teardown();
 }
 
+/* Guards against: an upstream that writes one copy after the other is read until the deadline. */
+static void test_many_copies(void)
+{
+	setup(serve);
+	play_once(&(struct play){ .first = REFUSAL_A,
+				  .before = REFUSAL_A REFUSAL_A REFUSAL_A,
+				  .own = OWN,
+				  .behind = "" },
+		  "POST");
+	g_assert_cmpint(fixture.call.err, ==, ERR_CLOSED);
+	teardown();
+}
+
 /* Guards against: an earlier answer in one segment behind the true one takes its place. */
 static void test_behind(void)
 {
@@ -378,11 +392,13 @@
 {
 	int fd = GPOINTER_TO_INT(arg);
 
+	g_atomic_int_inc(&fixture.connections);
 	while (raw_read_request(&fixture.server, fd))
 		raw_write(fd, g_atomic_int_get(&fixture.server.requests) == 1 ?
 				      OWN :
 				      "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nnoted");
 	close(fd);
+	g_atomic_int_add(&fixture.connections, -1);
 	return NULL;
 }
 
@@ -404,6 +420,10 @@
 		g_assert_cmpuint(fixture.call.reply->status, ==, 200);
 		http_free(g_steal_pointer(&fixture.call.reply));
 	}
+	/* Only the first request's connection is kept. */
+	for (u32 i = 0; i < WAIT_MS && g_atomic_int_get(&fixture.connections) > 1; i++)
+		g_usleep(US_PER_MS);
+	g_assert_cmpint(g_atomic_int_get(&fixture.connections), ==, 1);
 	teardown();
 }
 
@@ -628,6 +648,7 @@
 
 		g_assert_cmpint(err, ==, 0);
 		g_assert_cmpuint(fixture.call.reply->status, ==, i % 2 ? 503 : 200);
+		g_assert_true(fixture.call.may_be_copy == (i > 0));
 		http_free(g_steal_pointer(&fixture.call.reply));
 	}
 	g_assert_cmpint(g_atomic_int_get(&fixture.connections), ==, 1);
@@ -638,6 +659,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/repeated-answer/before", test_before);
+	g_test_add_func("/repeated-answer/many-copies", test_many_copies);
 	g_test_add_func("/repeated-answer/behind", test_behind);
 	g_test_add_func("/repeated-answer/split", test_split);
 	g_test_add_func("/repeated-answer/cut-copy", test_cut_copy);
