local: a heartbeat that was sent before its upstream left does not bring it back

Cause: the node had started 0.5 s before and knew no upstream, so the request to leave changed nothing; 2.1 s later a heartbeat of the same instance arrived that had been sent earlier, and the upstream was taken as up. Evidence: the log of sidecar-lakes-a-4: serving 21.299, the acknowledgement 21.843, 'no-upstream' to 'up' 23.927.

The node keeps which instance said last that it leaves, and takes no announcement of it for a minute unless it was started later. /instance/heartbeat-after-leaving failed before and passes.

--- a/node/local.c
+++ b/node/local.c
@@ -66,6 +66,27 @@
 		node_announce(n);
 }
 
+/*
+ * Announcements may arrive seconds after the request that said that their instance leaves. One of
+ * an instance that started again under its name has a later start time.
+ */
+#define DEPARTED_KEEP_US (60 * US_PER_S)
+
+static void set_departed(struct node *n, const char *instance)
+{
+	g_free(n->departed_instance);
+	n->departed_instance = g_strdup(instance);
+	n->departed_us = loop_clock_us();
+	n->departed_unix_ms = (u64)g_get_real_time() / US_PER_MS;
+}
+
+static bool has_departed(const struct node *n, const struct announcement *a)
+{
+	return *a->instance && !g_strcmp0(n->departed_instance, a->instance) &&
+	       loop_clock_us() - n->departed_us < DEPARTED_KEEP_US &&
+	       (u64)a->born <= n->departed_unix_ms;
+}
+
 /* Returns whether this or a newer announcement has already been applied. */
 static bool is_stale(const struct node *n, const struct announcement *a)
 {
@@ -89,7 +110,7 @@
 {
 	if (!a->has_details && n->dir_entry.state == DIR_NO_UPSTREAM)
 		return 404;
-	if (a->has_details && is_stale(n, a)) {
+	if (a->has_details && (is_stale(n, a) || has_departed(n, a))) {
 		ctr_inc(CTR_ANNOUNCE_STALE);
 		return 200;
 	}
@@ -259,9 +280,13 @@
 	return http_json_response(apply(n, &a), "{}\n");
 }
 
-/* A late request from an instance that has been replaced changes nothing. */
+/*
+ * A late request from an instance that has been replaced changes nothing. One that is not known, as
+ * after a start of the node, may still have announcements in transit.
+ */
 static struct http_msg *delete_instance(struct node *n, const char *instance)
 {
+	set_departed(n, instance);
 	if (!g_strcmp0(n->upstream_instance, instance)) {
 		/* Announcements of this instance that are still in transit are now stale. */
 		n->upstream_sequence = UINT64_MAX;
--- a/node/node.h
+++ b/node/node.h
@@ -46,6 +46,9 @@
 	u64 upstream_sequence; /* of that announcement; orders those of the same start */
 	u64 upstream_announced_us; /* when the last announcement arrived */
 	u64 upstream_ttl_us;
+	char *departed_instance; /* that said last that it leaves; NULL if none did */
+	u64 departed_us; /* when it said so */
+	u64 departed_unix_ms; /* the same, by the time of day */
 	bool is_stopping;
 	struct stop stop;
 	struct loop_timer second_timer;
--- a/test/instance_test.c
+++ b/test/instance_test.c
@@ -106,9 +106,44 @@
 	g_assert_cmpuint(node.node->dir_entry.slots, ==, 4);
 }
 
+static int leave(void)
+{
+	struct httpc_reply reply;
+	int err = httpc_call("127.0.0.1", node.settings.node.local_port, "DELETE",
+			     "/v1/instances/i-1", NULL, NULL, TIMEOUT_MS, &reply);
+	int status = reply.status;
+
+	g_assert_cmpint(err, ==, 0);
+	httpc_reply_clear(&reply);
+	return status;
+}
+
+/*
+ * Guards against: a node that has just started acknowledges that an upstream leaves, and uses it
+ * when a heartbeat arrives that was sent before.
+ */
+static void test_heartbeat_after_leaving(void)
+{
+	g_autofree char *restarted = g_strdup_printf(
+		"{\"service\":\"sightings\",\"address\":\"127.0.0.1:9\",\"slots\":4,"
+		"\"state\":\"ready\",\"born\":%llu,\"sequence\":1}",
+		(unsigned long long)g_get_real_time() / 1000 + 5000);
+
+	fake_node_prepare(&node);
+	node.settings.node.upstream_ttl_ms = 600000;
+	fake_node_run(&node);
+	g_assert_cmpint(leave(), ==, 200);
+	g_assert_cmpint(put(WHOLE), ==, 200);
+	g_assert_cmpint(state(), ==, DIR_NO_UPSTREAM);
+	/* It starts again under its name. */
+	g_assert_cmpint(put(restarted), ==, 200);
+	g_assert_cmpint(state(), ==, DIR_UP);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/instance/heartbeat-after-leaving", test_heartbeat_after_leaving);
 	g_test_add_func("/instance/spoilt", test_spoilt);
 	return g_test_run();
 }
