--- a/test/control_test.sh
+++ b/test/control_test.sh
@@ -83,6 +83,11 @@
 status() { curl -s -m 5 "http://$(api "$1")/v1/status"; }
 leader_at() { status "$1" | grep -o '"leader":{"id":[0-9]*' | cut -d: -f3; }
 revision_at() { status "$1" | sed 's/.*"fresh"//' | number revision; }
+# read_revision - sets from; fails while control 1, which may just have started, does not answer
+read_revision() {
+	from=$(revision_at 1)
+	[ -n "$from" ]
+}
 is_fresh() { status "$1" | grep -q '"fresh":true'; }
 is_not_fresh() { status "$1" | grep -q '"fresh":false'; }
 in_force() { status "$1" | grep -o '"inForce":{[^}]*}'; }
@@ -357,7 +362,7 @@
 case_in_force() {
 	local watch from
 	# Read before the change: the watch starts in the background, maybe after it.
-	from=$(revision_at 1)
+	wait_for "the revision" read_revision
 	curl -s -N "http://$(api 1)/v1/watch?from=$from" >"$dir/watch" &
 	watch=$!
 	signal STOP node3
