--- a/test/raft_step_test.c
+++ b/test/raft_step_test.c
@@ -583,8 +583,6 @@
 	raft_entry_free(e);
 }
 
-#define LEASE_US (600 * US_PER_MS)
-
 /*
  * Guards against: a follower that is always a few entries behind the leader's words is never fresh.
  * One that does not come forward is not, though it hears the leader.
@@ -596,19 +594,19 @@
 	u64 index = 4;
 
 	hear(o, index, index, now);
-	g_assert_true(raft_is_fresh(&o->r, LEASE_US, now));
+	g_assert_true(raft_is_fresh(&o->r, CTL_LEASE_US, now));
 	for (u32 i = 0; i < 20; i++) {
 		now += 100 * US_PER_MS;
 		index++;
 		hear(o, index, index + 2, now);
 		g_assert_cmpuint(o->r.applied, <, o->r.word.commit);
-		g_assert_true(raft_is_fresh(&o->r, LEASE_US, now));
+		g_assert_true(raft_is_fresh(&o->r, CTL_LEASE_US, now));
 	}
 	for (u32 i = 0; i < 10; i++) {
 		now += 100 * US_PER_MS;
 		hear(o, index, index + 4, now);
 	}
-	g_assert_false(raft_is_fresh(&o->r, LEASE_US, now));
+	g_assert_false(raft_is_fresh(&o->r, CTL_LEASE_US, now));
 	owner_free(o);
 }
 
--- a/wire/ctl.h
+++ b/wire/ctl.h
@@ -21,9 +21,9 @@
 #define CTL_RENEW_INTERVAL_US (1 * US_PER_S)
 #define CTL_FRESHNESS_INTERVAL_US (250 * US_PER_MS)
 /*
- * A control process is fresh if it has heard from its leader within this time. It spans a few
- * heartbeats, and is short enough that a node connected to a partitioned process switches to
- * another one before a change has to be in force.
+ * A control process is fresh if its leader sent within this time what it has applied; see
+ * raft_is_fresh. It spans a few heartbeats, and is short enough that a node connected to a
+ * partitioned process switches to another one before a change has to be in force.
  */
 #define CTL_LEASE_US (600 * US_PER_MS)
 #define CTL_ITEMS_PER_FRAME 256
