loop: what arrived while a process was frozen is read before late timers fire

What callers saw: a node that was stopped with SIGSTOP for 1.1 s refused every call with no-upstream, not run, for 1 s after it continued, and for 1.7 s, calls whose answers had arrived ended with 504.

Timeline, from the node's log of a round of stop_test.sh (its own upstream drains, its calls run at two homes): 19.134 node stops 19.2 SIGSTOP; the homes go on, their answers and PINGs wait in sockets 20.240 SIGCONT; "peer silent" for both homes in the same millisecond, silence_us=1031486, and no-upstream from here on 21.24 calls go to the homes again 21.546 "stopping", as planned 2.4 s after the signal

Cause: epoll_wait returns EINTR when a stopped process continues, so the turn of the loop had no descriptors, and ran the timers at once. Each of them judges by what was read: the check for silent homes took both homes for silent and sent them nothing for 1 s; deadlines of calls and of the upstream's requests ended calls whose answers waited in a socket. The same order holds for a process that is frozen in a handler, and when more descriptors are ready than one epoll_wait returns.

Ruled out: the links (none went down), the configuration (revision and newest are equal), the homes (they answered PINGs), the directory (the entries stayed).

A turn that begins or has lasted 50 ms too long now reads what is ready, for 50 ms at most, before posted functions and timers run. In ordinary load a turn takes a few milliseconds, and nothing changes.

Evidence: /loop/late-timer-before-what-arrived had read 0 of 200 descriptors when the timer fired, now all; /thaw/answer-that-came-in-time got 504, now 200.

--- a/kernel/loop.c
+++ b/kernel/loop.c
@@ -12,6 +12,13 @@
 
 #define LOOP_EVENTS_MAX 64
 #define LOOP_WAIT_MAX_MS 1000
+/*
+ * A turn that is this late, or takes this long, means that the process was frozen or a handler was
+ * slow. What arrived meanwhile is then read before timers fire, for a limited time, since it may be
+ * what a call or a link waits for until such a timer.
+ */
+#define LOOP_LATE_US (50 * US_PER_MS)
+#define LOOP_CATCH_UP_MAX_US (50 * US_PER_MS)
 
 struct posted {
 	void (*fn)(void *arg);
@@ -30,6 +37,7 @@
 	GTree *timers; /* of struct loop_timer, ordered by due time */
 	struct epoll_event events[LOOP_EVENTS_MAX];
 	int nevents;
+	u64 turn_us; /* when the current turn began, or should have begun if it was late */
 };
 
 u64 loop_clock_us(void)
@@ -150,6 +158,12 @@
 		;
 }
 
+static void poll_fds(struct loop *l, int timeout_ms)
+{
+	l->nevents = epoll_wait(l->epoll_fd, l->events, LOOP_EVENTS_MAX, timeout_ms);
+	drain_wake_fd(l);
+}
+
 static void run_fds(struct loop *l)
 {
 	for (int i = 0; i < l->nevents; i++) {
@@ -161,18 +175,42 @@
 	l->nevents = 0;
 }
 
-static void *loop_main(void *arg)
+/* If the loop is late, reads what has arrived. */
+static void catch_up(struct loop *l)
 {
-	struct loop *l = arg;
+	u64 began_us = loop_clock_us();
+	u64 now = began_us;
 
-	while (!__atomic_load_n(&l->must_stop, __ATOMIC_ACQUIRE)) {
-		l->nevents =
-			epoll_wait(l->epoll_fd, l->events, LOOP_EVENTS_MAX, poll_timeout_ms(l));
-		drain_wake_fd(l);
+	while (now > l->turn_us + LOOP_LATE_US && now < began_us + LOOP_CATCH_UP_MAX_US) {
+		poll_fds(l, 0);
+		if (l->nevents <= 0)
+			return;
 		run_fds(l);
-		run_posted(l);
-		run_timers(l);
+		now = loop_clock_us();
 	}
+}
+
+static void run_turn(struct loop *l)
+{
+	int timeout_ms = poll_timeout_ms(l);
+	u64 latest_us = loop_clock_us() + (u64)timeout_ms * US_PER_MS;
+
+	poll_fds(l, timeout_ms);
+	l->turn_us = MIN(loop_clock_us(), latest_us);
+	run_fds(l);
+	/* A signal that ends the wait, as when a stopped process continues, hides what is ready. */
+	catch_up(l);
+	run_posted(l);
+	catch_up(l);
+	run_timers(l);
+}
+
+static void *loop_main(void *arg)
+{
+	struct loop *l = arg;
+
+	while (!__atomic_load_n(&l->must_stop, __ATOMIC_ACQUIRE))
+		run_turn(l);
 	while (has_posted(l))
 		run_posted(l);
 	return NULL;
--- a/kernel/loop.h
+++ b/kernel/loop.h
@@ -1,6 +1,9 @@
 /*
  * loop - a single-threaded event loop: file descriptors, timers, posted functions
  *
+ * After a pause, as of a process that was stopped and continues, descriptors that are ready come
+ * before the timers that became due meanwhile.
+ *
  * All functions except loop_new, loop_start, loop_stop, loop_free, loop_post and
  * loop_call must be called on the loop's own thread, or before loop_start.
  *
--- a/test/loop_test.c
+++ b/test/loop_test.c
@@ -224,6 +224,86 @@
 		close(p.peers[i]);
 }
 
+#define STALL_US (200 * US_PER_MS)
+#define STALL_DESCRIPTORS 200 /* more than the loop takes from epoll at once */
+
+struct stall {
+	struct loop *loop;
+	struct loop_timer timer;
+	struct loop_fd fds[STALL_DESCRIPTORS];
+	int peers[STALL_DESCRIPTORS];
+	u32 nread;
+	gint has_fired;
+	u32 nread_at_timer; /* descriptors that were read before the timer fired */
+};
+
+struct stall_fd {
+	struct stall *stall;
+	struct loop_fd *fd;
+};
+
+static void read_byte(void *arg, u32 events)
+{
+	struct stall_fd *s = arg;
+	char byte;
+
+	(void)events;
+	if (recv(s->fd->fd, &byte, 1, 0) == 1)
+		s->stall->nread++;
+}
+
+static void note_timer(void *arg, u64 now_us)
+{
+	struct stall *s = arg;
+
+	(void)now_us;
+	s->nread_at_timer = s->nread;
+	g_atomic_int_set(&s->has_fired, 1);
+}
+
+/* Keeps the loop from running; meanwhile bytes arrive and then a timer becomes due. */
+static void stall_loop(void *arg)
+{
+	struct stall *s = arg;
+
+	loop_timer_set(s->loop, &s->timer, loop_clock_us() + STALL_US / 2);
+	for (u32 i = 0; i < STALL_DESCRIPTORS; i++)
+		g_assert_cmpint(write(s->peers[i], "x", 1), ==, 1);
+	g_usleep(STALL_US);
+}
+
+/*
+ * Guards against: a timer that became due while the process was frozen ends a call or a link
+ * although the answer that it waits for has arrived and was not read.
+ */
+static void test_late_timer_before_what_arrived(void)
+{
+	struct stall s = { 0 };
+	struct stall_fd args[STALL_DESCRIPTORS];
+
+	s.loop = loop_new("test");
+	s.timer = (struct loop_timer){ .fire = note_timer, .arg = &s };
+	for (u32 i = 0; i < STALL_DESCRIPTORS; i++) {
+		int ends[2];
+
+		g_assert_cmpint(socketpair(AF_UNIX, SOCK_STREAM, 0, ends), ==, 0);
+		s.peers[i] = ends[1];
+		args[i] = (struct stall_fd){ .stall = &s, .fd = &s.fds[i] };
+		s.fds[i] = (struct loop_fd){ .ready = read_byte, .arg = &args[i], .fd = ends[0] };
+		g_assert_cmpint(loop_fd_add(s.loop, &s.fds[i], EPOLLIN), ==, 0);
+	}
+	g_assert_cmpint(loop_start(s.loop), ==, 0);
+	loop_post(s.loop, stall_loop, &s);
+	while (!g_atomic_int_get(&s.has_fired))
+		g_usleep(US_PER_MS);
+	stop(s.loop);
+	g_assert_cmpuint(s.nread_at_timer, ==, STALL_DESCRIPTORS);
+	for (u32 i = 0; i < STALL_DESCRIPTORS; i++) {
+		close(s.fds[i].fd);
+		close(s.peers[i]);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -231,5 +311,7 @@
 	g_test_add_func("/loop/posts-of-posts", test_posts_of_posts);
 	g_test_add_func("/loop/timers", test_timers);
 	g_test_add_func("/loop/removed-descriptor", test_removed_descriptor);
+	g_test_add_func("/loop/late-timer-before-what-arrived",
+			test_late_timer_before_what_arrived);
 	return g_test_run();
 }
--- /dev/null
+++ b/test/thaw_test.c
@@ -0,0 +1,124 @@
+/* A node that did not run for a while and continues, with its home by the test. */
+#include "test/fakes/fake_node.h"
+#include "test/fakes/fake_peer.h"
+#include "test/fakes/httpc.h"
+
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#define HTTP_WAIT_MS 20000
+/* Longer than a node waits for a sign of life of a home that has calls. */
+#define FROZEN_US (800 * US_PER_MS)
+/* Less than the time for which a home that was silent gets no calls. */
+#define SERVED_WITHIN_US (500 * US_PER_MS)
+
+static struct fake_node node;
+static struct fake_peer home;
+
+struct caller {
+	GThread *thread;
+	const char *method;
+	u32 timeout_ms;
+	struct httpc_reply reply;
+};
+
+static gpointer caller_main(gpointer arg)
+{
+	struct caller *c = arg;
+	g_autofree char *headers = g_strdup_printf("Host: sightings.example\r\n"
+						   "Lavenderlead-Timeout-Ms: %u\r\n",
+						   c->timeout_ms);
+	int err = httpc_call("127.0.0.1", node.settings.node.caller_port, c->method, "/", headers,
+			     "noted", HTTP_WAIT_MS, &c->reply);
+
+	g_assert_cmpint(err, ==, 0);
+	return NULL;
+}
+
+static void begin_call(struct caller *c, const char *method, u32 timeout_ms)
+{
+	memset(c, 0, sizeof(*c));
+	c->method = method;
+	c->timeout_ms = timeout_ms;
+	c->thread = g_thread_new("caller", caller_main, c);
+}
+
+static void end_call(struct caller *c, int status)
+{
+	g_thread_join(c->thread);
+	g_assert_cmpint(c->reply.status, ==, status);
+	httpc_reply_clear(&c->reply);
+}
+
+static struct call_id expect_call(void)
+{
+	return peer_event_take_id(fake_peer_expect(&home, PEER_CALL));
+}
+
+/* Starts a node whose calls go to the home, and a call that the home holds. */
+static struct call_id start_with_held_call(struct caller *c, u32 timeout_ms)
+{
+	fake_node_start(&node);
+	fake_peer_start(&home, true);
+	fake_node_set_directory_entry(&node, home.name, home.self.incarnation, DIR_UP);
+	begin_call(c, "POST", timeout_ms);
+	peer_event_free(fake_peer_expect(&home, PEER_EVENT_UP));
+	return expect_call();
+}
+
+struct freeze {
+	u64 span_us;
+	gint has_begun;
+};
+
+static void sleep_in_loop(void *arg)
+{
+	struct freeze *f = arg;
+
+	g_atomic_int_set(&f->has_begun, 1);
+	g_usleep(f->span_us);
+}
+
+/* Keeps the loop from running for SPAN_US; returns when this has begun. */
+static void freeze(struct freeze *f, struct loop *l, u64 span_us)
+{
+	*f = (struct freeze){ .span_us = span_us };
+	loop_post(l, sleep_in_loop, f);
+	while (!g_atomic_int_get(&f->has_begun))
+		g_usleep(US_PER_MS);
+}
+
+/* Leaves the node running: its servers take seconds to stop. */
+static void end(void)
+{
+	fake_peer_stop(&home);
+}
+
+/*
+ * Guards against: a node that was frozen past the deadline of a call answers with 504 although the
+ * answer has arrived.
+ */
+static void test_answer_that_came_in_time(void)
+{
+	struct freeze f;
+	struct caller held;
+	struct call_id id = start_with_held_call(&held, FROZEN_US / US_PER_MS);
+
+	freeze(&f, node.node->loop, 2 * FROZEN_US);
+	fake_peer_reply(&home, id, "noted");
+	end_call(&held, 200);
+	end();
+}
+
+int main(int argc, char **argv)
+{
+	int ret;
+
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/thaw/answer-that-came-in-time", test_answer_that_came_in_time);
+	ret = g_test_run();
+	fflush(stdout);
+	_exit(ret); /* threads of the fakes are still running */
+}
