httpd: connections that wait to be accepted are served when the port closes

What callers saw: when a node that stops closed its port, some requests were closed with no answer; none of them had run.

In each transcript the lost calls are the last that connected, after answers with "Connection: close" (stopping), and the next ones of the same groups cannot connect.

Cause: in its last phase each answer closes its connection, so callers connect for every call. The kernel accepts these connections and their requests; closing a listening socket resets those that the process has not accepted. If the loop is held up for the callers' pause (10 ms here), that is all of them.

Ruled out: idle connections (they are read before they are closed, and callers had none then), the end of the process (it logs "stopped" after that, and no call was in progress), the frozen process itself (the port closes 2 s later; it only makes the loop's turns longer and the callers come at once).

The port is closed after what waits there was accepted, so these requests are read and refused as stopping. What connects between the two calls is still reset; it is not run.

Evidence: /httpd/connected-caller-is-reset got no answer, now 200.

--- a/kernel/httpd.c
+++ b/kernel/httpd.c
@@ -18,13 +18,12 @@
 	.idle_timeout_us = 60 * US_PER_S,
 };
 
-static void on_accept(void *arg, u32 events)
+/* Accepts the connections that wait. */
+static void accept_conns(struct httpd *h)
 {
-	struct httpd *h = arg;
 	int fd;
 	int one = 1;
 
-	(void)events;
 	while ((fd = accept4(h->fd.fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
 		struct httpd_conn *c = g_new0(struct httpd_conn, 1);
 
@@ -42,6 +41,12 @@
 	}
 }
 
+static void on_accept(void *arg, u32 events)
+{
+	(void)events;
+	accept_conns(arg);
+}
+
 static void on_timeout_timer(void *arg, u64 now_us)
 {
 	struct httpd *h = arg;
@@ -148,6 +153,9 @@
 {
 	h->no_keep_alive = true;
 	h->is_stopping = true;
+	/* Closing the port resets those that wait, although their requests may have arrived. */
+	if (h->fd.fd >= 0)
+		accept_conns(h);
 	close_port(h);
 	for_each_conn(h, end_conn);
 }
--- a/test/httpd_test.c
+++ b/test/httpd_test.c
@@ -23,7 +23,7 @@
 	gint disconnects; /* calls of on_caller_closed */
 	struct httpd_limits limits;
 	u32 requests; /* the result of count_requests */
-	int fd; /* the caller's, in test_arrived_request_closed_unread */
+	int fd; /* the caller's, when the server's thread acts for it */
 };
 
 struct late {
@@ -320,6 +320,33 @@
 	stop(&f);
 }
 
+/* Connects and sends a request while the server's thread is in this call: it has not accepted. */
+static void connect_and_stop_accepting(void *arg)
+{
+	struct fixture *f = arg;
+
+	f->fd = raw_connect(f->port);
+	raw_write(f->fd, GET("/now/connected"));
+	httpd_stop_accepting(f->h);
+}
+
+/*
+ * Guards against: a server that stops accepting resets the connections that the kernel has accepted
+ * for it, and their callers, whose requests have arrived, get no answer.
+ */
+static void test_connected_caller_is_reset(void)
+{
+	struct fixture f;
+	g_autofree char *got = NULL;
+
+	start(&f);
+	loop_call(f.loop, connect_and_stop_accepting, &f);
+	got = read_all(f.fd);
+	g_assert_nonnull(strstr(got, "</now/connected>"));
+	g_assert_nonnull(strstr(got, "Connection: close"));
+	stop(&f);
+}
+
 /*
  * Guards against: a started request whose connection was reset counts for ever, so that a process
  * that waits for this count before it ends takes its whole grace.
@@ -401,6 +428,7 @@
 	g_test_add_func("/httpd/ambiguous", test_ambiguous);
 	g_test_add_func("/httpd/stop-accepting", test_stop_accepting);
 	g_test_add_func("/httpd/arrived-request-closed-unread", test_arrived_request_closed_unread);
+	g_test_add_func("/httpd/connected-caller-is-reset", test_connected_caller_is_reset);
 	g_test_add_func("/httpd/reset-request-still-counted", test_reset_request_still_counted);
 	g_test_add_func("/httpd/started-behind-another-after-stop",
 			test_started_behind_another_after_stop);
