mesh: a pause of the node itself is no silence of its homes

What callers saw: after a node had not run for over 0.45 s, it refused calls with no-upstream, not run, for a second, if nothing from its homes was there to read when it continued, as when the homes' VMs paused with it.

Cause: a home with calls is silent after 450 ms in which nothing was read. The check compared two times of the clock, so the node's own pause counted, and a home got 0 ms to answer instead of 450.

Ruled out: the links' own limit of 2 s (it needs an unanswered PING of before the pause, and reads first).

The silence is now added up from check to check (50 ms apart), at most 100 ms for each, and never exceeds the old value; so a pause counts 100 ms, and a home that is silent while the node runs is found as before.

Evidence: /thaw/own-pause-is-silence-of-homes: a node is frozen for 0.8 s and its home for 1.05 s; a call sent between got 503, now the home's answer.

--- a/node/mesh.c
+++ b/node/mesh.c
@@ -29,12 +29,14 @@
 	GHashTable *partial_messages; /* call id -> struct partial_message */
 	u64 last_call_us; /* of an accepted link: when the last call arrived, or the link came up */
 	bool is_load_stale; /* of an accepted link: the load has changed since it was sent */
+	u64 silence_us; /* of a dialled link: how long the peer has owed a sign of life */
 };
 
 struct mesh {
 	struct link_listener *listener;
 	GHashTable *dialled; /* name -> struct mesh_peer */
 	GPtrArray *accepted; /* of struct mesh_peer */
+	u64 checked_us; /* when silent peers were last looked for */
 };
 
 static void partial_message_free(gpointer arg)
@@ -346,37 +348,54 @@
  * power or be frozen.
  */
 #define SILENCE_MAX_US (450 * US_PER_MS)
+/* Limit on the time between two checks that counts as silence; the rest is a pause of this node. */
+#define SILENCE_STEP_MAX_US (100 * US_PER_MS)
 
-static void check_silence(struct mesh_peer *m, u64 now_us)
+static void count_silence(struct mesh_peer *m, const struct choose_target *t, u64 step_us,
+			  u64 now_us)
 {
-	struct choose_target *t = choose_find(&m->node->choose, m->name);
-	u64 silence_us;
+	u64 max_us = 0;
 
-	if (!m->link || !m->link->is_up || !t || !t->in_flight)
-		return;
-	/* An idle link is silent too: count only the time since an answer became due. */
-	silence_us =
-		MIN(link_silence_us(m->link, now_us), now_us - MIN(t->silent_since_us, now_us));
-	if (silence_us < SILENCE_PING_US)
-		return;
-	if (silence_us < SILENCE_MAX_US) {
-		link_ping(m->link);
-		return;
-	}
+	/* An idle link is silent too: only the time since an answer became due counts. */
+	if (t->in_flight)
+		max_us = MIN(link_silence_us(m->link, now_us),
+			     now_us - MIN(t->silent_since_us, now_us));
+	m->silence_us = MIN(m->silence_us + MIN(step_us, SILENCE_STEP_MAX_US), max_us);
+}
+
+static void check_silent(struct mesh_peer *m, struct choose_target *t, u64 now_us)
+{
 	if (t->unreachable_until_us <= now_us)
 		log_event(LOG_WARN, "peer silent", "peer", m->name, "silence_us",
-			  log_u64(silence_us), "in_flight", log_u64(t->in_flight), NULL);
+			  log_u64(m->silence_us), "in_flight", log_u64(t->in_flight), NULL);
 	choose_set_unreachable(t, now_us);
 	entry_home_silent(m->node, m->name);
 }
 
+static void check_silence(struct mesh_peer *m, u64 step_us, u64 now_us)
+{
+	struct choose_target *t = choose_find(&m->node->choose, m->name);
+
+	if (!m->link || !m->link->is_up || !t) {
+		m->silence_us = 0;
+		return;
+	}
+	count_silence(m, t, step_us, now_us);
+	if (m->silence_us >= SILENCE_MAX_US)
+		check_silent(m, t, now_us);
+	else if (m->silence_us >= SILENCE_PING_US)
+		link_ping(m->link);
+}
+
 void mesh_check_silent_peers(struct node *n, u64 now_us)
 {
 	/* A hedge may dial a link, which changes the table. */
 	g_autoptr(GList) peers = g_hash_table_get_values(n->mesh->dialled);
+	u64 step_us = now_us - n->mesh->checked_us;
 
+	n->mesh->checked_us = now_us;
 	for (GList *l = peers; l; l = l->next)
-		check_silence(l->data, now_us);
+		check_silence(l->data, step_us, now_us);
 }
 
 /* Accepted links */
--- a/test/thaw_test.c
+++ b/test/thaw_test.c
@@ -11,8 +11,10 @@
 #define HTTP_WAIT_MS 20000
 /* Longer than a node waits for a sign of life of a home that has calls. */
 #define FROZEN_US (800 * US_PER_MS)
-/* Less than the time for which a home that was silent gets no calls. */
-#define SERVED_WITHIN_US (500 * US_PER_MS)
+/* How much longer a home is frozen; much less than it may be silent. */
+#define SILENT_LATER_US (250 * US_PER_MS)
+/* Within this time a node checks for silent homes. */
+#define CHECKED_US (150 * US_PER_MS)
 
 static struct fake_node node;
 static struct fake_peer home;
@@ -112,12 +114,42 @@
 	end();
 }
 
+static void do_nothing(void *arg)
+{
+	(void)arg;
+}
+
+/*
+ * Guards against: a node that was frozen counts that time as silence of its homes, and refuses all
+ * calls for a second after it continues. Nothing comes from the home, which is frozen for longer.
+ */
+static void test_own_pause_is_silence_of_homes(void)
+{
+	struct freeze of_home;
+	struct freeze of_node;
+	struct caller held;
+	struct caller next;
+	struct call_id id = start_with_held_call(&held, HTTP_WAIT_MS);
+
+	freeze(&of_home, home.loop, FROZEN_US + SILENT_LATER_US);
+	freeze(&of_node, node.node->loop, FROZEN_US);
+	loop_call(node.node->loop, do_nothing, NULL);
+	g_usleep(CHECKED_US);
+	begin_call(&next, "GET", HTTP_WAIT_MS);
+	fake_peer_reply(&home, expect_call(), "next");
+	end_call(&next, 200);
+	fake_peer_reply(&home, id, "noted");
+	end_call(&held, 200);
+	end();
+}
+
 int main(int argc, char **argv)
 {
 	int ret;
 
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/thaw/answer-that-came-in-time", test_answer_that_came_in_time);
+	g_test_add_func("/thaw/own-pause-is-silence-of-homes", test_own_pause_is_silence_of_homes);
 	ret = g_test_run();
 	fflush(stdout);
 	_exit(ret); /* threads of the fakes are still running */
