--- a/test/cut_answer_test.c
+++ b/test/cut_answer_test.c
@@ -2,10 +2,8 @@
  * An upstream that stops within its answer and closes or resets the connection. The client must
  * return an answer only if it is whole, wherever the cut is.
  */
-#include "kernel/loop.h"
 #include "lib/err.h"
-#include "node/upstream.h"
-#include "test/fakes/raw_server.h"
+#include "test/fakes/upstream_client.h"
 
 #include <glib.h>
 #include <string.h>
@@ -36,13 +34,8 @@
 };
 
 struct fixture {
-	struct raw_server server;
-	struct loop *loop;
-	struct upstream *u;
+	struct upstream_client client;
 	struct http_msg *request;
-	struct upstream_call call;
-	struct endpoint at;
-	GAsyncQueue *done;
 	struct cut cut; /* served on the next connection */
 };
 
@@ -104,37 +97,17 @@
 		raw_reset_on_close(fd);
 }
 
-static void on_done(struct upstream_call *call)
-{
-	g_async_queue_push(fixture.done, call);
-}
-
-static void start_on_loop(void *arg)
-{
-	upstream_start(fixture.u, &fixture.at, &fixture.call);
-	(void)arg;
-}
-
 static void setup(raw_server_handler serve_one)
 {
 	memset(&fixture, 0, sizeof(fixture));
-	raw_server_start(&fixture.server, serve_one, NULL);
-	fixture.at = (struct endpoint){ .host = "127.0.0.1", .port = fixture.server.port };
-	fixture.loop = loop_new("cut-answer-test");
-	fixture.u = upstream_new(fixture.loop, &dialect_native);
-	fixture.done = g_async_queue_new();
+	upstream_client_start(&fixture.client, "cut-answer-test", &dialect_native, serve_one);
 	fixture.request = http_new();
 	fixture.request->target = g_strdup("/species/hoopoe");
-	g_assert_cmpint(loop_start(fixture.loop), ==, 0);
 }
 
 static void teardown(void)
 {
-	loop_stop(fixture.loop);
-	upstream_free(fixture.u);
-	loop_free(fixture.loop);
-	g_async_queue_unref(fixture.done);
-	raw_server_stop(&fixture.server);
+	upstream_client_stop(&fixture.client);
 	http_free(fixture.request);
 }
 
@@ -143,14 +116,12 @@
 {
 	g_free(fixture.request->method);
 	fixture.request->method = g_strdup(method);
-	fixture.call = (struct upstream_call){ .request = fixture.request,
-					       .is_idempotent = true,
-					       .deadline_us = loop_clock_us() + TIMEOUT_US,
-					       .max_body_bytes = BODY_MAX_BYTES,
-					       .done = on_done };
-	loop_call(fixture.loop, start_on_loop, NULL);
-	g_async_queue_pop(fixture.done);
-	return fixture.call.err;
+	return upstream_client_run(
+		&fixture.client,
+		(struct upstream_call){ .request = fixture.request,
+					.is_idempotent = true,
+					.deadline_us = loop_clock_us() + TIMEOUT_US,
+					.max_body_bytes = BODY_MAX_BYTES });
 }
 
 static void check_run(const char *method, int expected)
@@ -160,12 +131,6 @@
 	g_assert_cmpint(err, ==, expected);
 }
 
-static void close_idle(void *arg)
-{
-	(void)arg;
-	upstream_close_idle(fixture.u);
-}
-
 /* Whether a caller may get the answer, and must get it if it was not reset. */
 static bool is_whole(const struct cut *cut)
 {
@@ -193,23 +158,23 @@
 	fixture.cut = *cut;
 	if (cut->answer->before) {
 		check_run("GET", 0);
-		http_free(fixture.call.reply);
+		http_free(fixture.client.call.reply);
 	}
 	err = run(cut->answer->method);
 	/* Both went to one connection. */
-	g_assert_cmpint(g_atomic_int_get(&fixture.server.requests), ==,
+	g_assert_cmpint(g_atomic_int_get(&fixture.client.server.requests), ==,
 			cut->answer->before ? 2 : 1);
-	g_atomic_int_set(&fixture.server.requests, 0);
+	g_atomic_int_set(&fixture.client.server.requests, 0);
 	g_test_message("%s%s, cut after %zu, reset %d: %d", cut->answer->head, cut->answer->body,
 		       cut->len, cut->is_reset, err);
 	if (!err)
-		check_reply(cut, fixture.call.reply);
+		check_reply(cut, fixture.client.call.reply);
 	else
-		g_assert_null(fixture.call.reply);
+		g_assert_null(fixture.client.call.reply);
 	if (is_whole(cut) && !cut->is_reset)
 		g_assert_cmpint(err, ==, 0);
-	http_free(fixture.call.reply);
-	loop_call(fixture.loop, close_idle, NULL);
+	http_free(fixture.client.call.reply);
+	upstream_client_close_idle(&fixture.client);
 }
 
 static void check_all_cuts(bool is_reset)
@@ -257,7 +222,7 @@
 	g_byte_array_set_size(fixture.request->body, LONG_BODY_BYTES);
 	memset(fixture.request->body->data, 'x', LONG_BODY_BYTES);
 	check_run("POST", ERR_TRUNCATED);
-	g_assert_null(fixture.call.reply);
+	g_assert_null(fixture.client.call.reply);
 	teardown();
 }
 
@@ -285,12 +250,13 @@
 	g_byte_array_set_size(fixture.request->body, LONG_BODY_BYTES);
 	memset(fixture.request->body->data, 'x', LONG_BODY_BYTES);
 	check_run("POST", 0);
-	http_free(fixture.call.reply);
+	http_free(fixture.client.call.reply);
 	g_byte_array_set_size(fixture.request->body, 0);
 	check_run("POST", 0);
-	g_assert_cmpmem(fixture.call.reply->body->data, fixture.call.reply->body->len, "own", 3);
-	http_free(fixture.call.reply);
-	g_assert_cmpint(g_atomic_int_get(&fixture.server.requests), ==, 1);
+	g_assert_cmpmem(fixture.client.call.reply->body->data, fixture.client.call.reply->body->len,
+			"own", 3);
+	http_free(fixture.client.call.reply);
+	g_assert_cmpint(g_atomic_int_get(&fixture.client.server.requests), ==, 1);
 	teardown();
 }
 
@@ -323,7 +289,7 @@
 		g_test_message("%s", a->head);
 		err = run(a->method);
 		g_assert_cmpint(err, <, 0);
-		g_assert_null(fixture.call.reply);
+		g_assert_null(fixture.client.call.reply);
 	}
 	teardown();
 }
