raft: one count of the active voters

raft_count_active_voters and count_lease_voters were the same loop over two times: that a reply arrived, and that the round which it acknowledges was sent. The caller names the time now.

--- a/control/raft.c
+++ b/control/raft.c
@@ -125,7 +125,10 @@
 
 static void tick_leader(struct raft *r, u64 now_us)
 {
-	if (raft_count_active_voters(r, RAFT_ELECTION_TIMEOUT_MIN_US, now_us) < raft_quorum(r)) {
+	u32 voters = raft_count_active_voters(r, RAFT_REPLY_ARRIVED, RAFT_ELECTION_TIMEOUT_MIN_US,
+					      now_us);
+
+	if (voters < raft_quorum(r)) {
 		raft_become_follower(r, r->term, 0, now_us);
 		return;
 	}
@@ -174,20 +177,6 @@
 	return r->is_flush_due ? 0 : r->heartbeat_due_us;
 }
 
-/* Returns the voters that replied to a round sent within LEASE_US, including this replica. */
-static u32 count_lease_voters(const struct raft *r, u64 lease_us, u64 now_us)
-{
-	u32 n = 0;
-
-	for (u32 i = 0; i < r->members.n; i++) {
-		if (!r->members.m[i].is_voter)
-			continue;
-		if (r->members.m[i].id == r->id || now_us < r->progress[i].round + lease_us)
-			n++;
-	}
-	return n;
-}
-
 bool raft_is_fresh(const struct raft *r, u64 lease_us, u64 now_us)
 {
 	if (r->role == RAFT_FORMING)
@@ -196,6 +185,7 @@
 	if (raft_term_at(r, r->commit) != r->term)
 		return false;
 	if (r->role == RAFT_LEADER)
-		return count_lease_voters(r, lease_us, now_us) >= raft_quorum(r);
+		return raft_count_active_voters(r, RAFT_REPLY_ROUND, lease_us, now_us) >=
+		       raft_quorum(r);
 	return r->leader && r->caught_up_us && now_us < r->caught_up_us + lease_us;
 }
--- a/control/raft_impl.h
+++ b/control/raft_impl.h
@@ -17,8 +17,13 @@
 /* raft_verified_sender - the member that sent M, or NULL unless M has its recorded replica id. */
 struct raft_member *raft_verified_sender(struct raft *r, const struct raft_msg *m);
 u32 raft_member_position(const struct raft *r, const struct raft_member *member);
-/* raft_count_active_voters - voters that replied within WITHIN_US, including this replica. */
-u32 raft_count_active_voters(const struct raft *r, u64 within_us, u64 now_us);
+enum raft_reply_time {
+	RAFT_REPLY_ARRIVED, /* when the last reply arrived */
+	RAFT_REPLY_ROUND, /* when the heartbeat round that it acknowledges was sent */
+};
+/* raft_count_active_voters - voters whose reply is younger than WITHIN_US, with this replica. */
+u32 raft_count_active_voters(const struct raft *r, enum raft_reply_time by, u64 within_us,
+			     u64 now_us);
 void raft_set_members(struct raft *r, const struct raft_members *next, u64 index);
 /* raft_use_latest_members - adopt the latest membership in the log or snapshot. */
 void raft_use_latest_members(struct raft *r);
--- a/control/raft_members.c
+++ b/control/raft_members.c
@@ -46,14 +46,18 @@
 	return (u32)(member - r->members.m);
 }
 
-u32 raft_count_active_voters(const struct raft *r, u64 within_us, u64 now_us)
+u32 raft_count_active_voters(const struct raft *r, enum raft_reply_time by, u64 within_us,
+			     u64 now_us)
 {
 	u32 n = 0;
 
 	for (u32 i = 0; i < r->members.n; i++) {
+		const struct raft_progress *p = &r->progress[i];
+		u64 replied_us = by == RAFT_REPLY_ARRIVED ? p->heard_us : p->round;
+
 		if (!r->members.m[i].is_voter)
 			continue;
-		if (r->members.m[i].id == r->id || now_us - r->progress[i].heard_us < within_us)
+		if (r->members.m[i].id == r->id || now_us < replied_us + within_us)
 			n++;
 	}
 	return n;
