admit: a queued call starts only while it can still end before its deadline

What callers saw: calls that waited at a busy home started just before their deadline, ran, and ended with 504 and an unknown outcome. Nobody got their answers, they held slots, and a call that may not be repeated could not be tried elsewhere.

Cause: the target of a call left time for the call itself, the deadline didn't: a call whose time is mostly used up by then (a retry, a call inside another, a caller with a shorter time-out) waited until its deadline.

Now the wait is bounded by the deadline less the measured duration of the rank's calls; what would start later is given up as not run, at once. A free slot still takes every call, so the duration stays measured, and a call may wait an eighth of its time however long calls seem. A call is also given up at its start if calls have become slower while it waited.

The model of /admit/sorted-list computes the same bound by itself, and now also checks that no call starts after it; it was MIN(deadline, target), with nothing said of starts.

--- a/node/admit.c
+++ b/node/admit.c
@@ -112,12 +112,11 @@
 
 int admit_offer(struct admit *a, struct admit_req *r, u64 now_us)
 {
-	u64 remaining = r->deadline_us > now_us ? r->deadline_us - now_us : 0;
 	struct admit_queue *q = &a->queues[r->rank];
 	u64 wait_max;
 
 	admit_advance(a, now_us);
-	wait_max = MIN(remaining, admit_request_wait_max_us(a, r));
+	wait_max = MIN(admit_deadline_wait_max_us(a, r, now_us), admit_request_wait_max_us(a, r));
 	if (admit_rate_wait_us(a, r->rank, admit_calls_ahead(a, r->rank)) > wait_max)
 		return -CTR_RATE_LIMIT;
 	if (admit_wait_us(a, r->rank) > wait_max)
@@ -206,21 +205,36 @@
 	rate_limit_take(&a->rate, now_us);
 }
 
+/* Returns the first call of the rank that is next; NULL if none may start. */
+static struct admit_req *first_to_start(const struct admit *a)
+{
+	int rank = pick_rank(a, true);
+
+	if (rank < 0)
+		rank = pick_rank(a, false);
+	return rank < 0 ? NULL : g_queue_peek_head((GQueue *)&a->queues[rank].waiting);
+}
+
+/* Takes R from the queue; admit_expired returns it. */
+static void give_up(struct admit *a, struct admit_req *r, enum ctr reason)
+{
+	admit_remove_from_queue(a, r);
+	r->reason = reason;
+	g_queue_push_tail_link(&a->evicted, &r->link);
+}
+
 struct admit_req *admit_next(struct admit *a, u64 now_us)
 {
 	struct admit_req *r;
-	int rank;
 
 	admit_advance(a, now_us);
 	if (a->running >= a->limit || rate_limit_next_us(&a->rate, 0) > now_us)
 		return NULL;
-	rank = pick_rank(a, true);
-	if (rank < 0)
-		rank = pick_rank(a, false);
-	if (rank < 0)
-		return NULL;
-	r = g_queue_peek_head(&a->queues[rank].waiting);
-	start(a, r, now_us);
+	/* Calls may have turned slower since the queue's next expiry was computed. */
+	while ((r = first_to_start(a)) && admit_last_start_us(a, r) < now_us)
+		give_up(a, r, CTR_QUEUE_WAIT);
+	if (r)
+		start(a, r, now_us);
 	return r;
 }
 
--- a/node/admit_impl.h
+++ b/node/admit_impl.h
@@ -24,6 +24,9 @@
 /* admit_rank_service_us - returns the expected duration of the next call of RANK. */
 u64 admit_rank_service_us(const struct admit *a, u32 rank);
 
+/* admit_measured_service_us - like admit_rank_service_us; 0 while no call of RANK was measured. */
+u64 admit_measured_service_us(const struct admit *a, u32 rank);
+
 /*
  * admit_capacity_milli - returns the slots that can be in use, in thousandths: under a rate limit
  * those that calls at this rate occupy, by Little's law.
@@ -75,6 +78,16 @@
  */
 u64 admit_p90_service_us(const struct admit *a, u32 rank);
 
+/*
+ * admit_deadline_wait_max_us - returns the longest wait from FROM_US on after which R is expected
+ * to end before its deadline. It is never zero before the deadline: a free slot takes every call,
+ * so that the duration of calls stays measured.
+ */
+u64 admit_deadline_wait_max_us(const struct admit *a, const struct admit_req *r, u64 from_us);
+
+/* admit_last_start_us - returns when the queued R has to start to end before its deadline. */
+u64 admit_last_start_us(const struct admit *a, const struct admit_req *r);
+
 /* admit_request_wait_max_us - returns the longest wait that lets R still meet its target. */
 u64 admit_request_wait_max_us(const struct admit *a, const struct admit_req *r);
 
--- a/node/admit_speed.c
+++ b/node/admit_speed.c
@@ -74,6 +74,11 @@
 	return rank_work_us(a, rank) * slowness_at_start(a, rank) / USUAL_PERCENT;
 }
 
+u64 admit_measured_service_us(const struct admit *a, u32 rank)
+{
+	return measured_work_us(a, rank) * slowness_at_start(a, rank) / USUAL_PERCENT;
+}
+
 u64 admit_capacity_milli(const struct admit *a)
 {
 	u64 slots = (u64)a->limit * MILLI;
--- a/node/admit_wait.c
+++ b/node/admit_wait.c
@@ -3,7 +3,7 @@
 
 #include <string.h>
 
-/* A call may wait at least 1/WAIT_MIN_DIVISOR of its target, however long calls take. */
+/* A call may wait at least 1/WAIT_MIN_DIVISOR of its time, however long calls take. */
 #define WAIT_MIN_DIVISOR 8
 #define WAIT_MAX_US (60 * US_PER_S)
 
@@ -72,11 +72,16 @@
 	return MAX(admit_deferral_us(a, rank), MIN(wait, floor_wait_us(a, rank)));
 }
 
+/* Returns the longest wait that leaves SERVICE_US of TIME_US to run. */
+static u64 wait_max_within_us(u64 time_us, u64 service_us)
+{
+	return time_us - MIN(service_us, time_us - time_us / WAIT_MIN_DIVISOR);
+}
+
 /* Returns the longest wait that leaves a call of RANK time to run within TARGET_US. */
 static u64 target_wait_max_us(const struct admit *a, u32 rank, u64 target_us)
 {
-	return target_us -
-	       MIN(admit_p90_service_us(a, rank), target_us - target_us / WAIT_MIN_DIVISOR);
+	return wait_max_within_us(target_us, admit_p90_service_us(a, rank));
 }
 
 static u64 wait_max_us(const struct admit *a, u32 rank)
@@ -90,9 +95,22 @@
 				  r->target_us ? r->target_us : a->ranks[r->rank].target_us);
 }
 
+u64 admit_deadline_wait_max_us(const struct admit *a, const struct admit_req *r, u64 from_us)
+{
+	u64 left_us = r->deadline_us > from_us ? r->deadline_us - from_us : 0;
+
+	return wait_max_within_us(left_us, admit_measured_service_us(a, r->rank));
+}
+
+u64 admit_last_start_us(const struct admit *a, const struct admit_req *r)
+{
+	return r->queued_us + admit_deadline_wait_max_us(a, r, r->queued_us);
+}
+
 u64 admit_expiry_us(const struct admit *a, const struct admit_req *r)
 {
-	u64 last_us = MIN(r->deadline_us, r->queued_us + admit_request_wait_max_us(a, r));
+	u64 last_us =
+		MIN(admit_last_start_us(a, r), r->queued_us + admit_request_wait_max_us(a, r));
 
 	if (r->has_alternative && a->now_us + admit_deferral_us(a, r->rank) > last_us)
 		return a->now_us;
--- a/test/admit_test.c
+++ b/test/admit_test.c
@@ -142,6 +142,7 @@
 	struct admit a;
 	struct admit_rank *ranks;
 	GQueue waiting; /* the sorted list */
+	GQueue given_up; /* until admit_expired returns them */
 	GPtrArray *running;
 	struct rng rng;
 	u64 now_us;
@@ -158,6 +159,26 @@
 		g_queue_insert_sorted(&m->waiting, r, by_worth, m->ranks);
 }
 
+/* Returns when R has to start: a call of its rank takes the last eighth of its time, or more. */
+static u64 model_last_start_us(const struct model *m, const struct admit_req *r)
+{
+	u64 all_us = r->deadline_us - r->queued_us;
+	u64 service = m->a.queues[r->rank].smoothed_work_us;
+
+	return r->deadline_us - MIN(service, all_us - all_us / 8);
+}
+
+/* Removes the first requests if the queue gave them up: each had to be too late to end. */
+static void model_give_up(struct model *m)
+{
+	struct admit_req *r;
+
+	while ((r = g_queue_peek_head(&m->waiting)) && r->state == ADMIT_LEFT) {
+		g_assert_cmpuint(model_last_start_us(m, r), <, m->now_us);
+		g_queue_push_tail(&m->given_up, g_queue_pop_head(&m->waiting));
+	}
+}
+
 static void model_expire(struct model *m)
 {
 	struct admit_req *r;
@@ -167,9 +188,16 @@
 		u64 service = m->a.queues[r->rank].smoothed_work_us;
 		u64 wait;
 
+		if (m->given_up.length) {
+			g_assert_true(g_queue_pop_head(&m->given_up) == r);
+			g_free(r);
+			continue;
+		}
+
 		/* The duration of the call itself is subtracted from its target. */
 		wait = target - MIN(service ? service : admit_service_us(&m->a), target / 2);
-		g_assert_cmpuint(MIN(r->deadline_us, r->queued_us + wait), <=, m->now_us);
+		g_assert_cmpuint(MIN(model_last_start_us(m, r), r->queued_us + wait), <=,
+				 m->now_us);
 		g_assert_true(g_queue_remove(&m->waiting, r));
 		g_free(r);
 	}
@@ -208,10 +236,13 @@
 	struct admit_req *r;
 
 	while ((r = admit_next(&m->a, m->now_us))) {
+		model_give_up(m);
+		g_assert_cmpuint(model_last_start_us(m, r), >=, m->now_us);
 		g_assert_true(g_queue_pop_head(&m->waiting) == r);
 		g_ptr_array_add(m->running, r);
 		g_assert_cmpuint(m->running->len, <=, SLOTS);
 	}
+	model_give_up(m);
 	assert_reserved_slots(m);
 }
 
@@ -253,6 +284,7 @@
 		}
 		g_ptr_array_unref(m.running);
 		g_queue_clear_full(&m.waiting, g_free);
+		g_queue_clear_full(&m.given_up, g_free);
 		admit_clear(&m.a);
 	}
 }
