mesh: a home that was silent gets calls as soon as it is heard again

What callers saw: after a home was frozen and continued, nodes that had called it sent it nothing for up to another second; if the service has no other upstream, they refused with no-upstream while the home answered PINGs.

Cause: each check (50 ms) of a silent home sets it aside for 1 s from then on, and only a new link ended this early.

Ruled out: the home's own state and its entry in the directory (both stayed as they were).

The check notes that the home was silent and ends this once something was received; it logs "peer heard again". A home that answers PINGs but no calls is not silent, as before; its score and outlier ejection judge it.

--- a/node/mesh.c
+++ b/node/mesh.c
@@ -30,6 +30,7 @@
 	u64 last_call_us; /* of an accepted link: when the last call arrived, or the link came up */
 	bool is_load_stale; /* of an accepted link: the load has changed since it was sent */
 	u64 silence_us; /* of a dialled link: how long the peer has owed a sign of life */
+	bool is_silent; /* of a dialled link: the peer gets no new calls until it is heard */
 };
 
 struct mesh {
@@ -365,19 +366,31 @@
 
 static void check_silent(struct mesh_peer *m, struct choose_target *t, u64 now_us)
 {
-	if (t->unreachable_until_us <= now_us)
+	if (!m->is_silent)
 		log_event(LOG_WARN, "peer silent", "peer", m->name, "silence_us",
 			  log_u64(m->silence_us), "in_flight", log_u64(t->in_flight), NULL);
+	m->is_silent = true;
 	choose_set_unreachable(t, now_us);
 	entry_home_silent(m->node, m->name);
 }
 
+/* A home that was silent and is heard again gets calls at once. */
+static void check_heard(struct mesh_peer *m, struct choose_target *t, u64 now_us)
+{
+	if (!m->is_silent || link_silence_us(m->link, now_us) >= SILENCE_PING_US)
+		return;
+	log_event(LOG_INFO, "peer heard again", "peer", m->name, NULL);
+	m->is_silent = false;
+	t->unreachable_until_us = 0;
+}
+
 static void check_silence(struct mesh_peer *m, u64 step_us, u64 now_us)
 {
 	struct choose_target *t = choose_find(&m->node->choose, m->name);
 
 	if (!m->link || !m->link->is_up || !t) {
 		m->silence_us = 0;
+		m->is_silent = false;
 		return;
 	}
 	count_silence(m, t, step_us, now_us);
@@ -385,6 +398,7 @@
 		check_silent(m, t, now_us);
 	else if (m->silence_us >= SILENCE_PING_US)
 		link_ping(m->link);
+	check_heard(m, t, now_us);
 }
 
 void mesh_check_silent_peers(struct node *n, u64 now_us)
--- a/test/thaw_test.c
+++ b/test/thaw_test.c
@@ -15,6 +15,8 @@
 #define SILENT_LATER_US (250 * US_PER_MS)
 /* Within this time a node checks for silent homes. */
 #define CHECKED_US (150 * US_PER_MS)
+/* Less than the time for which a home that was silent gets no calls. */
+#define SERVED_WITHIN_US (500 * US_PER_MS)
 
 static struct fake_node node;
 static struct fake_peer home;
@@ -143,6 +145,55 @@
 	end();
 }
 
+struct usable {
+	struct fake_node *node;
+	bool is_usable; /* the result */
+};
+
+static void do_check_usable(void *arg)
+{
+	struct usable *u = arg;
+	const struct choose_target *t = choose_find(&u->node->node->choose, home.name);
+
+	u->is_usable = choose_is_usable(t, loop_clock_us());
+}
+
+static bool is_home_usable(void)
+{
+	struct usable u = { .node = &node };
+
+	loop_call(node.node->loop, do_check_usable, &u);
+	return u.is_usable;
+}
+
+static void wait_home_usable(bool is_usable)
+{
+	u64 until_us = loop_clock_us() + HTTP_WAIT_MS * US_PER_MS;
+
+	while (is_home_usable() != is_usable && loop_clock_us() < until_us)
+		g_usleep(US_PER_MS);
+	g_assert_true(is_home_usable() == is_usable);
+}
+
+/* Guards against: a home that was frozen and answers again gets no calls for another second. */
+static void test_home_that_answers_again_is_avoided(void)
+{
+	struct freeze f;
+	u64 thawed_us;
+	struct caller held;
+	struct call_id id = start_with_held_call(&held, HTTP_WAIT_MS);
+
+	freeze(&f, home.loop, FROZEN_US);
+	wait_home_usable(false);
+	loop_call(home.loop, do_nothing, NULL);
+	thawed_us = loop_clock_us();
+	wait_home_usable(true);
+	g_assert_cmpuint(loop_clock_us() - thawed_us, <, SERVED_WITHIN_US);
+	fake_peer_reply(&home, id, "noted");
+	end_call(&held, 200);
+	end();
+}
+
 int main(int argc, char **argv)
 {
 	int ret;
@@ -150,6 +201,8 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/thaw/answer-that-came-in-time", test_answer_that_came_in_time);
 	g_test_add_func("/thaw/own-pause-is-silence-of-homes", test_own_pause_is_silence_of_homes);
+	g_test_add_func("/thaw/home-that-answers-again-is-avoided",
+			test_home_that_answers_again_is_avoided);
 	ret = g_test_run();
 	fflush(stdout);
 	_exit(ret); /* threads of the fakes are still running */
