node: a pause of the node itself is no silence of its upstream

What callers saw: a node whose VM paused for longer than the upstream's TTL (3 s) told all nodes when it continued that it has no upstream, and calls went elsewhere or were refused with no-upstream, until the upstream, which had paused too, announced itself again.

Cause: the check runs once a second, at once after a pause, and compares two times of the clock, so a pause counts as silence of the upstream.

Ruled out: the directory (control keeps a registration for 5 s).

The time by which the check is late is no longer counted. An upstream that ended during the pause is removed its TTL after it, and refuses connections until then, which is not run and tried elsewhere.

Evidence: /thaw/own-pause-is-silence-of-the-upstream (TTL 2 s, pause of 3 s) found the state no-upstream, now up.

--- a/node/node.c
+++ b/node/node.c
@@ -32,7 +32,10 @@
 {
 	struct node *n = arg;
 	bool has_upstream = n->dir_entry.state == DIR_UP || n->dir_entry.state == DIR_DRAINING;
+	u64 late_us = now_us - n->second_timer.due_us;
 
+	/* Time in which this process did not run does not count: it read no announcement. */
+	n->upstream_announced_us = MIN(n->upstream_announced_us + late_us, now_us);
 	if (has_upstream && now_us - n->upstream_announced_us > n->upstream_ttl_us) {
 		log_event(LOG_WARN, "no announcement from the upstream within its TTL; removing it",
 			  "service", n->dir_entry.service, NULL);
--- a/test/thaw_test.c
+++ b/test/thaw_test.c
@@ -18,6 +18,8 @@
 /* Less than the time for which a home that was silent gets no calls. */
 #define SERVED_WITHIN_US (500 * US_PER_MS)
 
+#define UPSTREAM_TTL_MS 2000
+
 static struct fake_node node;
 static struct fake_peer home;
 
@@ -194,6 +196,29 @@
 	end();
 }
 
+static void do_check_upstream(void *arg)
+{
+	g_assert_cmpint(((struct fake_node *)arg)->node->dir_entry.state, ==, DIR_UP);
+}
+
+/*
+ * Guards against: a node that was frozen for longer than the TTL of its upstream, whose VM may have
+ * paused with it, removes the upstream before that can announce itself again.
+ */
+static void test_own_pause_is_silence_of_the_upstream(void)
+{
+	struct freeze f;
+
+	fake_node_prepare(&node);
+	node.settings.node.upstream_ttl_ms = UPSTREAM_TTL_MS;
+	fake_node_run(&node);
+	fake_node_announce_upstream(&node, 1, 4);
+	freeze(&f, node.node->loop, UPSTREAM_TTL_MS * US_PER_MS * 3 / 2);
+	loop_call(node.node->loop, do_nothing, NULL);
+	g_usleep(CHECKED_US);
+	loop_call(node.node->loop, do_check_upstream, &node);
+}
+
 int main(int argc, char **argv)
 {
 	int ret;
@@ -203,6 +228,8 @@
 	g_test_add_func("/thaw/own-pause-is-silence-of-homes", test_own_pause_is_silence_of_homes);
 	g_test_add_func("/thaw/home-that-answers-again-is-avoided",
 			test_home_that_answers_again_is_avoided);
+	g_test_add_func("/thaw/own-pause-is-silence-of-the-upstream",
+			test_own_pause_is_silence_of_the_upstream);
 	ret = g_test_run();
 	fflush(stdout);
 	_exit(ret); /* threads of the fakes are still running */
