mesh: links to homes that are not used are closed

Seen: a node kept a link to each home of a subset that it ever called, for as long as both ran. Callers saw nothing of it; the pings of idle links took bandwidth that grows with the services that were ever called (CAPACITY.md, what breaks first at a node, 1).

Now the node that dialled a link closes it when for 60 s it carried nothing but pings, no attempt of a call is open at that home, and no service in whose subset the home is was called. It logs "idle link closed" and counts link-idle. The next call of the service dials again, as the first one did, and links its whole subset.

The close can't meet a call. Calls on a link come only from the node that dialled it, and both its calls and the close run in its one loop: a call either has its attempt in the table before the look, which keeps the link, or finds no link after it, and dials. An attempt is in the table from before its first byte until it is answered, refused, cancelled, or known to be lost, so also while a fence says that it runs. The peer's calls come on the link that the peer dialled. What a home can send on an idle link is a load, whose loss costs nothing. The socket is closed at once: what this node sent on it is at least 60 s old.

What relied on a standing link: - the fence rule (bytes of the old link are thrown away when a node dials again): no open id exists at a close; - loads and the mark of a leaving home, pushed to linked nodes only: forgotten at the close, so that a home is not judged for ever by its last word. The directory still names those that leave, and they refuse as not run. With it goes the knee that a home reported; - is_linked, set once a service: cleared, or only the chosen home would be linked again; - the watch for silent homes needs an open call; probes go only to services called within 10 s; a closed link has no timer that dials. So nothing marks the home, and nothing dials; - the clock offset belongs to a link, and calls wait until a new link is up; - the home counts the end of the link as link-down, as for a caller that leaves (OPERATIONS.md).

Tests: mesh_idle_test (time passed in; the close against a call in progress, fenced, waiting, right after it, from the peer, and against a frame of the home; reopening; a home that died without a link), choose_idle_test.

Not changed: links of subsets whose service is called stay, with their pings.

--- a/kernel/link.c
+++ b/kernel/link.c
@@ -489,3 +489,8 @@
 {
 	return now_us > k->priv->last_recv_us ? now_us - k->priv->last_recv_us : 0;
 }
+
+u64 link_unused_us(const struct link *k, u64 now_us)
+{
+	return now_us > k->priv->last_used_us ? now_us - k->priv->last_used_us : 0;
+}
--- a/kernel/link.h
+++ b/kernel/link.h
@@ -98,6 +98,12 @@
 /* link_silence_us - returns the time since data was last received from the other end. */
 u64 link_silence_us(const struct link *k, u64 now_us);
 
+/*
+ * link_unused_us - returns the time since a frame of the owners was last sent or received, or since
+ * the link was opened if there was none.
+ */
+u64 link_unused_us(const struct link *k, u64 now_us);
+
 /* link_close - closes and frees the link; down() is not called. */
 void link_close(struct link *k);
 
--- a/lib/ctr_list.h
+++ b/lib/ctr_list.h
@@ -81,6 +81,7 @@
 /* Links. */
 CTR(LINK_UP, "link-up", "links brought up")
 CTR(LINK_DOWN, "link-down", "links closed")
+CTR(LINK_IDLE, "link-idle", "links to homes closed because they were not used")
 CTR(LINK_SILENT, "link-silent", "links closed because nothing was heard")
 CTR(LINK_QUEUE_FULL, "link-queue-full", "links closed because their send queue was full")
 CTR(FRAME_BAD, "frame-bad", "links closed because of a bad frame")
--- a/node/choose.c
+++ b/node/choose.c
@@ -119,15 +119,27 @@
 	return strcmp(e->region, c->region) ? OTHER_REGION_RTT_US : SAME_REGION_RTT_US;
 }
 
+static void forget_load(struct choose_target *t)
+{
+	t->load_at_us = 0;
+	memset(&t->load, 0, sizeof(t->load));
+	t->sent_since_load = 0;
+}
+
+void choose_link_closed(struct choose_target *t)
+{
+	forget_load(t);
+	if (t->service)
+		t->service->is_linked = false;
+}
+
 /*
  * Resets what is known of the upstream. It starts cold, unless this node has just started: then
  * the upstream probably ran before.
  */
 static void reset_target(struct choose *c, struct choose_target *t, u64 now_us)
 {
-	t->load_at_us = 0;
-	memset(&t->load, 0, sizeof(t->load));
-	t->sent_since_load = 0;
+	forget_load(t);
 	t->latency_us = 0;
 	t->latency_samples = 0;
 	t->failed_permille = 0;
@@ -218,6 +230,18 @@
 	return s;
 }
 
+bool choose_is_in_use(const struct choose_target *t, u64 span_us, u64 now_us)
+{
+	const struct choose_service *s = t->service;
+
+	if (!s || !s->last_used_us)
+		return false;
+	if (now_us > s->last_used_us && now_us - s->last_used_us >= span_us)
+		return false;
+	/* A subset that has to be rebuilt may lack T, and get it back with the next call. */
+	return s->is_stale || g_ptr_array_find(s->subset, t, NULL);
+}
+
 /* Selection */
 
 static bool is_excluded(const struct choose_target *t, GPtrArray *exclude)
--- a/node/choose.h
+++ b/node/choose.h
@@ -150,6 +150,18 @@
 /* choose_set_load - stores a load report that was received now. */
 void choose_set_load(struct choose_target *t, const struct peer_load *load, u64 now_us);
 
+/*
+ * choose_is_in_use - returns whether T is in the subset of a service that was called within SPAN_US
+ * before NOW_US.
+ */
+bool choose_is_in_use(const struct choose_target *t, u64 span_us, u64 now_us);
+
+/*
+ * choose_link_closed - the idle link to T was closed, so that T can't report its load: the load is
+ * unknown from now on, and the next call of the service links its whole subset again.
+ */
+void choose_link_closed(struct choose_target *t);
+
 /* choose_set_unreachable - records that there is no link; T is not chosen for a short time. */
 void choose_set_unreachable(struct choose_target *t, u64 now_us);
 
--- a/node/entry.c
+++ b/node/entry.c
@@ -197,6 +197,21 @@
 	return out;
 }
 
+bool entry_has_attempts_at(struct node *n, const char *home)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, n->entry->attempts);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct call_attempt *a = value;
+
+		if (!strcmp(a->home, home))
+			return true;
+	}
+	return false;
+}
+
 struct call_attempt *entry_attempt_by_seq(struct node *n, u64 seq)
 {
 	return g_hash_table_lookup(n->entry->attempts, &seq);
--- a/node/mesh.c
+++ b/node/mesh.c
@@ -1,5 +1,5 @@
 /* Links to other nodes: dialled ones carry this node's calls, accepted ones those of the peers. */
-#include "node/node.h"
+#include "node/mesh_impl.h"
 
 #include "lib/err.h"
 #include "lib/log.h"
@@ -21,22 +21,6 @@
 	u64 deadline_us;
 };
 
-struct mesh_peer {
-	struct node *node;
-	char *name;
-	struct link *link;
-	struct loop_timer redial;
-	GHashTable *partial_messages; /* call id -> struct partial_message */
-	u64 last_call_us; /* of an accepted link: when the last call arrived, or the link came up */
-	bool is_load_stale; /* of an accepted link: the load has changed since it was sent */
-};
-
-struct mesh {
-	struct link_listener *listener;
-	GHashTable *dialled; /* name -> struct mesh_peer */
-	GPtrArray *accepted; /* of struct mesh_peer */
-};
-
 static void partial_message_free(gpointer arg)
 {
 	struct partial_message *p = arg;
--- /dev/null
+++ b/node/mesh_impl.h
@@ -0,0 +1,27 @@
+/*
+ * mesh_impl - what the files of mesh share
+ *
+ * SOURCE node/mesh.c (links and their frames), node/mesh_idle.c (closing of unused links)
+ */
+#ifndef MESH_IMPL_H
+#define MESH_IMPL_H
+
+#include "node/node.h"
+
+struct mesh_peer {
+	struct node *node;
+	char *name;
+	struct link *link;
+	struct loop_timer redial;
+	GHashTable *partial_messages; /* call id -> struct partial_message */
+	u64 last_call_us; /* of an accepted link: when the last call arrived, or the link came up */
+	bool is_load_stale; /* of an accepted link: the load has changed since it was sent */
+};
+
+struct mesh {
+	struct link_listener *listener;
+	GHashTable *dialled; /* name -> struct mesh_peer */
+	GPtrArray *accepted; /* of struct mesh_peer */
+};
+
+#endif
--- a/node/node.c
+++ b/node/node.c
@@ -39,6 +39,7 @@
 		node_set_state(n, DIR_NO_UPSTREAM);
 	}
 	home_tick(n, now_us);
+	mesh_close_idle_links(n, now_us);
 	retry_quota_set_nodes(&n->entry->retry_quota, watch_node_count(n));
 	ctr_add(CTR_PROBE_ALLOWED, n->settings->node.probe_budget_per_s);
 	ctr_add(CTR_PROBE_BYTES_ALLOWED, n->settings->node.probe_budget_bytes_per_s);
--- a/node/node.h
+++ b/node/node.h
@@ -120,6 +120,9 @@
 		  const struct peer_load *load);
 void entry_fenced(struct node *n, struct call_id id, enum fence_state state);
 
+/* entry_has_attempts_at - returns whether an attempt at HOME is pending, sent or not. */
+bool entry_has_attempts_at(struct node *n, const char *home);
+
 /* entry_slowness_changed - handles a changed slowness of the VM that HOME runs on. */
 void entry_slowness_changed(struct node *n, const char *home);
 
@@ -213,6 +216,19 @@
 /* mesh_is_dialling - returns whether a link to PEER is being set up. */
 bool mesh_is_dialling(struct node *n, const char *peer);
 
+/*
+ * A link to a home that was not used for this time is closed. A service that is called once a
+ * minute keeps its links.
+ */
+#define MESH_IDLE_LINK_US (60 * US_PER_S)
+
+/*
+ * mesh_close_idle_links - closes dialled links that carried nothing but pings for
+ * MESH_IDLE_LINK_US, unless the home has a call of this node, or is in the subset of a service that
+ * was called within this time. The next call that wants the home dials again.
+ */
+void mesh_close_idle_links(struct node *n, u64 now_us);
+
 /*
  * mesh_check_silent_peers - pings homes that have calls of this node but have been silent for
  * a while. Those that do not answer get no new calls for some time, and their idempotent calls
