test: spoilt_answer waits until the home has seen its upstream's closes

Cause, in the test: its upstream closes each connection after its answer without saying so. Under load the next request could be sent on such a connection before the close was seen, and a request whose connection closes without an answer has to fail with 502.

--- a/test/spoilt_answer_test.c
+++ b/test/spoilt_answer_test.c
@@ -4,6 +4,8 @@
  * answer or a failure of our own, and the answers of a connection in the order of its requests.
  */
 #include "platform/dialect.h"
+#include "node/home_impl.h"
+#include "node/upstream_impl.h"
 #include "test/fakes/fake_node.h"
 #include "test/fakes/raw_server.h"
 
@@ -351,6 +353,28 @@
 	check_failed_everywhere("HTTP/1.0 200 OK\r\n\r\nhello", END_RESET);
 }
 
+static void count_idle_connections(void *arg)
+{
+	*(u32 *)arg = home.node->home->upstream->idle.length;
+}
+
+/*
+ * The upstream closes each connection of a scripted answer; a request that the home sends on one
+ * before it has seen the close would fail.
+ */
+static void wait_until_closes_are_seen(void)
+{
+	u64 until_us = loop_clock_us() + TIMEOUT_MS * US_PER_MS;
+	u32 idle = 1;
+
+	while (idle && loop_clock_us() < until_us) {
+		loop_call(home.node->loop, count_idle_connections, &idle);
+		if (idle)
+			g_usleep(US_PER_MS);
+	}
+	g_assert_cmpuint(idle, ==, 0);
+}
+
 static void check_passed(const struct fake_node *n, const char *method, const char *text,
 			 int status, const char *body)
 {
@@ -359,6 +383,7 @@
 	char byte;
 	int fd;
 
+	wait_until_closes_are_seen();
 	script = (struct script){ .text = text, .len = strlen(text) };
 	g_test_message("%s %s", method, text);
 	fd = send_request(n, method, "/cut", TIMEOUT_MS);
