loop: a function posted to a late loop runs in the same turn

The second look, after the posted functions, also reads the wake-up of functions posted meanwhile; the loop then waited for the next timer or descriptor, up to 1 s. Callers would have seen an answer or a change of configuration come that much later, in a process that was busy for over 50 ms.

Posted functions now run once more if there are any after that look.

--- a/kernel/loop.c
+++ b/kernel/loop.c
@@ -202,6 +202,9 @@
 	catch_up(l);
 	run_posted(l);
 	catch_up(l);
+	/* Its wake-up may have been read while catching up. */
+	if (has_posted(l))
+		run_posted(l);
 	run_timers(l);
 }
 
--- a/test/loop_test.c
+++ b/test/loop_test.c
@@ -304,6 +304,45 @@
 	}
 }
 
+struct late_post {
+	struct loop *loop;
+	gint is_busy;
+	gint has_run;
+};
+
+static void note_run(void *arg)
+{
+	g_atomic_int_set(&((struct late_post *)arg)->has_run, 1);
+}
+
+static void be_busy(void *arg)
+{
+	g_atomic_int_set(&((struct late_post *)arg)->is_busy, 1);
+	g_usleep(STALL_US);
+}
+
+/*
+ * Guards against: a function that is posted while the loop is late waits until the loop wakes up
+ * for something else, because its wake-up was read together with what had arrived.
+ */
+static void test_post_to_a_late_loop_waits(void)
+{
+	struct late_post p = { 0 };
+	u64 start_us;
+
+	p.loop = loop_new("test");
+	g_assert_cmpint(loop_start(p.loop), ==, 0);
+	loop_post(p.loop, be_busy, &p);
+	while (!g_atomic_int_get(&p.is_busy))
+		g_usleep(US_PER_MS);
+	start_us = loop_clock_us();
+	loop_post(p.loop, note_run, &p);
+	while (!g_atomic_int_get(&p.has_run))
+		g_usleep(US_PER_MS);
+	g_assert_cmpuint(loop_clock_us() - start_us, <, 3 * STALL_US);
+	stop(p.loop);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -313,5 +352,6 @@
 	g_test_add_func("/loop/removed-descriptor", test_removed_descriptor);
 	g_test_add_func("/loop/late-timer-before-what-arrived",
 			test_late_timer_before_what_arrived);
+	g_test_add_func("/loop/post-to-a-late-loop-waits", test_post_to_a_late_loop_waits);
 	return g_test_run();
 }
