node: a node that was frozen past its grace ends keep-alive with its first answers

Cause: keep-alive ended by a step of the stopping thread, which comes after the answers that the loop writes when it continues.

Ruled out: the end of the process (the connections are closed by the step that stops accepting), calls passed on (their answers arrived, 200).

The loop now has the time at which keep-alive ends from the start of the stop and compares it at each answer. Callers are told to close, and their next connect is refused. A request that crosses the close of an idle connection still gets no answer, and does not run.

Evidence: /thaw/next-request-after-the-grace had no "Connection: close", now has. Passed with it: httpd, stop and thaw tests.

--- a/kernel/httpd.c
+++ b/kernel/httpd.c
@@ -92,6 +92,7 @@
 	h->ops = ops;
 	h->arg = arg;
 	h->limits = httpd_default_limits;
+	h->keep_alive_until_us = UINT64_MAX;
 	g_queue_init(&h->conns);
 	h->fd = (struct loop_fd){ .ready = on_accept, .arg = h, .fd = fd };
 	h->timeout_timer = (struct loop_timer){ .fire = on_timeout_timer, .arg = h };
@@ -108,9 +109,9 @@
 }
 
 /* Idle connections stay open, since a caller may be sending a request on them right now. */
-void httpd_disable_keep_alive(struct httpd *h)
+void httpd_end_keep_alive(struct httpd *h, u64 at_us)
 {
-	h->no_keep_alive = true;
+	h->keep_alive_until_us = MIN(h->keep_alive_until_us, at_us);
 }
 
 static void close_port(struct httpd *h)
@@ -151,7 +152,7 @@
 
 void httpd_stop_accepting(struct httpd *h)
 {
-	h->no_keep_alive = true;
+	httpd_end_keep_alive(h, 0);
 	h->is_stopping = true;
 	/* Closing the port resets those that wait, although their requests may have arrived. */
 	if (h->fd.fd >= 0)
--- a/kernel/httpd.h
+++ b/kernel/httpd.h
@@ -65,8 +65,11 @@
 /* httpd_answer - sends ANSWER as the response to R; takes ownership of ANSWER and R. */
 void httpd_answer(struct httpd_request *r, struct http_msg *answer);
 
-/* httpd_disable_keep_alive - closes each connection once all requests read from it are answered. */
-void httpd_disable_keep_alive(struct httpd *h);
+/*
+ * httpd_end_keep_alive - from AT_US on, closes each connection once all requests read from it are
+ * answered, also if the loop runs only later.
+ */
+void httpd_end_keep_alive(struct httpd *h, u64 at_us);
 
 /*
  * httpd_stop_accepting - closes the port and all connections on which no request has arrived. Each
--- a/kernel/httpd_impl.h
+++ b/kernel/httpd_impl.h
@@ -19,7 +19,7 @@
 	struct loop_timer timeout_timer;
 	GQueue conns; /* of struct httpd_conn */
 	u32 requests;
-	bool no_keep_alive;
+	u64 keep_alive_until_us; /* answers from then on close their connections */
 	bool is_stopping; /* nothing is read behind an unanswered request */
 	u16 incomplete_status; /* of httpd_refuse_incomplete */
 	enum ctr incomplete_reason;
--- a/kernel/httpd_request.c
+++ b/kernel/httpd_request.c
@@ -30,7 +30,8 @@
 		g_queue_unlink(&c->requests, &r->link);
 		c->h->requests--;
 		if (is_last_answer(c))
-			c->must_close = c->h->no_keep_alive || asks_to_close(r->msg) || c->is_eof;
+			c->must_close = loop_clock_us() >= c->h->keep_alive_until_us ||
+					asks_to_close(r->msg) || c->is_eof;
 		httpd_conn_write_answer(c, r->msg, r->answer);
 		httpd_request_free(r);
 	}
--- a/node/node.c
+++ b/node/node.c
@@ -143,6 +143,7 @@
 		  log_u64(home_in_progress(n)), "serve_us", log_u64(s->serve_us - s->begin_us),
 		  "read_us", log_u64(s->read_us - s->begin_us), "end_us",
 		  log_u64(s->end_us - s->begin_us), NULL);
+	httpd_end_keep_alive(n->caller_http, s->serve_us);
 	if (n->dir_entry.state == DIR_UP)
 		node_set_state(n, DIR_DRAINING);
 }
@@ -224,7 +225,7 @@
 {
 	struct node *n = arg;
 
-	httpd_disable_keep_alive(n->caller_http);
+	httpd_end_keep_alive(n->caller_http, 0);
 	home_refuse_queued(n, CTR_DRAINING);
 }
 
--- a/test/thaw_test.c
+++ b/test/thaw_test.c
@@ -2,10 +2,12 @@
 #include "test/fakes/fake_node.h"
 #include "test/fakes/fake_peer.h"
 #include "test/fakes/httpc.h"
+#include "test/fakes/raw_server.h"
 
 #include <glib.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #define HTTP_WAIT_MS 20000
@@ -19,6 +21,7 @@
 #define SERVED_WITHIN_US (500 * US_PER_MS)
 
 #define UPSTREAM_TTL_MS 2000
+#define GRACE_MS 3000
 
 static struct fake_node node;
 static struct fake_peer home;
@@ -219,6 +222,57 @@
 	loop_call(node.node->loop, do_check_upstream, &node);
 }
 
+static gpointer stop_main(gpointer unused)
+{
+	(void)unused;
+	fake_node_stop(&node);
+	return NULL;
+}
+
+/* Reads one answer without a body after its head, or what came until the connection ended. */
+static char *read_head(int fd)
+{
+	GString *got = g_string_new(NULL);
+	char byte;
+
+	while (!strstr(got->str, "\r\n\r\n") && recv(fd, &byte, 1, 0) == 1)
+		g_string_append_c(got, byte);
+	return g_string_free(got, FALSE);
+}
+
+/*
+ * Guards against: a node that was frozen until its grace had passed answers without "Connection:
+ * close" and closes the connection at once, as the caller sends its next request.
+ */
+static void test_next_request_after_the_grace(void)
+{
+	struct freeze f;
+	struct call_id id;
+	GThread *stopper;
+	g_autofree char *got = NULL;
+	int fd;
+
+	fake_node_prepare(&node);
+	node.settings.node.shutdown_grace_ms = GRACE_MS;
+	fake_node_run(&node);
+	fake_peer_start(&home, true);
+	fake_node_set_directory_entry(&node, home.name, home.self.incarnation, DIR_UP);
+	fd = raw_connect(node.settings.node.caller_port);
+	raw_write(fd, "POST / HTTP/1.1\r\nHost: sightings.example\r\nContent-Length: 0\r\n\r\n");
+	peer_event_free(fake_peer_expect(&home, PEER_EVENT_UP));
+	id = expect_call();
+	stopper = g_thread_new("stopper", stop_main, NULL);
+	g_usleep(CHECKED_US);
+	freeze(&f, node.node->loop, GRACE_MS * US_PER_MS);
+	fake_peer_reply(&home, id, "noted");
+	got = read_head(fd);
+	g_assert_true(g_str_has_prefix(got, "HTTP/1.1 200 "));
+	g_assert_nonnull(strstr(got, "Connection: close"));
+	g_thread_join(stopper);
+	close(fd);
+	end();
+}
+
 int main(int argc, char **argv)
 {
 	int ret;
@@ -230,6 +284,7 @@
 			test_home_that_answers_again_is_avoided);
 	g_test_add_func("/thaw/own-pause-is-silence-of-the-upstream",
 			test_own_pause_is_silence_of_the_upstream);
+	g_test_add_func("/thaw/next-request-after-the-grace", test_next_request_after_the_grace);
 	ret = g_test_run();
 	fflush(stdout);
 	_exit(ret); /* threads of the fakes are still running */
