test: earlier_refusal_test stops what each case started, and begins at zero

As one process it failed in refusals-keep-connection (42 connections, at most 5 allowed): the upstream's thread of an earlier case accepted on the new socket with its own count. Behind that, first-without-id-counts got no answer, as the number of the request was left from the case before. Cases stop node, entry node and upstream now, and reset what they count.

--- a/test/earlier_refusal_test.c
+++ b/test/earlier_refusal_test.c
@@ -138,6 +138,11 @@
 
 static void start_with(raw_server_handler serve_one)
 {
+	scenario = NULL;
+	nth_request = 0;
+	connections = 0;
+	seq = 0;
+	g_atomic_int_set(&is_idle_repeat_written, 0);
 	node.dialect = NULL;
 	fake_node_prepare(&node);
 	node.dialect = &platform_dialect;
@@ -153,6 +158,13 @@
 	start_with(serve);
 }
 
+static void stop(void)
+{
+	fake_peer_stop(&entry);
+	fake_node_stop(&node);
+	raw_server_stop(&upstream);
+}
+
 /* Sends the call and returns how it ended. */
 static struct peer_event *call(const struct scenario *c, u32 n)
 {
@@ -235,6 +247,7 @@
 	start();
 	for (c.when = WHEN_IDLE; c.when <= WHEN_LATER; c.when++)
 		play_statuses(c, has_refused);
+	stop();
 }
 
 /* Guards against: a refusal that names another request ends the one that runs now. */
@@ -291,6 +304,7 @@
 		peer_event_free(e);
 	}
 	g_assert_cmpuint(connections, <=, 1 + REFUSALS / 50);
+	stop();
 }
 
 /* Runs the request and answers with the scenario's status, without the statement of a refusal. */
@@ -329,6 +343,7 @@
 		g_assert_false(e->is_not_run);
 		peer_event_free(e);
 	}
+	stop();
 }
 
 /* Guards against: an overloaded upstream that refuses at once, before it reads an id, gives 502. */
@@ -351,12 +366,11 @@
 	g_assert_true(e->is_not_run);
 	g_assert_cmpstr(e->reason, ==, "upstream-shed");
 	peer_event_free(e);
+	stop();
 }
 
 int main(int argc, char **argv)
 {
-	int ret;
-
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/earlier-refusal/with-earlier-id", test_with_earlier_id);
 	g_test_add_func("/earlier-refusal/without-id", test_without_id);
@@ -365,7 +379,5 @@
 	g_test_add_func("/earlier-refusal/refusals-keep-connection", test_refusals_keep_connection);
 	g_test_add_func("/earlier-refusal/status-without-statement", test_status_without_statement);
 	g_test_add_func("/earlier-refusal/first-without-id-counts", test_first_without_id_counts);
-	ret = g_test_run();
-	fflush(stdout);
-	_exit(ret); /* the threads of nodes are still running */
+	return g_test_run();
 }
