--- a/test/fakes/lone_control.c
+++ b/test/fakes/lone_control.c
@@ -1,10 +1,11 @@
 #include "test/fakes/lone_control.h"
 
 #include "control/op.h"
-#include "lib/set.h"
 #include "test/fakes/raw_server.h"
+#include "test/fakes/set_change.h"
 
 #include <glib/gstdio.h>
+#include <string.h>
 #include <unistd.h>
 
 #define WAIT_US (20 * US_PER_S)
@@ -25,6 +26,7 @@
 		(struct endpoint){ .host = "127.0.0.1", .port = s->control.api_port };
 	s->control.peer_port = raw_free_port();
 	s->control.members = g_array_new(FALSE, FALSE, sizeof(struct member_setting));
+	s->node.control = g_array_new(FALSE, FALSE, sizeof(struct endpoint));
 	self.at = (struct endpoint){ .host = "127.0.0.1", .port = s->control.peer_port };
 	g_array_append_val(s->control.members, self);
 	p->control = control_new(s);
@@ -71,14 +73,7 @@
 
 u16 lone_control_declare(struct lone_control *p, u64 version, u64 base, const char *text)
 {
-	struct store_change change = { .op = STORE_SET,
-				       .name = (char *)SET_NAME,
-				       .change_id = (char *)"",
-				       .json = (char *)text,
-				       .version = version,
-				       .has_if_match = true,
-				       .if_match = base };
-	g_autoptr(GBytes) command = store_change_pack(&change);
+	g_autoptr(GBytes) command = set_change_pack(version, base, "", text);
 	struct declaration d = { .control = p->control, .command = command };
 	u64 end_us = loop_clock_us() + WAIT_US;
 
@@ -101,3 +96,12 @@
 	if (path)
 		g_rmdir(path);
 }
+
+void lone_control_stop(struct lone_control *p)
+{
+	p->control->module.ops->stop(&p->control->module);
+	control_free(p->control);
+	lone_control_remove_folder(p);
+	settings_clear(&p->settings);
+	memset(p, 0, sizeof(*p));
+}
