--- a/node/node.c
+++ b/node/node.c
@@ -32,13 +32,17 @@
 {
 	struct node *n = arg;
 	bool has_upstream = n->dir_entry.state == DIR_UP || n->dir_entry.state == DIR_DRAINING;
+	u64 late_us = now_us - n->second_timer.due_us;
 
+	/* Time in which this process did not run does not count: it read no announcement. */
+	n->upstream_announced_us = MIN(n->upstream_announced_us + late_us, now_us);
 	if (has_upstream && now_us - n->upstream_announced_us > n->upstream_ttl_us) {
 		log_event(LOG_WARN, "no announcement from the upstream within its TTL; removing it",
 			  "service", n->dir_entry.service, NULL);
 		node_set_state(n, DIR_NO_UPSTREAM);
 	}
 	home_tick(n, now_us);
+	mesh_close_idle_links(n, now_us);
 	retry_quota_set_nodes(&n->entry->retry_quota, watch_node_count(n));
 	ctr_add(CTR_PROBE_ALLOWED, n->settings->node.probe_budget_per_s);
 	ctr_add(CTR_PROBE_BYTES_ALLOWED, n->settings->node.probe_budget_bytes_per_s);
