test: stop_test.sh's frozen round has the grace that it names

Seen: in some runs of the frozen round all connections were closed with no answer, and one or two calls, one with 12 s of its own time, ended with 504; in others hundreds of calls were refused.

Cause in the test: the round before it writes a grace of 1 s into node 3's settings and started the node again before the line was put back.

A round now puts the grace back before it starts the node. What the race tested by chance is a round of its own, frozen_past_its_end, with a grace of 1 s.

--- a/test/stop_test.sh
+++ b/test/stop_test.sh
@@ -56,6 +56,13 @@
 	echo "$name: $(cut -d' ' -f3-6 "$dir/$name.out" | sort | uniq -c | sort -rn | tr -s ' \n' ' ')"
 }
 
+# check_homes_used NAME - fails if a call of the round had no upstream, although two homes run
+check_homes_used() {
+	local refused
+	refused=$(cat "$dir/$1"-{long,short,quick}.out | grep -c ' 503 not-run no-upstream ')
+	[ "$refused" = 0 ] || fail "$1: $refused calls refused with no-upstream beside homes that run"
+}
+
 # has_config - returns whether node 3 serves
 has_config() {
 	$programs/caller -p "$(caller_port 3)" -H sightings.breizh.example -i "warm$RANDOM$RANDOM" -n 20 -c 4 |
@@ -67,12 +74,15 @@
 act() {
 	case $1 in
 	stop2) signal TERM node2 ;;
-	short) sed -i 's/^shutdown_grace_s=.*/shutdown_grace_s=1/' "$dir/node3.ini" ;;
+	short) set_grace 1 ;;
 	sleep) sleep 0.8 ;;
 	*) signal "$1" node3 ;;
 	esac
 }
 
+# set_grace SECONDS - in the settings file of node 3
+set_grace() { sed -i "s/^shutdown_grace_s=.*/shutdown_grace_s=$1/" "$dir/node3.ini"; }
+
 # round NAME SIGNAL... - sends the signals to node 3 while callers keep sending
 round() {
 	local name=$1 sig ms
@@ -91,6 +101,7 @@
 	ms=$(stop_ms)
 	((ms >= 0 && ms <= 1000 * grace_s)) || fail "$name: node 3 took $ms ms to stop"
 	for sig in long short quick; do check "$name-$sig"; done
+	set_grace $grace_s
 	start_node 3
 }
 
@@ -112,10 +123,12 @@
 round twice HUP TERM HUP TERM
 # The settings name a shorter grace only after the signal.
 round changed TERM short HUP
-sed -i "s/^shutdown_grace_s=.*/shutdown_grace_s=$grace_s/" "$dir/node3.ini"
 # The process does not run for a part of its grace, while the time of its calls passes.
 longest_ms=1200 may_expire=1
 round frozen TERM STOP sleep CONT
+check_homes_used frozen
+# The same, until its grace has ended.
+round frozen_past_its_end short HUP TERM STOP sleep CONT
 may_expire=0
 # A node where its calls run stops at the same time.
 longest_ms=2800
@@ -124,7 +137,7 @@
 start_node 2
 wait_for "3 upstreams" has_upstreams 3 || fail "node 2 does not return"
 # The settings name a shorter grace from just before the signal on.
-sed -i 's/^shutdown_grace_s=.*/shutdown_grace_s=3/' "$dir/node3.ini"
+set_grace 3
 grace_s=3 longest_ms=1200
 round shorter HUP TERM
 # The upstream beside the node has ended before.
