--- a/test/thaw_test.c
+++ b/test/thaw_test.c
@@ -174,10 +174,13 @@
 static void wait_home_usable(bool is_usable)
 {
 	u64 until_us = loop_clock_us() + HTTP_WAIT_MS * US_PER_MS;
+	bool now_usable = is_home_usable();
 
-	while (is_home_usable() != is_usable && loop_clock_us() < until_us)
+	while (now_usable != is_usable && loop_clock_us() < until_us) {
 		g_usleep(US_PER_MS);
-	g_assert_true(is_home_usable() == is_usable);
+		now_usable = is_home_usable();
+	}
+	g_assert_cmpint(now_usable, ==, is_usable);
 }
 
 /* Guards against: a home that was frozen and answers again gets no calls for another second. */
