test: the relay can reset connections

A link that ends with a reset drops what its end has not read, an ended one does not; the relay could only end both ways in order. "reset" closes with a linger time of 0.

--- a/test/programs/relay.c
+++ b/test/programs/relay.c
@@ -10,6 +10,7 @@
  *   delay MS      delay each chunk by a random time below MS; 0 stops delaying
  *   cut           close all connections, and new ones as soon as they are accepted
  *   break         close all connections once
+ *   reset         the same, but the ends get a reset instead of an end
  *   silent        drop all bytes in both directions without closing
  *   silent-up     drop the bytes towards TARGET
  *   silent-down   drop the bytes from TARGET
@@ -48,6 +49,7 @@
 	enum state state;
 	u32 delay_ms;
 	u32 break_count; /* connections that started at a lower count are closed */
+	u32 reset_count; /* the value of break_count that a reset produced */
 	gint break_after_bytes; /* remaining; negative for no limit */
 };
 
@@ -193,6 +195,27 @@
 	return !write_all(f->to, chunk, (size_t)n);
 }
 
+static bool must_reset(const struct conn *c)
+{
+	u32 reset_count = __atomic_load_n(&c->up.route->reset_count, __ATOMIC_ACQUIRE);
+
+	return reset_count > c->break_count;
+}
+
+/* Without a time to linger, the close of a socket sends a reset and drops what is not sent. */
+static void close_conn(struct conn *c)
+{
+	struct linger none = { .l_onoff = 1 };
+
+	if (must_reset(c)) {
+		setsockopt(c->up.from, SOL_SOCKET, SO_LINGER, &none, sizeof(none));
+		setsockopt(c->up.to, SOL_SOCKET, SO_LINGER, &none, sizeof(none));
+	}
+	close(c->up.from);
+	close(c->up.to);
+	g_free(c);
+}
+
 static void *flow_main(void *arg)
 {
 	struct flow *f = arg;
@@ -207,13 +230,12 @@
 		if (poll(&p, 1, POLL_INTERVAL_MS) > 0 && !relay_chunk(f))
 			break;
 	}
-	shutdown(f->from, SHUT_RDWR);
-	shutdown(f->to, SHUT_RDWR);
-	if (g_atomic_int_dec_and_test(&c->refs)) {
-		close(c->up.from);
-		close(c->up.to);
-		g_free(c);
+	if (!must_reset(c)) {
+		shutdown(f->from, SHUT_RDWR);
+		shutdown(f->to, SHUT_RDWR);
 	}
+	if (g_atomic_int_dec_and_test(&c->refs))
+		close_conn(c);
 	return NULL;
 }
 
@@ -269,7 +291,11 @@
 
 static bool run_command(struct route *p, char **args, guint n)
 {
-	if (n == 1 && !strcmp(args[0], "break")) {
+	bool is_reset = n == 1 && !strcmp(args[0], "reset");
+
+	if (is_reset || (n == 1 && !strcmp(args[0], "break"))) {
+		if (is_reset)
+			__atomic_store_n(&p->reset_count, p->break_count + 1, __ATOMIC_RELEASE);
 		__atomic_add_fetch(&p->break_count, 1, __ATOMIC_ACQ_REL);
 		return true;
 	}
