test: lavenderlead with a disk and a time of day that a test sets

The full and the failing disk and the step of the clock were produced in unit tests only. The test program "faulty" is the product's main with disk_open and clock_gettime replaced by the linker (--wrap), so the product has no hook; a file says what they do, and is read while the process runs. The meshes of the process tests use up to 60 nodes, so their upstreams move to ports that nodes don't take.

--- a/Makefile
+++ b/Makefile
@@ -49,6 +49,10 @@
 # The library leaves out cmd/; this test is of a part of it.
 $(OUT)/test/client_test: $(OUT)/cmd/client.o
 
+# lavenderlead with a disk and a clock that a test sets.
+$(OUT)/test/programs/faulty: $(CMD_OBJ)
+$(OUT)/test/programs/faulty: LDLIBS += -Wl,--wrap=disk_open,--wrap=clock_gettime
+
 install-deps:
 	tools/install $(PACKAGES)
 
--- a/test/mesh.sh
+++ b/test/mesh.sh
@@ -5,11 +5,13 @@
 
 declare -A pid
 programs=build/test/programs
+# A mesh of up to 60 nodes takes its ports from the first one on.
+ports_taken=1000
 
 # require_programs - names the programs that were not built, and exits
 require_programs() {
 	local missing= file
-	for file in ./lavenderlead $programs/{caller,observer,operator,upstream,verdict}; do
+	for file in ./lavenderlead $programs/{caller,faulty,observer,operator,relay,upstream,verdict}; do
 		[ -x $file ] || missing="$missing $file"
 	done
 	[ -z "$missing" ] && return
@@ -21,8 +23,8 @@
 require_ports() {
 	local low high
 	read -r low high </proc/sys/net/ipv4/ip_local_port_range
-	(($1 + 600 < low || $1 > high)) && return
-	echo "the first port $1 is not 600 below the range of outgoing connections, $low to $high"
+	(($1 + ports_taken < low || $1 > high)) && return
+	echo "the first port $1 is not $ports_taken below the range of outgoing connections, $low to $high"
 	exit 1
 }
 
@@ -51,13 +53,21 @@
 	disown $!
 }
 
-start_control() { run "control$1" ./lavenderlead serve -c "$dir/control$1.ini"; }
-start_node() { run "node$1" ./lavenderlead serve -c "$dir/node$1.ini"; }
+# start_process NAME - with the disk and the clock that $dir/NAME.faults sets, if it exists at the start
+start_process() {
+	if [ -f "$dir/$1.faults" ]; then
+		run "$1" env "FAULTS=$dir/$1.faults" $programs/faulty serve -c "$dir/$1.ini"
+	else
+		run "$1" ./lavenderlead serve -c "$dir/$1.ini"
+	fi
+}
+start_control() { start_process "control$1"; }
+start_node() { start_process "node$1"; }
 
 start_upstream() {
 	local j=$1 service=$2
 	shift 2
-	run "upstream$j" $programs/upstream -p $((base + 500 + j)) -n $((base + 102 + 10 * j)) \
+	run "upstream$j" $programs/upstream -p $((base + 800 + j)) -n $((base + 102 + 10 * j)) \
 		-s "$service" -l "$dir/runs$j" "$@"
 }
 
