--- a/test/fakes/verdict.c
+++ b/test/fakes/verdict.c
@@ -17,7 +17,7 @@
 	u64 mark;
 };
 
-/* The time of a call that ended without a response, or of a planned stop. */
+/* The time of a connection whose call ended without a response, of a planned stop or of a kill. */
 struct verdict_span {
 	char *id; /* of the call */
 	u64 port; /* of the node for callers */
@@ -65,6 +65,7 @@
 	v->changes = g_ptr_array_new_with_free_func(change_free);
 	v->cuts = g_ptr_array_new_with_free_func(span_free);
 	v->stops = g_ptr_array_new_with_free_func(span_free);
+	v->kills = g_ptr_array_new_with_free_func(span_free);
 	v->state = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, change_free);
 	v->revisions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 }
@@ -76,6 +77,7 @@
 	g_ptr_array_unref(v->changes);
 	g_ptr_array_unref(v->cuts);
 	g_ptr_array_unref(v->stops);
+	g_ptr_array_unref(v->kills);
 	g_hash_table_unref(v->state);
 	g_hash_table_unref(v->revisions);
 }
@@ -200,6 +202,27 @@
 		add_span(v->stops, NULL, fields);
 }
 
+void verdict_add_kill(struct verdict *v, const char *line, struct findings *found)
+{
+	g_auto(GStrv) fields = split(line, 3, "kill", found);
+
+	if (fields)
+		add_span(v->kills, NULL, fields);
+}
+
+/* Returns whether the connection of CUT was open in one of SPANS of its node. */
+static bool is_open_in(const GPtrArray *spans, const struct verdict_span *cut)
+{
+	for (guint i = 0; i < spans->len; i++) {
+		const struct verdict_span *s = g_ptr_array_index(spans, i);
+
+		if (s->port == cut->port && s->began_ms <= cut->ended_ms &&
+		    cut->began_ms <= s->ended_ms)
+			return true;
+	}
+	return false;
+}
+
 static bool is_in_a_stop(const struct verdict *v, const struct verdict_span *cut)
 {
 	for (guint i = 0; i < v->stops->len; i++) {
@@ -212,7 +235,10 @@
 	return false;
 }
 
-/* A node that stops answers each call that it has passed on to an upstream. */
+/*
+ * A node that stops answers each call that it has passed on to an upstream. A node that neither
+ * stops nor is killed answers every call.
+ */
 static void check_cuts(struct verdict *v, struct findings *found)
 {
 	for (guint i = 0; i < v->cuts->len; i++) {
@@ -221,6 +247,8 @@
 		if (g_hash_table_contains(v->runs, cut->id) && is_in_a_stop(v, cut))
 			findings_add(found, cut->id,
 				     "ran, and got no response in a planned stop of its node");
+		else if (!is_open_in(v->stops, cut) && !is_open_in(v->kills, cut))
+			findings_add(found, cut->id, "got no response from a node that runs on");
 	}
 }
 
--- a/test/fakes/verdict.h
+++ b/test/fakes/verdict.h
@@ -9,7 +9,9 @@
  *   operator    NAME CHANGE-ID OUTCOME VERSION MARK
  *               OUTCOME: accepted, conflict, not-run or unknown
  *   state       NAME VERSION MARK, the stored services after the run
- *   cut         ID PORT BEGAN_MS ENDED_MS, a call that ended without a response: the node's port
+ *   cut         ID PORT OPENED_MS ENDED_MS, a call that ended without a response: the node's port,
+ *               when its connection was opened and when the call ended
+ *   kill        PORT BEGAN_MS ENDED_MS, a node that was killed, until it was gone
  *   stop        PORT BEGAN_MS ENDED_MS, a node that was told to stop and ended by itself
  *   observer    NODE REVISION, in order of observation; 0 means no configuration
  *
@@ -29,6 +31,7 @@
 	GPtrArray *changes; /* of struct verdict_change */
 	GPtrArray *cuts; /* of struct verdict_span */
 	GPtrArray *stops; /* of struct verdict_span */
+	GPtrArray *kills; /* of struct verdict_span */
 	GHashTable *state; /* name -> struct verdict_change */
 	GHashTable *revisions; /* node -> struct verdict_node */
 };
@@ -44,6 +47,7 @@
 void verdict_add_observer(struct verdict *v, const char *line, struct findings *found);
 void verdict_add_cut(struct verdict *v, const char *line, struct findings *found);
 void verdict_add_stop(struct verdict *v, const char *line, struct findings *found);
+void verdict_add_kill(struct verdict *v, const char *line, struct findings *found);
 
 /* verdict_check - reports each violated guarantee as a finding. */
 void verdict_check(struct verdict *v, struct findings *found);
--- a/test/programs/caller.c
+++ b/test/programs/caller.c
@@ -14,7 +14,8 @@
  * response has Connection: close or it cannot connect, and ends after the last port.
  * -K: a thread keeps sending, on its connection or a new one, until it cannot connect. -s: the
  * upstream's delays are spread evenly over SPREAD_MS, from DELAY_MS. -T: appends a line for each
- * call that was sent and got no response to the file CUTS: ID PORT BEGAN_MS ENDED_MS.
+ * call that was sent and got no response to the file CUTS: ID PORT OPENED_MS ENDED_MS. OPENED_MS is
+ * when its connection was opened: a call also fails after a fault that its connection came through.
  *
  * Prints one line per call: ID METHOD STATUS OUTCOME REASON BODY. OUTCOME:
  * answer, not-run, unknown, or none without a response (not-run without a
@@ -66,6 +67,7 @@
 struct client {
 	struct mg_connection *conn;
 	u32 port_index; /* in opt.ports */
+	gint64 opened_us; /* wall clock */
 	bool is_finished; /* -G: the last port was left; -K: the port is closed */
 };
 
@@ -179,9 +181,11 @@
 	u32 wait_ms = opt.abort_after_ms ? opt.abort_after_ms : opt.timeout_ms + EXTRA_WAIT_MS;
 	char error[256];
 
-	if (!c->conn)
+	if (!c->conn) {
+		c->opened_us = g_get_real_time();
 		c->conn = mg_connect_client("127.0.0.1", opt.ports[c->port_index], 0, error,
 					    sizeof(error));
+	}
 	if (!c->conn) {
 		g_strlcpy(a->outcome, "not-run", sizeof(a->outcome));
 		g_strlcpy(a->reason, "no-connection", sizeof(a->reason));
@@ -204,11 +208,11 @@
 }
 
 /* The caller holds print_lock. */
-static void print_cut(const char *id, u16 port, gint64 began_us)
+static void print_cut(const char *id, u16 port, gint64 opened_us)
 {
 	if (!opt.cuts)
 		return;
-	fprintf(opt.cuts, "%s %u %lld %lld\n", id, port, (long long)(began_us / US_PER_MS),
+	fprintf(opt.cuts, "%s %u %lld %lld\n", id, port, (long long)(opened_us / US_PER_MS),
 		(long long)(g_get_real_time() / US_PER_MS));
 	fflush(opt.cuts);
 }
@@ -222,14 +226,13 @@
 		g_autofree char *id = g_strdup_printf("%s-%d", opt.prefix, number);
 		struct answer a = { .outcome = "none", .reason = "-", .body = "none" };
 		u16 port = opt.ports[c.port_index];
-		gint64 began_us = g_get_real_time();
 
 		make_call(&c, id, method_of(number), number % 3 ? NULL : opt.fail, &a);
 		pthread_mutex_lock(&print_lock);
 		printf("%s %s %d %s %s %s\n", id, method_of(number), a.status, a.outcome, a.reason,
 		       a.body);
 		if (!strcmp(a.outcome, "none"))
-			print_cut(id, port, began_us);
+			print_cut(id, port, c.opened_us);
 		pthread_mutex_unlock(&print_lock);
 		g_usleep(opt.pause_ms * US_PER_MS);
 	}
--- a/test/programs/upstream.c
+++ b/test/programs/upstream.c
@@ -9,8 +9,9 @@
  * A request may ask for a delay with the header Delay-Ms, and for a failure
  * with the header Fail: close (runs, sends no response), short (runs, sends a
  * truncated response), chunks (runs, sends a chunked body without its end) or shed
- * (does not run, 503 not-run). SIGUSR1 starts draining, SIGUSR2 stops the
- * announcements, SIGTERM ends the process.
+ * (does not run, 503 not-run). Three are violations that a checker has to find: lie
+ * (runs, 503 not-run), swap (the response to another request) and twice (runs twice). SIGUSR1
+ * starts draining, SIGUSR2 stops the announcements, SIGTERM ends the process.
  */
 #include "lib/http_server.h"
 #include "lib/types.h"
@@ -61,6 +62,10 @@
 	if (!strcmp(kind, "shed"))
 		return http_send_error(conn, 503, "not-run", "upstream-shed", "shed");
 	log_run(conn);
+	if (!strcmp(kind, "lie"))
+		return http_send_error(conn, 503, "not-run", "upstream-shed", "shed");
+	if (!strcmp(kind, "twice") || !strcmp(kind, "swap"))
+		return 0;
 	mg_disable_connection_keep_alive(conn);
 	if (!strcmp(kind, "short"))
 		mg_printf(conn, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf an answer");
@@ -77,15 +82,19 @@
 	g_autofree char *text = NULL;
 	const char *id = mg_get_header(conn, "Request-Id");
 	const char *delay = mg_get_header(conn, "Delay-Ms");
+	const char *fail = mg_get_header(conn, "Fail");
 	int status;
 
 	(void)unused;
 	if (http_read_body(conn, body, BODY_MAX_BYTES))
 		return http_send_error(conn, 400, NULL, NULL, "short request body");
-	status = send_requested_failure(conn, mg_get_header(conn, "Fail"));
+	status = send_requested_failure(conn, fail);
 	if (status)
 		return status;
-	log_run(conn);
+	if (!fail || !strcmp(fail, "twice"))
+		log_run(conn);
+	if (fail && !strcmp(fail, "swap"))
+		id = "another";
 	g_usleep((delay ? strtoul(delay, NULL, 10) : opt.delay_ms) * 1000);
 	text = g_strdup_printf("%s %s id=%s from=%s:%u body=%.*s\n", ri->request_method,
 			       ri->local_uri, id ? id : "-", opt.service, opt.port, (int)body->len,
--- a/test/programs/verdict.c
+++ b/test/programs/verdict.c
@@ -2,7 +2,7 @@
  * verdict - checks the transcripts of a fault-injection run
  *
  * verdict -c CALLER... -u UPSTREAM... -o OPERATOR... -s STATE... -n OBSERVER... -t CUT...
- *         -p STOP...
+ *         -p STOP... -k KILL...
  *
  * Each option takes one file and may be repeated. Prints each violation of a
  * guarantee and a summary; exits with 1 when there is any.
@@ -37,7 +37,7 @@
 	FINDINGS_AUTO(found);
 
 	verdict_init(&v);
-	while ((c = getopt(argc, argv, "c:u:o:s:n:t:p:")) != -1) {
+	while ((c = getopt(argc, argv, "c:u:o:s:n:t:p:k:")) != -1) {
 		if (c == 'c')
 			add_file(&v, optarg, verdict_add_caller, &found);
 		else if (c == 'u')
@@ -52,6 +52,8 @@
 			add_file(&v, optarg, verdict_add_cut, &found);
 		else if (c == 'p')
 			add_file(&v, optarg, verdict_add_stop, &found);
+		else if (c == 'k')
+			add_file(&v, optarg, verdict_add_kill, &found);
 		else
 			return 2;
 	}
--- a/test/verdict_test.c
+++ b/test/verdict_test.c
@@ -127,11 +127,15 @@
 	expect(f, "reverted from revision 2 to 1");
 }
 
-/* Three calls without a response: at another node, after the stop, and one that has not run. */
+/*
+ * Three calls without a response: at another node, which was killed, after the stop, and one that
+ * has not run.
+ */
 static void test_cuts_that_count_not(struct fixture *f, gconstpointer unused)
 {
 	(void)unused;
 	verdict_add_stop(&f->v, "28110 1000 4000", &f->found);
+	verdict_add_kill(&f->v, "28120 1900 1950", &f->found);
 	verdict_add_cut(&f->v, "a 28120 1500 2000", &f->found);
 	verdict_add_cut(&f->v, "b 28110 3900 4001", &f->found);
 	verdict_add_cut(&f->v, "c 28110 1500 2000", &f->found);
@@ -145,6 +149,24 @@
 	expect(f, "no response in a planned stop");
 }
 
+/* The node was killed before the connection was opened, and another node while it was open. */
+static void test_no_answer(struct fixture *f, gconstpointer unused)
+{
+	(void)unused;
+	verdict_add_kill(&f->v, "28110 1000 1100", &f->found);
+	verdict_add_kill(&f->v, "28120 2000 2100", &f->found);
+	verdict_add_cut(&f->v, "d 28110 1101 3000", &f->found);
+	expect(f, "no response from a node that runs on");
+}
+
+/* The connection was opened before its node was killed, the call was made after it. */
+static void test_connection_through_a_kill(struct fixture *f, gconstpointer unused)
+{
+	verdict_add_kill(&f->v, "28110 1000 1100", &f->found);
+	verdict_add_cut(&f->v, "d 28110 900 3000", &f->found);
+	test_clean(f, unused);
+}
+
 static void test_malformed_line(struct fixture *f, gconstpointer unused)
 {
 	(void)unused;
@@ -170,6 +192,8 @@
 	ADD("/verdict/reverted-revision", test_reverted_revision);
 	ADD("/verdict/cuts-that-count-not", test_cuts_that_count_not);
 	ADD("/verdict/cut-in-a-stop", test_cut_in_a_stop);
+	ADD("/verdict/no-answer", test_no_answer);
+	ADD("/verdict/connection-through-a-kill", test_connection_through_a_kill);
 	ADD("/verdict/malformed-line", test_malformed_line);
 	return g_test_run();
 }
