directory: a control process that restarts with its clock behind is heard again

Seen: a control process that was started again with a time of day an hour before that of its last start stayed unheard by the others; the nodes that registered there were gone for the rest until the clock had caught up, so their upstreams got no calls from nodes elsewhere.

Cause: the incarnation is the time of the start, and directory_record_heartbeat refused each heartbeat of a lower one, without an end. Nothing else drops the owner's record.

Ruled out: the entries themselves; they go by the node's incarnation and owner_rev, and were accepted. A running process whose clock is set back is not concerned: its incarnation stays.

Now a lower incarnation is accepted once the higher one was silent for DIRECTORY_TTL_US, when its entries are gone anyway. Heartbeats that are older than that are not relayed, so the ended run does not come back for longer than the time since it was last heard. Within that time its late heartbeats still win (/directory/late-heartbeat-of-an-older-run).

--- a/control/directory.c
+++ b/control/directory.c
@@ -260,6 +260,23 @@
 	return 0;
 }
 
+static bool is_expired(u64 since_us, u64 now_us)
+{
+	return since_us < now_us && now_us - since_us >= DIRECTORY_TTL_US;
+}
+
+/*
+ * A process that restarts while its clock is behind has a lower incarnation than the run before.
+ * Only one run of a process exists at a time, so the other has ended when it is silent for long.
+ */
+static bool is_heartbeat_newer(const struct directory_owner *o, u64 incarnation, u64 heartbeat_seq,
+			       u64 heard_us)
+{
+	if (incarnation < o->incarnation)
+		return is_expired(o->heard_us, heard_us);
+	return incarnation > o->incarnation || heartbeat_seq > o->heartbeat_seq;
+}
+
 bool directory_record_heartbeat(struct directory *d, u32 owner, u64 incarnation, u64 heartbeat_seq,
 				u64 now_us)
 {
@@ -269,8 +286,7 @@
 		o = g_new0(struct directory_owner, 1);
 		g_hash_table_insert(d->owners, GUINT_TO_POINTER(owner), o);
 	}
-	if (incarnation < o->incarnation ||
-	    (incarnation == o->incarnation && heartbeat_seq <= o->heartbeat_seq))
+	if (!is_heartbeat_newer(o, incarnation, heartbeat_seq, now_us))
 		return false;
 	o->incarnation = incarnation;
 	o->heartbeat_seq = heartbeat_seq;
@@ -291,11 +307,6 @@
 		((struct directory_item *)l->data)->renewed_us += suspended_us;
 }
 
-static bool is_expired(u64 since_us, u64 now_us)
-{
-	return since_us < now_us && now_us - since_us >= DIRECTORY_TTL_US;
-}
-
 static bool withdraw_if_expired(struct directory *d, struct directory_item *item, u64 now_us)
 {
 	if (item->is_withdrawn || item->entry.state == DIR_GONE ||
--- a/control/directory.h
+++ b/control/directory.h
@@ -91,7 +91,10 @@
 /* directory_renew - records a renewal by NODE; ERR_NOTFOUND when it must register again. */
 int directory_renew(struct directory *d, const char *node, u64 incarnation, u64 now_us);
 
-/* directory_record_heartbeat - returns true when this heartbeat of OWNER is newer. */
+/*
+ * directory_record_heartbeat - returns true when this heartbeat of OWNER, heard at NOW_US, is
+ * newer. One of a lower incarnation is newer if the higher one was silent for DIRECTORY_TTL_US.
+ */
 bool directory_record_heartbeat(struct directory *d, u32 owner, u64 incarnation, u64 heartbeat_seq,
 				u64 now_us);
 
--- a/test/directory_test.c
+++ b/test/directory_test.c
@@ -324,6 +324,37 @@
 	group_free(g);
 }
 
+/* The owner restarts while its clock is behind: its nodes are gone for the others. */
+static void test_owner_restarted_with_an_earlier_clock(void)
+{
+	struct group *g = group_new();
+
+	register_node(g, 0, "n:1", 7, 1, DIR_UP);
+	exchange(g);
+	directory_clear(&g->p[0].d);
+	process_start(g, 0, 50);
+	register_node(g, 0, "n:1", 7, 2, DIR_UP);
+	renew_for(g, 0, "n:1", 7, 10);
+	assert_state_everywhere(g, "n:1", DIR_UP);
+	group_free(g);
+}
+
+/* A late heartbeat of the run before does not count for as long as the new one is heard. */
+static void test_late_heartbeat_of_an_older_run(void)
+{
+	struct group *g = group_new();
+	struct directory *d = &g->p[0].d;
+	u64 later_us = g->now_us + DIRECTORY_TTL_US - 1;
+
+	g_assert_true(directory_record_heartbeat(d, 2, 100, 9, g->now_us));
+	g_assert_false(directory_record_heartbeat(d, 2, 50, 1, g->now_us));
+	g_assert_false(directory_record_heartbeat(d, 2, 50, 2, later_us));
+	g_assert_true(directory_record_heartbeat(d, 2, 100, 10, later_us));
+	g_assert_false(directory_record_heartbeat(d, 2, 50, 3, g->now_us + DIRECTORY_TTL_US));
+	g_assert_true(directory_record_heartbeat(d, 2, 50, 4, later_us + DIRECTORY_TTL_US));
+	group_free(g);
+}
+
 /* A process that was cut off for longer than DIRECTORY_TOMBSTONE_TTL_US sends a stale copy. */
 static void test_pruned_tombstone(void)
 {
@@ -594,6 +625,10 @@
 	g_test_add_func("/directory/partition", test_partition);
 	g_test_add_func("/directory/suspended-process", test_suspended_process);
 	g_test_add_func("/directory/restarted-owner", test_restarted_owner);
+	g_test_add_func("/directory/owner-restarted-with-an-earlier-clock",
+			test_owner_restarted_with_an_earlier_clock);
+	g_test_add_func("/directory/late-heartbeat-of-an-older-run",
+			test_late_heartbeat_of_an_older_run);
 	g_test_add_func("/directory/pruned-tombstone", test_pruned_tombstone);
 	g_test_add_func("/directory/zone-cut-off", test_zone_cut_off);
 	g_test_add_func("/directory/changes-since", test_changes_since);
