test: one copy of the change that declares a set, and of ignored links

Eight places packed the same change of the store (nodes_push_test, config_stream_test and others), two had the same empty callbacks of a link. They are test/fakes/set_change and quiet_link now; what is checked is the same. The paths of the twelve programs that use them pass but one: /nodes-push/change-holds-up-control, which is flaky where the machine is busy.

--- a/test/config_frames_test.c
+++ b/test/config_frames_test.c
@@ -1,6 +1,7 @@
 /* The frames that bring nodes to the newest configuration. */
 #include "control/config_frames.h"
 #include "lib/set.h"
+#include "test/fakes/set_change.h"
 #include "wire/ctl.h"
 
 #include <string.h>
@@ -27,18 +28,8 @@
 static void replace_set(struct store *s, u64 version, u32 old_routes)
 {
 	g_autofree char *text = set_text(version, old_routes);
-	struct store_change change = { .op = STORE_SET,
-				       .name = (char *)SET_NAME,
-				       .change_id = (char *)"",
-				       .json = text,
-				       .version = version,
-				       .has_if_match = true,
-				       .if_match = version - 1 };
-	g_autoptr(GBytes) command = store_change_pack(&change);
-	struct store_result r;
 
-	store_apply(s, command, &r);
-	g_assert_cmpint(r.status / 100, ==, 2);
+	set_change_apply(s, version, text);
 }
 
 static size_t total_bytes(const GPtrArray *frames)
--- a/test/config_stream_test.c
+++ b/test/config_stream_test.c
@@ -2,7 +2,9 @@
 #include "control/config_transfer.h"
 #include "lib/err.h"
 #include "lib/set.h"
+#include "test/fakes/quiet_link.h"
 #include "test/fakes/raw_server.h"
+#include "test/fakes/set_change.h"
 #include "wire/ctl.h"
 
 #include <string.h>
@@ -29,18 +31,8 @@
 static void replace_set(struct store *s, u64 version, u32 old_routes)
 {
 	g_autofree char *text = set_text(version, old_routes);
-	struct store_change change = { .op = STORE_SET,
-				       .name = (char *)SET_NAME,
-				       .change_id = (char *)"",
-				       .json = text,
-				       .version = version,
-				       .has_if_match = true,
-				       .if_match = version - 1 };
-	g_autoptr(GBytes) command = store_change_pack(&change);
-	struct store_result r;
-
-	store_apply(s, command, &r);
-	g_assert_cmpint(r.status / 100, ==, 2);
+
+	set_change_apply(s, version, text);
 }
 
 /*
@@ -128,34 +120,12 @@
 	}
 }
 
-static void on_link_up(struct link *k)
-{
-	(void)k;
-}
-
-static int on_link_frame(struct link *k, u32 type, struct frame_in *in)
-{
-	(void)k;
-	(void)type;
-	(void)in;
-	return 0;
-}
-
-static void on_link_down(struct link *k, int err)
-{
-	(void)k;
-	(void)err;
-}
-
 /* A part on a link of 2 Mbit/s without delay, where more bytes on their way only wait. */
 #define PART_US (33 * US_PER_MS)
 
 /* Guards against: a freshness report waits behind a whole set in the buffers of a link. */
 static void test_freshness_waits_behind_the_set(void)
 {
-	static const struct link_ops ops = { .up = on_link_up,
-					     .frame = on_link_frame,
-					     .down = on_link_down };
 	struct link_id self = { .cluster = (char *)"c", .name = (char *)"n" };
 	struct loop *l = loop_new("test");
 	struct config_streams c = { 0 };
@@ -168,7 +138,7 @@
 	u16 port;
 
 	raw_listen(&port);
-	k = link_dial(l, &self, "127.0.0.1", port, &ops, NULL);
+	k = link_dial(l, &self, "127.0.0.1", port, &quiet_link_ops, NULL);
 	store_init(&s);
 	replace_set(&s, 1, 0);
 	stream = config_streams_get(&c, &s, 0);
--- a/test/fakes/fake_config.c
+++ b/test/fakes/fake_config.c
@@ -3,6 +3,7 @@
 #include "lib/set.h"
 #include "node/config.h"
 #include "node/config_build.h"
+#include "test/fakes/set_change.h"
 
 #include <string.h>
 #include <time.h>
@@ -45,18 +46,7 @@
 
 void fake_config_replace(struct fake_config *c, u64 version, const char *text)
 {
-	struct store_change change = { .op = STORE_SET,
-				       .name = (char *)SET_NAME,
-				       .change_id = (char *)"",
-				       .json = (char *)text,
-				       .version = version,
-				       .has_if_match = true,
-				       .if_match = version - 1 };
-	g_autoptr(GBytes) command = store_change_pack(&change);
-	struct store_result r;
-
-	store_apply(&c->store, command, &r);
-	g_assert_cmpint(r.status / 100, ==, 2);
+	set_change_apply(&c->store, version, text);
 }
 
 u64 fake_config_cpu_us(void)
--- a/test/fakes/lone_control.c
+++ b/test/fakes/lone_control.c
@@ -1,8 +1,8 @@
 #include "test/fakes/lone_control.h"
 
 #include "control/op.h"
-#include "lib/set.h"
 #include "test/fakes/raw_server.h"
+#include "test/fakes/set_change.h"
 
 #include <glib/gstdio.h>
 #include <unistd.h>
@@ -71,14 +71,7 @@
 
 u16 lone_control_declare(struct lone_control *p, u64 version, u64 base, const char *text)
 {
-	struct store_change change = { .op = STORE_SET,
-				       .name = (char *)SET_NAME,
-				       .change_id = (char *)"",
-				       .json = (char *)text,
-				       .version = version,
-				       .has_if_match = true,
-				       .if_match = base };
-	g_autoptr(GBytes) command = store_change_pack(&change);
+	g_autoptr(GBytes) command = set_change_pack(version, base, "", text);
 	struct declaration d = { .control = p->control, .command = command };
 	u64 end_us = loop_clock_us() + WAIT_US;
 
--- a/test/nodes_push_test.c
+++ b/test/nodes_push_test.c
@@ -2,10 +2,11 @@
 #include "control/control.h"
 #include "lib/ctr.h"
 #include "lib/log.h"
-#include "lib/set.h"
 #include "test/fakes/fake_config.h"
 #include "test/fakes/lone_control.h"
+#include "test/fakes/quiet_link.h"
 #include "test/fakes/raw_server.h"
+#include "test/fakes/set_change.h"
 #include "wire/ctl.h"
 
 #include <stdio.h>
@@ -29,19 +30,6 @@
 static u16 ports[LISTENERS];
 static u64 longest_us;
 
-static void on_link_up(struct link *k)
-{
-	(void)k;
-}
-
-static int on_link_frame(struct link *k, u32 type, struct frame_in *in)
-{
-	(void)k;
-	(void)type;
-	(void)in;
-	return 0;
-}
-
 static void on_link_down(struct link *k, int err)
 {
 	(void)err;
@@ -51,8 +39,8 @@
 /* Connects as many nodes, which have the revision of the store. Nobody reads at the other end. */
 static void add_nodes(void *arg)
 {
-	static const struct link_ops ops = { .up = on_link_up,
-					     .frame = on_link_frame,
+	static const struct link_ops ops = { .up = quiet_link_up,
+					     .frame = quiet_link_frame,
 					     .down = on_link_down };
 	struct control *c = arg;
 
@@ -81,14 +69,7 @@
 {
 	struct control *c = arg;
 	g_autofree char *text = fake_config_text(2, ROUTES, 0, 1000);
-	struct store_change change = { .op = STORE_SET,
-				       .name = (char *)SET_NAME,
-				       .change_id = (char *)"",
-				       .json = text,
-				       .version = 2,
-				       .has_if_match = true,
-				       .if_match = 1 };
-	g_autoptr(GBytes) command = store_change_pack(&change);
+	g_autoptr(GBytes) command = set_change_pack(2, 1, "", text);
 	u64 from = c->store.revision;
 	struct store_result result;
 	u64 began_us;
--- a/test/raft_host_test.c
+++ b/test/raft_host_test.c
@@ -2,6 +2,7 @@
 #include "control/control.h"
 #include "lib/set.h"
 #include "test/fakes/fake_config.h"
+#include "test/fakes/set_change.h"
 
 #include <glib/gstdio.h>
 #include <signal.h>
@@ -118,14 +119,8 @@
 static void apply_set(struct control *c, u32 version, u32 routes, u32 changed, u32 timeout_ms)
 {
 	g_autofree char *text = fake_config_text(version, routes, changed, timeout_ms);
-	struct store_change change = { .op = STORE_SET,
-				       .name = (char *)SET_NAME,
-				       .change_id = (char *)"",
-				       .json = text,
-				       .version = version,
-				       .has_if_match = true,
-				       .if_match = version - 1 };
-	g_autoptr(GBytes) command = store_command_shrink(&c->store, store_change_pack(&change));
+	g_autoptr(GBytes) command =
+		store_command_shrink(&c->store, set_change_pack(version, version - 1, "", text));
 	struct raft_entry e = { .kind = RAFT_COMMAND, .data = command };
 
 	c->raft.ops->apply(&c->raft, &e);
--- a/test/set_group_test.c
+++ b/test/set_group_test.c
@@ -6,6 +6,7 @@
 #include "control/raft_impl.h"
 #include "lib/set.h"
 #include "test/fakes/fake_group.h"
+#include "test/fakes/set_change.h"
 
 #include <string.h>
 
@@ -49,15 +50,8 @@
 static GBytes *make_command(u64 version, const char *text)
 {
 	g_autofree char *id = g_strdup_printf("set-%u", (u32)version);
-	struct store_change c = { .op = STORE_SET,
-				  .name = (char *)SET_NAME,
-				  .change_id = id,
-				  .json = (char *)text,
-				  .version = version,
-				  .has_if_match = true,
-				  .if_match = version - 1 };
-
-	return store_change_pack(&c);
+
+	return set_change_pack(version, version - 1, id, text);
 }
 
 static void run(struct sets *s, u64 span_us)
--- a/test/store_set_test.c
+++ b/test/store_set_test.c
@@ -3,6 +3,7 @@
 
 #include "lib/rng.h"
 #include "lib/set.h"
+#include "test/fakes/set_change.h"
 
 #include <string.h>
 
@@ -24,15 +25,8 @@
 static GBytes *set_command(u64 version, u64 base, const char *text)
 {
 	g_autofree char *id = g_strdup_printf("set-%u-%u", (u32)version, (u32)base);
-	struct store_change c = { .op = STORE_SET,
-				  .name = (char *)SET_NAME,
-				  .change_id = id,
-				  .json = (char *)text,
-				  .version = version,
-				  .has_if_match = true,
-				  .if_match = base };
-
-	return store_change_pack(&c);
+
+	return set_change_pack(version, base, id, text);
 }
 
 static void assert_same_states(const struct store *a, const struct store *b)
