test: config_transfer_test has new control processes in each case

As one process it failed in its second case (status 4xx to the declaration of version 1, which the first case had declared): the control processes, the node and the bytes of the narrow link were left from the case before. Each case starts and stops its own now; lone_control has a stop. What is checked is the same.

--- a/test/config_transfer_test.c
+++ b/test/config_transfer_test.c
@@ -35,6 +35,21 @@
 	p->relay_port = paced_relay_start(&narrow, p->lone.settings.control.peer_port);
 }
 
+static void setup(void)
+{
+	narrow = (struct paced_link){ .bytes_per_s = LINK_BYTES_PER_S };
+	for (u32 i = 0; i < CONTROLS; i++)
+		start_control(&controls[i]);
+}
+
+/* Ends the case of NODE. The relays go on, without connections. */
+static void teardown(struct fake_node *node)
+{
+	fake_node_stop(node);
+	for (u32 i = 0; i < CONTROLS; i++)
+		lone_control_stop(&controls[i].lone);
+}
+
 /*
  * Returns a set that compresses badly, as paths of real routes do. The first CHANGED routes differ
  * from those of a set in which none is changed.
@@ -126,6 +141,7 @@
 	struct fake_node node;
 	u64 start;
 
+	setup();
 	/* The link is filled for longer than a node waits for a report. */
 	g_assert_cmpuint(bytes * US_PER_S / LINK_BYTES_PER_S, >, US_PER_S);
 	declare(1, text);
@@ -136,6 +152,7 @@
 	g_test_message("%u bytes compressed, %u relayed, in force after %u ms", (u32)bytes,
 		       (u32)g_atomic_int_get(&narrow.bytes),
 		       (u32)((loop_clock_us() - start) / US_PER_MS));
+	teardown(&node);
 }
 
 /* Closes the links from nodes to a control process. */
@@ -163,6 +180,7 @@
 	struct fake_node node;
 	u64 start;
 
+	setup();
 	declare(1, text);
 	start = loop_clock_us();
 	start_node(&node);
@@ -182,6 +200,7 @@
 	/* At most a window is lost with each link; the rest is for greetings and reports. */
 	g_assert_cmpuint((u64)g_atomic_int_get(&narrow.bytes), <,
 			 bytes + 3 * CONFIG_WINDOW_BYTES + bytes / 10);
+	teardown(&node);
 }
 
 #define CHANGES 8
@@ -199,6 +218,7 @@
 	u64 start;
 	u64 last;
 
+	setup();
 	declare(1, first);
 	start = loop_clock_us();
 	start_node(&node);
@@ -214,6 +234,7 @@
 	g_assert_cmpuint(wait_revision(CHANGES, last, transfer_us + ALLOWANCE_US), ==, CHANGES);
 	g_test_message("the last change in force after %u ms",
 		       (u32)((loop_clock_us() - last) / US_PER_MS));
+	teardown(&node);
 }
 
 #define STORM_CHANGES 12
@@ -254,6 +275,7 @@
 	GThread *thread;
 	u64 start;
 
+	setup();
 	declare(1, first);
 	start = loop_clock_us();
 	start_node(&node);
@@ -282,6 +304,7 @@
 			      US_PER_MS));
 		g_assert_cmpuint(s.in_force_us[version], <=, from_us + IN_FORCE_US);
 	}
+	teardown(&node);
 }
 
 #define SERVICES 600
@@ -340,6 +363,7 @@
 	u64 start;
 	u64 moved;
 
+	setup();
 	for (u32 i = 0; i < CONTROLS; i++)
 		loop_call(controls[i].lone.control->loop, register_upstreams,
 			  controls[i].lone.control);
@@ -360,6 +384,7 @@
 		       (u32)((loop_clock_us() - start) / US_PER_MS));
 	g_assert_cmpuint(r.pending, ==, 0);
 	g_assert_cmpuint(ctr_get(CTR_CONTROL_MOVED), ==, moved);
+	teardown(&node);
 }
 
 /* Of a queue of 25 KB of calls at 2 Mbit/s, or of a node that waits for its processor time. */
@@ -378,6 +403,7 @@
 	struct fake_node node;
 	u64 start;
 
+	setup();
 	g_assert_cmpuint(bytes * US_PER_S / LINK_BYTES_PER_S + 4 * DELAY_US, <, PROPAGATION_US);
 	declare(1, "{\"version\":1,\"routes\":[],\"services\":[],\"limits\":{}}");
 	narrow.delay_us = DELAY_US;
@@ -389,6 +415,7 @@
 	g_test_message("%u bytes in force after %u ms", (u32)bytes,
 		       (u32)((loop_clock_us() - start) / US_PER_MS));
 	g_assert_cmpuint(loop_clock_us() - start, <, PROPAGATION_US);
+	teardown(&node);
 }
 
 struct one_request {
@@ -415,6 +442,7 @@
 	u64 before;
 	u64 bytes;
 
+	setup();
 	declare(1, "{\"version\":1,\"routes\":[],\"services\":[],\"limits\":{}}");
 	start_node(&node);
 	g_assert_cmpuint(wait_revision(1, loop_clock_us(), WAIT_US), ==, 1);
@@ -427,6 +455,7 @@
 	g_test_message("%u bytes for %u services, %u ms at this rate", (u32)bytes, SERVICES,
 		       (u32)(bytes * 1000 / LINK_BYTES_PER_S));
 	g_assert_cmpuint(bytes * US_PER_S / LINK_BYTES_PER_S, <, DIRECTORY_TTL_US);
+	teardown(&node);
 }
 
 #define NAME_BYTES 300
@@ -449,6 +478,7 @@
 	u64 refused;
 	u64 down;
 
+	setup();
 	declare(1, text);
 	start_node(&node);
 	g_assert_cmpuint(wait_revision(1, loop_clock_us(), WAIT_US), ==, 1);
@@ -460,6 +490,7 @@
 	g_assert_cmpuint(ctr_get(CTR_FRAME_BAD), ==, refused);
 	/* The node tries each other control process once, to see whether it is nearer. */
 	g_assert_cmpuint(ctr_get(CTR_LINK_DOWN) - down, <=, CONTROLS - 1);
+	teardown(&node);
 }
 
 int main(int argc, char **argv)
@@ -468,9 +499,6 @@
 
 	g_test_init(&argc, &argv, NULL);
 	log_open(NULL, LOG_ERROR, LOG_TEXT);
-	narrow.bytes_per_s = LINK_BYTES_PER_S;
-	for (u32 i = 0; i < CONTROLS; i++)
-		start_control(&controls[i]);
 	g_test_add_func("/config-transfer/large-set-on-narrow-link", test_large_set_on_narrow_link);
 	g_test_add_func("/config-transfer/begins-again-at-next-process",
 			test_begins_again_at_next_process);
@@ -484,8 +512,6 @@
 			test_subscriptions_hold_back_renewals);
 	g_test_add_func("/config-transfer/long-name-closes-links", test_long_name_closes_links);
 	ret = g_test_run();
-	for (u32 i = 0; i < CONTROLS; i++)
-		lone_control_remove_folder(&controls[i].lone);
 	fflush(stdout);
-	_exit(ret); /* the processes still run */
+	_exit(ret); /* the threads of the relays still run */
 }
--- a/test/fakes/lone_control.c
+++ b/test/fakes/lone_control.c
@@ -5,6 +5,7 @@
 #include "test/fakes/set_change.h"
 
 #include <glib/gstdio.h>
+#include <string.h>
 #include <unistd.h>
 
 #define WAIT_US (20 * US_PER_S)
@@ -25,6 +26,7 @@
 		(struct endpoint){ .host = "127.0.0.1", .port = s->control.api_port };
 	s->control.peer_port = raw_free_port();
 	s->control.members = g_array_new(FALSE, FALSE, sizeof(struct member_setting));
+	s->node.control = g_array_new(FALSE, FALSE, sizeof(struct endpoint));
 	self.at = (struct endpoint){ .host = "127.0.0.1", .port = s->control.peer_port };
 	g_array_append_val(s->control.members, self);
 	p->control = control_new(s);
@@ -94,3 +96,12 @@
 	if (path)
 		g_rmdir(path);
 }
+
+void lone_control_stop(struct lone_control *p)
+{
+	p->control->module.ops->stop(&p->control->module);
+	control_free(p->control);
+	lone_control_remove_folder(p);
+	settings_clear(&p->settings);
+	memset(p, 0, sizeof(*p));
+}
