test: home_notice_test stops what each case started, and begins at zero

As one process it failed in its second case (another event than the link's start), and would have gone on to compare counts of earlier cases: node, entry node, upstream and what the upstream answers were left. Cases stop and reset them now; what is checked is the same.

--- a/test/home_notice_test.c
+++ b/test/home_notice_test.c
@@ -102,6 +102,19 @@
 	peer_event_free(fake_peer_expect(&entry, PEER_EVENT_UP));
 }
 
+static void stop(void)
+{
+	fake_peer_stop(&entry);
+	fake_node_stop(&node);
+	raw_server_stop(&upstream);
+	serve_upstream = serve;
+	status_line = "200 OK";
+	answer_time_us = 0;
+	is_health_silent = false;
+	next_seq = 0;
+	g_atomic_int_set(&calls, 0);
+}
+
 static void call(u64 timeout_us)
 {
 	struct call_id id = { .incarnation = entry.self.incarnation, .seq = ++next_seq };
@@ -152,6 +165,7 @@
 	g_assert_cmpint(sent, <=, 15 * (gint)(FLOOD_US / US_PER_S) + 5);
 	/* The limit is also used: nine tenths of it. */
 	g_assert_cmpint(sent, >=, 9 * (gint)(FLOOD_US / US_PER_S));
+	stop();
 }
 
 /* Guards against: calls are sent to an upstream whose answers say that it is leaving. */
@@ -164,6 +178,7 @@
 	call(LONG_TIMEOUT_US);
 	expect_refusal("draining");
 	g_assert_cmpint(g_atomic_int_get(&calls), ==, 1);
+	stop();
 }
 
 /*
@@ -180,6 +195,7 @@
 	call(LONG_TIMEOUT_US);
 	expect_refusal("draining");
 	g_assert_cmpint(g_atomic_int_get(&calls), ==, 1);
+	stop();
 }
 
 /*
@@ -201,6 +217,8 @@
 	notice = "";
 	call(LONG_TIMEOUT_US);
 	expect_answer();
+	stop();
+	raw_server_stop(&next);
 }
 
 /*
@@ -219,6 +237,7 @@
 	announce();
 	call(LONG_TIMEOUT_US);
 	expect_answer();
+	stop();
 }
 
 /* Guards against: calls go on to an address at which another upstream has answered. */
@@ -232,6 +251,7 @@
 	call(LONG_TIMEOUT_US);
 	expect_refusal("wrong-home");
 	g_assert_cmpint(g_atomic_int_get(&calls), ==, 1);
+	stop();
 }
 
 static const char set_json[] =
@@ -263,6 +283,7 @@
 	g_assert_cmpint(g_atomic_int_get(&calls), >=, 1);
 	g_assert_cmpint(g_atomic_int_get(&calls), <=,
 			3 * (gint)RESTART_US / 2 / (gint)US_PER_S + 5);
+	stop();
 }
 
 /*
@@ -286,6 +307,7 @@
 	announce();
 	call(LONG_TIMEOUT_US);
 	expect_answer();
+	stop();
 }
 
 /*
@@ -300,6 +322,7 @@
 	call(LONG_TIMEOUT_US);
 	expect_refusal("draining");
 	g_assert_cmpint(g_atomic_int_get(&calls), ==, 0);
+	stop();
 }
 
 #define LIMIT "Server-Limit: 10.0\r\n"
@@ -362,6 +385,7 @@
 	sent = flood();
 	g_assert_cmpint(sent, <=, 15 * (gint)(FLOOD_US / US_PER_S) + 5);
 	g_assert_cmpint(sent, >=, 9 * (gint)(FLOOD_US / US_PER_S));
+	stop();
 }
 
 /* Answers any number of requests for each connection with the id that all calls have. */
@@ -413,12 +437,11 @@
 	check_limit_after_call(true);
 	notice = "";
 	check_limit_after_call(false);
+	stop();
 }
 
 int main(int argc, char **argv)
 {
-	int ret;
-
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/home-notice/flood-exceeds-named-rate-limit",
 			test_flood_exceeds_named_rate_limit);
@@ -442,7 +465,5 @@
 	g_test_add_func("/home-notice/copied-health-answer-ends-limit",
 			test_copied_health_answer_ends_limit);
 	g_test_add_func("/home-notice/named-answer-ends-limit", test_named_answer_ends_limit);
-	ret = g_test_run();
-	fflush(stdout);
-	_exit(ret); /* the threads of nodes are still running */
+	return g_test_run();
 }
