--- a/control/nodes.c
+++ b/control/nodes.c
@@ -89,15 +89,30 @@
 	g_free(n);
 }
 
+static void log_refused_registration(struct control *c, const struct dir_entry *e)
+{
+	const struct directory_item *known = directory_find(&c->directory, e->node);
+
+	log_event(LOG_WARN, "registration refused", "node", e->node, "reason",
+		  "a newer one is known; is the clock of its VM behind?", "incarnation",
+		  log_u64(e->incarnation), "known_incarnation",
+		  log_u64(known ? known->entry.incarnation : 0), NULL);
+}
+
 static int receive_register(struct control *c, struct link *k, struct frame_in *in)
 {
 	__attribute__((cleanup(dir_entry_clear))) struct dir_entry e = { 0 };
+	int ret;
 
 	dir_entry_get(in, &e);
 	/* Only the node itself writes its entry. */
 	if (frame_done(in) || strcmp(e.node, k->remote.name))
 		return ERR_INVAL;
-	if (directory_register(&c->directory, &e, loop_clock_us()) == 1) {
+	ret = directory_register(&c->directory, &e, loop_clock_us());
+	/* The next renewal closes the link, and the node registers again. */
+	if (ret == ERR_CONFLICT)
+		log_refused_registration(c, &e);
+	if (ret == 1) {
 		propagate_schedule(c);
 		propagate_schedule_heartbeat(c);
 	}
