home: test for a cancel of a call that was given up

Seen: a node ends with SIGSEGV. admit_next gives up queued calls that calls which turned slower leave no time to run; they are ADMIT_LEFT and wait in the list that admit_expired returns, but home_run_queue asks for it before admit_next only, so they stay until its timer fires. A cancel that is read before takes such a call for a running one: upstream_abort uses the upstream of a call that was never started, which is NULL. The same holds for an idempotent call whose caller left or whose link closed, and for the end of the grace period.

--- a/test/home_test.c
+++ b/test/home_test.c
@@ -355,6 +355,52 @@
 		fake_peer_send_call_head(&entry, id_of(90 + i), 10);
 }
 
+static void sleep_in_loop(void *arg)
+{
+	const u64 *span_us = arg;
+
+	g_usleep(*span_us);
+}
+
+/*
+ * Guards against: a node ends when a queued call is cancelled that was given up, as calls turned
+ * slower, but has not been refused yet.
+ */
+static void test_cancel_given_up(void)
+{
+	/* The deadline leaves time to run by the duration of the first calls, not by the last's. */
+	u64 slow_us = 1000 * US_PER_MS;
+	u64 timeout_us = 1080 * US_PER_MS;
+	u64 held_us = 500 * US_PER_MS;
+	struct peer_event *e;
+
+	start(1);
+	for (u64 seq = 1; seq <= 3; seq++) {
+		permit();
+		call(seq, "POST", LONG_TIMEOUT_US);
+		expect_reply(seq);
+	}
+	call(4, "POST", LONG_TIMEOUT_US);
+	wait_requests(4);
+	call(5, "POST", timeout_us);
+	wait_until_handled();
+	g_usleep(slow_us - held_us);
+	/* The answer and the cancel are read in one turn of the loop. */
+	loop_post(node.node->loop, sleep_in_loop, &held_us);
+	g_usleep(held_us / 2);
+	permit();
+	g_usleep(held_us / 4);
+	fake_peer_send_id(&entry, PEER_CANCEL, id_of(5));
+	expect_reply(4);
+	e = fake_peer_expect(&entry, PEER_REFUSE);
+	g_assert_cmpuint(e->id.seq, ==, 5);
+	g_assert_true(e->is_not_run);
+	peer_event_free(e);
+	fence(5, FENCE_NOT_RUN);
+	wait_requests(4);
+	stop();
+}
+
 static void test_bad_frames(void)
 {
 	start(4);
@@ -385,6 +431,7 @@
 	g_test_add_func("/home/duplicate", test_duplicate);
 	g_test_add_func("/home/cancel-running", test_cancel_running);
 	g_test_add_func("/home/cancel-queued", test_cancel_queued);
+	g_test_add_func("/home/cancel-given-up", test_cancel_given_up);
 	g_test_add_func("/home/queued-call-starts-after-drain",
 			test_queued_call_starts_after_drain);
 	g_test_add_func("/home/queued-call-starts-after-leave",
