directory: tests for what is read between a pause and the first expiry

Seen: after a control process was stopped for 60 s, a node or another control process that ended meanwhile is still taken for alive 10 s later, and would be for the 60 s and its TTL.

Cause: directory_expire adds the length of the pause to all times, also to those set since the process continued. test_suspended_process states the order it relies on: the timer fires before what waits in the sockets is read. An entry that its owner holds alive in this way is shown to the other processes too, as the owner is heard again.

Evidence: both tests fail, the upstream is up (2) instead of gone (4). With directory_expire called before the heartbeat or the renewal they are the order of test_suspended_process, which passes.

--- a/test/directory_test.c
+++ b/test/directory_test.c
@@ -2,6 +2,8 @@
 #include "lib/err.h"
 #include "test/fakes/dirgroup.h"
 
+#define SUSPENDED_US (60 * US_PER_S)
+
 static void test_register_again(void)
 {
 	struct dirgroup *g = dirgroup_new();
@@ -214,6 +216,52 @@
 	dirgroup_free(g);
 }
 
+/*
+ * Guards against: after a suspension, a heartbeat that was read before the first expiry counts as
+ * heard in the future, so that the nodes of an owner that has ended stay for as long again.
+ */
+static void test_heartbeat_before_the_first_expiry(void)
+{
+	struct dirgroup *g = dirgroup_new();
+	struct directory *d = &g->p[2].d;
+
+	dirgroup_register(g, 0, "n:1", 7, 1, DIR_UP);
+	dirgroup_exchange(g);
+	dirgroup_advance_second(g);
+	g->now_us += SUSPENDED_US;
+	/* The owner's last heartbeat waited in a socket. */
+	g_assert_true(directory_record_heartbeat(d, 1, 100, 1000, g->now_us));
+	directory_expire(d, g->now_us);
+	for (u64 waited_us = 0; waited_us < 2 * DIRECTORY_TTL_US; waited_us += US_PER_S) {
+		g->now_us += US_PER_S;
+		directory_expire(d, g->now_us);
+	}
+	g_assert_cmpint(dirgroup_state(g, 2, "n:1"), ==, DIR_GONE);
+	dirgroup_free(g);
+}
+
+/*
+ * Guards against: after a suspension, a renewal that was read before the first expiry counts as
+ * made in the future, so that a node that has ended stays for as long again.
+ */
+static void test_renewal_before_the_first_expiry(void)
+{
+	struct dirgroup *g = dirgroup_new();
+	struct directory *d = &g->p[0].d;
+
+	dirgroup_register(g, 0, "n:1", 7, 1, DIR_UP);
+	dirgroup_advance_second(g);
+	g->now_us += SUSPENDED_US;
+	g_assert_cmpint(directory_renew(d, "n:1", 7, g->now_us), ==, 0);
+	directory_expire(d, g->now_us);
+	for (u64 waited_us = 0; waited_us < 2 * DIRECTORY_TTL_US; waited_us += US_PER_S) {
+		g->now_us += US_PER_S;
+		directory_expire(d, g->now_us);
+	}
+	g_assert_cmpint(dirgroup_state(g, 0, "n:1"), ==, DIR_GONE);
+	dirgroup_free(g);
+}
+
 /* A process that was cut off for longer than DIRECTORY_TOMBSTONE_TTL_US sends a stale copy. */
 static void test_pruned_tombstone(void)
 {
@@ -308,6 +356,10 @@
 			test_owner_restarted_with_an_earlier_clock);
 	g_test_add_func("/directory/late-heartbeat-of-an-older-run",
 			test_late_heartbeat_of_an_older_run);
+	g_test_add_func("/directory/heartbeat-before-the-first-expiry",
+			test_heartbeat_before_the_first_expiry);
+	g_test_add_func("/directory/renewal-before-the-first-expiry",
+			test_renewal_before_the_first_expiry);
 	g_test_add_func("/directory/pruned-tombstone", test_pruned_tombstone);
 	g_test_add_func("/directory/zone-cut-off", test_zone_cut_off);
 	g_test_add_func("/directory/changes-since", test_changes_since);
