directory: test for a paused process that relays a run that ended

Seen: a control process is started again with its clock behind, and the others hear its lower incarnation after DIRECTORY_TTL_US. Then another process that was paused all the while continues. It relays the heartbeat of the ended run, whose incarnation is higher, and the others take it.

Cause: directory_expire moves heard_us by the pause, so the relayed age is about 0, and is_heartbeat_newer takes a higher incarnation without a look at its age or at the run that is heard now. The present run then is not heard for DIRECTORY_TTL_US, and entries that it owns, merged longer ago than that, are gone. That heartbeats older than that are not relayed, as the change says, does not hold for a relay that was paused itself.

Evidence: the test fails, the heartbeat of incarnation 100 is taken after that of 50.

--- a/test/directory_test.c
+++ b/test/directory_test.c
@@ -262,6 +262,32 @@
 	dirgroup_free(g);
 }
 
+/*
+ * Guards against: a process that was suspended relays the heartbeat of a run that ended meanwhile,
+ * which displaces the present run, whose incarnation is lower.
+ */
+static void test_resumed_process_relays_an_ended_run(void)
+{
+	struct dirgroup *g = dirgroup_new();
+	struct directory *d = &g->p[0].d;
+	struct directory *resumed = &g->p[1].d;
+	const struct directory_owner *o;
+
+	g_assert_true(directory_record_heartbeat(d, 3, 100, 9, g->now_us));
+	g_assert_true(directory_record_heartbeat(resumed, 3, 100, 9, g->now_us));
+	directory_expire(resumed, g->now_us);
+	g->now_us += SUSPENDED_US;
+	g_assert_true(directory_record_heartbeat(d, 3, 50, 1, g->now_us));
+	directory_expire(resumed, g->now_us);
+	o = directory_owner(resumed, 3);
+	/* Those that are older than DIRECTORY_TTL_US are not relayed. */
+	if (g->now_us <= o->heard_us + DIRECTORY_TTL_US)
+		g_assert_false(directory_record_heartbeat(d, 3, o->incarnation, o->heartbeat_seq,
+							  MIN(o->heard_us, g->now_us)));
+	g_assert_true(directory_record_heartbeat(d, 3, 50, 2, g->now_us + US_PER_S));
+	dirgroup_free(g);
+}
+
 /* A process that was cut off for longer than DIRECTORY_TOMBSTONE_TTL_US sends a stale copy. */
 static void test_pruned_tombstone(void)
 {
@@ -360,6 +386,8 @@
 			test_heartbeat_before_the_first_expiry);
 	g_test_add_func("/directory/renewal-before-the-first-expiry",
 			test_renewal_before_the_first_expiry);
+	g_test_add_func("/directory/resumed-process-relays-an-ended-run",
+			test_resumed_process_relays_an_ended_run);
 	g_test_add_func("/directory/pruned-tombstone", test_pruned_tombstone);
 	g_test_add_func("/directory/zone-cut-off", test_zone_cut_off);
 	g_test_add_func("/directory/changes-since", test_changes_since);
