home: calls that admission gave up are refused in the same turn

A call that admit_next gives up waits for admit_expired; home_run_queue asked for it before admit_next only. A cancel that was read in between took the call for a running one, and the node ended with SIGSEGV in upstream_abort.

Expired calls are now refused once more after admit_next, so none is in that state outside of home_run_queue.

--- a/node/home.c
+++ b/node/home.c
@@ -44,6 +44,14 @@
 	upstream_start(n->home->upstream, &n->upstream_endpoint, &j->upstream);
 }
 
+static void refuse_expired(struct node *n, u64 now_us)
+{
+	struct admit_req *r;
+
+	while ((r = admit_expired(&n->home->admit, now_us)))
+		home_refuse_not_run(n, (struct job *)r, r->reason);
+}
+
 void home_run_queue(struct node *n)
 {
 	struct home *h = n->home;
@@ -51,10 +59,12 @@
 	u64 next_us;
 	struct admit_req *r;
 
-	while ((r = admit_expired(&h->admit, now)))
-		home_refuse_not_run(n, (struct job *)r, r->reason);
+	refuse_expired(n, now);
 	while (home_may_start(n) && (r = admit_next(&h->admit, now)))
 		start_job(n, (struct job *)r);
+	/* Those that admit_next gave up, before anything else can come for them, such as a cancel.
+	 */
+	refuse_expired(n, now);
 	next_us = MIN(admit_next_expiry_us(&h->admit), admit_next_start_us(&h->admit));
 	if (next_us == UINT64_MAX)
 		loop_timer_cancel(n->loop, &h->queue_timer);
