directory: what is read after a suspension is not moved by it

Found in review of the loop's new order after a pause: what waited in sockets is now read before timers fire. A heartbeat or renewal read so got the present time, and directory_expire then moved it ahead by the pause: an owner or node that had ended was taken for alive for that long and its TTL more.

No time is moved past the present any more. Evidence: /directory/heartbeat-before-the-first-expiry and /directory/renewal-before-the-first-expiry failed with a pause of 60 s, now they pass, and /directory/suspended-process still does.

--- a/control/directory.c
+++ b/control/directory.c
@@ -294,17 +294,26 @@
 	return true;
 }
 
-/* Shifts all timestamps by the time that this process was suspended. */
-static void shift_timestamps(struct directory *d, u64 suspended_us)
+/*
+ * Shifts all timestamps by the time that this process was suspended. Those that were set since it
+ * continued, by what waited to be read, stay at the present time.
+ */
+static void shift_timestamps(struct directory *d, u64 suspended_us, u64 now_us)
 {
 	GHashTableIter iter;
 	gpointer value;
 
 	g_hash_table_iter_init(&iter, d->owners);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		((struct directory_owner *)value)->heard_us += suspended_us;
-	for (GList *l = d->order.head; l; l = l->next)
-		((struct directory_item *)l->data)->renewed_us += suspended_us;
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct directory_owner *o = value;
+
+		o->heard_us = MIN(o->heard_us + suspended_us, now_us);
+	}
+	for (GList *l = d->order.head; l; l = l->next) {
+		struct directory_item *item = l->data;
+
+		item->renewed_us = MIN(item->renewed_us + suspended_us, now_us);
+	}
 }
 
 static bool withdraw_if_expired(struct directory *d, struct directory_item *item, u64 now_us)
@@ -357,7 +366,7 @@
 	u32 n = 0;
 
 	if (d->last_expire_us && now_us > d->last_expire_us + DIRECTORY_SUSPENDED_MIN_US)
-		shift_timestamps(d, now_us - d->last_expire_us);
+		shift_timestamps(d, now_us - d->last_expire_us, now_us);
 	d->last_expire_us = now_us;
 	for (GList *l = d->order.head; l; l = next) {
 		struct directory_item *item = l->data;
