directory: a relayed heartbeat has its age since it was sent

Found in review: a control process that was suspended relayed the heartbeat of a run that had ended meanwhile with an age of 0, as its time was moved by the suspension. With a higher incarnation it displaced the present run of a process that had been started again with its clock behind.

The time that is relayed is now kept apart and not moved; the moved one serves only for this process's own judgement of silence. The test relays by that time, as propagate.c does. Evidence: /directory/resumed-process-relays-an-ended-run failed, now it passes.

--- a/control/directory.c
+++ b/control/directory.c
@@ -291,6 +291,7 @@
 	o->incarnation = incarnation;
 	o->heartbeat_seq = heartbeat_seq;
 	o->heard_us = now_us;
+	o->alive_us = now_us;
 	return true;
 }
 
--- a/control/directory.h
+++ b/control/directory.h
@@ -56,7 +56,8 @@
 struct directory_owner {
 	u64 incarnation;
 	u64 heartbeat_seq;
-	u64 heard_us; /* when the last newer heartbeat arrived */
+	u64 heard_us; /* when the last newer heartbeat arrived, moved by suspensions since */
+	u64 alive_us; /* when the owner sent it, for those it is relayed to */
 };
 
 struct directory {
--- a/control/propagate.c
+++ b/control/propagate.c
@@ -111,7 +111,7 @@
 	frame_put_u64(f, id);
 	frame_put_u64(f, o->incarnation);
 	frame_put_u64(f, o->heartbeat_seq);
-	frame_put_u64(f, now_us > o->heard_us ? now_us - o->heard_us : 0);
+	frame_put_u64(f, now_us > o->alive_us ? now_us - o->alive_us : 0);
 	in_force_report_put(f, r);
 }
 
@@ -132,7 +132,7 @@
 		u32 id = GPOINTER_TO_UINT(key);
 		const struct directory_owner *o = directory_owner(&c->directory, id);
 
-		if (id == p->id || now_us > o->heard_us + DIRECTORY_TTL_US)
+		if (id == p->id || now_us > o->alive_us + DIRECTORY_TTL_US)
 			continue;
 		n++;
 		if (f)
@@ -147,7 +147,7 @@
 	u64 now = loop_clock_us();
 	struct directory_owner self = { .incarnation = c->self.incarnation,
 					.heartbeat_seq = c->heartbeat_seq,
-					.heard_us = now };
+					.alive_us = now };
 	FRAME_AUTO(f, CTL_HEARTBEAT);
 
 	frame_put_u64(&f, is_own_only ? 1 : 1 + put_relayed_heartbeats(c, p, now, NULL));
--- a/test/directory_test.c
+++ b/test/directory_test.c
@@ -281,9 +281,9 @@
 	directory_expire(resumed, g->now_us);
 	o = directory_owner(resumed, 3);
 	/* Those that are older than DIRECTORY_TTL_US are not relayed. */
-	if (g->now_us <= o->heard_us + DIRECTORY_TTL_US)
+	if (g->now_us <= o->alive_us + DIRECTORY_TTL_US)
 		g_assert_false(directory_record_heartbeat(d, 3, o->incarnation, o->heartbeat_seq,
-							  MIN(o->heard_us, g->now_us)));
+							  MIN(o->alive_us, g->now_us)));
 	g_assert_true(directory_record_heartbeat(d, 3, 50, 2, g->now_us + US_PER_S));
 	dirgroup_free(g);
 }
