loop: test for a process that is stopped while its loop waits

The order after a pause was changed because epoll_wait ends with EINTR when a stopped process continues. Both tests of the change hold the loop up in a posted function, so no test failed when that case was broken: with the beginning of a turn taken from the clock alone, without the time at which the wait had to end, loop_test and thaw_test passed.

The new path stops a child process with SIGSTOP while its loop waits for a timer, and has 200 descriptors become ready.

--- a/test/loop_test.c
+++ b/test/loop_test.c
@@ -2,9 +2,11 @@
 #include "kernel/loop.h"
 
 #include <glib.h>
+#include <signal.h>
 #include <string.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #define THREADS 4
@@ -304,6 +306,63 @@
 	}
 }
 
+/* Runs a loop on FDS, and reports whether all were read before a timer fired. */
+static void run_frozen_loop(struct stall *s)
+{
+	struct stall_fd args[STALL_DESCRIPTORS];
+
+	s->loop = loop_new("test");
+	s->timer = (struct loop_timer){ .fire = note_timer, .arg = s };
+	loop_timer_set(s->loop, &s->timer, loop_clock_us() + STALL_US);
+	for (u32 i = 0; i < STALL_DESCRIPTORS; i++) {
+		args[i] = (struct stall_fd){ .stall = s, .fd = &s->fds[i] };
+		s->fds[i].ready = read_byte;
+		s->fds[i].arg = &args[i];
+		g_assert_cmpint(loop_fd_add(s->loop, &s->fds[i], EPOLLIN), ==, 0);
+	}
+	g_assert_cmpint(loop_start(s->loop), ==, 0);
+	while (!g_atomic_int_get(&s->has_fired))
+		g_usleep(US_PER_MS);
+	_exit(s->nread_at_timer == STALL_DESCRIPTORS ? 0 : 1);
+}
+
+/*
+ * Guards against: the same as above in a process that was stopped while its loop waited: the wait
+ * ends with EINTR, and says nothing of what has arrived.
+ */
+static void test_late_timer_after_a_stop(void)
+{
+	struct stall s = { 0 };
+	int status = 0;
+	pid_t pid;
+
+	for (u32 i = 0; i < STALL_DESCRIPTORS; i++) {
+		int ends[2];
+
+		g_assert_cmpint(socketpair(AF_UNIX, SOCK_STREAM, 0, ends), ==, 0);
+		s.fds[i].fd = ends[0];
+		s.peers[i] = ends[1];
+	}
+	pid = fork();
+	if (!pid)
+		run_frozen_loop(&s);
+	g_assert_cmpint(pid, >, 0);
+	g_usleep(STALL_US / 4);
+	g_assert_cmpint(kill(pid, SIGSTOP), ==, 0);
+	g_assert_cmpint(waitpid(pid, &status, WUNTRACED), ==, pid);
+	for (u32 i = 0; i < STALL_DESCRIPTORS; i++)
+		g_assert_cmpint(write(s.peers[i], "x", 1), ==, 1);
+	g_usleep(2 * STALL_US);
+	g_assert_cmpint(kill(pid, SIGCONT), ==, 0);
+	g_assert_cmpint(waitpid(pid, &status, 0), ==, pid);
+	g_assert_true(WIFEXITED(status));
+	g_assert_cmpint(WEXITSTATUS(status), ==, 0);
+	for (u32 i = 0; i < STALL_DESCRIPTORS; i++) {
+		close(s.fds[i].fd);
+		close(s.peers[i]);
+	}
+}
+
 struct late_post {
 	struct loop *loop;
 	gint is_busy;
@@ -352,6 +411,7 @@
 	g_test_add_func("/loop/removed-descriptor", test_removed_descriptor);
 	g_test_add_func("/loop/late-timer-before-what-arrived",
 			test_late_timer_before_what_arrived);
+	g_test_add_func("/loop/late-timer-after-a-stop", test_late_timer_after_a_stop);
 	g_test_add_func("/loop/post-to-a-late-loop-waits", test_post_to_a_late_loop_waits);
 	return g_test_run();
 }
