--- a/test/mesh_idle_test.c
+++ b/test/mesh_idle_test.c
@@ -1,7 +1,5 @@
 /* Closing of links to homes that are not used, and the calls that need them again. */
-#include "test/fakes/fake_node.h"
-#include "test/fakes/fake_peer.h"
-#include "test/fakes/httpc.h"
+#include "test/fakes/entry_case.h"
 
 #include <glib.h>
 #include <stdio.h>
@@ -9,86 +7,39 @@
 #include <unistd.h>
 
 #define HTTP_WAIT_MS 20000
+#define TIMEOUT_MS 15000
 /* In which a node that dials again, or closes a link, would have done so. */
 #define QUIET_US (700 * US_PER_MS)
 #define BLOCK_US (200 * US_PER_MS)
 #define HOUR_US (3600 * US_PER_S)
 
-struct caller {
-	GThread *thread;
-	const char *method;
-	int err;
-	struct httpc_reply reply;
-};
+static struct entry_case t;
 
-static struct fake_node node;
-static struct fake_peer home;
-
-static void start(void)
-{
-	fake_node_start(&node);
-	fake_peer_start(&home, true);
-	fake_node_set_directory_entry(&node, home.name, home.self.incarnation, DIR_UP);
-}
-
-/* Leaves the node running, as its HTTP servers take seconds to stop. */
-static void stop(void)
-{
-	fake_peer_stop(&home);
-}
-
-static gpointer caller_main(gpointer arg)
-{
-	struct caller *c = arg;
-
-	c->err = httpc_call("127.0.0.1", node.settings.node.caller_port, c->method, "/",
-			    "Host: sightings.example\r\nLavenderlead-Timeout-Ms: 15000\r\n",
-			    strcmp(c->method, "POST") ? NULL : "one hoopoe", HTTP_WAIT_MS,
-			    &c->reply);
-	return NULL;
-}
-
-static void caller_start_call(struct caller *c, const char *method)
-{
-	memset(c, 0, sizeof(*c));
-	c->method = method;
-	c->thread = g_thread_new("caller", caller_main, c);
-}
-
-static void caller_finish(struct caller *c, int status, const char *outcome)
-{
-	g_thread_join(c->thread);
-	g_assert_cmpint(c->err, ==, 0);
-	g_assert_cmpint(c->reply.status, ==, status);
-	g_assert_cmpstr(c->reply.outcome, ==, outcome);
-	httpc_reply_clear(&c->reply);
-}
-
-static void expect_event(u32 type)
+static void start_call(struct entry_caller *c, const char *method)
 {
-	peer_event_free(fake_peer_expect(&home, type));
+	entry_caller_start(&t, c, method, strcmp(method, "POST") ? NULL : "one hoopoe", TIMEOUT_MS);
 }
 
 /* The home gets the call and answers it. */
-static void answer_call(struct caller *c)
+static void answer_call(struct entry_caller *c)
 {
-	fake_peer_reply(&home, peer_event_take_id(fake_peer_expect(&home, PEER_CALL)), "noted");
-	caller_finish(c, 200, NULL);
+	fake_peer_reply(&t.home, entry_expect_call(&t, NULL), "noted");
+	entry_caller_finish(c, 200, NULL, NULL);
 }
 
 /* Makes a first call, which opens the link. */
 static void link_by_call(void)
 {
-	struct caller c;
+	struct entry_caller c;
 
-	caller_start_call(&c, "POST");
-	expect_event(PEER_EVENT_UP);
+	start_call(&c, "POST");
+	entry_expect_event(&t, PEER_EVENT_UP);
 	answer_call(&c);
 }
 
 static void close_idle(void *arg)
 {
-	mesh_close_idle_links(node.node, loop_clock_us() + *(const u64 *)arg);
+	mesh_close_idle_links(t.node.node, loop_clock_us() + *(const u64 *)arg);
 }
 
 /* Closes the links that are idle in IN_US, with the state of now. Returns how many were closed. */
@@ -96,7 +47,7 @@
 {
 	u64 before = ctr_get(CTR_LINK_IDLE);
 
-	loop_call(node.node->loop, close_idle, &in_us);
+	loop_call(t.node.node->loop, close_idle, &in_us);
 	return ctr_get(CTR_LINK_IDLE) - before;
 }
 
@@ -122,7 +73,7 @@
 static void begin_close(void)
 {
 	g_atomic_int_set(&is_blocked, 0);
-	loop_post(node.node->loop, block_and_close_idle, NULL);
+	loop_post(t.node.node->loop, block_and_close_idle, NULL);
 	while (!g_atomic_int_get(&is_blocked))
 		g_usleep(US_PER_MS);
 }
@@ -130,7 +81,7 @@
 static void assert_no_event(void)
 {
 	g_usleep(QUIET_US);
-	g_assert_null(g_async_queue_try_pop(home.events));
+	g_assert_null(g_async_queue_try_pop(t.home.events));
 }
 
 /* Guards against: a link to a home that is not called any more takes bandwidth for ever. */
@@ -138,37 +89,37 @@
 {
 	u64 silent = ctr_get(CTR_LINK_SILENT);
 
-	start();
+	entry_case_start(&t);
 	link_by_call();
 	g_assert_cmpuint(close_idle_in(MESH_IDLE_LINK_US - 10 * US_PER_S), ==, 0);
 	g_assert_cmpuint(close_idle_in(MESH_IDLE_LINK_US), ==, 1);
-	expect_event(PEER_EVENT_DOWN);
+	entry_expect_event(&t, PEER_EVENT_DOWN);
 	g_assert_cmpuint(close_idle_in(MESH_IDLE_LINK_US), ==, 0);
 	/* Nothing dials again, and the home is neither silent nor unreachable. */
 	assert_no_event();
 	g_assert_cmpuint(ctr_get(CTR_LINK_SILENT), ==, silent);
 	g_assert_true(
-		choose_is_usable(choose_find(&node.node->choose, home.name), loop_clock_us()));
-	stop();
+		choose_is_usable(choose_find(&t.node.node->choose, t.home.name), loop_clock_us()));
+	entry_case_stop(&t);
 }
 
 /* Guards against: the first call after a pause is lost, repeated or refused. */
 static void check_reopen(const char *method)
 {
 	u64 unreachable = ctr_get(CTR_PEER_UNREACHABLE);
-	struct caller c;
+	struct entry_caller c;
 
-	start();
+	entry_case_start(&t);
 	for (u32 i = 0; i < 3; i++) {
-		caller_start_call(&c, method);
-		expect_event(PEER_EVENT_UP);
+		start_call(&c, method);
+		entry_expect_event(&t, PEER_EVENT_UP);
 		answer_call(&c);
 		g_assert_cmpuint(close_idle_in(MESH_IDLE_LINK_US), ==, 1);
-		expect_event(PEER_EVENT_DOWN);
+		entry_expect_event(&t, PEER_EVENT_DOWN);
 	}
-	g_assert_null(g_async_queue_try_pop(home.events));
+	g_assert_null(g_async_queue_try_pop(t.home.events));
 	g_assert_cmpuint(ctr_get(CTR_PEER_UNREACHABLE), ==, unreachable);
-	stop();
+	entry_case_stop(&t);
 }
 
 static void test_next_call_reopens(void)
@@ -178,9 +129,9 @@
 }
 
 /* Answers the call that comes to one of two homes; both links come up, in any order. */
-static void answer_at_either(struct fake_peer *other, struct caller *c)
+static void answer_at_either(struct fake_peer *other, struct entry_caller *c)
 {
-	struct fake_peer *both[] = { &home, other };
+	struct fake_peer *both[] = { &t.home, other };
 	u32 ups = 0;
 	u32 calls = 0;
 
@@ -195,7 +146,7 @@
 	}
 	g_assert_cmpuint(ups, ==, 2);
 	g_assert_cmpuint(calls, ==, 1);
-	caller_finish(c, 200, NULL);
+	entry_caller_finish(c, 200, NULL, NULL);
 }
 
 /*
@@ -205,26 +156,26 @@
 static void test_next_call_links_the_whole_subset(void)
 {
 	struct fake_peer other;
-	struct caller c;
+	struct entry_caller c;
 
-	start();
+	entry_case_start(&t);
 	fake_peer_start(&other, true);
-	fake_node_set_directory_entry(&node, other.name, other.self.incarnation, DIR_UP);
+	fake_node_set_directory_entry(&t.node, other.name, other.self.incarnation, DIR_UP);
 	for (u32 i = 0; i < 3; i++) {
-		caller_start_call(&c, "POST");
+		start_call(&c, "POST");
 		answer_at_either(&other, &c);
 		g_assert_cmpuint(close_idle_in(MESH_IDLE_LINK_US), ==, 2);
-		expect_event(PEER_EVENT_DOWN);
+		entry_expect_event(&t, PEER_EVENT_DOWN);
 		peer_event_free(fake_peer_expect(&other, PEER_EVENT_DOWN));
 	}
 	fake_peer_stop(&other);
-	stop();
+	entry_case_stop(&t);
 }
 
 static void call_service_in_an_hour(void *arg)
 {
 	(void)arg;
-	choose_find_service(&node.node->choose, "sightings")->last_used_us =
+	choose_find_service(&t.node.node->choose, "sightings")->last_used_us =
 		loop_clock_us() + HOUR_US;
 }
 
@@ -234,52 +185,52 @@
  */
 static void test_used_service_keeps_its_links(void)
 {
-	start();
+	entry_case_start(&t);
 	link_by_call();
-	loop_call(node.node->loop, call_service_in_an_hour, NULL);
+	loop_call(t.node.node->loop, call_service_in_an_hour, NULL);
 	g_assert_cmpuint(close_idle_in(HOUR_US), ==, 0);
 	g_assert_cmpuint(close_idle_in(HOUR_US + MESH_IDLE_LINK_US), ==, 1);
-	expect_event(PEER_EVENT_DOWN);
-	stop();
+	entry_expect_event(&t, PEER_EVENT_DOWN);
+	entry_case_stop(&t);
 }
 
 /* Guards against: a long call is cut off, because nothing is sent while it runs. */
 static void test_call_in_progress_keeps_its_link(void)
 {
 	struct call_id id;
-	struct caller c;
+	struct entry_caller c;
 
-	start();
-	caller_start_call(&c, "POST");
-	expect_event(PEER_EVENT_UP);
-	id = peer_event_take_id(fake_peer_expect(&home, PEER_CALL));
+	entry_case_start(&t);
+	start_call(&c, "POST");
+	entry_expect_event(&t, PEER_EVENT_UP);
+	id = entry_expect_call(&t, NULL);
 	g_assert_cmpuint(close_idle_in(HOUR_US), ==, 0);
 	assert_no_event();
-	fake_peer_reply(&home, id, "noted");
-	caller_finish(&c, 200, NULL);
+	fake_peer_reply(&t.home, id, "noted");
+	entry_caller_finish(&c, 200, NULL, NULL);
 	g_assert_cmpuint(close_idle_in(HOUR_US), ==, 1);
-	stop();
+	entry_case_stop(&t);
 }
 
 /* Guards against: the answer to a call that runs on after its link broke comes to no link. */
 static void test_fenced_call_keeps_its_link(void)
 {
 	struct call_id id;
-	struct caller c;
-
-	start();
-	caller_start_call(&c, "POST");
-	expect_event(PEER_EVENT_UP);
-	id = peer_event_take_id(fake_peer_expect(&home, PEER_CALL));
-	fake_peer_close_link(&home);
-	expect_event(PEER_EVENT_UP);
-	expect_event(PEER_FENCE);
+	struct entry_caller c;
+
+	entry_case_start(&t);
+	start_call(&c, "POST");
+	entry_expect_event(&t, PEER_EVENT_UP);
+	id = entry_expect_call(&t, NULL);
+	fake_peer_close_link(&t.home);
+	entry_expect_event(&t, PEER_EVENT_UP);
+	entry_expect_event(&t, PEER_FENCE);
 	g_assert_cmpuint(close_idle_in(HOUR_US), ==, 0);
-	fake_peer_fenced(&home, id, FENCE_RUNNING);
+	fake_peer_fenced(&t.home, id, FENCE_RUNNING);
 	g_assert_cmpuint(close_idle_in(HOUR_US), ==, 0);
-	fake_peer_reply(&home, id, "noted");
-	caller_finish(&c, 200, NULL);
-	stop();
+	fake_peer_reply(&t.home, id, "noted");
+	entry_caller_finish(&c, 200, NULL, NULL);
+	entry_case_stop(&t);
 }
 
 /* Waits for the call after a close; the home may hear of the new link before the old one's end. */
@@ -289,7 +240,7 @@
 	u32 ups = 0;
 
 	while (!id.seq) {
-		struct peer_event *e = fake_peer_expect_any(&home);
+		struct peer_event *e = fake_peer_expect_any(&t.home);
 
 		ups += e->type == PEER_EVENT_UP;
 		if (e->type == PEER_CALL)
@@ -305,54 +256,54 @@
 {
 	u64 span_us = MESH_IDLE_LINK_US;
 	struct call_id id;
-	struct caller c;
+	struct entry_caller c;
 
-	start();
+	entry_case_start(&t);
 	link_by_call();
 	/* When the home's loop goes on, the end of the old link and the new one wait for it. */
-	loop_post(home.loop, block_loop_briefly, NULL);
-	loop_call(node.node->loop, close_idle, &span_us);
-	caller_start_call(&c, "POST");
+	loop_post(t.home.loop, block_loop_briefly, NULL);
+	loop_call(t.node.node->loop, close_idle, &span_us);
+	start_call(&c, "POST");
 	id = expect_call_on_new_link();
-	fake_peer_reply(&home, id, "noted");
-	caller_finish(&c, 200, NULL);
+	fake_peer_reply(&t.home, id, "noted");
+	entry_caller_finish(&c, 200, NULL, NULL);
 	g_usleep(BLOCK_US);
-	while (g_async_queue_length(home.events) > 0)
-		expect_event(PEER_EVENT_DOWN);
-	stop();
+	while (g_async_queue_length(t.home.events) > 0)
+		entry_expect_event(&t, PEER_EVENT_DOWN);
+	entry_case_stop(&t);
 }
 
 /* Guards against: a call that waits while the close is decided finds a link that is gone. */
 static void test_call_that_waits_during_the_close(void)
 {
-	struct caller c;
+	struct entry_caller c;
 
-	start();
+	entry_case_start(&t);
 	link_by_call();
 	begin_close();
-	caller_start_call(&c, "POST");
-	fake_peer_reply(&home, expect_call_on_new_link(), "noted");
-	caller_finish(&c, 200, NULL);
-	stop();
+	start_call(&c, "POST");
+	fake_peer_reply(&t.home, expect_call_on_new_link(), "noted");
+	entry_caller_finish(&c, 200, NULL, NULL);
+	entry_case_stop(&t);
 }
 
 /* Guards against: a frame that the home sends at the moment of the close breaks what follows. */
 static void test_frame_of_the_home_crosses_the_close(void)
 {
 	u64 late = ctr_get(CTR_LATE_REPLY);
-	struct caller c;
+	struct entry_caller c;
 
-	start();
+	entry_case_start(&t);
 	link_by_call();
 	begin_close();
-	fake_peer_refuse(&home, (struct call_id){ 1, 1, 1 }, CTR_DRAINING, true);
-	expect_event(PEER_EVENT_DOWN);
+	fake_peer_refuse(&t.home, (struct call_id){ 1, 1, 1 }, CTR_DRAINING, true);
+	entry_expect_event(&t, PEER_EVENT_DOWN);
 	/* It was never read: the link was closed with it. */
 	g_assert_cmpuint(ctr_get(CTR_LATE_REPLY), ==, late);
-	caller_start_call(&c, "POST");
-	expect_event(PEER_EVENT_UP);
+	start_call(&c, "POST");
+	entry_expect_event(&t, PEER_EVENT_UP);
 	answer_call(&c);
-	stop();
+	entry_case_stop(&t);
 }
 
 /* Guards against: the close of a node's own link ends the calls that the same peer sends to it. */
@@ -362,17 +313,17 @@
 	struct fake_peer entry;
 	struct peer_event *e;
 
-	start();
+	entry_case_start(&t);
 	link_by_call();
 	fake_peer_start(&entry, false);
 	g_free(entry.name);
-	entry.name = g_strdup(home.name);
+	entry.name = g_strdup(t.home.name);
 	entry.self.name = entry.name;
-	fake_peer_dial(&entry, node.settings.node.peer_port);
+	fake_peer_dial(&entry, t.node.settings.node.peer_port);
 	peer_event_free(fake_peer_expect(&entry, PEER_EVENT_UP));
 	begin_close();
 	fake_peer_call(&entry, id, "POST", "one hoopoe", loop_clock_us() + 15 * US_PER_S);
-	expect_event(PEER_EVENT_DOWN);
+	entry_expect_event(&t, PEER_EVENT_DOWN);
 	/* This node has no upstream, which is its answer. */
 	e = fake_peer_expect(&entry, PEER_REFUSE);
 	g_assert_cmpuint(e->id.seq, ==, id.seq);
@@ -380,24 +331,24 @@
 	peer_event_free(e);
 	g_assert_null(g_async_queue_try_pop(entry.events));
 	fake_peer_stop(&entry);
-	stop();
+	entry_case_stop(&t);
 }
 
 /* Guards against: a call to a home that died without a link is reported as one that may have run.
  */
 static void test_home_that_died_meanwhile(void)
 {
-	struct caller c;
+	struct entry_caller c;
 
-	start();
+	entry_case_start(&t);
 	link_by_call();
 	g_assert_cmpuint(close_idle_in(MESH_IDLE_LINK_US), ==, 1);
-	expect_event(PEER_EVENT_DOWN);
-	fake_peer_stop_listening(&home);
-	caller_start_call(&c, "POST");
-	caller_finish(&c, 503, "not-run");
-	g_assert_null(g_async_queue_try_pop(home.events));
-	stop();
+	entry_expect_event(&t, PEER_EVENT_DOWN);
+	fake_peer_stop_listening(&t.home);
+	start_call(&c, "POST");
+	entry_caller_finish(&c, 503, "not-run", NULL);
+	g_assert_null(g_async_queue_try_pop(t.home.events));
+	entry_case_stop(&t);
 }
 
 int main(int argc, char **argv)
--- a/test/thaw_test.c
+++ b/test/thaw_test.c
@@ -1,7 +1,5 @@
 /* A node that did not run for a while and continues, with its home by the test. */
-#include "test/fakes/fake_node.h"
-#include "test/fakes/fake_peer.h"
-#include "test/fakes/httpc.h"
+#include "test/fakes/entry_case.h"
 #include "test/fakes/raw_server.h"
 
 #include <glib.h>
@@ -23,58 +21,15 @@
 #define UPSTREAM_TTL_MS 2000
 #define GRACE_MS 3000
 
-static struct fake_node node;
-static struct fake_peer home;
-
-struct caller {
-	GThread *thread;
-	const char *method;
-	u32 timeout_ms;
-	struct httpc_reply reply;
-};
-
-static gpointer caller_main(gpointer arg)
-{
-	struct caller *c = arg;
-	g_autofree char *headers = g_strdup_printf("Host: sightings.example\r\n"
-						   "Lavenderlead-Timeout-Ms: %u\r\n",
-						   c->timeout_ms);
-	int err = httpc_call("127.0.0.1", node.settings.node.caller_port, c->method, "/", headers,
-			     "noted", HTTP_WAIT_MS, &c->reply);
-
-	g_assert_cmpint(err, ==, 0);
-	return NULL;
-}
-
-static void begin_call(struct caller *c, const char *method, u32 timeout_ms)
-{
-	memset(c, 0, sizeof(*c));
-	c->method = method;
-	c->timeout_ms = timeout_ms;
-	c->thread = g_thread_new("caller", caller_main, c);
-}
-
-static void end_call(struct caller *c, int status)
-{
-	g_thread_join(c->thread);
-	g_assert_cmpint(c->reply.status, ==, status);
-	httpc_reply_clear(&c->reply);
-}
-
-static struct call_id expect_call(void)
-{
-	return peer_event_take_id(fake_peer_expect(&home, PEER_CALL));
-}
+static struct entry_case t;
 
 /* Starts a node whose calls go to the home, and a call that the home holds. */
-static struct call_id start_with_held_call(struct caller *c, u32 timeout_ms)
+static struct call_id start_with_held_call(struct entry_caller *c, u32 timeout_ms)
 {
-	fake_node_start(&node);
-	fake_peer_start(&home, true);
-	fake_node_set_directory_entry(&node, home.name, home.self.incarnation, DIR_UP);
-	begin_call(c, "POST", timeout_ms);
-	peer_event_free(fake_peer_expect(&home, PEER_EVENT_UP));
-	return expect_call();
+	entry_case_start(&t);
+	entry_caller_start(&t, c, "POST", "noted", timeout_ms);
+	entry_expect_event(&t, PEER_EVENT_UP);
+	return entry_expect_call(&t, NULL);
 }
 
 struct freeze {
@@ -99,12 +54,6 @@
 		g_usleep(US_PER_MS);
 }
 
-/* Leaves the node running: its servers take seconds to stop. */
-static void end(void)
-{
-	fake_peer_stop(&home);
-}
-
 /*
  * Guards against: a node that was frozen past the deadline of a call answers with 504 although the
  * answer has arrived.
@@ -112,13 +61,13 @@
 static void test_answer_that_came_in_time(void)
 {
 	struct freeze f;
-	struct caller held;
+	struct entry_caller held;
 	struct call_id id = start_with_held_call(&held, FROZEN_US / US_PER_MS);
 
-	freeze(&f, node.node->loop, 2 * FROZEN_US);
-	fake_peer_reply(&home, id, "noted");
-	end_call(&held, 200);
-	end();
+	freeze(&f, t.node.node->loop, 2 * FROZEN_US);
+	fake_peer_reply(&t.home, id, "noted");
+	entry_caller_finish(&held, 200, NULL, NULL);
+	entry_case_stop(&t);
 }
 
 static void do_nothing(void *arg)
@@ -134,20 +83,20 @@
 {
 	struct freeze of_home;
 	struct freeze of_node;
-	struct caller held;
-	struct caller next;
+	struct entry_caller held;
+	struct entry_caller next;
 	struct call_id id = start_with_held_call(&held, HTTP_WAIT_MS);
 
-	freeze(&of_home, home.loop, FROZEN_US + SILENT_LATER_US);
-	freeze(&of_node, node.node->loop, FROZEN_US);
-	loop_call(node.node->loop, do_nothing, NULL);
+	freeze(&of_home, t.home.loop, FROZEN_US + SILENT_LATER_US);
+	freeze(&of_node, t.node.node->loop, FROZEN_US);
+	loop_call(t.node.node->loop, do_nothing, NULL);
 	g_usleep(CHECKED_US);
-	begin_call(&next, "GET", HTTP_WAIT_MS);
-	fake_peer_reply(&home, expect_call(), "next");
-	end_call(&next, 200);
-	fake_peer_reply(&home, id, "noted");
-	end_call(&held, 200);
-	end();
+	entry_caller_start(&t, &next, "GET", "noted", HTTP_WAIT_MS);
+	fake_peer_reply(&t.home, entry_expect_call(&t, NULL), "next");
+	entry_caller_finish(&next, 200, NULL, NULL);
+	fake_peer_reply(&t.home, id, "noted");
+	entry_caller_finish(&held, 200, NULL, NULL);
+	entry_case_stop(&t);
 }
 
 struct usable {
@@ -158,16 +107,16 @@
 static void do_check_usable(void *arg)
 {
 	struct usable *u = arg;
-	const struct choose_target *t = choose_find(&u->node->node->choose, home.name);
+	const struct choose_target *home = choose_find(&u->node->node->choose, t.home.name);
 
-	u->is_usable = choose_is_usable(t, loop_clock_us());
+	u->is_usable = choose_is_usable(home, loop_clock_us());
 }
 
 static bool is_home_usable(void)
 {
-	struct usable u = { .node = &node };
+	struct usable u = { .node = &t.node };
 
-	loop_call(node.node->loop, do_check_usable, &u);
+	loop_call(t.node.node->loop, do_check_usable, &u);
 	return u.is_usable;
 }
 
@@ -188,18 +137,18 @@
 {
 	struct freeze f;
 	u64 thawed_us;
-	struct caller held;
+	struct entry_caller held;
 	struct call_id id = start_with_held_call(&held, HTTP_WAIT_MS);
 
-	freeze(&f, home.loop, FROZEN_US);
+	freeze(&f, t.home.loop, FROZEN_US);
 	wait_home_usable(false);
-	loop_call(home.loop, do_nothing, NULL);
+	loop_call(t.home.loop, do_nothing, NULL);
 	thawed_us = loop_clock_us();
 	wait_home_usable(true);
 	g_assert_cmpuint(loop_clock_us() - thawed_us, <, SERVED_WITHIN_US);
-	fake_peer_reply(&home, id, "noted");
-	end_call(&held, 200);
-	end();
+	fake_peer_reply(&t.home, id, "noted");
+	entry_caller_finish(&held, 200, NULL, NULL);
+	entry_case_stop(&t);
 }
 
 static void do_check_upstream(void *arg)
@@ -215,20 +164,20 @@
 {
 	struct freeze f;
 
-	fake_node_prepare(&node);
-	node.settings.node.upstream_ttl_ms = UPSTREAM_TTL_MS;
-	fake_node_run(&node);
-	fake_node_announce_upstream(&node, 1, 4);
-	freeze(&f, node.node->loop, UPSTREAM_TTL_MS * US_PER_MS * 3 / 2);
-	loop_call(node.node->loop, do_nothing, NULL);
+	fake_node_prepare(&t.node);
+	t.node.settings.node.upstream_ttl_ms = UPSTREAM_TTL_MS;
+	fake_node_run(&t.node);
+	fake_node_announce_upstream(&t.node, 1, 4);
+	freeze(&f, t.node.node->loop, UPSTREAM_TTL_MS * US_PER_MS * 3 / 2);
+	loop_call(t.node.node->loop, do_nothing, NULL);
 	g_usleep(CHECKED_US);
-	loop_call(node.node->loop, do_check_upstream, &node);
+	loop_call(t.node.node->loop, do_check_upstream, &t.node);
 }
 
 static gpointer stop_main(gpointer unused)
 {
 	(void)unused;
-	fake_node_stop(&node);
+	fake_node_stop(&t.node);
 	return NULL;
 }
 
@@ -255,25 +204,25 @@
 	g_autofree char *got = NULL;
 	int fd;
 
-	fake_node_prepare(&node);
-	node.settings.node.shutdown_grace_ms = GRACE_MS;
-	fake_node_run(&node);
-	fake_peer_start(&home, true);
-	fake_node_set_directory_entry(&node, home.name, home.self.incarnation, DIR_UP);
-	fd = raw_connect(node.settings.node.caller_port);
+	fake_node_prepare(&t.node);
+	t.node.settings.node.shutdown_grace_ms = GRACE_MS;
+	fake_node_run(&t.node);
+	fake_peer_start(&t.home, true);
+	fake_node_set_directory_entry(&t.node, t.home.name, t.home.self.incarnation, DIR_UP);
+	fd = raw_connect(t.node.settings.node.caller_port);
 	raw_write(fd, "POST / HTTP/1.1\r\nHost: sightings.example\r\nContent-Length: 0\r\n\r\n");
-	peer_event_free(fake_peer_expect(&home, PEER_EVENT_UP));
-	id = expect_call();
+	entry_expect_event(&t, PEER_EVENT_UP);
+	id = entry_expect_call(&t, NULL);
 	stopper = g_thread_new("stopper", stop_main, NULL);
 	g_usleep(CHECKED_US);
-	freeze(&f, node.node->loop, GRACE_MS * US_PER_MS);
-	fake_peer_reply(&home, id, "noted");
+	freeze(&f, t.node.node->loop, GRACE_MS * US_PER_MS);
+	fake_peer_reply(&t.home, id, "noted");
 	got = read_head(fd);
 	g_assert_true(g_str_has_prefix(got, "HTTP/1.1 200 "));
 	g_assert_nonnull(strstr(got, "Connection: close"));
 	g_thread_join(stopper);
 	close(fd);
-	end();
+	entry_case_stop(&t);
 }
 
 int main(int argc, char **argv)
