node: test for a pause that ends as the check of the upstream is due

Seen: a node whose loop ran for 0.65 s since the last announcement removes an upstream with a TTL of 1.3 s, after a pause of 0.85 s of its own.

Cause: on_second leaves out the time by which it is late. A pause before it is due, up to 1 s, is no lateness and still counts as silence.

--- a/test/thaw_test.c
+++ b/test/thaw_test.c
@@ -21,6 +21,7 @@
 #define SERVED_WITHIN_US (500 * US_PER_MS)
 
 #define UPSTREAM_TTL_MS 2000
+#define UPSTREAM_SHORT_TTL_MS 1300
 #define GRACE_MS 3000
 
 static struct fake_node node;
@@ -225,6 +226,42 @@
 	loop_call(node.node->loop, do_check_upstream, &node);
 }
 
+static void do_read_second(void *arg)
+{
+	*(u64 *)arg = node.node->second_timer.due_us;
+}
+
+static void sleep_until(u64 at_us)
+{
+	u64 now_us = loop_clock_us();
+
+	if (now_us < at_us)
+		g_usleep(at_us - now_us);
+}
+
+/*
+ * Guards against: a pause that ends as the check of the upstream becomes due counts as its silence,
+ * since only the time by which the check is late is left out.
+ */
+static void test_own_pause_before_the_check(void)
+{
+	struct freeze f;
+	u64 second_us = 0;
+
+	fake_node_prepare(&node);
+	node.settings.node.upstream_ttl_ms = UPSTREAM_SHORT_TTL_MS;
+	fake_node_run(&node);
+	loop_call(node.node->loop, do_read_second, &second_us);
+	sleep_until(second_us + US_PER_S / 2);
+	fake_node_announce_upstream(&node, 1, 4);
+	sleep_until(second_us + US_PER_S + CHECKED_US);
+	/* Without the pause, half of the TTL has passed when the check is made. */
+	freeze(&f, node.node->loop, US_PER_S - CHECKED_US);
+	loop_call(node.node->loop, do_nothing, NULL);
+	g_usleep(CHECKED_US);
+	loop_call(node.node->loop, do_check_upstream, &node);
+}
+
 static gpointer stop_main(gpointer unused)
 {
 	(void)unused;
@@ -287,6 +324,7 @@
 			test_home_that_answers_again_is_avoided);
 	g_test_add_func("/thaw/own-pause-is-silence-of-the-upstream",
 			test_own_pause_is_silence_of_the_upstream);
+	g_test_add_func("/thaw/own-pause-before-the-check", test_own_pause_before_the_check);
 	g_test_add_func("/thaw/next-request-after-the-grace", test_next_request_after_the_grace);
 	ret = g_test_run();
 	fflush(stdout);
