node: a pause before the check of the upstream is no silence either

Found in review: only the time by which the check, once a second, was late was left out. Of a pause that ended as the check became due up to 1 s counted as silence of the upstream, and an upstream that announces itself seldom was removed; calls then went elsewhere or were refused with no-upstream.

The lateness of the probe timer, 50 ms apart, is left out now, which is a pause but for those 50 ms. The check still allows for its own lateness, when it comes before the probe timer.

--- a/node/node.c
+++ b/node/node.c
@@ -33,10 +33,10 @@
 	struct node *n = arg;
 	bool has_upstream = n->dir_entry.state == DIR_UP || n->dir_entry.state == DIR_DRAINING;
 	u64 late_us = now_us - n->second_timer.due_us;
+	/* If this is late because of a pause, on_probe has not allowed for that yet. */
+	u64 announced_us = MIN(n->upstream_announced_us + late_us, now_us);
 
-	/* Time in which this process did not run does not count: it read no announcement. */
-	n->upstream_announced_us = MIN(n->upstream_announced_us + late_us, now_us);
-	if (has_upstream && now_us - n->upstream_announced_us > n->upstream_ttl_us) {
+	if (has_upstream && now_us - announced_us > n->upstream_ttl_us) {
 		log_event(LOG_WARN, "no announcement from the upstream within its TTL; removing it",
 			  "service", n->dir_entry.service, NULL);
 		node_set_state(n, DIR_NO_UPSTREAM);
@@ -61,8 +61,11 @@
 static void on_probe(void *arg, u64 now_us)
 {
 	struct node *n = arg;
+	u64 late_us = now_us - n->probe_timer.due_us;
 	struct choose_target *t;
 
+	/* Time in which this process did not run is no silence: it read no announcement. */
+	n->upstream_announced_us = MIN(n->upstream_announced_us + late_us, now_us);
 	while ((t = probe_next(&n->probe, &n->choose, now_us)))
 		send_probe(n, t->entry.node);
 	mesh_check_silent_peers(n, now_us);
