entry: a call that ran until its time was over ends with 504, not with a later refusal

Seen: in one of two whole runs of the checks beside load, drain_test.sh "deadlines: wrong outcome": a GET whose time was over ended with 502 unknown, reason queue-wait, where 504 is due.

Cause: its first attempt had run until the home's deadline, a moment before the entry's; the attempt after it was refused at once as not run, since admission gives up what cannot end any more, and the call ended with the reason of that refusal. Before that bound the second attempt waited for the deadline, and the reason was the deadline's. Any refusal of a later attempt had the same effect.

A call of which an attempt may have run now fails with the reason of that attempt, when a later one was not run. The outcome, unknown, was right and stays. Evidence: /entry/refusal-after-a-timeout got 502, now 504.

--- a/node/entry.c
+++ b/node/entry.c
@@ -33,6 +33,13 @@
 	call->done(n, call);
 }
 
+void entry_note_run(struct entry_call *call, enum ctr reason)
+{
+	call->priv->may_have_run = true;
+	call->priv->has_run_reason = true;
+	call->priv->run_reason = reason;
+}
+
 static u16 failure_status(enum ctr reason, bool is_not_run)
 {
 	if (reason == CTR_DEADLINE || reason == CTR_UPSTREAM_TIMEOUT || reason == CTR_EXPIRED_UNRUN)
@@ -42,6 +49,9 @@
 
 void entry_fail(struct node *n, struct entry_call *call, enum ctr reason, bool is_not_run)
 {
+	/* A later attempt that was not run does not say why the call failed. */
+	if (is_not_run && call->priv->has_run_reason)
+		reason = call->priv->run_reason;
 	call->reason = reason;
 	call->is_not_run = is_not_run && !call->priv->may_have_run;
 	call->status = failure_status(reason, call->is_not_run);
@@ -295,7 +305,7 @@
 	entry_attempt_free(n, a);
 	call->reason = reason;
 	if (!is_not_run)
-		call->priv->may_have_run = true;
+		entry_note_run(call, reason);
 	entry_retry_or_fail(n, call, reason, is_not_run);
 }
 
--- a/node/entry_fence.c
+++ b/node/entry_fence.c
@@ -14,7 +14,7 @@
 	entry_record_result(n, a, CHOOSE_FAILED);
 	entry_attempt_free(n, a);
 	call->reason = CTR_PEER_LOST;
-	call->priv->may_have_run = true;
+	entry_note_run(call, CTR_PEER_LOST);
 	entry_retry_or_fail(n, call, CTR_PEER_LOST, false);
 }
 
--- a/node/entry_impl.h
+++ b/node/entry_impl.h
@@ -37,6 +37,8 @@
 	u32 attempt_count; /* attempts so far, hedges included; without unreachable home nodes */
 	u32 upstream_attempts; /* failed attempts that reached an upstream, or may have */
 	bool may_have_run;
+	bool has_run_reason; /* an attempt that may have run has failed, for run_reason */
+	enum ctr run_reason;
 	bool has_alternative; /* another upstream may take the call if the current one refuses */
 	bool caller_left; /* the caller has disconnected */
 };
@@ -94,6 +96,9 @@
 /* entry_attempt_free - removes the attempt from its call and frees it. */
 void entry_attempt_free(struct node *n, struct call_attempt *a);
 
+/* entry_note_run - records that an attempt which may have run has failed for REASON. */
+void entry_note_run(struct entry_call *call, enum ctr reason);
+
 /*
  * entry_retry_or_fail - retries the call after a failed attempt, or fails it; does nothing
  * while another attempt is pending.
--- a/test/entry_test.c
+++ b/test/entry_test.c
@@ -8,6 +8,8 @@
 
 #define CALLERS 32
 
+#define REFUSE_US (500 * US_PER_MS)
+
 static struct entry_case t;
 
 /*
@@ -179,6 +181,44 @@
 	entry_case_stop(&t);
 }
 
+/* Refuses all calls that come to A or B for REFUSE_US, as their queues are too long. */
+static void refuse_calls(struct fake_peer *a, struct fake_peer *b)
+{
+	struct fake_peer *both[] = { a, b };
+	u64 until_us = loop_clock_us() + REFUSE_US;
+
+	for (u32 i = 0; loop_clock_us() < until_us; i++) {
+		struct fake_peer *p = both[i % 2];
+		struct peer_event *e = g_async_queue_timeout_pop(p->events, US_PER_MS);
+
+		if (e && e->type == PEER_CALL)
+			fake_peer_refuse(p, e->id, CTR_QUEUE_WAIT, true);
+		if (e)
+			peer_event_free(e);
+	}
+}
+
+/*
+ * Guards against: a call that ran until its time was over ends with 502 and the reason of a later
+ * refusal, which was not run, instead of its own.
+ */
+static void test_refusal_after_a_timeout(void)
+{
+	struct fake_peer other;
+	struct entry_caller c;
+
+	entry_case_start(&t);
+	entry_caller_start(&t, &c, "GET", NULL, 0);
+	entry_expect_event(&t, PEER_EVENT_UP);
+	fake_peer_start(&other, true);
+	fake_node_set_directory_entry(&t.node, other.name, other.self.incarnation, DIR_UP);
+	fake_peer_refuse(&t.home, entry_expect_call(&t, NULL), CTR_UPSTREAM_TIMEOUT, false);
+	refuse_calls(&t.home, &other);
+	entry_caller_finish(&c, 504, "unknown", NULL);
+	fake_peer_stop(&other);
+	entry_case_stop(&t);
+}
+
 int main(int argc, char **argv)
 {
 	int ret;
@@ -190,6 +230,7 @@
 	g_test_add_func("/entry/first-call-links-all", test_first_call_links_all);
 	g_test_add_func("/entry/unresponsive-home", test_unresponsive_home);
 	g_test_add_func("/entry/refusal-that-comes-twice", test_refusal_that_comes_twice);
+	g_test_add_func("/entry/refusal-after-a-timeout", test_refusal_after_a_timeout);
 	ret = g_test_run();
 	fflush(stdout);
 	_exit(ret); /* node threads are still running */
