--- a/node/admit.c
+++ b/node/admit.c
@@ -215,8 +215,7 @@
 	return rank < 0 ? NULL : g_queue_peek_head((GQueue *)&a->queues[rank].waiting);
 }
 
-/* Takes R from the queue; admit_expired returns it. */
-static void give_up(struct admit *a, struct admit_req *r, enum ctr reason)
+void admit_give_up(struct admit *a, struct admit_req *r, enum ctr reason)
 {
 	admit_remove_from_queue(a, r);
 	r->reason = reason;
@@ -232,7 +231,7 @@
 		return NULL;
 	/* Calls may have turned slower since the queue's next expiry was computed. */
 	while ((r = first_to_start(a)) && admit_last_start_us(a, r) < now_us)
-		give_up(a, r, CTR_QUEUE_WAIT);
+		admit_give_up(a, r, CTR_QUEUE_WAIT);
 	if (r)
 		start(a, r, now_us);
 	return r;
--- a/node/admit_evict.c
+++ b/node/admit_evict.c
@@ -46,9 +46,7 @@
 		if (rank < 0)
 			return false;
 		victim = g_queue_peek_tail(&a->queues[rank].waiting);
-		admit_remove_from_queue(a, victim);
-		victim->reason = CTR_EVICTED;
-		g_queue_push_tail_link(&a->evicted, &victim->link);
+		admit_give_up(a, victim, CTR_EVICTED);
 	}
 	return true;
 }
--- a/node/admit_impl.h
+++ b/node/admit_impl.h
@@ -65,6 +65,9 @@
 /* admit_remove_from_queue - removes R, which becomes ADMIT_LEFT. */
 void admit_remove_from_queue(struct admit *a, struct admit_req *r);
 
+/* admit_give_up - removes R from its queue for REASON; admit_expired returns it. */
+void admit_give_up(struct admit *a, struct admit_req *r, enum ctr reason);
+
 /*
  * admit_make_room - makes room in the queue memory for R. Evicts the newest requests of the
  * lowest ranks, as these have waited least, and nothing at all when that would not make enough
