--- a/review/lib.sh
+++ b/review/lib.sh
@@ -10,7 +10,7 @@
 record=$here/record.txt
 declare -A pid=()
 # Ports outside of the range of outgoing connections; see begin.
-api=17146 peer=17660 local_api=17675 out=17141 ready=17140 register=17146 app=17147
+api=17146 peer=17660 out=17141 ready=17140 register=17146 app=17147
 
 now() { "$standin" now; }
 say() { printf '%s %s\n' "$(now)" "$*" >>"$record"; }
@@ -38,7 +38,10 @@
 	((low > 17700)) || say "the range of outgoing connections begins at $low"
 	for try in 1 2 3 4 5 6 7 8; do
 		net=127.$((RANDOM % 200 + 20)).$((RANDOM % 250 + 1))
-		"$standin" free $net.1 $api $peer $local_api $out $ready $app && break
+		# The nodes' local ports are all at 127.0.0.1.
+		local_api=$((20000 + RANDOM % 10000))
+		"$standin" free $net.1 $api $peer $out $ready $app &&
+			"$standin" free 127.0.0.1 $(seq $((local_api + 11)) $((local_api + 30))) && break
 		net=
 	done
 	[ -n "$net" ] || cannot_run "no free ports"
