--- a/review/standin.c
+++ b/review/standin.c
@@ -10,6 +10,8 @@
  *   standin read ADDR PORT PATH ID DEADLINE_MS BYTES_PER_S [HEADER...]
  *       one GET whose answer is read at this rate; prints the status, the bytes of the body that came
  *       and that were announced, and the milliseconds
+ *   standin silent ADDR PORT...
+ *       takes connections and never answers, as an address whose machine has gone
  *   standin now
  *       the Unix time in milliseconds
  *   standin free ADDR PORT...
@@ -501,6 +503,27 @@
 	return 0;
 }
 
+static int run_silent(int argc, char **argv)
+{
+	struct pollfd fds[16] = { 0 };
+	int n = argc - 3 < 16 ? argc - 3 : 16;
+
+	for (int i = 0; i < n; i++) {
+		struct sockaddr_in at = address(argv[2], atoi(argv[3 + i]));
+		int one = 1;
+
+		fds[i] = (struct pollfd){ socket(AF_INET, SOCK_STREAM, 0), POLLIN, 0 };
+		setsockopt(fds[i].fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+		if (bind(fds[i].fd, (struct sockaddr *)&at, sizeof(at)) || listen(fds[i].fd, 64))
+			return 2;
+	}
+	while (poll(fds, (nfds_t)n, -1) > 0)
+		for (int i = 0; i < n; i++)
+			if (fds[i].revents && accept(fds[i].fd, NULL, NULL) < 0)
+				sleep_ms(100);
+	return 2;
+}
+
 static int run_free(int argc, char **argv)
 {
 	for (int i = 3; i < argc; i++) {
@@ -526,10 +549,12 @@
 		return run_http(argc, argv);
 	if (!strcmp(verb, "read"))
 		return run_read(argc, argv);
+	if (!strcmp(verb, "silent"))
+		return run_silent(argc, argv);
 	if (!strcmp(verb, "free"))
 		return run_free(argc, argv);
 	if (!strcmp(verb, "now"))
 		return printf("%lld\n", now_ms()) < 0;
-	fprintf(stderr, "usage: standin target|http|free|now ...\n");
+	fprintf(stderr, "usage: standin target|http|silent|free|now ...\n");
 	return 2;
 }
