control: the group has as many voters as members respond, in an odd number

Cause: the silent voter gave its place to the new process, came back as a learner and was made a sixth voter, since it still said that it takes part in the first start. The replaced process then ended, and a silent voter was only removed if a learner could take its place: six voters of which one is gone for good, quorum four.

Now the number of voters follows the members that respond: the largest odd number of them, at least 2 x losses + 1 and at most 9. A learner votes when a voter is missing; a silent voter is removed when a learner is there or when it is beyond that number. Whether a process was in the first start is no longer asked, so the requests of members don't say it. The decision is in voters.c, a function of the raft state and the time.

--- a/control/join.c
+++ b/control/join.c
@@ -1,6 +1,7 @@
 #include "control/join.h"
 
 #include "control/control_peer.h"
+#include "control/voters.h"
 #include "lib/ctr.h"
 #include "lib/err.h"
 #include "lib/log.h"
@@ -14,17 +15,12 @@
 #define LEADER_TIMEOUT_US (1 * US_PER_S)
 /* Older membership requests are ignored. */
 #define REQUEST_TTL_US (1 * US_PER_S)
-/* A voter that is silent for longer is replaced by a learner that has the whole log. */
-#define VOTER_TIMEOUT_US (1500 * US_PER_MS)
-/* More voters would slow down each change, and tolerate more losses than required. */
-#define VOTERS_MAX 9
 
 /* A membership request. */
 struct request {
 	u32 id;
 	u64 replica;
 	struct endpoint at;
-	bool is_first; /* the process takes part in the first start of the group */
 	u64 heard_us;
 };
 
@@ -54,15 +50,6 @@
 	return c->settings->control.may_form_group && is_seed(c, c->settings->control.id);
 }
 
-static u32 count_voters(const struct raft *r)
-{
-	u32 n = 0;
-
-	for (u32 i = 0; i < r->members.n; i++)
-		n += r->members.m[i].is_voter;
-	return n;
-}
-
 static u32 voters_required(const struct control *c)
 {
 	return 2 * c->settings->control.losses + 1;
@@ -70,7 +57,7 @@
 
 bool join_is_complete(const struct control *c)
 {
-	return !is_enabled(c) || c->store.revision || count_voters(&c->raft) >= voters_required(c);
+	return !is_enabled(c) || c->store.revision || voters_count(&c->raft) >= voters_required(c);
 }
 
 /* Requesting membership */
@@ -96,7 +83,6 @@
 	frame_put_u64(&f, r->id);
 	frame_put_u64(&f, r->replica);
 	endpoint_put(&f, &r->at);
-	frame_put_bool(&f, r->is_first);
 	link_send(k, &f);
 }
 
@@ -105,8 +91,7 @@
 	const struct control_settings *s = &c->settings->control;
 	struct request r = { .id = c->raft.id,
 			     .replica = c->raft.replica,
-			     .at.port = s->peer_port,
-			     .is_first = s->may_form_group };
+			     .at.port = s->peer_port };
 
 	g_strlcpy(r.at.host, s->address, sizeof(r.at.host));
 	send_request(p->link, &r);
@@ -189,7 +174,6 @@
 	r->id = (u32)frame_get_u64(in);
 	r->replica = frame_get_u64(in);
 	endpoint_get(in, &r->at);
-	r->is_first = frame_get_bool(in);
 	r->heard_us = loop_clock_us();
 	return frame_done(in) || !r->id || !r->replica ? ERR_INVAL : 0;
 }
@@ -252,7 +236,7 @@
 	int err = raft_propose_members(&c->raft, next, now_us, &index);
 
 	log_event(err ? LOG_WARN : LOG_INFO, "membership change", "member", who, "change", what,
-		  "voters", log_u64(count_voters(&c->raft)), "error", err ? err_text(err) : "",
+		  "voters", log_u64(voters_count(&c->raft)), "error", err ? err_text(err) : "",
 		  NULL);
 	return true;
 }
@@ -296,88 +280,13 @@
 	return m->replica != r->replica && demote_wiped_member(c, r, m, now_us);
 }
 
-static bool is_silent(struct control *c, const struct raft_member *m, u64 now_us)
-{
-	return m->id != c->raft.id &&
-	       now_us - progress_of(&c->raft, m)->heard_us > VOTER_TIMEOUT_US;
-}
-
-static struct raft_member *find_silent_voter(struct control *c, u64 now_us)
-{
-	for (u32 i = 0; i < c->raft.members.n; i++) {
-		struct raft_member *m = &c->raft.members.m[i];
-
-		if (m->is_voter && is_silent(c, m, now_us))
-			return m;
-	}
-	return NULL;
-}
-
-static bool has_whole_log(struct control *c, const struct raft_member *m, u64 now_us)
-{
-	const struct raft_progress *p = progress_of(&c->raft, m);
-
-	return !is_silent(c, m, now_us) && p->match >= c->raft.commit &&
-	       p->match >= c->raft.members_index;
-}
-
-static bool remove_member(struct control *c, const struct raft_member *m, u64 now_us)
-{
-	struct raft_members next = c->raft.members;
-	u32 id = m->id;
-
-	*raft_member_find(&next, id) = next.m[next.n - 1];
-	next.n--;
-	return propose(c, &next, id, "unresponsive voter is removed in favour of a learner",
-		       now_us);
-}
-
-static bool promote_learner(struct control *c, const struct raft_member *m, u64 now_us)
+static bool change_voters(struct control *c, u64 now_us)
 {
-	struct raft_members next = c->raft.members;
-
-	raft_member_find(&next, m->id)->is_voter = true;
-	return propose(c, &next, m->id, "learner becomes a voter", now_us);
-}
-
-static bool is_in_first_start(const struct join *j, u32 id)
-{
-	for (guint i = 0; i < j->requests->len; i++) {
-		const struct request *r = &g_array_index(j->requests, struct request, i);
+	struct voters_change change;
 
-		if (r->id == id)
-			return r->is_first;
-	}
-	return false;
-}
-
-/*
- * Promotes learner M if a voter is missing, else removes an unresponsive voter. A learner of the
- * first start is also promoted beyond the required number, up to VOTERS_MAX voters.
- */
-static bool try_promote(struct control *c, const struct raft_member *m, u64 now_us)
-{
-	u32 voters = count_voters(&c->raft);
-	struct raft_member *silent;
-
-	if (voters < voters_required(c))
-		return promote_learner(c, m, now_us);
-	silent = find_silent_voter(c, now_us);
-	if (silent)
-		return remove_member(c, silent, now_us);
-	return voters < VOTERS_MAX && is_in_first_start(c->join, m->id) &&
-	       promote_learner(c, m, now_us);
-}
-
-static bool try_promote_any(struct control *c, u64 now_us)
-{
-	for (u32 i = 0; i < c->raft.members.n; i++) {
-		const struct raft_member *m = &c->raft.members.m[i];
-
-		if (!m->is_voter && has_whole_log(c, m, now_us) && try_promote(c, m, now_us))
-			return true;
-	}
-	return false;
+	if (!voters_next_change(&c->raft, voters_required(c), now_us, &change))
+		return false;
+	return propose(c, &change.next, change.id, change.what, now_us);
 }
 
 static void update_membership(struct control *c, u64 now_us)
@@ -390,7 +299,7 @@
 	for (guint i = 0; i < c->join->requests->len; i++)
 		if (handle_request(c, &g_array_index(c->join->requests, struct request, i), now_us))
 			return;
-	try_promote_any(c, now_us);
+	change_voters(c, now_us);
 }
 
 static void on_timer(void *arg, u64 now_us)
--- /dev/null
+++ b/control/voters.c
@@ -0,0 +1,92 @@
+#include "control/voters.h"
+
+u32 voters_count(const struct raft *r)
+{
+	u32 n = 0;
+
+	for (u32 i = 0; i < r->members.n; i++)
+		n += r->members.m[i].is_voter;
+	return n;
+}
+
+static bool is_silent(const struct raft *r, u32 position, u64 now_us)
+{
+	return r->members.m[position].id != r->id &&
+	       now_us - r->progress[position].heard_us > VOTER_TIMEOUT_US;
+}
+
+static bool is_silent_voter(const struct raft *r, u32 position, u64 now_us)
+{
+	return r->members.m[position].is_voter && is_silent(r, position, now_us);
+}
+
+/* A learner with the whole log, which may vote. */
+static bool is_ready_learner(const struct raft *r, u32 position, u64 now_us)
+{
+	const struct raft_progress *p = &r->progress[position];
+
+	return !r->members.m[position].is_voter && !is_silent(r, position, now_us) &&
+	       p->match >= r->commit && p->match >= r->members_index;
+}
+
+/* Returns the first member for which TEST is true, or NULL. */
+static const struct raft_member *
+find(const struct raft *r, bool (*test)(const struct raft *r, u32 position, u64 now_us), u64 now_us)
+{
+	for (u32 i = 0; i < r->members.n; i++)
+		if (test(r, i, now_us))
+			return &r->members.m[i];
+	return NULL;
+}
+
+static u32 count_responding(const struct raft *r, u64 now_us)
+{
+	u32 n = 0;
+
+	for (u32 i = 0; i < r->members.n; i++)
+		n += r->members.m[i].is_voter ? !is_silent(r, i, now_us) :
+						is_ready_learner(r, i, now_us);
+	return n;
+}
+
+static u32 count_wanted(const struct raft *r, u32 required, u64 now_us)
+{
+	u32 odd = (count_responding(r, now_us) - 1) | 1;
+
+	return MAX(required, MIN(odd, VOTERS_MAX));
+}
+
+static void promote(const struct raft_member *learner, struct voters_change *out)
+{
+	out->id = learner->id;
+	out->what = "learner becomes a voter";
+	raft_member_find(&out->next, learner->id)->is_voter = true;
+}
+
+static void remove_voter(const struct raft_member *voter, const char *what,
+			 struct voters_change *out)
+{
+	out->id = voter->id;
+	out->what = what;
+	*raft_member_find(&out->next, voter->id) = out->next.m[out->next.n - 1];
+	out->next.n--;
+}
+
+bool voters_next_change(const struct raft *r, u32 required, u64 now_us, struct voters_change *out)
+{
+	const struct raft_member *learner = find(r, is_ready_learner, now_us);
+	const struct raft_member *silent = find(r, is_silent_voter, now_us);
+	u32 wanted = count_wanted(r, required, now_us);
+	u32 voters = voters_count(r);
+
+	out->next = r->members;
+	if (learner && voters < wanted)
+		promote(learner, out);
+	else if (silent && learner)
+		remove_voter(silent, "unresponsive voter is removed in favour of a learner", out);
+	else if (silent && voters > wanted)
+		remove_voter(silent, "unresponsive voter that is not required is removed", out);
+	else
+		return false;
+	return true;
+}
--- /dev/null
+++ b/test/voters_test.c
@@ -0,0 +1,161 @@
+/* Which member of the group becomes a voter, and which voter is removed. */
+#include "control/voters.h"
+#include "test/fakes/stepped_raft.h"
+
+#define REQUIRED 5
+#define SILENT_US (VOTER_TIMEOUT_US + 1)
+
+/* Returns a leader that has heard of all members just now. */
+static struct stepped_raft *start(u32 voters)
+{
+	struct stepped_raft *o = stepped_new(voters, 1, 1);
+
+	stepped_elect(o);
+	return o;
+}
+
+static void add_learner(struct stepped_raft *o, u32 id)
+{
+	struct raft *r = &o->r;
+
+	r->members.m[r->members.n] = (struct raft_member){ .id = id, .replica = 10 * id };
+	r->progress[r->members.n].heard_us = STEPPED_NOW_US;
+	r->progress[r->members.n].match = raft_last_index(r);
+	r->members.n++;
+}
+
+static void silence(struct stepped_raft *o, u32 id)
+{
+	struct raft_member *m = raft_member_find(&o->r.members, id);
+
+	o->r.progress[m - o->r.members.m].heard_us = STEPPED_NOW_US - SILENT_US;
+}
+
+/* Makes the changes that are due, at most 20; returns how many there were. */
+static u32 settle(struct stepped_raft *o)
+{
+	struct voters_change change;
+	u32 n = 0;
+
+	while (n < 20 && voters_next_change(&o->r, REQUIRED, STEPPED_NOW_US, &change)) {
+		raft_set_members(&o->r, &change.next, o->r.members_index);
+		n++;
+	}
+	return n;
+}
+
+static bool is_voter(struct stepped_raft *o, u32 id)
+{
+	const struct raft_member *m = raft_member_find(&o->r.members, id);
+
+	return m && m->is_voter;
+}
+
+/* A voter that is silent keeps its vote while nobody can take its place. */
+static void test_silent_voter_without_learner_stays(void)
+{
+	struct stepped_raft *o = start(REQUIRED);
+
+	silence(o, 3);
+	g_assert_cmpuint(settle(o), ==, 0);
+	stepped_free(o);
+}
+
+static void test_learner_takes_the_place_of_a_silent_voter(void)
+{
+	struct stepped_raft *o = start(REQUIRED);
+
+	silence(o, 3);
+	add_learner(o, 6);
+	g_assert_cmpuint(settle(o), ==, 2);
+	g_assert_true(is_voter(o, 6));
+	g_assert_null(raft_member_find(&o->r.members, 3));
+	stepped_free(o);
+}
+
+/*
+ * Guards against: a member that was replaced while it was cut off comes back as a sixth voter, so
+ * that the quorum is four when one of the six goes.
+ */
+static void test_returned_member_makes_an_even_group(void)
+{
+	struct stepped_raft *o = start(REQUIRED);
+
+	add_learner(o, 6);
+	g_assert_cmpuint(settle(o), ==, 0);
+	g_assert_cmpuint(voters_count(&o->r), ==, REQUIRED);
+	stepped_free(o);
+}
+
+/* Guards against: a voter that is not required and is gone for good counts against the quorum. */
+static void test_surplus_voter_that_is_gone_stays(void)
+{
+	struct stepped_raft *o = start(REQUIRED + 1);
+
+	silence(o, 4);
+	g_assert_cmpuint(settle(o), ==, 1);
+	g_assert_null(raft_member_find(&o->r.members, 4));
+	g_assert_cmpuint(voters_count(&o->r), ==, REQUIRED);
+	stepped_free(o);
+}
+
+/* Seven processes vote; while two are cut off five do, and they vote again when they are back. */
+static void test_group_follows_its_processes(void)
+{
+	struct stepped_raft *o = start(REQUIRED);
+
+	add_learner(o, 6);
+	add_learner(o, 7);
+	settle(o);
+	g_assert_cmpuint(voters_count(&o->r), ==, 7);
+	silence(o, 2);
+	silence(o, 6);
+	settle(o);
+	g_assert_cmpuint(voters_count(&o->r), ==, REQUIRED);
+	add_learner(o, 2);
+	add_learner(o, 6);
+	settle(o);
+	g_assert_cmpuint(voters_count(&o->r), ==, 7);
+	stepped_free(o);
+}
+
+static void test_number_of_voters_is_bounded(void)
+{
+	struct stepped_raft *o = start(REQUIRED);
+
+	for (u32 id = 6; id <= 19; id++)
+		add_learner(o, id);
+	settle(o);
+	g_assert_cmpuint(voters_count(&o->r), ==, VOTERS_MAX);
+	stepped_free(o);
+}
+
+/* No majority is cut to fewer voters than tolerate the losses. */
+static void test_required_voters_stay_when_most_are_silent(void)
+{
+	struct stepped_raft *o = start(7);
+
+	for (u32 id = 2; id <= 7; id++)
+		silence(o, id);
+	settle(o);
+	g_assert_cmpuint(voters_count(&o->r), ==, REQUIRED);
+	stepped_free(o);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/voters/silent-voter-without-learner-stays",
+			test_silent_voter_without_learner_stays);
+	g_test_add_func("/voters/learner-takes-the-place-of-a-silent-voter",
+			test_learner_takes_the_place_of_a_silent_voter);
+	g_test_add_func("/voters/returned-member-makes-an-even-group",
+			test_returned_member_makes_an_even_group);
+	g_test_add_func("/voters/surplus-voter-that-is-gone-stays",
+			test_surplus_voter_that_is_gone_stays);
+	g_test_add_func("/voters/group-follows-its-processes", test_group_follows_its_processes);
+	g_test_add_func("/voters/number-of-voters-is-bounded", test_number_of_voters_is_bounded);
+	g_test_add_func("/voters/required-voters-stay-when-most-are-silent",
+			test_required_voters_stay_when_most_are_silent);
+	return g_test_run();
+}
--- a/wire/ctl.h
+++ b/wire/ctl.h
@@ -52,7 +52,7 @@
 	CTL_FORWARD, /* request id, operation, argument */
 	CTL_FORWARD_RESULT, /* request id, outcome, result */
 	CTL_MEMBERS, /* count, {host, port}: the members of the group */
-	CTL_JOIN, /* control id, replica id, host, port, is_first: requests membership */
+	CTL_JOIN, /* control id, replica id, host, port: requests membership */
 	CTL_CONFIG_PART, /* part of a configuration stream, see wire/config_part.h */
 	CTL_VIEW_ACK, /* answers a view */
 	CTL_CONFIG_ACK, /* request number, bytes of the stream that were received */
