node: a search for a control process tries each one before it tries any again

Cause: an address that does not answer is given up after 500 ms and due again 500 ms later, and the nearest due one came first. So two near addresses that are gone took all trials in turn. New seeds have an unknown distance and came after them. Evidence: watch_test:/watch/two-silent-processes-tried-for-ever, on the code before it no trial of the third process in 20 s, though its address is given by a reload.

Now a search tries each candidate once, the nearest first, before any is tried again, and begins anew when a fresh control process is lost or all were tried. A candidate that is added in a search gets its trial in it. Counting failures instead would let a new dead address take the trials until it has as many. The order is in trial_order.c, without links or clock.

--- a/node/watch.c
+++ b/node/watch.c
@@ -3,10 +3,9 @@
  *
  * The main link follows a control process that is fresh, that is, up to date.
  * While it is not fresh, or is in another zone, a second link tries the other
- * control processes one at a time. The nearest ones come first; among equally
- * near ones each node has its own order, which spreads the nodes over them.
- * When none is fresh, the node keeps the nearest one that answers, so that
- * joins and leaves still propagate within a zone that is cut off.
+ * control processes one at a time, in the order of trial_order. When none is fresh, the node keeps
+ * the nearest one that answers, so that joins and leaves still propagate within a zone that is cut
+ * off.
  */
 #include "node/watch_impl.h"
 
@@ -18,7 +17,6 @@
 #include "wire/endpoint.h"
 
 #include <string.h>
-#include <xxhash.h>
 
 #define TICK_US (100 * US_PER_MS)
 /* A node leaves a control process that has not been fresh for this time. */
@@ -41,21 +39,6 @@
 #define NEARER_RETRY_INTERVAL_US (15 * US_PER_S)
 /* By then even a control process that has just started has reported all live nodes. */
 #define REMOVAL_DELAY_US (10 * US_PER_S)
-enum distance { SAME_ZONE, SAME_REGION, UNKNOWN_DISTANCE, OTHER_REGION };
-
-/* Limit on known control processes, both seeds and reported members. */
-#define CANDIDATES_MAX 64
-
-struct candidate {
-	struct endpoint at;
-	bool is_seed;
-	bool is_member; /* in the last membership that control reported */
-	enum distance distance;
-	u64 order; /* among candidates of the same distance */
-	u64 retry_at_us; /* earliest next trial while the main link is not fresh */
-	u64 nearer_retry_at_us; /* the same while it is fresh, to find a nearer one */
-};
-
 bool watch_is_up(const struct control_link *s)
 {
 	return s->link && s->link->is_up;
@@ -117,12 +100,14 @@
 {
 	if (w->main.candidate)
 		log_left(w, reason);
+	if (w->main.last_fresh_us)
+		trial_order_restart(&w->trials);
 	close_link(&w->main);
 	g_hash_table_remove_all(w->reported);
 	w->removal_due_us = 0;
 }
 
-static enum distance link_distance(const struct watch *w, const struct link *k)
+static enum trial_distance link_distance(const struct watch *w, const struct link *k)
 {
 	const struct link_id *self = &w->node->self;
 
@@ -164,7 +149,7 @@
  * Retry times are separate for the two cases, so that a candidate that was not worth leaving a
  * fresh process for is tried as soon as that process is no longer fresh.
  */
-static void postpone(struct candidate *candidate, bool has_fresh, u64 now_us)
+static void postpone(struct trial_candidate *candidate, bool has_fresh, u64 now_us)
 {
 	if (has_fresh)
 		candidate->nearer_retry_at_us = now_us + NEARER_RETRY_INTERVAL_US;
@@ -175,7 +160,7 @@
 /* The control process was fresh at FRESH_US; 0 if it is not. */
 static void finish_trial(struct watch *w, u64 fresh_us, u64 now_us)
 {
-	struct candidate *candidate = w->trial.candidate;
+	struct trial_candidate *candidate = w->trial.candidate;
 	bool has_fresh = is_main_fresh(w, now_us);
 	bool is_nearer = !w->main.candidate || candidate->distance < w->main.candidate->distance;
 	bool is_fresh = fresh_us && now_us - fresh_us <= NOT_FRESH_MAX_US;
@@ -223,61 +208,27 @@
 	return 0;
 }
 
-static struct candidate *find_candidate(struct watch *w, const struct endpoint *at)
-{
-	for (guint i = 0; i < w->candidates->len; i++) {
-		struct candidate *c = g_ptr_array_index(w->candidates, i);
-
-		if (endpoint_equal(&c->at, at))
-			return c;
-	}
-	return NULL;
-}
-
-static struct candidate *add_candidate(struct watch *w, const struct endpoint *at)
+static struct trial_candidate *add_candidate(struct watch *w, const struct endpoint *at)
 {
-	u64 self = XXH64(w->node->self.name, strlen(w->node->self.name), 0);
-	struct candidate *c = find_candidate(w, at);
-
-	if (c || w->candidates->len >= CANDIDATES_MAX)
-		return c;
-	c = g_new0(struct candidate, 1);
-	c->at = *at;
-	c->distance = UNKNOWN_DISTANCE;
-	c->order = XXH64(at->host, strlen(at->host), self + at->port);
-	g_ptr_array_add(w->candidates, c);
-	return c;
-}
-
-/* Removes candidates that are neither seeds nor members, unless a link uses them. */
-static void remove_former_members(struct watch *w)
-{
-	for (guint i = w->candidates->len; i > 0; i--) {
-		struct candidate *c = g_ptr_array_index(w->candidates, i - 1);
-
-		if (!c->is_seed && !c->is_member && c != w->main.candidate &&
-		    c != w->trial.candidate)
-			g_ptr_array_remove_index(w->candidates, i - 1);
-	}
+	return trial_order_add(&w->trials, at, w->node->self.name);
 }
 
 static int on_members(struct watch *w, struct frame_in *in)
 {
-	u32 n = frame_get_count(in, CANDIDATES_MAX);
+	u32 n = frame_get_count(in, TRIAL_CANDIDATES_MAX);
 	bool discovers_control = w->node->settings->node.discovers_control;
 
-	for (guint i = 0; i < w->candidates->len; i++)
-		((struct candidate *)g_ptr_array_index(w->candidates, i))->is_member = false;
+	trial_order_unmark_members(&w->trials);
 	for (u32 i = 0; i < n && !in->err; i++) {
 		struct endpoint at;
-		struct candidate *c;
+		struct trial_candidate *c;
 
 		endpoint_get(in, &at);
 		c = in->err || !discovers_control ? NULL : add_candidate(w, &at);
 		if (c)
 			c->is_member = true;
 	}
-	remove_former_members(w);
+	trial_order_remove_former(&w->trials, w->main.candidate, w->trial.candidate);
 	return frame_done(in);
 }
 
@@ -333,41 +284,14 @@
 
 static const struct link_ops ops = { .up = on_up, .frame = on_frame, .down = on_down };
 
-static bool is_preferred(const struct candidate *a, const struct candidate *b)
-{
-	if (a->distance != b->distance)
-		return a->distance < b->distance;
-	return a->order < b->order;
-}
-
-/* Returns the best candidate that is due; while the main link is fresh, only a nearer one. */
-static struct candidate *pick_candidate(struct watch *w, bool has_fresh, u64 now_us)
-{
-	struct candidate *best = NULL;
-
-	for (guint i = 0; i < w->candidates->len; i++) {
-		struct candidate *c = g_ptr_array_index(w->candidates, i);
-
-		if (c == w->main.candidate ||
-		    (has_fresh ? c->nearer_retry_at_us : c->retry_at_us) > now_us)
-			continue;
-		if (has_fresh && c->distance != UNKNOWN_DISTANCE &&
-		    c->distance >= w->main.candidate->distance)
-			continue;
-		if (!best || is_preferred(c, best))
-			best = c;
-	}
-	return best;
-}
-
 static void start_trial(struct watch *w, u64 now_us)
 {
 	bool has_fresh = is_main_fresh(w, now_us);
-	struct candidate *candidate;
+	struct trial_candidate *candidate;
 
 	if (has_fresh && w->main.candidate->distance == SAME_ZONE)
 		return;
-	candidate = pick_candidate(w, has_fresh, now_us);
+	candidate = trial_order_next(&w->trials, w->main.candidate, has_fresh, now_us);
 	if (!candidate)
 		return;
 	postpone(candidate, has_fresh, now_us);
@@ -409,6 +333,7 @@
 		  "freshness_age_us", log_u64(now_us - w->main.freshness_sent_us),
 		  "bytes_since_freshness", log_u64(bytes_since_freshness(&w->main)), NULL);
 	w->main.last_fresh_us = 0;
+	trial_order_restart(&w->trials);
 }
 
 /*
@@ -444,7 +369,8 @@
 	const GArray *list = w->node->settings->node.control;
 
 	for (guint i = 0; i < list->len; i++) {
-		struct candidate *c = add_candidate(w, &g_array_index(list, struct endpoint, i));
+		struct trial_candidate *c =
+			add_candidate(w, &g_array_index(list, struct endpoint, i));
 
 		if (c)
 			c->is_seed = true;
@@ -455,8 +381,7 @@
 {
 	struct watch *w = n->watch;
 
-	for (guint i = 0; i < w->candidates->len; i++)
-		((struct candidate *)g_ptr_array_index(w->candidates, i))->is_seed = false;
+	trial_order_unmark_seeds(&w->trials);
 	add_candidates(w);
 }
 
@@ -489,7 +414,7 @@
 	watch_stream_init(w);
 	w->reported = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	w->subscriptions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	w->candidates = g_ptr_array_new_with_free_func(g_free);
+	trial_order_init(&w->trials);
 	add_candidates(w);
 	w->timer = (struct loop_timer){ .fire = on_timer, .arg = w };
 	loop_timer_set(n->loop, &w->timer, loop_clock_us());
@@ -504,7 +429,7 @@
 	watch_stream_clear(w);
 	close_link(&w->main);
 	close_link(&w->trial);
-	g_ptr_array_unref(w->candidates);
+	trial_order_clear(&w->trials);
 	g_hash_table_unref(w->reported);
 	g_hash_table_unref(w->subscriptions);
 	config_build_free(w->build);
--- a/node/watch_impl.h
+++ b/node/watch_impl.h
@@ -9,14 +9,13 @@
 
 #include "node/config_receive.h"
 #include "node/node.h"
+#include "node/trial_order.h"
 #include "wire/ctl.h"
 
-struct candidate;
-
 struct control_link {
 	struct watch *w;
 	struct link *link;
-	struct candidate *candidate;
+	struct trial_candidate *candidate;
 	u64 start_us;
 	u64 last_fresh_us; /* when the control process was last fresh; 0 if never */
 	u64 freshness_sent_us; /* when its last freshness report was sent; 0 before the first */
@@ -35,7 +34,7 @@
 	struct node *node;
 	struct control_link main;
 	struct control_link trial;
-	GPtrArray *candidates; /* of struct candidate */
+	struct trial_order trials;
 	struct loop_timer timer;
 	u64 tick_due_us;
 	bool has_stalled; /* the last tick came late and checked nothing */
--- a/test/watch_test.c
+++ b/test/watch_test.c
@@ -12,7 +12,7 @@
 /* A configuration must be in force within this time, so a node must have moved by then. */
 #define MOVE_MAX_US (2 * US_PER_S)
 
-static struct fake_control controls[2];
+static struct fake_control controls[3];
 
 /* Ends the case of NODE and of the control processes that it started. */
 static void stop(struct fake_node *node)
@@ -37,7 +37,7 @@
 	fake_control_start(&controls[1]);
 	fake_node_prepare(&node);
 	g_array_set_size(node.settings.node.control, 0);
-	for (guint i = 0; i < G_N_ELEMENTS(controls); i++) {
+	for (guint i = 0; i < 2; i++) {
 		struct endpoint at = { .host = "127.0.0.1", .port = controls[i].port };
 
 		g_array_append_val(node.settings.node.control, at);
@@ -74,7 +74,7 @@
 
 	fake_node_prepare(&node);
 	g_array_set_size(node.settings.node.control, 0);
-	for (guint i = 0; i < G_N_ELEMENTS(controls); i++) {
+	for (guint i = 0; i < 2; i++) {
 		struct endpoint at = { .host = "127.0.0.1" };
 
 		fake_control_start(&controls[i]);
@@ -110,7 +110,7 @@
 	fake_control_start(&controls[1]);
 	fake_node_prepare(&node);
 	g_array_set_size(node.settings.node.control, 0);
-	for (guint i = 0; i < G_N_ELEMENTS(controls); i++) {
+	for (guint i = 0; i < 2; i++) {
 		struct endpoint at = { .host = "127.0.0.1", .port = controls[i].port };
 
 		g_array_append_val(node.settings.node.control, at);
@@ -130,6 +130,53 @@
 	stop(&node);
 }
 
+static void do_apply_settings(void *arg)
+{
+	watch_apply_settings(arg);
+}
+
+/* Longer than the test: what is behind the relays is silent, old connections and new ones. */
+#define SILENT_US (60 * US_PER_S)
+/* By then the node has given up its link to a silent control process. */
+#define LINK_LOST_US (4 * US_PER_S)
+/* Until a change is in force beside an unstable core. */
+#define IN_FORCE_MAX_US (7 * US_PER_S)
+
+/*
+ * Guards against: a node that knows two near control processes which do not answer tries them in
+ * turn for ever, and keeps an old configuration though others answer.
+ */
+static void test_two_silent_processes_tried_for_ever(void)
+{
+	static struct paced_link link = { .bytes_per_s = 100000000 };
+	struct fake_node node;
+	struct endpoint at = { .host = "127.0.0.1" };
+	u64 began_us;
+
+	fake_node_prepare(&node);
+	g_array_set_size(node.settings.node.control, 0);
+	for (guint i = 0; i < 2; i++) {
+		fake_control_start(&controls[i]);
+		at.port = paced_relay_start(&link, controls[i].port);
+		g_array_append_val(node.settings.node.control, at);
+	}
+	fake_node_run(&node);
+	for (u32 i = 0; i < WAIT_MS && !controls[0].watches && !controls[1].watches; i++)
+		g_usleep(US_PER_MS);
+	/* Time for a trial of the other one, so that both are known to be near. */
+	g_usleep(US_PER_S);
+	g_atomic_int_set(&link.delay_us, SILENT_US);
+	g_usleep(LINK_LOST_US);
+	fake_control_start(&controls[2]);
+	at.port = controls[2].port;
+	g_array_append_val(node.settings.node.control, at);
+	began_us = loop_clock_us();
+	loop_call(node.node->loop, do_apply_settings, node.node);
+	fake_control_wait_watches(&controls[2], 1);
+	g_assert_cmpuint(controls[2].watched_us - began_us, <, IN_FORCE_MAX_US);
+	stop(&node);
+}
+
 static void do_stall(void *arg)
 {
 	(void)arg;
@@ -214,6 +261,8 @@
 	g_test_add_func("/watch/trials-behind-calls-are-given-up",
 			test_trials_behind_calls_are_given_up);
 	g_test_add_func("/watch/late-freshness-taken-for-new", test_late_freshness_taken_for_new);
+	g_test_add_func("/watch/two-silent-processes-tried-for-ever",
+			test_two_silent_processes_tried_for_ever);
 	g_test_add_func("/watch/own-stall-taken-for-old-freshness",
 			test_own_stall_taken_for_old_freshness);
 	g_test_add_func("/watch/first-call-of-a-service", test_first_call_of_a_service);
