node, control: what a node acknowledged of its upstream's end survives its restart

Cause: what the node acknowledged (departed_instance, upstream_sequence) was in its memory only, and the first announcement after a start is the newest that it knows. The same for a drain that was acknowledged by "draining".

Now the node registers a withdrawal with its entry: instance, start and sequence up to which announcements are superseded. The directory keeps the newest of each node beside its entry, whichever incarnation sent it, and control sends it to a node that registers without it, before any configuration: until that is in force the node serves no caller, and the others learn of its upstream from control alone. What arrived before the link was up is taken back. A leave of an instance that the node does not know is registered, too. One that control has not received when the node is killed is still lost.

--- a/bench/control_bench.c
+++ b/bench/control_bench.c
@@ -82,6 +82,7 @@
 	FRAME_AUTO(watch, CTL_WATCH);
 
 	dir_entry_put(&reg, &e);
+	withdrawal_put(&reg, &(struct withdrawal){ 0 });
 	send_frame(n, &reg);
 	config_request_put(&watch, &(struct config_request){ 0 });
 	send_frame(n, &watch);
--- a/control/control.h
+++ b/control/control.h
@@ -101,6 +101,8 @@
 void nodes_on_link_down(struct control *c, struct link *k);
 int nodes_on_frame(struct control *c, struct link *k, u32 type, struct frame_in *in);
 void nodes_send_freshness(struct control *c);
+/* nodes_send_withdrawal - tell NODE, if its link is here, of a withdrawal newer than its own */
+void nodes_send_withdrawal(struct control *c, const char *node);
 
 /*
  * nodes_push - send each node the configuration that it lacks; what takes longer than a few ms goes
--- a/control/directory.c
+++ b/control/directory.c
@@ -14,6 +14,7 @@
 	struct directory_item *item = p;
 
 	dir_entry_clear(&item->entry);
+	withdrawal_clear(&item->withdrawal);
 	g_free(item);
 }
 
@@ -209,6 +210,14 @@
 	return 1;
 }
 
+void directory_withdraw(struct directory *d, const char *node, const struct withdrawal *w)
+{
+	struct directory_item *item = directory_find(d, node);
+
+	if (item)
+		withdrawal_merge(&item->withdrawal, w);
+}
+
 /* Between equal versions the higher owner_rev wins, then the higher owner id (a total order). */
 static bool is_copy_newer(const struct directory_item *a, const struct directory_item *b)
 {
@@ -225,6 +234,8 @@
 {
 	struct directory_item *item = directory_find(d, copy->entry.node);
 
+	if (item)
+		withdrawal_merge(&item->withdrawal, &copy->withdrawal);
 	if (item && !is_copy_newer(copy, item)) {
 		if (!is_copy_newer(item, copy))
 			return 0;
@@ -233,6 +244,7 @@
 	}
 	item = find_or_add(d, copy->entry.node);
 	set_entry(item, &copy->entry);
+	withdrawal_merge(&item->withdrawal, &copy->withdrawal);
 	item->owner = copy->owner;
 	item->owner_incarnation = copy->owner_incarnation;
 	item->owner_rev = copy->owner_rev;
--- a/control/directory.h
+++ b/control/directory.h
@@ -19,6 +19,7 @@
 #define DIRECTORY_H
 
 #include "wire/dir_entry.h"
+#include "wire/withdrawal.h"
 
 #include <glib.h>
 
@@ -29,6 +30,7 @@
 
 struct directory_item {
 	struct dir_entry entry; /* as the node registered it */
+	struct withdrawal withdrawal; /* the newest of the node, also of an earlier incarnation */
 	u32 owner; /* control id */
 	u64 owner_incarnation;
 	u64 owner_rev;
@@ -83,9 +85,13 @@
  */
 int directory_register(struct directory *d, const struct dir_entry *e, u64 now_us);
 
+/* directory_withdraw - keeps W, received from NODE, if it is newer than the known one. */
+void directory_withdraw(struct directory *d, const char *node, const struct withdrawal *w);
+
 /*
  * directory_merge - merges COPY, received from the control process FROM. Only its
- * entry, its owner fields and is_withdrawn are read. Returns as directory_register.
+ * entry, its owner fields, is_withdrawn and its withdrawal are read; the newest withdrawal is
+ * kept, whichever entry is newer. Returns as directory_register.
  */
 int directory_merge(struct directory *d, const struct directory_item *copy, u32 from, u64 now_us);
 
--- a/control/nodes.c
+++ b/control/nodes.c
@@ -25,6 +25,7 @@
 	struct view view;
 	u32 view_sent; /* changes of the view sent since the node last answered one */
 	u64 members_index; /* log index of the membership sent last; 0 for none */
+	struct withdrawal withdrawal; /* that the node has sent, or was sent */
 };
 
 static struct node_link *find_node(struct control *c, const struct link *k)
@@ -86,6 +87,7 @@
 	g_ptr_array_remove_fast(c->nodes, n);
 	config_transfer_clear(&n->transfer);
 	view_clear(&n->view);
+	withdrawal_clear(&n->withdrawal);
 	g_free(n);
 }
 
@@ -99,16 +101,44 @@
 		  log_u64(known ? known->entry.incarnation : 0), NULL);
 }
 
+/* A node that has started again does not know what it had acknowledged before. */
+static void send_withdrawal(struct control *c, struct node_link *n)
+{
+	const struct directory_item *item = directory_find(&c->directory, n->link->remote.name);
+	FRAME_AUTO(f, CTL_WITHDRAWAL);
+
+	if (!item || !withdrawal_merge(&n->withdrawal, &item->withdrawal))
+		return;
+	withdrawal_put(&f, &n->withdrawal);
+	link_send(n->link, &f);
+}
+
+void nodes_send_withdrawal(struct control *c, const char *node)
+{
+	for (guint i = 0; i < c->nodes->len; i++) {
+		struct node_link *n = g_ptr_array_index(c->nodes, i);
+
+		if (!strcmp(n->link->remote.name, node))
+			send_withdrawal(c, n);
+	}
+}
+
 static int receive_register(struct control *c, struct link *k, struct frame_in *in)
 {
 	__attribute__((cleanup(dir_entry_clear))) struct dir_entry e = { 0 };
+	__attribute__((cleanup(withdrawal_clear))) struct withdrawal w = { 0 };
+	struct node_link *n = find_node(c, k);
 	int ret;
 
 	dir_entry_get(in, &e);
+	withdrawal_get(in, &w);
 	/* Only the node itself writes its entry. */
 	if (frame_done(in) || strcmp(e.node, k->remote.name))
 		return ERR_INVAL;
 	ret = directory_register(&c->directory, &e, loop_clock_us());
+	directory_withdraw(&c->directory, e.node, &w);
+	withdrawal_merge(&n->withdrawal, &w);
+	send_withdrawal(c, n);
 	/* The next renewal closes the link, and the node registers again. */
 	if (ret == ERR_CONFLICT)
 		log_refused_registration(c, &e);
--- a/control/propagate.c
+++ b/control/propagate.c
@@ -16,6 +16,7 @@
 	frame_put_u64(f, item->owner_incarnation);
 	frame_put_u64(f, item->owner_rev);
 	frame_put_bool(f, item->is_withdrawn);
+	withdrawal_put(f, &item->withdrawal);
 }
 
 static void get_item(struct frame_in *in, struct directory_item *item)
@@ -25,6 +26,7 @@
 	item->owner_incarnation = frame_get_u64(in);
 	item->owner_rev = frame_get_u64(in);
 	item->is_withdrawn = frame_get_bool(in);
+	withdrawal_get(in, &item->withdrawal);
 }
 
 /* Returns the changes to send to P; after the first time, without those received from it. */
@@ -84,6 +86,20 @@
 	loop_timer_set(c->loop, &c->propagate_timer, loop_clock_us() + CTL_PROPAGATE_DELAY_US);
 }
 
+/*
+ * A node may have registered here before what another process knows of its earlier incarnation
+ * arrives.
+ */
+static void merge(struct control *c, const struct directory_item *copy, u32 from, u64 now_us)
+{
+	const struct directory_item *item;
+
+	directory_merge(&c->directory, copy, from, now_us);
+	item = directory_find(&c->directory, copy->entry.node);
+	if (copy->withdrawal.instance && directory_is_owned_here(&c->directory, item))
+		nodes_send_withdrawal(c, copy->entry.node);
+}
+
 int propagate_receive_entries(struct control *c, struct link *k, struct frame_in *in)
 {
 	u32 n = frame_get_count(in, CTL_ITEMS_PER_FRAME);
@@ -95,8 +111,9 @@
 
 		get_item(in, &item);
 		if (!in->err)
-			directory_merge(&c->directory, &item, from, now);
+			merge(c, &item, from, now);
 		dir_entry_clear(&item.entry);
+		withdrawal_clear(&item.withdrawal);
 	}
 	propagate_schedule(c);
 	return frame_done(in);
--- a/node/local.c
+++ b/node/local.c
@@ -70,21 +70,33 @@
  * Announcements may arrive seconds after the request that said that their instance leaves. One of
  * an instance that started again under its name has a later start time.
  */
-#define DEPARTED_KEEP_US (60 * US_PER_S)
+#define WITHDRAWAL_KEEP_US (60 * US_PER_S)
 
-static void set_departed(struct node *n, const char *instance)
+/* What was sent before is superseded by an announcement, or a leave, that is acknowledged now. */
+static void withdraw(struct node *n, const char *instance, u64 start_ms, u64 sequence)
 {
-	g_free(n->departed_instance);
-	n->departed_instance = g_strdup(instance);
-	n->departed_us = loop_clock_us();
-	n->departed_unix_ms = (u64)g_get_real_time() / US_PER_MS;
+	withdrawal_set(&n->withdrawal, instance, start_ms, sequence);
+	n->withdrawn_us = loop_clock_us();
 }
 
-static bool has_departed(const struct node *n, const struct announcement *a)
+static bool is_withdrawn(const struct node *n, const char *instance, u64 start_ms, u64 sequence)
 {
-	return *a->instance && !g_strcmp0(n->departed_instance, a->instance) &&
-	       loop_clock_us() - n->departed_us < DEPARTED_KEEP_US &&
-	       (u64)a->born <= n->departed_unix_ms;
+	return loop_clock_us() - n->withdrawn_us < WITHDRAWAL_KEEP_US &&
+	       withdrawal_covers(&n->withdrawal, instance, start_ms, sequence);
+}
+
+void local_withdraw(struct node *n, const struct withdrawal *w)
+{
+	if (!withdrawal_merge(&n->withdrawal, w))
+		return;
+	n->withdrawn_us = loop_clock_us();
+	log_event(LOG_INFO, "withdrawal received", "instance", w->instance, "start_ms",
+		  log_u64(w->start_ms), "sequence", log_u64(w->sequence), "announced",
+		  n->upstream_instance ? n->upstream_instance : "", "announced_sequence",
+		  log_u64(n->upstream_sequence), NULL);
+	if (n->upstream_instance && n->dir_entry.state == DIR_UP &&
+	    is_withdrawn(n, n->upstream_instance, n->upstream_start_time, n->upstream_sequence))
+		set_state(n, DIR_NO_UPSTREAM);
 }
 
 /* Returns whether this or a newer announcement has already been applied. */
@@ -105,12 +117,25 @@
 	return is_leaving || n->is_stopping ? DIR_DRAINING : DIR_UP;
 }
 
+/* The first announcement of a drain also supersedes those that were sent before it. */
+static void withdraw_drained(struct node *n, const struct announcement *a)
+{
+	bool was_draining = n->dir_entry.state == DIR_DRAINING;
+
+	if (was_draining && withdrawal_covers(&n->withdrawal, a->instance, (u64)a->born, 0))
+		return;
+	withdraw(n, a->instance, (u64)a->born, (u64)a->sequence);
+	if (was_draining)
+		node_announce(n);
+}
+
 /* Applies an announcement and returns the HTTP status of the answer. */
 static u16 apply(struct node *n, const struct announcement *a)
 {
 	if (!a->has_details && n->dir_entry.state == DIR_NO_UPSTREAM)
 		return 404;
-	if (a->has_details && (is_stale(n, a) || has_departed(n, a))) {
+	if (a->has_details &&
+	    (is_stale(n, a) || is_withdrawn(n, a->instance, (u64)a->born, (u64)a->sequence))) {
 		ctr_inc(CTR_ANNOUNCE_STALE);
 		return 200;
 	}
@@ -120,6 +145,8 @@
 		n->upstream_start_time = (u64)a->born;
 		n->upstream_sequence = (u64)a->sequence;
 	}
+	if (a->is_draining && *a->instance)
+		withdraw_drained(n, a);
 	set_state(n, announced_state(n, a));
 	return 200;
 }
@@ -286,12 +313,16 @@
  */
 static struct http_msg *delete_instance(struct node *n, const char *instance)
 {
-	set_departed(n, instance);
-	if (!g_strcmp0(n->upstream_instance, instance)) {
-		/* Announcements of this instance that are still in transit are now stale. */
+	bool is_known = !g_strcmp0(n->upstream_instance, instance);
+
+	withdraw(n, instance, (u64)g_get_real_time() / US_PER_MS, UINT64_MAX);
+	/* Announcements of this instance that are still in transit are now stale. */
+	if (is_known)
 		n->upstream_sequence = UINT64_MAX;
+	if (is_known && n->dir_entry.state != DIR_NO_UPSTREAM)
 		set_state(n, DIR_NO_UPSTREAM);
-	}
+	else
+		node_announce(n);
 	return http_json_response(200, "{}\n");
 }
 
--- a/node/node.c
+++ b/node/node.c
@@ -359,7 +359,7 @@
 	g_free(n->self.zone);
 	g_free(n->self.region);
 	g_free(n->upstream_instance);
-	g_free(n->departed_instance);
+	withdrawal_clear(&n->withdrawal);
 	dir_entry_clear(&n->dir_entry);
 	g_free(n);
 }
--- a/node/node.h
+++ b/node/node.h
@@ -25,6 +25,7 @@
 #include "node/shed.h"
 #include "node/stop.h"
 #include "node/upstream.h"
+#include "wire/withdrawal.h"
 
 struct slowness_monitor;
 struct home;
@@ -46,9 +47,8 @@
 	u64 upstream_sequence; /* of that announcement; orders those of the same start */
 	u64 upstream_announced_us; /* when the last announcement arrived */
 	u64 upstream_ttl_us;
-	char *departed_instance; /* that said last that it leaves; NULL if none did */
-	u64 departed_us; /* when it said so */
-	u64 departed_unix_ms; /* the same, by the time of day */
+	struct withdrawal withdrawal; /* the newest that was acknowledged, also before a restart */
+	u64 withdrawn_us; /* when it was, or when control sent it */
 	bool is_stopping;
 	struct stop stop;
 	struct loop_timer second_timer;
@@ -283,6 +283,12 @@
 /* local: the HTTP API that the upstream uses */
 
 int local_start(struct node *n);
+
+/*
+ * local_withdraw - takes a withdrawal W that this node acknowledged before its start, as control
+ * says. An upstream that was announced by what W covers is not used.
+ */
+void local_withdraw(struct node *n, const struct withdrawal *w);
 void local_stop(struct node *n);
 
 /* node_is_ready - returns whether a configuration is in force and the node is not stopping. */
--- a/node/watch.c
+++ b/node/watch.c
@@ -62,6 +62,7 @@
 	if (!w || !watch_is_up(&w->main))
 		return;
 	dir_entry_put(&f, &n->dir_entry);
+	withdrawal_put(&f, &n->withdrawal);
 	link_send(w->main.link, &f);
 	watch_send_renew(w);
 }
@@ -232,6 +233,17 @@
 	return frame_done(in);
 }
 
+static int on_withdrawal(struct watch *w, struct frame_in *in)
+{
+	__attribute__((cleanup(withdrawal_clear))) struct withdrawal withdrawal = { 0 };
+
+	withdrawal_get(in, &withdrawal);
+	if (frame_done(in))
+		return ERR_INVAL;
+	local_withdraw(w->node, &withdrawal);
+	return 0;
+}
+
 static int on_message(struct control_link *s, u32 type, struct frame_in *in)
 {
 	switch (type) {
@@ -243,6 +255,8 @@
 		return on_fresh(s, in);
 	case CTL_MEMBERS:
 		return on_members(s->w, in);
+	case CTL_WITHDRAWAL:
+		return on_withdrawal(s->w, in);
 	default:
 		return ERR_INVAL;
 	}
--- a/wire/ctl.h
+++ b/wire/ctl.h
@@ -3,7 +3,7 @@
  *
  * node to control:    CTL_REGISTER, CTL_RENEW, CTL_WATCH, CTL_SUBSCRIBE, CTL_CONFIG_ACK,
  *                     CTL_VIEW_ACK
- * control to node:    CTL_CONFIG_PART, CTL_VIEW, CTL_FRESHNESS, CTL_MEMBERS
+ * control to node:    CTL_CONFIG_PART, CTL_VIEW, CTL_FRESHNESS, CTL_MEMBERS, CTL_WITHDRAWAL
  * inside CTL_CONFIG_PART: CTL_CONFIG
  * control to control: CTL_RAFT, CTL_DIRECTORY, CTL_HEARTBEAT, CTL_FORWARD,
  *                     CTL_FORWARD_RESULT, CTL_JOIN, CTL_MEMBERS, CTL_BULK, CTL_BULK_ACK
@@ -38,7 +38,7 @@
 #define CTL_HEARTBEAT_DELAY_US (100 * US_PER_MS)
 
 enum ctl_type {
-	CTL_REGISTER = LINK_TYPE_FIRST, /* the node's directory entry */
+	CTL_REGISTER = LINK_TYPE_FIRST, /* the node's directory entry, its withdrawal */
 	CTL_RENEW, /* applied configuration revision */
 	CTL_WATCH, /* what the node has and wants, see wire/config_part.h */
 	CTL_CONFIG, /* {step, its fields}, inside a stream: see enum ctl_config_step */
@@ -48,7 +48,8 @@
 	CTL_FRESHNESS, /* is_fresh, configuration revision, time of sending */
 	CTL_RAFT, /* Raft message */
 	CTL_HEARTBEAT, /* count, {control id, incarnation, heartbeat number, age, report} */
-	CTL_DIRECTORY, /* count, {entry, owner, owner's incarnation, owner_rev, is_withdrawn} */
+	CTL_DIRECTORY, /* count, {entry, owner, owner's incarnation, owner_rev, is_withdrawn,
+			  withdrawal} */
 	CTL_FORWARD, /* request id, operation, argument */
 	CTL_FORWARD_RESULT, /* request id, outcome, result */
 	CTL_MEMBERS, /* count, {host, port}: the members of the group */
@@ -58,6 +59,7 @@
 	CTL_CONFIG_ACK, /* request number, bytes of the stream that were received */
 	CTL_BULK, /* lane, offset, bytes: part of long messages, see control/bulk.h */
 	CTL_BULK_ACK, /* lane, bytes of it that were handled */
+	CTL_WITHDRAWAL, /* the newest withdrawal of the node, which did not send it */
 };
 
 /*
