node: an announcement of a service that the settings don't name is refused

Cause: any whole announcement took the place of the node's upstream, and its start time became the one that all later ones are compared with. The settings say which service runs on the VM (service=), and were not asked.

Tests: instance_test:/instance/other-writer-displaces-the-upstream, 200 in place of 400 on the code before.

--- a/node/local.c
+++ b/node/local.c
@@ -15,7 +15,6 @@
 #define ANNOUNCE_MAX_BYTES 4096
 #define NAME_MAX_BYTES (SET_TEXT_MAX_BYTES + 1)
 #define SLOTS_MAX 100000
-#define COLD_MAX_MS (3600 * 1000)
 
 struct announcement {
 	char service[NAME_MAX_BYTES];
@@ -237,6 +236,19 @@
 	return invalid_key ? invalid_key : read_number(obj, "sequence", INT64_MAX, 0, &a->sequence);
 }
 
+/*
+ * Returns NULL, or the key whose value can't be that of this node's upstream: an announcement of
+ * another writer would take its place, and its own would be stale.
+ */
+static const char *check_upstream(const struct node *n, const struct announcement *a)
+{
+	const char *service = n->settings->node.service;
+
+	if (a->has_details && service && strcmp(a->service, service))
+		return "service";
+	return NULL;
+}
+
 static struct http_msg *answer_error(u16 status, const char *text)
 {
 	json_t *obj = json_pack("{s:s}", "error", text);
@@ -276,6 +288,8 @@
 	json_decref(obj);
 	if (!invalid_key && a.has_details && !res_is_valid_name(a.service))
 		invalid_key = "service";
+	if (!invalid_key)
+		invalid_key = check_upstream(n, &a);
 	if (invalid_key)
 		return answer_invalid(invalid_key);
 	if (apply(n, &a) == 404)
@@ -302,6 +316,8 @@
 	const char *invalid_key = parse_instance(obj, instance, &a);
 
 	json_decref(obj);
+	if (!invalid_key)
+		invalid_key = check_upstream(n, &a);
 	if (invalid_key)
 		return answer_invalid(invalid_key);
 	return http_json_response(apply(n, &a), "{}\n");
--- a/test/instance_test.c
+++ b/test/instance_test.c
@@ -140,10 +140,46 @@
 	g_assert_cmpint(state(), ==, DIR_UP);
 }
 
+/* A whole heartbeat of instance i-1 but for SERVICE, START_MS and SEQUENCE. */
+static char *heartbeat(const char *service, u64 start_ms, u64 sequence)
+{
+	return g_strdup_printf("{\"service\":\"%s\",\"address\":\"127.0.0.1:9\",\"slots\":4,"
+			       "\"state\":\"ready\",\"born\":%llu,\"sequence\":%llu}",
+			       service, (unsigned long long)start_ms, (unsigned long long)sequence);
+}
+
+static u64 now_ms(void)
+{
+	return (u64)g_get_real_time() / US_PER_MS;
+}
+
+/*
+ * Guards against: a heartbeat of another writer, with a service that the settings don't name, takes
+ * the place of the upstream, whose own ones are then stale as long as it lives.
+ */
+static void test_other_writer_displaces_the_upstream(void)
+{
+	g_autofree char *first = heartbeat("sightings", 1000, 1);
+	g_autofree char *other = heartbeat("elsewhere", now_ms(), 1);
+	g_autofree char *second = heartbeat("sightings", 1000, 2);
+
+	fake_node_prepare(&node);
+	node.settings.node.upstream_ttl_ms = 600000;
+	node.settings.node.service = g_strdup("sightings");
+	fake_node_run(&node);
+	g_assert_cmpint(put(first), ==, 200);
+	check_refused(other, DIR_UP);
+	g_assert_cmpstr(node.node->dir_entry.service, ==, "sightings");
+	g_assert_cmpint(put(second), ==, 200);
+	g_assert_cmpuint(node.node->upstream_sequence, ==, 2);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/instance/heartbeat-after-leaving", test_heartbeat_after_leaving);
+	g_test_add_func("/instance/other-writer-displaces-the-upstream",
+			test_other_writer_displaces_the_upstream);
 	g_test_add_func("/instance/spoilt", test_spoilt);
 	return g_test_run();
 }
