node: a start time far ahead in an announcement is refused

But a start time (born) of up to 2^63 - 1 ms was taken, and all announcements of the true upstream were stale from then on: the node stops following its upstream until it starts again.

Now an announcement that says it started over a minute ahead of the VM's clock is answered 400. A minute is far more than a clock that is set back by seconds after the start.

Tests: /instance/start-in-the-future, 200 in place of 400 on the code before.

--- a/node/local.c
+++ b/node/local.c
@@ -15,6 +15,8 @@
 #define ANNOUNCE_MAX_BYTES 4096
 #define NAME_MAX_BYTES (SET_TEXT_MAX_BYTES + 1)
 #define SLOTS_MAX 100000
+/* The clock of a VM may be set back by seconds after its upstream has started. */
+#define START_AHEAD_MAX_MS (60 * 1000)
 
 struct announcement {
 	char service[NAME_MAX_BYTES];
@@ -238,15 +240,16 @@
 
 /*
  * Returns NULL, or the key whose value can't be that of this node's upstream: an announcement of
- * another writer would take its place, and its own would be stale.
+ * another writer would take its place, and a start in the future would make its own stale.
  */
 static const char *check_upstream(const struct node *n, const struct announcement *a)
 {
 	const char *service = n->settings->node.service;
+	u64 now_ms = (u64)g_get_real_time() / US_PER_MS;
 
 	if (a->has_details && service && strcmp(a->service, service))
 		return "service";
-	return NULL;
+	return (u64)a->born > now_ms + START_AHEAD_MAX_MS ? "born" : NULL;
 }
 
 static struct http_msg *answer_error(u16 status, const char *text)
--- a/test/instance_test.c
+++ b/test/instance_test.c
@@ -174,12 +174,78 @@
 	g_assert_cmpuint(node.node->upstream_sequence, ==, 2);
 }
 
+/* Guards against: a start time that lies far ahead makes all later heartbeats stale. */
+static void test_start_in_the_future(void)
+{
+	g_autofree char *future = heartbeat("sightings", INT64_MAX, 1);
+	g_autofree char *true_one = heartbeat("sightings", now_ms(), 1);
+
+	fake_node_prepare(&node);
+	node.settings.node.upstream_ttl_ms = 600000;
+	fake_node_run(&node);
+	check_refused(future, DIR_NO_UPSTREAM);
+	g_assert_cmpint(put(true_one), ==, 200);
+	g_assert_cmpint(state(), ==, DIR_UP);
+}
+
+/* Values of one field that another writer may leave. */
+static const char *const odd_values[] = {
+	"-1", "0",     "1e400", "1e3",	 "18446744073709551616", "99999999999999999999999999999999",
+	"{}", "false", "\"\"",	"[[1]]",
+};
+
+static const char *const odd_addresses[] = {
+	"127.0.0.1:0",	"127.0.0.1:65536", "127.0.0.1:70000", "127.0.0.1:18446744073709551617",
+	"127.0.0.1:-1", "127.0.0.1:",	   "127.0.0.1",	      "256.0.0.1:9",
+};
+
+/* Guards against: one odd entry among those of the upstreams ends the node, or what it does next.
+ */
+static void test_odd_entry(void)
+{
+	static const char *const keys[] = { "slots", "born", "sequence", "connections" };
+	g_autofree char *nested = g_strnfill(1500, '[');
+	g_autofree char *closed = g_strnfill(1500, ']');
+	g_autofree char *deep = g_strdup_printf("{\"service\":%s%s}", nested, closed);
+
+	fake_node_prepare(&node);
+	node.settings.node.upstream_ttl_ms = 600000;
+	fake_node_run(&node);
+	g_assert_cmpint(put(WHOLE), ==, 200);
+	check_refused(deep, DIR_UP);
+	check_refused(nested, DIR_UP);
+	for (size_t k = 0; k < G_N_ELEMENTS(keys); k++)
+		for (size_t v = 0; v < G_N_ELEMENTS(odd_values); v++) {
+			g_autofree char *body = g_strdup_printf(
+				"{\"service\":\"sightings\",\"address\":\"127.0.0.1:9\",\"slots\":%"
+				"s,"
+				"\"state\":\"ready\",\"born\":%s,\"sequence\":%s,\"connections\":%"
+				"s}",
+				k == 0 ? odd_values[v] : "4", k == 1 ? odd_values[v] : "1000",
+				k == 2 ? odd_values[v] : "2", k == 3 ? odd_values[v] : "4");
+
+			check_refused(body, DIR_UP);
+		}
+	for (size_t i = 0; i < G_N_ELEMENTS(odd_addresses); i++) {
+		g_autofree char *body =
+			g_strdup_printf("{\"service\":\"sightings\",\"address\":\"%s\",\"slots\":4,"
+					"\"state\":\"ready\",\"born\":1000,\"sequence\":2}",
+					odd_addresses[i]);
+
+		check_refused(body, DIR_UP);
+	}
+	g_assert_cmpuint(node.node->dir_entry.slots, ==, 4);
+	g_assert_cmpuint(node.node->upstream_sequence, ==, 1);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/instance/heartbeat-after-leaving", test_heartbeat_after_leaving);
+	g_test_add_func("/instance/odd-entry", test_odd_entry);
 	g_test_add_func("/instance/other-writer-displaces-the-upstream",
 			test_other_writer_displaces_the_upstream);
 	g_test_add_func("/instance/spoilt", test_spoilt);
+	g_test_add_func("/instance/start-in-the-future", test_start_in_the_future);
 	return g_test_run();
 }
