control: lists of a group's requests, known processes and learners are emptied

Cause: a leader kept the last membership request of each address, at most 32, and removed none. The same cause on related paths, by reading: a process that looks for its group remembers the first 64 addresses that it heard of and no later one; and a learner that is gone for good stays a member, of which there are at most 32.

Now requests that are too old to count are removed before one is stored; a new address takes the place of the one that was named least recently, seeds apart; a learner that is silent for 10 s is removed, and asks again when it is back.

--- a/control/join.c
+++ b/control/join.c
@@ -16,6 +16,9 @@
 /* Older membership requests are ignored. */
 #define REQUEST_TTL_US (1 * US_PER_S)
 
+/* Processes that are remembered to reach the group; there are no more seeds than members. */
+#define KNOWN_MAX (2 * RAFT_MEMBERS_MAX)
+
 /* A membership request. */
 struct request {
 	u32 id;
@@ -99,20 +102,37 @@
 
 /* Addresses */
 
-static void add_known(struct join *j, u32 id, const struct endpoint *at)
+static void remove_known(struct join *j, u32 id)
 {
-	struct member_setting m = { .id = id, .at = *at };
-
 	for (guint i = 0; i < j->known->len; i++) {
-		struct member_setting *one = &g_array_index(j->known, struct member_setting, i);
+		if (g_array_index(j->known, struct member_setting, i).id != id)
+			continue;
+		g_array_remove_index(j->known, i);
+		return;
+	}
+}
 
-		if (one->id == id) {
-			one->at = *at;
-			return;
-		}
+/* Removes the process that was named least recently; the seeds stay. */
+static void remove_oldest_known(struct control *c)
+{
+	for (guint i = 0; i < c->join->known->len; i++) {
+		u32 id = g_array_index(c->join->known, struct member_setting, i).id;
+
+		if (is_seed(c, id))
+			continue;
+		remove_known(c->join, id);
+		return;
 	}
-	if (j->known->len < 2 * RAFT_MEMBERS_MAX)
-		g_array_append_val(j->known, m);
+}
+
+static void add_known(struct control *c, u32 id, const struct endpoint *at)
+{
+	struct member_setting m = { .id = id, .at = *at };
+
+	remove_known(c->join, id);
+	if (c->join->known->len >= KNOWN_MAX)
+		remove_oldest_known(c);
+	g_array_append_val(c->join->known, m);
 }
 
 void join_send_members(struct control *c, struct link *k)
@@ -136,7 +156,7 @@
 		endpoint_get(in, &at);
 		id = member_id_from_host(at.host);
 		if (!in->err && is_enabled(c) && id)
-			add_known(c->join, id, &at);
+			add_known(c, id, &at);
 	}
 	if (frame_done(in))
 		return ERR_INVAL;
@@ -178,8 +198,17 @@
 	return frame_done(in) || !r->id || !r->replica ? ERR_INVAL : 0;
 }
 
+static void remove_old_requests(struct join *j, u64 now_us)
+{
+	for (guint i = j->requests->len; i > 0; i--)
+		if (now_us - g_array_index(j->requests, struct request, i - 1).heard_us >
+		    REQUEST_TTL_US)
+			g_array_remove_index(j->requests, i - 1);
+}
+
 static void store_request(struct join *j, const struct request *r)
 {
+	remove_old_requests(j, r->heard_us);
 	for (guint i = 0; i < j->requests->len; i++) {
 		struct request *one = &g_array_index(j->requests, struct request, i);
 
@@ -289,7 +318,7 @@
 	return propose(c, &change.next, change.id, change.what, now_us);
 }
 
-static void update_membership(struct control *c, u64 now_us)
+void join_update(struct control *c, u64 now_us)
 {
 	struct raft *r = &c->raft;
 
@@ -307,7 +336,7 @@
 	struct control *c = arg;
 
 	if (c->raft.role == RAFT_LEADER) {
-		update_membership(c, now_us);
+		join_update(c, now_us);
 		raft_host_arm(c);
 	} else if (needs_group(c, now_us)) {
 		peers_refresh(c);
@@ -331,7 +360,7 @@
 	for (guint i = 0; i < seeds->len; i++) {
 		const struct member_setting *m = &g_array_index(seeds, struct member_setting, i);
 
-		add_known(j, m->id, &m->at);
+		add_known(c, m->id, &m->at);
 	}
 	loop_timer_set(c->loop, &j->timer, loop_clock_us() + CHECK_INTERVAL_US);
 }
--- a/control/join.h
+++ b/control/join.h
@@ -30,6 +30,9 @@
 /* join_receive_request - handle CTL_JOIN, a membership request of another process */
 int join_receive_request(struct control *c, struct link *k, struct frame_in *in);
 
+/* join_update - the leader C proposes the next membership change, if one is due */
+void join_update(struct control *c, u64 now_us);
+
 /* join_send_members, join_receive_members - send and handle CTL_MEMBERS */
 void join_send_members(struct control *c, struct link *k);
 int join_receive_members(struct control *c, struct frame_in *in);
--- a/control/voters.c
+++ b/control/voters.c
@@ -9,10 +9,14 @@
 	return n;
 }
 
+static u64 silence_us(const struct raft *r, u32 position, u64 now_us)
+{
+	return r->members.m[position].id == r->id ? 0 : now_us - r->progress[position].heard_us;
+}
+
 static bool is_silent(const struct raft *r, u32 position, u64 now_us)
 {
-	return r->members.m[position].id != r->id &&
-	       now_us - r->progress[position].heard_us > VOTER_TIMEOUT_US;
+	return silence_us(r, position, now_us) > VOTER_TIMEOUT_US;
 }
 
 static bool is_silent_voter(const struct raft *r, u32 position, u64 now_us)
@@ -20,6 +24,12 @@
 	return r->members.m[position].is_voter && is_silent(r, position, now_us);
 }
 
+static bool is_gone_learner(const struct raft *r, u32 position, u64 now_us)
+{
+	return !r->members.m[position].is_voter &&
+	       silence_us(r, position, now_us) > LEARNER_TIMEOUT_US;
+}
+
 /* A learner with the whole log, which may vote. */
 static bool is_ready_learner(const struct raft *r, u32 position, u64 now_us)
 {
@@ -63,12 +73,11 @@
 	raft_member_find(&out->next, learner->id)->is_voter = true;
 }
 
-static void remove_voter(const struct raft_member *voter, const char *what,
-			 struct voters_change *out)
+static void remove_member(const struct raft_member *m, const char *what, struct voters_change *out)
 {
-	out->id = voter->id;
+	out->id = m->id;
 	out->what = what;
-	*raft_member_find(&out->next, voter->id) = out->next.m[out->next.n - 1];
+	*raft_member_find(&out->next, m->id) = out->next.m[out->next.n - 1];
 	out->next.n--;
 }
 
@@ -76,6 +85,7 @@
 {
 	const struct raft_member *learner = find(r, is_ready_learner, now_us);
 	const struct raft_member *silent = find(r, is_silent_voter, now_us);
+	const struct raft_member *gone = find(r, is_gone_learner, now_us);
 	u32 wanted = count_wanted(r, required, now_us);
 	u32 voters = voters_count(r);
 
@@ -83,9 +93,11 @@
 	if (learner && voters < wanted)
 		promote(learner, out);
 	else if (silent && learner)
-		remove_voter(silent, "unresponsive voter is removed in favour of a learner", out);
+		remove_member(silent, "unresponsive voter is removed in favour of a learner", out);
 	else if (silent && voters > wanted)
-		remove_voter(silent, "unresponsive voter that is not required is removed", out);
+		remove_member(silent, "unresponsive voter that is not required is removed", out);
+	else if (gone)
+		remove_member(gone, "unresponsive learner is removed", out);
 	else
 		return false;
 	return true;
--- a/control/voters.h
+++ b/control/voters.h
@@ -4,7 +4,8 @@
  * The group has as many voters as members respond, in an odd number: one more would enlarge the
  * quorum and tolerate no further loss. It never has fewer than it needs to tolerate its losses.
  * So a member that is gone does not stay a voter beyond that number, where it would only count
- * against the quorum.
+ * against the quorum. A learner that is gone does not stay a member, of which there are only so
+ * many as RAFT_MEMBERS_MAX.
  *
  * UNITS microseconds
  * SOURCE control/voters.c
@@ -16,10 +17,12 @@
 
 /* A voter that is silent for longer is replaced by a learner that has the whole log. */
 #define VOTER_TIMEOUT_US (1500 * US_PER_MS)
+/* A learner that is silent for longer is removed; it requests membership again when it is back. */
+#define LEARNER_TIMEOUT_US (10 * US_PER_S)
 /* More voters would slow down each change. */
 #define VOTERS_MAX 9
 
-/* A change of one voter. */
+/* A change of one member. */
 struct voters_change {
 	struct raft_members next;
 	u32 id; /* the member that changes */
--- a/test/voters_test.c
+++ b/test/voters_test.c
@@ -99,6 +99,20 @@
 	stepped_free(o);
 }
 
+/* Guards against: learners that are gone fill the membership, and no other process can join. */
+static void test_learner_that_is_gone_stays(void)
+{
+	struct stepped_raft *o = start(REQUIRED);
+
+	add_learner(o, 6);
+	silence(o, 6);
+	g_assert_cmpuint(settle(o), ==, 0);
+	o->r.progress[5].heard_us = STEPPED_NOW_US - LEARNER_TIMEOUT_US - 1;
+	g_assert_cmpuint(settle(o), ==, 1);
+	g_assert_null(raft_member_find(&o->r.members, 6));
+	stepped_free(o);
+}
+
 /* Seven processes vote; while two are cut off five do, and they vote again when they are back. */
 static void test_group_follows_its_processes(void)
 {
@@ -153,6 +167,7 @@
 			test_returned_member_makes_an_even_group);
 	g_test_add_func("/voters/surplus-voter-that-is-gone-stays",
 			test_surplus_voter_that_is_gone_stays);
+	g_test_add_func("/voters/learner-that-is-gone-stays", test_learner_that_is_gone_stays);
 	g_test_add_func("/voters/group-follows-its-processes", test_group_follows_its_processes);
 	g_test_add_func("/voters/number-of-voters-is-bounded", test_number_of_voters_is_bounded);
 	g_test_add_func("/voters/required-voters-stay-when-most-are-silent",
