--- a/bench/control_bench.c
+++ b/bench/control_bench.c
@@ -14,6 +14,7 @@
 #include "wire/config_part.h"
 #include "wire/ctl.h"
 #include "wire/dir_entry.h"
+#include "wire/withdrawal.h"
 
 #include <glib.h>
 #include <stdio.h>
