node, control: a node whose clock was set back registers above its earlier start

Cause: the incarnation is the time of day of the start, and control refuses an entry that is older than the known one. The link was closed at the first renewal, again and again.

Now control names the known incarnation when it refuses, and the node takes the next higher one, closes its links, since both ends have the incarnation from the greeting, and registers again at once. It is logged and counted (incarnation-raised). Until then it has no configuration and has sent no call.

--- a/control/nodes.c
+++ b/control/nodes.c
@@ -91,14 +91,23 @@
 	g_free(n);
 }
 
-static void log_refused_registration(struct control *c, const struct dir_entry *e)
+/*
+ * A node that starts while the clock of its VM is behind has a lower incarnation than before. It is
+ * told the known one, and registers again above it.
+ */
+static void refuse_registration(struct control *c, struct link *k, const struct dir_entry *e)
 {
 	const struct directory_item *known = directory_find(&c->directory, e->node);
+	FRAME_AUTO(f, CTL_INCARNATION);
 
 	log_event(LOG_WARN, "registration refused", "node", e->node, "reason",
 		  "a newer one is known; is the clock of its VM behind?", "incarnation",
-		  log_u64(e->incarnation), "known_incarnation",
-		  log_u64(known ? known->entry.incarnation : 0), NULL);
+		  log_u64(e->incarnation), "known_incarnation", log_u64(known->entry.incarnation),
+		  NULL);
+	if (known->entry.incarnation <= e->incarnation)
+		return;
+	frame_put_u64(&f, known->entry.incarnation);
+	link_send(k, &f);
 }
 
 /* A node that has started again does not know what it had acknowledged before. */
@@ -139,9 +148,8 @@
 	directory_withdraw(&c->directory, e.node, &w);
 	withdrawal_merge(&n->withdrawal, &w);
 	send_withdrawal(c, n);
-	/* The next renewal closes the link, and the node registers again. */
 	if (ret == ERR_CONFLICT)
-		log_refused_registration(c, &e);
+		refuse_registration(c, k, &e);
 	if (ret == 1) {
 		propagate_schedule(c);
 		propagate_schedule_heartbeat(c);
--- a/node/mesh.c
+++ b/node/mesh.c
@@ -525,6 +525,22 @@
 	return ERR_IO;
 }
 
+void mesh_reset(struct node *n)
+{
+	g_autoptr(GList) dialled = g_hash_table_get_values(n->mesh->dialled);
+
+	while (n->mesh->accepted->len)
+		close_accepted(n, g_ptr_array_index(n->mesh->accepted, 0));
+	for (GList *l = dialled; l; l = l->next) {
+		struct link *k = ((struct mesh_peer *)l->data)->link;
+
+		if (!k)
+			continue;
+		on_dialled_down(k, ERR_CLOSED);
+		link_close(k);
+	}
+}
+
 void mesh_stop(struct node *n)
 {
 	while (n->mesh->accepted->len)
--- a/node/node.c
+++ b/node/node.c
@@ -98,6 +98,21 @@
 	set_upstream_ttl(n);
 }
 
+void node_raise_incarnation(struct node *n, u64 known)
+{
+	if (known < n->self.incarnation)
+		return;
+	ctr_inc(CTR_INCARNATION_RAISED);
+	log_event(LOG_WARN, "incarnation raised", "from", log_u64(n->self.incarnation), "known",
+		  log_u64(known), "reason", "the clock of the VM was ahead at an earlier start",
+		  NULL);
+	n->self.incarnation = known + 1;
+	n->dir_entry.incarnation = n->self.incarnation;
+	choose_set_entry(&n->choose, &n->dir_entry, loop_clock_us());
+	mesh_reset(n);
+	watch_reset(n);
+}
+
 static int node_start(struct module *m, struct module_registry *registry)
 {
 	struct node *n = (struct node *)m;
--- a/node/node.h
+++ b/node/node.h
@@ -72,6 +72,12 @@
 struct node *node_new(const struct settings *s);
 void node_free(struct node *n);
 
+/*
+ * node_raise_incarnation - the node becomes a newer incarnation than KNOWN, an earlier start of it.
+ * All links are made anew, as both ends of a link know the incarnation from its greeting.
+ */
+void node_raise_incarnation(struct node *n, u64 known);
+
 /* node_announce - sends the changed directory entry to control and updates it in n->choose. */
 void node_announce(struct node *n);
 
@@ -210,6 +216,9 @@
 int mesh_start(struct node *n);
 void mesh_stop(struct node *n);
 
+/* mesh_reset - closes all links; those that are needed are made again. */
+void mesh_reset(struct node *n);
+
 /* mesh_link - returns the link to PEER, or NULL while it is down; dials it when absent. */
 struct link *mesh_link(struct node *n, const char *peer);
 
@@ -254,6 +263,8 @@
 
 /* watch: link to control */
 
+/* watch_reset - closes the links to control; the next search may begin with the same process. */
+void watch_reset(struct node *n);
 int watch_start(struct node *n);
 void watch_stop(struct node *n);
 void watch_register(struct node *n);
--- a/node/trial_order.c
+++ b/node/trial_order.c
@@ -71,6 +71,12 @@
 		candidate_at(o, i)->was_tried = false;
 }
 
+void trial_order_all_due(struct trial_order *o)
+{
+	for (guint i = 0; i < o->candidates->len; i++)
+		candidate_at(o, i)->retry_at_us = 0;
+}
+
 static bool is_wanted(const struct trial_candidate *c, const struct trial_candidate *main,
 		      bool has_fresh)
 {
--- a/node/trial_order.h
+++ b/node/trial_order.h
@@ -60,6 +60,9 @@
 /* trial_order_restart - begins a new search: the nearest candidates come first again */
 void trial_order_restart(struct trial_order *o);
 
+/* trial_order_all_due - candidates may be tried again at once */
+void trial_order_all_due(struct trial_order *o);
+
 /*
  * trial_order_next - returns the candidate to try at NOW_US, or NULL. MAIN is the one in use, or
  * NULL; if it is fresh (HAS_FRESH), only a nearer one is tried. The caller sets its retry times.
--- a/node/watch.c
+++ b/node/watch.c
@@ -244,6 +244,25 @@
 	return 0;
 }
 
+static void on_reset(void *arg, u64 now_us)
+{
+	struct watch *w = arg;
+
+	(void)now_us;
+	node_raise_incarnation(w->node, w->known_incarnation);
+}
+
+/* The links are closed in the next turn: this frame came through one of them. */
+static int on_incarnation(struct watch *w, struct frame_in *in)
+{
+	w->known_incarnation = frame_get_u64(in);
+	if (frame_done(in))
+		return ERR_INVAL;
+	w->reset_timer = (struct loop_timer){ .fire = on_reset, .arg = w };
+	loop_timer_set(w->node->loop, &w->reset_timer, loop_clock_us());
+	return 0;
+}
+
 static int on_message(struct control_link *s, u32 type, struct frame_in *in)
 {
 	switch (type) {
@@ -257,6 +276,8 @@
 		return on_members(s->w, in);
 	case CTL_WITHDRAWAL:
 		return on_withdrawal(s->w, in);
+	case CTL_INCARNATION:
+		return on_incarnation(s->w, in);
 	default:
 		return ERR_INVAL;
 	}
@@ -417,6 +438,16 @@
 	return w && is_main_fresh(w, loop_clock_us()) && config_revision() >= w->newest_revision;
 }
 
+void watch_reset(struct node *n)
+{
+	struct watch *w = n->watch;
+
+	close_main(w, "incarnation raised");
+	close_link(&w->trial);
+	trial_order_restart(&w->trials);
+	trial_order_all_due(&w->trials);
+}
+
 int watch_start(struct node *n)
 {
 	struct watch *w = g_new0(struct watch, 1);
@@ -440,6 +471,7 @@
 	struct watch *w = n->watch;
 
 	loop_timer_cancel(n->loop, &w->timer);
+	loop_timer_cancel(n->loop, &w->reset_timer);
 	watch_stream_clear(w);
 	close_link(&w->main);
 	close_link(&w->trial);
--- a/node/watch_impl.h
+++ b/node/watch_impl.h
@@ -39,6 +39,8 @@
 	u64 tick_due_us;
 	bool has_stalled; /* the last tick came late and checked nothing */
 	u64 renew_due_us;
+	struct loop_timer reset_timer; /* set when an earlier start has a higher incarnation */
+	u64 known_incarnation; /* of that start */
 	u64 removal_due_us; /* when unreported nodes are removed; 0 when done */
 	GHashTable *reported; /* nodes reported by the main control process */
 	GHashTable *subscriptions; /* service -> whether its upstreams were received */
--- a/wire/ctl.h
+++ b/wire/ctl.h
@@ -3,7 +3,8 @@
  *
  * node to control:    CTL_REGISTER, CTL_RENEW, CTL_WATCH, CTL_SUBSCRIBE, CTL_CONFIG_ACK,
  *                     CTL_VIEW_ACK
- * control to node:    CTL_CONFIG_PART, CTL_VIEW, CTL_FRESHNESS, CTL_MEMBERS, CTL_WITHDRAWAL
+ * control to node:    CTL_CONFIG_PART, CTL_VIEW, CTL_FRESHNESS, CTL_MEMBERS, CTL_WITHDRAWAL,
+ *                     CTL_INCARNATION
  * inside CTL_CONFIG_PART: CTL_CONFIG
  * control to control: CTL_RAFT, CTL_DIRECTORY, CTL_HEARTBEAT, CTL_FORWARD,
  *                     CTL_FORWARD_RESULT, CTL_JOIN, CTL_MEMBERS, CTL_BULK, CTL_BULK_ACK
@@ -60,6 +61,7 @@
 	CTL_BULK, /* lane, offset, bytes: part of long messages, see control/bulk.h */
 	CTL_BULK_ACK, /* lane, bytes of it that were handled */
 	CTL_WITHDRAWAL, /* the newest withdrawal of the node, which did not send it */
+	CTL_INCARNATION, /* incarnation of an earlier start of the node, above that of this one */
 };
 
 /*
