--- a/lib/ctr_list.h
+++ b/lib/ctr_list.h
@@ -110,7 +110,8 @@
 CTR(STEPPED_DOWN, "stepped-down", "times this leader stepped down")
 CTR(RAFT_BAD, "raft-bad", "messages between control processes ignored because they are not sound")
 CTR(DISK_FULL, "disk-full", "waits for room on the disk of the data folder")
-CTR(INCARNATION_RAISED, "incarnation-raised", "starts of a node while the clock of its VM was behind")
+CTR(INCARNATION_RAISED, "incarnation-raised",
+    "starts of a node while the clock of its VM was behind")
 CTR(REGISTER_STALE, "register-stale", "registrations ignored because a newer one is known")
 CTR(REGISTER_EXPIRED, "register-expired", "registrations that expired")
 /* The process itself. */
