--- a/control/voters.h
+++ b/control/voters.h
@@ -4,8 +4,8 @@
  * The group has as many voters as members respond, in an odd number: one more would enlarge the
  * quorum and tolerate no further loss. It never has fewer than it needs to tolerate its losses.
  * So a member that is gone does not stay a voter beyond that number, where it would only count
- * against the quorum. A learner that is gone does not stay a member, of which there are only so
- * many as RAFT_MEMBERS_MAX.
+ * against the quorum. A learner that is gone does not stay a member, of which there are at most
+ * RAFT_MEMBERS_MAX.
  *
  * UNITS microseconds
  * SOURCE control/voters.c
