--- a/Makefile
+++ b/Makefile
@@ -91,6 +91,10 @@
 	$(MAKE) -s lavenderlead tests
 	tools/soak
 
+# Members of a control group are cut off, lose their disks and are replaced: make model MODEL_SEEDS=20000.
+model: $(OUT)/test/voters_model_test
+	MODEL_SEEDS=$(or $(MODEL_SEEDS),20000) $< -p /voters-model/any-order
+
 # Bounded to less than two minutes.
 bench:
 	$(MAKE) -s lavenderlead tests
@@ -100,6 +104,6 @@
 clean:
 	rm -rf $(OUT) build-sanitize lavenderlead
 
-.PHONY: all install-deps tests format lint sanitize check demo fault soak bench clean
+.PHONY: all install-deps tests format lint sanitize check demo fault soak model bench clean
 .SECONDARY:
 -include $(shell find $(OUT) -name '*.d' 2>/dev/null)
--- a/test/fakes/fake_group.c
+++ b/test/fakes/fake_group.c
@@ -14,9 +14,9 @@
 
 static struct raft_members founders(const struct fake_group *g)
 {
-	struct raft_members m = { .n = g->n };
+	struct raft_members m = { .n = g->founders };
 
-	for (u32 i = 0; i < g->n; i++) {
+	for (u32 i = 0; i < g->founders; i++) {
 		m.m[i].id = i + 1;
 		m.m[i].at.port = (u16)(i + 1);
 		g_strlcpy(m.m[i].at.host, "127.0.0.1", sizeof(m.m[i].at.host));
@@ -55,7 +55,7 @@
 	}
 	if (err)
 		fake_group_report(g, why ? why : "the disk cannot be loaded", id, 0);
-	if (r->role == RAFT_FORMING)
+	if (r->role == RAFT_FORMING && id <= g->founders)
 		raft_form_group(r, &members);
 }
 
@@ -86,7 +86,7 @@
 
 	g->seed = seed;
 	g->rng.state = seed * 0x2545f4914f6cdd1dULL;
-	g->n = n;
+	g->founders = n;
 	g->now_us = US_PER_S;
 	g->delay_max_us = 5000;
 	g->queue = g_ptr_array_new_with_free_func(fake_message_free);
@@ -96,19 +96,26 @@
 	g_array_set_size(g->committed, 1);
 	g->reads = g_array_new(FALSE, TRUE, sizeof(struct fake_read));
 	g->proposals = g_array_new(FALSE, TRUE, sizeof(struct fake_proposal));
-	for (u32 from = 1; from <= n; from++)
-		for (u32 to = 1; to <= n; to++)
+	for (u32 from = 1; from <= FAKE_GROUP_MAX; from++)
+		for (u32 to = 1; to <= FAKE_GROUP_MAX; to++)
 			g->lanes[from][to] =
 				(struct fake_lane){ .group = g, .from = from, .to = to };
-	for (u32 id = 1; id <= n; id++) {
-		g->r[id].group = g;
-		g->r[id].id = id;
-		g->r[id].disk = fake_disk_new(rng_next(&g->rng));
-		fake_group_start(g, id);
-	}
+	for (u32 i = 0; i < n; i++)
+		fake_group_start(g, fake_group_add(g));
 	return g;
 }
 
+u32 fake_group_add(struct fake_group *g)
+{
+	struct fake_replica *f = &g->r[++g->n];
+
+	g_assert_cmpuint(g->n, <=, FAKE_GROUP_MAX);
+	f->group = g;
+	f->id = g->n;
+	f->disk = fake_disk_new(rng_next(&g->rng));
+	return f->id;
+}
+
 void fake_group_free(struct fake_group *g)
 {
 	for (u32 id = 1; id <= g->n; id++) {
--- a/test/fakes/fake_group.h
+++ b/test/fakes/fake_group.h
@@ -19,7 +19,7 @@
 #include "control/control.h"
 #include "test/fakes/fake_disk.h"
 
-#define FAKE_GROUP_MAX 7
+#define FAKE_GROUP_MAX 16
 
 struct fake_group;
 
@@ -50,6 +50,7 @@
 	struct rng rng;
 	u64 now_us;
 	u32 n;
+	u32 founders; /* replicas 1 to FOUNDERS form the group; the others join it */
 	struct fake_replica r[FAKE_GROUP_MAX + 1]; /* indexed by id */
 	bool cut[FAKE_GROUP_MAX + 1][FAKE_GROUP_MAX + 1]; /* [from][to] */
 	u32 drop_percent;
@@ -81,6 +82,9 @@
 struct fake_group *fake_group_new(u32 n, u64 seed);
 void fake_group_free(struct fake_group *g);
 
+/* fake_group_add - adds a replica with an empty disk, which is down; returns its id. */
+u32 fake_group_add(struct fake_group *g);
+
 void fake_group_start(struct fake_group *g, u32 id);
 void fake_group_crash(struct fake_group *g, u32 id);
 void fake_group_wipe_disk(struct fake_group *g, u32 id); /* the replica must be down */
--- /dev/null
+++ b/test/voters_model_test.c
@@ -0,0 +1,436 @@
+/*
+ * A group of control processes on simulated disks and links, whose members are cut off, lose their
+ * power or their disks, and are replaced, planned and for good, in random order. No more than the
+ * tolerated number is lost at once. Afterwards the group has the voters that it needs, none of
+ * them gone, and survives the loss of as many disks as it tolerates.
+ *
+ * Each process requests membership and is added as in control/join.c; the voters are those of
+ * control/voters.c.
+ */
+#include "control/raft_impl.h"
+#include "control/voters.h"
+#include "test/fakes/fake_group.h"
+
+#include <stdlib.h>
+
+#define FOUNDERS 5
+#define LOSSES 2
+#define REQUIRED (2 * LOSSES + 1)
+#define SEEDS 60
+#define ROUNDS 4
+#define STEP_US (5 * US_PER_MS)
+#define CHECK_INTERVAL_US (200 * US_PER_MS)
+#define LEADER_TIMEOUT_US (1 * US_PER_S)
+/* A process counts as lost until this time after it is back, or started. */
+#define CATCH_UP_US (4 * US_PER_S)
+#define LOSS_MAX_US (6 * US_PER_S)
+/* From the moment at which all are back until the group is whole. */
+#define RECOVERY_MAX_US (15 * US_PER_S)
+#define SUCCESSOR_DELAY_US (1 * US_PER_S)
+#define POWER_OFF_US (650 * US_PER_MS)
+
+enum action { NOTHING, HEAL, START, END };
+
+enum loss { CUT, POWER, DISK, REPLACED, LOSS_KINDS };
+
+struct model;
+
+typedef bool (*change_rule)(const struct model *m, const struct raft *r, u64 now_us,
+			    struct voters_change *out);
+
+struct planned_action {
+	enum action action;
+	u64 at_us;
+};
+
+struct model {
+	struct fake_group *g;
+	change_rule rule;
+	struct planned_action next[FAKE_GROUP_MAX + 1]; /* by id */
+	bool is_gone[FAKE_GROUP_MAX + 1]; /* for good */
+	u64 check_due_us;
+	u64 floor; /* what was committed before the last fault */
+};
+
+static bool product_rule(const struct model *m, const struct raft *r, u64 now_us,
+			 struct voters_change *out)
+{
+	(void)m;
+	return voters_next_change(r, REQUIRED, now_us, out);
+}
+
+/* A founder that came back and holds the log. */
+static bool is_returned_founder(const struct model *m, const struct raft *r, u32 position)
+{
+	const struct raft_member *one = &r->members.m[position];
+
+	return !one->is_voter && one->id <= m->g->founders &&
+	       r->progress[position].match >= r->commit;
+}
+
+/*
+ * The rule of before (docs/incidents/sixth-voter.md): founders become voters beyond the required
+ * number at any time, and a silent voter is only removed if a learner takes its place.
+ */
+static bool earlier_rule(const struct model *m, const struct raft *r, u64 now_us,
+			 struct voters_change *out)
+{
+	u32 voters = voters_count(r);
+
+	for (u32 i = 0; voters >= REQUIRED && voters < VOTERS_MAX && i < r->members.n; i++) {
+		if (!is_returned_founder(m, r, i))
+			continue;
+		out->next = r->members;
+		out->next.m[i].is_voter = true;
+		return true;
+	}
+	if (!voters_next_change(r, REQUIRED, now_us, out))
+		return false;
+	return voters <= REQUIRED || out->next.n >= r->members.n;
+}
+
+static struct raft *raft_of(struct model *m, u32 id)
+{
+	return fake_raft(m->g, id);
+}
+
+static bool is_up(const struct model *m, u32 id)
+{
+	return m->g->r[id].is_up;
+}
+
+static bool is_cut(const struct model *m, u32 a, u32 b)
+{
+	return m->g->cut[a][b] || m->g->cut[b][a];
+}
+
+/* Whether the process requests membership, as in control/join.c. */
+static bool needs_group(struct model *m, u32 id)
+{
+	const struct raft *r = raft_of(m, id);
+
+	if (r->role == RAFT_LEADER)
+		return false;
+	return !r->leader || m->g->now_us - r->leader_heard_us > LEADER_TIMEOUT_US;
+}
+
+static bool propose(struct model *m, u32 leader, const struct raft_members *next)
+{
+	u64 index;
+
+	raft_propose_members(raft_of(m, leader), next, m->g->now_us, &index);
+	return true;
+}
+
+static bool handle_request(struct model *m, u32 leader, u32 id)
+{
+	struct raft *l = raft_of(m, leader);
+	struct raft_members next = l->members;
+	struct raft_member *slot = raft_member_find(&next, id);
+	u64 replica = raft_of(m, id)->replica;
+
+	if (slot && slot->replica == replica)
+		return false;
+	if (!slot)
+		slot = &next.m[next.n++];
+	*slot = (struct raft_member){ .id = id, .replica = replica, .at.port = (u16)id };
+	g_strlcpy(slot->at.host, "127.0.0.1", sizeof(slot->at.host));
+	return propose(m, leader, &next);
+}
+
+static void update_membership(struct model *m, u32 leader)
+{
+	struct raft *l = raft_of(m, leader);
+	struct voters_change change;
+
+	if (l->members_index > l->commit || raft_term_at(l, l->commit) != l->term)
+		return;
+	for (u32 id = 1; id <= m->g->n; id++)
+		if (id != leader && is_up(m, id) && !is_cut(m, id, leader) && needs_group(m, id) &&
+		    handle_request(m, leader, id))
+			return;
+	if (m->rule(m, l, m->g->now_us, &change))
+		propose(m, leader, &change.next);
+}
+
+static void act(struct model *m, u32 id)
+{
+	enum action action = m->next[id].action;
+
+	if (action == NOTHING || m->g->now_us < m->next[id].at_us)
+		return;
+	m->next[id].action = NOTHING;
+	if (action == START)
+		fake_group_start(m->g, id);
+	if (action == END) {
+		fake_group_crash(m->g, id);
+		m->is_gone[id] = true;
+	}
+	for (u32 other = 1; action == HEAL && other <= m->g->n; other++)
+		m->g->cut[id][other] = m->g->cut[other][id] = false;
+}
+
+static void step(struct model *m)
+{
+	u32 leader;
+
+	fake_group_run(m->g, STEP_US);
+	g_assert_cmpstr(m->g->violation, ==, NULL);
+	for (u32 id = 1; id <= m->g->n; id++)
+		act(m, id);
+	leader = fake_group_leader(m->g);
+	if (!leader || m->g->now_us < m->check_due_us)
+		return;
+	m->check_due_us = m->g->now_us + CHECK_INTERVAL_US;
+	update_membership(m, leader);
+}
+
+static void run(struct model *m, u64 span_us)
+{
+	for (u64 end_us = m->g->now_us + span_us; m->g->now_us < end_us;)
+		step(m);
+}
+
+static void plan(struct model *m, u32 id, enum action action, u64 at_us)
+{
+	m->next[id] = (struct planned_action){ .action = action, .at_us = at_us };
+}
+
+static u64 random_us(struct model *m, u64 most_us)
+{
+	return rng_below(&m->g->rng, (u32)most_us + 1);
+}
+
+/* A process that is there and of which nothing is planned. */
+static u32 pick(struct model *m)
+{
+	u32 id;
+
+	do
+		id = 1 + rng_below(&m->g->rng, m->g->n);
+	while (!is_up(m, id) || m->is_gone[id] || m->next[id].action != NOTHING);
+	return id;
+}
+
+/* One process is lost; returns when it, or its successor, no longer counts as lost. */
+static u64 lose_one(struct model *m)
+{
+	u64 now = m->g->now_us;
+	u64 back_us = now + SUCCESSOR_DELAY_US + random_us(m, LOSS_MAX_US - SUCCESSOR_DELAY_US);
+	u32 id = pick(m);
+
+	switch ((enum loss)rng_below(&m->g->rng, LOSS_KINDS)) {
+	case CUT:
+		fake_group_isolate(m->g, id);
+		plan(m, id, HEAL, back_us);
+		break;
+	case DISK:
+		fake_group_crash(m->g, id);
+		fake_group_wipe_disk(m->g, id);
+		plan(m, id, START, back_us);
+		break;
+	case REPLACED:
+		fake_group_crash(m->g, id);
+		m->is_gone[id] = true;
+		back_us = now + SUCCESSOR_DELAY_US;
+		plan(m, fake_group_add(m->g), START, back_us);
+		break;
+	default:
+		fake_group_crash(m->g, id);
+		plan(m, id, START, back_us);
+	}
+	return back_us + CATCH_UP_US;
+}
+
+/* The new process first, then the old one ends. */
+static u64 replace_as_planned(struct model *m)
+{
+	u64 starts_us = m->g->now_us + random_us(m, LOSS_MAX_US);
+	u32 old = pick(m);
+
+	plan(m, fake_group_add(m->g), START, starts_us);
+	plan(m, old, END, starts_us + CATCH_UP_US);
+	return starts_us + 2 * CATCH_UP_US;
+}
+
+static bool is_ready(struct model *m, u32 id)
+{
+	return is_up(m, id) && raft_of(m, id)->applied >= m->floor;
+}
+
+/* Whether those that are there are members, and those that vote are there, in the right number. */
+static bool is_whole(struct model *m)
+{
+	u32 leader = fake_group_leader(m->g);
+	struct raft *l = raft_of(m, leader);
+	u32 live = 0;
+
+	if (!leader || l->members_index > l->commit || raft_term_at(l, l->commit) != l->term)
+		return false;
+	for (u32 id = 1; id <= m->g->n; id++) {
+		const struct raft_member *one = raft_member_find(&l->members, id);
+
+		live += is_up(m, id);
+		if (is_up(m, id) ? !one || !is_ready(m, id) : one && one->is_voter)
+			return false;
+	}
+	return voters_count(l) >= REQUIRED && voters_count(l) <= MAX(REQUIRED, live);
+}
+
+static bool recover(struct model *m)
+{
+	u64 end_us = m->g->now_us + RECOVERY_MAX_US;
+
+	while (m->g->now_us < end_us) {
+		if (is_whole(m))
+			return true;
+		step(m);
+	}
+	return false;
+}
+
+static bool change(struct model *m)
+{
+	u64 acked = m->g->acked;
+	u64 end_us = m->g->now_us + RECOVERY_MAX_US;
+
+	while (m->g->acked == acked && m->g->now_us < end_us) {
+		fake_group_propose(m->g, fake_group_leader(m->g));
+		run(m, 100 * US_PER_MS);
+	}
+	m->floor = m->g->committed->len - 1;
+	return m->g->acked > acked;
+}
+
+/* Two lose their disks, and all others lose power. */
+static void final_fault(struct model *m)
+{
+	u32 wiped[LOSSES];
+	bool was_up[FAKE_GROUP_MAX + 1] = { false };
+
+	wiped[0] = pick(m);
+	do
+		wiped[1] = pick(m);
+	while (wiped[1] == wiped[0]);
+	for (u32 id = 1; id <= m->g->n; id++) {
+		was_up[id] = is_up(m, id);
+		fake_group_crash(m->g, id);
+	}
+	for (u32 i = 0; i < LOSSES; i++)
+		fake_group_wipe_disk(m->g, wiped[i]);
+	run(m, POWER_OFF_US);
+	for (u32 id = 1; id <= m->g->n; id++)
+		if (was_up[id])
+			fake_group_start(m->g, id);
+}
+
+static void begin(struct model *m, u64 seed, change_rule rule)
+{
+	*m = (struct model){ .g = fake_group_new(FOUNDERS, seed), .rule = rule };
+	m->g->copies_min = LOSSES + 1;
+	for (u32 id = 1; id <= FOUNDERS; id++)
+		raft_of(m, id)->copies_min = LOSSES + 1;
+}
+
+/* One to three things happen beside each other. */
+static void disturb(struct model *m)
+{
+	bool is_planned = rng_below(&m->g->rng, 2);
+	u32 losses = rng_below(&m->g->rng, is_planned ? LOSSES : LOSSES + 1);
+	u64 end_us = m->g->now_us;
+
+	for (u32 i = 0; i < losses; i++) {
+		u64 back_us = lose_one(m);
+
+		end_us = MAX(end_us, back_us);
+	}
+	if (is_planned) {
+		u64 done_us = replace_as_planned(m);
+
+		end_us = MAX(end_us, done_us);
+	}
+	run(m, end_us - m->g->now_us);
+}
+
+/* Prints the state at a failure. */
+static void describe(struct model *m)
+{
+	u32 leader = fake_group_leader(m->g);
+
+	g_test_message("at %llu us: leader %u, floor %llu", (unsigned long long)m->g->now_us,
+		       leader, (unsigned long long)m->floor);
+	for (u32 id = 1; id <= m->g->n; id++) {
+		struct raft *r = raft_of(m, id);
+		const struct raft_member *one =
+			leader ? raft_member_find(&raft_of(m, leader)->members, id) : NULL;
+
+		g_test_message("%u: %s, role %d, term %llu, applied %llu of %llu, %s", id,
+			       is_up(m, id) ? "up" : "down", r->role, (unsigned long long)r->term,
+			       (unsigned long long)r->applied,
+			       (unsigned long long)(is_up(m, id) ? raft_last_index(r) : 0),
+			       !one	     ? "no member" :
+			       one->is_voter ? "voter" :
+					       "learner");
+	}
+}
+
+/* Returns what went wrong, or NULL. */
+static const char *play(u64 seed, change_rule rule)
+{
+	const char *fault = NULL;
+	struct model m;
+
+	begin(&m, seed, rule);
+	if (!recover(&m))
+		fault = "the group does not form";
+	for (u32 round = 0; !fault && round < ROUNDS; round++) {
+		if (!change(&m))
+			fault = "no change is accepted";
+		disturb(&m);
+		if (!fault && !recover(&m))
+			fault = "the group is not whole again";
+	}
+	if (!fault && !change(&m))
+		fault = "no change is accepted at the end";
+	if (!fault) {
+		final_fault(&m);
+		if (!recover(&m))
+			fault = "the group does not survive the loss of disks";
+	}
+	if (fault)
+		describe(&m);
+	fake_group_free(m.g);
+	return fault;
+}
+
+static void test_any_order(void)
+{
+	const char *text = g_getenv("MODEL_SEEDS");
+	u32 seeds = text ? (u32)atoi(text) : SEEDS;
+
+	for (u64 seed = 1; seed <= seeds; seed++) {
+		const char *fault = play(seed, product_rule);
+
+		if (fault)
+			g_error("seed %llu: %s", (unsigned long long)seed, fault);
+	}
+}
+
+/* The model finds the fault that it was written for. */
+static void test_earlier_rule_is_found(void)
+{
+	u32 found = 0;
+
+	for (u64 seed = 1; seed <= SEEDS; seed++)
+		found += play(seed, earlier_rule) != NULL;
+	g_test_message("%u of %u seeds", found, SEEDS);
+	g_assert_cmpuint(found, >, 0);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/voters-model/any-order", test_any_order);
+	g_test_add_func("/voters-model/earlier-rule-is-found", test_earlier_rule_is_found);
+	return g_test_run();
+}
--- a/test/watch_test.c
+++ b/test/watch_test.c
@@ -22,6 +22,13 @@
 		fake_control_stop(&controls[i]);
 }
 
+/* Waits until the node watches one of the first two control processes. */
+static void wait_until_linked(void)
+{
+	for (u32 i = 0; i < WAIT_MS && !controls[0].watches && !controls[1].watches; i++)
+		g_usleep(US_PER_MS);
+}
+
 /*
  * A control process that was tried because it might be nearer, and was not, must be tried again
  * at once when the main one stops being fresh.
@@ -43,8 +50,7 @@
 		g_array_append_val(node.settings.node.control, at);
 	}
 	fake_node_run(&node);
-	for (u32 i = 0; i < WAIT_MS && !controls[0].watches && !controls[1].watches; i++)
-		g_usleep(US_PER_MS);
+	wait_until_linked();
 	from = controls[0].watches ? &controls[0] : &controls[1];
 	to = from == &controls[0] ? &controls[1] : &controls[0];
 	/* Time for a trial of the other one. */
@@ -82,8 +88,7 @@
 		g_array_append_val(node.settings.node.control, at);
 	}
 	fake_node_run(&node);
-	for (u32 i = 0; i < WAIT_MS && !controls[0].watches && !controls[1].watches; i++)
-		g_usleep(US_PER_MS);
+	wait_until_linked();
 	from = controls[0].watches ? &controls[0] : &controls[1];
 	to = from == &controls[0] ? &controls[1] : &controls[0];
 	g_usleep(US_PER_S);
@@ -116,8 +121,7 @@
 		g_array_append_val(node.settings.node.control, at);
 	}
 	fake_node_run(&node);
-	for (u32 i = 0; i < WAIT_MS && !controls[0].watches && !controls[1].watches; i++)
-		g_usleep(US_PER_MS);
+	wait_until_linked();
 	from = controls[0].watches ? &controls[0] : &controls[1];
 	to = from == &controls[0] ? &controls[1] : &controls[0];
 	began_us = loop_clock_us();
@@ -161,8 +165,7 @@
 		g_array_append_val(node.settings.node.control, at);
 	}
 	fake_node_run(&node);
-	for (u32 i = 0; i < WAIT_MS && !controls[0].watches && !controls[1].watches; i++)
-		g_usleep(US_PER_MS);
+	wait_until_linked();
 	/* Time for a trial of the other one, so that both are known to be near. */
 	g_usleep(US_PER_S);
 	g_atomic_int_set(&link.delay_us, SILENT_US);
