watch: a second word of a known incarnation does not set the timer again

Found by reading: a timer that is set must not be set up anew, which would corrupt the loop's tree of timers. Control says it once for a link, so no test shows it.

--- a/node/watch.c
+++ b/node/watch.c
@@ -258,6 +258,8 @@
 	w->known_incarnation = frame_get_u64(in);
 	if (frame_done(in))
 		return ERR_INVAL;
+	if (w->reset_timer.is_set)
+		return 0;
 	w->reset_timer = (struct loop_timer){ .fire = on_reset, .arg = w };
 	loop_timer_set(w->node->loop, &w->reset_timer, loop_clock_us());
 	return 0;
