home_test: cancel-given-up no longer depends on which of two descriptors is read first

Cause, in the test: the cancel came over the link and was to be read in the same turn as the answer, after it. The link pings each 500 ms, and the loop was put to sleep 500 ms after the link came up: a ping that arrived first made the link's descriptor the first one to be read, and the cancel with it, before the answer; the call was then cancelled while it was queued. Besides, the deadline left 80 ms.

The cancel is now posted to the loop, which reads descriptors before it runs what was posted and timers after that, so the order is fixed. The first call alone makes calls slower, which leaves 500 ms on both sides.

--- a/test/home_test.c
+++ b/test/home_test.c
@@ -357,9 +357,19 @@
 
 static void sleep_in_loop(void *arg)
 {
-	const u64 *span_us = arg;
+	const u64 *until_us = arg;
+	u64 now = loop_clock_us();
 
-	g_usleep(*span_us);
+	if (now < *until_us)
+		g_usleep(*until_us - now);
+}
+
+/* A message's handler would do the same; other messages on its link don't change when this runs. */
+static void cancel_in_loop(void *arg)
+{
+	const struct call_id *id = arg;
+
+	home_cancel(node.node, *id);
 }
 
 /*
@@ -368,36 +378,37 @@
  */
 static void test_cancel_given_up(void)
 {
-	/* The deadline leaves time to run by the duration of the first calls, not by the last's. */
-	u64 slow_us = 1000 * US_PER_MS;
-	u64 timeout_us = 1080 * US_PER_MS;
+	/*
+	 * While no call has ended, the second one may start until its deadline. The first one ends
+	 * 500 ms before that, when less time is left than it took.
+	 */
+	u64 slow_us = 1500 * US_PER_MS;
+	u64 timeout_us = 2000 * US_PER_MS;
 	u64 held_us = 500 * US_PER_MS;
+	u64 until_us;
+	struct call_id given_up;
 	struct peer_event *e;
 
 	start(1);
-	for (u64 seq = 1; seq <= 3; seq++) {
-		permit();
-		call(seq, "POST", LONG_TIMEOUT_US);
-		expect_reply(seq);
-	}
-	call(4, "POST", LONG_TIMEOUT_US);
-	wait_requests(4);
-	call(5, "POST", timeout_us);
+	given_up = id_of(2);
+	call(1, "POST", LONG_TIMEOUT_US);
+	wait_requests(1);
+	until_us = loop_clock_us() + slow_us;
+	call(2, "POST", timeout_us);
 	wait_until_handled();
 	g_usleep(slow_us - held_us);
-	/* The answer and the cancel are read in one turn of the loop. */
-	loop_post(node.node->loop, sleep_in_loop, &held_us);
-	g_usleep(held_us / 2);
+	/* The loop reads the answer before it runs what was posted, and timers after that. */
+	loop_post(node.node->loop, sleep_in_loop, &until_us);
 	permit();
-	g_usleep(held_us / 4);
-	fake_peer_send_id(&entry, PEER_CANCEL, id_of(5));
-	expect_reply(4);
+	g_usleep(held_us / 2);
+	loop_post(node.node->loop, cancel_in_loop, &given_up);
+	expect_reply(1);
 	e = fake_peer_expect(&entry, PEER_REFUSE);
-	g_assert_cmpuint(e->id.seq, ==, 5);
+	g_assert_cmpuint(e->id.seq, ==, 2);
 	g_assert_true(e->is_not_run);
 	peer_event_free(e);
-	fence(5, FENCE_NOT_RUN);
-	wait_requests(4);
+	fence(2, FENCE_NOT_RUN);
+	wait_requests(1);
 	stop();
 }
 
