node: an attempt has a name in the own dialect, and a refusal counts only with it

Cause: native_is_answer_to and native_names_request were always true, so answers were told apart by their order alone.

The home node names each attempt by its call id in Lavenderlead-Attempt; an answer may repeat it. A refusal without it, or with one that can't be read, ends as unknown (refusal-unnamed); an answer that names another attempt is never delivered and its connection is closed; an answer without a name behind such a one is uncertain. A header that can't be read, or two different ones, count as none: counted (answer-id-spoilt) and logged with the call's id. The platform's dialect is as it was. The log of the entry node uses the same text for the call's id, so that explain finds the home node's lines by it.

--- a/lib/ctr_list.h
+++ b/lib/ctr_list.h
@@ -39,11 +39,15 @@
     "the upstream's answer names no request and may belong to an earlier one")
 CTR(REFUSAL_UNSTATED, "refusal-unstated",
     "the upstream's status reads as not-run, but the answer doesn't state it")
+CTR(REFUSAL_UNNAMED, "refusal-unnamed",
+    "the upstream refused, but its answer doesn't name the attempt that it refuses")
 CTR(UPSTREAM_SHORT, "upstream-short", "the upstream body ended before its announced length")
 CTR(UPSTREAM_TIMEOUT, "upstream-timeout", "the upstream did not answer before the deadline")
 CTR(PEER_LOST, "peer-lost", "the link to the home node broke during the call")
 CTR(REPLY_TOO_LARGE, "reply-too-large", "the upstream answer is over max_body_bytes")
 CTR(FOREIGN_ANSWER, "foreign-answer", "bytes of the upstream that answer no request of theirs")
+CTR(ANSWER_ID_SPOILT, "answer-id-spoilt",
+    "answers of the upstream with an id that can't be read, taken as none")
 CTR(OTHER_INSTANCE, "other-instance", "the upstream's address belongs to another one now")
 CTR(UPSTREAM_CONNECT, "upstream-connect", "new connections to the upstream")
 CTR(RATE_LIMIT_NAMED, "rate-limit-named", "answers of the upstream that name its rate limit")
--- a/node/caller.c
+++ b/node/caller.c
@@ -153,14 +153,13 @@
 static void log_call(const struct node *n, const struct entry_call *call, u64 time_us)
 {
 	const char *request = n->dialect->id(call->msg);
-	g_autofree char *id = NULL;
+	char id[PEER_ID_TEXT_BYTES];
 	bool is_failure = !call->answer || call->status >= 500;
 
 	if (!log_should_write(call->answer ? "answer" : "refusal", request,
 			      is_failure || !call->is_idempotent))
 		return;
-	id = g_strdup_printf("%llx-%llu", (unsigned long long)call->last_attempt_id.incarnation,
-			     (unsigned long long)call->last_attempt_id.seq);
+	peer_id_to_text(call->last_attempt_id, id);
 	log_event(call->answer ? LOG_INFO : LOG_WARN, call->answer ? "answer" : "refusal",
 		  "request", request ? request : id, "call", id, "service", call->service, "rank",
 		  call->rank, "status", log_u64(call->status), "reason",
@@ -235,6 +234,8 @@
 	c->call.msg = request->msg;
 	c->call.done = on_done;
 	c->call.arg = c;
+	/* Only nodes and upstreams name attempts. */
+	n->dialect->set_attempt_id(request->msg, NULL);
 	n->dialect->timeout_ms(request->msg, &ms);
 	/* The timeout starts when the request is complete and includes any wait behind others. */
 	c->call.deadline_us = request->began_us + ms * US_PER_MS;
--- a/node/dialect.c
+++ b/node/dialect.c
@@ -1,6 +1,7 @@
 #include "node/dialect.h"
 
 #include "lib/err.h"
+#include "wire/peer.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -10,6 +11,8 @@
 #define OUTCOME_HEADER "Lavenderlead-Outcome"
 #define REASON_HEADER "Lavenderlead-Reason"
 #define RATE_LIMIT_HEADER "Lavenderlead-Rate-Limit"
+/* Set by the home node for each attempt; an upstream may repeat it in its answer. */
+#define ATTEMPT_HEADER "Lavenderlead-Attempt"
 
 #define RATE_MAX_PER_S 1000000
 
@@ -65,8 +68,14 @@
 
 static const char *native_id(const struct http_msg *request)
 {
-	(void)request;
-	return NULL;
+	return http_header(request, ATTEMPT_HEADER);
+}
+
+static void native_set_attempt_id(struct http_msg *m, const char *id)
+{
+	http_remove_headers(m, ATTEMPT_HEADER);
+	if (id)
+		http_add_header(m, ATTEMPT_HEADER, id);
 }
 
 static void native_set_caller_service(struct http_msg *request, const char *service)
@@ -93,18 +102,51 @@
 			       (unsigned long long)info->remaining_ms);
 }
 
-static bool native_is_answer_to(const struct http_msg *answer, const struct http_msg *request)
+enum attempt_naming {
+	NAMES_NONE,
+	NAMES_ONE, /* one attempt, that of the request or another */
+	NAMES_SPOILT, /* no id of an attempt, or two different ones */
+};
+
+/* Reads which attempt the answer names into ID, which is set only for NAMES_ONE. */
+static enum attempt_naming read_attempt_id(const struct http_msg *answer, const char **id)
 {
-	(void)answer;
-	(void)request;
-	return true;
+	*id = NULL;
+	for (guint i = 0; i < answer->headers->len; i++) {
+		const struct http_header *h = g_ptr_array_index(answer->headers, i);
+
+		if (g_ascii_strcasecmp(h->name, ATTEMPT_HEADER))
+			continue;
+		if (!peer_is_id_text(h->value) || (*id && strcmp(*id, h->value))) {
+			*id = NULL;
+			return NAMES_SPOILT;
+		}
+		*id = h->value;
+	}
+	return *id ? NAMES_ONE : NAMES_NONE;
 }
 
 static bool native_names_request(const struct http_msg *answer, const struct http_msg *request)
 {
-	(void)answer;
-	(void)request;
-	return true;
+	const char *expected = native_id(request);
+	const char *id;
+
+	return read_attempt_id(answer, &id) == NAMES_ONE && expected && !strcmp(id, expected);
+}
+
+/* An upstream need not name the request. */
+static bool native_is_answer_to(const struct http_msg *answer, const struct http_msg *request)
+{
+	const char *id;
+
+	return read_attempt_id(answer, &id) != NAMES_ONE || native_names_request(answer, request);
+}
+
+static bool native_is_id_spoilt(const struct http_msg *answer)
+{
+	const char *id;
+
+	return read_attempt_id(answer, &id) == NAMES_SPOILT;
 }
 
 static bool native_is_not_run(const struct http_msg *answer)
@@ -148,14 +190,17 @@
 
 const struct dialect dialect_native = {
 	.name = "own",
+	.are_refusals_named = true,
 	.timeout_ms = native_timeout_ms,
 	.id = native_id,
+	.set_attempt_id = native_set_attempt_id,
 	.set_caller_service = native_set_caller_service,
 	.refuse = native_refuse,
 	.is_rewritten_header = native_is_rewritten_header,
 	.write_request_headers = native_write_request_headers,
 	.is_answer_to = native_is_answer_to,
 	.names_request = native_names_request,
+	.is_id_spoilt = native_is_id_spoilt,
 	.is_not_run = native_is_not_run,
 	.is_unstated_refusal = native_is_unstated_refusal,
 	.is_refused_below = native_is_refused_below,
--- a/node/dialect.h
+++ b/node/dialect.h
@@ -50,13 +50,23 @@
 	 * having sent its whole request.
 	 */
 	bool is_close_final;
-	/* Whether answers name their request by its id, rather than being told apart by order. */
+	/*
+	 * Whether callers name their requests, and answers repeat that id. Otherwise the home node
+	 * names each attempt, and answers that don't repeat its id are told apart by order.
+	 */
 	bool has_ids;
+	/* Whether a refusal counts only if it names its request, also as a first answer. */
+	bool are_refusals_named;
 
 	/* timeout_ms - reads the caller's timeout; false when there is none or it is invalid. */
 	bool (*timeout_ms)(const struct http_msg *request, u64 *ms);
-	/* id - returns the caller's id of the request, or NULL. */
+	/* id - returns the id that names the request, or NULL. */
 	const char *(*id)(const struct http_msg *request);
+	/*
+	 * set_attempt_id - names the request by the id of the attempt in place of what it brought;
+	 * NULL removes the name of a request or an answer. Does nothing if has_ids.
+	 */
+	void (*set_attempt_id)(struct http_msg *m, const char *id);
 	/*
 	 * set_caller_service - marks the request as coming from SERVICE, the service of the
 	 * upstream at the entry node (may be NULL).
@@ -73,9 +83,11 @@
 	bool (*is_answer_to)(const struct http_msg *answer, const struct http_msg *request);
 	/*
 	 * names_request - whether the answer names its request, so that it can't be a copy of an
-	 * answer to an earlier one. True in a dialect whose answers are told apart by their order.
+	 * answer to an earlier one.
 	 */
 	bool (*names_request)(const struct http_msg *answer, const struct http_msg *request);
+	/* is_id_spoilt - whether the answer has an id that can't be read and counts as none. */
+	bool (*is_id_spoilt)(const struct http_msg *answer);
 	/* is_not_run - whether the upstream guarantees that the request never runs. */
 	bool (*is_not_run)(const struct http_msg *answer);
 	/*
--- a/node/home.c
+++ b/node/home.c
@@ -76,12 +76,15 @@
 			   u64 deadline_us)
 {
 	struct job *j = g_new0(struct job, 1);
+	char attempt_id[PEER_ID_TEXT_BYTES];
 
 	j->node = n;
 	j->id = call->id;
 	j->origin = origin;
 	j->is_local = !origin;
 	j->msg = g_steal_pointer(&call->msg);
+	peer_id_to_text(j->id, attempt_id);
+	n->dialect->set_attempt_id(j->msg, attempt_id);
 	j->req.deadline_us = deadline_us;
 	j->req.bytes = j->msg->body->len + sizeof(*j);
 	j->req.target_us = call->target_us;
--- a/node/home_end.c
+++ b/node/home_end.c
@@ -165,6 +165,12 @@
 	return n->dialect->is_not_run(reply) ? CTR_UPSTREAM_SHED : CTR_COUNT;
 }
 
+/* A call that a node refused below, after its own attempts, is not tried again in any case. */
+static enum ctr unnamed_refusal_reason(enum ctr not_run)
+{
+	return not_run == CTR_REFUSED_BELOW ? not_run : CTR_REFUSAL_UNNAMED;
+}
+
 /* Logs one line for each call that ended at the upstream, with its times and load there. */
 static void log_completion(const struct node *n, const struct job *j)
 {
@@ -198,6 +204,7 @@
 	struct job *j = call->arg;
 	struct node *n = j->node;
 	enum ctr not_run = call->err ? CTR_COUNT : not_run_answer(n, call->reply);
+	bool is_believed = call->is_named || !n->dialect->are_refusals_named;
 
 	if (!call->err && not_run != CTR_OTHER_INSTANCE) {
 		slowness_monitor_record_answer(n->home->slowness_monitor, call->reply);
@@ -209,8 +216,10 @@
 		mark_upstream_lost(n, not_run);
 	else if (call->err == ERR_REFUSED)
 		mark_upstream_lost(n, CTR_UPSTREAM_REFUSED);
-	if (not_run != CTR_COUNT)
+	if (not_run != CTR_COUNT && is_believed)
 		home_refuse_not_run(n, j, not_run);
+	else if (not_run != CTR_COUNT)
+		report_unknown_outcome(n, j, unnamed_refusal_reason(not_run));
 	else if (!call->err && n->dialect->is_unstated_refusal(call->reply))
 		report_unknown_outcome(n, j, CTR_REFUSAL_UNSTATED);
 	else if (!call->err)
--- a/node/upstream.c
+++ b/node/upstream.c
@@ -249,6 +249,7 @@
 	call->reply = NULL;
 	call->err = 0;
 	call->is_written = false;
+	call->is_named = false;
 	call->may_be_copy = false;
 	call->timer = (struct loop_timer){ .fire = on_timer, .arg = call };
 	if (!remaining_us(call)) {
--- a/node/upstream.h
+++ b/node/upstream.h
@@ -5,10 +5,11 @@
  * was written, the outcome is unknown. A request that is not idempotent goes out
  * on a new connection or on one that was used within the last half second.
  *
- * A faulty upstream may write an earlier answer again. An answer that names no request is taken
- * only as the first one of its connection; a request without an id therefore gets a connection of
- * its own. A connection on which the upstream has refused a request is used again only for requests
- * with other ids, and only if the refusal named its request.
+ * A faulty upstream may write an earlier answer again. In a dialect with ids, an answer that names
+ * no request is taken only as the first one of its connection; a request without an id therefore
+ * gets a connection of its own. In a dialect without, such an answer is taken unless one to another
+ * request came on its connection before. A connection on which the upstream has refused a request
+ * is used again only for requests with other ids, and only if the refusal named its request.
  *
  * All functions must be called on the loop's thread.
  *
@@ -44,6 +45,7 @@
 	int err;
 	struct http_msg *reply; /* owned by the caller; NULL after an error */
 	bool is_written; /* bytes of the request may have reached the upstream */
+	bool is_named; /* the reply names the request */
 	bool may_be_copy; /* the reply is told from earlier ones only by its place */
 	/* private */
 	struct upstream *u;
--- a/node/upstream_answer.c
+++ b/node/upstream_answer.c
@@ -3,6 +3,7 @@
 
 #include "lib/ctr.h"
 #include "lib/err.h"
+#include "lib/log.h"
 
 /* Answers to other requests that are skipped before the connection is closed. */
 #define FOREIGN_ANSWERS_MAX 2
@@ -37,14 +38,30 @@
 {
 	if (c->answers == 1)
 		return false;
-	return c->read.is_joined ||
-	       (!c->call->is_poll && !c->u->dialect->names_request(m, c->call->request));
+	if (c->read.is_joined)
+		return true;
+	if (c->call->is_poll || c->u->dialect->names_request(m, c->call->request))
+		return false;
+	return c->u->dialect->has_ids || c->foreign_answers;
+}
+
+static void note_spoilt_id(const struct upstream_conn *c, const struct http_msg *m)
+{
+	const char *id = c->u->dialect->id(c->call->request);
+
+	if (!c->u->dialect->is_id_spoilt(m))
+		return;
+	ctr_inc(CTR_ANSWER_ID_SPOILT);
+	if (log_should_write("answer id", id, true))
+		log_event(LOG_WARN, "answer id can't be read, taken as none", "request",
+			  id ? id : "", "status", log_u64(m->status), NULL);
 }
 
 /* Returns 0 if M answers the call, 1 if it is skipped, or an error that ends the call. */
 static int judge_answer(struct upstream_conn *c, const struct http_msg *m)
 {
 	c->answers++;
+	note_spoilt_id(c, m);
 	if (is_foreign_answer(c, m))
 		return c->foreign_answers > FOREIGN_ANSWERS_MAX ? ERR_CLOSED : 1;
 	return is_uncertain_answer(c, m) ? ERR_UNCERTAIN : 0;
@@ -58,6 +75,7 @@
 {
 	struct http_msg *m = g_steal_pointer(&c->read.msg);
 	struct upstream_call *call = c->call;
+	const struct dialect *d = c->u->dialect;
 	int err = judge_answer(c, m);
 
 	c->has_answer = false;
@@ -67,8 +85,10 @@
 	}
 	if (len)
 		c->foreign_answers++;
-	call->may_be_copy = c->answers > 1 && (call->is_poll || !c->u->dialect->has_ids);
+	call->is_named = d->names_request(m, call->request);
+	call->may_be_copy = c->answers > 1 && (call->is_poll || !call->is_named);
 	upstream_release(c, m);
+	d->set_attempt_id(m, NULL);
 	upstream_finish(call, 0, m);
 	return 0;
 }
--- a/test/fakes/raw_server.c
+++ b/test/fakes/raw_server.c
@@ -119,7 +119,7 @@
 	return at ? strtoul(at + strlen("\r\nContent-Length:"), NULL, 10) : 0;
 }
 
-bool raw_read_request(struct raw_server *s, int fd)
+char *raw_read_request_text(struct raw_server *s, int fd)
 {
 	g_autoptr(GString) in = g_string_new(NULL);
 	char buf[4096];
@@ -129,12 +129,19 @@
 		ssize_t n = recv(fd, buf, sizeof(buf), 0);
 
 		if (n <= 0)
-			return false;
+			return NULL;
 		g_string_append_len(in, buf, n);
 		end = strstr(in->str, "\r\n\r\n");
 	}
 	g_atomic_int_inc(&s->requests);
-	return true;
+	return g_string_free(g_steal_pointer(&in), FALSE);
+}
+
+bool raw_read_request(struct raw_server *s, int fd)
+{
+	g_autofree char *text = raw_read_request_text(s, fd);
+
+	return text != NULL;
 }
 
 void raw_write(int fd, const char *text)
--- a/test/fakes/raw_server.h
+++ b/test/fakes/raw_server.h
@@ -31,6 +31,8 @@
 
 /* raw_read_request - reads one request with its body; false when the connection ended. */
 bool raw_read_request(struct raw_server *s, int fd);
+/* raw_read_request_text - the same; returns the request, which the caller frees, or NULL. */
+char *raw_read_request_text(struct raw_server *s, int fd);
 void raw_write(int fd, const char *text);
 
 /* raw_reset_on_close - makes a later close of FD send a reset to the peer. */
--- a/test/once_test.sh
+++ b/test/once_test.sh
@@ -135,7 +135,7 @@
 relay pass
 phase_end
 
-for how in close short chunks shed; do
+for how in close short chunks shed stale; do
 	phase "upstream_$how" -f $how
 	phase_end
 done
--- a/test/programs/upstream.c
+++ b/test/programs/upstream.c
@@ -9,9 +9,11 @@
  * A request may ask for a delay with the header Delay-Ms, and for a failure
  * with the header Fail: close (runs, sends no response), short (runs, sends a
  * truncated response), chunks (runs, sends a chunked body without its end) or shed
- * (does not run, 503 not-run). Three are violations that a checker has to find: lie
- * (runs, 503 not-run), swap (the response to another request) and twice (runs twice). SIGUSR1
- * starts draining, SIGUSR2 stops the announcements, SIGTERM ends the process.
+ * (does not run, 503 not-run) or stale (every third does not run, 503 not-run; the others run, and
+ * that refusal is written once more before their response). Three are violations that a checker has
+ * to find: lie (runs, 503 not-run), swap (the response to another request) and twice (runs twice).
+ * Each response names the attempt that it answers. SIGUSR1 starts draining, SIGUSR2 stops the
+ * announcements, SIGTERM ends the process.
  */
 #include "lib/http_server.h"
 #include "lib/types.h"
@@ -28,6 +30,7 @@
 #define SERVER_THREADS 160
 #define BODY_MAX_BYTES (16 * 1024 * 1024)
 #define ANNOUNCE_INTERVAL_S 1
+#define ATTEMPT_HEADER "Lavenderlead-Attempt"
 
 struct options {
 	u16 port;
@@ -41,6 +44,11 @@
 static struct options opt = { .slots = 12 };
 static pthread_mutex_t log_lock = PTHREAD_MUTEX_INITIALIZER;
 
+/* The last refusal that was asked for by "Fail: stale", and how many asked. */
+static pthread_mutex_t stale_lock = PTHREAD_MUTEX_INITIALIZER;
+static char *stale_refusal;
+static u32 stale_requests;
+
 static void log_run(struct mg_connection *conn)
 {
 	const struct mg_request_info *ri = mg_get_request_info(conn);
@@ -54,16 +62,62 @@
 	pthread_mutex_unlock(&log_lock);
 }
 
+/* Returns a whole response that names the attempt of the request. */
+static char *make_response(struct mg_connection *conn, const char *status, const char *headers,
+			   const char *body)
+{
+	const char *attempt = mg_get_header(conn, ATTEMPT_HEADER);
+
+	return g_strdup_printf("HTTP/1.1 %s\r\nContent-Type: text/plain\r\nContent-Length: %zu\r\n"
+			       "%s%s%s%s\r\n%s",
+			       status, strlen(body), attempt ? ATTEMPT_HEADER ": " : "",
+			       attempt ? attempt : "", attempt ? "\r\n" : "", headers, body);
+}
+
+static char *make_refusal(struct mg_connection *conn)
+{
+	return make_response(conn, "503 Service Unavailable", "Lavenderlead-Outcome: not-run\r\n",
+			     "shed\n");
+}
+
+static int refuse(struct mg_connection *conn)
+{
+	g_autofree char *text = make_refusal(conn);
+
+	mg_write(conn, text, strlen(text));
+	return 503;
+}
+
+/* Refuses every third request, and writes that refusal again before the response to others. */
+static int refuse_or_repeat(struct mg_connection *conn)
+{
+	g_autofree char *refusal = NULL;
+	bool is_refused;
+
+	pthread_mutex_lock(&stale_lock);
+	is_refused = stale_requests++ % 3 == 0;
+	if (is_refused) {
+		g_free(stale_refusal);
+		stale_refusal = make_refusal(conn);
+	}
+	refusal = g_strdup(stale_refusal);
+	pthread_mutex_unlock(&stale_lock);
+	mg_write(conn, refusal, strlen(refusal));
+	return is_refused ? 503 : 0;
+}
+
 /* Sends the failure that the request asks for. Returns the status, or 0 when it asks for none. */
 static int send_requested_failure(struct mg_connection *conn, const char *kind)
 {
 	if (!kind)
 		return 0;
 	if (!strcmp(kind, "shed"))
-		return http_send_error(conn, 503, "not-run", "upstream-shed", "shed");
+		return refuse(conn);
+	if (!strcmp(kind, "stale"))
+		return refuse_or_repeat(conn);
 	log_run(conn);
 	if (!strcmp(kind, "lie"))
-		return http_send_error(conn, 503, "not-run", "upstream-shed", "shed");
+		return refuse(conn);
 	if (!strcmp(kind, "twice") || !strcmp(kind, "swap"))
 		return 0;
 	mg_disable_connection_keep_alive(conn);
@@ -80,6 +134,7 @@
 	const struct mg_request_info *ri = mg_get_request_info(conn);
 	g_autoptr(GByteArray) body = g_byte_array_new();
 	g_autofree char *text = NULL;
+	g_autofree char *response = NULL;
 	const char *id = mg_get_header(conn, "Request-Id");
 	const char *delay = mg_get_header(conn, "Delay-Ms");
 	const char *fail = mg_get_header(conn, "Fail");
@@ -91,7 +146,7 @@
 	status = send_requested_failure(conn, fail);
 	if (status)
 		return status;
-	if (!fail || !strcmp(fail, "twice"))
+	if (!fail || !strcmp(fail, "twice") || !strcmp(fail, "stale"))
 		log_run(conn);
 	if (fail && !strcmp(fail, "swap"))
 		id = "another";
@@ -99,7 +154,9 @@
 	text = g_strdup_printf("%s %s id=%s from=%s:%u body=%.*s\n", ri->request_method,
 			       ri->local_uri, id ? id : "-", opt.service, opt.port, (int)body->len,
 			       (const char *)body->data);
-	return http_send_response(conn, 200, "text/plain", NULL, NULL, text);
+	response = make_response(conn, "200 OK", "", text);
+	mg_write(conn, response, strlen(response));
+	return 200;
 }
 
 static void announce(const char *method, const char *body)
--- a/wire/peer.c
+++ b/wire/peer.c
@@ -5,6 +5,10 @@
 
 #include <string.h>
 
+/* A call id as text: numbers of 64 bits in hexadecimal digits. */
+#define ID_PARTS 3
+#define ID_PART_DIGITS_MAX 16
+
 guint call_id_hash(gconstpointer p)
 {
 	const struct call_id *id = p;
@@ -20,6 +24,25 @@
 	return x->incarnation == y->incarnation && x->seq == y->seq && x->origin == y->origin;
 }
 
+void peer_id_to_text(struct call_id id, char text[PEER_ID_TEXT_BYTES])
+{
+	g_snprintf(text, PEER_ID_TEXT_BYTES, "%llx-%llx-%llx", (unsigned long long)id.incarnation,
+		   (unsigned long long)id.seq, (unsigned long long)id.origin);
+}
+
+bool peer_is_id_text(const char *text)
+{
+	for (u32 i = 0; i < ID_PARTS; i++) {
+		size_t digits = strspn(text, "0123456789abcdef");
+		char end = i + 1 < ID_PARTS ? '-' : '\0';
+
+		if (!digits || digits > ID_PART_DIGITS_MAX || text[digits] != end)
+			return false;
+		text += digits + 1;
+	}
+	return true;
+}
+
 void peer_id_put(struct frame_out *f, struct call_id id)
 {
 	frame_put_u64(f, id.incarnation);
--- a/wire/peer.h
+++ b/wire/peer.h
@@ -39,6 +39,18 @@
 		       incarnation */
 };
 
+/* Size of a call id as text, with its end: three numbers of up to 16 digits. */
+#define PEER_ID_TEXT_BYTES 52
+
+/*
+ * peer_id_to_text - writes ID as text: incarnation, sequence and origin, as hexadecimal numbers
+ * with a hyphen between them.
+ */
+void peer_id_to_text(struct call_id id, char text[PEER_ID_TEXT_BYTES]);
+
+/* peer_is_id_text - returns whether TEXT has the form of a call id. */
+bool peer_is_id_text(const char *text);
+
 /* Ranks per load report; if there are more, those of the lowest worth are left out. */
 #define PEER_WAITS_MAX 8
 
