node: a leave supersedes heartbeats of its run for a minute, and none of a later run

It now supersedes heartbeats of that run for 60 s, longer than any is on its way; a start that is later than that of the run which left is another run.

instance_test:/instance/late-leave-of-an-earlier-run and /new-run-while-the-clock-is-ahead: state 1 (none) where 2 (up) was due before, passed now; the other five and withdrawal_test pass.

--- a/node/local.c
+++ b/node/local.c
@@ -80,10 +80,25 @@
 	n->withdrawn_us = loop_clock_us();
 }
 
+static bool is_current_instance(const struct node *n, const char *instance)
+{
+	return !g_strcmp0(n->upstream_instance, instance);
+}
+
+/*
+ * A leave is dated by the clock of this VM, which may be ahead of the upstream's. The start of the
+ * run that left is known, so a later one is another run.
+ */
+static bool is_later_run(const struct node *n, const char *instance, u64 start_ms)
+{
+	return is_current_instance(n, instance) && start_ms > n->upstream_start_time;
+}
+
 static bool is_withdrawn(const struct node *n, const char *instance, u64 start_ms, u64 sequence)
 {
 	return loop_clock_us() - n->withdrawn_us < WITHDRAWAL_KEEP_US &&
-	       withdrawal_covers(&n->withdrawal, instance, start_ms, sequence);
+	       withdrawal_covers(&n->withdrawal, instance, start_ms, sequence) &&
+	       !is_later_run(n, instance, start_ms);
 }
 
 void local_withdraw(struct node *n, const struct withdrawal *w)
@@ -107,6 +122,9 @@
 		return false;
 	if ((u64)a->born != n->upstream_start_time)
 		return (u64)a->born < n->upstream_start_time;
+	/* All that were in transit when it left; it may have been an earlier run that left. */
+	if (n->upstream_left_us && loop_clock_us() - n->upstream_left_us < WITHDRAWAL_KEEP_US)
+		return true;
 	return (u64)a->sequence <= n->upstream_sequence;
 }
 
@@ -145,6 +163,7 @@
 		set_details(n, a);
 		n->upstream_start_time = (u64)a->born;
 		n->upstream_sequence = (u64)a->sequence;
+		n->upstream_left_us = 0;
 	}
 	if (a->is_draining && *a->instance)
 		withdraw_drained(n, a);
@@ -332,12 +351,12 @@
  */
 static struct http_msg *delete_instance(struct node *n, const char *instance)
 {
-	bool is_known = !g_strcmp0(n->upstream_instance, instance);
+	u64 now_ms = (u64)g_get_real_time() / US_PER_MS;
+	bool is_known = is_current_instance(n, instance);
 
-	withdraw(n, instance, (u64)g_get_real_time() / US_PER_MS, UINT64_MAX);
-	/* Announcements of this instance that are still in transit are now stale. */
+	withdraw(n, instance, is_known ? MAX(now_ms, n->upstream_start_time) : now_ms, UINT64_MAX);
 	if (is_known)
-		n->upstream_sequence = UINT64_MAX;
+		n->upstream_left_us = n->withdrawn_us;
 	if (is_known && n->dir_entry.state != DIR_NO_UPSTREAM)
 		set_state(n, DIR_NO_UPSTREAM);
 	else
--- a/node/node.h
+++ b/node/node.h
@@ -49,6 +49,7 @@
 	u64 upstream_ttl_us;
 	struct withdrawal withdrawal; /* the newest that was acknowledged, also before a restart */
 	u64 withdrawn_us; /* when it was, or when control sent it */
+	u64 upstream_left_us; /* when the upstream of that announcement left; 0 if it has not */
 	bool is_stopping;
 	struct stop stop;
 	struct loop_timer second_timer;
--- a/test/instance_test.c
+++ b/test/instance_test.c
@@ -241,10 +241,73 @@
 	fake_node_stop(&node);
 }
 
+static void start_instance_case(void)
+{
+	fake_node_prepare(&node);
+	node.settings.node.upstream_ttl_ms = 600000;
+	fake_node_run(&node);
+}
+
+static void end_withdrawal(void *arg)
+{
+	(void)arg;
+	node.node->withdrawn_us = 1;
+	node.node->upstream_left_us = 1;
+}
+
+/*
+ * Guards against: a late leave of an earlier run, which has the same name, makes the heartbeats of
+ * the run in force stale as long as it lives.
+ */
+static void test_late_leave_of_an_earlier_run(void)
+{
+	g_autofree char *earlier = heartbeat("sightings", 1000, 7);
+	g_autofree char *first = heartbeat("sightings", 2000, 1);
+	g_autofree char *second = heartbeat("sightings", 2000, 2);
+	g_autofree char *third = heartbeat("sightings", 2000, 3);
+
+	start_instance_case();
+	g_assert_cmpint(put(earlier), ==, 200);
+	g_assert_cmpint(put(first), ==, 200);
+	/* It may be a leave of the run in force, whose heartbeats may come late. */
+	g_assert_cmpint(leave(), ==, 200);
+	g_assert_cmpint(put(second), ==, 200);
+	g_assert_cmpint(state(), ==, DIR_NO_UPSTREAM);
+	/* None comes that late. */
+	loop_call(node.node->loop, end_withdrawal, NULL);
+	g_assert_cmpint(put(third), ==, 200);
+	g_assert_cmpint(state(), ==, DIR_UP);
+	fake_node_stop(&node);
+}
+
+/*
+ * Guards against: an upstream that leaves and starts again under its name is ignored, as the clock
+ * of the VM, by which the node dates the leave, was ahead of the upstream's.
+ */
+static void test_new_run_while_the_clock_is_ahead(void)
+{
+	g_autofree char *earlier = heartbeat("sightings", now_ms() - 60000, 1);
+	g_autofree char *late = heartbeat("sightings", now_ms() - 60000, 2);
+	g_autofree char *new_run = heartbeat("sightings", now_ms() - 2400, 1);
+
+	start_instance_case();
+	g_assert_cmpint(put(earlier), ==, 200);
+	g_assert_cmpint(leave(), ==, 200);
+	g_assert_cmpint(put(late), ==, 200);
+	g_assert_cmpint(state(), ==, DIR_NO_UPSTREAM);
+	g_assert_cmpint(put(new_run), ==, 200);
+	g_assert_cmpint(state(), ==, DIR_UP);
+	fake_node_stop(&node);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/instance/heartbeat-after-leaving", test_heartbeat_after_leaving);
+	g_test_add_func("/instance/late-leave-of-an-earlier-run",
+			test_late_leave_of_an_earlier_run);
+	g_test_add_func("/instance/new-run-while-the-clock-is-ahead",
+			test_new_run_while_the_clock_is_ahead);
 	g_test_add_func("/instance/odd-entry", test_odd_entry);
 	g_test_add_func("/instance/other-writer-displaces-the-upstream",
 			test_other_writer_displaces_the_upstream);
