control: a process that stops waits for room on its disk for half of its grace

A control process whose disk is full did not end on SIGTERM (seen in the code by the reviewer): its loop sleeps in the write until there is room, the signal is no longer pending, and is_stopping is set only after steps that wait for the loop. The end of that wait is now set before anything waits for the loop.

--- a/control/control.c
+++ b/control/control.c
@@ -201,6 +201,8 @@
 	u64 now = loop_clock_us();
 	u64 grace_us = c->settings->control.shutdown_grace_ms * US_PER_MS;
 
+	/* The loop may be waiting for room, and what follows waits for the loop. */
+	__atomic_store_n(&c->disk_wait_end_us, now + grace_us / 2, __ATOMIC_RELEASE);
 	hand_over(c, now + MIN(grace_us / 4, RAFT_TRANSFER_TIMEOUT_US));
 	api_stop(c, now + grace_us - MIN(grace_us / 4, CLOSE_US));
 	loop_call(c->loop, stop_on_loop, c);
--- a/control/control.h
+++ b/control/control.h
@@ -65,6 +65,8 @@
 	struct mg_context *http;
 	u32 api_requests; /* of the API, begun and not answered; changed by its threads */
 	bool is_stopping;
+	/* When a process that stops waits no longer for room on its disk; 0 while it serves. */
+	u64 disk_wait_end_us;
 };
 
 struct control *control_new(const struct settings *s);
--- a/control/raft_host.c
+++ b/control/raft_host.c
@@ -201,9 +201,10 @@
 static bool is_stopping(void *arg)
 {
 	struct control *c = arg;
+	u64 end_us = __atomic_load_n(&c->disk_wait_end_us, __ATOMIC_ACQUIRE);
 	sigset_t pending;
 
-	if (__atomic_load_n(&c->is_stopping, __ATOMIC_ACQUIRE))
+	if (end_us && loop_clock_us() >= end_us)
 		return true;
 	return !sigpending(&pending) &&
 	       (sigismember(&pending, SIGTERM) == 1 || sigismember(&pending, SIGINT) == 1);
--- a/test/join_lib.sh
+++ b/test/join_lib.sh
@@ -3,7 +3,7 @@
 # address, as a VM has.
 # shellcheck shell=bash disable=SC2154
 
-# start_control I FOUND SEEDS - starts the process at 127.0.0.I
+# start_control I FOUND SEEDS [LINE] - starts the process at 127.0.0.I; LINE is one more setting
 start_control() {
 	cat >"$dir/$1.ini" <<END
 [cluster]
@@ -19,6 +19,7 @@
 seeds=$3
 found=$2
 losses=2
+${4-}
 END
 	"$bin" serve -c "$dir/$1.ini" >>"$dir/$1.log" 2>&1 &
 	pid[$1]=$!
