httpd: the bodies of unanswered requests are bounded together

The bodies of unanswered requests on open connections are counted; a request whose part goes beyond 32 MiB in all (or one whole body, if that is more) is answered 503 as not run, queue-memory, and its part is freed at once, as the connection stays open while the response is read.

--- a/kernel/httpd.c
+++ b/kernel/httpd.c
@@ -14,6 +14,7 @@
 const struct httpd_limits httpd_default_limits = {
 	.head_bytes = HTTP_TEXT_MAX_BYTES,
 	.body_bytes = 8 * 1024 * 1024,
+	.all_body_bytes = 32 * 1024 * 1024,
 	.head_timeout_us = 10 * US_PER_S,
 	.idle_timeout_us = 60 * US_PER_S,
 };
--- a/kernel/httpd.h
+++ b/kernel/httpd.h
@@ -24,6 +24,7 @@
 struct httpd_limits {
 	size_t head_bytes;
 	u64 body_bytes;
+	u64 all_body_bytes; /* of all requests that have no response yet; one body always fits */
 	u64 head_timeout_us; /* from the first byte of a request to the end of its head */
 	u64 idle_timeout_us; /* without a request in progress */
 };
@@ -51,8 +52,10 @@
 	bool (*may_overlap)(const struct httpd_request *r, void *arg);
 	/* closed - the caller of R closed its side or disconnected. May be NULL. */
 	void (*closed)(struct httpd_request *r, enum httpd_close_kind how, void *arg);
-	/* refuse - adds headers to an error response of the server itself. May be NULL. */
-	void (*refuse)(struct http_msg *answer, void *arg);
+	/*
+	 * refuse - adds headers to an error response of the server itself, for REASON. May be NULL.
+	 */
+	void (*refuse)(struct http_msg *answer, enum ctr reason, void *arg);
 };
 
 /* httpd_listen - starts a server on HOST:PORT; returns NULL if the port cannot be bound. */
--- a/kernel/httpd_conn.c
+++ b/kernel/httpd_conn.c
@@ -37,6 +37,23 @@
 	}
 }
 
+static u64 held_bytes(const struct httpd_conn *c)
+{
+	u64 sum = c->read.msg ? c->read.msg->body->len : 0;
+
+	for (const GList *l = c->requests.head; l; l = l->next)
+		sum += ((const struct httpd_request *)l->data)->msg->body->len;
+	return sum;
+}
+
+void httpd_conn_count_bodies(struct httpd_conn *c)
+{
+	u64 now = c->is_dead ? 0 : held_bytes(c);
+
+	c->h->body_bytes = c->h->body_bytes - c->body_bytes + now;
+	c->body_bytes = now;
+}
+
 static void conn_free(struct httpd_conn *c)
 {
 	http_read_clear(&c->read);
@@ -56,6 +73,7 @@
 	close(c->fd.fd);
 	g_queue_unlink(&c->h->conns, &c->link);
 	drop_requests(c);
+	httpd_conn_count_bodies(c);
 	if (!is_busy)
 		conn_free(c);
 }
--- a/kernel/httpd_impl.h
+++ b/kernel/httpd_impl.h
@@ -19,6 +19,7 @@
 	struct loop_timer timeout_timer;
 	GQueue conns; /* of struct httpd_conn */
 	u32 requests;
+	u64 body_bytes; /* of the requests on open connections that are in memory */
 	u64 keep_alive_until_us; /* answers from then on close their connections */
 	bool is_stopping; /* nothing is read behind an unanswered request */
 	u16 incomplete_status; /* of httpd_refuse_incomplete */
@@ -33,6 +34,7 @@
 	GByteArray *out;
 	guint out_off;
 	GList link;
+	u64 body_bytes; /* of its requests, as counted in the server's */
 	u64 since_us; /* start of the idle time, of the request being read, or of lingering */
 	u32 events;
 	bool is_eof;
@@ -56,6 +58,9 @@
 bool httpd_conn_begin(struct httpd_conn *c);
 void httpd_conn_end(struct httpd_conn *c, bool was_busy);
 
+/* httpd_conn_count_bodies - counts the bodies that the connection holds now. */
+void httpd_conn_count_bodies(struct httpd_conn *c);
+
 bool httpd_conn_wants_read(const struct httpd_conn *c);
 void httpd_conn_update_events(struct httpd_conn *c);
 
--- a/kernel/httpd_read.c
+++ b/kernel/httpd_read.c
@@ -26,7 +26,7 @@
 
 	ctr_inc(reason);
 	if (c->h->ops->refuse)
-		c->h->ops->refuse(m, c->h->arg);
+		c->h->ops->refuse(m, reason, c->h->arg);
 	c->must_close = true;
 	httpd_conn_write_answer(c, NULL, m);
 	http_free(m);
@@ -44,6 +44,27 @@
 									CTR_HTTP_MALFORMED);
 }
 
+/* Returns whether the request that is being read takes memory that other requests use. */
+static bool has_no_room(const struct httpd_conn *c)
+{
+	const struct httpd_limits *l = &c->h->limits;
+
+	return c->read.is_in_body && !http_read_is_idle(&c->read) &&
+	       c->h->body_bytes > MAX(l->all_body_bytes, l->body_bytes);
+}
+
+/* Frees the part of the body at once: the connection stays open while the response is read. */
+static void refuse_for_memory(struct httpd_conn *c)
+{
+	g_byte_array_unref(c->read.msg->body);
+	c->read.msg->body = g_byte_array_new();
+	httpd_conn_count_bodies(c);
+	if (c->requests.length)
+		c->is_eof = true;
+	else
+		httpd_conn_send_error(c, 503, CTR_QUEUE_MEMORY);
+}
+
 static void report_close(struct httpd_conn *c, enum httpd_close_kind how)
 {
 	GList *next;
@@ -98,8 +119,11 @@
 	c->read.max_head_bytes = c->h->limits.head_bytes;
 	c->read.max_body_bytes = c->h->limits.body_bytes;
 	err = http_read_feed(&c->read, buf, (size_t)n, NULL);
+	httpd_conn_count_bodies(c);
 	if (err)
 		reject_input(c, err);
+	else if (has_no_room(c))
+		refuse_for_memory(c);
 }
 
 void httpd_conn_on_ready(void *arg, u32 events)
--- a/kernel/httpd_request.c
+++ b/kernel/httpd_request.c
@@ -35,6 +35,7 @@
 		httpd_conn_write_answer(c, r->msg, r->answer);
 		httpd_request_free(r);
 	}
+	httpd_conn_count_bodies(c);
 	if (!c->requests.length)
 		c->since_us = loop_clock_us();
 }
--- a/node/caller.c
+++ b/node/caller.c
@@ -286,13 +286,13 @@
 		entry_caller_left(n, &c->call);
 }
 
-static enum ctr own_refusal_reason(u16 status)
+static enum ctr own_refusal_reason(u16 status, enum ctr reason)
 {
 	switch (status) {
 	case 413:
 		return CTR_BODY_TOO_LARGE;
 	case 503:
-		return CTR_STOPPING;
+		return reason;
 	default:
 		return CTR_BAD_REQUEST;
 	}
@@ -330,12 +330,12 @@
 	put_error(answer, refusal);
 }
 
-static void on_refuse(struct http_msg *answer, void *arg)
+static void on_refuse(struct http_msg *answer, enum ctr reason, void *arg)
 {
 	struct node *n = arg;
 	struct dialect_refusal refusal = { .status = answer->status,
 					   .is_not_run = true,
-					   .reason = own_refusal_reason(answer->status) };
+					   .reason = own_refusal_reason(answer->status, reason) };
 
 	if (is_limit_of_config(n, answer->status) &&
 	    refusal_by_config(n, refusal.reason) == CTR_CONFIG_NOT_CURRENT)
--- a/test/httpd_test.c
+++ b/test/httpd_test.c
@@ -419,6 +419,67 @@
 	stop(&f);
 }
 
+#define LONG_BODY_BYTES (8u << 20)
+#define PART_BYTES (7u << 20)
+#define LONG_CALLERS 6
+
+/* Sends a request, of whose body the last LONG_BODY_BYTES - PART_BYTES are missing. */
+static int send_part(struct fixture *f)
+{
+	g_autofree char *head =
+		g_strdup_printf("POST /now HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+				"Content-Length: %u\r\n\r\n",
+				LONG_BODY_BYTES);
+	g_autofree char *part = g_strnfill(PART_BYTES, 'x');
+	int fd = raw_connect(f->port);
+
+	raw_write(fd, head);
+	raw_write(fd, part);
+	return fd;
+}
+
+static char *finish(int fd)
+{
+	g_autofree char *rest = g_strnfill(LONG_BODY_BYTES - PART_BYTES, 'x');
+
+	raw_write(fd, rest);
+	return read_all(fd);
+}
+
+/* Guards against: callers that send long bodies at once use up the memory of the process. */
+static void test_long_bodies_at_once(void)
+{
+	struct fixture f;
+	int fds[LONG_CALLERS];
+	u32 refused = 0;
+
+	start(&f);
+	f.limits.body_bytes = LONG_BODY_BYTES;
+	f.limits.all_body_bytes = httpd_default_limits.all_body_bytes;
+	f.limits.head_timeout_us = 60 * US_PER_S;
+	httpd_set_limits(f.h, &f.limits);
+	for (u32 i = 0; i < LONG_CALLERS; i++)
+		fds[i] = send_part(&f);
+	for (u32 i = 0; i < LONG_CALLERS; i++) {
+		g_autofree char *got = finish(fds[i]);
+
+		if (g_str_has_prefix(got, "HTTP/1.1 503 "))
+			refused++;
+		else
+			g_assert_true(g_str_has_prefix(got, "HTTP/1.1 200 "));
+	}
+	g_assert_cmpuint(refused, >, 0);
+	g_assert_cmpuint(refused, <, LONG_CALLERS / 2);
+	g_assert_cmpint(f.started, ==, LONG_CALLERS - refused);
+	/* The memory of those that have ended is free again. */
+	for (u32 i = 0; i < LONG_CALLERS; i++) {
+		g_autofree char *got = finish(send_part(&f));
+
+		g_assert_true(g_str_has_prefix(got, "HTTP/1.1 200 "));
+	}
+	stop(&f);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -434,5 +495,6 @@
 			test_started_behind_another_after_stop);
 	g_test_add_func("/httpd/half-request-behind-another-after-stop",
 			test_half_request_behind_another_after_stop);
+	g_test_add_func("/httpd/long-bodies-at-once", test_long_bodies_at_once);
 	return g_test_run();
 }
