directory, join, local, trial_order: clearer names, and logic that stood twice

No change of behaviour. directory_item.is_withdrawn, which says that the owner gets no renewals, is has_expired: .withdrawal is something else. directory_merge merges the withdrawal once.

--- a/control/directory.c
+++ b/control/directory.c
@@ -78,7 +78,7 @@
 
 enum dir_state directory_state(const struct directory_item *item)
 {
-	return item->is_withdrawn || item->is_owner_silent ? DIR_GONE : item->entry.state;
+	return item->has_expired || item->is_owner_silent ? DIR_GONE : item->entry.state;
 }
 
 bool directory_is_owned_here(const struct directory *d, const struct directory_item *item)
@@ -181,7 +181,7 @@
 	item->owner = d->self;
 	item->owner_incarnation = d->incarnation;
 	item->owner_rev = owner_rev;
-	item->is_withdrawn = false;
+	item->has_expired = false;
 	item->is_owner_silent = false;
 	item->renewed_us = now_us;
 	record_change(d, item, 0, now_us);
@@ -197,7 +197,7 @@
 	}
 	if (item && !dir_entry_is_newer(e, &item->entry)) {
 		item->renewed_us = now_us;
-		if (directory_is_owned_here(d, item) && !item->is_withdrawn)
+		if (directory_is_owned_here(d, item) && !item->has_expired)
 			return 0;
 		become_owner(d, item, item->owner_rev + 1, now_us);
 		return 1;
@@ -234,26 +234,27 @@
 {
 	struct directory_item *item = directory_find(d, copy->entry.node);
 
-	if (item)
-		withdrawal_merge(&item->withdrawal, &copy->withdrawal);
-	if (item && !is_copy_newer(copy, item)) {
+	bool is_known = item != NULL;
+
+	if (!item)
+		item = find_or_add(d, copy->entry.node);
+	withdrawal_merge(&item->withdrawal, &copy->withdrawal);
+	if (is_known && !is_copy_newer(copy, item)) {
 		if (!is_copy_newer(item, copy))
 			return 0;
 		ctr_inc(CTR_REGISTER_STALE);
 		return ERR_CONFLICT;
 	}
-	item = find_or_add(d, copy->entry.node);
 	set_entry(item, &copy->entry);
-	withdrawal_merge(&item->withdrawal, &copy->withdrawal);
 	item->owner = copy->owner;
 	item->owner_incarnation = copy->owner_incarnation;
 	item->owner_rev = copy->owner_rev;
-	item->is_withdrawn = copy->is_withdrawn;
+	item->has_expired = copy->has_expired;
 	item->is_owner_silent = false;
 	item->renewed_us = now_us;
 	/* A stale copy of an own entry whose tombstone was removed: no node renews it. */
-	if (directory_is_owned_here(d, item) && !item->is_withdrawn) {
-		item->is_withdrawn = true;
+	if (directory_is_owned_here(d, item) && !item->has_expired) {
+		item->has_expired = true;
 		item->owner_rev++;
 		from = 0;
 	}
@@ -266,7 +267,7 @@
 	struct directory_item *item = directory_find(d, node);
 
 	if (!item || item->entry.incarnation != incarnation || !directory_is_owned_here(d, item) ||
-	    item->is_withdrawn)
+	    item->has_expired)
 		return ERR_NOTFOUND;
 	item->renewed_us = now_us;
 	return 0;
@@ -329,13 +330,13 @@
 	}
 }
 
-static bool withdraw_if_expired(struct directory *d, struct directory_item *item, u64 now_us)
+static bool expire_if_silent(struct directory *d, struct directory_item *item, u64 now_us)
 {
-	if (item->is_withdrawn || item->entry.state == DIR_GONE ||
+	if (item->has_expired || item->entry.state == DIR_GONE ||
 	    !is_expired(item->renewed_us, now_us))
 		return false;
 	ctr_inc(CTR_REGISTER_EXPIRED);
-	item->is_withdrawn = true;
+	item->has_expired = true;
 	item->owner_rev++;
 	record_change(d, item, 0, now_us);
 	return true;
@@ -350,7 +351,7 @@
 	if (item->is_owner_silent == is_owner_silent)
 		return false;
 	item->is_owner_silent = is_owner_silent;
-	if (item->is_withdrawn || item->entry.state == DIR_GONE)
+	if (item->has_expired || item->entry.state == DIR_GONE)
 		return false;
 	if (is_owner_silent)
 		ctr_inc(CTR_REGISTER_EXPIRED);
@@ -361,7 +362,7 @@
 static bool expire_one(struct directory *d, struct directory_item *item, u64 now_us)
 {
 	if (directory_is_owned_here(d, item))
-		return withdraw_if_expired(d, item, now_us);
+		return expire_if_silent(d, item, now_us);
 	return update_owner_silence(d, item, now_us);
 }
 
--- a/control/directory.h
+++ b/control/directory.h
@@ -34,7 +34,7 @@
 	u32 owner; /* control id */
 	u64 owner_incarnation;
 	u64 owner_rev;
-	bool is_withdrawn; /* the owner no longer receives renewals */
+	bool has_expired; /* the owner no longer receives renewals */
 	bool is_owner_silent; /* no heartbeats from the owner; local to this process */
 
 	u32 from; /* control id that sent this change, 0 for a local one */
@@ -90,7 +90,7 @@
 
 /*
  * directory_merge - merges COPY, received from the control process FROM. Only its
- * entry, its owner fields, is_withdrawn and its withdrawal are read; the newest withdrawal is
+ * entry, its owner fields, has_expired and its withdrawal are read; the newest withdrawal is
  * kept, whichever entry is newer. Returns as directory_register.
  */
 int directory_merge(struct directory *d, const struct directory_item *copy, u32 from, u64 now_us);
@@ -106,13 +106,13 @@
 				u64 now_us);
 
 /*
- * directory_expire - withdraws own entries that were not renewed, hides entries whose
+ * directory_expire - ends own entries that were not renewed, hides entries whose
  * owner is silent, and shows them again once the owner is back. Also removes old
  * tombstones. Returns the number of entries that changed.
  */
 u32 directory_expire(struct directory *d, u64 now_us);
 
-/* directory_state - returns DIR_GONE when ITEM is withdrawn or its owner is silent. */
+/* directory_state - returns DIR_GONE when ITEM has expired or its owner is silent. */
 enum dir_state directory_state(const struct directory_item *item);
 bool directory_is_owned_here(const struct directory *d, const struct directory_item *item);
 
--- a/control/join.c
+++ b/control/join.c
@@ -115,14 +115,13 @@
 /* Removes the process that was named least recently; the seeds stay. */
 static void remove_oldest_known(struct control *c)
 {
-	for (guint i = 0; i < c->join->known->len; i++) {
-		u32 id = g_array_index(c->join->known, struct member_setting, i).id;
+	GArray *known = c->join->known;
+	guint i = 0;
 
-		if (is_seed(c, id))
-			continue;
-		remove_known(c->join, id);
-		return;
-	}
+	while (i < known->len && is_seed(c, g_array_index(known, struct member_setting, i).id))
+		i++;
+	if (i < known->len)
+		g_array_remove_index(known, i);
 }
 
 static void add_known(struct control *c, u32 id, const struct endpoint *at)
--- a/control/propagate.c
+++ b/control/propagate.c
@@ -15,7 +15,7 @@
 	frame_put_u64(f, item->owner);
 	frame_put_u64(f, item->owner_incarnation);
 	frame_put_u64(f, item->owner_rev);
-	frame_put_bool(f, item->is_withdrawn);
+	frame_put_bool(f, item->has_expired);
 	withdrawal_put(f, &item->withdrawal);
 }
 
@@ -25,7 +25,7 @@
 	item->owner = (u32)frame_get_u64(in);
 	item->owner_incarnation = frame_get_u64(in);
 	item->owner_rev = frame_get_u64(in);
-	item->is_withdrawn = frame_get_bool(in);
+	item->has_expired = frame_get_bool(in);
 	withdrawal_get(in, &item->withdrawal);
 }
 
--- a/node/local.c
+++ b/node/local.c
@@ -217,8 +217,16 @@
 	       (state && (!strcmp(state, "up") || !strcmp(state, "ready")));
 }
 
+/* An announcement of another writer would take the place of the node's own upstream. */
+static bool is_own_service(const struct node *n, const char *service)
+{
+	const char *own = n->settings->node.service;
+
+	return !own || !strcmp(service, own);
+}
+
 /* Returns NULL, or the key whose value is missing or invalid. */
-static const char *parse(json_t *obj, struct announcement *a)
+static const char *parse(const struct node *n, json_t *obj, struct announcement *a)
 {
 	const char *invalid_key;
 
@@ -228,7 +236,7 @@
 		return "state";
 	if (a->is_draining && !json_object_get(obj, "service"))
 		return NULL;
-	if (!copy_string(obj, "service", a->service))
+	if (!copy_string(obj, "service", a->service) || !is_own_service(n, a->service))
 		return "service";
 	a->has_details = true;
 	invalid_key = parse_address(obj, a);
@@ -239,10 +247,17 @@
 	return invalid_key;
 }
 
+/* A start in the future would make the upstream's own announcements stale. */
+static u64 latest_start_ms(void)
+{
+	return (u64)g_get_real_time() / US_PER_MS + START_AHEAD_MAX_MS;
+}
+
 /* An instance must send its slots, start time and a sequence number with every announcement. */
-static const char *parse_instance(json_t *obj, const char *instance, struct announcement *a)
+static const char *parse_instance(const struct node *n, json_t *obj, const char *instance,
+				  struct announcement *a)
 {
-	const char *invalid_key = parse(obj, a);
+	const char *invalid_key = parse(n, obj, a);
 
 	if (invalid_key)
 		return invalid_key;
@@ -253,24 +268,10 @@
 	if (!json_object_get(obj, "slots"))
 		return "slots";
 	g_strlcpy(a->instance, instance, sizeof(a->instance));
-	invalid_key = read_number(obj, "born", INT64_MAX, 0, &a->born);
+	invalid_key = read_number(obj, "born", (json_int_t)latest_start_ms(), 0, &a->born);
 	return invalid_key ? invalid_key : read_number(obj, "sequence", INT64_MAX, 0, &a->sequence);
 }
 
-/*
- * Returns NULL, or the key whose value can't be that of this node's upstream: an announcement of
- * another writer would take its place, and a start in the future would make its own stale.
- */
-static const char *check_upstream(const struct node *n, const struct announcement *a)
-{
-	const char *service = n->settings->node.service;
-	u64 now_ms = (u64)g_get_real_time() / US_PER_MS;
-
-	if (a->has_details && service && strcmp(a->service, service))
-		return "service";
-	return (u64)a->born > now_ms + START_AHEAD_MAX_MS ? "born" : NULL;
-}
-
 static struct http_msg *answer_error(u16 status, const char *text)
 {
 	json_t *obj = json_pack("{s:s}", "error", text);
@@ -306,12 +307,10 @@
 	if (m->body->len > ANNOUNCE_MAX_BYTES)
 		return answer_error(400, "the body is too long or ended early");
 	obj = load_body(m);
-	invalid_key = parse(obj, &a);
+	invalid_key = parse(n, obj, &a);
 	json_decref(obj);
 	if (!invalid_key && a.has_details && !res_is_valid_name(a.service))
 		invalid_key = "service";
-	if (!invalid_key)
-		invalid_key = check_upstream(n, &a);
 	if (invalid_key)
 		return answer_invalid(invalid_key);
 	if (apply(n, &a) == 404)
@@ -335,11 +334,9 @@
 {
 	struct announcement a = { 0 };
 	json_t *obj = m->body->len <= ANNOUNCE_MAX_BYTES ? load_body(m) : NULL;
-	const char *invalid_key = parse_instance(obj, instance, &a);
+	const char *invalid_key = parse_instance(n, obj, instance, &a);
 
 	json_decref(obj);
-	if (!invalid_key)
-		invalid_key = check_upstream(n, &a);
 	if (invalid_key)
 		return answer_invalid(invalid_key);
 	return http_json_response(apply(n, &a), "{}\n");
--- a/node/trial_order.c
+++ b/node/trial_order.c
@@ -71,8 +71,9 @@
 		candidate_at(o, i)->was_tried = false;
 }
 
-void trial_order_all_due(struct trial_order *o)
+void trial_order_reset(struct trial_order *o)
 {
+	trial_order_restart(o);
 	for (guint i = 0; i < o->candidates->len; i++)
 		candidate_at(o, i)->retry_at_us = 0;
 }
--- a/node/trial_order.h
+++ b/node/trial_order.h
@@ -60,8 +60,8 @@
 /* trial_order_restart - begins a new search: the nearest candidates come first again */
 void trial_order_restart(struct trial_order *o);
 
-/* trial_order_all_due - candidates may be tried again at once */
-void trial_order_all_due(struct trial_order *o);
+/* trial_order_reset - begins a new search in which each candidate may be tried at once */
+void trial_order_reset(struct trial_order *o);
 
 /*
  * trial_order_next - returns the candidate to try at NOW_US, or NULL. MAIN is the one in use, or
--- a/node/watch.c
+++ b/node/watch.c
@@ -446,8 +446,7 @@
 
 	close_main(w, "incarnation raised");
 	close_link(&w->trial);
-	trial_order_restart(&w->trials);
-	trial_order_all_due(&w->trials);
+	trial_order_reset(&w->trials);
 }
 
 int watch_start(struct node *n)
--- a/test/directory_random_test.c
+++ b/test/directory_random_test.c
@@ -30,7 +30,7 @@
 	w.copy.owner = 1 + rng_below(r, 3);
 	w.copy.owner_incarnation = 100;
 	w.copy.owner_rev = rng_below(r, 2);
-	w.copy.is_withdrawn = w.copy.owner_rev == 1;
+	w.copy.has_expired = w.copy.owner_rev == 1;
 	return w;
 }
 
--- a/wire/ctl.h
+++ b/wire/ctl.h
@@ -49,7 +49,7 @@
 	CTL_FRESHNESS, /* is_fresh, configuration revision, time of sending */
 	CTL_RAFT, /* Raft message */
 	CTL_HEARTBEAT, /* count, {control id, incarnation, heartbeat number, age, report} */
-	CTL_DIRECTORY, /* count, {entry, owner, owner's incarnation, owner_rev, is_withdrawn,
+	CTL_DIRECTORY, /* count, {entry, owner, owner's incarnation, owner_rev, has_expired,
 			  withdrawal} */
 	CTL_FORWARD, /* request id, operation, argument */
 	CTL_FORWARD_RESULT, /* request id, outcome, result */
