caller: with -K a thread makes only its share of the calls

Cause, in the tool: the threads of a patient caller share its calls, 100, and a thread ends once it can't connect. Where two of three end as their node restarts and the third is not connecting at that moment, the third makes all that is left, at some 0.55 s each: 55 s, which is more than the faults and the wait. Seen in the process: one thread left of three after 44 s, asleep between two calls.

Each thread has its share now.

--- a/test/programs/caller.c
+++ b/test/programs/caller.c
@@ -12,7 +12,8 @@
  * QUIT_MS. FAIL is the failure that every third call requests from the upstream.
  * -G: all threads start at the first port; a thread moves to the next port when a
  * response has Connection: close or it cannot connect, and ends after the last port.
- * -K: a thread keeps sending, on its connection or a new one, until it cannot connect. -s: the
+ * -K: a thread keeps sending, on its connection or a new one, until it cannot connect; what is left
+ * of its share of the calls is then not made. -s: the
  * upstream's delays are spread evenly over SPREAD_MS, from DELAY_MS. -T: appends a line for each
  * call that was sent and got no response to the file CUTS: ID PORT OPENED_MS ENDED_MS. OPENED_MS is
  * when its connection was opened: a call also fails after a fault that its connection came through.
@@ -217,12 +218,20 @@
 	fflush(opt.cuts);
 }
 
+/* The limit on the calls of one thread: with -K others may have ended, and it would make all. */
+static u32 calls_of_thread(void)
+{
+	return opt.stays ? (opt.calls + opt.connections - 1) / opt.connections : opt.calls;
+}
+
 static gpointer client_main(gpointer arg)
 {
 	struct client c = { .port_index = GPOINTER_TO_UINT(arg) };
+	u32 left = calls_of_thread();
 	gint number;
 
-	while (!c.is_finished && (number = g_atomic_int_add(&next_call, 1)) < (gint)opt.calls) {
+	while (!c.is_finished && left-- &&
+	       (number = g_atomic_int_add(&next_call, 1)) < (gint)opt.calls) {
 		g_autofree char *id = g_strdup_printf("%s-%d", opt.prefix, number);
 		struct answer a = { .outcome = "none", .reason = "-", .body = "none" };
 		u16 port = opt.ports[c.port_index];
