voters: a learner that was just added has ten seconds to answer

Seen in a log beside load: each of two learners of a first start was added, removed as unresponsive 0.4 s later and added again 0.2 s after that. Cause: the silence of a learner was counted from its last reply, which a new one has not given; 0 is longer ago than 10 s. A learner whose first answer takes longer than the 0.2 s between two changes was removed again and again; that one stayed out for good was not seen.

--- a/control/raft.h
+++ b/control/raft.h
@@ -149,6 +149,7 @@
 	u64 next;
 	u64 match;
 	u64 heard_us; /* last reply from the replica that the membership records */
+	u64 added_us; /* when this process, as the leader, proposed that replica; else 0 */
 	u64 round; /* highest heartbeat round acknowledged */
 	u64 last_reply_round; /* round in the last reply, from any replica id */
 	u64 last_reply_replica; /* replica id in the last reply, in the membership or not */
--- a/control/raft_members.c
+++ b/control/raft_members.c
@@ -120,9 +120,20 @@
 	return n;
 }
 
+static void date_new_members(struct raft *r, u64 now_us)
+{
+	for (u32 i = 0; i < r->members.n; i++) {
+		struct raft_progress *p = &r->progress[i];
+
+		if (!p->heard_us && !p->added_us)
+			p->added_us = now_us;
+	}
+}
+
 int raft_propose_members(struct raft *r, const struct raft_members *next, u64 now_us, u64 *index)
 {
 	g_autoptr(GBytes) data = raft_members_pack(next);
+	int err;
 
 	if (r->role != RAFT_LEADER)
 		return ERR_NOTLEADER;
@@ -131,5 +142,8 @@
 	/* If at most one voter differs, any old and any new quorum have a voter in common. */
 	if (count_missing_voters(&r->members, next) + count_missing_voters(next, &r->members) > 1)
 		return ERR_INVAL;
-	return raft_propose(r, RAFT_MEMBERS, data, now_us, index);
+	err = raft_propose(r, RAFT_MEMBERS, data, now_us, index);
+	if (!err)
+		date_new_members(r, now_us);
+	return err;
 }
--- a/test/voters_test.c
+++ b/test/voters_test.c
@@ -113,6 +113,30 @@
 	stepped_free(o);
 }
 
+/* Guards against: a learner is removed before it can have answered, again and again. */
+static void test_learner_that_was_just_added_is_removed(void)
+{
+	struct stepped_raft *o = start(REQUIRED);
+	struct raft_members next = o->r.members;
+	struct voters_change change;
+	u64 index;
+	int err;
+
+	next.m[next.n++] = (struct raft_member){ .id = 6, .replica = 60 };
+	o->r.commit = raft_last_index(&o->r); /* as a change needs the one before */
+	err = raft_propose_members(&o->r, &next, STEPPED_NOW_US, &index);
+	g_assert_cmpint(err, ==, 0);
+	g_assert_false(voters_next_change(&o->r, REQUIRED, STEPPED_NOW_US, &change));
+	g_assert_false(voters_next_change(&o->r, REQUIRED, STEPPED_NOW_US + VOTER_TIMEOUT_US - 1,
+					  &change));
+	for (u32 i = 0; i < REQUIRED; i++)
+		o->r.progress[i].heard_us = STEPPED_NOW_US + LEARNER_TIMEOUT_US;
+	g_assert_true(voters_next_change(&o->r, REQUIRED, STEPPED_NOW_US + LEARNER_TIMEOUT_US + 1,
+					 &change));
+	g_assert_cmpuint(change.id, ==, 6);
+	stepped_free(o);
+}
+
 /* Seven processes vote; while two are cut off five do, and they vote again when they are back. */
 static void test_group_follows_its_processes(void)
 {
@@ -172,5 +196,7 @@
 	g_test_add_func("/voters/number-of-voters-is-bounded", test_number_of_voters_is_bounded);
 	g_test_add_func("/voters/required-voters-stay-when-most-are-silent",
 			test_required_voters_stay_when_most_are_silent);
+	g_test_add_func("/voters/learner-that-was-just-added-is-removed",
+			test_learner_that_was_just_added_is_removed);
 	return g_test_run();
 }
