node: only the start of the run that left tells a later run

After its own start the node may know an older run by a late heartbeat; the run that left, as control then says, was taken for a later one, and a late heartbeat of it brought the upstream back.

--- a/control/directory.c
+++ b/control/directory.c
@@ -233,7 +233,6 @@
 int directory_merge(struct directory *d, const struct directory_item *copy, u32 from, u64 now_us)
 {
 	struct directory_item *item = directory_find(d, copy->entry.node);
-
 	bool is_known = item != NULL;
 
 	if (!item)
--- a/node/local.c
+++ b/node/local.c
@@ -78,6 +78,7 @@
 {
 	withdrawal_set(&n->withdrawal, instance, start_ms, sequence);
 	n->withdrawn_us = loop_clock_us();
+	n->left_start_ms = 0;
 }
 
 static bool is_current_instance(const struct node *n, const char *instance)
@@ -86,19 +87,19 @@
 }
 
 /*
- * A leave is dated by the clock of this VM, which may be ahead of the upstream's. The start of the
- * run that left is known, so a later one is another run.
+ * A leave is dated by the clock of this VM, which may be ahead of the upstream's. Where the start
+ * of the run that left is known, a later one is another run.
  */
-static bool is_later_run(const struct node *n, const char *instance, u64 start_ms)
+static bool is_later_run(const struct node *n, u64 start_ms)
 {
-	return is_current_instance(n, instance) && start_ms > n->upstream_start_time;
+	return n->left_start_ms && start_ms > n->left_start_ms;
 }
 
 static bool is_withdrawn(const struct node *n, const char *instance, u64 start_ms, u64 sequence)
 {
 	return loop_clock_us() - n->withdrawn_us < WITHDRAWAL_KEEP_US &&
 	       withdrawal_covers(&n->withdrawal, instance, start_ms, sequence) &&
-	       !is_later_run(n, instance, start_ms);
+	       !is_later_run(n, start_ms);
 }
 
 void local_withdraw(struct node *n, const struct withdrawal *w)
@@ -106,6 +107,7 @@
 	if (!withdrawal_merge(&n->withdrawal, w))
 		return;
 	n->withdrawn_us = loop_clock_us();
+	n->left_start_ms = 0;
 	log_event(LOG_INFO, "withdrawal received", "instance", w->instance, "start_ms",
 		  log_u64(w->start_ms), "sequence", log_u64(w->sequence), "announced",
 		  n->upstream_instance ? n->upstream_instance : "", "announced_sequence",
@@ -352,8 +354,10 @@
 	bool is_known = is_current_instance(n, instance);
 
 	withdraw(n, instance, is_known ? MAX(now_ms, n->upstream_start_time) : now_ms, UINT64_MAX);
-	if (is_known)
+	if (is_known) {
 		n->upstream_left_us = n->withdrawn_us;
+		n->left_start_ms = n->upstream_start_time;
+	}
 	if (is_known && n->dir_entry.state != DIR_NO_UPSTREAM)
 		set_state(n, DIR_NO_UPSTREAM);
 	else
--- a/node/node.h
+++ b/node/node.h
@@ -50,6 +50,7 @@
 	struct withdrawal withdrawal; /* the newest that was acknowledged, also before a restart */
 	u64 withdrawn_us; /* when it was, or when control sent it */
 	u64 upstream_left_us; /* when the upstream of that announcement left; 0 if it has not */
+	u64 left_start_ms; /* start of the run that the withdrawal ended; 0 if it is not known */
 	bool is_stopping;
 	struct stop stop;
 	struct loop_timer second_timer;
--- a/test/withdrawal_test.c
+++ b/test/withdrawal_test.c
@@ -237,6 +237,30 @@
 	fake_node_stop(&node);
 }
 
+/*
+ * Guards against: a node that starts again hears late of two runs of its upstream, the later of
+ * which left, and takes that one for a run which started after the leave.
+ */
+static void test_late_heartbeats_of_two_runs(void)
+{
+	struct fake_node node;
+	struct withdrawal w = { .instance = (char *)"i-1",
+				.start_ms = 5 * START_MS,
+				.sequence = UINT64_MAX };
+
+	fake_node_prepare(&node);
+	node.settings.node.upstream_ttl_ms = 600000;
+	fake_node_run(&node);
+	announce(&node, "ready", START_MS, 4);
+	loop_call(node.node->loop, learn, &(struct lesson){ node.node, &w });
+	g_assert_cmpint(node.node->dir_entry.state, ==, DIR_NO_UPSTREAM);
+	announce(&node, "ready", 2 * START_MS, 9);
+	g_assert_cmpint(node.node->dir_entry.state, ==, DIR_NO_UPSTREAM);
+	announce(&node, "ready", 6 * START_MS, 1);
+	g_assert_cmpint(node.node->dir_entry.state, ==, DIR_UP);
+	fake_node_stop(&node);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -250,5 +274,7 @@
 	g_test_add_func("/withdrawal/drain-forgotten-by-a-restart",
 			test_drain_forgotten_by_a_restart);
 	g_test_add_func("/withdrawal/heartbeat-before-the-link", test_heartbeat_before_the_link);
+	g_test_add_func("/withdrawal/late-heartbeats-of-two-runs",
+			test_late_heartbeats_of_two_runs);
 	return g_test_run();
 }
