full_disks_test, full_disk_stop_test: a disk is full once its process has said so

The test's fault: a change was written before the process had looked at the file that sets the state of its disk, and no other write came within the three seconds. full_disk_stop_test.sh failed for the same cause before and then waited a second.

--- a/test/full_disk_stop_test.sh
+++ b/test/full_disk_stop_test.sh
@@ -20,12 +20,6 @@
 is_full() { grep -q "disk full" "$dir/$1.log"; }
 has_ended() { ! kill -0 "${pid[$1]}" 2>/dev/null; }
 
-# fill I - its disk is full for each write from now on: the process looks at the file each 20 ms
-fill() {
-	echo "full 0" >"$dir/faults$1"
-	sleep 1
-}
-
 # stop I - the process ends within its grace, with a second for its start-up and the shell
 stop() {
 	local begin
@@ -47,11 +41,11 @@
 
 # A follower, which has to write what the others acknowledge, and then the leader.
 for i in 1 2 3 4 5; do [ "$i" = "$leader" ] || follower=$i; done
-fill "$follower"
+set_disk "$follower" full
 wait_for "a second set" put_succeeds "$leader" 1 2 second
 wait_for "process $follower to find its disk full" is_full "$follower"
 stop "$follower"
-fill "$leader"
+set_disk "$leader" full
 put "$leader" 2 3 third >/dev/null &
 wait_for "process $leader to find its disk full" is_full "$leader"
 stop "$leader"
--- a/test/full_disks_test.sh
+++ b/test/full_disks_test.sh
@@ -48,14 +48,14 @@
 for round in 1 2; do
 	for i in 1 2 3 4 5; do
 		[ "$round" = 1 ] || { wait_for "a leader" find_leader && i=$leader; }
-		echo "full 0" >"$dir/faults$i"
+		set_disk "$i" full
 		begin=$(now_ms)
 		others=$(echo 1 2 3 4 5 | tr -d "$i")
 		# shellcheck disable=SC2086
 		took=$(change $others) || fail "round $round: no change while the disk of $i was full"
 		version=$((version + 1))
 		while (($(now_ms) < begin + FULL_S * 1000)); do sleep 0.1; done
-		echo "ok 0" >"$dir/faults$i"
+		set_disk "$i" ok
 		wait_for "process $i to go on" put_succeeds "$i" "$version" $((version + 1)) "p$version"
 		version=$((version + 1))
 	done
--- a/test/join_lib.sh
+++ b/test/join_lib.sh
@@ -32,6 +32,16 @@
 	unset "pid[$1]"
 }
 
+disk_changes() { grep -c "^faulty: disk" "$dir/$1.log"; }
+has_new_disk() { [ "$(disk_changes "$1")" -gt "$2" ]; }
+# set_disk I STATE - the disk of process I, which is test/programs/faulty, is full, failing or ok from now on
+set_disk() {
+	local before
+	before=$(disk_changes "$1")
+	echo "$2 0" >"$dir/faults$1"
+	wait_for "process $1 to have a disk that is $2" has_new_disk "$1" "$before"
+}
+
 status() { curl -s -m 2 "http://127.0.0.$1:$API/v1/status"; }
 voters() { status "$1" | grep -o '"voter":true' | wc -l; }
 has_voters() { [ "$(voters "$1")" = "$2" ]; }
--- a/test/programs/faulty.c
+++ b/test/programs/faulty.c
@@ -7,7 +7,7 @@
  * rest is the same as in lavenderlead. FILE is read again and again: "DISK CLOCK_MS", where
  * DISK is ok, full (writes return ERR_NO_SPACE) or failing (writes and syncs return ERR_IO), and
  * CLOCK_MS is added to the time of day. The monotonic clock stays as it is. Without the file, all
- * is well.
+ * is well. Each new state of the disk is a line on standard error, once it is in force.
  */
 #include "control/disk.h"
 #include "lib/err.h"
@@ -120,6 +120,23 @@
 	return &f->disk;
 }
 
+static enum disk_state state_of(const char *name)
+{
+	if (!strcmp(name, "full"))
+		return DISK_FULL;
+	return strcmp(name, "failing") ? DISK_OK : DISK_FAILING;
+}
+
+static void set_disk_state(const char *name)
+{
+	enum disk_state state = state_of(name);
+
+	if (g_atomic_int_get(&disk_state) == (gint)state)
+		return;
+	g_atomic_int_set(&disk_state, state);
+	fprintf(stderr, "faulty: disk %s\n", name);
+}
+
 static void read_faults(const char *path)
 {
 	char disk[16] = "ok";
@@ -129,9 +146,7 @@
 	if (!in)
 		return;
 	if (fscanf(in, "%15s %lld", disk, &ms) == 2) {
-		g_atomic_int_set(&disk_state, !strcmp(disk, "full")    ? DISK_FULL :
-					      !strcmp(disk, "failing") ? DISK_FAILING :
-									 DISK_OK);
+		set_disk_state(disk);
 		__atomic_store_n(&clock_ms, (i64)ms, __ATOMIC_RELAXED);
 	}
 	fclose(in);
