--- a/test/full_disk_stop_test.sh
+++ b/test/full_disk_stop_test.sh
@@ -12,11 +12,6 @@
 . test/wait_lib.sh
 . test/join_lib.sh
 
-is_leader() { status "$1" | grep -q '"role":"leader"'; }
-find_leader() {
-	for leader in "${!pid[@]}"; do is_leader "$leader" && return 0; done
-	return 1
-}
 is_full() { grep -q "disk full" "$dir/$1.log"; }
 has_ended() { ! kill -0 "${pid[$1]}" 2>/dev/null; }
 
--- a/test/full_disks_test.sh
+++ b/test/full_disks_test.sh
@@ -14,11 +14,6 @@
 . test/wait_lib.sh
 . test/join_lib.sh
 
-is_leader() { status "$1" | grep -q '"role":"leader"'; }
-find_leader() {
-	for leader in 1 2 3 4 5; do is_leader "$leader" && return 0; done
-	return 1
-}
 now_ms() { date +%s%3N; }
 
 # change I... - sends the next set to the processes in turn until one acknowledges it; prints how long it took
--- a/test/join_lib.sh
+++ b/test/join_lib.sh
@@ -49,6 +49,13 @@
 is_gone() { ! status "$1" | grep -q "\"address\":\"127.0.0.$2:$PEER\""; }
 leader() { status "$1" | grep -o '"leader":{"id":[0-9]*' | grep -o '[0-9]*$'; }
 
+is_leader() { status "$1" | grep -q '"role":"leader"'; }
+# find_leader - sets leader to the process that leads, among those that were started and not ended
+find_leader() {
+	for leader in "${!pid[@]}"; do is_leader "$leader" && return 0; done
+	return 1
+}
+
 set_json() {
 	printf '{"version":%s,"routes":[{"name":"r","host":"h.example","prefix":"/%s/","repeat":"never","timeout_ms":1000,"attempts":1,"service":"a"}],"services":[{"name":"a"}]}' "$1" "$2"
 }
--- a/test/surplus_voter_test.sh
+++ b/test/surplus_voter_test.sh
@@ -13,7 +13,6 @@
 . test/join_lib.sh
 
 is_learner() { status "$1" | grep -q "\"address\":\"127.0.0.$2:$PEER\",\"replica\":\"[0-9a-f]*\",\"voter\":false"; }
-is_leader() { status "$1" | grep -q '"role":"leader"'; }
 # any COMMAND ARGUMENTS... - tries COMMAND at each process of live
 any() {
 	local i command=$1
@@ -21,14 +20,13 @@
 	for i in $live; do "$command" "$i" "$@" && return 0; done
 	return 1
 }
-leads() { is_leader "$1" && leader=$1; }
 
 seeds=127.0.0.1:1,127.0.0.2:1,127.0.0.3:1
 live="1 2 3 4 5"
 for i in $live; do start_control "$i" true $seeds; done
 wait_for "five voters" any has_voters 5
 wait_for "the first set" any put_succeeds 0 1 one
-wait_for "a leader" any leads
+wait_for "a leader" find_leader
 
 others=$(echo "$live" | tr ' ' '\n' | grep -v "$leader")
 read -r still old third fourth <<<"$(echo "$others" | tr '\n' ' ')"
