voters, dialect, withdrawal: one place for what stood twice

No change of behaviour. How long a member has been silent counts from when it was added, too, in the one function that says so, in place of a second one for learners: a voter was heard before it became one, and a learner that is ready to vote has answered. The own dialect reads the id of an answer once where it asks whether the answer is to another attempt. withdrawal_copy had one caller.

Run: 202 unit tests of raft, the group, answers and the home node, those of withdrawal, instance and directory, the three scripts of the group's tests with the process, the linter.

--- a/control/voters.c
+++ b/control/voters.c
@@ -9,9 +9,12 @@
 	return n;
 }
 
+/* One that was just added has time to answer. */
 static u64 silence_us(const struct raft *r, u32 position, u64 now_us)
 {
-	return r->members.m[position].id == r->id ? 0 : now_us - r->progress[position].heard_us;
+	const struct raft_progress *p = &r->progress[position];
+
+	return r->members.m[position].id == r->id ? 0 : now_us - MAX(p->heard_us, p->added_us);
 }
 
 static bool is_silent(const struct raft *r, u32 position, u64 now_us)
@@ -24,14 +27,10 @@
 	return r->members.m[position].is_voter && is_silent(r, position, now_us);
 }
 
-/* One that was just added has time to answer. */
 static bool is_gone_learner(const struct raft *r, u32 position, u64 now_us)
 {
-	const struct raft_progress *p = &r->progress[position];
-	u64 since_us = MAX(p->heard_us, p->added_us);
-
-	return !r->members.m[position].is_voter && r->members.m[position].id != r->id &&
-	       now_us > since_us + LEARNER_TIMEOUT_US;
+	return !r->members.m[position].is_voter &&
+	       silence_us(r, position, now_us) > LEARNER_TIMEOUT_US;
 }
 
 /* A learner with the whole log, which may vote. */
--- a/node/dialect.c
+++ b/node/dialect.c
@@ -128,10 +128,9 @@
 
 static bool native_names_request(const struct http_msg *answer, const struct http_msg *request)
 {
-	const char *expected = native_id(request);
 	const char *id;
 
-	return read_attempt_id(answer, &id) == NAMES_ONE && expected && !strcmp(id, expected);
+	return read_attempt_id(answer, &id) == NAMES_ONE && !g_strcmp0(id, native_id(request));
 }
 
 /* An upstream need not name the request. */
@@ -139,7 +138,7 @@
 {
 	const char *id;
 
-	return read_attempt_id(answer, &id) != NAMES_ONE || native_names_request(answer, request);
+	return read_attempt_id(answer, &id) != NAMES_ONE || !g_strcmp0(id, native_id(request));
 }
 
 static bool native_is_id_spoilt(const struct http_msg *answer)
--- a/wire/withdrawal.c
+++ b/wire/withdrawal.c
@@ -13,11 +13,6 @@
 	w->sequence = sequence;
 }
 
-void withdrawal_copy(struct withdrawal *to, const struct withdrawal *from)
-{
-	withdrawal_set(to, from->instance, from->start_ms, from->sequence);
-}
-
 void withdrawal_clear(struct withdrawal *w)
 {
 	g_free(w->instance);
@@ -44,7 +39,7 @@
 {
 	if (!is_newer(other, w))
 		return false;
-	withdrawal_copy(w, other);
+	withdrawal_set(w, other->instance, other->start_ms, other->sequence);
 	return true;
 }
 
--- a/wire/withdrawal.h
+++ b/wire/withdrawal.h
@@ -21,7 +21,6 @@
 
 /* withdrawal_set - W is that of INSTANCE, of a start at START_MS, up to SEQUENCE */
 void withdrawal_set(struct withdrawal *w, const char *instance, u64 start_ms, u64 sequence);
-void withdrawal_copy(struct withdrawal *to, const struct withdrawal *from);
 void withdrawal_clear(struct withdrawal *w);
 
 /* withdrawal_covers - whether an announcement of INSTANCE is one that W supersedes */
