--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -187,6 +187,7 @@
 		kill -KILL "${pid[$name]}" 2>/dev/null
 	done
 	wait 2>/dev/null
+	[ -z "${KEEP_LOGS:-}" ] || cp "$dir"/*.log "$KEEP_LOGS"
 	rm -rf "$dir"
 }
 trap end_all EXIT
@@ -221,8 +222,9 @@
 		[ "${state[$i]}" = gone ] || [ "$(now_ms)" -lt "${beat_due[$i]:-0}" ] || beat "$i"
 	done
 }
+# start_target I [WORK_MS]
 start_target() {
-	start "target$1" $standin target "$(node_ip "$1"):$APP" "i-$1" 300 "$dir/target$1.log"
+	start "target$1" $standin target "$(node_ip "$1"):$APP" "i-$1" "${2:-300}" "$dir/target$1.log"
 	state[$1]=up
 }
 # run_for SECONDS - the platform and the targets go on
--- a/review/standin-2.c
+++ b/review/standin-2.c
@@ -12,6 +12,12 @@
  *HOST PATH PREFIX COUNT GAP_MS DEADLINE_MS LOG sends COUNT requests, one each GAP_MS, each on a
  *connection of its own and with an id of its own, which begins with PREFIX; appends "MS sent ID"
  *and "MS STATUS ID" to LOG
+ * standin-2 crowd ADDRESS:PORT HOST PATH HELD PATH CLIENTS EACH PERCENT LEAVE_MS SPREAD_MS
+ *DEADLINE_MS LOG sends HELD POST requests to the first path, each on a connection that it keeps;
+ *then CLIENTS clients come within SPREAD_MS, each with EACH GET requests behind one another on one
+ *connection. PERCENT of these clients leave, each LEAVE_MS after its coming. Appends to LOG as
+ *client does for the first requests, and "MS closed ID" where their connection ends without an
+ *answer
  *
  * MS is the steady clock, so that the lines of several logs can be compared.
  */
@@ -30,6 +36,7 @@
 #include <time.h>
 #include <unistd.h>
 
+#define LEAVING "Server-Leaving: 1\r\n"
 #define HEAD_MAX 65536
 #define ANSWER_MAX (4 << 20)
 
@@ -216,6 +223,14 @@
 	pthread_mutex_t lock;
 } target = { .lock = PTHREAD_MUTEX_INITIALIZER };
 
+static volatile sig_atomic_t is_leaving;
+
+static void on_leave(int sig)
+{
+	(void)sig;
+	is_leaving = 1;
+}
+
 static void note(const char *what, const char *id)
 {
 	pthread_mutex_lock(&target.lock);
@@ -252,14 +267,16 @@
 	copy_value(id, sizeof(id), find_header(buf, end, "Lavenderlead-Attempt-Id"));
 	if (!strncmp(buf, "GET /health ", 12)) {
 		n = snprintf(out, sizeof(out),
-			     "HTTP/1.1 200 OK\r\nLavenderlead-Instance-Id: %s\r\n"
+			     "HTTP/1.1 %s\r\n%sLavenderlead-Instance-Id: %s\r\n"
 			     "Lavenderlead-Instance-Load: 0,0,12,100\r\nContent-Length: 0\r\n\r\n",
-			     target.id);
+			     is_leaving ? "503 Service Unavailable" : "200 OK",
+			     is_leaving ? LEAVING : "", target.id);
 	} else if (expected && strcmp(instance, target.id)) {
-		n = snprintf(out, sizeof(out),
-			     "HTTP/1.1 421 Misdirected Request\r\nLavenderlead-Instance-Id: %s\r\n"
-			     "Lavenderlead-Attempt-Id: %s\r\nContent-Length: 0\r\n\r\n",
-			     target.id, id);
+		n = snprintf(
+			out, sizeof(out),
+			"HTTP/1.1 421 Misdirected Request\r\n%sLavenderlead-Instance-Id: %s\r\n"
+			"Lavenderlead-Attempt-Id: %s\r\nContent-Length: 0\r\n\r\n",
+			is_leaving ? LEAVING : "", target.id, id);
 	} else {
 		note("run", id);
 		sleep_ms(target.work_ms);
@@ -310,6 +327,7 @@
 	a = parse_address(argv[0]);
 	target.id = argv[1];
 	target.work_ms = atoi(argv[2]);
+	signal(SIGUSR1, on_leave);
 	target.log = fopen(argv[3], "a");
 	fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
@@ -384,6 +402,115 @@
 	return 0;
 }
 
+/* Crowd */
+
+#define CROWD_MAX 1024
+
+struct visitor {
+	int fd;
+	long long come_ms;
+	long long leave_ms; /* 0: stays */
+	bool has_come;
+	bool is_held; /* sends one POST and is logged */
+	char id[32];
+};
+
+static struct visitor visitors[CROWD_MAX];
+
+static void come(struct visitor *v, char **argv, int each)
+{
+	char out[512];
+	int n;
+
+	v->has_come = true;
+	for (int i = 0; i < (v->is_held ? 1 : each); i++) {
+		n = snprintf(out, sizeof(out),
+			     "%s %s HTTP/1.1\r\nHost: %s\r\nLavenderlead-Attempt-Id: %s%02d\r\n"
+			     "Lavenderlead-Deadline-Remaining: %s\r\n%s\r\n%s",
+			     v->is_held ? "POST" : "GET", v->is_held ? argv[2] : argv[4], argv[1],
+			     v->id, i, argv[10], v->is_held ? "Content-Length: 4\r\n" : "",
+			     v->is_held ? "data" : "");
+		send_all(v->fd, out, (size_t)n, now_ms() + 1000);
+	}
+	if (v->is_held)
+		note("sent", v->id);
+}
+
+/* Reads what there is; of the held ones the first bytes of the answer are logged. */
+static void hear(struct visitor *v)
+{
+	char buf[HEAD_MAX];
+	ssize_t n = recv(v->fd, buf, sizeof(buf) - 1, 0);
+	char status[16];
+
+	if (n < 0 && errno == EAGAIN)
+		return;
+	if (n > 0) {
+		buf[n] = 0;
+		snprintf(status, sizeof(status), "%03d", atoi(buf + strcspn(buf, " ")));
+		if (v->is_held)
+			note(status, v->id);
+		v->is_held = false;
+		return;
+	}
+	if (v->is_held)
+		note("closed", v->id);
+	close(v->fd);
+	v->fd = -1;
+}
+
+static void plan(struct visitor *v, int i, int held, char **argv, long long start_ms)
+{
+	int clients = atoi(argv[5]);
+	int at = i - held;
+
+	v->is_held = i < held;
+	v->fd = dial(argv[0], now_ms() + 2000);
+	v->come_ms = start_ms + (v->is_held ? 0 : 2 + at * atoi(argv[9]) / clients);
+	/* Those that leave are spread evenly over the others. */
+	if (!v->is_held && at * 37 % 100 < atoi(argv[7]))
+		v->leave_ms = v->come_ms + atoi(argv[8]);
+	snprintf(v->id, sizeof(v->id), "%s%04d", v->is_held ? "held" : "crowd", i);
+}
+
+static int run_crowd(int argc, char **argv)
+{
+	long long start_ms = now_ms() + 500;
+	int held;
+	int n;
+
+	if (argc != 12)
+		return 2;
+	held = atoi(argv[3]);
+	n = held + atoi(argv[5]);
+	target.log = fopen(argv[11], "a");
+	if (!target.log || n > CROWD_MAX)
+		return 2;
+	for (int i = 0; i < n; i++)
+		plan(&visitors[i], i, held, argv, start_ms);
+	while (now_ms() < start_ms + atoi(argv[10]) + 500) {
+		struct pollfd fds[CROWD_MAX];
+		long long now = now_ms();
+
+		for (int i = 0; i < n; i++) {
+			struct visitor *v = &visitors[i];
+
+			if (!v->has_come && now >= v->come_ms)
+				come(v, argv, atoi(argv[6]));
+			if (v->leave_ms && now >= v->leave_ms && v->fd >= 0) {
+				close(v->fd);
+				v->fd = -1;
+			}
+			fds[i] = (struct pollfd){ .fd = v->fd, .events = POLLIN };
+		}
+		poll(fds, (nfds_t)n, 1);
+		for (int i = 0; i < n; i++)
+			if (visitors[i].fd >= 0 && fds[i].revents)
+				hear(&visitors[i]);
+	}
+	return 0;
+}
+
 int main(int argc, char **argv)
 {
 	static const struct {
@@ -392,7 +519,8 @@
 	} modes[] = { { "free", run_free },
 		      { "call", run_call },
 		      { "target", run_target },
-		      { "client", run_client } };
+		      { "client", run_client },
+		      { "crowd", run_crowd } };
 
 	signal(SIGPIPE, SIG_IGN);
 	for (size_t i = 0; argc > 1 && i < sizeof(modes) / sizeof(modes[0]); i++)
