--- a/review/standin-2.c
+++ b/review/standin-2.c
@@ -283,10 +283,10 @@
 		note("end", id);
 		n = snprintf(
 			out, sizeof(out),
-			"HTTP/1.1 200 OK\r\nLavenderlead-Attempt-Id: %s\r\n"
+			"HTTP/1.1 200 OK\r\n%sLavenderlead-Attempt-Id: %s\r\n"
 			"Lavenderlead-Response-Seal: %s.%s\r\n"
 			"Lavenderlead-Instance-Load: 0,0,12,100\r\nContent-Length: 3\r\n\r\nok\n",
-			id, target.id, id);
+			is_leaving ? LEAVING : "", id, target.id, id);
 	}
 	return send_all(fd, out, (size_t)n, now_ms() + 10000);
 }
