review: case 6, also by a watch, where no depth ends a process

Cause: as before; the depth that ends a process by the order alone depends on the processor. Change: the script then watches for changes, which takes more stack a level.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -27,7 +27,7 @@
 
 # The depth at which this happens depends on the processor: first that of arm64, then all others.
 acked=1 sent=1 base=1
-for depth in 1840 $(seq 1500 4 2044); do
+for depth in ${DEPTHS:-1840 $(seq 1500 4 2044)}; do
 	sent=$((sent + 1))
 	write_set $sent "$depth"
 	order "$dir/set" $base 4
@@ -39,6 +39,18 @@
 	[ "$TROUBLE" != 0 ] || [ "$depth" = 1840 ] || [ "$depth" -lt 1600 ] || break
 done
 
+# Where no depth does, the operator also watches for changes, which reads the configuration once more.
+if ((${#ended[@]} == 0)); then
+	for round in 1 2 3; do
+		for i in $(seq $CONTROLS); do
+			call GET "$(control_ip "$i"):$API" "/v1/watch" - 400
+			tend
+		done
+		say "the operator has watched for changes at all control processes, 0.4 s each"
+		pause 1.5
+	done
+fi
+
 say "the newest acknowledged version is $acked; the operator reads it back for 25 s"
 newest=0
 end=$(($(now_ms) + 25000))
