json_text: one parser for texts from outside, which bounds their nesting

What callers saw: one configuration with a deeply nested value ended the control processes by SIGSEGV. Nested bodies for PUT /v1/services/NAME did the same.

Cause: jansson recurses once for each level, up to 2,048, and all threads but the first have 256 KiB of stack. The levels that fit depend on the processor and on the caller, so a text could pass one parser and overflow the next, from the log, for good.

Why this works: json_text measures the nesting in a loop before jansson sees the text. New texts of over 64 levels are refused; accepted ones are read without what lies deeper and given back as sent. A watch passes the stored text on.

--- a/cmd/apply.c
+++ b/cmd/apply.c
@@ -137,7 +137,7 @@
 		client_reply_clear(&reply);
 		return code;
 	}
-	obj = json_loads(reply.body, 0, NULL);
+	obj = client_load(reply.body);
 	*revision = MAX(*revision, (u64)json_integer_value(json_object_get(obj, "revision")));
 	json_decref(obj);
 	client_reply_clear(&reply);
@@ -165,7 +165,7 @@
 	json_t *rollout;
 
 	if (!client_call(c, "GET", "/v1/status", NULL, NULL, &reply))
-		obj = json_loads(reply.body, 0, NULL);
+		obj = client_load(reply.body);
 	client_reply_clear(&reply);
 	rollout = json_object_get(json_object_get(obj, "status"), "inForce");
 	/* A process that has lost the leader does not know what is in force; ask the next one. */
@@ -275,7 +275,7 @@
 	json_t *obj = NULL;
 
 	if (!err && reply.status == 200)
-		obj = json_loads(reply.body, 0, NULL);
+		obj = client_load(reply.body);
 	if (!obj)
 		*code = client_print_error(err, &reply);
 	client_reply_clear(&reply);
--- a/cmd/client.c
+++ b/cmd/client.c
@@ -2,6 +2,7 @@
 
 #include "cmd/cmd.h"
 #include "lib/err.h"
+#include "lib/json_text.h"
 
 #include <civetweb.h>
 #include <signal.h>
@@ -80,6 +81,13 @@
 	g_array_unref(c->endpoints);
 }
 
+json_t *client_load(const char *text)
+{
+	json_error_t error;
+
+	return text ? json_text_load_accepted(text, strlen(text), 0, &error) : NULL;
+}
+
 void client_reply_clear(struct client_reply *r)
 {
 	g_free(r->body);
--- a/cmd/client.h
+++ b/cmd/client.h
@@ -11,6 +11,8 @@
 
 #include "lib/settings.h"
 
+#include <jansson.h>
+
 struct client {
 	GArray *endpoints; /* of struct endpoint */
 	guint current; /* index of the process to call next */
@@ -39,6 +41,9 @@
 		const char *body, struct client_reply *reply);
 void client_reply_clear(struct client_reply *r);
 
+/* client_load - returns the JSON of an answer; NULL for TEXT that is NULL or not valid. */
+json_t *client_load(const char *text);
+
 /* client_next_endpoint - switches to the next control process of the list. */
 void client_next_endpoint(struct client *c);
 
--- a/cmd/diff.c
+++ b/cmd/diff.c
@@ -1,5 +1,7 @@
 #include "cmd/diff.h"
 
+#include "cmd/client.h"
+
 #include <glib.h>
 #include <jansson.h>
 #include <stdlib.h>
@@ -68,8 +70,8 @@
 
 void diff_print(const char *old_json, const char *new_json, FILE *out)
 {
-	json_t *old = json_loads(old_json, 0, NULL);
-	json_t *new = json_loads(new_json, 0, NULL);
+	json_t *old = client_load(old_json);
+	json_t *new = client_load(new_json);
 
 	if (old && new)
 		diff_values("$", old, new, out);
--- a/cmd/explain.c
+++ b/cmd/explain.c
@@ -1,6 +1,7 @@
 /* Prints the log lines of one request from several processes, sorted by time. */
 #include "cmd/cmd.h"
 
+#include "lib/json_text.h"
 #include "lib/types.h"
 
 #include <argtable2.h>
@@ -88,7 +89,9 @@
 {
 	/* Skip text before the object, such as a process name. */
 	const char *brace = strchr(text, '{');
-	json_t *obj = brace ? json_loads(brace, JSON_DISABLE_EOF_CHECK, NULL) : NULL;
+	json_error_t error;
+	json_t *obj =
+		brace ? json_text_load(brace, strlen(brace), JSON_DISABLE_EOF_CHECK, &error) : NULL;
 	char *time = NULL;
 	char *formatted =
 		obj ? format_json_line(obj, id, &time) : format_text_line(text, id, &time);
--- a/cmd/get.c
+++ b/cmd/get.c
@@ -3,6 +3,7 @@
 
 #include "cmd/client.h"
 #include "lib/err.h"
+#include "lib/json_text.h"
 #include "lib/res.h"
 
 #include <argtable2.h>
@@ -16,7 +17,8 @@
 
 static void print_pretty(const char *body)
 {
-	json_t *obj = json_loads(body, 0, NULL);
+	json_error_t error;
+	json_t *obj = json_text_load(body, strlen(body), 0, &error);
 	char *text = obj ? json_dumps(obj, JSON_INDENT(2)) : NULL;
 
 	printf("%s\n", text ? text : body);
@@ -112,7 +114,7 @@
 static void print_change(void *arg, const char *text)
 {
 	u64 *last_revision = arg;
-	json_t *obj = json_loads(text, 0, NULL);
+	json_t *obj = client_load(text);
 	u64 change_revision = (u64)json_integer_value(json_object_get(obj, "revision"));
 
 	printf("%s\n", text);
--- a/cmd/member.c
+++ b/cmd/member.c
@@ -28,7 +28,7 @@
 		client_reply_clear(&reply);
 		return code;
 	}
-	obj = json_loads(reply.body, 0, NULL);
+	obj = client_load(reply.body);
 	leader = json_integer_value(json_object_get(json_object_get(obj, "leader"), "id"));
 	json_array_foreach(json_object_get(obj, "members"), i, item)
 	{
--- a/cmd/serve.c
+++ b/cmd/serve.c
@@ -5,29 +5,16 @@
 #include "lib/err.h"
 #include "lib/log.h"
 #include "lib/settings.h"
+#include "lib/thread.h"
 #include "node/node.h"
 #include "platform/dialect.h"
 
 #include <argtable2.h>
 #include <civetweb.h>
-#include <pthread.h>
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
 
-/* The default stack, 8 MB for each server thread, would count against the node's memory. */
-#define THREAD_STACK_BYTES (256 * 1024)
-
-static void set_thread_stack_size(void)
-{
-	pthread_attr_t attr;
-
-	pthread_attr_init(&attr);
-	pthread_attr_setstacksize(&attr, THREAD_STACK_BYTES);
-	pthread_setattr_default_np(&attr);
-	pthread_attr_destroy(&attr);
-}
-
 /* Blocks the signals in all threads; the main thread waits for them with sigwait(). */
 static void block_signals(sigset_t *set)
 {
@@ -142,7 +129,7 @@
 		return code;
 	}
 	block_signals(&set);
-	set_thread_stack_size();
+	thread_set_stacks();
 	mg_init_library(0);
 	return run(s, file->filename[0], &set);
 }
--- a/control/api.c
+++ b/control/api.c
@@ -5,6 +5,7 @@
 #include "lib/ctr.h"
 #include "lib/err.h"
 #include "lib/http_server.h"
+#include "lib/json_text.h"
 #include "lib/res.h"
 #include "lib/set.h"
 
@@ -32,7 +33,8 @@
 
 static json_t *item_json(const char *json, u64 version, u64 revision)
 {
-	json_t *obj = json_loads(json, 0, NULL);
+	json_error_t error;
+	json_t *obj = json_text_load_accepted(json, strlen(json), 0, &error);
 
 	json_object_set_new(obj, "version", json_integer((json_int_t)version));
 	json_object_set_new(obj, "revision", json_integer((json_int_t)revision));
--- a/control/api_watch.c
+++ b/control/api_watch.c
@@ -3,6 +3,7 @@
 
 #include "lib/ctr.h"
 #include "lib/http_server.h"
+#include "lib/json_text.h"
 
 #include <string.h>
 
@@ -25,16 +26,25 @@
 	g_string_append(stream->lines, line);
 }
 
+/* Adds KEY to the object that ends the lines, with the value as it was accepted. */
+static void add_text(struct watch_stream *stream, const char *key, const char *json)
+{
+	g_string_truncate(stream->lines, stream->lines->len - strlen("}\n"));
+	g_string_append_printf(stream->lines, ",\"%s\":", key);
+	json_text_append_line(stream->lines, json);
+	g_string_append(stream->lines, "}\n");
+}
+
 static void add_item(struct watch_stream *stream, const struct store_item *item)
 {
 	json_t *obj = json_pack("{s:s, s:I, s:I}", "name", item->name, "version",
 				(json_int_t)item->version, "revision", (json_int_t)item->revision);
 
-	if (item->json)
-		json_object_set_new(obj, "service", json_loads(item->json, 0, NULL));
-	else
+	if (!item->json)
 		json_object_set_new(obj, "deleted", json_true());
 	add_line(stream, obj);
+	if (item->json)
+		add_text(stream, "service", item->json);
 }
 
 static void add_changes(struct watch_stream *stream)
--- a/lib/res.c
+++ b/lib/res.c
@@ -1,5 +1,7 @@
 #include "lib/res.h"
 
+#include "lib/json_text.h"
+
 #include <jansson.h>
 #include <string.h>
 
@@ -339,7 +341,7 @@
 		findings_add(found, "$", "longer than %d bytes", RES_JSON_MAX_BYTES);
 		return NULL;
 	}
-	root = json_loadb(json, len, JSON_REJECT_DUPLICATES, &err);
+	root = json_text_load(json, len, JSON_REJECT_DUPLICATES, &err);
 	if (!json_is_object(root)) {
 		g_autofree char *at = g_strdup_printf("line %d", root ? 1 : err.line);
 
--- a/lib/set.c
+++ b/lib/set.c
@@ -1,5 +1,7 @@
 #include "lib/set.h"
 
+#include "lib/json_text.h"
+
 #include <jansson.h>
 #include <string.h>
 
@@ -322,17 +324,16 @@
 	}
 }
 
-struct set *set_parse(const char *json, size_t len, struct findings *found)
+/* Takes the reference to OBJ, which is NULL after ERROR. */
+static struct set *read_set(json_t *obj, const json_error_t *error, struct findings *found)
 {
 	guint before = findings_count(found);
-	json_error_t error;
-	json_t *obj = json_loadb(json, len, JSON_REJECT_DUPLICATES, &error);
 	struct set *s = g_new0(struct set, 1);
 
 	s->routes = set_new_routes();
 	s->services = g_ptr_array_new_with_free_func(service_free);
 	if (!json_is_object(obj)) {
-		findings_add(found, "$", "not a JSON object: %s", error.text);
+		findings_add(found, "$", "not a JSON object: %s", obj ? "other type" : error->text);
 	} else {
 		s->version = get_number(obj, (struct location){ 0 }, "version", 1, INT64_MAX / 2,
 					-1, found);
@@ -349,6 +350,21 @@
 	return NULL;
 }
 
+struct set *set_parse(const char *json, size_t len, struct findings *found)
+{
+	json_error_t error;
+
+	return read_set(json_text_load(json, len, JSON_REJECT_DUPLICATES, &error), &error, found);
+}
+
+struct set *set_parse_accepted(const char *json, size_t len, struct findings *found)
+{
+	json_error_t error;
+
+	return read_set(json_text_load_accepted(json, len, JSON_REJECT_DUPLICATES, &error), &error,
+			found);
+}
+
 u32 set_worth_of_priority(u32 priority)
 {
 	return SET_WORTH_MAX - MIN(priority, (u32)SET_WORTH_MAX - 1);
--- a/lib/set.h
+++ b/lib/set.h
@@ -77,10 +77,16 @@
 
 /* set_parse - returns the set that JSON describes, or NULL with findings. */
 struct set *set_parse(const char *json, size_t len, struct findings *found);
+
+/*
+ * set_parse_accepted - the same for a text that was accepted, maybe by a version that bounded no
+ * nesting: what is nested too deep is not part of a set.
+ */
+struct set *set_parse_accepted(const char *json, size_t len, struct findings *found);
 void set_free(struct set *s);
 
 /*
- * set_parse_after - the same, for a text that set_parse has accepted before: the routes whose JSON
+ * set_parse_after - like set_parse_accepted: the routes whose JSON
  * is that of a route of PREVIOUS, which may be NULL, are not parsed but shared.
  */
 struct set *set_parse_after(const struct set *previous, const char *json, size_t len,
--- a/lib/set_reuse.c
+++ b/lib/set_reuse.c
@@ -1,6 +1,8 @@
 /* Parsing a set whose routes are mostly those of another one. */
 #include "lib/set.h"
 
+#include "lib/json_text.h"
+
 #include <string.h>
 #include <xxhash.h>
 
@@ -23,45 +25,12 @@
 	return p;
 }
 
-/* Returns the end of the string that begins at P, or NULL. */
-static const char *skip_string(const char *p, const char *end)
-{
-	for (p++; p < end; p++) {
-		if (*p == '"')
-			return p + 1;
-		if (*p == '\\')
-			p++;
-	}
-	return NULL;
-}
-
-/* Returns the end of the object or list that begins at P, or NULL. */
-static const char *skip_nested(const char *p, const char *end)
-{
-	u32 depth = 0;
-
-	while (p && p < end) {
-		char c = *p;
-
-		if (c == '"') {
-			p = skip_string(p, end);
-			continue;
-		}
-		p++;
-		if (c == '{' || c == '[')
-			depth++;
-		else if ((c == '}' || c == ']') && !--depth)
-			return p;
-	}
-	return NULL;
-}
-
 static const char *skip_value(const char *p, const char *end)
 {
 	if (p < end && *p == '"')
-		return skip_string(p, end);
+		return json_text_skip_string(p, end);
 	if (p < end && (*p == '{' || *p == '['))
-		return skip_nested(p, end);
+		return json_text_skip_nested(p, end);
 	while (p < end && !strchr(",]} \t\n\r", *p))
 		p++;
 	return p;
@@ -72,7 +41,7 @@
 {
 	p = skip_spaces(p + 1, end);
 	while (p < end && *p == '{') {
-		struct span one = { p, skip_nested(p, end) };
+		struct span one = { p, json_text_skip_nested(p, end) };
 
 		if (!one.end)
 			return NULL;
@@ -87,7 +56,7 @@
 /* Returns the value after the key that begins at P, or NULL. */
 static const char *skip_key(const char *p, const char *end)
 {
-	p = p < end && *p == '"' ? skip_string(p, end) : NULL;
+	p = p < end && *p == '"' ? json_text_skip_string(p, end) : NULL;
 	if (!p)
 		return NULL;
 	p = skip_spaces(p, end);
@@ -201,7 +170,7 @@
 	FINDINGS_AUTO(found);
 	g_autoptr(GPtrArray) known = find_known(previous, layout);
 	GString *text = leave_out(json, len, layout, known);
-	struct set *s = set_parse(text->str, text->len, &found);
+	struct set *s = set_parse_accepted(text->str, text->len, &found);
 
 	g_string_free(text, TRUE);
 	if (s)
@@ -220,7 +189,7 @@
 	if (is_laid_out && previous)
 		s = parse_rest(previous, json, len, &layout);
 	if (!s)
-		s = set_parse(json, len, found);
+		s = set_parse_accepted(json, len, found);
 	for (guint i = 0; s && is_laid_out && i < s->routes->len; i++)
 		set_text_hash(g_ptr_array_index(s->routes, i),
 			      &g_array_index(routes, struct span, i));
--- a/node/local.c
+++ b/node/local.c
@@ -3,6 +3,7 @@
 
 #include "lib/err.h"
 #include "lib/hist.h"
+#include "lib/json_text.h"
 #include "lib/log.h"
 #include "lib/res.h"
 #include "lib/settings_show.h"
@@ -296,7 +297,10 @@
 
 static json_t *load_body(const struct http_msg *m)
 {
-	return json_loadb((const char *)m->body->data, m->body->len, JSON_REJECT_DUPLICATES, NULL);
+	json_error_t error;
+
+	return json_text_load((const char *)m->body->data, m->body->len, JSON_REJECT_DUPLICATES,
+			      &error);
 }
 
 static struct http_msg *put_upstream(struct node *n, const struct http_msg *m)
--- a/test/badinput_test.sh
+++ b/test/badinput_test.sh
@@ -73,6 +73,27 @@
 done
 check_alive frames
 
+# Guards against: bodies whose nesting ends each process that parses them.
+# nested LEVELS - prints LEVELS objects within one another
+nested() { printf "%0$1d" 0 | sed 's/0/{"":/g'; printf 1; printf "%0$1d" 0 | sed 's/0/}/g'; }
+# check_nested METHOD PORT PATH JSON - checks that the body is refused with a clear error
+check_nested() {
+	local answer
+	printf '%s' "$4" >"$dir/nested"
+	answer=$(curl -s -m 10 -X "$1" -w ' %{http_code}' --data-binary @"$dir/nested" \
+		"http://127.0.0.1:$2$3")
+	[[ $answer == *" 400" ]] || fail "nested $1 $3 at $2: $answer"
+}
+for levels in 65 800 900 1000 1500 1840 2044 4000; do
+	body=$(nested $levels)
+	for port in 27410 27420 27430; do
+		check_nested PUT $port /v1/services/sightings "{\"name\":\"sightings\",\"hosts\":$body}"
+		check_nested PUT $port /v1/set "{\"version\":1,\"routes\":[],\"services\":[],\"notes\":$body}"
+	done
+	check_nested PUT 27512 /v1/upstream "{\"service\":\"sightings\",\"slots\":$body}"
+done
+check_alive nested
+
 # A body over the limit is refused, not run, and counted.
 head -c 9000000 /dev/zero >"$dir/big"
 check_raises "large body" 27512 body_too_large curl -s -o "$dir/answer" -D "$dir/head" \
--- a/test/fakes/lone_control.c
+++ b/test/fakes/lone_control.c
@@ -10,6 +10,18 @@
 
 #define WAIT_US (20 * US_PER_S)
 
+static void run(struct lone_control *p)
+{
+	p->control = control_new(&p->settings);
+	g_assert_cmpint(p->control->module.ops->start(&p->control->module, NULL), ==, 0);
+}
+
+static void end(struct lone_control *p)
+{
+	p->control->module.ops->stop(&p->control->module);
+	control_free(p->control);
+}
+
 void lone_control_start(struct lone_control *p, const char *zone)
 {
 	struct settings *s = &p->settings;
@@ -29,8 +41,13 @@
 	s->node.control = g_array_new(FALSE, FALSE, sizeof(struct endpoint));
 	self.at = (struct endpoint){ .host = "127.0.0.1", .port = s->control.peer_port };
 	g_array_append_val(s->control.members, self);
-	p->control = control_new(s);
-	g_assert_cmpint(p->control->module.ops->start(&p->control->module, NULL), ==, 0);
+	run(p);
+}
+
+void lone_control_restart(struct lone_control *p)
+{
+	end(p);
+	run(p);
 }
 
 struct declaration {
@@ -99,8 +116,7 @@
 
 void lone_control_stop(struct lone_control *p)
 {
-	p->control->module.ops->stop(&p->control->module);
-	control_free(p->control);
+	end(p);
 	lone_control_remove_folder(p);
 	settings_clear(&p->settings);
 	memset(p, 0, sizeof(*p));
--- a/test/fakes/lone_control.h
+++ b/test/fakes/lone_control.h
@@ -22,6 +22,9 @@
  */
 u16 lone_control_declare(struct lone_control *p, u64 version, u64 base, const char *text);
 
+/* lone_control_restart - stops the process and starts it again with its data folder. */
+void lone_control_restart(struct lone_control *p);
+
 /* lone_control_stop - stops the process and removes its data folder; it can be started again. */
 void lone_control_stop(struct lone_control *p);
 
--- a/test/layers_test.sh
+++ b/test/layers_test.sh
@@ -15,4 +15,10 @@
 		tools/check-layers "$dir"
 	rm "$dir/${pair%:*}/b.c"
 done
+# Guards against: a text from outside that is parsed without a bound on its nesting.
+for call in json_loads json_loadb json_load_file; do
+	echo "	obj = $call(text, 0, NULL);" >"$dir/node/b.c"
+	run 1 "node/b.c:1: only lib/json_text.c may call jansson's parser" tools/check-layers "$dir"
+	rm "$dir/node/b.c"
+done
 finish
