voters: a process that ends gives its vote to a learner that holds the log

Two lost disks of five are to be borne.

Cause: a process that stops handed over its leadership, not its vote. The leader learned of the end by 1.5 s of silence, and then removed the voter before it promoted the successor, which had held the whole log all the while. In that time two losses left two of five votes.

Why this works: the process says that it ends, the leader promotes the learner first and demotes the leaving voter then, and the process ends once that is committed. At each step the voters that stay bear as many losses as before. Plain restarts without a learner are as they were.

--- a/control/control.c
+++ b/control/control.c
@@ -13,6 +13,8 @@
 #define HAND_OVER_POLL_US (5 * US_PER_MS)
 /* A member that is there has answered a heartbeat meanwhile. */
 #define HAND_OVER_TRY_US (2 * RAFT_HEARTBEAT_US)
+/* Between the messages that this process is about to end. */
+#define LEAVE_POLL_US (50 * US_PER_MS)
 
 static void on_link_up(struct link *k)
 {
@@ -194,6 +196,39 @@
 	}
 }
 
+struct leave {
+	struct control *control;
+	bool is_under_way;
+};
+
+static void leave_on_loop(void *arg)
+{
+	struct leave *l = arg;
+
+	l->is_under_way = join_leave(l->control);
+}
+
+/*
+ * Another member takes the vote of this process if one can. Else the group would have one voter
+ * less until it takes this process for lost.
+ */
+static void give_up_vote(struct control *c, u64 end_us)
+{
+	struct leave l = { .control = c };
+	u64 began_us = loop_clock_us();
+
+	loop_call(c->loop, leave_on_loop, &l);
+	if (!l.is_under_way)
+		return;
+	while (l.is_under_way && loop_clock_us() < end_us) {
+		g_usleep(LEAVE_POLL_US);
+		loop_call(c->loop, leave_on_loop, &l);
+	}
+	log_event(l.is_under_way ? LOG_WARN : LOG_INFO, "vote given up", "outcome",
+		  l.is_under_way ? "no other member took it in time" : "done", "took_us",
+		  log_u64(loop_clock_us() - began_us), NULL);
+}
+
 static void control_stop(struct module *m)
 {
 	struct control *c = (struct control *)m;
@@ -204,6 +239,7 @@
 	/* The loop may be waiting for room, and what follows waits for the loop. */
 	__atomic_store_n(&c->disk_wait_end_us, now + grace_us / 2, __ATOMIC_RELEASE);
 	hand_over(c, now + MIN(grace_us / 4, RAFT_TRANSFER_TIMEOUT_US));
+	give_up_vote(c, now + grace_us / 2);
 	api_stop(c, now + grace_us - MIN(grace_us / 4, CLOSE_US));
 	loop_call(c->loop, stop_on_loop, c);
 	loop_stop(c->loop);
--- a/control/join.c
+++ b/control/join.c
@@ -330,6 +330,38 @@
 	change_voters(c, now_us);
 }
 
+/* Leaving */
+
+bool join_leave(struct control *c)
+{
+	struct link *k = c->raft.leader ? peers_link(c, c->raft.leader) : NULL;
+	FRAME_AUTO(f, CTL_LEAVE);
+
+	if (!is_enabled(c) || !voters_may_replace(&c->raft, voters_required(c)))
+		return false;
+	frame_put_u64(&f, c->raft.id);
+	frame_put_u64(&f, c->raft.replica);
+	if (k)
+		link_send(k, &f);
+	return true;
+}
+
+int join_receive_leave(struct control *c, struct frame_in *in)
+{
+	u32 id = (u32)frame_get_u64(in);
+	u64 replica = frame_get_u64(in);
+	u64 now_us = loop_clock_us();
+
+	if (frame_done(in))
+		return ERR_INVAL;
+	if (!is_enabled(c) || c->raft.role != RAFT_LEADER)
+		return 0;
+	voters_leave(&c->raft, id, replica, now_us);
+	join_update(c, now_us);
+	raft_host_arm(c);
+	return 0;
+}
+
 static void on_timer(void *arg, u64 now_us)
 {
 	struct control *c = arg;
--- a/control/join.h
+++ b/control/join.h
@@ -30,6 +30,15 @@
 /* join_receive_request - handle CTL_JOIN, a membership request of another process */
 int join_receive_request(struct control *c, struct link *k, struct frame_in *in);
 
+/*
+ * join_leave - ask the leader to let another member take the vote of this process, which ends.
+ * Return whether that is still to be waited for.
+ */
+bool join_leave(struct control *c);
+
+/* join_receive_leave - handle CTL_LEAVE */
+int join_receive_leave(struct control *c, struct frame_in *in);
+
 /* join_update - the leader C proposes the next membership change, if one is due */
 void join_update(struct control *c, u64 now_us);
 
--- a/control/peers.c
+++ b/control/peers.c
@@ -405,6 +405,8 @@
 		return op_receive_result(c, in);
 	case CTL_JOIN:
 		return join_receive_request(c, k, in);
+	case CTL_LEAVE:
+		return join_receive_leave(c, in);
 	case CTL_MEMBERS:
 		return join_receive_members(c, in);
 	case CTL_BULK:
--- a/control/raft.h
+++ b/control/raft.h
@@ -154,6 +154,7 @@
 	u64 last_reply_round; /* round in the last reply, from any replica id */
 	u64 last_reply_replica; /* replica id in the last reply, in the membership or not */
 	u64 last_reply_us;
+	u64 leaving_until_us; /* its process is about to end, see voters.h; 0 if not */
 	bool is_probing; /* match index unknown: one message in flight at a time */
 	u64 snapshot_index; /* index of the snapshot being sent, or 0 */
 	u64 snapshot_offset; /* offset of the last chunk sent */
--- a/control/raft_elect.c
+++ b/control/raft_elect.c
@@ -57,6 +57,7 @@
 		p->last_reply_round = 0;
 		p->is_probing = true;
 		p->snapshot_index = 0;
+		p->leaving_until_us = 0;
 	}
 	r->round = 0;
 	r->heartbeat_due_us = now_us;
--- a/test/voters_model_test.c
+++ b/test/voters_model_test.c
@@ -2,10 +2,11 @@
  * A group of control processes on simulated disks and links, whose members are cut off, lose their
  * power or their disks, and are replaced, planned and for good, in random order. No more than the
  * tolerated number is lost at once. Afterwards the group has the voters that it needs, none of
- * them gone, and survives the loss of as many disks as it tolerates.
+ * them gone, and survives the loss of as many disks as it tolerates; so it does while a process
+ * that is replaced as planned ends, and just after.
  *
- * Each process requests membership and is added as in control/join.c; the voters are those of
- * control/voters.c.
+ * Each process requests membership and is added as in control/join.c, and leaves as in
+ * control/control.c; the voters are those of control/voters.c.
  */
 #include "control/raft_impl.h"
 #include "control/voters.h"
@@ -28,6 +29,11 @@
 #define RECOVERY_MAX_US (15 * US_PER_S)
 #define SUCCESSOR_DELAY_US (1 * US_PER_S)
 #define POWER_OFF_US (650 * US_PER_MS)
+/* A process that ends waits no longer than this for its vote to be taken: half of its grace. */
+#define LEAVE_MAX_US (3 * US_PER_S)
+#define HAND_OVER_TRY_US (2 * RAFT_HEARTBEAT_US)
+/* From the order to end to the loss of disks, at most. */
+#define GAP_MAX_US (5 * US_PER_S)
 
 enum action { NOTHING, HEAL, START, END };
 
@@ -43,9 +49,17 @@
 	u64 at_us;
 };
 
+/* A process that was told to end, and gives up its leadership and its vote first. */
+struct leaving {
+	u64 end_us; /* 0 while it serves */
+	u64 hand_over_due_us;
+};
+
 struct model {
 	struct fake_group *g;
 	change_rule rule;
+	bool keeps_votes; /* processes end with their votes */
+	struct leaving leaving[FAKE_GROUP_MAX + 1]; /* by id */
 	struct planned_action next[FAKE_GROUP_MAX + 1]; /* by id */
 	bool is_gone[FAKE_GROUP_MAX + 1]; /* for good */
 	u64 check_due_us;
@@ -163,13 +177,47 @@
 	if (action == START)
 		fake_group_start(m->g, id);
 	if (action == END) {
-		fake_group_crash(m->g, id);
-		m->is_gone[id] = true;
+		m->leaving[id].end_us = m->g->now_us + (m->keeps_votes ? 0 : LEAVE_MAX_US);
+		m->leaving[id].hand_over_due_us = 0;
 	}
 	for (u32 other = 1; action == HEAL && other <= m->g->n; other++)
 		m->g->cut[id][other] = m->g->cut[other][id] = false;
 }
 
+/* The leader learns that process ID is about to end, if it can be reached. */
+static void send_leave(struct model *m, u32 id)
+{
+	u32 leader = raft_of(m, id)->leader;
+
+	if (!leader || !is_up(m, leader) || is_cut(m, id, leader) ||
+	    raft_of(m, leader)->role != RAFT_LEADER)
+		return;
+	voters_leave(raft_of(m, leader), id, raft_of(m, id)->replica, m->g->now_us);
+	update_membership(m, leader);
+}
+
+static void leave(struct model *m, u32 id)
+{
+	struct leaving *l = &m->leaving[id];
+	struct raft *r = raft_of(m, id);
+
+	if (!l->end_us || !is_up(m, id))
+		return;
+	if (m->g->now_us >= l->end_us ||
+	    (r->role != RAFT_LEADER && !voters_may_replace(r, REQUIRED))) {
+		fake_group_crash(m->g, id);
+		m->is_gone[id] = true;
+		return;
+	}
+	if (m->g->now_us >= l->hand_over_due_us) {
+		l->hand_over_due_us = m->g->now_us + HAND_OVER_TRY_US;
+		r->stands_for_none = true;
+		raft_hand_over(r, m->g->now_us);
+	}
+	if (r->role != RAFT_LEADER)
+		send_leave(m, id);
+}
+
 static void step(struct model *m)
 {
 	u32 leader;
@@ -178,6 +226,8 @@
 	g_assert_cmpstr(m->g->violation, ==, NULL);
 	for (u32 id = 1; id <= m->g->n; id++)
 		act(m, id);
+	for (u32 id = 1; id <= m->g->n; id++)
+		leave(m, id);
 	leader = fake_group_leader(m->g);
 	if (!leader || m->g->now_us < m->check_due_us)
 		return;
@@ -208,7 +258,8 @@
 
 	do
 		id = 1 + rng_below(&m->g->rng, m->g->n);
-	while (!is_up(m, id) || m->is_gone[id] || m->next[id].action != NOTHING);
+	while (!is_up(m, id) || m->is_gone[id] || m->leaving[id].end_us ||
+	       m->next[id].action != NOTHING);
 	return id;
 }
 
@@ -324,6 +375,27 @@
 			fake_group_start(m->g, id);
 }
 
+/* A process is replaced as planned; while it ends, or just after, two others lose their disks. */
+static void lose_disks_at_a_planned_end(struct model *m)
+{
+	u32 old = pick(m);
+	u32 wiped[LOSSES];
+
+	plan(m, fake_group_add(m->g), START, m->g->now_us);
+	run(m, CATCH_UP_US);
+	plan(m, old, END, m->g->now_us);
+	run(m, STEP_US + random_us(m, GAP_MAX_US));
+	for (u32 i = 0; i < LOSSES; i++) {
+		wiped[i] = pick(m);
+		fake_group_crash(m->g, wiped[i]);
+		fake_group_wipe_disk(m->g, wiped[i]);
+	}
+	run(m, POWER_OFF_US);
+	for (u32 i = 0; i < LOSSES; i++)
+		fake_group_start(m->g, wiped[i]);
+	run(m, CATCH_UP_US);
+}
+
 static void begin(struct model *m, u64 seed, change_rule rule)
 {
 	*m = (struct model){ .g = fake_group_new(FOUNDERS, seed), .rule = rule };
@@ -375,12 +447,13 @@
 }
 
 /* Returns what went wrong, or NULL. */
-static const char *play(u64 seed, change_rule rule)
+static const char *play(u64 seed, change_rule rule, bool keeps_votes)
 {
 	const char *fault = NULL;
 	struct model m;
 
 	begin(&m, seed, rule);
+	m.keeps_votes = keeps_votes;
 	if (!recover(&m))
 		fault = "the group does not form";
 	for (u32 round = 0; !fault && round < ROUNDS; round++) {
@@ -392,6 +465,11 @@
 	}
 	if (!fault && !change(&m))
 		fault = "no change is accepted at the end";
+	if (!fault) {
+		lose_disks_at_a_planned_end(&m);
+		if (!recover(&m) || !change(&m))
+			fault = "the group does not survive the loss of disks at a planned end";
+	}
 	if (!fault) {
 		final_fault(&m);
 		if (!recover(&m))
@@ -409,7 +487,7 @@
 	u32 seeds = text ? (u32)atoi(text) : SEEDS;
 
 	for (u64 seed = 1; seed <= seeds; seed++) {
-		const char *fault = play(seed, product_rule);
+		const char *fault = play(seed, product_rule, false);
 
 		if (fault)
 			g_error("seed %llu: %s", (unsigned long long)seed, fault);
@@ -422,7 +500,18 @@
 	u32 found = 0;
 
 	for (u64 seed = 1; seed <= SEEDS; seed++)
-		found += play(seed, earlier_rule) != NULL;
+		found += play(seed, earlier_rule, false) != NULL;
+	g_test_message("%u of %u seeds", found, SEEDS);
+	g_assert_cmpuint(found, >, 0);
+}
+
+/* So does it find that of docs/incidents/vote-of-an-ended-process.md. */
+static void test_vote_that_ends_with_its_process_is_found(void)
+{
+	u32 found = 0;
+
+	for (u64 seed = 1; seed <= SEEDS; seed++)
+		found += play(seed, product_rule, true) != NULL;
 	g_test_message("%u of %u seeds", found, SEEDS);
 	g_assert_cmpuint(found, >, 0);
 }
@@ -432,5 +521,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/voters-model/any-order", test_any_order);
 	g_test_add_func("/voters-model/earlier-rule-is-found", test_earlier_rule_is_found);
+	g_test_add_func("/voters-model/vote-that-ends-with-its-process-is-found",
+			test_vote_that_ends_with_its_process_is_found);
 	return g_test_run();
 }
--- a/test/voters_test.c
+++ b/test/voters_test.c
@@ -180,6 +180,109 @@
 	stepped_free(o);
 }
 
+#define LOSSES ((REQUIRED - 1) / 2)
+
+/* Whether the voters that stay are a quorum after the worst loss of LOSSES of them. */
+static bool bears_losses(struct stepped_raft *o, u32 ended)
+{
+	u32 voters = voters_count(&o->r);
+	u32 stay = voters - (ended && is_voter(o, ended));
+
+	return stay >= LOSSES + voters / 2 + 1;
+}
+
+/*
+ * Guards against: the vote of a process that is replaced as planned ends with it, and until it is
+ * taken for silent the group bears one loss less than it must.
+ */
+static void test_vote_ends_with_its_process(void)
+{
+	struct stepped_raft *o = start(REQUIRED);
+	struct voters_change change;
+
+	add_learner(o, 6);
+	voters_leave(&o->r, 3, 30, STEPPED_NOW_US);
+	while (voters_next_change(&o->r, REQUIRED, STEPPED_NOW_US, &change)) {
+		raft_set_members(&o->r, &change.next, o->r.members_index);
+		g_assert_true(bears_losses(o, 0));
+	}
+	g_assert_true(bears_losses(o, 3));
+	g_assert_cmpuint(voters_count(&o->r), ==, REQUIRED);
+	g_assert_true(is_voter(o, 6));
+	stepped_free(o);
+}
+
+/* Of a larger group, too; and also where several end at once. */
+static void test_votes_end_with_their_processes(void)
+{
+	static const u32 voters[] = { 5, 7, 9 };
+
+	for (u32 i = 0; i < G_N_ELEMENTS(voters); i++) {
+		struct stepped_raft *o = start(voters[i]);
+
+		for (u32 id = 2; id <= 3; id++) {
+			add_learner(o, 10 + id);
+			voters_leave(&o->r, id, 10 * id, STEPPED_NOW_US);
+		}
+		settle(o);
+		g_assert_false(is_voter(o, 2) || is_voter(o, 3));
+		g_assert_cmpuint(voters_count(&o->r), ==, voters[i]);
+		stepped_free(o);
+	}
+}
+
+/* A process that is started again as it was keeps its vote, if no other could take it. */
+static void test_leaving_voter_without_learner_stays(void)
+{
+	struct stepped_raft *o = start(REQUIRED);
+
+	voters_leave(&o->r, 3, 30, STEPPED_NOW_US);
+	g_assert_cmpuint(settle(o), ==, 0);
+	stepped_free(o);
+}
+
+/* One that has just ended, and answered until then, does not get the vote of another. */
+static void test_learner_that_leaves_is_not_promoted(void)
+{
+	struct stepped_raft *o = start(REQUIRED);
+
+	add_learner(o, 6);
+	voters_leave(&o->r, 6, 60, STEPPED_NOW_US);
+	silence(o, 3);
+	g_assert_cmpuint(settle(o), ==, 0);
+	stepped_free(o);
+}
+
+/* Only the process that holds the data folder of the member speaks for it. */
+static void test_leave_of_another_folder(void)
+{
+	struct stepped_raft *o = start(REQUIRED);
+
+	add_learner(o, 6);
+	voters_leave(&o->r, 3, 31, STEPPED_NOW_US);
+	voters_leave(&o->r, 33, 330, STEPPED_NOW_US);
+	g_assert_cmpuint(settle(o), ==, 0);
+	stepped_free(o);
+}
+
+/* What a process that ends waits for. */
+static void test_what_a_leaving_process_waits_for(void)
+{
+	struct stepped_raft *o = stepped_new(REQUIRED, 1, 1);
+	struct raft *r = &o->r;
+
+	r->commit = r->members_index;
+	g_assert_false(voters_may_replace(r, REQUIRED));
+	add_learner(o, 6);
+	g_assert_true(voters_may_replace(r, REQUIRED));
+	r->members_index = r->commit + 1;
+	raft_member_find(&r->members, r->id)->is_voter = false;
+	g_assert_true(voters_may_replace(r, REQUIRED));
+	r->commit = r->members_index;
+	g_assert_false(voters_may_replace(r, REQUIRED));
+	stepped_free(o);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -198,5 +301,15 @@
 			test_required_voters_stay_when_most_are_silent);
 	g_test_add_func("/voters/learner-that-was-just-added-is-removed",
 			test_learner_that_was_just_added_is_removed);
+	g_test_add_func("/voters/vote-ends-with-its-process", test_vote_ends_with_its_process);
+	g_test_add_func("/voters/votes-end-with-their-processes",
+			test_votes_end_with_their_processes);
+	g_test_add_func("/voters/leaving-voter-without-learner-stays",
+			test_leaving_voter_without_learner_stays);
+	g_test_add_func("/voters/learner-that-leaves-is-not-promoted",
+			test_learner_that_leaves_is_not_promoted);
+	g_test_add_func("/voters/leave-of-another-folder", test_leave_of_another_folder);
+	g_test_add_func("/voters/what-a-leaving-process-waits-for",
+			test_what_a_leaving_process_waits_for);
 	return g_test_run();
 }
--- a/wire/ctl.h
+++ b/wire/ctl.h
@@ -7,7 +7,8 @@
  *                     CTL_INCARNATION
  * inside CTL_CONFIG_PART: CTL_CONFIG
  * control to control: CTL_RAFT, CTL_DIRECTORY, CTL_HEARTBEAT, CTL_FORWARD,
- *                     CTL_FORWARD_RESULT, CTL_JOIN, CTL_MEMBERS, CTL_BULK, CTL_BULK_ACK
+ *                     CTL_FORWARD_RESULT, CTL_JOIN, CTL_LEAVE, CTL_MEMBERS, CTL_BULK,
+ *                     CTL_BULK_ACK
  * inside CTL_BULK:    CTL_RAFT, CTL_DIRECTORY, CTL_FORWARD
  *
  * SOURCE wire/ctl.c
@@ -62,6 +63,7 @@
 	CTL_BULK_ACK, /* lane, bytes of it that were handled */
 	CTL_WITHDRAWAL, /* the newest withdrawal of the node, which did not send it */
 	CTL_INCARNATION, /* incarnation of an earlier start of the node, above that of this one */
+	CTL_LEAVE, /* control id, replica id: its process is about to end */
 };
 
 /*
