admit, home: a call that was given up is cancelled, not aborted

Cause: admit_next() gives up the queued calls that can no longer end in time, on a list, and home_run_queue() refuses them one by one. A refusal that can't be written closes its caller's connection and so cancels the caller's other calls, still on the list. cancel_job() took what was not queued for running and aborted a call to the upstream that was never begun (call->u is NULL).

Why this works: given up is a state of its own, and admit_cancel() takes a call that has not begun from the queue or from that list, or says that it is in neither. The model in admit_test now cancels such calls as well; it tells a call that was given up by that state in place of ADMIT_LEFT, which is as strict.

--- a/node/admit.c
+++ b/node/admit.c
@@ -12,7 +12,7 @@
 	memset(a, 0, sizeof(*a));
 	for (u32 i = 0; i < ADMIT_RANKS_MAX; i++)
 		g_queue_init(&a->queues[i].waiting);
-	g_queue_init(&a->evicted);
+	g_queue_init(&a->given_up);
 	a->slowness_percent = USUAL_PERCENT;
 	a->recent_calls = SERVICE_INITIAL_CALLS;
 	a->recent_slot_time_us = (double)SERVICE_INITIAL_CALLS * SERVICE_INITIAL_US;
@@ -23,7 +23,7 @@
 {
 	for (u32 i = 0; i < ADMIT_RANKS_MAX; i++)
 		g_queue_init(&a->queues[i].waiting);
-	g_queue_init(&a->evicted);
+	g_queue_init(&a->given_up);
 }
 
 static void set_limit(struct admit *a)
@@ -218,8 +218,15 @@
 void admit_give_up(struct admit *a, struct admit_req *r, enum ctr reason)
 {
 	admit_remove_from_queue(a, r);
+	r->state = ADMIT_GIVEN_UP;
 	r->reason = reason;
-	g_queue_push_tail_link(&a->evicted, &r->link);
+	g_queue_push_tail_link(&a->given_up, &r->link);
+}
+
+static void remove_given_up(struct admit *a, struct admit_req *r)
+{
+	g_queue_unlink(&a->given_up, &r->link);
+	r->state = ADMIT_LEFT;
 }
 
 struct admit_req *admit_next(struct admit *a, u64 now_us)
@@ -257,10 +264,11 @@
 
 struct admit_req *admit_expired(struct admit *a, u64 now_us)
 {
-	if (a->evicted.length) {
-		GList *l = g_queue_pop_head_link(&a->evicted);
+	if (a->given_up.length) {
+		struct admit_req *r = g_queue_peek_head(&a->given_up);
 
-		return l->data;
+		remove_given_up(a, r);
+		return r;
 	}
 	for (u32 i = 0; i < ADMIT_RANKS_MAX; i++) {
 		struct admit_req *r = first_expired(a, &a->queues[i], now_us);
@@ -276,7 +284,7 @@
 
 u64 admit_next_expiry_us(const struct admit *a)
 {
-	u64 next = a->evicted.length ? 0 : UINT64_MAX;
+	u64 next = a->given_up.length ? 0 : UINT64_MAX;
 
 	for (u32 i = 0; i < ADMIT_RANKS_MAX; i++)
 		if (a->queues[i].waiting.length)
@@ -331,10 +339,15 @@
 	set_limit(a);
 }
 
-void admit_cancel(struct admit *a, struct admit_req *r)
+bool admit_cancel(struct admit *a, struct admit_req *r)
 {
 	if (r->state == ADMIT_QUEUED)
 		admit_remove_from_queue(a, r);
+	else if (r->state == ADMIT_GIVEN_UP)
+		remove_given_up(a, r);
+	else
+		return false;
+	return true;
 }
 
 void admit_adopt_knee(struct admit *a, u32 limit)
--- a/node/admit.h
+++ b/node/admit.h
@@ -42,7 +42,13 @@
 	u32 floor_percent;
 };
 
-enum admit_state { ADMIT_NEW, ADMIT_QUEUED, ADMIT_RUNNING, ADMIT_LEFT };
+enum admit_state {
+	ADMIT_NEW,
+	ADMIT_QUEUED,
+	ADMIT_GIVEN_UP, /* will not run: admit_expired returns it */
+	ADMIT_RUNNING,
+	ADMIT_LEFT,
+};
 
 struct admit_req {
 	u32 rank;
@@ -93,7 +99,7 @@
 	u32 nranks;
 	struct admit_rank ranks[ADMIT_RANKS_MAX];
 	struct admit_queue queues[ADMIT_RANKS_MAX];
-	GQueue evicted; /* of struct admit_req, until admit_expired returns them */
+	GQueue given_up; /* of struct admit_req, until admit_expired returns them */
 	size_t queued_bytes;
 	u32 queued;
 	u32 running;
@@ -175,8 +181,11 @@
  */
 void admit_done(struct admit *a, struct admit_req *r, bool is_served, u64 now_us);
 
-/* admit_cancel - removes a queued request. */
-void admit_cancel(struct admit *a, struct admit_req *r);
+/*
+ * admit_cancel - removes a request that has not started, queued or given up. Returns false, and
+ * does nothing, if it is neither.
+ */
+bool admit_cancel(struct admit *a, struct admit_req *r);
 
 /*
  * admit_lowest_worth - returns the lowest worth that is admitted now: all ranks below are refused.
--- a/node/home.c
+++ b/node/home.c
@@ -62,8 +62,7 @@
 	refuse_expired(n, now);
 	while (home_may_start(n) && (r = admit_next(&h->admit, now)))
 		start_job(n, (struct job *)r);
-	/* Those that admit_next gave up, before anything else can come for them, such as a cancel.
-	 */
+	/* Those that admit_next gave up. */
 	refuse_expired(n, now);
 	next_us = MIN(admit_next_expiry_us(&h->admit), admit_next_start_us(&h->admit));
 	if (next_us == UINT64_MAX)
--- a/node/home_cancel.c
+++ b/node/home_cancel.c
@@ -3,14 +3,19 @@
 
 #include "lib/err.h"
 
+/* Refuses a call that has not started. Returns false if it has, or is being refused already. */
+static bool refuse_unstarted(struct node *n, struct job *j, enum ctr reason)
+{
+	if (!admit_cancel(&n->home->admit, &j->req))
+		return false;
+	home_refuse_not_run(n, j, reason);
+	return true;
+}
+
 static void cancel_job(struct node *n, struct job *j)
 {
-	if (j->req.state == ADMIT_QUEUED) {
-		admit_cancel(&n->home->admit, &j->req);
-		home_refuse_not_run(n, j, CTR_CANCELLED);
-		return;
-	}
-	upstream_abort(&j->upstream, ERR_CANCELLED);
+	if (!refuse_unstarted(n, j, CTR_CANCELLED))
+		upstream_abort(&j->upstream, ERR_CANCELLED);
 }
 
 void home_cancel(struct node *n, struct call_id id)
@@ -25,8 +30,12 @@
 {
 	struct job *j = g_hash_table_lookup(n->home->jobs, &id);
 
-	if (j && (j->is_idempotent || j->req.state == ADMIT_QUEUED))
+	if (!j)
+		return;
+	if (j->is_idempotent)
 		cancel_job(n, j);
+	else
+		refuse_unstarted(n, j, CTR_CANCELLED);
 }
 
 /* Returns the ids of all jobs. Ending one job may end others, so look up each id again. */
@@ -66,10 +75,8 @@
 	for (guint i = 0; i < ids->len; i++) {
 		struct job *j = find_job(n, ids, i);
 
-		if (!j || j->req.state != ADMIT_QUEUED)
-			continue;
-		admit_cancel(&n->home->admit, &j->req);
-		home_refuse_not_run(n, j, reason);
+		if (j)
+			refuse_unstarted(n, j, reason);
 	}
 }
 
--- a/test/admit_test.c
+++ b/test/admit_test.c
@@ -173,7 +173,7 @@
 {
 	struct admit_req *r;
 
-	while ((r = g_queue_peek_head(&m->waiting)) && r->state == ADMIT_LEFT) {
+	while ((r = g_queue_peek_head(&m->waiting)) && r->state == ADMIT_GIVEN_UP) {
 		g_assert_cmpuint(model_last_start_us(m, r), <, m->now_us);
 		g_queue_push_tail(&m->given_up, g_queue_pop_head(&m->waiting));
 	}
@@ -205,18 +205,28 @@
 		g_assert_cmpuint(((struct admit_req *)l->data)->deadline_us, >, m->now_us);
 }
 
-static void model_cancel(struct model *m)
+static void model_cancel_one_of(struct model *m, GQueue *list)
 {
 	struct admit_req *r;
 
-	if (!m->waiting.length)
+	if (!list->length)
 		return;
-	r = g_queue_pop_nth(&m->waiting, rng_below(&m->rng, m->waiting.length));
-	admit_cancel(&m->a, r);
+	r = g_queue_pop_nth(list, rng_below(&m->rng, list->length));
+	g_assert_true(admit_cancel(&m->a, r));
 	g_assert_cmpint(r->state, ==, ADMIT_LEFT);
+	g_assert_false(admit_cancel(&m->a, r));
 	g_free(r);
 }
 
+/* Also of those that were given up and not returned yet, and not of those that run. */
+static void model_cancel(struct model *m)
+{
+	model_cancel_one_of(m, &m->waiting);
+	model_cancel_one_of(m, &m->given_up);
+	if (m->running->len)
+		g_assert_false(admit_cancel(&m->a, g_ptr_array_index(m->running, 0)));
+}
+
 /* Free slots are reserved only for ranks of higher worth, and never more than half of the limit. */
 static void assert_reserved_slots(const struct model *m)
 {
