home: a call leaves admission before its answer is looked at

Cause: home_on_upstream_done() recorded the load and the notice of the answer while the call still counted as running. A change of either runs the queue; if another call of the same caller is refused there and can't be written, the caller's calls are cancelled, this one as well. Its timer was set again and fired after the call had been freed.

--- a/node/home_cancel.c
+++ b/node/home_cancel.c
@@ -12,9 +12,10 @@
 	return true;
 }
 
+/* Does nothing to a call that has ended, and is being answered or refused. */
 static void cancel_job(struct node *n, struct job *j)
 {
-	if (!refuse_unstarted(n, j, CTR_CANCELLED))
+	if (!refuse_unstarted(n, j, CTR_CANCELLED) && j->req.state == ADMIT_RUNNING)
 		upstream_abort(&j->upstream, ERR_CANCELLED);
 }
 
--- a/node/home_end.c
+++ b/node/home_end.c
@@ -206,11 +206,15 @@
 	enum ctr not_run = call->err ? CTR_COUNT : not_run_answer(n, call->reply);
 	bool is_believed = call->is_named || !n->dialect->are_refusals_named;
 
+	/*
+	 * First, so that it can't be cancelled any more: what the answer says of the upstream may
+	 * end other calls of the same caller, and with them this one.
+	 */
+	release_admission(n, j);
 	if (!call->err && not_run != CTR_OTHER_INSTANCE) {
 		slowness_monitor_record_answer(n->home->slowness_monitor, call->reply);
 		home_record_notice(n, call, j->req.started_us, "call");
 	}
-	release_admission(n, j);
 	log_completion(n, j);
 	if (not_run == CTR_OTHER_INSTANCE)
 		mark_upstream_lost(n, not_run);
--- a/test/left_caller_test.c
+++ b/test/left_caller_test.c
@@ -193,9 +193,49 @@
 	stop();
 }
 
+/*
+ * Guards against: a node ends when a caller has left one of whose calls is being answered, as the
+ * answer changes the load, which refuses another of its calls.
+ */
+static void test_call_that_is_being_answered(void)
+{
+	u64 until_us;
+	int blocker;
+	int left;
+
+	start();
+	blocker = caller();
+	request(blocker, "POST", "/", LONG_TIMEOUT_MS);
+	wait_requests(1);
+	left = caller();
+	until_us = loop_clock_us() + TIMEOUT_MS * US_PER_MS;
+	request(left, "GET", "/page", TIMEOUT_MS / 2);
+	request(left, "GET", "/lookup", LONG_TIMEOUT_MS);
+	wait_jobs(3);
+	permit("");
+	expect_answer(blocker);
+	/* The second one is worth more, so it runs; the first one waits, and expires meanwhile. */
+	wait_requests(2);
+	hold_loop(&until_us);
+	permit("Lavenderlead-Rate-Limit: 1000\r\n");
+	reset(left);
+	wait_jobs(0);
+	/* What was left of a call that had ended would show by now. */
+	g_usleep(HELD_MS * US_PER_MS);
+	/* Idempotent, so that it takes the connection that is open: the upstream serves one at a
+	 * time. */
+	blocker = caller();
+	request(blocker, "GET", "/page", LONG_TIMEOUT_MS);
+	permit("");
+	expect_answer(blocker);
+	stop();
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/left-caller/calls-given-up-together", test_calls_given_up_together);
+	g_test_add_func("/left-caller/call-that-is-being-answered",
+			test_call_that_is_being_answered);
 	return g_test_run();
 }
