local: an announcement of an instance without all its fields names none

Cause: the decoder looked only at the fields that it uses.

Evidence: instance_test:/instance/spoilt, which now spoils each field in each way, alone and in pairs, got 200 for the first heartbeat without a zone. The list of spoilt heartbeats that it had before is in the table.

Why this works: instance_fields lists what an announcement of an instance says and its types; one that lacks anything is answered 400 and changes nothing. Sound heartbeats in other tests got the three fields.

--- a/node/local.c
+++ b/node/local.c
@@ -256,20 +256,56 @@
 	return (u64)g_get_real_time() / US_PER_MS + START_AHEAD_MAX_MS;
 }
 
-/* An instance must send its slots, start time and a sequence number with every announcement. */
+static bool is_text(const json_t *value)
+{
+	return json_is_string(value) && *json_string_value(value);
+}
+
+static bool is_duration(const json_t *value)
+{
+	return json_is_number(value) && json_number_value(value) >= 0;
+}
+
+static bool is_integer(const json_t *value)
+{
+	return json_is_integer(value);
+}
+
+/* What every announcement of an instance says; the ranges are checked where a value is read. */
+static const struct instance_field {
+	const char *key;
+	bool (*is_valid)(const json_t *value); /* false for NULL */
+} instance_fields[] = {
+	{ "service", is_text },	    { "address", is_text },  { "zone", is_text },
+	{ "version", is_text },	    { "slots", is_integer }, { "state", is_text },
+	{ "cold_ms", is_duration }, { "born", is_integer },  { "sequence", is_integer },
+};
+
+/* Returns NULL, or the first key that is missing or of another type. */
+static const char *find_invalid_field(json_t *obj)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(instance_fields); i++) {
+		const struct instance_field *f = &instance_fields[i];
+
+		if (!f->is_valid(json_object_get(obj, f->key)))
+			return f->key;
+	}
+	return NULL;
+}
+
+/*
+ * An announcement in which anything is missing may be that of another writer, and names no
+ * upstream, also by the fields that it has.
+ */
 static const char *parse_instance(const struct node *n, json_t *obj, const char *instance,
 				  struct announcement *a)
 {
 	const char *invalid_key = parse(n, obj, a);
 
+	if (!invalid_key)
+		invalid_key = find_invalid_field(obj);
 	if (invalid_key)
 		return invalid_key;
-	if (!a->has_details)
-		return "service";
-	if (!json_is_string(json_object_get(obj, "state")))
-		return "state";
-	if (!json_object_get(obj, "slots"))
-		return "slots";
 	g_strlcpy(a->instance, instance, sizeof(a->instance));
 	invalid_key = read_number(obj, "born", (json_int_t)latest_start_ms(), 0, &a->born);
 	return invalid_key ? invalid_key : read_number(obj, "sequence", INT64_MAX, 0, &a->sequence);
--- a/test/instance_test.c
+++ b/test/instance_test.c
@@ -7,8 +7,10 @@
 
 #define TIMEOUT_MS 20000
 
+/* Fields that say nothing of which upstream it is. */
+#define DETAILS "\"zone\":\"z\",\"version\":\"v1\",\"cold_ms\":0,"
 #define WHOLE                                                                                      \
-	"{\"service\":\"sightings\",\"address\":\"127.0.0.1:9\",\"zone\":\"z\",\"slots\":4,"       \
+	"{\"service\":\"sightings\",\"address\":\"127.0.0.1:9\"," DETAILS "\"slots\":4,"           \
 	"\"state\":\"ready\",\"born\":1000,\"sequence\":1}"
 
 static struct fake_node node;
@@ -30,49 +32,51 @@
 	return node.node->dir_entry.state;
 }
 
-static const char *const spoilt[] = {
-	"",
-	"[]",
-	"null",
-	WHOLE "x",
-	"{\"service\":\"sightings\"}",
-	/* without one of the fields */
-	"{\"address\":\"127.0.0.1:9\",\"slots\":4,\"state\":\"ready\",\"born\":1000,\"sequence\":"
-	"2}",
-	"{\"service\":\"sightings\",\"slots\":4,\"state\":\"ready\",\"born\":1000,\"sequence\":2}",
-	"{\"service\":\"sightings\",\"address\":\"127.0.0.1:9\",\"state\":\"ready\",\"born\":1000,"
-	"\"sequence\":2}",
-	"{\"service\":\"sightings\",\"address\":\"127.0.0.1:9\",\"slots\":4,\"born\":1000,"
-	"\"sequence\":2}",
-	"{\"service\":\"sightings\",\"address\":\"127.0.0.1:9\",\"slots\":4,\"state\":\"ready\","
-	"\"sequence\":2}",
-	"{\"service\":\"sightings\",\"address\":\"127.0.0.1:9\",\"slots\":4,\"state\":\"ready\","
-	"\"born\":1000}",
-	/* with one of another type, or not named */
-	"{\"service\":5,\"address\":\"127.0.0.1:9\",\"slots\":4,\"state\":\"ready\",\"born\":1000,"
-	"\"sequence\":2}",
-	"{\"service\":\"sightings\",\"address\":9,\"slots\":4,\"state\":\"ready\",\"born\":1000,"
-	"\"sequence\":2}",
-	"{\"service\":\"sightings\",\"address\":\"here\",\"slots\":4,\"state\":\"ready\","
-	"\"born\":1000,\"sequence\":2}",
-	"{\"service\":\"sightings\",\"address\":\"127.0.0.1:9\",\"slots\":\"4\","
-	"\"state\":\"ready\",\"born\":1000,\"sequence\":2}",
-	"{\"service\":\"sightings\",\"address\":\"127.0.0.1:9\",\"slots\":null,"
-	"\"state\":\"ready\",\"born\":1000,\"sequence\":2}",
-	"{\"service\":\"sightings\",\"address\":\"127.0.0.1:9\",\"slots\":4.5,"
-	"\"state\":\"ready\",\"born\":1000,\"sequence\":2}",
-	"{\"service\":\"sightings\",\"address\":\"127.0.0.1:9\",\"slots\":4,\"state\":\"gone\","
-	"\"born\":1000,\"sequence\":2}",
-	"{\"service\":\"sightings\",\"address\":\"127.0.0.1:9\",\"slots\":4,\"state\":null,"
-	"\"born\":1000,\"sequence\":2}",
-	"{\"service\":\"sightings\",\"address\":\"127.0.0.1:9\",\"slots\":4,\"state\":\"ready\","
-	"\"born\":\"1000\",\"sequence\":2}",
-	"{\"service\":\"sightings\",\"address\":\"127.0.0.1:9\",\"slots\":4,\"state\":\"ready\","
-	"\"born\":1000.5,\"sequence\":2}",
-	"{\"service\":\"sightings\",\"address\":\"127.0.0.1:9\",\"slots\":4,\"state\":\"ready\","
-	"\"born\":1000,\"sequence\":\"2\"}",
+/* A field that each heartbeat has, its value in a sound one, and values that name no upstream. */
+struct field {
+	const char *key;
+	const char *sound;
+	const char *spoilt[8];
 };
 
+static const struct field fields[] = {
+	{ "service", "\"sightings\"", { "5", "null", "\"\"", "[]" } },
+	{ "address", "\"127.0.0.1:9\"", { "9", "\"here\"", "\"\"", "null", "{}" } },
+	{ "zone", "\"z\"", { "5", "null", "\"\"", "{}", "true" } },
+	{ "version", "\"v1\"", { "1", "null", "\"\"", "[\"v1\"]" } },
+	{ "slots", "4", { "\"4\"", "null", "4.5", "0", "-1", "100001" } },
+	{ "state", "\"ready\"", { "\"gone\"", "null", "1", "\"\"", "\"READY\"" } },
+	{ "cold_ms", "0", { "\"0\"", "null", "-1", "[]", "false" } },
+	{ "born", "1000", { "\"1000\"", "1000.5", "null", "0" } },
+	{ "sequence", "2", { "\"2\"", "null", "2.5", "0" } },
+};
+
+/* Returns a heartbeat in which the fields that VALUES names have those; "" leaves one out. */
+static char *heartbeat_of(const char *const values[G_N_ELEMENTS(fields)])
+{
+	GString *text = g_string_new("{\"extra\":1");
+
+	for (size_t i = 0; i < G_N_ELEMENTS(fields); i++) {
+		const char *value = values[i] ? values[i] : fields[i].sound;
+
+		if (*value)
+			g_string_append_printf(text, ",\"%s\":%s", fields[i].key, value);
+	}
+	g_string_append_c(text, '}');
+	return g_string_free(text, FALSE);
+}
+
+/* Returns the Nth way in which field I can be wrong: the first one is that it is missing. */
+static const char *spoilt_value(size_t i, size_t n)
+{
+	if (!n)
+		return "";
+	return n <= G_N_ELEMENTS(fields[i].spoilt) ? fields[i].spoilt[n - 1] : NULL;
+}
+
+static const char *const unreadable[] = { "", "[]", "null", WHOLE "x",
+					  "{\"service\":\"sightings\"}" };
+
 static void check_refused(const char *body, enum dir_state expected)
 {
 	int status = put(body);
@@ -82,20 +86,45 @@
 	g_assert_cmpint(state(), ==, expected);
 }
 
+/* One field is spoilt, or two of them are, each in each way. */
+static void check_spoilt_fields(enum dir_state expected)
+{
+	const char *values[G_N_ELEMENTS(fields)] = { NULL };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(fields); i++) {
+		for (size_t n = 0; (values[i] = spoilt_value(i, n)); n++) {
+			g_autofree char *one = heartbeat_of(values);
+
+			check_refused(one, expected);
+			for (size_t j = 0; j < i; j++) {
+				for (size_t k = 0; (values[j] = spoilt_value(j, k)); k++) {
+					g_autofree char *two = heartbeat_of(values);
+
+					check_refused(two, expected);
+				}
+			}
+		}
+	}
+}
+
 static void check_all_refused(enum dir_state expected)
 {
-	for (size_t i = 0; i < G_N_ELEMENTS(spoilt); i++)
-		check_refused(spoilt[i], expected);
+	for (size_t i = 0; i < G_N_ELEMENTS(unreadable); i++)
+		check_refused(unreadable[i], expected);
 	for (size_t len = 0; len < strlen(WHOLE); len++) {
 		g_autofree char *part = g_strndup(WHOLE, len);
 
 		check_refused(part, expected);
 	}
+	check_spoilt_fields(expected);
 }
 
 /* Guards against: a heartbeat that is cut, or misses a field, names an upstream to use. */
 static void test_spoilt(void)
 {
+	static const char *const sound[G_N_ELEMENTS(fields)] = { NULL };
+	g_autofree char *next = heartbeat_of(sound);
+
 	fake_node_prepare(&node);
 	node.settings.node.upstream_ttl_ms = 600000;
 	fake_node_run(&node);
@@ -104,6 +133,9 @@
 	g_assert_cmpint(state(), ==, DIR_UP);
 	check_all_refused(DIR_UP);
 	g_assert_cmpuint(node.node->dir_entry.slots, ==, 4);
+	g_assert_cmpuint(node.node->upstream_sequence, ==, 1);
+	g_assert_cmpint(put(next), ==, 200);
+	g_assert_cmpuint(node.node->upstream_sequence, ==, 2);
 }
 
 static int leave(void)
@@ -125,7 +157,7 @@
 static void test_heartbeat_after_leaving(void)
 {
 	g_autofree char *restarted = g_strdup_printf(
-		"{\"service\":\"sightings\",\"address\":\"127.0.0.1:9\",\"slots\":4,"
+		"{\"service\":\"sightings\",\"address\":\"127.0.0.1:9\"," DETAILS "\"slots\":4,"
 		"\"state\":\"ready\",\"born\":%llu,\"sequence\":1}",
 		(unsigned long long)g_get_real_time() / 1000 + 5000);
 
@@ -143,7 +175,8 @@
 /* A whole heartbeat of instance i-1 but for SERVICE, START_MS and SEQUENCE. */
 static char *heartbeat(const char *service, u64 start_ms, u64 sequence)
 {
-	return g_strdup_printf("{\"service\":\"%s\",\"address\":\"127.0.0.1:9\",\"slots\":4,"
+	return g_strdup_printf("{\"service\":\"%s\",\"address\":\"127.0.0.1:9\"," DETAILS
+			       "\"slots\":4,"
 			       "\"state\":\"ready\",\"born\":%llu,\"sequence\":%llu}",
 			       service, (unsigned long long)start_ms, (unsigned long long)sequence);
 }
@@ -219,8 +252,8 @@
 	for (size_t k = 0; k < G_N_ELEMENTS(keys); k++)
 		for (size_t v = 0; v < G_N_ELEMENTS(odd_values); v++) {
 			g_autofree char *body = g_strdup_printf(
-				"{\"service\":\"sightings\",\"address\":\"127.0.0.1:9\",\"slots\":%"
-				"s,"
+				"{\"service\":\"sightings\",\"address\":\"127.0.0.1:9\"," DETAILS
+				"\"slots\":%s,"
 				"\"state\":\"ready\",\"born\":%s,\"sequence\":%s,\"connections\":%"
 				"s}",
 				k == 0 ? odd_values[v] : "4", k == 1 ? odd_values[v] : "1000",
@@ -229,10 +262,10 @@
 			check_refused(body, DIR_UP);
 		}
 	for (size_t i = 0; i < G_N_ELEMENTS(odd_addresses); i++) {
-		g_autofree char *body =
-			g_strdup_printf("{\"service\":\"sightings\",\"address\":\"%s\",\"slots\":4,"
-					"\"state\":\"ready\",\"born\":1000,\"sequence\":2}",
-					odd_addresses[i]);
+		g_autofree char *body = g_strdup_printf(
+			"{\"service\":\"sightings\",\"address\":\"%s\"," DETAILS "\"slots\":4,"
+			"\"state\":\"ready\",\"born\":1000,\"sequence\":2}",
+			odd_addresses[i]);
 
 		check_refused(body, DIR_UP);
 	}
--- a/test/withdrawal_test.c
+++ b/test/withdrawal_test.c
@@ -95,7 +95,8 @@
 {
 	g_autofree char *body =
 		g_strdup_printf("{\"service\":\"sightings\",\"address\":"
-				"\"127.0.0.1:9\",\"slots\":4,\"state\":\"%s\","
+				"\"127.0.0.1:9\",\"zone\":\"z\",\"version\":\"v1\","
+				"\"cold_ms\":0,\"slots\":4,\"state\":\"%s\","
 				"\"born\":%llu,\"sequence\":%llu}",
 				state, (unsigned long long)start_ms, (unsigned long long)sequence);
 
