raft_host: a founder knows from its disk that it is one

Cause: only settings with found=true make a founder, and they say so at the first start only. The others wait for a founder that asks for membership in the group.

Why this works: the founders are on its disk before its first message to them, and it goes on with them after any start until its folder belongs to a group. The one with the lowest id still hears from all of them.

--- a/control/peers.c
+++ b/control/peers.c
@@ -157,6 +157,8 @@
 	join_each_needed(c, ensure_peer);
 	if (c->raft.role != RAFT_FORMING)
 		return;
+	for (u32 i = 0; i < c->raft.founding.n; i++)
+		ensure_peer(c, c->raft.founding.m[i].id, &c->raft.founding.m[i].at);
 	for (guint i = 0; i < list->len; i++) {
 		const struct member_setting *m = &g_array_index(list, struct member_setting, i);
 
--- a/control/raft_host.c
+++ b/control/raft_host.c
@@ -143,23 +143,52 @@
 	return id;
 }
 
-static void start_forming_group(struct control *c)
+static struct raft_members founders_of_settings(const struct control *c)
 {
 	const GArray *list = c->settings->control.members;
-	struct raft_members founding = { 0 };
-
-	/* Only the seeds of a first start form a group; all other processes join it. */
-	if (c->settings->control.uses_seeds && !join_is_founder(c))
-		return;
+	struct raft_members founders = { 0 };
 
 	for (guint i = 0; i < list->len && i < RAFT_MEMBERS_MAX; i++) {
 		const struct member_setting *m = &g_array_index(list, struct member_setting, i);
 
-		founding.m[founding.n].id = m->id;
-		founding.m[founding.n].at = m->at;
-		founding.n++;
+		founders.m[founders.n].id = m->id;
+		founders.m[founders.n].at = m->at;
+		founders.n++;
 	}
-	raft_form_group(&c->raft, &founding);
+	return founders;
+}
+
+/*
+ * Only the seeds of a first start form a group; all other processes join it. A seed that ended
+ * before there was a group is still one of those that the others wait for, so it says so on its
+ * disk.
+ */
+static int find_founders(struct control *c, struct raft_members *founders, char **why)
+{
+	int err;
+
+	*founders = founders_of_settings(c);
+	if (!c->settings->control.uses_seeds)
+		return 0;
+	if (join_is_founder(c))
+		return wal_save_founders(&c->wal, founders);
+	err = wal_load_founders(&c->wal, founders, why);
+	if (err == ERR_NOTFOUND)
+		founders->n = 0;
+	return err == ERR_NOTFOUND ? 0 : err;
+}
+
+static int start_forming_group(struct control *c, char **why)
+{
+	struct raft_members founders;
+	int err = find_founders(c, &founders, why);
+
+	if (err || !founders.n)
+		return err;
+	raft_form_group(&c->raft, &founders);
+	log_event(LOG_INFO, "founding a group", "founders", log_u64(founders.n), "first_start",
+		  c->settings->control.may_form_group ? "yes" : "no", NULL);
+	return 0;
 }
 
 /* Logs a change of the leader or of whether this process may serve configurations. */
@@ -236,7 +265,7 @@
 		err = wal_load(&c->wal, &c->raft, &why);
 		c->log_bytes = raft_log_bytes(&c->raft, c->raft.snap_index);
 		if (!err && c->raft.role == RAFT_FORMING)
-			start_forming_group(c);
+			err = start_forming_group(c, &why);
 	}
 	if (err)
 		log_event(LOG_ERROR, "cannot open the data folder", "data", s->data, "error",
--- a/control/wal.c
+++ b/control/wal.c
@@ -10,13 +10,14 @@
 #define WAL_LOG "log"
 #define WAL_SNAPSHOT "snapshot"
 #define WAL_REPLICA "replica"
+#define WAL_FOUNDERS "founders"
 #define WAL_HEADER_BYTES 16
 #define WAL_RECORD_MAX_BYTES (1024 * 1024 * 1024)
 /* Last byte of a record. A partly written record in a file that has already grown ends in 0. */
 #define WAL_END 0x5a
 #define WAL_END_BYTES 1
 
-enum record_type { REC_STATE = 1, REC_ENTRY, REC_SNAPSHOT, REC_REPLICA };
+enum record_type { REC_STATE = 1, REC_ENTRY, REC_SNAPSHOT, REC_REPLICA, REC_FOUNDERS };
 
 /* Appends a record: length, checksum of the length, checksum of the payload, payload, end byte. */
 static void add_record(GByteArray *out, struct frame_out *f)
@@ -238,6 +239,39 @@
 	return err;
 }
 
+int wal_save_founders(struct wal *w, const struct raft_members *founders)
+{
+	g_autoptr(GByteArray) out = g_byte_array_new();
+	FRAME_AUTO(f, REC_FOUNDERS);
+
+	raft_members_put(&f, founders);
+	add_record(out, &f);
+	return w->disk->ops->replace(w->disk, WAL_FOUNDERS, out->data, out->len);
+}
+
+static int read_founders(const GByteArray *file, struct raft_members *founders)
+{
+	struct frame_in in;
+	size_t off = 0;
+
+	if (read_record(file, &off, &in) != 1 || frame_get_u64(&in) != REC_FOUNDERS)
+		return ERR_CORRUPT;
+	raft_members_get(&in, founders);
+	return frame_done(&in) ? ERR_CORRUPT : 0;
+}
+
+int wal_load_founders(struct wal *w, struct raft_members *founders, char **why)
+{
+	g_autoptr(GByteArray) file = g_byte_array_new();
+	int err = w->disk->ops->read(w->disk, WAL_FOUNDERS, file);
+
+	if (!err)
+		err = read_founders(file, founders);
+	if (err == ERR_CORRUPT)
+		*why = g_strdup("the file \"founders\" is damaged; empty the folder");
+	return err;
+}
+
 static int load_snapshot(struct raft *r, const GByteArray *file)
 {
 	struct raft_members members;
--- a/control/wal.h
+++ b/control/wal.h
@@ -2,8 +2,9 @@
  * wal - the write-ahead log and the snapshot on disk
  *
  * Files: "replica" holds the replica id, generated when the data folder is
- * formatted; "snapshot" holds the state up to an index; "log" holds the records
- * after it. Each record carries checksums of its length and of its payload.
+ * formatted; "founders" the processes with which it founds a group, from before
+ * the first message to them; "snapshot" holds the state up to an index; "log" holds
+ * the records after it. Each record carries checksums of its length and of its payload.
  * An incomplete record at the end of the log (a torn write: too short, or zeros
  * from some byte on) is truncated. Any other damage or a missing file is refused;
  * the folder must then be emptied and the member replaced. The file system must
@@ -34,7 +35,14 @@
 /* wal_load - loads the snapshot, the term and vote, and the entries into R. */
 int wal_load(struct wal *w, struct raft *r, char **why);
 
+/*
+ * wal_load_founders - sets FOUNDERS to those that were saved; ERR_NOTFOUND if there are none. On
+ * another error sets *WHY.
+ */
+int wal_load_founders(struct wal *w, struct raft_members *founders, char **why);
+
 /* These return once the data is synced. */
+int wal_save_founders(struct wal *w, const struct raft_members *founders);
 int wal_save_state(struct wal *w, u64 term, u32 vote);
 int wal_append(struct wal *w, GPtrArray *entries);
 
--- a/test/wal_test.c
+++ b/test/wal_test.c
@@ -538,12 +538,39 @@
 	fake_disk_free(d);
 }
 
+/* The founders are there after a power loss, or as if they had never been saved; damage is told. */
+static void test_founders(void)
+{
+	struct raft_members saved = { .n = 2 };
+	struct raft_members loaded = { 0 };
+	g_autofree char *why = NULL;
+	struct fixture f;
+
+	saved.m[0] = (struct raft_member){ .id = 4, .replica = 7, .at = { "127.0.0.4", 1 } };
+	saved.m[1] = (struct raft_member){ .id = 9, .at = { "127.0.0.9", 1 } };
+	must_open(&f, fake_disk_new(1));
+	g_assert_cmpint(wal_load_founders(&f.wal, &loaded, &why), ==, ERR_NOTFOUND);
+	g_assert_cmpint(wal_save_founders(&f.wal, &saved), ==, 0);
+	fake_disk_crash(f.disk);
+	g_assert_cmpint(wal_load_founders(&f.wal, &loaded, &why), ==, 0);
+	g_assert_cmpuint(loaded.n, ==, 2);
+	g_assert_cmpuint(loaded.m[0].id, ==, 4);
+	g_assert_cmpstr(loaded.m[1].at.host, ==, "127.0.0.9");
+	g_assert_null(why);
+	g_assert_cmpint(f.disk->disk.ops->replace(&f.disk->disk, "founders", "x", 1), ==, 0);
+	g_assert_cmpint(wal_load_founders(&f.wal, &loaded, &why), ==, ERR_CORRUPT);
+	g_assert_nonnull(why);
+	raft_clear(&f.raft);
+	fake_disk_free(f.disk);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/wal/truncated-at-every-byte", test_truncated_at_every_byte);
 	g_test_add_func("/wal/every-flipped-bit-is-refused", test_every_flipped_bit_is_refused);
 	g_test_add_func("/wal/missing-file-is-refused", test_missing_file_is_refused);
+	g_test_add_func("/wal/founders", test_founders);
 	g_test_add_func("/wal/garbage-is-refused", test_garbage_is_refused);
 	g_test_add_func("/wal/against-model", test_against_model);
 	g_test_add_func("/wal/each-failure-in-turn", test_each_failure_in_turn);
