raft_form: a founder whose disk was emptied is invited once more

Cause: with an empty folder it knows of no founding, and the others wait.

Why this works: the others name it. It founds again when the one that alone forms the group still waits, or, if it is that one, when all others do; then nothing can have been committed. A case in which two of three were emptied after a commit forms no second group.

--- a/control/raft.h
+++ b/control/raft.h
@@ -220,6 +220,8 @@
 
 	struct raft_members founding; /* from the settings; replica ids are added while forming */
 	bool founder_knows_replica[RAFT_MEMBERS_MAX]; /* by position in founding */
+	struct raft_members invitation; /* founders that name this process, which knows of none */
+	bool has_invited[RAFT_MEMBERS_MAX]; /* by position in invitation */
 
 	u32 chunk_bytes;
 	u32 retained_entries_max;
--- a/control/raft_form.c
+++ b/control/raft_form.c
@@ -5,6 +5,11 @@
  * id, so that a message sent before a disk was emptied cannot help to form a
  * second group. A founder that was down meanwhile is sent the list of members
  * by those that have formed the group.
+ *
+ * A founder whose disk is emptied before that knows of no founding. The others still
+ * name it, and it becomes a founder again once no group can have accepted anything:
+ * the one with the lowest id still waits, or, if it is that one itself, all others do.
+ * What an earlier start of it may have formed alone was never committed.
  */
 #include "control/raft_impl.h"
 
@@ -104,15 +109,58 @@
 		send_formed(r, m->from, &r->committed_members);
 }
 
+static bool has_same_ids(const struct raft_members *a, const struct raft_members *b)
+{
+	if (a->n != b->n)
+		return false;
+	for (u32 i = 0; i < a->n; i++)
+		if (a->m[i].id != b->m[i].id)
+			return false;
+	return true;
+}
+
+/* Returns whether all those whose word is needed have named this process as a founder. */
+static bool is_invitation_complete(const struct raft *r)
+{
+	u32 lowest = 0;
+	u32 missing = 0;
+
+	for (u32 i = 0; i < r->invitation.n; i++) {
+		if (r->invitation.m[i].id < r->invitation.m[lowest].id)
+			lowest = i;
+		missing += r->invitation.m[i].id != r->id && !r->has_invited[i];
+	}
+	return r->invitation.m[lowest].id == r->id ? !missing : r->has_invited[lowest];
+}
+
+static void receive_invitation(struct raft *r, const struct raft_msg *m)
+{
+	struct raft_member *sender;
+
+	if (!has_same_ids(&r->invitation, &m->members)) {
+		r->invitation = m->members;
+		memset(r->has_invited, 0, sizeof(r->has_invited));
+	}
+	sender = raft_member_find(&r->invitation, m->from);
+	if (!sender || !raft_member_find(&r->invitation, r->id))
+		return;
+	r->has_invited[sender - r->invitation.m] = true;
+	if (is_invitation_complete(r))
+		raft_form_group(r, &r->invitation);
+}
+
 void raft_on_form(struct raft *r, const struct raft_msg *m, u64 now_us)
 {
-	struct raft_member *member = raft_member_find(&r->founding, m->from);
 	bool knows_replica = names_this_replica(r, &m->members);
+	struct raft_member *member;
 
 	if (r->role != RAFT_FORMING) {
 		resend_formed(r, m);
 		return;
 	}
+	if (!r->founding.n)
+		receive_invitation(r, m);
+	member = raft_member_find(&r->founding, m->from);
 	if (!member)
 		return;
 	member->replica = m->replica;
--- a/test/fakes/fake_group.c
+++ b/test/fakes/fake_group.c
@@ -55,7 +55,7 @@
 	}
 	if (err)
 		fake_group_report(g, why ? why : "the disk cannot be loaded", id, 0);
-	if (r->role == RAFT_FORMING && id <= g->founders)
+	if (r->role == RAFT_FORMING && id <= g->founders && !(g->forgets_founders && f->was_wiped))
 		raft_form_group(r, &members);
 }
 
@@ -76,6 +76,7 @@
 
 void fake_group_wipe_disk(struct fake_group *g, u32 id)
 {
+	g->r[id].was_wiped = true;
 	fake_disk_free(g->r[id].disk);
 	g->r[id].disk = fake_disk_new(rng_next(&g->rng));
 }
--- a/test/fakes/fake_group.h
+++ b/test/fakes/fake_group.h
@@ -29,6 +29,7 @@
 	struct fake_disk *disk;
 	u32 id;
 	bool is_up;
+	bool was_wiped;
 	bool is_ending; /* a write failed, so the process ends after this step */
 	bool was_leader;
 	u64 count; /* commands applied */
@@ -63,6 +64,7 @@
 	u32 chunk_bytes; /* for replicas started from now on; 0 for the default */
 	u32 retained_entries_max; /* the same; used when chunk_bytes is not 0 */
 	u32 copies_min; /* the same; 0 for the default */
+	bool forgets_founders; /* a founder with an emptied disk does not know that it is one */
 	bool has_store; /* commands are changes of the store; to be set before the first one */
 	u32 starts; /* starts of replicas; makes the replica ids unique */
 
--- a/test/founders_killed_test.sh
+++ b/test/founders_killed_test.sh
@@ -39,5 +39,8 @@
 found "another seed is killed" 2 ""
 found "two seeds are killed" "1 2" ""
 found "all seeds are killed" "1 2 3" ""
+found "the first seed loses its disk" 1 1
+found "another seed loses its disk" 2 2
+found "a seed is killed and another loses its disk" "1 2" 2
 echo "founders_killed_test: $failures failures"
 [ "$failures" = 0 ]
--- a/test/raft_case_test.c
+++ b/test/raft_case_test.c
@@ -242,6 +242,56 @@
 	}
 }
 
+/*
+ * Guards against: a founder whose disk is emptied before the group is formed, and that does not
+ * know that it was one, leaves the others waiting for ever.
+ */
+static void test_founder_emptied_before_the_group(void)
+{
+	for (u64 seed = 1; seed <= 60; seed++) {
+		struct fake_group *g = fake_group_new(3, seed);
+		u32 id = 1 + (u32)(seed % 3);
+
+		g->forgets_founders = true;
+		fake_group_run(g, rng_below(&g->rng, 20 * US_PER_MS));
+		fake_group_crash(g, id);
+		fake_group_wipe_disk(g, id);
+		fake_group_run(g, rng_below(&g->rng, US_PER_S));
+		fake_group_start(g, id);
+		fake_group_run(g, 5 * US_PER_S);
+		g_assert_cmpuint(fake_group_leader(g), >, 0);
+		assert_no_violation_and_free(g);
+	}
+}
+
+/* What two have formed and committed while the third was cut off is not formed once more. */
+static void test_founders_emptied_after_the_group(void)
+{
+	for (u64 seed = 1; seed <= 30; seed++) {
+		struct fake_group *g = fake_group_new(3, seed);
+		u32 committed;
+
+		g->forgets_founders = true;
+		/* The third one has been heard, and hears nothing any more. */
+		while (fake_raft(g, 1)->role == RAFT_FORMING)
+			fake_group_run(g, 100);
+		fake_group_isolate(g, 3);
+		g_ptr_array_set_size(g->queue, 0);
+		fake_group_run(g, 5 * US_PER_S);
+		committed = g->committed->len;
+		for (u32 id = 1; id <= 2; id++) {
+			fake_group_crash(g, id);
+			fake_group_wipe_disk(g, id);
+			fake_group_start(g, id);
+		}
+		fake_group_heal(g);
+		fake_group_run(g, 10 * US_PER_S);
+		g_assert_cmpuint(fake_group_leader(g), ==, 0);
+		g_assert_cmpuint(g->committed->len, ==, committed);
+		assert_no_violation_and_free(g);
+	}
+}
+
 static void test_late_founder(void)
 {
 	struct fake_group *g = fake_group_new(3, 3);
@@ -493,6 +543,10 @@
 	g_test_add_func("/raft-case/replace-ignores-a-stale-reply",
 			test_replace_ignores_a_stale_reply);
 	g_test_add_func("/raft-case/founder-forms-and-crashes", test_founder_forms_and_crashes);
+	g_test_add_func("/raft-case/founder-emptied-before-the-group",
+			test_founder_emptied_before_the_group);
+	g_test_add_func("/raft-case/founders-emptied-after-the-group",
+			test_founders_emptied_after_the_group);
 	g_test_add_func("/raft-case/late-founder", test_late_founder);
 	g_test_add_func("/raft-case/large-snapshot-is-sent-in-chunks",
 			test_large_snapshot_is_sent_in_chunks);
