claim: another writer's whole heartbeat does not displace a target for good

What callers saw: nothing yet.

Cause: the later start decided alone, and nothing took that back.

Evidence: with the claim not asked (scratch copy) instance_test: /instance/disproved-claim and /claim-that-ends failed, the other instance still in force.

Why this works: a 421 to a request that was sent under the announcement, or the end of its heartbeats, puts it in doubt; the next one of any other instance takes its place, and what was disproved stays out while that one holds. An answer ends the doubt. A 421 to an earlier request counts no more.

--- a/node/home_end.c
+++ b/node/home_end.c
@@ -155,6 +155,15 @@
 	node_set_state(n, DIR_NO_UPSTREAM);
 }
 
+/* An answer to what was sent before the announcement in force says nothing of that one. */
+static void mark_other_instance(struct node *n, const struct job *j)
+{
+	if (j->req.started_us < n->home->upstream_since_us)
+		return;
+	local_upstream_disproved(n);
+	mark_upstream_lost(n, CTR_OTHER_INSTANCE);
+}
+
 /* Returns the reason if the answer says that the request was not run, else CTR_COUNT. */
 static enum ctr not_run_answer(struct node *n, const struct http_msg *reply)
 {
@@ -214,10 +223,12 @@
 	if (!call->err && not_run != CTR_OTHER_INSTANCE) {
 		slowness_monitor_record_answer(n->home->slowness_monitor, call->reply);
 		home_record_notice(n, call, j->req.started_us, "call");
+		if (j->req.started_us >= n->home->upstream_since_us)
+			local_upstream_confirmed(n);
 	}
 	log_completion(n, j);
 	if (not_run == CTR_OTHER_INSTANCE)
-		mark_upstream_lost(n, not_run);
+		mark_other_instance(n, j);
 	else if (call->err == ERR_REFUSED)
 		mark_upstream_lost(n, CTR_UPSTREAM_REFUSED);
 	if (not_run != CTR_COUNT && is_believed)
--- a/node/local.c
+++ b/node/local.c
@@ -118,9 +118,30 @@
 		set_state(n, DIR_NO_UPSTREAM);
 }
 
+void local_upstream_disproved(struct node *n)
+{
+	claim_disprove(&n->upstream_claim, n->upstream_instance, n->upstream_start_time);
+}
+
+void local_upstream_confirmed(struct node *n)
+{
+	claim_confirm(&n->upstream_claim, n->upstream_instance, n->upstream_start_time);
+}
+
+static bool is_in_force(const struct node *n, const struct announcement *a)
+{
+	return is_current_instance(n, a->instance) && (u64)a->born == n->upstream_start_time;
+}
+
 /* Returns whether this or a newer announcement has already been applied. */
 static bool is_stale(const struct node *n, const struct announcement *a)
 {
+	if (*a->instance && !is_in_force(n, a)) {
+		if (claim_is_disproved(&n->upstream_claim, a->instance, (u64)a->born))
+			return true;
+		if (n->upstream_claim.is_in_doubt)
+			return false;
+	}
 	if (!a->born && !n->upstream_start_time)
 		return false;
 	if ((u64)a->born != n->upstream_start_time)
@@ -167,6 +188,7 @@
 		n->upstream_start_time = (u64)a->born;
 		n->upstream_sequence = (u64)a->sequence;
 		n->upstream_left_us = 0;
+		claim_accepted(&n->upstream_claim, a->instance, (u64)a->born);
 	}
 	if (a->is_draining && *a->instance)
 		withdraw_drained(n, a);
--- a/node/node.c
+++ b/node/node.c
@@ -40,6 +40,7 @@
 		log_event(LOG_WARN, "no announcement from the upstream within its TTL; removing it",
 			  "service", n->dir_entry.service, NULL);
 		node_set_state(n, DIR_NO_UPSTREAM);
+		claim_end(&n->upstream_claim);
 	}
 	home_tick(n, now_us);
 	mesh_close_idle_links(n, now_us);
@@ -374,6 +375,7 @@
 	g_free(n->self.zone);
 	g_free(n->self.region);
 	g_free(n->upstream_instance);
+	claim_clear(&n->upstream_claim);
 	withdrawal_clear(&n->withdrawal);
 	dir_entry_clear(&n->dir_entry);
 	g_free(n);
--- a/node/node.h
+++ b/node/node.h
@@ -18,6 +18,7 @@
 #include "node/admit.h"
 #include "node/call_table.h"
 #include "node/choose.h"
+#include "node/claim.h"
 #include "node/dialect.h"
 #include "node/hedge.h"
 #include "node/probe.h"
@@ -45,6 +46,7 @@
 	char *upstream_instance; /* as announced; NULL when none was announced */
 	u64 upstream_start_time; /* "born" of the announcement in force; 0 when absent */
 	u64 upstream_sequence; /* of that announcement; orders those of the same start */
+	struct claim upstream_claim; /* whether that announcement is in doubt */
 	u64 upstream_announced_us; /* when the last announcement arrived */
 	u64 upstream_ttl_us;
 	struct withdrawal withdrawal; /* the newest that was acknowledged, also before a restart */
@@ -297,6 +299,12 @@
 
 int local_start(struct node *n);
 
+/* local_upstream_disproved - the address of the upstream in force answered for another instance. */
+void local_upstream_disproved(struct node *n);
+
+/* local_upstream_confirmed - the upstream in force has answered. */
+void local_upstream_confirmed(struct node *n);
+
 /*
  * local_withdraw - takes a withdrawal W that this node acknowledged before its start, as control
  * says. An upstream that was announced by what W covers is not used.
--- a/test/instance_test.c
+++ b/test/instance_test.c
@@ -15,11 +15,12 @@
 
 static struct fake_node node;
 
-static int put(const char *body)
+static int put_as(const char *instance, const char *body)
 {
+	g_autofree char *path = g_strconcat("/v1/instances/", instance, NULL);
 	struct httpc_reply reply;
-	int err = httpc_call("127.0.0.1", node.settings.node.local_port, "PUT", "/v1/instances/i-1",
-			     NULL, body, TIMEOUT_MS, &reply);
+	int err = httpc_call("127.0.0.1", node.settings.node.local_port, "PUT", path, NULL, body,
+			     TIMEOUT_MS, &reply);
 	int status = reply.status;
 
 	g_assert_cmpint(err, ==, 0);
@@ -27,6 +28,11 @@
 	return status;
 }
 
+static int put(const char *body)
+{
+	return put_as("i-1", body);
+}
+
 static enum dir_state state(void)
 {
 	return node.node->dir_entry.state;
@@ -333,6 +339,81 @@
 	fake_node_stop(&node);
 }
 
+/* Announces INSTANCE, which started at START_MS; expects IN_FORCE to be in force afterwards. */
+static void announce(const char *instance, u64 start_ms, u64 sequence, const char *in_force)
+{
+	g_autofree char *body = heartbeat("sightings", start_ms, sequence);
+
+	g_assert_cmpint(put_as(instance, body), ==, 200);
+	g_assert_cmpstr(node.node->upstream_instance, ==, in_force);
+	g_assert_cmpint(state(), ==, DIR_UP);
+}
+
+static void disprove(void *arg)
+{
+	(void)arg;
+	local_upstream_disproved(node.node);
+	node_set_state(node.node, DIR_NO_UPSTREAM);
+}
+
+static void confirm(void *arg)
+{
+	(void)arg;
+	local_upstream_confirmed(node.node);
+}
+
+/*
+ * Guards against: a whole heartbeat of another writer, with a later start, displaces the upstream
+ * as long as that lives, though its address answers for the true one.
+ */
+static void test_disproved_claim(void)
+{
+	u64 later_ms = now_ms();
+
+	start_instance_case();
+	announce("i-true", 1000, 1, "i-true");
+	announce("i-other", later_ms, 1, "i-other");
+	announce("i-true", 1000, 2, "i-other");
+	loop_call(node.node->loop, disprove, NULL);
+	/* Nothing else is known, so it is tried again, but the next other one takes its place. */
+	announce("i-other", later_ms, 2, "i-other");
+	announce("i-true", 1000, 3, "i-true");
+	announce("i-other", later_ms, 3, "i-true");
+	loop_call(node.node->loop, confirm, NULL);
+	announce("i-other", later_ms, 4, "i-true");
+	/* A target that takes its place starts later. */
+	announce("i-next", later_ms + 1, 1, "i-next");
+	announce("i-true", 1000, 4, "i-next");
+	fake_node_stop(&node);
+}
+
+/* An upstream that was disproved once, and answers again, is not displaced by an earlier one. */
+static void test_claim_that_holds_again(void)
+{
+	start_instance_case();
+	announce("i-true", 2000, 1, "i-true");
+	loop_call(node.node->loop, disprove, NULL);
+	announce("i-true", 2000, 2, "i-true");
+	loop_call(node.node->loop, confirm, NULL);
+	announce("i-earlier", 1000, 9, "i-true");
+	fake_node_stop(&node);
+}
+
+/* Guards against: another writer displaces the upstream, and its heartbeats end. */
+static void test_claim_that_ends(void)
+{
+	fake_node_prepare(&node);
+	node.settings.node.upstream_ttl_ms = 500;
+	fake_node_run(&node);
+	announce("i-true", 1000, 1, "i-true");
+	announce("i-other", now_ms(), 1, "i-other");
+	for (u32 i = 0; i < TIMEOUT_MS && state() == DIR_UP; i++)
+		g_usleep(US_PER_MS);
+	announce("i-true", 1000, 2, "i-true");
+	announce("i-true", 1000, 3, "i-true");
+	fake_node_stop(&node);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -346,5 +427,8 @@
 			test_other_writer_displaces_the_upstream);
 	g_test_add_func("/instance/spoilt", test_spoilt);
 	g_test_add_func("/instance/start-in-the-future", test_start_in_the_future);
+	g_test_add_func("/instance/disproved-claim", test_disproved_claim);
+	g_test_add_func("/instance/claim-that-holds-again", test_claim_that_holds_again);
+	g_test_add_func("/instance/claim-that-ends", test_claim_that_ends);
 	return g_test_run();
 }
