set: limits and health paths of another type are refused

Cause: jansson answers a look-up in another type like one of a missing key.

Why this works: a new set is checked for them, and refused with the path. What an earlier version has accepted stays in force, without the value, so that nothing reverts.

--- a/lib/set.c
+++ b/lib/set.c
@@ -245,6 +245,30 @@
 	}
 }
 
+/* A path is sent in a request line, which it must not end. */
+static bool is_path(const char *text)
+{
+	if (!text || *text != '/')
+		return false;
+	for (; *text; text++)
+		if ((u8)*text <= ' ' || *text == 0x7f)
+			return false;
+	return true;
+}
+
+static bool is_absent(const json_t *value)
+{
+	return !value || json_is_null(value) ||
+	       (json_is_string(value) && !*json_string_value(value));
+}
+
+static char *read_health_path(json_t *obj)
+{
+	const char *text = json_string_value(json_object_get(obj, "health_path"));
+
+	return is_path(text) ? g_strdup(text) : NULL;
+}
+
 static void read_services(struct set *s, json_t *list, struct findings *found)
 {
 	json_t *one;
@@ -260,8 +284,7 @@
 		struct location at = { "services", i };
 
 		service->name = get_text(one, at, "name", found);
-		service->health_path =
-			g_strdup(json_string_value(json_object_get(one, "health_path")));
+		service->health_path = read_health_path(one);
 		service->connections =
 			(u32)get_number(one, at, "connections", 0, UINT32_MAX, 0, found);
 		g_ptr_array_add(s->services, service);
@@ -350,11 +373,41 @@
 	return NULL;
 }
 
+/*
+ * What a new set must not contain, and earlier versions have accepted: they took it for missing,
+ * and so does read_set.
+ */
+static void check_new(json_t *obj, struct findings *found)
+{
+	json_t *limits = json_object_get(obj, "limits");
+	json_t *one;
+	size_t i;
+
+	if (limits && !json_is_null(limits) && !json_is_object(limits))
+		findings_add(found, "$.limits", "not an object");
+	json_array_foreach(json_object_get(obj, "services"), i, one)
+	{
+		json_t *path = json_object_get(one, "health_path");
+
+		if (!is_absent(path) && !is_path(json_string_value(path)))
+			report(found, (struct location){ "services", i }, "health_path",
+			       "not a path that begins with / and has no spaces");
+	}
+}
+
 struct set *set_parse(const char *json, size_t len, struct findings *found)
 {
 	json_error_t error;
+	json_t *obj = json_text_load(json, len, JSON_REJECT_DUPLICATES, &error);
+	guint before = findings_count(found);
+	struct set *s;
 
-	return read_set(json_text_load(json, len, JSON_REJECT_DUPLICATES, &error), &error, found);
+	check_new(obj, found);
+	s = read_set(obj, &error, found);
+	if (findings_count(found) == before)
+		return s;
+	set_free(s);
+	return NULL;
 }
 
 struct set *set_parse_accepted(const char *json, size_t len, struct findings *found)
--- a/test/set_test.c
+++ b/test/set_test.c
@@ -178,6 +178,53 @@
 	"\",\"repeat\":\"never\",\"timeout_ms\":" timeout ",\"attempts\":1,\"service\":\"" service \
 	"\"}"
 
+/* Guards against: limits or a health path of another type are taken for missing, and acknowledged.
+ */
+static void test_values_of_another_type(void)
+{
+	static const char *const limits[] = { "7", "\"none\"", "[]", "true" };
+	static const char *const paths[] = {
+		"7", "[]", "{}", "false", "\"health\"", "\"/a b\"", "\"/a\\r\\nX: y\"", "\"/a\\tb\""
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(limits); i++) {
+		g_autofree char *json = g_strdup_printf(
+			"{\"version\":1,\"routes\":[]," SERVICES ",\"limits\":%s}", limits[i]);
+
+		expect(json, "$.limits\n");
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(paths); i++) {
+		FINDINGS_AUTO(found);
+		g_autofree char *json = g_strdup_printf("{\"version\":1,\"routes\":[],\"services\":"
+							"[{\"name\":\"a\"},{\"name\":\"b\","
+							"\"health_path\":%s}]}",
+							paths[i]);
+		struct set *s;
+
+		expect(json, "$.services[1].health_path\n");
+		/* What an earlier version has accepted stays in force, without the path. */
+		s = set_parse_accepted(json, strlen(json), &found);
+		g_assert_nonnull(s);
+		g_assert_null(
+			((struct set_service *)g_ptr_array_index(s->services, 1))->health_path);
+		set_free(s);
+	}
+}
+
+static void test_values_that_are_absent(void)
+{
+	FINDINGS_AUTO(found);
+	struct set *s =
+		parse("{\"version\":1,\"routes\":[],\"limits\":null,\"services\":[{\"name\":\"a\","
+		      "\"health_path\":null},{\"name\":\"b\",\"health_path\":\"/health?x=1\"}]}",
+		      &found);
+
+	g_assert_nonnull(s);
+	g_assert_cmpstr(((struct set_service *)g_ptr_array_index(s->services, 1))->health_path, ==,
+			"/health?x=1");
+	set_free(s);
+}
+
 static void test_longest_prefix(void)
 {
 	config_reset();
@@ -304,5 +351,7 @@
 	g_test_add_func("/set/known-routes", test_known_routes);
 	g_test_add_func("/set/known-routes-are-parsed-again", test_known_routes_are_parsed_again);
 	g_test_add_func("/set/split", test_split);
+	g_test_add_func("/set/values-of-another-type", test_values_of_another_type);
+	g_test_add_func("/set/values-that-are-absent", test_values_that_are_absent);
 	return g_test_run();
 }
