local: an instance's name that ends a header is refused

Evidence: instance_test:/instance/name-that-ends-a-header got 200 before. Names with a space or a control character get 400 now.

--- a/node/local.c
+++ b/node/local.c
@@ -427,9 +427,20 @@
 	return http_json_response(200, "{}\n");
 }
 
+/* The name is sent in a header, which it must not end. */
+static bool is_instance_name(const char *text)
+{
+	size_t len = strlen(text);
+
+	for (size_t i = 0; i < len; i++)
+		if ((u8)text[i] <= ' ' || text[i] == 0x7f || text[i] == '/')
+			return false;
+	return len && len < NAME_MAX_BYTES;
+}
+
 static struct http_msg *on_instance(struct node *n, const char *instance, const struct http_msg *m)
 {
-	if (!*instance || strlen(instance) >= NAME_MAX_BYTES || strchr(instance, '/'))
+	if (!is_instance_name(instance))
 		return answer_error(400, "not an instance's name");
 	if (!strcmp(m->method, "PUT"))
 		return put_instance(n, instance, m);
--- a/test/instance_test.c
+++ b/test/instance_test.c
@@ -280,6 +280,19 @@
 	fake_node_stop(&node);
 }
 
+/* Guards against: an instance's name that ends a header adds another one to each request. */
+static void test_name_that_ends_a_header(void)
+{
+	static const char *const names[] = { "i%0d%0aX:%20y", "i%0ax", "i%20x", "i%7fx", "i%09" };
+
+	fake_node_start(&node);
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++)
+		g_assert_cmpint(put_as(names[i], WHOLE), ==, 400);
+	g_assert_cmpint(state(), ==, DIR_NO_UPSTREAM);
+	g_assert_cmpint(put_as("i-1%2E~\xc3\xa9", WHOLE), ==, 200);
+	fake_node_stop(&node);
+}
+
 static void start_instance_case(void)
 {
 	fake_node_prepare(&node);
@@ -422,6 +435,7 @@
 			test_late_leave_of_an_earlier_run);
 	g_test_add_func("/instance/new-run-while-the-clock-is-ahead",
 			test_new_run_while_the_clock_is_ahead);
+	g_test_add_func("/instance/name-that-ends-a-header", test_name_that_ends_a_header);
 	g_test_add_func("/instance/odd-entry", test_odd_entry);
 	g_test_add_func("/instance/other-writer-displaces-the-upstream",
 			test_other_writer_displaces_the_upstream);
