findings: those of an invalid input are bounded

Cause: each finding is kept, with its path and text, and sent.

The answer and the command line say how many more there are. set_test:/set/problems-without-bound.

--- a/cmd/declare.c
+++ b/cmd/declare.c
@@ -26,7 +26,7 @@
 		return;
 	}
 	s = res_parse(text, len, &file_findings);
-	for (guint i = 0; i < findings_count(&file_findings); i++) {
+	for (guint i = 0; i < findings_listed(&file_findings); i++) {
 		const struct finding *f = findings_at(&file_findings, i);
 		g_autofree char *place = g_strdup_printf("%s:%s", path, f->place);
 
--- a/cmd/reload.c
+++ b/cmd/reload.c
@@ -6,7 +6,7 @@
 
 static void log_findings(struct findings *found)
 {
-	for (guint i = 0; i < findings_count(found); i++)
+	for (guint i = 0; i < findings_listed(found); i++)
 		log_event(LOG_ERROR, "settings not taken: not valid", "place",
 			  findings_at(found, i)->place, "text", findings_at(found, i)->text, NULL);
 }
--- a/control/api.c
+++ b/control/api.c
@@ -139,16 +139,19 @@
 {
 	json_t *list = json_array();
 	g_autofree char *body = NULL;
+	json_t *obj;
 
 	ctr_inc(CTR_CHANGE_INVALID);
-	for (guint i = 0; i < findings_count(found); i++) {
+	for (guint i = 0; i < findings_listed(found); i++) {
 		const struct finding *one = findings_at(found, i);
 
 		json_array_append_new(
 			list, json_pack("{s:s, s:s}", "path", one->place, "text", one->text));
 	}
-	body = api_dump(
-		json_pack("{s:s, s:o}", "error", "the declaration is not valid", "findings", list));
+	obj = json_pack("{s:s, s:o}", "error", "the declaration is not valid", "findings", list);
+	if (findings_left_out(found))
+		json_object_set_new(obj, "more", json_integer(findings_left_out(found)));
+	body = api_dump(obj);
 	return http_send_response(conn, 400, "application/json", "not-run",
 				  ctr_name(CTR_CHANGE_INVALID), body);
 }
--- a/lib/findings.c
+++ b/lib/findings.c
@@ -14,6 +14,7 @@
 void findings_init(struct findings *f)
 {
 	f->list = g_ptr_array_new_with_free_func(finding_free);
+	f->count = 0;
 }
 
 void findings_clear(struct findings *f)
@@ -24,10 +25,20 @@
 }
 
 guint findings_count(const struct findings *f)
+{
+	return f->count;
+}
+
+guint findings_listed(const struct findings *f)
 {
 	return f->list->len;
 }
 
+guint findings_left_out(const struct findings *f)
+{
+	return f->count - f->list->len;
+}
+
 const struct finding *findings_at(const struct findings *f, guint i)
 {
 	return g_ptr_array_index(f->list, i);
@@ -35,9 +46,12 @@
 
 void findings_add(struct findings *f, const char *place, const char *fmt, ...)
 {
-	struct finding *one = g_new0(struct finding, 1);
+	struct finding *one;
 	va_list ap;
 
+	if (f->count++ >= FINDINGS_MAX)
+		return;
+	one = g_new0(struct finding, 1);
 	va_start(ap, fmt);
 	one->place = g_strdup(place);
 	one->text = g_strdup_vprintf(fmt, ap);
@@ -52,4 +66,6 @@
 
 		fprintf(out, "%s: %s\n", one->place, one->text);
 	}
+	if (findings_left_out(f))
+		fprintf(out, "and %u more\n", findings_left_out(f));
 }
--- a/test/set_test.c
+++ b/test/set_test.c
@@ -225,6 +225,24 @@
 	set_free(s);
 }
 
+/* Guards against: the problems of an invalid set take more memory than a control process has. */
+static void test_problems_without_bound(void)
+{
+	FINDINGS_AUTO(found);
+	const u32 routes = 50000;
+	GString *json = g_string_new("{\"version\":1,\"routes\":[{}");
+
+	for (u32 i = 1; i < routes; i++)
+		g_string_append(json, ",{}");
+	g_string_append(json, "]," SERVICES "}");
+	g_assert_null(set_parse(json->str, json->len, &found));
+	g_assert_cmpuint(findings_count(&found), >, routes);
+	g_assert_cmpuint(findings_listed(&found), ==, FINDINGS_MAX);
+	g_assert_cmpuint(findings_left_out(&found), ==, findings_count(&found) - FINDINGS_MAX);
+	g_assert_cmpstr(findings_at(&found, 0)->place, ==, "$.routes[0].name");
+	g_string_free(json, TRUE);
+}
+
 static void test_longest_prefix(void)
 {
 	config_reset();
@@ -353,5 +371,6 @@
 	g_test_add_func("/set/split", test_split);
 	g_test_add_func("/set/values-of-another-type", test_values_of_another_type);
 	g_test_add_func("/set/values-that-are-absent", test_values_that_are_absent);
+	g_test_add_func("/set/problems-without-bound", test_problems_without_bound);
 	return g_test_run();
 }
