instance_test: both heartbeats of one run have one start

/instance/new-run-while-the-clock-is-ahead failed in one run on arm64 (under emulation): the clock went on by a millisecond between the two heartbeats that the test means to be of one run, so the second one was of a later run, which is used. The test's fault, since it was written; the time is read once now, the checks are the same.

--- a/test/instance_test.c
+++ b/test/instance_test.c
@@ -338,9 +338,10 @@
  */
 static void test_new_run_while_the_clock_is_ahead(void)
 {
-	g_autofree char *earlier = heartbeat("sightings", now_ms() - 60000, 1);
-	g_autofree char *late = heartbeat("sightings", now_ms() - 60000, 2);
-	g_autofree char *new_run = heartbeat("sightings", now_ms() - 2400, 1);
+	u64 now = now_ms();
+	g_autofree char *earlier = heartbeat("sightings", now - 60000, 1);
+	g_autofree char *late = heartbeat("sightings", now - 60000, 2);
+	g_autofree char *new_run = heartbeat("sightings", now - 2400, 1);
 
 	start_instance_case();
 	g_assert_cmpint(put(earlier), ==, 200);
