--- a/lib/json_text.c
+++ b/lib/json_text.c
@@ -49,38 +49,41 @@
 	return NULL;
 }
 
+/* A place in a text that has the objects and lists before it open. */
+struct position {
+	const char *at; /* NULL: the text ends within a string */
+	u32 levels;
+	u32 deepest;
+};
+
 /*
- * Returns where the first object or list beyond MAX levels begins, or NULL. Sets *DEEPEST, at most
- * MAX + 1.
+ * Moves on to the next object or list beyond MAX levels. Returns false if there is none up to END.
  */
-static const char *find_deeper(const char *p, const char *end, u32 max, u32 *deepest)
+static bool find_deeper(struct position *p, const char *end, u32 max)
 {
-	u32 levels = 0;
-
-	*deepest = 0;
-	while (p && p < end) {
-		if (*p == '"') {
-			p = json_text_skip_string(p, end);
+	while (p->at && p->at < end) {
+		if (is_opening(*p->at) && p->levels == max)
+			return true;
+		if (*p->at == '"') {
+			p->at = json_text_skip_string(p->at, end);
 			continue;
 		}
-		if (is_opening(*p))
-			levels++;
-		else if (is_closing(*p) && levels)
-			levels--;
-		*deepest = MAX(*deepest, levels);
-		if (levels > max)
-			return p;
-		p++;
+		if (is_opening(*p->at))
+			p->levels++;
+		else if (is_closing(*p->at) && p->levels)
+			p->levels--;
+		p->deepest = MAX(p->deepest, p->levels);
+		p->at++;
 	}
-	return NULL;
+	return false;
 }
 
 u32 json_text_levels(const char *text, size_t len)
 {
-	u32 deepest;
+	struct position p = { .at = text };
 
-	find_deeper(text, text + len, UINT32_MAX, &deepest);
-	return deepest;
+	find_deeper(&p, text + len, UINT32_MAX);
+	return p.deepest;
 }
 
 static void set_error(json_error_t *error, const char *text, const char *at)
@@ -96,12 +99,11 @@
 
 json_t *json_text_load(const char *text, size_t len, size_t flags, json_error_t *error)
 {
-	u32 deepest;
-	const char *deeper = find_deeper(text, text + len, JSON_TEXT_MAX_LEVELS, &deepest);
+	struct position p = { .at = text };
 
-	if (!deeper)
+	if (!find_deeper(&p, text + len, JSON_TEXT_MAX_LEVELS))
 		return json_loadb(text, len, flags, error);
-	set_error(error, text, deeper);
+	set_error(error, text, p.at);
 	return NULL;
 }
 
@@ -110,26 +112,14 @@
 {
 	GString *out = g_string_new(NULL);
 	const char *end = text + len;
+	struct position p = { .at = text };
 	const char *from = text;
-	u32 levels = 0;
 
-	for (const char *p = text; p && p < end;) {
-		if (is_opening(*p) && levels == JSON_TEXT_MAX_LEVELS) {
-			g_string_append_len(out, from, p - from);
-			g_string_append(out, "null");
-			p = json_text_skip_nested(p, end);
-			from = p ? p : end;
-			continue;
-		}
-		if (*p == '"') {
-			p = json_text_skip_string(p, end);
-			continue;
-		}
-		if (is_opening(*p))
-			levels++;
-		else if (is_closing(*p) && levels)
-			levels--;
-		p++;
+	while (find_deeper(&p, end, JSON_TEXT_MAX_LEVELS)) {
+		g_string_append_len(out, from, p.at - from);
+		g_string_append(out, "null");
+		p.at = json_text_skip_nested(p.at, end);
+		from = p.at ? p.at : end;
 	}
 	g_string_append_len(out, from, end - from);
 	return out;
--- a/test/join_lib.sh
+++ b/test/join_lib.sh
@@ -1,5 +1,5 @@
 # join_lib - functions for tests of a control group that is founded by seeds
-# Needs API and PEER (ports), bin, dir, the array pid, and wait_lib. Each process has its own loopback
+# Needs API and PEER (ports), bin, dir, the array pid, wait_lib, and for any() the list live. Each process has its own loopback
 # address, as a VM has.
 # shellcheck shell=bash disable=SC2154
 
@@ -46,6 +46,7 @@
 voters() { status "$1" | grep -o '"voter":true' | wc -l; }
 has_voters() { [ "$(voters "$1")" = "$2" ]; }
 is_voter() { status "$1" | grep -q "\"address\":\"127.0.0.$2:$PEER\",\"replica\":\"[0-9a-f]*\",\"voter\":true"; }
+is_learner() { status "$1" | grep -q "\"address\":\"127.0.0.$2:$PEER\",\"replica\":\"[0-9a-f]*\",\"voter\":false"; }
 is_gone() { ! status "$1" | grep -q "\"address\":\"127.0.0.$2:$PEER\""; }
 leader() { status "$1" | grep -o '"leader":{"id":[0-9]*' | grep -o '[0-9]*$'; }
 
@@ -56,6 +57,14 @@
 	return 1
 }
 
+# any COMMAND ARGUMENTS... - tries COMMAND at each process of live
+any() {
+	local i command=$1
+	shift
+	for i in $live; do "$command" "$i" "$@" && return 0; done
+	return 1
+}
+
 set_json() {
 	printf '{"version":%s,"routes":[{"name":"r","host":"h.example","prefix":"/%s/","repeat":"never","timeout_ms":1000,"attempts":1,"service":"a"}],"services":[{"name":"a"}]}' "$1" "$2"
 }
--- a/test/left_caller_test.c
+++ b/test/left_caller_test.c
@@ -13,9 +13,9 @@
 
 #define WAIT_MS 20000
 #define CALLS 8
-/* The upstream is at work on the first call for so long. */
+/* How long the upstream works on the first call. */
 #define SLOW_MS 1500
-/* Before its answer, the loop stands still for so long. */
+/* How long the loop stands still before its answer. */
 #define HELD_MS 500
 /* Less time is left then than the first call took, so that the others can no longer end in time. */
 #define TIMEOUT_MS 2000
--- a/test/planned_end_test.sh
+++ b/test/planned_end_test.sh
@@ -12,15 +12,6 @@
 . test/wait_lib.sh
 . test/join_lib.sh
 
-is_learner() { status "$1" | grep -q "\"address\":\"127.0.0.$2:$PEER\",\"replica\":\"[0-9a-f]*\",\"voter\":false"; }
-# any COMMAND ARGUMENTS... - tries COMMAND at each process of live
-any() {
-	local i command=$1
-	shift
-	for i in $live; do "$command" "$i" "$@" && return 0; done
-	return 1
-}
-
 # replace WHICH - the process that ends is the leader, or another; then two disks are lost
 replace() {
 	local which=$1 seeds=127.0.0.1:1,127.0.0.2:1,127.0.0.3:1 i old first second
