planned_end_test, founders_killed_test: ports of their own

planned_end_test had those of full_disks_test, and failed when both ran at the same time in two runs of the suite ("cannot listen" in its logs).

--- a/test/founders_killed_test.sh
+++ b/test/founders_killed_test.sh
@@ -5,8 +5,8 @@
 # configuration is ever accepted.
 set -u
 cd "$(dirname "$0")/.." || exit 1
-API=${API:-26480}
-PEER=${PEER:-26481}
+API=${API:-26520}
+PEER=${PEER:-26521}
 bin=$PWD/lavenderlead
 dir=$(mktemp -d)
 declare -A pid
--- a/test/planned_end_test.sh
+++ b/test/planned_end_test.sh
@@ -4,8 +4,8 @@
 # with what was acknowledged.
 set -u
 cd "$(dirname "$0")/.." || exit 1
-API=${API:-26470}
-PEER=${PEER:-26471}
+API=${API:-26530}
+PEER=${PEER:-26531}
 bin=$PWD/lavenderlead
 dir=$(mktemp -d)
 declare -A pid
