home: reads are sampled by their callers' ids, not by those of attempts

Cause: the own dialect has no ids of callers.

The new test had 10 lines of 640 reads before, none after.

Why this works: the sample is chosen by the id that the caller gave, which is the one that all processes know; without one a read is in no sample, as at the entry. Lines of failures and of calls that may not be repeated stay.

--- a/lib/log.h
+++ b/lib/log.h
@@ -9,7 +9,8 @@
  *
  * An event about a request has the key "request". Unless the level is debug, only
  * requests that failed or are not idempotent and a sample of the others are logged.
- * The sample is chosen by request id, so that all processes log the same requests.
+ * The sample is chosen by the id that the caller gave, so that all processes log the same
+ * requests; a request without one is in no sample.
  *
  * Writing never blocks: a line that cannot be written at once is dropped and counted
  * by log-lost. Events are rate limited by message, so that a flood of one kind does not
@@ -49,9 +50,10 @@
 bool log_is_on(enum log_level level);
 
 /*
- * log_should_write - returns whether to log an event of KIND about REQUEST (may be NULL);
- * called before its values are built. IS_IMPORTANT is set for requests that failed or are
- * not idempotent. An event that exceeds the rate limit of KIND is counted as suppressed.
+ * log_should_write - returns whether to log an event of KIND about REQUEST (the id that the
+ * caller gave, may be NULL); called before its values are built. IS_IMPORTANT is set for requests
+ * that failed or are not idempotent. An event that exceeds the rate limit of KIND is counted as
+ * suppressed.
  */
 bool log_should_write(const char *kind, const char *request, bool is_important);
 
--- a/node/dialect.c
+++ b/node/dialect.c
@@ -16,6 +16,12 @@
 
 #define RATE_MAX_PER_S 1000000
 
+const char *dialect_sample_id(const struct dialect *d, const struct http_msg *request)
+{
+	/* The id of an attempt is known to its home node alone. */
+	return d->has_ids ? d->id(request) : NULL;
+}
+
 bool dialect_parse_ms(const char *text, u64 max, u64 *ms)
 {
 	char *end;
--- a/node/dialect.h
+++ b/node/dialect.h
@@ -113,6 +113,12 @@
 
 extern const struct dialect dialect_native;
 
+/*
+ * dialect_sample_id - returns the id by which REQUEST belongs to the sample of logged requests or
+ * not: the one that its caller gave, which all processes know; NULL if the dialect has none.
+ */
+const char *dialect_sample_id(const struct dialect *d, const struct http_msg *request);
+
 /* dialect_parse_ms - parses a whole number of milliseconds, capped at MAX; false when invalid. */
 bool dialect_parse_ms(const char *text, u64 max, u64 *ms);
 
--- a/node/home_end.c
+++ b/node/home_end.c
@@ -46,7 +46,7 @@
 	u64 now = loop_clock_us();
 	u64 wait_us;
 
-	if (!log_should_write("refuse", request, !j->is_idempotent))
+	if (!log_should_write("refuse", dialect_sample_id(n->dialect, j->msg), !j->is_idempotent))
 		return;
 	wait_us = admit_wait_us(a, j->req.rank);
 	log_event(LOG_INFO, "refuse", "request", request ? request : "", "reason", ctr_name(reason),
@@ -187,7 +187,8 @@
 	const char *request = n->dialect->id(j->msg);
 	u64 now = loop_clock_us();
 
-	if (!log_should_write("run", request, j->upstream.err || !j->is_idempotent))
+	if (!log_should_write("run", dialect_sample_id(n->dialect, j->msg),
+			      j->upstream.err || !j->is_idempotent))
 		return;
 	log_event(LOG_INFO, "run", "request", request ? request : "", "rank", log_u64(r->rank),
 		  "waited_us", log_u64(r->started_us - r->queued_us), "took_us",
--- a/test/home_test.c
+++ b/test/home_test.c
@@ -1,5 +1,6 @@
 /* The home node, between a fake entry node that sends the calls and a raw upstream. */
 #include "lib/err.h"
+#include "lib/log.h"
 #include "test/fakes/fake_node.h"
 #include "test/fakes/fake_peer.h"
 #include "test/fakes/httpc.h"
@@ -12,6 +13,8 @@
 
 #define LONG_TIMEOUT_US (20 * US_PER_S)
 #define WAIT_MS 20000
+/* A sample would have ten of these. */
+#define SAMPLED_READS (10 * LOG_SAMPLE_RATE)
 
 static struct fake_node node;
 static struct fake_peer entry;
@@ -316,6 +319,45 @@
 	stop();
 }
 
+/* Returns how many lines of the file have TEXT. */
+static u32 count_lines(const char *path, const char *text)
+{
+	g_autofree char *content = NULL;
+	u32 n = 0;
+
+	g_assert_true(g_file_get_contents(path, &content, NULL, NULL));
+	for (const char *p = content; (p = strstr(p, text)); p++)
+		n++;
+	return n;
+}
+
+/*
+ * Guards against: a home node logs successful reads that their entry node does not, as it samples
+ * them by the ids that it gave itself.
+ */
+static void test_successful_reads_are_logged(void)
+{
+	g_autofree char *path = NULL;
+	int fd = g_file_open_tmp("home-test-XXXXXX", &path, NULL);
+
+	g_assert_cmpint(fd, >=, 0);
+	close(fd);
+	start(4);
+	g_assert_cmpint(log_open(path, LOG_INFO, LOG_TEXT), ==, 0);
+	for (u64 seq = 1; seq <= SAMPLED_READS; seq++) {
+		call(seq, "GET", LONG_TIMEOUT_US);
+		permit();
+		expect_reply(seq);
+	}
+	call(SAMPLED_READS + 1, "POST", LONG_TIMEOUT_US);
+	permit();
+	expect_reply(SAMPLED_READS + 1);
+	log_open(NULL, LOG_INFO, LOG_TEXT);
+	g_assert_cmpuint(count_lines(path, " run request="), ==, 1);
+	unlink(path);
+	stop();
+}
+
 /* A link that sends inconsistent frames is closed, and counted. */
 static void check_bad_frames(void (*send_bad_frames)(void))
 {
@@ -449,6 +491,7 @@
 			test_queued_call_starts_after_leave);
 	g_test_add_func("/home/deadlines", test_deadlines);
 	g_test_add_func("/home/link-down-cancels-idempotent", test_link_down_cancels_idempotent);
+	g_test_add_func("/home/successful-reads-are-logged", test_successful_reads_are_logged);
 	g_test_add_func("/home/bad-frames", test_bad_frames);
 	return g_test_run();
 }
