thread: a stack is set where the thread is made

The 256 KiB of each thread were the process's default, set by `serve` alone.

The loop's thread gets its stack by its own attributes. CivetWeb starts all of its threads in mg_start(), and Debian's build has no option for their stack, so the default is set for the length of that call. The new case of nested_text_test reads the stack of a loop's thread and of a server's.

--- a/cmd/serve.c
+++ b/cmd/serve.c
@@ -5,7 +5,6 @@
 #include "lib/err.h"
 #include "lib/log.h"
 #include "lib/settings.h"
-#include "lib/thread.h"
 #include "node/node.h"
 #include "platform/dialect.h"
 
@@ -129,7 +128,6 @@
 		return code;
 	}
 	block_signals(&set);
-	thread_set_stacks();
 	mg_init_library(0);
 	return run(s, file->filename[0], &set);
 }
--- a/kernel/loop.c
+++ b/kernel/loop.c
@@ -2,6 +2,7 @@
 
 #include "lib/clock.h"
 #include "lib/err.h"
+#include "lib/thread.h"
 
 #include <errno.h>
 #include <glib.h>
@@ -221,7 +222,7 @@
 
 int loop_start(struct loop *l)
 {
-	if (pthread_create(&l->thread, NULL, loop_main, l))
+	if (thread_start(&l->thread, loop_main, l))
 		return ERR_IO;
 	l->is_running = true;
 	return 0;
--- a/lib/http_server.c
+++ b/lib/http_server.c
@@ -3,6 +3,7 @@
 #include "lib/ctr.h"
 #include "lib/err.h"
 #include "lib/hist.h"
+#include "lib/thread.h"
 
 #include <arpa/inet.h>
 #include <civetweb.h>
@@ -49,10 +50,17 @@
 				  "request_timeout_ms",
 				  REQUEST_TIMEOUT_MS,
 				  NULL };
+	struct mg_context *server;
+	size_t stack_before;
 
 	memset(&callbacks, 0, sizeof(callbacks));
 	callbacks.http_error = on_http_error;
-	return mg_start(&callbacks, owner, options);
+	/* CivetWeb starts all its threads in mg_start(), and Debian's has no option for their
+	 * stack. */
+	stack_before = thread_set_default_stack(THREAD_STACK_BYTES);
+	server = mg_start(&callbacks, owner, options);
+	thread_set_default_stack(stack_before);
+	return server;
 }
 
 void *http_server_owner(const struct mg_connection *conn)
--- a/lib/thread.h
+++ b/lib/thread.h
@@ -1,19 +1,29 @@
 /*
- * thread - the stack of the threads of a process
+ * thread - threads with a stack of a stated size
  *
  * UNITS bytes
+ * ERRORS negative error numbers
  * SOURCE lib/thread.c
  */
 #ifndef THREAD_H
 #define THREAD_H
 
+#include <pthread.h>
+#include <stddef.h>
+
 /*
  * Of each thread but the first. The C library's default, 8 MB for each server thread, would count
  * against the memory of a node.
  */
 #define THREAD_STACK_BYTES (256 * 1024)
 
-/* thread_set_stacks - gives threads that start from now on, also in libraries, this stack. */
-void thread_set_stacks(void);
+/* thread_start - starts a thread with this stack. Returns 0 or ERR_IO. */
+int thread_start(pthread_t *thread, void *(*run)(void *arg), void *arg);
+
+/*
+ * thread_set_default_stack - gives BYTES of stack to the threads that a library starts from now on,
+ * where it leaves no other way. Returns what was set before. For the whole process.
+ */
+size_t thread_set_default_stack(size_t bytes);
 
 #endif
--- a/test/nested_text_test.c
+++ b/test/nested_text_test.c
@@ -1,4 +1,6 @@
 /* Texts that are nested deeply: what they take of a thread's stack, wherever they come in. */
+#include "kernel/loop.h"
+#include "lib/http_server.h"
 #include "lib/json_text.h"
 #include "lib/res.h"
 #include "lib/set.h"
@@ -8,6 +10,7 @@
 #include "test/fakes/lone_control.h"
 #include "test/fakes/raw_server.h"
 
+#include <civetweb.h>
 #include <pthread.h>
 #include <string.h>
 #include <unistd.h>
@@ -222,6 +225,63 @@
 	httpc_reply_clear(&r);
 }
 
+static size_t own_stack(void)
+{
+	pthread_attr_t attr;
+	size_t bytes;
+
+	g_assert_cmpint(pthread_getattr_np(pthread_self(), &attr), ==, 0);
+	pthread_attr_getstacksize(&attr, &bytes);
+	pthread_attr_destroy(&attr);
+	return bytes;
+}
+
+static void read_stack(void *arg)
+{
+	*(size_t *)arg = own_stack();
+}
+
+static int on_stack_request(struct mg_connection *conn, void *arg)
+{
+	read_stack(arg);
+	return http_send_response(conn, 200, "text/plain", NULL, NULL, "");
+}
+
+static size_t loop_stack(void)
+{
+	struct loop *l = loop_new("stack");
+	size_t bytes = 0;
+
+	g_assert_cmpint(loop_start(l), ==, 0);
+	loop_call(l, read_stack, &bytes);
+	loop_stop(l);
+	loop_free(l);
+	return bytes;
+}
+
+static size_t server_stack(void)
+{
+	u16 port = raw_free_port();
+	struct mg_context *server = http_server_start("127.0.0.1", port, 2, NULL);
+	size_t bytes = 0;
+
+	g_assert_nonnull(server);
+	mg_set_request_handler(server, "/", on_stack_request, &bytes);
+	expect_status(port, "GET", "/", NULL, 200);
+	mg_stop(server);
+	return bytes;
+}
+
+/*
+ * Guards against: a thread that reads texts from outside, with less stack than was measured, or
+ * with one that depends on who started the process.
+ */
+static void test_threads_have_the_measured_stack(void)
+{
+	g_assert_cmpuint(loop_stack(), ==, THREAD_STACK_BYTES);
+	g_assert_cmpuint(server_stack(), ==, THREAD_STACK_BYTES);
+}
+
 static void expect_refusal(u16 port, const char *path, const char *body)
 {
 	struct httpc_reply r = call(port, "PUT", path, body);
@@ -343,8 +403,6 @@
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
-	/* As in the product. */
-	thread_set_stacks();
 	g_test_add_func("/nested-text/levels", test_levels);
 	g_test_add_func("/nested-text/levels-of-broken-texts", test_levels_of_broken_texts);
 	g_test_add_func("/nested-text/accepted-without-what-is-deeper",
@@ -352,6 +410,8 @@
 	g_test_add_func("/nested-text/as-a-line", test_text_as_a_line);
 	g_test_add_func("/nested-text/deep-text-takes-little-stack",
 			test_deep_text_takes_little_stack);
+	g_test_add_func("/nested-text/threads-have-the-measured-stack",
+			test_threads_have_the_measured_stack);
 	g_test_add_func("/nested-text/deep-orders-are-refused", test_deep_orders_are_refused);
 	g_test_add_func("/nested-text/deep-set-of-an-older-version",
 			test_deep_set_of_an_older_version);
