upstream: the length of a request stands before its caller's headers

Cause: the length and the dialect's headers were written last. An upstream that reads only so many headers (CivetWeb: 64) takes a request that has more for one without a body, and runs the body as the next request of the connection: a caller chooses what runs there unseen by admission, and the next call gets its answer.

Evidence: what the upstream refused began with bodies ("xxxxPUT", a service's JSON).

Why this works: what ends the request comes first, whatever is dropped behind it.

--- a/node/upstream_request.c
+++ b/node/upstream_request.c
@@ -11,6 +11,17 @@
 	       !strcmp(m->method, "PATCH");
 }
 
+static void append_headers(GString *head, const struct http_msg *m, const struct dialect *d)
+{
+	for (guint i = 0; i < m->headers->len; i++) {
+		const struct http_header *h = g_ptr_array_index(m->headers, i);
+
+		if (http_is_hop_by_hop_header(h->name) || d->is_rewritten_header(h->name))
+			continue;
+		g_string_append_printf(head, "%s: %s\r\n", h->name, h->value);
+	}
+}
+
 void upstream_append_request(struct upstream_conn *c, struct upstream_call *call)
 {
 	const struct http_msg *m = call->request;
@@ -21,21 +32,16 @@
 	g_autoptr(GString) head = g_string_new(NULL);
 
 	g_string_printf(head, "%s %s HTTP/1.1\r\n", m->method, m->target);
-	for (guint i = 0; i < m->headers->len; i++) {
-		const struct http_header *h = g_ptr_array_index(m->headers, i);
-
-		if (http_is_hop_by_hop_header(h->name) ||
-		    c->u->dialect->is_rewritten_header(h->name))
-			continue;
-		g_string_append(head, h->name);
-		g_string_append(head, ": ");
-		g_string_append(head, h->value);
-		g_string_append(head, "\r\n");
-	}
-	c->u->dialect->write_request_headers(head, &info);
+	/*
+	 * Before the caller's headers: an upstream that reads only so many of them must not miss
+	 * where the request ends, and take its body for the next one.
+	 */
 	if (has_request_body(m))
 		g_string_append_printf(head, "Content-Length: %u\r\n", m->body->len);
-	g_string_append(head, "Connection: keep-alive\r\n\r\n");
+	g_string_append(head, "Connection: keep-alive\r\n");
+	c->u->dialect->write_request_headers(head, &info);
+	append_headers(head, m, c->u->dialect);
+	g_string_append(head, "\r\n");
 	g_byte_array_append(c->out, (const guint8 *)head->str, (guint)head->len);
 	g_byte_array_append(c->out, m->body->data, m->body->len);
 }
--- a/test/upstream_test.c
+++ b/test/upstream_test.c
@@ -1,9 +1,11 @@
 /* The HTTP client for the upstream, tested against raw sockets. */
 #include "kernel/loop.h"
 #include "lib/err.h"
+#include "lib/http_server.h"
 #include "node/upstream.h"
 #include "test/fakes/raw_server.h"
 
+#include <civetweb.h>
 #include <glib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -184,6 +186,64 @@
 	g_assert_cmpint(run_once("GET", serve_text_then_reset, text, NULL), ==, ERR_TRUNCATED);
 }
 
+struct served {
+	gint requests;
+	gint from_a_body; /* of these, that were the body of another */
+};
+
+static int count_request(struct mg_connection *conn, void *arg)
+{
+	struct served *served = arg;
+	char body[256];
+
+	while (mg_read(conn, body, sizeof(body)) > 0)
+		;
+	g_atomic_int_inc(&served->requests);
+	if (!strcmp(mg_get_request_info(conn)->local_uri, "/from-a-body"))
+		g_atomic_int_inc(&served->from_a_body);
+	return http_send_response(conn, 200, "text/plain", NULL, NULL, "done");
+}
+
+static void add_headers(struct http_msg *m, u32 count)
+{
+	for (u32 i = 0; i < count; i++) {
+		g_autofree char *name = g_strdup_printf("Bird-%u", i);
+
+		http_add_header(m, name, "hoopoe");
+	}
+}
+
+/*
+ * Guards against: an upstream that reads 64 headers, as CivetWeb does, misses the length of a
+ * request that has more, and runs its body as the next request.
+ */
+static void test_length_behind_many_headers(void)
+{
+	static const char body[] = "GET /from-a-body HTTP/1.1\r\nHost: h\r\n\r\n";
+	struct served served = { 0 };
+	u16 port = raw_free_port();
+	struct mg_context *server = http_server_start("127.0.0.1", port, 2, NULL);
+	struct fixture f;
+
+	g_assert_nonnull(server);
+	mg_set_request_handler(server, "/", count_request, &served);
+	setup(&f, "POST", serve_text, NULL);
+	add_headers(f.request, MG_MAX_HEADERS + 6);
+	g_byte_array_set_size(f.request->body, 0);
+	g_byte_array_append(f.request->body, (const guint8 *)body, sizeof(body) - 1);
+	for (gint i = 1; i <= 3; i++) {
+		int err = run_for(&f, port, LONG_TIMEOUT_US);
+
+		g_assert_cmpint(err, ==, 0);
+		assert_body(&f, "done");
+		g_assert_cmpint(g_atomic_int_get(&served.requests), ==, i);
+		http_free(g_steal_pointer(&f.reply));
+	}
+	g_assert_cmpint(g_atomic_int_get(&served.from_a_body), ==, 0);
+	teardown(&f);
+	mg_stop(server);
+}
+
 static void test_garbage_head(void)
 {
 	static const char *const texts[] = { "\x01\x02\x03 what\r\n\r\n", "HTTP/1.1\r\n\r\n",
@@ -529,6 +589,7 @@
 	g_test_add_func("/upstream/post-is-sent-once", test_post_is_sent_once);
 	g_test_add_func("/upstream/answer-before-request", test_answer_before_request);
 	g_test_add_func("/upstream/close-before-request", test_close_before_request);
+	g_test_add_func("/upstream/length-behind-many-headers", test_length_behind_many_headers);
 	g_test_add_func("/upstream/refused", test_refused);
 	g_test_add_func("/upstream/not-written", test_not_written);
 	g_test_add_func("/upstream/cancel", test_cancel);
