http_server: a request with more headers than CivetWeb keeps is refused

A change with 64 headers before its Content-Length was taken for one without a body: it was made, and its body read as the next request (cut_request_test:/cut-request/operator-many-headers, started once before). The length of such a request is not known, so it is refused with 400 and the connection closed, as for one that states two lengths.

--- a/lib/http_server.c
+++ b/lib/http_server.c
@@ -111,6 +111,9 @@
 {
 	u32 lengths = 0;
 
+	/* CivetWeb leaves out the headers behind these, and the length may be one of them. */
+	if (ri->num_headers >= MG_MAX_HEADERS)
+		return false;
 	for (int i = 0; i < ri->num_headers; i++) {
 		const struct mg_header *h = &ri->http_headers[i];
 		bool is_encoding = !g_ascii_strcasecmp(h->name, "Transfer-Encoding");
--- a/test/cut_request_test.c
+++ b/test/cut_request_test.c
@@ -248,6 +248,28 @@
 	mg_stop(server_ctx);
 }
 
+/*
+ * Guards against: a change with so many headers that the server did not see its length is taken for
+ * one without a body, and the body for another request.
+ */
+static void test_operator_many_headers(void)
+{
+	g_autoptr(GString) text = g_string_new("PUT /v1/thing HTTP/1.1\r\nHost: h\r\n");
+	struct mg_context *server_ctx;
+
+	for (u32 i = 0; i < MG_MAX_HEADERS; i++)
+		g_string_append_printf(text, "Bird-%u: hoopoe\r\n", i);
+	g_string_append(text, "Content-Length: 5\r\n\r\nhello");
+	port = raw_free_port();
+	server_ctx = http_server_start("127.0.0.1", port, 2, NULL);
+	g_assert_nonnull(server_ctx);
+	mg_set_request_handler(server_ctx, "/", on_operator_request, NULL);
+	g_atomic_int_set(&started, 0);
+	send_cut(text->str, text->len, false);
+	g_assert_cmpint(g_atomic_int_get(&started), ==, 0);
+	mg_stop(server_ctx);
+}
+
 static void check_refused(const char *framing)
 {
 	g_autofree char *text =
@@ -307,6 +329,7 @@
 	g_test_add_func("/cut-request/every-byte", test_every_byte);
 	g_test_add_func("/cut-request/every-byte-reset", test_every_byte_reset);
 	g_test_add_func("/cut-request/operator-every-byte", test_operator_every_byte);
+	g_test_add_func("/cut-request/operator-many-headers", test_operator_many_headers);
 	g_test_add_func("/cut-request/operator-unclear-length", test_operator_unclear_length);
 	g_test_add_func("/cut-request/unclear-length", test_unclear_length);
 	g_test_add_func("/cut-request/own-answer-cut", test_own_answer_cut);
