fuzz: random input at every port of separate processes, beside sound callers

It fails if a process ends, takes over 256 MB, or if a sound caller beside it does not get each of its answers.

--- a/Makefile
+++ b/Makefile
@@ -68,11 +68,15 @@
 		--inline-suppr --suppress=missingIncludeSystem --library=gtk,posix --suppressions-list=tools/cppcheck.txt \
 		-j 4 -I. $(SRC) $(CMD_SRC) $(FAKE_SRC) $(TEST_SRC) $(PROG_SRC)
 
-# Runs the unit tests with the address and undefined behaviour sanitizers, in a separate build
-# directory.
-sanitize:
+# Builds SANITIZED with the address and undefined behaviour sanitizers, in a separate build directory.
+SANITIZED = build-sanitize/lavenderlead
+sanitized:
 	$(MAKE) OUT=build-sanitize BIN=build-sanitize/lavenderlead \
-		CFLAGS="$(CFLAGS) -O1 -fsanitize=address,undefined -fno-sanitize-recover=all" tests
+		CFLAGS="$(CFLAGS) -O1 -fsanitize=address,undefined -fno-sanitize-recover=all" $(SANITIZED)
+
+# Runs the unit tests with these sanitizers.
+sanitize:
+	$(MAKE) sanitized SANITIZED=tests
 	tools/sanitize build-sanitize
 
 check: install-deps
@@ -91,6 +95,11 @@
 	$(MAKE) -s lavenderlead tests
 	tools/soak
 
+# Sends random input to separate processes: make fuzz SEEDS="1 2" LENGTH_S=600.
+fuzz:
+	$(MAKE) -s lavenderlead tests
+	tools/fuzz
+
 # Members of a control group are cut off, lose their disks and are replaced: make model MODEL_SEEDS=20000.
 model: $(OUT)/test/voters_model_test
 	MODEL_SEEDS=$(or $(MODEL_SEEDS),20000) $< -p /voters-model/any-order
@@ -104,6 +113,6 @@
 clean:
 	rm -rf $(OUT) build-sanitize lavenderlead
 
-.PHONY: all install-deps tests format lint sanitize check demo fault soak model bench clean
+.PHONY: all install-deps tests format lint sanitized sanitize check demo fault soak fuzz model bench clean
 .SECONDARY:
 -include $(shell find $(OUT) -name '*.d' 2>/dev/null)
--- a/test/fakes/raw_server.c
+++ b/test/fakes/raw_server.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <sys/time.h>
 #include <unistd.h>
 
 #define BACKLOG 64
@@ -144,20 +145,37 @@
 	return text != NULL;
 }
 
-void raw_write(int fd, const char *text)
+void raw_write_bytes(int fd, const void *p, size_t len)
 {
-	size_t len = strlen(text);
+	const char *at = p;
 
 	while (len) {
-		ssize_t n = send(fd, text, len, MSG_NOSIGNAL);
+		ssize_t n = send(fd, at, len, MSG_NOSIGNAL);
 
 		if (n <= 0)
 			return;
-		text += n;
+		at += n;
 		len -= (size_t)n;
 	}
 }
 
+void raw_write(int fd, const char *text)
+{
+	raw_write_bytes(fd, text, strlen(text));
+}
+
+void raw_end(int fd, u32 silence_ms)
+{
+	struct timeval silence = { .tv_usec = silence_ms * 1000 };
+	char discarded[65536];
+
+	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &silence, sizeof(silence));
+	shutdown(fd, SHUT_WR);
+	while (recv(fd, discarded, sizeof(discarded), 0) > 0)
+		;
+	close(fd);
+}
+
 void raw_reset_on_close(int fd)
 {
 	struct linger now = { .l_onoff = 1 };
--- a/test/fakes/raw_server.h
+++ b/test/fakes/raw_server.h
@@ -34,6 +34,13 @@
 /* raw_read_request_text - the same; returns the request, which the caller frees, or NULL. */
 char *raw_read_request_text(struct raw_server *s, int fd);
 void raw_write(int fd, const char *text);
+void raw_write_bytes(int fd, const void *p, size_t len);
+
+/*
+ * raw_end - closes the socket FD once the peer has closed, or was silent for less than a second,
+ * SILENCE_MS: closing with unread input would reset the connection and might discard what was sent.
+ */
+void raw_end(int fd, u32 silence_ms);
 
 /* raw_reset_on_close - makes a later close of FD send a reset to the peer. */
 void raw_reset_on_close(int fd);
--- a/test/mesh.sh
+++ b/test/mesh.sh
@@ -5,14 +5,16 @@
 
 declare -A pid
 programs=build/test/programs
+# The program of the mesh's processes; commands are those of ./lavenderlead.
+lavenderlead=${LAVENDERLEAD:-./lavenderlead}
 # A mesh of up to 60 nodes takes its ports from the first one on.
 ports_taken=1000
 
 # require_programs - names the programs that were not built, and exits
 require_programs() {
 	local missing= file
-	for file in ./lavenderlead $programs/{caller,faulty,observer,operator,relay,upstream,verdict}; do
-		[ -x $file ] || missing="$missing $file"
+	for file in ./lavenderlead "$lavenderlead" $programs/{caller,faulty,fuzzer,observer,operator,relay,upstream,verdict}; do
+		[ -x "$file" ] || missing="$missing $file"
 	done
 	[ -z "$missing" ] && return
 	echo "not built:$missing; run: make lavenderlead tests"
@@ -58,7 +60,7 @@
 	if [ -f "$dir/$1.faults" ]; then
 		run "$1" env "FAULTS=$dir/$1.faults" $programs/faulty serve -c "$dir/$1.ini"
 	else
-		run "$1" ./lavenderlead serve -c "$dir/$1.ini"
+		run "$1" "$lavenderlead" serve -c "$dir/$1.ini"
 	fi
 }
 start_control() { start_process "control$1"; }
--- a/test/programs/badinput.c
+++ b/test/programs/badinput.c
@@ -11,14 +11,12 @@
  */
 #include "kernel/link.h"
 #include "lib/rng.h"
+#include "test/fakes/raw_server.h"
 
-#include <arpa/inet.h>
 #include <glib.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
-#include <sys/time.h>
 #include <unistd.h>
 
 #define READ_TIMEOUT_MS 300
@@ -32,53 +30,26 @@
 
 static int dial(void)
 {
-	struct sockaddr_in addr = { .sin_family = AF_INET, .sin_port = htons(port) };
-	struct timeval read_timeout = { .tv_usec = READ_TIMEOUT_MS * 1000 };
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	int fd = raw_connect(port);
 
-	inet_pton(AF_INET, "127.0.0.1", &addr.sin_addr);
-	if (connect(fd, (struct sockaddr *)&addr, sizeof(addr))) {
+	if (fd < 0) {
 		fprintf(stderr, "badinput: cannot connect to port %u\n", port);
 		exit(1);
 	}
-	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &read_timeout, sizeof(read_timeout));
 	connections_made++;
 	return fd;
 }
 
-static void send_all(int fd, const void *p, size_t len)
-{
-	const char *at = p;
-
-	while (len) {
-		ssize_t n = send(fd, at, len, MSG_NOSIGNAL);
-
-		if (n <= 0)
-			return;
-		at += n;
-		len -= (size_t)n;
-	}
-}
-
-/*
- * Reads until the peer closes or falls silent: closing with unread input would reset the connection
- * and might discard what was sent.
- */
 static void drain_and_close(int fd)
 {
-	char discarded[65536];
-
-	shutdown(fd, SHUT_WR);
-	while (recv(fd, discarded, sizeof(discarded), 0) > 0)
-		;
-	close(fd);
+	raw_end(fd, READ_TIMEOUT_MS);
 }
 
 static void send_bytes(const void *p, size_t len)
 {
 	int fd = dial();
 
-	send_all(fd, p, len);
+	raw_write_bytes(fd, p, len);
 	drain_and_close(fd);
 }
 
@@ -158,7 +129,7 @@
 	frame_put_str(&f, "r");
 	frame_put_u64(&f, 1);
 	frame_put_u64(&f, 1);
-	send_all(fd, f.buf.data, frame_end(&f));
+	raw_write_bytes(fd, f.buf.data, frame_end(&f));
 }
 
 static void send_bad_hellos(void)
@@ -230,7 +201,7 @@
 
 			for (u32 n = rng_below(&rng, FIELDS_MAX); n; n--)
 				put_random_field(&f, &rng);
-			send_all(fd, f.buf.data, frame_end(&f));
+			raw_write_bytes(fd, f.buf.data, frame_end(&f));
 		}
 		drain_and_close(fd);
 	}
