membership: which change of members comes next is a pure step, and the model plays it

join.c decided on requests for membership between sending and logging, so voters_model_test had copies of its rules. They are control/membership.c now, with the time as an argument, and both call it; no change of behaviour (control_test, join_test, founders_killed_test).

It also has cuts in one direction and processes that stand still.

--- a/control/join.c
+++ b/control/join.c
@@ -1,7 +1,7 @@
 #include "control/join.h"
 
 #include "control/control_peer.h"
-#include "control/voters.h"
+#include "control/membership.h"
 #include "lib/ctr.h"
 #include "lib/err.h"
 #include "lib/log.h"
@@ -11,25 +11,12 @@
 #include <string.h>
 
 #define CHECK_INTERVAL_US (200 * US_PER_MS)
-/* A process that has not heard from a leader for this time requests membership. */
-#define LEADER_TIMEOUT_US (1 * US_PER_S)
-/* Older membership requests are ignored. */
-#define REQUEST_TTL_US (1 * US_PER_S)
-
 /* Processes that are remembered to reach the group; there are no more seeds than members. */
 #define KNOWN_MAX (2 * RAFT_MEMBERS_MAX)
 
-/* A membership request. */
-struct request {
-	u32 id;
-	u64 replica;
-	struct endpoint at;
-	u64 heard_us;
-};
-
 struct join {
 	struct loop_timer timer;
-	GArray *requests; /* of struct request */
+	GArray *requests; /* of struct membership_request */
 	GArray *known; /* of struct member_setting: seeds, and members received from peers */
 };
 
@@ -65,21 +52,12 @@
 
 /* Requesting membership */
 
-static bool has_leader(const struct control *c, u64 now_us)
-{
-	if (c->raft.role == RAFT_LEADER)
-		return true;
-	return c->raft.leader && now_us - c->raft.leader_heard_us < LEADER_TIMEOUT_US;
-}
-
 static bool needs_group(const struct control *c, u64 now_us)
 {
-	if (c->raft.role == RAFT_FORMING)
-		return !join_is_founder(c);
-	return !has_leader(c, now_us);
+	return membership_is_needed(&c->raft, join_is_founder(c), now_us);
 }
 
-static void send_request(struct link *k, const struct request *r)
+static void send_request(struct link *k, const struct membership_request *r)
 {
 	FRAME_AUTO(f, CTL_JOIN);
 
@@ -92,9 +70,9 @@
 static void send_own_request(struct control *c, struct control_peer *p)
 {
 	const struct control_settings *s = &c->settings->control;
-	struct request r = { .id = c->raft.id,
-			     .replica = c->raft.replica,
-			     .at.port = s->peer_port };
+	struct membership_request r = { .id = c->raft.id,
+					.replica = c->raft.replica,
+					.at.port = s->peer_port };
 
 	g_strlcpy(r.at.host, s->address, sizeof(r.at.host));
 	send_request(p->link, &r);
@@ -188,7 +166,7 @@
 
 /* Receiving requests */
 
-static int get_request(struct frame_in *in, struct request *r)
+static int get_request(struct frame_in *in, struct membership_request *r)
 {
 	r->id = (u32)frame_get_u64(in);
 	r->replica = frame_get_u64(in);
@@ -197,30 +175,7 @@
 	return frame_done(in) || !r->id || !r->replica ? ERR_INVAL : 0;
 }
 
-static void remove_old_requests(struct join *j, u64 now_us)
-{
-	for (guint i = j->requests->len; i > 0; i--)
-		if (now_us - g_array_index(j->requests, struct request, i - 1).heard_us >
-		    REQUEST_TTL_US)
-			g_array_remove_index(j->requests, i - 1);
-}
-
-static void store_request(struct join *j, const struct request *r)
-{
-	remove_old_requests(j, r->heard_us);
-	for (guint i = 0; i < j->requests->len; i++) {
-		struct request *one = &g_array_index(j->requests, struct request, i);
-
-		if (one->id == r->id) {
-			*one = *r;
-			return;
-		}
-	}
-	if (j->requests->len < RAFT_MEMBERS_MAX)
-		g_array_append_val(j->requests, *r);
-}
-
-static void forward_to_leader(struct control *c, const struct request *r)
+static void forward_to_leader(struct control *c, const struct membership_request *r)
 {
 	struct link *k = c->raft.leader ? peers_link(c, c->raft.leader) : NULL;
 
@@ -230,7 +185,7 @@
 
 int join_receive_request(struct control *c, struct link *k, struct frame_in *in)
 {
-	struct request r = { 0 };
+	struct membership_request r = { 0 };
 
 	if (get_request(in, &r))
 		return ERR_INVAL;
@@ -239,7 +194,7 @@
 	if (c->raft.members.n && k->remote.role == LINK_CONTROL)
 		join_send_members(c, k);
 	if (c->raft.role == RAFT_LEADER)
-		store_request(c->join, &r);
+		membership_store(c->join->requests, &r);
 	else
 		forward_to_leader(c, &r);
 	return 0;
@@ -247,87 +202,21 @@
 
 /* Membership */
 
-static struct raft_progress *progress_of(struct raft *r, const struct raft_member *m)
-{
-	return &r->progress[m - r->members.m];
-}
-
-/*
- * Proposes NEXT and logs the result. Returns true even on an error, so that the caller proposes no
- * other change.
- */
-static bool propose(struct control *c, const struct raft_members *next, u32 id, const char *what,
-		    u64 now_us)
-{
-	u64 index;
-	g_autofree char *who = g_strdup_printf("%u", id);
-	int err = raft_propose_members(&c->raft, next, now_us, &index);
-
-	log_event(err ? LOG_WARN : LOG_INFO, "membership change", "member", who, "change", what,
-		  "voters", log_u64(voters_count(&c->raft)), "error", err ? err_text(err) : "",
-		  NULL);
-	return true;
-}
-
-static bool add_learner(struct control *c, const struct request *r, u64 now_us)
-{
-	struct raft_members next = c->raft.members;
-
-	if (next.n == RAFT_MEMBERS_MAX)
-		return false;
-	next.m[next.n++] = (struct raft_member){ .id = r->id, .replica = r->replica, .at = r->at };
-	return propose(c, &next, r->id, "added as a learner", now_us);
-}
-
-/*
- * Demotes a member whose data folder was emptied: the new replica has to catch up before it
- * votes again.
- */
-static bool demote_wiped_member(struct control *c, const struct request *r, struct raft_member *m,
-				u64 now_us)
-{
-	struct raft_members next = c->raft.members;
-	struct raft_member *slot = raft_member_find(&next, r->id);
-
-	if (progress_of(&c->raft, m)->heard_us >= r->heard_us)
-		return false;
-	slot->replica = r->replica;
-	slot->is_voter = false;
-	slot->at = r->at;
-	return propose(c, &next, r->id, "member with an emptied folder becomes a learner", now_us);
-}
-
-static bool handle_request(struct control *c, const struct request *r, u64 now_us)
-{
-	struct raft_member *m = raft_member_find(&c->raft.members, r->id);
-
-	if (now_us - r->heard_us > REQUEST_TTL_US || r->id == c->raft.id)
-		return false;
-	if (!m)
-		return add_learner(c, r, now_us);
-	return m->replica != r->replica && demote_wiped_member(c, r, m, now_us);
-}
-
-static bool change_voters(struct control *c, u64 now_us)
-{
-	struct voters_change change;
-
-	if (!voters_next_change(&c->raft, voters_required(c), now_us, &change))
-		return false;
-	return propose(c, &change.next, change.id, change.what, now_us);
-}
-
 void join_update(struct control *c, u64 now_us)
 {
-	struct raft *r = &c->raft;
+	struct voters_change change;
+	g_autofree char *who = NULL;
+	u64 index;
+	int err;
 
-	/* A change needs the previous one and an entry of this term to be committed. */
-	if (r->members_index > r->commit || raft_term_at(r, r->commit) != r->term)
+	if (!membership_next_change(&c->raft, c->join->requests, voters_required(c), now_us,
+				    &change))
 		return;
-	for (guint i = 0; i < c->join->requests->len; i++)
-		if (handle_request(c, &g_array_index(c->join->requests, struct request, i), now_us))
-			return;
-	change_voters(c, now_us);
+	err = raft_propose_members(&c->raft, &change.next, now_us, &index);
+	who = g_strdup_printf("%u", change.id);
+	log_event(err ? LOG_WARN : LOG_INFO, "membership change", "member", who, "change",
+		  change.what, "voters", log_u64(voters_count(&c->raft)), "error",
+		  err ? err_text(err) : "", NULL);
 }
 
 /* Leaving */
@@ -383,7 +272,7 @@
 
 	c->join = j;
 
-	j->requests = g_array_new(FALSE, TRUE, sizeof(struct request));
+	j->requests = g_array_new(FALSE, TRUE, sizeof(struct membership_request));
 	j->known = g_array_new(FALSE, TRUE, sizeof(struct member_setting));
 	j->timer = (struct loop_timer){ .fire = on_timer, .arg = c };
 	if (!is_enabled(c))
--- a/control/join.h
+++ b/control/join.h
@@ -3,8 +3,7 @@
  *
  * The seeds of a first start form the group. Every other process requests
  * membership through the processes that it knows, and so does one whose disk was
- * wiped or that was removed. The leader adds it as a learner; voters.h says when it
- * votes. Each change adds or removes one voter.
+ * wiped or that was removed. membership.h says what the leader makes of it.
  *
  * This is disabled if the settings name members instead of seeds.
  *
--- a/test/fakes/fake_group.c
+++ b/test/fakes/fake_group.c
@@ -35,6 +35,7 @@
 	if (f->is_up)
 		return;
 	f->is_ending = false;
+	f->frozen_until_us = 0;
 	f->count = 0;
 	f->hash = 0;
 	store_init(&f->control.store);
@@ -81,13 +82,18 @@
 	g->r[id].disk = fake_disk_new(rng_next(&g->rng));
 }
 
-struct fake_group *fake_group_new(u32 n, u64 seed)
+void fake_group_freeze(struct fake_group *g, u32 id, u64 span_us)
+{
+	g->r[id].frozen_until_us = g->now_us + span_us;
+}
+
+struct fake_group *fake_group_new_founded(u32 n, u32 founders, u64 seed)
 {
 	struct fake_group *g = g_new0(struct fake_group, 1);
 
 	g->seed = seed;
 	g->rng.state = seed * 0x2545f4914f6cdd1dULL;
-	g->founders = n;
+	g->founders = founders;
 	g->now_us = US_PER_S;
 	g->delay_max_us = 5000;
 	g->queue = g_ptr_array_new_with_free_func(fake_message_free);
@@ -102,7 +108,16 @@
 			g->lanes[from][to] =
 				(struct fake_lane){ .group = g, .from = from, .to = to };
 	for (u32 i = 0; i < n; i++)
-		fake_group_start(g, fake_group_add(g));
+		fake_group_add(g);
+	return g;
+}
+
+struct fake_group *fake_group_new(u32 n, u64 seed)
+{
+	struct fake_group *g = fake_group_new_founded(n, n, seed);
+
+	for (u32 id = 1; id <= n; id++)
+		fake_group_start(g, id);
 	return g;
 }
 
@@ -145,25 +160,40 @@
 		fake_group_check_leader(f);
 }
 
+static u64 timer_due_us(struct fake_group *g, u32 id)
+{
+	return MAX(raft_next_due_us(fake_raft(g, id)), g->r[id].frozen_until_us);
+}
+
 static u32 next_timer(struct fake_group *g)
 {
 	u32 best = 0;
 
 	for (u32 id = 1; id <= g->n; id++)
-		if (g->r[id].is_up && (!best || raft_next_due_us(fake_raft(g, id)) <
-							raft_next_due_us(fake_raft(g, best))))
+		if (g->r[id].is_up && (!best || timer_due_us(g, id) < timer_due_us(g, best)))
 			best = id;
 	return best;
 }
 
+/* Messages to a frozen process wait until it reads them. */
+static bool wait_for_thaw(const struct fake_group *g, struct fake_message *m)
+{
+	if (m->due_us >= g->r[m->to].frozen_until_us)
+		return false;
+	m->due_us = g->r[m->to].frozen_until_us;
+	return true;
+}
+
 /* Delivers one message or runs one tick. Returns false if none is due by END_US. */
 static bool run_next_event(struct fake_group *g, u64 end_us)
 {
 	u32 timer = next_timer(g);
-	u64 timer_us = timer ? raft_next_due_us(fake_raft(g, timer)) : UINT64_MAX;
+	u64 timer_us = timer ? timer_due_us(g, timer) : UINT64_MAX;
 	guint at = fake_group_next_message(g);
 	struct fake_message *m = g->queue->len ? g_ptr_array_index(g->queue, at) : NULL;
 
+	if (m && wait_for_thaw(g, m))
+		return true;
 	if (m && m->due_us <= timer_us && m->due_us <= end_us) {
 		g->now_us = MAX(g->now_us, m->due_us);
 		g_ptr_array_steal_index_fast(g->queue, at);
--- a/test/fakes/fake_group.h
+++ b/test/fakes/fake_group.h
@@ -34,6 +34,7 @@
 	bool was_leader;
 	u64 count; /* commands applied */
 	u64 hash; /* hash chain over these commands */
+	u64 frozen_until_us; /* until then it neither reads nor ticks */
 };
 
 /* The lane from one replica to another. */
@@ -82,6 +83,10 @@
 };
 
 struct fake_group *fake_group_new(u32 n, u64 seed);
+
+/* fake_group_new_founded - the same with N replicas that are down, of which FOUNDERS form the
+ * group. */
+struct fake_group *fake_group_new_founded(u32 n, u32 founders, u64 seed);
 void fake_group_free(struct fake_group *g);
 
 /* fake_group_add - adds a replica with an empty disk, which is down; returns its id. */
@@ -93,6 +98,10 @@
 void fake_group_isolate(struct fake_group *g, u32 id); /* cuts ID off in both directions */
 void fake_group_heal(struct fake_group *g);
 
+/* fake_group_freeze - stops the process of ID for SPAN_US; what arrives meanwhile is read after it.
+ */
+void fake_group_freeze(struct fake_group *g, u32 id, u64 span_us);
+
 /* fake_group_run - run for SPAN_US of virtual time or until the first violation. */
 void fake_group_run(struct fake_group *g, u64 span_us);
 
--- a/test/voters_model_test.c
+++ b/test/voters_model_test.c
@@ -5,29 +5,30 @@
  * them gone, and survives the loss of as many disks as it tolerates; so it does while a process
  * that is replaced as planned ends, and just after.
  *
- * Each process requests membership and is added as in control/join.c, and leaves as in
- * control/control.c; the voters are those of control/voters.c.
+ * The members are those of control/membership.c and control/voters.c; requests and leaving are sent
+ * as by control/join.c and control/control.c. The first start is disturbed like everything else.
  */
 #include "control/raft_impl.h"
-#include "control/voters.h"
+#include "control/membership.h"
 #include "test/fakes/fake_group.h"
 
 #include <stdlib.h>
 
-#define FOUNDERS 5
+#define PROCESSES 5
+#define FOUNDERS 3
 #define LOSSES 2
 #define REQUIRED (2 * LOSSES + 1)
 #define SEEDS 60
 #define ROUNDS 4
 #define STEP_US (5 * US_PER_MS)
 #define CHECK_INTERVAL_US (200 * US_PER_MS)
-#define LEADER_TIMEOUT_US (1 * US_PER_S)
 /* A process counts as lost until this time after it is back, or started. */
 #define CATCH_UP_US (4 * US_PER_S)
 #define LOSS_MAX_US (6 * US_PER_S)
 /* From the moment at which all are back until the group is whole. */
 #define RECOVERY_MAX_US (15 * US_PER_S)
 #define SUCCESSOR_DELAY_US (1 * US_PER_S)
+#define START_SPREAD_US (300 * US_PER_MS)
 #define POWER_OFF_US (650 * US_PER_MS)
 /* A process that ends waits no longer than this for its vote to be taken: half of its grace. */
 #define LEAVE_MAX_US (3 * US_PER_S)
@@ -37,11 +38,11 @@
 
 enum action { NOTHING, HEAL, START, END };
 
-enum loss { CUT, POWER, DISK, REPLACED, LOSS_KINDS };
+enum loss { CUT, CUT_FROM, CUT_TO, FROZEN, POWER, DISK, REPLACED, LOSS_KINDS };
 
 struct model;
 
-typedef bool (*change_rule)(const struct model *m, const struct raft *r, u64 now_us,
+typedef bool (*change_rule)(const struct model *m, const struct raft *r, const GArray *requests,
 			    struct voters_change *out);
 
 struct planned_action {
@@ -59,6 +60,7 @@
 	struct fake_group *g;
 	change_rule rule;
 	bool keeps_votes; /* processes end with their votes */
+	bool forgets_founding; /* a founder that starts again does not know that it is one */
 	struct leaving leaving[FAKE_GROUP_MAX + 1]; /* by id */
 	struct planned_action next[FAKE_GROUP_MAX + 1]; /* by id */
 	bool is_gone[FAKE_GROUP_MAX + 1]; /* for good */
@@ -66,11 +68,10 @@
 	u64 floor; /* what was committed before the last fault */
 };
 
-static bool product_rule(const struct model *m, const struct raft *r, u64 now_us,
+static bool product_rule(const struct model *m, const struct raft *r, const GArray *requests,
 			 struct voters_change *out)
 {
-	(void)m;
-	return voters_next_change(r, REQUIRED, now_us, out);
+	return membership_next_change(r, requests, REQUIRED, m->g->now_us, out);
 }
 
 /* A founder that came back and holds the log. */
@@ -86,11 +87,14 @@
  * The rule of before (docs/incidents/sixth-voter.md): founders become voters beyond the required
  * number at any time, and a silent voter is only removed if a learner takes its place.
  */
-static bool earlier_rule(const struct model *m, const struct raft *r, u64 now_us,
+static bool earlier_rule(const struct model *m, const struct raft *r, const GArray *requests,
 			 struct voters_change *out)
 {
 	u32 voters = voters_count(r);
 
+	if (r->members_index > r->commit || raft_term_at(r, r->commit) != r->term)
+		return false;
+
 	for (u32 i = 0; voters >= REQUIRED && voters < VOTERS_MAX && i < r->members.n; i++) {
 		if (!is_returned_founder(m, r, i))
 			continue;
@@ -98,7 +102,7 @@
 		out->next.m[i].is_voter = true;
 		return true;
 	}
-	if (!voters_next_change(r, REQUIRED, now_us, out))
+	if (!membership_next_change(r, requests, REQUIRED, m->g->now_us, out))
 		return false;
 	return voters <= REQUIRED || out->next.n >= r->members.n;
 }
@@ -118,53 +122,42 @@
 	return m->g->cut[a][b] || m->g->cut[b][a];
 }
 
-/* Whether the process requests membership, as in control/join.c. */
-static bool needs_group(struct model *m, u32 id)
+/* Requests and messages of a frozen process are late; it does nothing itself. */
+static bool is_active(const struct model *m, u32 id)
 {
-	const struct raft *r = raft_of(m, id);
-
-	if (r->role == RAFT_LEADER)
-		return false;
-	return !r->leader || m->g->now_us - r->leader_heard_us > LEADER_TIMEOUT_US;
+	return is_up(m, id) && m->g->r[id].frozen_until_us <= m->g->now_us;
 }
 
-static bool propose(struct model *m, u32 leader, const struct raft_members *next)
+static bool is_founder(const struct model *m, u32 id)
 {
-	u64 index;
-
-	raft_propose_members(raft_of(m, leader), next, m->g->now_us, &index);
-	return true;
+	return id <= m->g->founders && !m->g->r[id].was_wiped;
 }
 
-static bool handle_request(struct model *m, u32 leader, u32 id)
+static void send_request(struct model *m, u32 leader, u32 id, GArray *requests)
 {
-	struct raft *l = raft_of(m, leader);
-	struct raft_members next = l->members;
-	struct raft_member *slot = raft_member_find(&next, id);
-	u64 replica = raft_of(m, id)->replica;
+	struct membership_request one = { .id = id,
+					  .replica = raft_of(m, id)->replica,
+					  .at.port = (u16)id,
+					  .heard_us = m->g->now_us };
 
-	if (slot && slot->replica == replica)
-		return false;
-	if (!slot)
-		slot = &next.m[next.n++];
-	*slot = (struct raft_member){ .id = id, .replica = replica, .at.port = (u16)id };
-	g_strlcpy(slot->at.host, "127.0.0.1", sizeof(slot->at.host));
-	return propose(m, leader, &next);
+	if (id == leader || !is_active(m, id) || is_cut(m, id, leader) ||
+	    !membership_is_needed(raft_of(m, id), is_founder(m, id), m->g->now_us))
+		return;
+	g_strlcpy(one.at.host, "127.0.0.1", sizeof(one.at.host));
+	membership_store(requests, &one);
 }
 
 static void update_membership(struct model *m, u32 leader)
 {
 	struct raft *l = raft_of(m, leader);
+	g_autoptr(GArray) requests = g_array_new(FALSE, TRUE, sizeof(struct membership_request));
 	struct voters_change change;
+	u64 index;
 
-	if (l->members_index > l->commit || raft_term_at(l, l->commit) != l->term)
-		return;
 	for (u32 id = 1; id <= m->g->n; id++)
-		if (id != leader && is_up(m, id) && !is_cut(m, id, leader) && needs_group(m, id) &&
-		    handle_request(m, leader, id))
-			return;
-	if (m->rule(m, l, m->g->now_us, &change))
-		propose(m, leader, &change.next);
+		send_request(m, leader, id, requests);
+	if (m->rule(m, l, requests, &change))
+		raft_propose_members(l, &change.next, m->g->now_us, &index);
 }
 
 static void act(struct model *m, u32 id)
@@ -189,7 +182,7 @@
 {
 	u32 leader = raft_of(m, id)->leader;
 
-	if (!leader || !is_up(m, leader) || is_cut(m, id, leader) ||
+	if (!leader || !is_active(m, leader) || is_cut(m, id, leader) ||
 	    raft_of(m, leader)->role != RAFT_LEADER)
 		return;
 	voters_leave(raft_of(m, leader), id, raft_of(m, id)->replica, m->g->now_us);
@@ -201,7 +194,7 @@
 	struct leaving *l = &m->leaving[id];
 	struct raft *r = raft_of(m, id);
 
-	if (!l->end_us || !is_up(m, id))
+	if (!l->end_us || !is_active(m, id))
 		return;
 	if (m->g->now_us >= l->end_us ||
 	    (r->role != RAFT_LEADER && !voters_may_replace(r, REQUIRED))) {
@@ -229,7 +222,7 @@
 	for (u32 id = 1; id <= m->g->n; id++)
 		leave(m, id);
 	leader = fake_group_leader(m->g);
-	if (!leader || m->g->now_us < m->check_due_us)
+	if (!leader || !is_active(m, leader) || m->g->now_us < m->check_due_us)
 		return;
 	m->check_due_us = m->g->now_us + CHECK_INTERVAL_US;
 	update_membership(m, leader);
@@ -263,6 +256,14 @@
 	return id;
 }
 
+/* What process ID sends, or what is sent to it, is lost. */
+static void cut_one_way(struct model *m, u32 id, bool is_sender)
+{
+	for (u32 other = 1; other <= m->g->n; other++)
+		if (other != id)
+			m->g->cut[is_sender ? id : other][is_sender ? other : id] = true;
+}
+
 /* One process is lost; returns when it, or its successor, no longer counts as lost. */
 static u64 lose_one(struct model *m)
 {
@@ -275,6 +276,19 @@
 		fake_group_isolate(m->g, id);
 		plan(m, id, HEAL, back_us);
 		break;
+	case CUT_FROM:
+		cut_one_way(m, id, true);
+		plan(m, id, HEAL, back_us);
+		break;
+	case CUT_TO:
+		cut_one_way(m, id, false);
+		plan(m, id, HEAL, back_us);
+		break;
+	case FROZEN:
+		fake_group_freeze(m->g, id, back_us - now);
+		/* Nothing else may happen to it until then. */
+		plan(m, id, HEAL, back_us);
+		break;
 	case DISK:
 		fake_group_crash(m->g, id);
 		fake_group_wipe_disk(m->g, id);
@@ -304,9 +318,11 @@
 	return starts_us + 2 * CATCH_UP_US;
 }
 
-static bool is_ready(struct model *m, u32 id)
+/* Whether the process is the member ONE, with the disk that it has now, and has what was committed.
+ */
+static bool is_ready(struct model *m, u32 id, const struct raft_member *one)
 {
-	return is_up(m, id) && raft_of(m, id)->applied >= m->floor;
+	return one->replica == raft_of(m, id)->replica && raft_of(m, id)->applied >= m->floor;
 }
 
 /* Whether those that are there are members, and those that vote are there, in the right number. */
@@ -322,7 +338,7 @@
 		const struct raft_member *one = raft_member_find(&l->members, id);
 
 		live += is_up(m, id);
-		if (is_up(m, id) ? !one || !is_ready(m, id) : one && one->is_voter)
+		if (is_up(m, id) ? !one || !is_ready(m, id, one) : one && one->is_voter)
 			return false;
 	}
 	return voters_count(l) >= REQUIRED && voters_count(l) <= MAX(REQUIRED, live);
@@ -396,12 +412,42 @@
 	run(m, CATCH_UP_US);
 }
 
+/*
+ * The processes start within START_SPREAD_US. Up to the tolerated number are lost meanwhile and
+ * come back, one founder at the most without its disk.
+ */
+static void found(struct model *m)
+{
+	u64 end_us = m->g->now_us + START_SPREAD_US;
+	bool was_wiped = false;
+
+	for (u32 id = 1; id <= PROCESSES; id++)
+		plan(m, id, START, m->g->now_us + random_us(m, START_SPREAD_US));
+	for (u32 i = rng_below(&m->g->rng, LOSSES + 1); i; i--) {
+		u32 id;
+
+		run(m, STEP_US + random_us(m, START_SPREAD_US));
+		id = 1 + rng_below(&m->g->rng, PROCESSES);
+		if (!is_up(m, id) || m->next[id].action != NOTHING)
+			continue;
+		fake_group_crash(m->g, id);
+		if (!was_wiped && rng_below(&m->g->rng, 2)) {
+			fake_group_wipe_disk(m->g, id);
+			was_wiped = true;
+		}
+		m->g->r[id].was_wiped |= m->forgets_founding;
+		plan(m, id, START, m->g->now_us + random_us(m, LOSS_MAX_US));
+		end_us = MAX(end_us, m->next[id].at_us);
+	}
+	if (m->g->now_us < end_us)
+		run(m, end_us - m->g->now_us);
+}
+
 static void begin(struct model *m, u64 seed, change_rule rule)
 {
-	*m = (struct model){ .g = fake_group_new(FOUNDERS, seed), .rule = rule };
+	*m = (struct model){ .g = fake_group_new_founded(PROCESSES, FOUNDERS, seed), .rule = rule };
 	m->g->copies_min = LOSSES + 1;
-	for (u32 id = 1; id <= FOUNDERS; id++)
-		raft_of(m, id)->copies_min = LOSSES + 1;
+	m->g->forgets_founders = true;
 }
 
 /* One to three things happen beside each other. */
@@ -447,13 +493,15 @@
 }
 
 /* Returns what went wrong, or NULL. */
-static const char *play(u64 seed, change_rule rule, bool keeps_votes)
+static const char *play(u64 seed, change_rule rule, bool keeps_votes, bool forgets_founding)
 {
 	const char *fault = NULL;
 	struct model m;
 
 	begin(&m, seed, rule);
 	m.keeps_votes = keeps_votes;
+	m.forgets_founding = forgets_founding;
+	found(&m);
 	if (!recover(&m))
 		fault = "the group does not form";
 	for (u32 round = 0; !fault && round < ROUNDS; round++) {
@@ -487,7 +535,7 @@
 	u32 seeds = text ? (u32)atoi(text) : SEEDS;
 
 	for (u64 seed = 1; seed <= seeds; seed++) {
-		const char *fault = play(seed, product_rule, false);
+		const char *fault = play(seed, product_rule, false, false);
 
 		if (fault)
 			g_error("seed %llu: %s", (unsigned long long)seed, fault);
@@ -500,7 +548,7 @@
 	u32 found = 0;
 
 	for (u64 seed = 1; seed <= SEEDS; seed++)
-		found += play(seed, earlier_rule, false) != NULL;
+		found += play(seed, earlier_rule, false, false) != NULL;
 	g_test_message("%u of %u seeds", found, SEEDS);
 	g_assert_cmpuint(found, >, 0);
 }
@@ -511,7 +559,18 @@
 	u32 found = 0;
 
 	for (u64 seed = 1; seed <= SEEDS; seed++)
-		found += play(seed, product_rule, true) != NULL;
+		found += play(seed, product_rule, true, false) != NULL;
+	g_test_message("%u of %u seeds", found, SEEDS);
+	g_assert_cmpuint(found, >, 0);
+}
+
+/* And that of docs/incidents/founder-that-forgets.md. */
+static void test_founder_that_forgets_is_found(void)
+{
+	u32 found = 0;
+
+	for (u64 seed = 1; seed <= SEEDS; seed++)
+		found += play(seed, product_rule, false, true) != NULL;
 	g_test_message("%u of %u seeds", found, SEEDS);
 	g_assert_cmpuint(found, >, 0);
 }
@@ -523,5 +582,7 @@
 	g_test_add_func("/voters-model/earlier-rule-is-found", test_earlier_rule_is_found);
 	g_test_add_func("/voters-model/vote-that-ends-with-its-process-is-found",
 			test_vote_that_ends_with_its_process_is_found);
+	g_test_add_func("/voters-model/founder-that-forgets-is-found",
+			test_founder_that_forgets_is_found);
 	return g_test_run();
 }
