raft: copies beyond a quorum are asked for from the first command on

Seen: seeds form a group and one of them loses its disk before the other processes have joined: no configuration is ever accepted.

Cause: with two losses to be borne, an entry needs three copies, of three voters each one. The emptied founder holds none, and the change that lets it back in needs an entry of the leader's term to be committed.

Why this works: before the first command the log holds members and empty entries, and no command is proposed before there are 2 f + 1 voters, so there is nothing to lose; a quorum is enough then.

Before: voters_model_test:/voters-model/founder-emptied-after-founding failed at its first seed; founders_killed_test.sh, the first leader loses its disk: no five voters after 30 s.

--- a/control/raft.h
+++ b/control/raft.h
@@ -225,7 +225,11 @@
 
 	u32 chunk_bytes;
 	u32 retained_entries_max;
-	u32 copies_min; /* minimum voters that hold a committed entry, if above the quorum */
+	/*
+	 * Minimum voters that hold a committed entry, if above the quorum, from the first command
+	 * on.
+	 */
+	u32 copies_min;
 	bool stands_for_none; /* the process stops: it votes, but does not become a candidate */
 	bool ignore_replica_ids; /* tests only: shows the fault that replica ids prevent */
 };
--- a/control/raft_form.c
+++ b/control/raft_form.c
@@ -20,8 +20,8 @@
 	g_autoptr(GBytes) empty = g_bytes_new(NULL, 0);
 
 	r->term = MAX(r->term, 1);
-	r->ops->save_snapshot(r, 1, 1, members, empty);
-	raft_reset_log(r, 1, 1, members, empty);
+	r->ops->save_snapshot(r, RAFT_FOUNDING_INDEX, 1, members, empty);
+	raft_reset_log(r, RAFT_FOUNDING_INDEX, 1, members, empty);
 	r->role = RAFT_FOLLOWER;
 	raft_reset_election_timeout(r, now_us);
 }
--- a/control/raft_impl.h
+++ b/control/raft_impl.h
@@ -8,6 +8,9 @@
 
 #include "control/raft.h"
 
+/* Index of the snapshot that founds a group, which holds the members and no command. */
+#define RAFT_FOUNDING_INDEX 1
+
 /* raft_send - send M to TO, with the sender filled in, and the term if it is 0. */
 void raft_send(struct raft *r, u32 to, struct raft_msg *m);
 
--- a/control/raft_replicate.c
+++ b/control/raft_replicate.c
@@ -13,10 +13,25 @@
 	return x > y ? -1 : x < y;
 }
 
+/*
+ * Returns whether the log may hold what was proposed from outside. Until then there is nothing that
+ * lost disks could lose, and the founders must be able to replace one of them.
+ */
+static bool may_hold_commands(const struct raft *r)
+{
+	if (r->snap_index > RAFT_FOUNDING_INDEX)
+		return true;
+	for (u64 i = r->snap_index + 1; i <= raft_last_index(r); i++)
+		if (raft_entry_at(r, i)->kind == RAFT_COMMAND)
+			return true;
+	return false;
+}
+
 /* Returns the highest index that enough voters have synced for it to be committed. */
 static u64 quorum_index(struct raft *r)
 {
 	u64 match[RAFT_MEMBERS_MAX];
+	u32 copies_min = may_hold_commands(r) ? r->copies_min : 0;
 	u32 n = 0;
 
 	for (u32 i = 0; i < r->members.n; i++)
@@ -26,7 +41,7 @@
 	if (!n)
 		return 0;
 	qsort(match, n, sizeof(match[0]), compare_u64_descending);
-	return match[MAX(raft_quorum(r), MIN(r->copies_min, n)) - 1];
+	return match[MAX(raft_quorum(r), MIN(copies_min, n)) - 1];
 }
 
 static void send_timeout_now(struct raft *r, u32 to)
--- a/test/voters_model_test.c
+++ b/test/voters_model_test.c
@@ -575,6 +575,34 @@
 	g_assert_cmpuint(found, >, 0);
 }
 
+/*
+ * Guards against: a founder that loses its disk once the group is formed, before the others have
+ * joined, leaves two that commit nothing more.
+ */
+static void test_founder_emptied_after_founding(void)
+{
+	for (u64 seed = 1; seed <= SEEDS; seed++) {
+		u32 id = 1 + (u32)(seed % FOUNDERS);
+		struct model m;
+
+		begin(&m, seed, product_rule);
+		for (u32 founder = 1; founder <= FOUNDERS; founder++)
+			fake_group_start(m.g, founder);
+		while (raft_of(&m, 1)->role == RAFT_FORMING)
+			step(&m);
+		run(&m, random_us(&m, 2 * US_PER_S));
+		fake_group_crash(m.g, id);
+		fake_group_wipe_disk(m.g, id);
+		for (u32 other = 1; other <= PROCESSES; other++)
+			if (!is_up(&m, other))
+				plan(&m, other, START, m.g->now_us + random_us(&m, US_PER_S));
+		run(&m, US_PER_S);
+		g_test_message("seed %llu", (unsigned long long)seed);
+		g_assert_true(recover(&m) && change(&m));
+		fake_group_free(m.g);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -584,5 +612,7 @@
 			test_vote_that_ends_with_its_process_is_found);
 	g_test_add_func("/voters-model/founder-that-forgets-is-found",
 			test_founder_that_forgets_is_found);
+	g_test_add_func("/voters-model/founder-emptied-after-founding",
+			test_founder_emptied_after_founding);
 	return g_test_run();
 }
