--- a/test/voters_model_test.c
+++ b/test/voters_model_test.c
@@ -318,11 +318,16 @@
 	return starts_us + 2 * CATCH_UP_US;
 }
 
-/* Whether the process is the member ONE, with the disk that it has now, and has what was committed.
+/*
+ * Whether process ID, if it is there, is the member ONE with the disk that it has now and all that
+ * was committed, and otherwise does not vote. ONE may be NULL.
  */
-static bool is_ready(struct model *m, u32 id, const struct raft_member *one)
+static bool is_in_place(struct model *m, u32 id, const struct raft_member *one)
 {
-	return one->replica == raft_of(m, id)->replica && raft_of(m, id)->applied >= m->floor;
+	if (!is_up(m, id))
+		return !one || !one->is_voter;
+	return one && one->replica == raft_of(m, id)->replica &&
+	       raft_of(m, id)->applied >= m->floor;
 }
 
 /* Whether those that are there are members, and those that vote are there, in the right number. */
@@ -338,7 +343,7 @@
 		const struct raft_member *one = raft_member_find(&l->members, id);
 
 		live += is_up(m, id);
-		if (is_up(m, id) ? !one || !is_ready(m, id, one) : one && one->is_voter)
+		if (!is_in_place(m, id, one))
 			return false;
 	}
 	return voters_count(l) >= REQUIRED && voters_count(l) <= MAX(REQUIRED, live);
