--- a/test/voters_model_test.c
+++ b/test/voters_model_test.c
@@ -588,6 +588,8 @@
 {
 	for (u64 seed = 1; seed <= SEEDS; seed++) {
 		u32 id = 1 + (u32)(seed % FOUNDERS);
+		bool is_recovered;
+		bool is_changed;
 		struct model m;
 
 		begin(&m, seed, product_rule);
@@ -603,7 +605,10 @@
 				plan(&m, other, START, m.g->now_us + random_us(&m, US_PER_S));
 		run(&m, US_PER_S);
 		g_test_message("seed %llu", (unsigned long long)seed);
-		g_assert_true(recover(&m) && change(&m));
+		is_recovered = recover(&m);
+		g_assert_true(is_recovered);
+		is_changed = change(&m);
+		g_assert_true(is_changed);
 		fake_group_free(m.g);
 	}
 }
