--- a/control/control.c
+++ b/control/control.c
@@ -151,14 +151,15 @@
 	loop_timer_cancel(c->loop, &c->config_timer);
 }
 
-struct hand_over {
+/* What a process that ends waits for, and whether it still has to. */
+struct stop_step {
 	struct control *control;
 	bool is_under_way;
 };
 
 static void begin_hand_over(void *arg)
 {
-	struct hand_over *h = arg;
+	struct stop_step *h = arg;
 	struct control *c = h->control;
 
 	c->raft.stands_for_none = true;
@@ -168,12 +169,12 @@
 
 static void check_hand_over(void *arg)
 {
-	struct hand_over *h = arg;
+	struct stop_step *h = arg;
 
 	h->is_under_way = raft_is_handing_over(&h->control->raft);
 }
 
-static void wait_for_successor(struct hand_over *h, u64 end_us)
+static void wait_for_successor(struct stop_step *h, u64 end_us)
 {
 	while (h->is_under_way && loop_clock_us() < end_us) {
 		g_usleep(HAND_OVER_POLL_US);
@@ -187,7 +188,7 @@
  */
 static void hand_over(struct control *c, u64 end_us)
 {
-	struct hand_over h = { .control = c, .is_under_way = true };
+	struct stop_step h = { .control = c, .is_under_way = true };
 	u64 now = loop_clock_us();
 
 	for (; h.is_under_way && now < end_us; now = loop_clock_us()) {
@@ -196,14 +197,9 @@
 	}
 }
 
-struct leave {
-	struct control *control;
-	bool is_under_way;
-};
-
 static void leave_on_loop(void *arg)
 {
-	struct leave *l = arg;
+	struct stop_step *l = arg;
 
 	l->is_under_way = join_leave(l->control);
 }
@@ -214,7 +210,7 @@
  */
 static void give_up_vote(struct control *c, u64 end_us)
 {
-	struct leave l = { .control = c };
+	struct stop_step l = { .control = c };
 	u64 began_us = loop_clock_us();
 
 	loop_call(c->loop, leave_on_loop, &l);
--- a/control/raft_form.c
+++ b/control/raft_form.c
@@ -33,12 +33,20 @@
 	raft_send(r, to, &m);
 }
 
+/* Returns the position of the lowest id, or 0 if there are no members. */
+static u32 find_lowest(const struct raft_members *members)
+{
+	u32 lowest = 0;
+
+	for (u32 i = 1; i < members->n; i++)
+		if (members->m[i].id < members->m[lowest].id)
+			lowest = i;
+	return lowest;
+}
+
 static bool is_lowest_founder(const struct raft *r)
 {
-	for (u32 i = 0; i < r->founding.n; i++)
-		if (r->founding.m[i].id < r->id)
-			return false;
-	return r->founding.n > 0;
+	return r->founding.n && r->founding.m[find_lowest(&r->founding)].id == r->id;
 }
 
 static bool all_founders_know_replica(const struct raft *r)
@@ -122,14 +130,11 @@
 /* Returns whether all those whose word is needed have named this process as a founder. */
 static bool is_invitation_complete(const struct raft *r)
 {
-	u32 lowest = 0;
+	u32 lowest = find_lowest(&r->invitation);
 	u32 missing = 0;
 
-	for (u32 i = 0; i < r->invitation.n; i++) {
-		if (r->invitation.m[i].id < r->invitation.m[lowest].id)
-			lowest = i;
+	for (u32 i = 0; i < r->invitation.n; i++)
 		missing += r->invitation.m[i].id != r->id && !r->has_invited[i];
-	}
 	return r->invitation.m[lowest].id == r->id ? !missing : r->has_invited[lowest];
 }
 
--- a/lib/http.c
+++ b/lib/http.c
@@ -117,6 +117,14 @@
 	return g_strconcat("/", joined, "/", NULL);
 }
 
+bool http_is_word(const char *text)
+{
+	for (const char *p = text; *p; p++)
+		if ((u8)*p <= ' ' || *p == 0x7f)
+			return false;
+	return *text;
+}
+
 bool http_is_hop_by_hop_header(const char *name)
 {
 	static const char *const hop[] = { "connection",       "keep-alive",	    "te",
--- a/lib/http.h
+++ b/lib/http.h
@@ -42,6 +42,12 @@
  */
 bool http_is_hop_by_hop_header(const char *name);
 
+/*
+ * http_is_word - returns whether TEXT is not empty and has no spaces and no control characters, so
+ * that it ends neither a request line nor a header in which it is sent.
+ */
+bool http_is_word(const char *text);
+
 /* http_remove_headers - removes all headers called NAME. */
 void http_remove_headers(struct http_msg *m, const char *name);
 
--- a/lib/set.c
+++ b/lib/set.c
@@ -1,5 +1,6 @@
 #include "lib/set.h"
 
+#include "lib/http.h"
 #include "lib/json_text.h"
 
 #include <jansson.h>
@@ -245,15 +246,9 @@
 	}
 }
 
-/* A path is sent in a request line, which it must not end. */
 static bool is_path(const char *text)
 {
-	if (!text || *text != '/')
-		return false;
-	for (; *text; text++)
-		if ((u8)*text <= ' ' || *text == 0x7f)
-			return false;
-	return true;
+	return text && *text == '/' && http_is_word(text);
 }
 
 static bool is_absent(const json_t *value)
--- a/node/announcement.c
+++ b/node/announcement.c
@@ -1,5 +1,7 @@
 #include "node/announcement.h"
 
+#include "lib/http.h"
+
 #include <string.h>
 
 #define SLOTS_MAX 100000
@@ -144,8 +146,5 @@
 {
 	size_t len = strlen(text);
 
-	for (size_t i = 0; i < len; i++)
-		if ((u8)text[i] <= ' ' || text[i] == 0x7f || text[i] == '/')
-			return false;
-	return len && len < ANNOUNCEMENT_NAME_BYTES;
+	return http_is_word(text) && !strchr(text, '/') && len < ANNOUNCEMENT_NAME_BYTES;
 }
--- a/test/fakes/gen.h
+++ b/test/fakes/gen.h
@@ -10,6 +10,7 @@
 #ifndef GEN_H
 #define GEN_H
 
+#include "lib/frame.h"
 #include "lib/rng.h"
 
 #include <glib.h>
@@ -41,6 +42,9 @@
 /* gen_answer - appends what an upstream may write after a request: no answer, one, or more. */
 void gen_answer(struct rng *r, GString *out);
 
+/* gen_frame_field - adds a field of any type that a sound frame may have. */
+void gen_frame_field(struct rng *r, struct frame_out *f);
+
 /* gen_frame - appends one frame of any type. */
 void gen_frame(struct rng *r, GString *out);
 
--- a/test/fakes/gen_frame.c
+++ b/test/fakes/gen_frame.c
@@ -2,8 +2,6 @@
 #include "kernel/link.h"
 #include "test/fakes/gen.h"
 
-#include <string.h>
-
 #define FIELDS_MAX 24
 #define SHORT_BYTES 64
 /* All types of frames between nodes and control processes, and a few that do not exist. */
@@ -50,24 +48,25 @@
 		msgpack_sbuffer_write(&f->buf, odd_fields[i].bytes, odd_fields[i].len);
 }
 
-static void put_field(struct rng *r, struct frame_out *f)
+void gen_frame_field(struct rng *rng, struct frame_out *f)
 {
 	char bytes[SHORT_BYTES];
-	u32 len = rng_below(r, sizeof(bytes));
+	u32 len = rng_below(rng, sizeof(bytes));
 
-	memset(bytes, 'x', len);
-	switch (rng_below(r, 6)) {
+	for (u32 i = 0; i < len; i++)
+		bytes[i] = (char)('!' + rng_below(rng, 90));
+	switch (rng_below(rng, 6)) {
 	case 0:
-		frame_put_u64(f, rng_below(r, 4));
+		frame_put_u64(f, rng_below(rng, 4));
 		break;
 	case 1:
-		frame_put_u64(f, rng_next(r));
+		frame_put_u64(f, rng_next(rng));
 		break;
 	case 2:
-		frame_put_i64(f, -(i64)rng_below(r, 1000));
+		frame_put_i64(f, -(i64)rng_below(rng, 1000));
 		break;
 	case 3:
-		frame_put_bool(f, rng_below(r, 2));
+		frame_put_bool(f, rng_below(rng, 2));
 		break;
 	case 4:
 		bytes[len] = 0;
@@ -85,7 +84,7 @@
 	gsize at = out->len;
 
 	for (u32 n = rng_below(r, FIELDS_MAX); n; n--)
-		put_field(r, &f);
+		gen_frame_field(r, &f);
 	if (gen_one_in(r, 4))
 		put_odd_field(r, &f);
 	g_string_append_len(out, f.buf.data, (gssize)frame_end(&f));
--- a/test/programs/badinput.c
+++ b/test/programs/badinput.c
@@ -11,6 +11,7 @@
  */
 #include "kernel/link.h"
 #include "lib/rng.h"
+#include "test/fakes/gen.h"
 #include "test/fakes/raw_server.h"
 
 #include <glib.h>
@@ -158,36 +159,6 @@
 	drain_and_close(fd);
 }
 
-static void put_random_field(struct frame_out *f, struct rng *rng)
-{
-	char bytes[64];
-	u32 len = rng_below(rng, sizeof(bytes));
-
-	for (u32 i = 0; i < len; i++)
-		bytes[i] = (char)('!' + rng_below(rng, 90));
-	switch (rng_below(rng, 6)) {
-	case 0:
-		frame_put_u64(f, rng_below(rng, 4));
-		break;
-	case 1:
-		frame_put_u64(f, rng_next(rng));
-		break;
-	case 2:
-		frame_put_i64(f, -(i64)rng_below(rng, 1000));
-		break;
-	case 3:
-		frame_put_bool(f, rng_below(rng, 2));
-		break;
-	case 4:
-		bytes[len] = 0;
-		frame_put_str(f, bytes);
-		break;
-	default:
-		frame_put_bin(f, bytes, len);
-		break;
-	}
-}
-
 static void send_random_frames(enum link_role role, u64 seed, u32 count)
 {
 	struct rng rng = { .state = seed };
@@ -200,7 +171,7 @@
 			FRAME_AUTO(f, LINK_TYPE_FIRST + rng_below(&rng, FRAME_TYPES));
 
 			for (u32 n = rng_below(&rng, FIELDS_MAX); n; n--)
-				put_random_field(&f, &rng);
+				gen_frame_field(&rng, &f);
 			raw_write_bytes(fd, f.buf.data, frame_end(&f));
 		}
 		drain_and_close(fd);
