entry: the line of a choice names its attempt where callers name no request

Seen: in the own dialect each `try` line has request="", so that `lavenderlead explain ID` shows the run and the answer of a call, and not why its home was chosen (entry_caller_test:/entry/choice-without-request).

Cause: callers of that dialect name no requests, and the line was written before the attempt had its id; `answer` and `run` name the attempt.

Why this works: the id is the next one of the entry, known before the attempt is made. A file that a test's log goes to is test/fakes/log_file.

--- a/node/entry_attempts.c
+++ b/node/entry_attempts.c
@@ -92,14 +92,20 @@
 	home_call(n, NULL, &call, stop_limit_us(&n->stop, a->call->deadline_us));
 }
 
+static struct call_id next_attempt_id(const struct node *n)
+{
+	return (struct call_id){ .incarnation = n->self.incarnation,
+				 .seq = n->entry->seq + 1,
+				 .origin = n->entry->origin };
+}
+
 static struct call_attempt *attempt_new(struct node *n, struct entry_call *call,
 					struct choose_target *target, u64 now_us)
 {
 	struct call_attempt *a = g_new0(struct call_attempt, 1);
 
-	a->id = (struct call_id){ .incarnation = n->self.incarnation,
-				  .seq = ++n->entry->seq,
-				  .origin = n->entry->origin };
+	a->id = next_attempt_id(n);
+	n->entry->seq++;
 	a->call = call;
 	a->home = g_strdup(target->entry.node);
 	a->sent_us = now_us;
@@ -182,10 +188,12 @@
 		       const struct choose_target *t, u64 now_us)
 {
 	const char *request = n->dialect->id(call->msg);
+	char id[PEER_ID_TEXT_BYTES];
 
 	if (!log_should_write("try", request, call->priv->attempt_count || !call->is_idempotent))
 		return;
-	log_event(LOG_INFO, "try", "request", request ? request : "", "service", call->service,
+	peer_id_to_text(next_attempt_id(n), id);
+	log_event(LOG_INFO, "try", "request", request ? request : id, "service", call->service,
 		  "rank", call->rank, "home", t->entry.node, "score_us",
 		  log_u64(choose_score(t, call->worth, now_us)), "load_age_us",
 		  log_u64(t->load_at_us ? now_us - t->load_at_us : 0), "slowness",
--- a/test/entry_caller_test.c
+++ b/test/entry_caller_test.c
@@ -1,5 +1,6 @@
 /* The entry node and callers who send too much or too little, leave or reset their connection. */
 #include "test/fakes/entry_case.h"
+#include "test/fakes/log_file.h"
 #include "test/fakes/raw_server.h"
 
 #include <stdio.h>
@@ -162,6 +163,36 @@
 	entry_case_stop(&t);
 }
 
+/*
+ * Guards against: the line of a choice names no request, where callers don't name theirs, so that
+ * `explain` cannot find it.
+ */
+static void test_choice_without_request(void)
+{
+	const char *text = "POST / HTTP/1.1\r\nHost: sightings.example\r\nContent-Length: 4\r\n"
+			   "Connection: close\r\n\r\nfour";
+	char id[PEER_ID_TEXT_BYTES];
+	g_autofree char *answer = NULL;
+	g_autofree char *line = NULL;
+	struct call_id call;
+	char *path;
+	int fd;
+
+	entry_case_start(&t);
+	path = log_file_begin();
+	fd = raw_connect(t.node.settings.node.caller_port);
+	send_all(fd, text, strlen(text));
+	entry_expect_event(&t, PEER_EVENT_UP);
+	call = entry_expect_call(&t, "four");
+	fake_peer_reply(&t.home, call, "noted");
+	answer = read_all(fd);
+	peer_id_to_text(call, id);
+	line = g_strdup_printf(" try request=%s ", id);
+	g_assert_cmpuint(log_file_count(path, line), ==, 1);
+	log_file_end(path);
+	entry_case_stop(&t);
+}
+
 static void block_loop_briefly(void *arg)
 {
 	(void)arg;
@@ -210,6 +241,7 @@
 	g_test_add_func("/entry/many-headers", test_many_headers);
 	g_test_add_func("/entry/caller-leaves", test_caller_leaves);
 	g_test_add_func("/entry/half-closed-post", test_half_closed_post);
+	g_test_add_func("/entry/choice-without-request", test_choice_without_request);
 	g_test_add_func("/entry/reset-beside-a-broken-link", test_reset_beside_a_broken_link);
 	ret = g_test_run();
 	fflush(stdout);
--- a/test/home_test.c
+++ b/test/home_test.c
@@ -1,9 +1,9 @@
 /* The home node, between a fake entry node that sends the calls and a raw upstream. */
 #include "lib/err.h"
-#include "lib/log.h"
 #include "test/fakes/fake_node.h"
 #include "test/fakes/fake_peer.h"
 #include "test/fakes/httpc.h"
+#include "test/fakes/log_file.h"
 #include "test/fakes/raw_server.h"
 
 #include <glib.h>
@@ -319,31 +319,16 @@
 	stop();
 }
 
-/* Returns how many lines of the file have TEXT. */
-static u32 count_lines(const char *path, const char *text)
-{
-	g_autofree char *content = NULL;
-	u32 n = 0;
-
-	g_assert_true(g_file_get_contents(path, &content, NULL, NULL));
-	for (const char *p = content; (p = strstr(p, text)); p++)
-		n++;
-	return n;
-}
-
 /*
  * Guards against: a home node logs successful reads that their entry node does not, as it samples
  * them by the ids that it gave itself.
  */
 static void test_successful_reads_are_logged(void)
 {
-	g_autofree char *path = NULL;
-	int fd = g_file_open_tmp("home-test-XXXXXX", &path, NULL);
+	char *path;
 
-	g_assert_cmpint(fd, >=, 0);
-	close(fd);
 	start(4);
-	g_assert_cmpint(log_open(path, LOG_INFO, LOG_TEXT), ==, 0);
+	path = log_file_begin();
 	for (u64 seq = 1; seq <= SAMPLED_READS; seq++) {
 		call(seq, "GET", LONG_TIMEOUT_US);
 		permit();
@@ -352,9 +337,8 @@
 	call(SAMPLED_READS + 1, "POST", LONG_TIMEOUT_US);
 	permit();
 	expect_reply(SAMPLED_READS + 1);
-	log_open(NULL, LOG_INFO, LOG_TEXT);
-	g_assert_cmpuint(count_lines(path, " run request="), ==, 1);
-	unlink(path);
+	g_assert_cmpuint(log_file_count(path, " run request="), ==, 1);
+	log_file_end(path);
 	stop();
 }
 
