--- a/test/voters_model_test.c
+++ b/test/voters_model_test.c
@@ -1,9 +1,9 @@
 /*
  * A group of control processes on simulated disks and links, whose members are cut off, lose their
- * power or their disks, and are replaced, planned and for good, in random order. No more than the
- * tolerated number is lost at once. Afterwards the group has the voters that it needs, none of
- * them gone, and survives the loss of as many disks as it tolerates; so it does while a process
- * that is replaced as planned ends, and just after.
+ * power or their disks, can't write, and are replaced, planned and for good, in random order. No
+ * more than the tolerated number is lost at once. Afterwards the group has the voters that it
+ * needs, none of them gone, and survives the loss of as many disks as it tolerates; so it does
+ * while a process that is replaced as planned ends, and just after.
  *
  * The members are those of control/membership.c and control/voters.c; requests and leaving are sent
  * as by control/join.c and control/control.c. The first start is disturbed like everything else.
@@ -27,6 +27,7 @@
 #define LOSS_MAX_US (6 * US_PER_S)
 /* From the moment at which all are back until the group is whole. */
 #define RECOVERY_MAX_US (15 * US_PER_S)
+#define FAILING_OPS 4
 #define SUCCESSOR_DELAY_US (1 * US_PER_S)
 #define START_SPREAD_US (300 * US_PER_MS)
 #define POWER_OFF_US (650 * US_PER_MS)
@@ -38,7 +39,7 @@
 
 enum action { NOTHING, HEAL, START, END };
 
-enum loss { CUT, CUT_FROM, CUT_TO, FROZEN, POWER, DISK, REPLACED, LOSS_KINDS };
+enum loss { CUT, CUT_FROM, CUT_TO, FROZEN, POWER, DISK, DISK_FAILS, REPLACED, LOSS_KINDS };
 
 struct model;
 
@@ -167,8 +168,10 @@
 	if (action == NOTHING || m->g->now_us < m->next[id].at_us)
 		return;
 	m->next[id].action = NOTHING;
-	if (action == START)
+	if (action == START) {
+		m->g->r[id].disk->fail_at = 0;
 		fake_group_start(m->g, id);
+	}
 	if (action == END) {
 		m->leaving[id].end_us = m->g->now_us + (m->keeps_votes ? 0 : LEAVE_MAX_US);
 		m->leaving[id].hand_over_due_us = 0;
@@ -264,6 +267,15 @@
 			m->g->cut[is_sender ? id : other][is_sender ? other : id] = true;
 }
 
+/* The next writes or syncs fail, from one of the first few on, and the process ends at that. */
+static void fail_disk(struct model *m, u32 id)
+{
+	struct fake_disk *d = m->g->r[id].disk;
+
+	d->failure = (enum fake_failure)rng_below(&m->g->rng, FAKE_FAIL_AFTER + 1);
+	d->fail_at = d->ops + 1 + rng_below(&m->g->rng, FAILING_OPS);
+}
+
 /* One process is lost; returns when it, or its successor, no longer counts as lost. */
 static u64 lose_one(struct model *m)
 {
@@ -294,6 +306,10 @@
 		fake_group_wipe_disk(m->g, id);
 		plan(m, id, START, back_us);
 		break;
+	case DISK_FAILS:
+		fail_disk(m, id);
+		plan(m, id, START, back_us);
+		break;
 	case REPLACED:
 		fake_group_crash(m->g, id);
 		m->is_gone[id] = true;
