control: refuse an order that was sent before a later one was accepted

What callers saw: a zone that was evacuated got calls again, a zone that was taken back stayed empty, and the last declaration of a service was gone, seconds after the operator had the acknowledgement. A control process that had stood still had carried out the first copy of an earlier order, whose client had left after a second and had it acknowledged by another process.

Cause: an order without a version is proposed on whatever state the group has when it gets there. Nothing says how long it waited before it was read, in the queue of a control loop whose disk hangs, or in a link. An evacuation read the state through the leader first and proposed on the version that it found, so the version protected the old order, not the later one.

Change: each proposal names the number of changes (recent.h) that its process had applied when its client was last known to wait. The store, in the order of the log, refuses it as superseded if its subject was changed since. The API proposes it again on the newer state only if its client still waits, and otherwise answers 503 not-run. That holds wherever the order was delayed, and needs no clock that processes agree on. Orders that find their state in force are counted too, without a revision, since they are acknowledged. Evacuations take If-Match and Change-Id, and the command sends a Change-Id.

--- a/cmd/evacuate.c
+++ b/cmd/evacuate.c
@@ -15,6 +15,7 @@
 static int order(const char *control, const char *method, const char *zone)
 {
 	g_autofree char *path = g_strconcat("/v1/evacuations/", zone, NULL);
+	g_autofree char *headers = client_change_headers("evacuate", CLIENT_ANY_VERSION);
 	struct client_reply reply = { 0 };
 	struct client c;
 	int code = CMD_DONE;
@@ -26,7 +27,7 @@
 	}
 	if (client_init(&c, control))
 		return CMD_USAGE;
-	err = client_call(&c, method, path, NULL, NULL, &reply);
+	err = client_call(&c, method, path, headers, NULL, &reply);
 	if (err || reply.status >= 300)
 		code = client_print_error(err, &reply);
 	else
--- a/control/api.c
+++ b/control/api.c
@@ -142,6 +142,7 @@
 	}
 	httpd_set_held(a->httpd, &a->held);
 	configure(a, &s->callers);
+	api_orders_start(a);
 	c->api = a;
 	return loop_start(a->loop);
 }
@@ -207,6 +208,7 @@
 
 	httpd_free(a->httpd);
 	a->httpd = NULL;
+	api_orders_stop(a);
 }
 
 void api_stop(struct control *c, u64 end_us)
--- a/control/api.h
+++ b/control/api.h
@@ -6,8 +6,9 @@
  * loop; operations and renderings run on the control loop. One rendering is under way at a time, so
  * that the answers that wait for their clients are all in the server's account.
  *
- * SOURCE control/api.c, control/api_call.c, control/api_service.c, control/api_set.c,
- * control/api_evacuation.c, control/api_member.c, control/api_status.c, control/api_watch.c
+ * SOURCE control/api.c, control/api_call.c, control/api_order.c, control/api_service.c,
+ * control/api_set.c, control/api_evacuation.c, control/api_member.c, control/api_status.c,
+ * control/api_watch.c
  */
 #ifndef API_H
 #define API_H
@@ -44,6 +45,14 @@
 extern const struct api_resource api_status;
 extern const struct api_resource api_members;
 
+/* What this process had applied at a time. */
+struct api_sample {
+	u64 at_us;
+	struct control_applied applied;
+};
+
+#define API_SAMPLES 16
+
 struct api {
 	struct control *control;
 	struct loop *loop;
@@ -53,9 +62,27 @@
 	struct api_call *rendering; /* under way on the control loop */
 	u32 calls; /* begun and not answered */
 	GQueue watches; /* of struct watch, of the calls above; see api_watch.c */
+	struct api_sample samples[API_SAMPLES]; /* a ring; see api_order.c */
+	u32 samples_taken;
+	struct loop_timer sample_timer;
 	bool is_stopping;
 };
 
+/*
+ * api_propose_fn - returns the operation of an order; it is not carried out if what it is about has
+ * changed since SEEN.
+ */
+typedef struct op *api_propose_fn(struct api_call *call, const struct control_applied *seen);
+
+/* A request that changes something, from its first proposal on; see api_order.c. */
+struct api_order {
+	api_propose_fn *propose;
+	api_render_fn *render;
+	api_next_fn *next;
+	GBytes *command; /* of a change */
+	u32 proposals;
+};
+
 /* A request from its arrival to its answer. Functions run on the API's loop unless stated. */
 struct api_call {
 	const struct api_resource *resource; /* must be first */
@@ -68,6 +95,7 @@
 	api_render_fn *render;
 	api_next_fn *next;
 	GList link; /* in the API's renderings */
+	struct api_order order;
 };
 
 /* api_call_end - frees CALL, whose request was answered. */
@@ -79,10 +107,32 @@
  */
 void api_run_op(struct api_call *call, struct op *op, api_render_fn *render, api_next_fn *next);
 
-/* api_run_change - the same, with an operation that makes CHANGE. */
+/*
+ * api_run_change - the same, with an operation that makes CHANGE. A change that names no version is
+ * an order, as below.
+ */
 void api_run_change(struct api_call *call, const struct store_change *change, api_render_fn *render,
 		    api_next_fn *next);
 
+/*
+ * api_orders_start, api_orders_stop - what this process has applied is sampled between them. The
+ * first must be called before the loop starts.
+ */
+void api_orders_start(struct api *a);
+void api_orders_stop(struct api *a);
+
+/*
+ * api_order_superseded - proposes the order of CALL again, whose operation was superseded, or
+ * refuses it if its client does not wait for it.
+ */
+void api_order_superseded(struct api_call *call);
+
+/*
+ * api_read_change_headers - reads If-Match and Change-Id into CHANGE; a random id if there is none
+ */
+void api_read_change_headers(const struct api_call *call, struct store_change *change,
+			     struct findings *found);
+
 /* api_render - renders, and then calls NEXT. */
 void api_render(struct api_call *call, api_render_fn *render, api_next_fn *next);
 
--- a/control/api_call.c
+++ b/control/api_call.c
@@ -17,6 +17,7 @@
 {
 	call->api->calls--;
 	clear_result(call);
+	g_clear_pointer(&call->order.command, g_bytes_unref);
 	if (call->resource->clear)
 		call->resource->clear(call);
 	g_free(call->rest);
@@ -74,7 +75,9 @@
 {
 	struct api_call *call = arg;
 
-	if (call->op->outcome == OP_DONE && call->render)
+	if (call->op->outcome == OP_DONE && call->op->result.is_superseded)
+		api_order_superseded(call);
+	else if (call->op->outcome == OP_DONE && call->render)
 		api_render(call, call->render, call->next);
 	else
 		call->next(call);
@@ -106,15 +109,6 @@
 	loop_post(call->api->control->loop, submit_on_control, call);
 }
 
-void api_run_change(struct api_call *call, const struct store_change *change, api_render_fn *render,
-		    api_next_fn *next)
-{
-	struct op *op = op_new(OP_CHANGE);
-
-	op->command = store_change_pack(change);
-	api_run_op(call, op, render, next);
-}
-
 /* A call that reads, and what to say if there is nothing. */
 static void answer_read(struct api_call *call)
 {
@@ -236,6 +230,21 @@
 			       (unsigned long long)id[1]);
 }
 
+void api_read_change_headers(const struct api_call *call, struct store_change *change,
+			     struct findings *found)
+{
+	const char *match = api_header(call, "If-Match");
+	const char *id = api_header(call, "Change-Id");
+
+	change->has_if_match = match != NULL;
+	if (match && !api_parse_version(match, &change->if_match))
+		findings_add(found, "If-Match", "not a version number");
+	if (id && (!*id || strlen(id) > STORE_CHANGE_ID_MAX_BYTES))
+		findings_add(found, "Change-Id", "empty, or longer than %d bytes",
+			     STORE_CHANGE_ID_MAX_BYTES);
+	change->change_id = id ? g_strdup(id) : api_random_change_id();
+}
+
 bool api_parse_version(const char *text, u64 *out)
 {
 	size_t len = strlen(text);
--- a/control/api_evacuation.c
+++ b/control/api_evacuation.c
@@ -7,17 +7,13 @@
 
 #include <string.h>
 
-/* How often an order is tried again after another operator's order for the zone came first. */
-#define CONFLICTS_MAX 8
-
-/* An order, and what the leader has of the zone. */
+/* An order for a zone. */
 struct order {
 	struct api_call call; /* must be first */
+	struct store_change change;
 	bool is_wanted; /* the zone is to be evacuated */
 	bool is_known; /* the zone exists */
-	bool is_in_force; /* the zone is evacuated */
-	u64 version; /* of the last order for the zone */
-	u32 conflicts;
+	bool is_in_force; /* the zone was evacuated before */
 	u64 began_us;
 };
 
@@ -48,111 +44,99 @@
 	return !strcmp(c->settings->control.zone, zone);
 }
 
+static char *render_refusal(const struct store_result *r)
+{
+	const char *text = r->status == 409 ? "version conflict" :
+					      "this Change-Id was used for another change";
+
+	return api_dump(json_pack("{s:s, s:I, s:I}", "error", text, "version",
+				  (json_int_t)r->version, "revision", (json_int_t)r->revision));
+}
+
 /* Runs once this process has what the leader has. */
 static char *render_state(struct control *c, struct api_call *call)
 {
 	struct order *o = (struct order *)call;
-	g_autofree char *name = evacuation_item_name(call->rest);
-	const struct store_item *item = store_find(&c->store, name);
 
-	o->is_in_force = item != NULL;
-	o->version = store_version(&c->store, name);
-	o->is_known = item || is_known_zone(c, call->rest);
+	o->is_in_force = store_find(&c->store, o->change.name) != NULL;
+	o->is_known = o->is_in_force || is_known_zone(c, call->rest);
 	return NULL;
 }
 
 static char *render_order(struct control *c, struct api_call *call)
 {
 	const struct order *o = (const struct order *)call;
-	json_t *obj = json_pack("{s:s, s:b, s:I}", "zone", call->rest, "evacuated", o->is_wanted,
-				"revision", (json_int_t)c->store.revision);
-
+	const struct store_result *r = &call->op->result;
+	json_t *obj;
+
+	if (r->status >= 300)
+		return render_refusal(r);
+	obj = json_pack("{s:s, s:b, s:I, s:I}", "zone", call->rest, "evacuated", o->is_wanted,
+			"version", (json_int_t)r->version, "revision",
+			(json_int_t)c->store.revision);
 	api_add_in_force(c, obj);
 	return api_dump(obj);
 }
 
 static void log_order(const struct order *o, u16 status)
 {
+	const struct store_result *r = &o->call.op->result;
+
 	log_event(LOG_INFO, "evacuation order finished", "zone", o->call.rest, "evacuated",
-		  o->is_wanted ? "yes" : "no", "status", log_u64(status), "took_us",
+		  o->is_wanted ? "yes" : "no", "before", o->is_in_force ? "yes" : "no", "status",
+		  log_u64(status), "version", log_u64(r->version), "revision", log_u64(r->revision),
+		  "repeat", r->is_repeat ? "yes" : "no", "proposals",
+		  log_u64(o->call.order.proposals), "took_us",
 		  log_u64(loop_clock_us() - o->began_us), NULL);
 }
 
 static void answer_order(struct api_call *call)
 {
-	u16 status = call->op->outcome == OP_DONE ? 200 : 503;
-
-	log_order((const struct order *)call, status);
-	api_answer_result(call, 200);
-}
+	u16 status = call->op->outcome == OP_DONE ? call->op->result.status : 503;
 
-static void refuse_order(struct api_call *call, u16 status, const char *text)
-{
+	status = status == 201 ? 200 : status;
 	log_order((const struct order *)call, status);
-	api_answer_error(call, status, "not-run", NULL, text);
-}
-
-static void read_state(struct api_call *call);
-
-static void on_proposed(struct api_call *call)
-{
-	struct order *o = (struct order *)call;
-	bool is_conflict = call->op->outcome == OP_DONE && call->op->result.status == 409;
-
-	if (!is_conflict)
-		answer_order(call);
-	else if (++o->conflicts == CONFLICTS_MAX)
-		refuse_order(call, 503, "other orders for the zone came first");
-	else
-		read_state(call);
-}
-
-/* Proposes the order on the version that was read. */
-static void propose(struct api_call *call)
-{
-	__attribute__((cleanup(store_change_clear))) struct store_change change = { 0 };
-	const struct order *o = (const struct order *)call;
-
-	change.op = o->is_wanted ? STORE_PUT : STORE_DELETE;
-	change.name = evacuation_item_name(call->rest);
-	change.has_if_match = true;
-	change.if_match = o->version;
-	change.change_id = api_random_change_id();
-	change.json = o->is_wanted ? g_strdup("{}") : NULL;
-	api_run_change(call, &change, render_order, on_proposed);
+	api_answer_result(call, status);
 }
 
+/* Goes on with an order once the leader has said whether the zone exists. */
 static void on_state(struct api_call *call)
 {
-	const struct order *o = (const struct order *)call;
+	struct order *o = (struct order *)call;
 
-	if (call->op->outcome != OP_DONE)
+	if (call->op->outcome != OP_DONE) {
 		answer_order(call);
-	else if (!o->is_known)
-		refuse_order(call, 404, "no such zone");
-	else if (o->is_in_force == o->is_wanted)
-		api_render(call, render_order, answer_order);
-	else
-		propose(call);
-}
-
-/* Asks the leader for the state of the zone. */
-static void read_state(struct api_call *call)
-{
-	api_run_op(call, op_new(OP_READ), render_state, on_state);
+	} else if (!o->is_known) {
+		log_order(o, 404);
+		api_answer_error(call, 404, "not-run", NULL, "no such zone");
+	} else {
+		api_run_change(call, &o->change, render_order, answer_order);
+	}
 }
 
 static void change_zone(struct api_call *call, bool is_wanted)
 {
+	FINDINGS_AUTO(found);
 	struct order *o = (struct order *)call;
 
 	o->is_wanted = is_wanted;
 	o->began_us = loop_clock_us();
-	if (evacuation_is_zone(call->rest))
-		read_state(call);
-	else
+	o->change.op = is_wanted ? STORE_PUT : STORE_DELETE;
+	o->change.name = evacuation_item_name(call->rest);
+	o->change.json = is_wanted ? g_strdup("{}") : NULL;
+	api_read_change_headers(call, &o->change, &found);
+	if (!evacuation_is_zone(call->rest))
 		api_answer_error(call, 400, "not-run", ctr_name(CTR_CHANGE_INVALID),
 				 "not the name of a zone");
+	else if (findings_count(&found))
+		api_answer_findings(call, &found);
+	else
+		api_run_op(call, op_new(OP_READ), render_state, on_state);
+}
+
+static void clear(struct api_call *call)
+{
+	store_change_clear(&((struct order *)call)->change);
 }
 
 static char *render_list(struct control *c, struct api_call *call)
@@ -180,4 +164,5 @@
 	.path = "/v1/evacuations",
 	.call_bytes = sizeof(struct order),
 	.serve = serve,
+	.clear = clear,
 };
--- a/control/api_service.c
+++ b/control/api_service.c
@@ -46,22 +46,6 @@
 	return api_dump(obj);
 }
 
-/* Reads If-Match and Change-Id into CHANGE. */
-static void read_change_headers(const struct api_call *call, struct store_change *change,
-				struct findings *found)
-{
-	const char *match = api_header(call, "If-Match");
-	const char *id = api_header(call, "Change-Id");
-
-	change->has_if_match = match != NULL;
-	if (match && !api_parse_version(match, &change->if_match))
-		findings_add(found, "If-Match", "not a version number");
-	if (id && (!*id || strlen(id) > STORE_CHANGE_ID_MAX_BYTES))
-		findings_add(found, "Change-Id", "empty, or longer than %d bytes",
-			     STORE_CHANGE_ID_MAX_BYTES);
-	change->change_id = id ? g_strdup(id) : api_random_change_id();
-}
-
 static void answer_change(struct api_call *call)
 {
 	api_answer_result(call, call->op->result.status);
@@ -82,7 +66,7 @@
 	}
 	change.op = STORE_PUT;
 	change.name = g_strdup(call->rest);
-	read_change_headers(call, &change, &found);
+	api_read_change_headers(call, &change, &found);
 	s = res_parse((const char *)body->data, body->len, &found);
 	if (s && strcmp(s->name, call->rest))
 		findings_add(&found, "$.name", "is \"%s\", the path says \"%s\"", s->name,
@@ -105,7 +89,7 @@
 
 	change.op = STORE_DELETE;
 	change.name = g_strdup(call->rest);
-	read_change_headers(call, &change, &found);
+	api_read_change_headers(call, &change, &found);
 	if (findings_count(&found))
 		api_answer_findings(call, &found);
 	else
--- a/control/control.h
+++ b/control/control.h
@@ -26,6 +26,11 @@
 
 struct api;
 
+/* What this process has applied, for control_applied. */
+struct control_applied {
+	u64 serial; /* of the store's last accepted change, see recent.h */
+};
+
 struct control {
 	struct module module; /* must be first */
 	const struct settings *settings;
@@ -39,6 +44,7 @@
 	u32 logged_leader; /* last leader written to the log output; 0 for none */
 	bool was_fresh;
 	struct store store;
+	struct control_applied applied; /* written on this loop, read also on the API's */
 	struct directory directory;
 
 	GHashTable *peers; /* "HOST:PORT" -> struct control_peer; outgoing links */
@@ -74,6 +80,9 @@
 struct control *control_new(const struct settings *s);
 void control_free(struct control *c);
 
+/* control_applied - returns what this process has applied by now; callable on any thread. */
+struct control_applied control_applied(const struct control *c);
+
 /* raft_host */
 int raft_host_open(struct control *c);
 void raft_host_close(struct control *c);
--- a/control/op.c
+++ b/control/op.c
@@ -125,6 +125,11 @@
 	raft_host_arm(c);
 }
 
+static bool has_result_state(const struct store *s, const struct store_result *r)
+{
+	return s->revision >= r->revision && s->recent.serial >= r->serial;
+}
+
 /*
  * Returns whether this process has applied what the leader's result refers to. The reply waits
  * for that, since it also contains local state.
@@ -134,7 +139,7 @@
 	if (o->read_index && c->raft.applied >= o->read_index)
 		return true;
 	return o->is_answered &&
-	       (c->store.revision >= o->result.revision || age_us > OP_TIMEOUT_US);
+	       (has_result_state(&c->store, &o->result) || age_us > OP_TIMEOUT_US);
 }
 
 /* Returns whether another process leads by now. A read can be repeated there; a change can't. */
@@ -258,6 +263,8 @@
 		frame_put_u64(&f, o->result.version);
 		frame_put_u64(&f, o->result.revision);
 		frame_put_bool(&f, o->result.is_repeat);
+		frame_put_bool(&f, o->result.is_superseded);
+		frame_put_u64(&f, o->result.serial);
 		frame_put_u64(&f, o->read_index);
 		frame_put_str(&f, o->text);
 		link_send(o->origin, &f);
@@ -299,6 +306,8 @@
 	result.version = frame_get_u64(in);
 	result.revision = frame_get_u64(in);
 	result.is_repeat = frame_get_bool(in);
+	result.is_superseded = frame_get_bool(in);
+	result.serial = frame_get_u64(in);
 	read_index = frame_get_u64(in);
 	text = frame_get_str(in, OP_TEXT_MAX_BYTES);
 	if (frame_done(in) || outcome < OP_DONE || outcome > OP_UNKNOWN)
--- a/control/raft_host.c
+++ b/control/raft_host.c
@@ -76,6 +76,18 @@
 		ctr_inc(CTR_CHANGE_ACCEPTED);
 }
 
+static void publish_applied(struct control *c)
+{
+	__atomic_store_n(&c->applied.serial, c->store.recent.serial, __ATOMIC_RELEASE);
+}
+
+struct control_applied control_applied(const struct control *c)
+{
+	return (struct control_applied){
+		.serial = __atomic_load_n(&c->applied.serial, __ATOMIC_ACQUIRE),
+	};
+}
+
 static void host_apply(struct raft *r, const struct raft_entry *e)
 {
 	struct control *c = r->arg;
@@ -86,6 +98,7 @@
 					    g_bytes_get_size(e->data));
 		store_apply(&c->store, e->data, &result);
 		count_result(&result);
+		publish_applied(c);
 	}
 	op_applied(c, e, &result);
 }
@@ -212,6 +225,7 @@
 		raft_compact(&c->raft);
 		c->log_bytes = raft_log_bytes(&c->raft, c->raft.snap_index);
 	}
+	publish_applied(c);
 	log_leadership(c);
 	loop_timer_set(c->loop, &c->raft_timer, raft_next_due_us(&c->raft));
 }
--- a/control/store.c
+++ b/control/store.c
@@ -40,10 +40,12 @@
 	s->items = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, item_free);
 	s->changes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, record_free);
 	s->change_order = g_queue_new();
+	recent_init(&s->recent);
 }
 
 void store_clear(struct store *s)
 {
+	recent_clear(&s->recent);
 	g_queue_free(s->change_order);
 	g_hash_table_unref(s->changes);
 	g_hash_table_unref(s->items);
@@ -63,6 +65,8 @@
 		frame_put_u64(&f, c->checksum);
 		delta_put(&f, c->ops);
 	}
+	if (c->has_seen)
+		frame_put_u64(&f, c->seen);
 	frame_end(&f);
 	return g_bytes_new(f.buf.data + FRAME_HEADER_BYTES, f.buf.size - FRAME_HEADER_BYTES);
 }
@@ -87,6 +91,9 @@
 		c->checksum = frame_get_u64(&in);
 		c->ops = delta_get(&in);
 	}
+	c->has_seen = frame_has_more(&in);
+	if (c->has_seen)
+		c->seen = frame_get_u64(&in);
 	return frame_done(&in);
 }
 
@@ -98,6 +105,17 @@
 	g_clear_pointer(&c->ops, g_array_unref);
 }
 
+GBytes *store_command_seen(GBytes *command, u64 seen)
+{
+	__attribute__((cleanup(store_change_clear))) struct store_change c = { 0 };
+
+	if (store_change_unpack(&c, command))
+		return g_bytes_ref(command);
+	c.has_seen = true;
+	c.seen = seen;
+	return store_change_pack(&c);
+}
+
 const struct store_item *store_find(const struct store *s, const char *name)
 {
 	const struct store_item *item = g_hash_table_lookup(s->items, name);
@@ -110,8 +128,9 @@
 	const struct store_item *x = *(const struct store_item *const *)a;
 	const struct store_item *y = *(const struct store_item *const *)b;
 
+	/* Items that confirm_order has added have none. */
 	if (x->revision == y->revision)
-		return 0;
+		return strcmp(x->name, y->name);
 	return x->revision < y->revision ? -1 : 1;
 }
 
@@ -155,20 +174,31 @@
 	}
 }
 
+static bool is_order(const char *name)
+{
+	return *name == STORE_RESERVED_PREFIX && strcmp(name, SET_NAME);
+}
+
+static struct store_item *add_item(struct store *s, const char *name)
+{
+	struct store_item *item = g_new0(struct store_item, 1);
+
+	item->name = g_strdup(name);
+	item->version = s->pruned_version;
+	g_hash_table_insert(s->items, item->name, item);
+	return item;
+}
+
 static struct store_item *put_item(struct store *s, const struct store_change *c,
 				   struct store_result *out)
 {
 	struct store_item *item = g_hash_table_lookup(s->items, c->name);
 
 	out->status = item && item->json ? 200 : 201;
-	if (!item) {
-		item = g_new0(struct store_item, 1);
-		item->name = g_strdup(c->name);
-		item->version = s->pruned_version;
-		g_hash_table_insert(s->items, item->name, item);
-	} else if (!item->json) {
+	if (!item)
+		item = add_item(s, c->name);
+	else if (!item->json)
 		s->tombstones--;
-	}
 	g_free(item->json);
 	item->json = g_strdup(c->json);
 	item->version++;
@@ -194,6 +224,30 @@
 		prune_tombstones(s);
 }
 
+/* Returns whether the order C asks for what is in force already. */
+static bool is_confirmation(const struct store *s, const struct store_change *c)
+{
+	return is_order(c->name) && (c->op == STORE_PUT) == (store_find(s, c->name) != NULL);
+}
+
+/*
+ * Makes no revision, since nothing changes for nodes. The version rises, so that an order that was
+ * decided on before does not undo this one.
+ */
+static void confirm_order(struct store *s, const struct store_change *c, struct store_result *out)
+{
+	struct store_item *item = g_hash_table_lookup(s->items, c->name);
+
+	if (!item) {
+		item = add_item(s, c->name);
+		s->tombstones++;
+	}
+	out->status = 200;
+	out->version = ++item->version;
+	if (s->tombstones > STORE_TOMBSTONES_MAX)
+		prune_tombstones(s);
+}
+
 /* The operator numbers the versions of a set, so a version identifies the set that was sent. */
 static void replace_set(struct store *s, const struct store_change *c, struct store_result *out)
 {
@@ -229,11 +283,6 @@
 	replace_set(s, c, out);
 }
 
-static bool is_order(const char *name)
-{
-	return *name == STORE_RESERVED_PREFIX && strcmp(name, SET_NAME);
-}
-
 u64 store_version(const struct store *s, const char *name)
 {
 	const struct store_item *item = g_hash_table_lookup(s->items, name);
@@ -254,6 +303,8 @@
 		replace_set_by_delta(s, c, out);
 	} else if (c->op == STORE_SET) {
 		replace_set(s, c, out);
+	} else if (is_confirmation(s, c)) {
+		confirm_order(s, c, out);
 	} else if (c->op == STORE_PUT) {
 		put_item(s, c, out);
 	} else {
@@ -310,15 +361,43 @@
 
 /*
  * Identifies a change, so that an id is not used for another one. The same set may come as a text
- * and as a delta; its id is made from its content.
+ * and as a delta; its id is made from its content. What the sender has seen is no part of a change,
+ * since the change may come again through another process.
  */
-static u64 hash_change(const struct store_change *c, GBytes *command)
+static u64 hash_change(const struct store_change *c)
 {
+	struct store_change bare = *c;
+	g_autoptr(GBytes) command = NULL;
+	const void *p;
 	gsize len;
-	const void *p = g_bytes_get_data(command, &len);
 
-	return is_set_change(c) ? XXH64(c->change_id, strlen(c->change_id), STORE_SET) :
-				  XXH64(p, len, 0);
+	if (is_set_change(c))
+		return XXH64(c->change_id, strlen(c->change_id), STORE_SET);
+	bare.has_seen = false;
+	command = store_change_pack(&bare);
+	p = g_bytes_get_data(command, &len);
+	return XXH64(p, len, 0);
+}
+
+/* Returns whether the outcome of C is that an order was carried out, or a name that is absent. */
+static bool is_accepted(const struct store_change *c, const struct store_result *r)
+{
+	return r->status < 300 || (c->op == STORE_DELETE && r->status == 404);
+}
+
+static bool is_superseded(const struct store *s, const struct store_change *c)
+{
+	return c->has_seen && recent_is_after(&s->recent, c->name, c->seen);
+}
+
+static void refuse_superseded(const struct store *s, const struct store_change *c,
+			      struct store_result *out)
+{
+	out->is_superseded = true;
+	out->status = 409;
+	out->version = store_version(s, c->name);
+	out->revision = s->revision;
+	out->serial = s->recent.serial;
 }
 
 void store_apply(struct store *s, GBytes *command, struct store_result *out)
@@ -332,7 +411,7 @@
 		out->status = 400;
 		return;
 	}
-	hash = hash_change(&c, command);
+	hash = hash_change(&c);
 	record = *c.change_id ? g_hash_table_lookup(s->changes, c.change_id) : NULL;
 	if (record && record->hash != hash) {
 		out->status = 422;
@@ -344,7 +423,15 @@
 		out->is_repeat = true;
 		return;
 	}
+	/* Not recorded: it may be sent again with the same id by a client that waits. */
+	if (is_superseded(s, &c)) {
+		refuse_superseded(s, &c, out);
+		return;
+	}
 	execute(s, &c, out);
+	if (is_accepted(&c, out))
+		recent_add(&s->recent, c.name);
+	out->serial = s->recent.serial;
 	/* A refused set may be retried with the same change id once its predecessor is in place. */
 	if (*c.change_id && (!is_set_change(&c) || out->status < 300))
 		record_result(s, c.change_id, hash, out);
@@ -359,9 +446,10 @@
 	frame_put_str(f, item->json);
 }
 
-static void put_items(struct frame_out *f, const struct store *s)
+/* Returns all items, also deleted ones, in order of revision. */
+static GPtrArray *sorted_items(const struct store *s)
 {
-	g_autoptr(GPtrArray) items = g_ptr_array_new();
+	GPtrArray *items = g_ptr_array_new();
 	GHashTableIter iter;
 	gpointer value;
 
@@ -369,6 +457,13 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		g_ptr_array_add(items, value);
 	g_ptr_array_sort(items, compare_revisions);
+	return items;
+}
+
+static void put_items(struct frame_out *f, const struct store *s)
+{
+	g_autoptr(GPtrArray) items = sorted_items(s);
+
 	frame_put_u64(f, items->len);
 	for (guint i = 0; i < items->len; i++)
 		store_item_put(f, g_ptr_array_index(items, i));
@@ -397,6 +492,7 @@
 	frame_put_u64(&f, s->pruned_version);
 	put_items(&f, s);
 	put_records(&f, s);
+	recent_put(&f, &s->recent);
 	frame_end(&f);
 	return g_bytes_new(f.buf.data + FRAME_HEADER_BYTES, f.buf.size - FRAME_HEADER_BYTES);
 }
@@ -448,6 +544,23 @@
 	}
 }
 
+/*
+ * For a snapshot of a version that did not count changes: there, each accepted change made a
+ * revision.
+ */
+static void count_revisions(struct store *s)
+{
+	g_autoptr(GPtrArray) items = sorted_items(s);
+
+	s->recent.forgotten = s->pruned_revision;
+	for (guint i = 0; i < items->len; i++) {
+		const struct store_item *item = g_ptr_array_index(items, i);
+
+		recent_add_at(&s->recent, item->name, item->revision);
+	}
+	s->recent.serial = s->revision;
+}
+
 int store_restore(struct store *s, GBytes *data)
 {
 	struct frame_in in;
@@ -465,5 +578,9 @@
 	s->pruned_version = frame_get_u64(&in);
 	get_items(s, &in);
 	get_records(s, &in);
+	if (frame_has_more(&in))
+		recent_get(&s->recent, &in);
+	else
+		count_revisions(s);
 	return frame_done(&in);
 }
--- a/control/store.h
+++ b/control/store.h
@@ -11,6 +11,7 @@
 #ifndef STORE_H
 #define STORE_H
 
+#include "control/recent.h"
 #include "lib/frame.h"
 #include "lib/types.h"
 
@@ -28,13 +29,17 @@
  * A change, as encoded in the log. JSON is the canonical form of the service.
  * STORE_SET replaces the whole set: JSON is the text exactly as sent, VERSION is the
  * operator's version number, which must be higher than that of the current set. STORE_SET_DELTA is
- * the same change with the text as the difference to that of version IF_MATCH.
+ * the same change with the text as the difference to that of version IF_MATCH. A change with
+ * HAS_SEEN is superseded if its name was changed after SEEN, the serial number (see recent.h) that
+ * the sender's process had when the client was last known to wait.
  */
 struct store_change {
 	enum store_op op;
 	char *name;
 	bool has_if_match;
 	u64 if_match;
+	bool has_seen;
+	u64 seen;
 	char *change_id; /* "" when the operator gave none */
 	char *json;
 	u64 version; /* of a set only */
@@ -51,6 +56,8 @@
 	u64 version; /* of the resource; on a conflict the current one, 0 when it doesn't exist */
 	u64 revision;
 	bool is_repeat;
+	bool is_superseded; /* not executed: a later change came first; the status is 409 */
+	u64 serial; /* of the store after the change; 0 for a repeated one */
 };
 
 struct store_item {
@@ -68,6 +75,7 @@
 	GHashTable *changes; /* change id -> struct change_record */
 	GQueue *change_order; /* of struct change_record, oldest first */
 	u32 tombstones; /* number of deleted items in the table */
+	struct recent recent;
 };
 
 void store_init(struct store *s);
@@ -77,6 +85,9 @@
 int store_change_unpack(struct store_change *c, GBytes *data);
 void store_change_clear(struct store_change *c);
 
+/* store_command_seen - returns a new command for the change of COMMAND, with HAS_SEEN and SEEN. */
+GBytes *store_command_seen(GBytes *command, u64 seen);
+
 /*
  * store_command_shrink - takes COMMAND and returns it, or a shorter one for the same change: that
  * of a set with the difference to the current one, if the change builds on it.
@@ -91,8 +102,8 @@
 
 /*
  * store_version - returns the version that a change of NAME has to match: 0 for a service or a
- * set that does not exist. That of an order rises with its end too, so that an order that was
- * decided on before it was given and ended again matches nothing.
+ * set that does not exist. That of an order rises with its end too, and with an order for what is
+ * in force already, so that an order that was decided on before matches nothing.
  */
 u64 store_version(const struct store *s, const char *name);
 
--- a/kernel/httpd.h
+++ b/kernel/httpd.h
@@ -81,6 +81,15 @@
 	bool needs_host; /* a request of HTTP/1.1 without a Host is malformed; two always are */
 };
 
+enum httpd_caller { HTTPD_CALLER_OPEN, HTTPD_CALLER_HALF_CLOSED, HTTPD_CALLER_GONE };
+
+/*
+ * httpd_caller - returns what is known of the caller of R by now, also if the loop has not read it
+ * yet. A caller that has closed its connection is GONE only once its system has said so; until then
+ * it is HALF_CLOSED, as one that has closed its side and waits for the response.
+ */
+enum httpd_caller httpd_caller(const struct httpd_request *r);
+
 /* httpd_listen - starts a server on HOST:PORT; returns NULL if the port cannot be bound. */
 struct httpd *httpd_listen(struct loop *l, const char *host, u16 port, const struct httpd_ops *ops,
 			   void *arg);
--- a/kernel/httpd_request.c
+++ b/kernel/httpd_request.c
@@ -3,6 +3,8 @@
 
 #include "lib/err.h"
 
+#include <poll.h>
+
 static void start_queued(struct httpd_conn *c);
 
 /*
@@ -84,6 +86,19 @@
 	httpd_conn_end(c, was_busy);
 }
 
+enum httpd_caller httpd_caller(const struct httpd_request *r)
+{
+	const struct httpd_conn *c = r->conn;
+	struct pollfd p = { .events = POLLRDHUP };
+
+	if (!c || c->is_dead)
+		return HTTPD_CALLER_GONE;
+	p.fd = c->fd.fd;
+	if (poll(&p, 1, 0) > 0 && (p.revents & (POLLERR | POLLHUP | POLLNVAL)))
+		return HTTPD_CALLER_GONE;
+	return c->is_eof || (p.revents & POLLRDHUP) ? HTTPD_CALLER_HALF_CLOSED : HTTPD_CALLER_OPEN;
+}
+
 /* R may have been freed already. */
 static bool is_unanswered(const struct httpd_conn *c, const struct httpd_request *r)
 {
--- a/lib/ctr_list.h
+++ b/lib/ctr_list.h
@@ -142,6 +142,8 @@
 CTR(QUOTA_TOKENS, "quota-tokens", "tokens of organisations granted to nodes")
 CTR(QUOTA_RESERVE, "quota-reserve", "of these, tokens from reserves as no leader answered")
 CTR(QUOTA_DENIED, "quota-denied", "calls refused a token by the leader")
+CTR(ORDER_SUPERSEDED, "order-superseded",
+    "orders refused because a later one was accepted and their client does not wait")
 CTR(NO_QUORUM, "no-quorum", "requests refused because there is no quorum")
 CTR(WATCHES_FULL, "watches-full", "watches refused because too many are open")
 CTR(ELECTION, "election", "elections started")
--- a/test/httpd_test.c
+++ b/test/httpd_test.c
@@ -571,6 +571,51 @@
 	stop(&f);
 }
 
+struct caller_check {
+	struct fixture *f;
+	enum httpd_caller state;
+};
+
+static void check_caller(void *arg)
+{
+	struct caller_check *c = arg;
+
+	c->state = httpd_caller(c->f->held);
+}
+
+static void expect_caller(struct fixture *f, enum httpd_caller state)
+{
+	struct caller_check c = { .f = f, .state = HTTPD_CALLER_GONE };
+
+	for (u32 i = 0; i < WAIT_MS; i++) {
+		loop_call(f->loop, check_caller, &c);
+		if (c.state == state)
+			return;
+		g_usleep(US_PER_MS);
+	}
+	g_assert_cmpint(c.state, ==, state);
+}
+
+/* Guards against: the owner of a request can't tell whether its caller still waits. */
+static void test_state_of_caller(void)
+{
+	struct fixture f;
+	int fd;
+
+	start(&f);
+	fd = raw_connect(f.port);
+	raw_write(fd, GET("/held"));
+	wait_started(&f, 1);
+	expect_caller(&f, HTTPD_CALLER_OPEN);
+	shutdown(fd, SHUT_WR);
+	expect_caller(&f, HTTPD_CALLER_HALF_CLOSED);
+	raw_reset_on_close(fd);
+	close(fd);
+	expect_caller(&f, HTTPD_CALLER_GONE);
+	loop_call(f.loop, answer_held, &f);
+	stop(&f);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -589,6 +634,7 @@
 	g_test_add_func("/httpd/half-request-behind-another-after-stop",
 			test_half_request_behind_another_after_stop);
 	g_test_add_func("/httpd/long-bodies-at-once", test_long_bodies_at_once);
+	g_test_add_func("/httpd/state-of-caller", test_state_of_caller);
 	g_test_add_func("/httpd/waiting-connections-make-room", test_waiting_connections_make_room);
 	return g_test_run();
 }
--- a/test/op_test.c
+++ b/test/op_test.c
@@ -33,6 +33,8 @@
 	frame_put_u64(&f, 0);
 	frame_put_u64(&f, 0);
 	frame_put_bool(&f, false);
+	frame_put_bool(&f, false);
+	frame_put_u64(&f, 0);
 	frame_put_u64(&f, follower.control->raft.applied);
 	frame_put_str(&f, "");
 	link_send(l->link, &f);
