control: refuse a change of the group that was sent before a later one

What callers could see: a member that was removed, and added again, is removed by the first copy of DELETE /v1/members/ID, which waited at a process that stood still. Not played with processes; found by reading, on the path of the late evacuation orders.

Cause: the same. A removal or replacement is carried out on whatever members the leader has when it gets there.

Change: the operation names the last membership entry that the process of its client had, and the leader refuses it as superseded if there is a later one. The API proposes it again if its client waits.

Test: api_order_test:/api-order/late-member-change; without the check in start_member_change the removal answers 200.

--- a/control/api.h
+++ b/control/api.h
@@ -80,6 +80,8 @@
 	api_render_fn *render;
 	api_next_fn *next;
 	GBytes *command; /* of a change */
+	u32 member; /* of a change of the group */
+	enum op_kind kind;
 	u32 proposals;
 };
 
@@ -114,6 +116,9 @@
 void api_run_change(struct api_call *call, const struct store_change *change, api_render_fn *render,
 		    api_next_fn *next);
 
+/* api_run_member_change - the same, with an operation KIND on member ID. */
+void api_run_member_change(struct api_call *call, enum op_kind kind, u32 id, api_next_fn *next);
+
 /*
  * api_orders_start, api_orders_stop - what this process has applied is sampled between them. The
  * first must be called before the loop starts.
--- a/control/api_member.c
+++ b/control/api_member.c
@@ -14,14 +14,6 @@
 		api_answer_result(call, 0);
 }
 
-static void change_member(struct api_call *call, enum op_kind kind, u32 id)
-{
-	struct op *op = op_new(kind);
-
-	op->member = id;
-	api_run_op(call, op, NULL, answer_change);
-}
-
 static void serve(struct api_call *call)
 {
 	const char *rest = call->rest ? call->rest : "";
@@ -31,9 +23,9 @@
 	if (end == rest)
 		api_answer_error(call, 404, NULL, NULL, "no such member");
 	else if (api_is(call, "POST") && !strcmp(end, "/replace"))
-		change_member(call, OP_REPLACE, id);
+		api_run_member_change(call, OP_REPLACE, id, answer_change);
 	else if (api_is(call, "DELETE") && !*end)
-		change_member(call, OP_REMOVE, id);
+		api_run_member_change(call, OP_REMOVE, id, answer_change);
 	else
 		api_answer_method(call, "use POST .../replace or DELETE");
 }
--- a/control/api_order.c
+++ b/control/api_order.c
@@ -156,6 +156,15 @@
 	return op;
 }
 
+static struct op *propose_member_change(struct api_call *call, const struct control_applied *seen)
+{
+	struct op *op = op_new(call->order.kind);
+
+	op->member = call->order.member;
+	op->seen_members_index = seen->members_index;
+	return op;
+}
+
 void api_run_change(struct api_call *call, const struct store_change *change, api_render_fn *render,
 		    api_next_fn *next)
 {
@@ -175,3 +184,14 @@
 	};
 	begin_order(call);
 }
+
+void api_run_member_change(struct api_call *call, enum op_kind kind, u32 id, api_next_fn *next)
+{
+	call->order = (struct api_order){
+		.propose = propose_member_change,
+		.next = next,
+		.kind = kind,
+		.member = id,
+	};
+	begin_order(call);
+}
--- a/control/control.h
+++ b/control/control.h
@@ -29,6 +29,7 @@
 /* What this process has applied, for control_applied. */
 struct control_applied {
 	u64 serial; /* of the store's last accepted change, see recent.h */
+	u64 members_index; /* of the last membership entry */
 };
 
 struct control {
--- a/control/op.c
+++ b/control/op.c
@@ -39,6 +39,11 @@
 
 static void start_member_change(struct control *c, struct op *o, u64 now_us)
 {
+	if (c->raft.members_index > o->seen_members_index) {
+		o->result.is_superseded = true;
+		finish(c, o, OP_DONE);
+		return;
+	}
 	if (o->kind == OP_REPLACE)
 		o->result.status = members_replace(c, o->member, o->start_us, now_us, &o->text);
 	else
@@ -85,6 +90,7 @@
 	frame_put_u64(&f, o->seq);
 	frame_put_u64(&f, o->kind);
 	frame_put_u64(&f, o->member);
+	frame_put_u64(&f, o->seen_members_index);
 	frame_put_bin(&f, data, len);
 	if (peers_send_forward(c, k, &f))
 		return;
@@ -282,6 +288,7 @@
 	o->origin_request = frame_get_u64(in);
 	o->kind = (enum op_kind)frame_get_u64(in);
 	o->member = (u32)frame_get_u64(in);
+	o->seen_members_index = frame_get_u64(in);
 	data = frame_get_bin(in, &len);
 	o->command = g_bytes_new(data, len);
 	o->done = send_forward_result;
--- a/control/op.h
+++ b/control/op.h
@@ -24,6 +24,8 @@
 	enum op_kind kind;
 	GBytes *command; /* OP_CHANGE */
 	u32 member; /* OP_REPLACE, OP_REMOVE */
+	u64 seen_members_index; /* of these: of the last membership entry that the client's process
+				   had */
 	u64 start_us;
 
 	bool is_started; /* proposed here or forwarded */
--- a/control/raft_host.c
+++ b/control/raft_host.c
@@ -79,12 +79,14 @@
 static void publish_applied(struct control *c)
 {
 	__atomic_store_n(&c->applied.serial, c->store.recent.serial, __ATOMIC_RELEASE);
+	__atomic_store_n(&c->applied.members_index, c->raft.members_index, __ATOMIC_RELEASE);
 }
 
 struct control_applied control_applied(const struct control *c)
 {
 	return (struct control_applied){
 		.serial = __atomic_load_n(&c->applied.serial, __ATOMIC_ACQUIRE),
+		.members_index = __atomic_load_n(&c->applied.members_index, __ATOMIC_ACQUIRE),
 	};
 }
 
--- a/test/api_order_test.c
+++ b/test/api_order_test.c
@@ -1,4 +1,5 @@
 /* Orders at the API of a control process, by clients that wait in different ways. */
+#include "control/op.h"
 #include "lib/json_text.h"
 #include "test/fakes/httpc.h"
 #include "test/fakes/lone_control.h"
@@ -137,11 +138,72 @@
 	lone_control_stop(&p);
 }
 
+struct member_change {
+	struct op *op;
+	bool is_superseded;
+	u16 status;
+	gint is_done;
+};
+
+static void on_done(struct control *c, struct op *o)
+{
+	struct member_change *m = o->arg;
+
+	(void)c;
+	m->is_superseded = o->result.is_superseded;
+	m->status = o->result.status;
+	op_free(o);
+	g_atomic_int_set(&m->is_done, 1);
+}
+
+static void submit(void *arg)
+{
+	op_submit(p.control, ((struct member_change *)arg)->op);
+}
+
+static struct member_change remove_member(u32 id, u64 seen_members_index)
+{
+	struct member_change m = { .op = op_new(OP_REMOVE) };
+
+	m.op->member = id;
+	m.op->seen_members_index = seen_members_index;
+	m.op->done = on_done;
+	m.op->arg = &m;
+	loop_call(p.control->loop, submit, &m);
+	for (u32 i = 0; i < WAIT_MS && !g_atomic_int_get(&m.is_done); i++)
+		g_usleep(US_PER_MS);
+	g_assert_true(m.is_done);
+	return m;
+}
+
+/*
+ * Guards against: a late copy of a change of the group is carried out after another one, and
+ * removes a member that was added again.
+ */
+static void test_late_member_change(void)
+{
+	struct member_change m;
+	u64 index;
+
+	start();
+	index = control_applied(p.control).members_index;
+	g_assert_cmpuint(index, >, 0);
+	m = remove_member(7, index - 1);
+	g_assert_true(m.is_superseded);
+	m = remove_member(7, index);
+	g_assert_false(m.is_superseded);
+	g_assert_cmpuint(m.status, ==, 200);
+	/* A client that waits gets its answer all the same. */
+	g_assert_cmpint(call("DELETE", "/v1/members/7", NULL, NULL, NULL), ==, 200);
+	lone_control_stop(&p);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/api-order/half-closed-client", test_half_closed_client);
 	g_test_add_func("/api-order/orders-behind-one-another", test_orders_behind_one_another);
 	g_test_add_func("/api-order/conditional-evacuations", test_conditional_evacuations);
+	g_test_add_func("/api-order/late-member-change", test_late_member_change);
 	return g_test_run();
 }
