--- a/control/recent.c
+++ b/control/recent.c
@@ -1,11 +1,12 @@
 #include "control/recent.h"
 
 #include "lib/err.h"
+#include "lib/set.h"
 
 #include <string.h>
 
-/* Above all names of the store. */
-#define NAME_MAX_BYTES 4096
+/* As of the store's items. */
+#define NAME_MAX_BYTES SET_JSON_MAX_BYTES
 
 struct recent_change {
 	char *name;
--- a/control/store.h
+++ b/control/store.h
@@ -6,7 +6,7 @@
  * repeated change gets its first result again. The oldest results are evicted in
  * log order, so that all replicas evict the same ones.
  *
- * SOURCE control/store.c
+ * SOURCE control/store.c, control/store_change.c, control/store_snapshot.c
  */
 #ifndef STORE_H
 #define STORE_H
