--- a/test/late_order_test.sh
+++ b/test/late_order_test.sh
@@ -36,12 +36,21 @@
 target_of() { curl -s -m 5 "http://127.0.0.1:$(api_port "$other")/v1/services/$1" | sed -n 's/.*"target_ms":\([0-9]*\).*/\1/p'; }
 answers_read() { [ "$(order "$other" 1 GET evacuations)" = 200 ]; }
 
+# put_set - replaces the set by the next version
+put_set() {
+	acknowledge PUT set -H "If-Match: $set_version" -d "$(set_of $((set_version + 1)))"
+	set_version=$((set_version + 1))
+}
+set_of() { printf '{"version":%s,"routes":[],"services":[]}' "$1"; }
+version_of_set() { curl -s -m 5 "http://127.0.0.1:$(api_port "$other")/v1/set" | sed -n 's/.*"version":\([0-9]*\).*/\1/p'; }
+
 # expect_state WHEN - what was acknowledged last is in force
 expect_state() {
 	local zones
 	wait_for "a read at control $other" answers_read || fail "$1: no read at control $other"
 	zones=$(evacuations | sed -n 's/.*"evacuations":\[\([^]]*\)\].*/\1/p')
 	[ "$zones" = '"zone-a","zone-c"' ] || fail "$1: the evacuated zones are $zones"
+	[ "$(version_of_set)" = "$set_version" ] || fail "$1: the set is version $(version_of_set), not $set_version"
 	[ "$(target_of changed)" = 300 ] || fail "$1: the last declaration of changed is gone: $(target_of changed)"
 	[ "$(target_of deleted)" = "" ] || fail "$1: the deleted service is back"
 	[ "$(target_of declared)" = 300 ] || fail "$1: the service that was declared again is gone"
@@ -60,6 +69,8 @@
 	first_copy "$1" $patience_s PUT services/changed -d "$(service changed 200)"
 	first_copy "$1" $patience_s PUT services/deleted -d "$(service deleted 200)"
 	first_copy "$1" $patience_s DELETE services/declared
+	# Given up: the set that is acknowledged next has another text on the same base.
+	first_copy "$1" $patience_s PUT set -H "If-Match: $set_version" -d "$(set_of $((set_version + 10)))"
 	for p in "${waiting[@]}"; do wait "$p"; done
 }
 
@@ -73,6 +84,7 @@
 	acknowledge PUT evacuations/zone-a
 	acknowledge DELETE evacuations/zone-b
 	put changed 300
+	put_set
 	acknowledge DELETE services/deleted
 	put declared 300
 	# This first copy was given up, and its contrary finds the zone evacuated already.
@@ -140,6 +152,7 @@
 	done
 }
 
+set_version=0
 mesh_begin "${BASE:-31000}" 3
 relay_port=$((base + 990))
 for i in 1 2 3; do
--- a/test/orders.sh
+++ b/test/orders.sh
@@ -59,11 +59,12 @@
 	run caller_cold $programs/caller -p "$ports" -H cold.example -i cold -T "$dir/cuts" -n $(($1 * 6)) -c 8 -w 50 -t 1000
 }
 
-# until_accepted PATH OPTION... - sends a change to one control process after the other
+# until_accepted PATH OPTION... - sends a change to one control process after the other. Its client
+# leaves after a second, so that copies come late from processes that stand still.
 until_accepted() {
 	local i
-	for ((i = 1; ; i = i % 3 + 1)); do
-		[ "$(curl -s -m 4 -o /dev/null -w '%{http_code}' "${@:2}" "http://127.0.0.1:$(api_port $i)/v1/$1")" = 200 ] && return
+	for ((i = RANDOM % 3 + 1; ; i = i % 3 + 1)); do
+		[ "$(curl -s -m 1 -o /dev/null -w '%{http_code}' "${@:2}" "http://127.0.0.1:$(api_port $i)/v1/$1")" = 200 ] && return
 		sleep 0.1
 	done
 }
@@ -80,31 +81,52 @@
 	start_order_callers "$1"
 }
 
-# make_orders - revokes keys and evacuates zones in turn; prints what was acknowledged
+# evacuate ZONE, restore ZONE - print what was acknowledged
+evacuate() {
+	until_accepted "evacuations/$1" -X PUT
+	echo "evacuated $1 $(now_ms)"
+}
+restore() {
+	echo "restored $1 $(now_ms)"
+	until_accepted "evacuations/$1" -X DELETE
+}
+# stay SECONDS - until then, or the end of the run
+stay() {
+	local i
+	for ((i = 0; i < $1 * 10; i++)); do
+		[ -e "$dir/end_orders" ] && return
+		sleep 0.1
+	done
+}
+
+# make_orders - revokes keys and evacuates zones in turn; prints what was acknowledged. Each zone is
+# evacuated again right after it was restored, before a late copy of the restoration can come.
 make_orders() {
-	local version zone i=0
+	local version zone
 	for ((version = 2; ; version++)); do
 		if ((version <= keys)); then
 			put_keys $version
 			echo "revoked key$((version - 1)) $(now_ms)"
 		fi
 		zone=$(zone_of $((nodes + 1 + version % 2)))
-		until_accepted "evacuations/$zone" -X PUT
-		echo "evacuated $zone $(now_ms)"
-		for ((i = 0; i < 80; i++)); do
-			[ -e "$dir/end_orders" ] && break
-			sleep 0.1
-		done
-		echo "restored $zone $(now_ms)"
-		until_accepted "evacuations/$zone" -X DELETE
+		evacuate "$zone"
+		stay 2
+		restore "$zone"
+		evacuate "$zone"
+		stay 10
+		restore "$zone"
 		[ -e "$dir/end_orders" ] && return
 	done
 }
+no_zone_is_evacuated() {
+	curl -s -m 2 "http://127.0.0.1:$(api_port 1)/v1/evacuations" | grep -q '"evacuations":\[\]'
+}
 
 end_orders() {
 	touch "$dir/end_orders"
 	wait_for "the end of the orders" ended orders || broken "the orders did not end"
 	unset "pid[orders]"
+	wait_for "the last order" no_zone_is_evacuated || broken "a zone that was restored is evacuated"
 }
 
 # sent_of_quota - prints when each call that ran of the organisation was sent
