--- a/test/programs/caller.c
+++ b/test/programs/caller.c
@@ -325,6 +325,7 @@
 		return 2;
 	}
 	signal(SIGPIPE, SIG_IGN);
+	setvbuf(stdout, NULL, _IOLBF, 0); /* a test sees whether it goes on */
 	mg_init_library(0);
 	threads = g_new0(GThread *, opt.connections);
 	for (u32 i = 0; i < opt.connections; i++)
