--- a/control/wal.h
+++ b/control/wal.h
@@ -6,7 +6,7 @@
  * the first message to them; "snapshot" holds the state up to an index; "log" holds
  * the records after it. Each record carries checksums of its length and of its payload.
  * An incomplete record at the end of the log (a torn write: too short, or zeros
- * from some byte on) is truncated. Any other damage or a missing file is refused;
+ * from some byte on) is left out. Any other damage or a missing file is refused;
  * the folder must then be emptied and the member replaced. The file system must
  * write the data of an append before the new file length, or leave zeros.
  *
@@ -32,7 +32,10 @@
  */
 int wal_open(struct wal *w, struct disk *disk, u64 new_replica, char **why);
 
-/* wal_load - loads the snapshot, the term and vote, and the entries into R. */
+/*
+ * wal_load - loads the snapshot, the term and vote, and the entries into R. The log is written
+ * anew: what is read may not be synced, and the replica says from now on that it has it.
+ */
 int wal_load(struct wal *w, struct raft *r, char **why);
 
 /*
