op: a superseded change of the group waits for the entry that came first

A process whose membership lags behind the leader's proposed such a change again at once, each time with a line in the log, until the entry arrived or five seconds had passed. The result names the entry, and is passed on once this process has it, as for changes of the store.

Test: op_test:/op/superseded-change-waits-for-its-cause; it ended at once before. badinput_test bounds its wait for the process whose disk is full.

--- a/control/op.c
+++ b/control/op.c
@@ -41,6 +41,7 @@
 {
 	if (c->raft.members_index > o->seen_members_index) {
 		o->result.is_superseded = true;
+		o->result.serial = c->raft.members_index;
 		finish(c, o, OP_DONE);
 		return;
 	}
@@ -131,9 +132,13 @@
 	raft_host_arm(c);
 }
 
-static bool has_result_state(const struct store *s, const struct store_result *r)
+static bool has_result_state(const struct control *c, const struct op *o)
 {
-	return s->revision >= r->revision && s->recent.serial >= r->serial;
+	const struct store_result *r = &o->result;
+
+	if (o->kind != OP_CHANGE)
+		return c->raft.members_index >= r->serial;
+	return c->store.revision >= r->revision && c->store.recent.serial >= r->serial;
 }
 
 /*
@@ -144,8 +149,7 @@
 {
 	if (o->read_index && c->raft.applied >= o->read_index)
 		return true;
-	return o->is_answered &&
-	       (has_result_state(&c->store, &o->result) || age_us > OP_TIMEOUT_US);
+	return o->is_answered && (has_result_state(c, o) || age_us > OP_TIMEOUT_US);
 }
 
 /* Returns whether another process leads by now. A read can be repeated there; a change can't. */
@@ -329,7 +333,8 @@
 		poll_one(c, o, loop_clock_us());
 		return 0;
 	}
-	o->is_answered = outcome == OP_DONE && o->kind == OP_CHANGE;
+	/* A superseded order is proposed again once this process knows what came first. */
+	o->is_answered = outcome == OP_DONE && (o->kind == OP_CHANGE || result.is_superseded);
 	if (o->is_answered)
 		poll_one(c, o, loop_clock_us());
 	else
--- a/control/op.h
+++ b/control/op.h
@@ -35,7 +35,8 @@
 	u64 term;
 	struct link *forwarded_to;
 	u64 read_index; /* OP_READ: done when this index is applied; 0 while unknown */
-	bool is_answered; /* OP_CHANGE: committed by the leader; done when applied here */
+	/* By the leader, with a result that is passed on once this process has applied it too. */
+	bool is_answered;
 
 	enum op_outcome outcome;
 	struct store_result result;
--- a/control/store.h
+++ b/control/store.h
@@ -57,7 +57,11 @@
 	u64 revision;
 	bool is_repeat;
 	bool is_superseded; /* not executed: a later change came first; the status is 409 */
-	u64 serial; /* of the store after the change; 0 for a repeated one */
+	/*
+	 * Of the store after the change; 0 for a repeated one. Of a change of the group that was
+	 * superseded: the index of the last membership entry.
+	 */
+	u64 serial;
 };
 
 struct store_item {
--- a/test/badinput_test.sh
+++ b/test/badinput_test.sh
@@ -179,6 +179,8 @@
 	accepted=$i
 done
 [ "$accepted" -gt 0 ] && [ "$accepted" -lt 60 ] || fail "accepted $accepted of 60"
+small_has_ended() { ! kill -0 $small 2>/dev/null; }
+wait_for "the end of the process whose disk is full, after $accepted changes" small_has_ended || kill -KILL $small
 wait $small
 expect_equal "exit of a full disk" $? 1
 grep -q "cannot write to the data folder, ending" "$dir/small.log" || cat "$dir/small.log"
--- a/test/op_test.c
+++ b/test/op_test.c
@@ -22,9 +22,9 @@
 	return 0;
 }
 
-static void send_answer(void *arg)
+/* Answers that the operation is done, or, with a SERIAL, that it was superseded by that entry. */
+static void send_result(struct fake_leader *l, u64 serial)
 {
-	struct fake_leader *l = arg;
 	FRAME_AUTO(f, CTL_FORWARD_RESULT);
 
 	frame_put_u64(&f, l->request);
@@ -33,13 +33,25 @@
 	frame_put_u64(&f, 0);
 	frame_put_u64(&f, 0);
 	frame_put_bool(&f, false);
-	frame_put_bool(&f, false);
-	frame_put_u64(&f, 0);
+	frame_put_bool(&f, serial > 0);
+	frame_put_u64(&f, serial);
 	frame_put_u64(&f, follower.control->raft.applied);
 	frame_put_str(&f, "");
 	link_send(l->link, &f);
 }
 
+static void send_answer(void *arg)
+{
+	send_result(arg, 0);
+}
+
+#define LATER_MEMBERS_INDEX 9
+
+static void send_superseded(void *arg)
+{
+	send_result(arg, LATER_MEMBERS_INDEX);
+}
+
 /* Members 2 and 3 are the leaders, of whom 2 leads. The test polls the operations. */
 static void start_follower(void)
 {
@@ -173,11 +185,38 @@
 	stop();
 }
 
+static void apply_members(void *arg)
+{
+	(void)arg;
+	follower.control->raft.members_index = LATER_MEMBERS_INDEX;
+}
+
+/*
+ * Guards against: a change of the group that came late is proposed again and again until this
+ * process has the membership entry that came first.
+ */
+static void test_superseded_change_waits_for_its_cause(void)
+{
+	start();
+	loop_call(follower.control->loop, submit, GINT_TO_POINTER(OP_REMOVE));
+	wait_forwards(&leaders[0], 1, WAIT_MS);
+	loop_call(leaders[0].loop, send_superseded, &leaders[0]);
+	for (u32 i = 0; i < NEXT_LEADER_MS; i++)
+		wait_forwards(&leaders[0], 1, 1);
+	g_assert_cmpint(g_atomic_int_get(&outcome), ==, OP_PENDING);
+	loop_call(follower.control->loop, apply_members, NULL);
+	loop_call(follower.control->loop, poll_ops, NULL);
+	wait_outcome(OP_DONE);
+	stop();
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/op/read-waits-for-a-former-leader", test_read_waits_for_a_former_leader);
 	g_test_add_func("/op/change-stays-with-a-former-leader",
 			test_change_stays_with_a_former_leader);
+	g_test_add_func("/op/superseded-change-waits-for-its-cause",
+			test_superseded_change_waits_for_its_cause);
 	return g_test_run();
 }
